--- /dev/null
+++ b/entry/providers.go
@@ -0,0 +1,27 @@
+package entry
+
+import (
+	"time"
+
+	"lycheehook.example/lycheehook/platform"
+	"lycheehook.example/lycheehook/revision"
+	"lycheehook.example/lycheehook/settings"
+	"lycheehook.example/lycheehook/store"
+)
+
+const (
+	storeTimeout    = 2 * time.Second
+	platformTimeout = 2 * time.Second
+)
+
+func newStore(s settings.Settings) *store.Client {
+	return store.Dial(s.StoreAddress, storeTimeout)
+}
+
+func newPlatform(s settings.Settings) *platform.Client {
+	return platform.Dial(s.PlatformAddress, platformTimeout)
+}
+
+func newBook(c *store.Client) *revision.Book {
+	return revision.New(c)
+}
--- /dev/null
+++ b/fleet/resources.go
@@ -0,0 +1,99 @@
+package fleet
+
+// MilliCores counts processor time in thousandths of a core.
+type MilliCores int64
+
+// Mebibytes counts memory in units of 2^20 bytes.
+type Mebibytes int64
+
+// Resources is an amount of each resource that work takes and hosts or endpoints give.
+type Resources struct {
+	Slots        int64      `json:",omitempty"`
+	Cores        MilliCores `json:",omitempty"`
+	Memory       Mebibytes  `json:",omitempty"`
+	Accelerators int64      `json:",omitempty"`
+}
+
+// Plus returns the sum of r and o.
+func (r Resources) Plus(o Resources) Resources {
+	return Resources{
+		Slots:        r.Slots + o.Slots,
+		Cores:        r.Cores + o.Cores,
+		Memory:       r.Memory + o.Memory,
+		Accelerators: r.Accelerators + o.Accelerators,
+	}
+}
+
+// Minus returns r less o; a component may come out negative.
+func (r Resources) Minus(o Resources) Resources {
+	return Resources{
+		Slots:        r.Slots - o.Slots,
+		Cores:        r.Cores - o.Cores,
+		Memory:       r.Memory - o.Memory,
+		Accelerators: r.Accelerators - o.Accelerators,
+	}
+}
+
+// Min returns the smaller of r and o in each component.
+func (r Resources) Min(o Resources) Resources {
+	return Resources{
+		Slots:        min(r.Slots, o.Slots),
+		Cores:        min(r.Cores, o.Cores),
+		Memory:       min(r.Memory, o.Memory),
+		Accelerators: min(r.Accelerators, o.Accelerators),
+	}
+}
+
+// Max returns the larger of r and o in each component.
+func (r Resources) Max(o Resources) Resources {
+	return Resources{
+		Slots:        max(r.Slots, o.Slots),
+		Cores:        max(r.Cores, o.Cores),
+		Memory:       max(r.Memory, o.Memory),
+		Accelerators: max(r.Accelerators, o.Accelerators),
+	}
+}
+
+// Times returns r multiplied by n.
+func (r Resources) Times(n int64) Resources {
+	return Resources{
+		Slots:        r.Slots * n,
+		Cores:        r.Cores * MilliCores(n),
+		Memory:       r.Memory * Mebibytes(n),
+		Accelerators: r.Accelerators * n,
+	}
+}
+
+// FitsIn reports whether no component of r exceeds that of o.
+func (r Resources) FitsIn(o Resources) bool {
+	return r.Slots <= o.Slots && r.Cores <= o.Cores && r.Memory <= o.Memory && r.Accelerators <= o.Accelerators
+}
+
+// IsZero reports whether every component is zero.
+func (r Resources) IsZero() bool {
+	return r == Resources{}
+}
+
+// IsNegative reports whether any component is below zero.
+func (r Resources) IsNegative() bool {
+	return r.Slots < 0 || r.Cores < 0 || r.Memory < 0 || r.Accelerators < 0
+}
+
+// DominantShare returns the largest fraction of total that r takes in any component (Ghodsi et al., Dominant Resource Fairness, 2011).
+func (r Resources) DominantShare(total Resources) float64 {
+	return max(
+		fraction(r.Slots, total.Slots),
+		fraction(int64(r.Cores), int64(total.Cores)),
+		fraction(int64(r.Memory), int64(total.Memory)),
+		fraction(r.Accelerators, total.Accelerators),
+	)
+}
+
+// fraction returns 0 for a resource that the total lacks, because no share of it can be held.
+func fraction(part, total int64) float64 {
+	if total <= 0 {
+		return 0
+	}
+
+	return float64(part) / float64(total)
+}
--- /dev/null
+++ b/standin/endpoint.go
@@ -0,0 +1,100 @@
+package standin
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Headers of the exchange with an endpoint.
+const (
+	// HeaderRequestID carries the caller's request ID to the endpoint.
+	HeaderRequestID = "X-Request-Id"
+	// HeaderBodyDigest carries the SHA-256 of the request body in the answer, for checks of whole answers.
+	HeaderBodyDigest = "X-Body-Digest"
+)
+
+// Endpoint is a stand-in for a runner: it answers each request with its own body and counts what it ran.
+type Endpoint struct {
+	mu       sync.Mutex
+	service  time.Duration
+	runs     map[string]int
+	total    int
+	running  int
+	mostSeen int
+}
+
+// NewEndpoint returns an endpoint that takes service for each request.
+func NewEndpoint(service time.Duration) *Endpoint {
+	return &Endpoint{service: service, runs: map[string]int{}}
+}
+
+// SetService changes how long a request takes.
+func (e *Endpoint) SetService(d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.service = d
+}
+
+// Runs returns how often the request with the given ID ran.
+func (e *Endpoint) Runs(requestID string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	return e.runs[requestID]
+}
+
+// Total returns how many requests ran.
+func (e *Endpoint) Total() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	return e.total
+}
+
+// MostRunning returns the largest number of requests that ran at once.
+func (e *Endpoint) MostRunning() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	return e.mostSeen
+}
+
+// ServeHTTP runs one request: it reads the body, waits for the service time, and echoes the body.
+func (e *Endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+
+	service := e.begin(r.Header.Get(HeaderRequestID))
+	defer e.end()
+	time.Sleep(service)
+
+	digest := sha256.Sum256(body)
+	w.Header().Set(HeaderRequestID, r.Header.Get(HeaderRequestID))
+	w.Header().Set(HeaderBodyDigest, hex.EncodeToString(digest[:]))
+	_, _ = w.Write(body)
+}
+
+func (e *Endpoint) begin(requestID string) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.total++
+	e.running++
+	e.mostSeen = max(e.mostSeen, e.running)
+	if requestID != "" {
+		e.runs[requestID]++
+	}
+
+	return e.service
+}
+
+func (e *Endpoint) end() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.running--
+}
--- /dev/null
+++ b/standin/store.go
@@ -0,0 +1,367 @@
+package standin
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"lycheehook.example/lycheehook/store"
+)
+
+// keptEvents bounds the history that a watch can ask for, in events.
+const keptEvents = 100_000
+
+// Fault is a fault of the store, applied to every call until it is lifted.
+type Fault string
+
+// The faults of the store.
+const (
+	// FaultNone lets calls through.
+	FaultNone Fault = ""
+	// FaultDown refuses every call before it has an effect.
+	FaultDown Fault = "Down"
+	// FaultAnswerLost carries out every write and loses its answer.
+	FaultAnswerLost Fault = "AnswerLost"
+	// FaultSilent accepts every call and never answers.
+	FaultSilent Fault = "Silent"
+)
+
+type lease struct {
+	ttl     time.Duration
+	expires time.Time
+}
+
+// Store is an in-memory stand-in for the platform's key-value service.
+type Store struct {
+	mu       sync.Mutex
+	revision uint64
+	records  map[string]store.Record
+	bound    map[string]store.LeaseID
+	leases   map[store.LeaseID]lease
+	nextID   store.LeaseID
+	events   []store.Event
+	changed  chan struct{}
+	fault    Fault
+	delay    time.Duration
+	calls    map[string]int64
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{
+		records: map[string]store.Record{},
+		bound:   map[string]store.LeaseID{},
+		leases:  map[store.LeaseID]lease{},
+		changed: make(chan struct{}),
+		calls:   map[string]int64{},
+	}
+}
+
+// SetFault applies f to every later call.
+func (s *Store) SetFault(f Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = f
+	s.wake()
+}
+
+// SetDelay makes every later call take d longer.
+func (s *Store) SetDelay(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delay = d
+}
+
+// Calls returns how often each call was made.
+func (s *Store) Calls() map[string]int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	calls := make(map[string]int64, len(s.calls))
+	for name, n := range s.calls {
+		calls[name] = n
+	}
+
+	return calls
+}
+
+// Client returns a client that calls the store without a network.
+func (s *Store) Client() *store.Client {
+	return &store.Client{
+		Get:            s.get,
+		List:           s.list,
+		CompareAndSwap: s.compareAndSwap,
+		Watch:          s.watch,
+		Grant:          s.grant,
+		KeepAlive:      s.keepAlive,
+		Revoke:         s.revoke,
+	}
+}
+
+// enter counts a call, applies delay and faults, and returns with the store locked unless it returns an error.
+func (s *Store) enter(ctx context.Context, name string) error {
+	s.mu.Lock()
+	s.calls[name]++
+	delay, fault := s.delay, s.fault
+	s.mu.Unlock()
+
+	if delay > 0 {
+		select {
+		case <-ctx.Done():
+			return merry.Prepend(store.ErrOutcomeUnknown, name)
+		case <-time.After(delay):
+		}
+	}
+
+	switch fault {
+	case FaultDown:
+		return merry.Prepend(store.ErrUnavailable, name)
+	case FaultSilent:
+		<-ctx.Done()
+		return merry.Prepend(store.ErrOutcomeUnknown, name)
+	case FaultNone, FaultAnswerLost:
+	}
+
+	s.mu.Lock()
+	s.expire()
+
+	return nil
+}
+
+// answer returns what a write reports under the fault in force; the store is locked.
+func (s *Store) answer(name string) error {
+	if s.fault == FaultAnswerLost {
+		return merry.Prepend(store.ErrOutcomeUnknown, name)
+	}
+
+	return nil
+}
+
+func (s *Store) get(ctx context.Context, key string) (store.Record, error) {
+	if err := s.enter(ctx, "Get"); err != nil {
+		return store.Record{}, readError(err)
+	}
+	defer s.mu.Unlock()
+
+	r, ok := s.records[key]
+	if !ok {
+		return store.Record{}, merry.Prepend(store.ErrNotFound, key)
+	}
+
+	return r, nil
+}
+
+func (s *Store) list(ctx context.Context, prefix string) (store.Listing, error) {
+	if err := s.enter(ctx, "List"); err != nil {
+		return store.Listing{}, readError(err)
+	}
+	defer s.mu.Unlock()
+
+	l := store.Listing{Revision: s.revision}
+	for key, r := range s.records {
+		if strings.HasPrefix(key, prefix) {
+			l.Records = append(l.Records, r)
+		}
+	}
+	slices.SortFunc(l.Records, func(a, b store.Record) int { return strings.Compare(a.Key, b.Key) })
+
+	return l, nil
+}
+
+func (s *Store) compareAndSwap(ctx context.Context, w store.Write) (uint64, error) {
+	if err := s.enter(ctx, "CompareAndSwap"); err != nil {
+		return 0, err
+	}
+	defer s.mu.Unlock()
+
+	if len(w.Value) > store.MaxValueSize {
+		return 0, merry.Prepend(store.ErrTooLarge, w.Key)
+	}
+	if s.records[w.Key].Revision != w.Base {
+		return 0, merry.Prepend(store.ErrConflict, w.Key)
+	}
+	if _, live := s.leases[w.Lease]; w.Lease != 0 && !live {
+		return 0, merry.Prepend(store.ErrLeaseLapsed, w.Key)
+	}
+
+	if w.Delete {
+		s.remove(w.Key)
+	} else {
+		s.put(w)
+	}
+
+	return s.revision, s.answer(w.Key)
+}
+
+func (s *Store) put(w store.Write) {
+	s.revision++
+	r := store.Record{Key: w.Key, Value: slices.Clone(w.Value), Revision: s.revision}
+	s.records[w.Key] = r
+	delete(s.bound, w.Key)
+	if w.Lease != 0 {
+		s.bound[w.Key] = w.Lease
+	}
+	s.publish(store.Event{Record: r})
+}
+
+func (s *Store) remove(key string) {
+	if _, ok := s.records[key]; !ok {
+		return
+	}
+
+	s.revision++
+	delete(s.records, key)
+	delete(s.bound, key)
+	s.publish(store.Event{Record: store.Record{Key: key, Revision: s.revision}, Deleted: true})
+}
+
+func (s *Store) publish(e store.Event) {
+	s.events = append(s.events, e)
+	if len(s.events) > 2*keptEvents {
+		s.events = slices.Clone(s.events[len(s.events)-keptEvents:])
+	}
+	s.wake()
+}
+
+// wake lets every waiting watch look again; the store is locked.
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// expire removes lapsed leases with their keys; the store is locked.
+func (s *Store) expire() {
+	now := time.Now()
+	for id, l := range s.leases {
+		if now.Before(l.expires) {
+			continue
+		}
+		s.drop(id)
+	}
+}
+
+func (s *Store) drop(id store.LeaseID) {
+	delete(s.leases, id)
+	for key, bound := range s.bound {
+		if bound == id {
+			s.remove(key)
+		}
+	}
+}
+
+func (s *Store) watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (store.Events, error) {
+	if err := s.enter(ctx, "Watch"); err != nil {
+		return store.Events{}, readError(err)
+	}
+
+	deadline := time.After(wait)
+	for {
+		ev, err := s.since(prefix, after)
+		changed := s.changed
+		fault := s.fault
+		s.mu.Unlock()
+
+		if fault == FaultDown {
+			return store.Events{}, merry.Prepend(store.ErrUnavailable, prefix)
+		}
+		if err != nil || len(ev.Events) > 0 {
+			return ev, err
+		}
+
+		select {
+		case <-ctx.Done():
+			return store.Events{}, merry.Prepend(store.ErrUnavailable, prefix)
+		case <-deadline:
+			return ev, nil
+		case <-changed:
+		case <-time.After(s.untilExpiry()):
+		}
+
+		s.mu.Lock()
+		s.expire()
+	}
+}
+
+// untilExpiry returns how long it is until the next lease may lapse.
+func (s *Store) untilExpiry() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	next := time.Minute
+	for _, l := range s.leases {
+		next = min(next, time.Until(l.expires))
+	}
+
+	return max(next, time.Millisecond)
+}
+
+// since returns the events under prefix after a revision; the store is locked.
+func (s *Store) since(prefix string, after uint64) (store.Events, error) {
+	if len(s.events) > 0 && after+1 < s.events[0].Record.Revision && s.events[0].Record.Revision > 1 {
+		return store.Events{}, merry.Prepend(store.ErrCompacted, prefix)
+	}
+
+	ev := store.Events{Revision: s.revision}
+	first, _ := slices.BinarySearchFunc(s.events, after+1, func(e store.Event, r uint64) int {
+		return int(e.Record.Revision) - int(r)
+	})
+	for _, e := range s.events[first:] {
+		if strings.HasPrefix(e.Record.Key, prefix) {
+			ev.Events = append(ev.Events, e)
+		}
+	}
+
+	return ev, nil
+}
+
+func (s *Store) grant(ctx context.Context, ttl time.Duration) (store.Lease, error) {
+	if err := s.enter(ctx, "Grant"); err != nil {
+		return store.Lease{}, err
+	}
+	defer s.mu.Unlock()
+
+	s.nextID++
+	s.leases[s.nextID] = lease{ttl: ttl, expires: time.Now().Add(ttl)}
+
+	return store.Lease{ID: s.nextID, TTL: ttl}, s.answer("Grant")
+}
+
+func (s *Store) keepAlive(ctx context.Context, id store.LeaseID) error {
+	if err := s.enter(ctx, "KeepAlive"); err != nil {
+		return err
+	}
+	defer s.mu.Unlock()
+
+	l, ok := s.leases[id]
+	if !ok {
+		return merry.Prepend(store.ErrLeaseLapsed, "keep alive")
+	}
+	l.expires = time.Now().Add(l.ttl)
+	s.leases[id] = l
+
+	return s.answer("KeepAlive")
+}
+
+func (s *Store) revoke(ctx context.Context, id store.LeaseID) error {
+	if err := s.enter(ctx, "Revoke"); err != nil {
+		return err
+	}
+	defer s.mu.Unlock()
+	s.drop(id)
+
+	return s.answer("Revoke")
+}
+
+// readError turns an unknown outcome into unavailability, as a read has no effect.
+func readError(err error) error {
+	if errors.Is(err, store.ErrOutcomeUnknown) {
+		return merry.Prepend(store.ErrUnavailable, err.Error())
+	}
+
+	return err
+}
--- /dev/null
+++ b/store/http.go
@@ -0,0 +1,218 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// Paths of the platform's key-value service.
+const (
+	pathGet       = "/v1/kv/get"
+	pathList      = "/v1/kv/list"
+	pathSwap      = "/v1/kv/compare-and-swap"
+	pathWatch     = "/v1/kv/watch"
+	pathGrant     = "/v1/kv/lease/grant"
+	pathKeepAlive = "/v1/kv/lease/keep-alive"
+	pathRevoke    = "/v1/kv/lease/revoke"
+)
+
+const (
+	dialTimeout = time.Second
+	// maxAnswerSize bounds an answer of the service, in bytes.
+	maxAnswerSize = 64 << 20
+	// watchGrace is what a watch may take beyond its own wait.
+	watchGrace = time.Second
+)
+
+type keyRequest struct {
+	Key    string `json:",omitempty"`
+	Prefix string `json:",omitempty"`
+}
+
+type watchRequest struct {
+	Prefix   string
+	After    uint64
+	WaitTime string
+}
+
+type leaseRequest struct {
+	ID  LeaseID `json:",omitempty"`
+	TTL string  `json:",omitempty"`
+}
+
+type leaseAnswer struct {
+	ID LeaseID
+}
+
+type swapAnswer struct {
+	Revision uint64
+}
+
+type errorAnswer struct {
+	Error string
+}
+
+// wireErrors maps the error names of the service to sentinel errors.
+var wireErrors = map[string]error{
+	"NotFound":    ErrNotFound,
+	"Conflict":    ErrConflict,
+	"LeaseLapsed": ErrLeaseLapsed,
+	"TooLarge":    ErrTooLarge,
+	"Compacted":   ErrCompacted,
+	"Unavailable": ErrUnavailable,
+}
+
+// caller sends calls to one address of the service.
+type caller struct {
+	base    string
+	timeout time.Duration
+	client  *http.Client
+}
+
+// Dial returns a client of the service at addr, in which each call but a watch takes at most timeout.
+func Dial(addr netip.AddrPort, timeout time.Duration) *Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	c := &caller{
+		base:    "http://" + addr.String(),
+		timeout: timeout,
+		client: &http.Client{Transport: &http.Transport{
+			DialContext:         dialer.DialContext,
+			MaxIdleConnsPerHost: 16,
+			IdleConnTimeout:     time.Minute,
+		}},
+	}
+
+	return &Client{
+		Get:            c.get,
+		List:           c.list,
+		CompareAndSwap: c.compareAndSwap,
+		Watch:          c.watch,
+		Grant:          c.grant,
+		KeepAlive:      c.keepAlive,
+		Revoke:         c.revoke,
+	}
+}
+
+func (c *caller) get(ctx context.Context, key string) (Record, error) {
+	var r Record
+	err := c.call(ctx, pathGet, c.timeout, keyRequest{Key: key}, &r)
+
+	return r, readError(err)
+}
+
+func (c *caller) list(ctx context.Context, prefix string) (Listing, error) {
+	var l Listing
+	err := c.call(ctx, pathList, c.timeout, keyRequest{Prefix: prefix}, &l)
+
+	return l, readError(err)
+}
+
+func (c *caller) compareAndSwap(ctx context.Context, w Write) (uint64, error) {
+	if len(w.Value) > MaxValueSize {
+		return 0, merry.Prependf(ErrTooLarge, "write %s of %d bytes", w.Key, len(w.Value))
+	}
+
+	var a swapAnswer
+	err := c.call(ctx, pathSwap, c.timeout, w, &a)
+
+	return a.Revision, err
+}
+
+func (c *caller) watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (Events, error) {
+	var ev Events
+	req := watchRequest{Prefix: prefix, After: after, WaitTime: wait.String()}
+	err := c.call(ctx, pathWatch, wait+c.timeout+watchGrace, req, &ev)
+
+	return ev, readError(err)
+}
+
+func (c *caller) grant(ctx context.Context, ttl time.Duration) (Lease, error) {
+	var a leaseAnswer
+	err := c.call(ctx, pathGrant, c.timeout, leaseRequest{TTL: ttl.String()}, &a)
+
+	return Lease{ID: a.ID, TTL: ttl}, err
+}
+
+func (c *caller) keepAlive(ctx context.Context, id LeaseID) error {
+	return c.call(ctx, pathKeepAlive, c.timeout, leaseRequest{ID: id}, &struct{}{})
+}
+
+func (c *caller) revoke(ctx context.Context, id LeaseID) error {
+	return c.call(ctx, pathRevoke, c.timeout, leaseRequest{ID: id}, &struct{}{})
+}
+
+// readError turns an unknown outcome into plain unavailability, because a read has no effect that could be in doubt.
+func readError(err error) error {
+	if errors.Is(err, ErrOutcomeUnknown) {
+		return merry.Prepend(ErrUnavailable, err.Error())
+	}
+
+	return err
+}
+
+// call posts one request; a failure before the request could have left is ErrUnavailable, any later one ErrOutcomeUnknown.
+func (c *caller) call(ctx context.Context, path string, timeout time.Duration, req, answer any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+
+	body, err := json.Marshal(req)
+	if err != nil {
+		return merry.Prependf(err, "encode %s", path)
+	}
+
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return merry.Prependf(err, "request %s", path)
+	}
+
+	resp, err := c.client.Do(r)
+	if err != nil {
+		return merry.Prependf(sendError(err), "%s: %v", path, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerSize))
+	if err != nil {
+		return merry.Prependf(ErrOutcomeUnknown, "%s: read answer: %v", path, err)
+	}
+
+	return decodeAnswer(path, resp.StatusCode, data, answer)
+}
+
+// sendError tells a failed dial, after which nothing can have happened, from every other failure.
+func sendError(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return ErrUnavailable
+	}
+
+	return ErrOutcomeUnknown
+}
+
+func decodeAnswer(path string, status int, data []byte, answer any) error {
+	if status == http.StatusOK {
+		if err := json.Unmarshal(data, answer); err != nil {
+			return merry.Prependf(ErrOutcomeUnknown, "%s: decode answer: %v", path, err)
+		}
+
+		return nil
+	}
+
+	var e errorAnswer
+	if err := json.Unmarshal(data, &e); err == nil {
+		if known, ok := wireErrors[e.Error]; ok {
+			return merry.Prepend(known, path)
+		}
+	}
+
+	return merry.Prependf(ErrOutcomeUnknown, "%s: status %d", path, status)
+}
--- /dev/null
+++ b/store/store.go
@@ -0,0 +1,92 @@
+package store
+
+import (
+	"context"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// MaxValueSize is the largest value that the service takes, in bytes.
+const MaxValueSize = 1 << 20
+
+// Sentinel errors of the store.
+var (
+	// ErrNotFound says that the service answered and has no such key.
+	ErrNotFound = merry.Sentinel("store: key not found")
+	// ErrConflict says that the key's revision was not the expected one, so nothing was written.
+	ErrConflict = merry.Sentinel("store: revision conflict")
+	// ErrUnavailable says that the service surely did not carry the call out.
+	ErrUnavailable = merry.Sentinel("store: unavailable")
+	// ErrOutcomeUnknown says that a write may or may not have taken effect.
+	ErrOutcomeUnknown = merry.Sentinel("store: outcome unknown")
+	// ErrLeaseLapsed says that the lease named in the call has lapsed, so nothing was written.
+	ErrLeaseLapsed = merry.Sentinel("store: lease lapsed")
+	// ErrTooLarge says that a value exceeds MaxValueSize.
+	ErrTooLarge = merry.Sentinel("store: value too large")
+	// ErrCompacted says that a watch asked for events older than the service keeps.
+	ErrCompacted = merry.Sentinel("store: revision compacted")
+)
+
+// LeaseID identifies a lease; zero means none.
+type LeaseID uint64
+
+// Lease is a promise of the service to keep the keys bound to it until TTL passes without a renewal.
+type Lease struct {
+	ID  LeaseID
+	TTL time.Duration
+}
+
+// Record is a key with its value and the store revision of its last write.
+type Record struct {
+	Key      string
+	Value    []byte
+	Revision uint64
+}
+
+// Write asks for Value at Key provided that the key's revision still is Base; a Base of zero means that the key must not exist.
+type Write struct {
+	Key   string
+	Value []byte
+	Base  uint64
+	// Lease binds the key to a lease; zero keeps it until it is deleted.
+	Lease LeaseID
+	// Delete removes the key in place of writing a value.
+	Delete bool
+}
+
+// Event tells of a change of one key.
+type Event struct {
+	Record  Record
+	Deleted bool
+}
+
+// Events are the changes under a prefix up to and including Revision, in order.
+type Events struct {
+	Events   []Event
+	Revision uint64
+}
+
+// Listing is every record under a prefix as of Revision.
+type Listing struct {
+	Records  []Record
+	Revision uint64
+}
+
+// Client is the set of calls that the platform's key-value service answers; its fields are seams for tests and layers.
+type Client struct {
+	// Get returns the record at key, from the latest state.
+	Get func(ctx context.Context, key string) (Record, error)
+	// List returns every record under prefix, from the latest state.
+	List func(ctx context.Context, prefix string) (Listing, error)
+	// CompareAndSwap carries out w and returns the new store revision.
+	CompareAndSwap func(ctx context.Context, w Write) (uint64, error)
+	// Watch returns the changes under prefix after a revision; it waits up to wait for the first and returns none if there is none.
+	Watch func(ctx context.Context, prefix string, after uint64, wait time.Duration) (Events, error)
+	// Grant opens a lease.
+	Grant func(ctx context.Context, ttl time.Duration) (Lease, error)
+	// KeepAlive renews a lease for its whole TTL.
+	KeepAlive func(ctx context.Context, id LeaseID) error
+	// Revoke ends a lease and removes the keys bound to it.
+	Revoke func(ctx context.Context, id LeaseID) error
+}
