Compare table keys and hash secrets without allocation

Cause: the default comparer of the immutable map falls back to reflection for named string types, and a presented key was split and hashed on the heap, so each admission paid several allocations for look-ups. Change: fleet.Table brings its own comparer; key.Ring.Match cuts the secret in place and hashes it on the stack. A presented secret longer than 64 bytes is malformed.

--- a/fleet/table.go
+++ b/fleet/table.go
@@ -12,9 +12,17 @@
 	m *immutable.SortedMap[K, V]
 }
 
+// comparer orders keys without reflection, so that a look-up allocates nothing.
+type comparer[K cmp.Ordered] struct{}
+
+// Compare implements immutable.Comparer.
+func (comparer[K]) Compare(a, b K) int {
+	return cmp.Compare(a, b)
+}
+
 // NewTable returns a table of the values, keyed by what key returns for each.
 func NewTable[K cmp.Ordered, V any](key func(V) K, values ...V) Table[K, V] {
-	b := immutable.NewSortedMapBuilder[K, V](nil)
+	b := immutable.NewSortedMapBuilder[K, V](comparer[K]{})
 	for _, v := range values {
 		b.Set(key(v), v)
 	}
@@ -45,7 +53,7 @@
 func (t Table[K, V]) With(k K, v V) Table[K, V] {
 	m := t.m
 	if m == nil {
-		m = immutable.NewSortedMap[K, V](nil)
+		m = immutable.NewSortedMap[K, V](comparer[K]{})
 	}
 
 	return Table[K, V]{m: m.Set(k, v)}
--- a/key/key.go
+++ b/key/key.go
@@ -19,6 +19,8 @@
 	saltSize = 16
 	// secretSize is the entropy of a secret in bytes; at this size a plain salted hash cannot be searched.
 	secretSize = 32
+	// maxSecretSize bounds what is hashed of a presented secret, in bytes.
+	maxSecretSize = 64
 )
 
 // Sentinel errors of keys.
@@ -51,7 +53,8 @@
 	id := base64.RawURLEncoding.EncodeToString(random(idSize))
 	secret := base64.RawURLEncoding.EncodeToString(random(secretSize))
 	k := Key{ID: ID(id), Team: team, Salt: random(saltSize), Given: now}
-	k.Hash = hash(k.Salt, secret)
+	sum := hash(k.Salt, secret)
+	k.Hash = sum[:]
 
 	return k, strings.Join([]string{prefix, id, secret}, ".")
 }
@@ -84,25 +87,28 @@
 
 // Match returns the key whose secret was presented, compared in constant time.
 func (r Ring) Match(presented string) (Key, error) {
-	parts := strings.Split(presented, ".")
-	if len(parts) != 3 || parts[0] != prefix {
+	head, rest, _ := strings.Cut(presented, ".")
+	id, secret, ok := strings.Cut(rest, ".")
+	if !ok || head != prefix || len(secret) > maxSecretSize {
 		return Key{}, merry.Wrap(ErrMalformed)
 	}
 
-	k, ok := r.keys.Get(ID(parts[1]))
-	if subtle.ConstantTimeCompare(hash(k.Salt, parts[2]), k.Hash) != 1 || !ok {
+	k, ok := r.keys.Get(ID(id))
+	sum := hash(k.Salt, secret)
+	if subtle.ConstantTimeCompare(sum[:], k.Hash) != 1 || !ok {
 		return Key{}, merry.Wrap(ErrUnknown)
 	}
 
 	return k, nil
 }
 
-func hash(salt []byte, secret string) []byte {
-	h := sha256.New()
-	h.Write(salt)
-	h.Write([]byte(secret))
+// hash allocates nothing, because each request of a caller is checked by it.
+func hash(salt []byte, secret string) [sha256.Size]byte {
+	var buf [saltSize + maxSecretSize]byte
+	n := copy(buf[:saltSize], salt)
+	n += copy(buf[n:], secret)
 
-	return h.Sum(nil)
+	return sha256.Sum256(buf[:n])
 }
 
 func random(size int) []byte {
