Choose the next work by weighted max-min share from bounded lines

Cause: admission took whoever came first and had no place to wait, so a full pool went to the loudest team. Change: share holds weighted progressive filling over the dominant resource with a decaying memory of usage, merged with the peers' reports, and advice on how to divide slots among entry hosts; queue holds the lines per team, queue and size, with O(1) cancellation, shedding by who has most for its weight, and urgent work first within the share.

--- /dev/null
+++ b/share/allocate_test.go
@@ -0,0 +1,165 @@
+package share_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+
+	"lycheehook.example/lycheehook/fleet"
+	"lycheehook.example/lycheehook/share"
+)
+
+func res(slots int64, cores fleet.MilliCores, memory fleet.Mebibytes, accelerators int64) fleet.Resources {
+	return fleet.Resources{Slots: slots, Cores: cores, Memory: memory, Accelerators: accelerators}
+}
+
+func TestAllocate(t *testing.T) {
+	total := res(0, 9000, 18, 0)
+	for _, c := range []struct {
+		name    string
+		total   fleet.Resources
+		demands []share.Demand
+		want    []float64
+	}{
+		{"example of Ghodsi et al., section 4.1", total, []share.Demand{{Weight: 1, Wanted: res(0, 9000, 36, 0)}, {Weight: 1, Wanted: res(0, 27000, 9, 0)}}, []float64{2. / 3, 2. / 3}},
+		{"weights", res(80, 0, 0, 0), []share.Demand{{Weight: 3, Wanted: res(80, 0, 0, 0)}, {Weight: 1, Wanted: res(80, 0, 0, 0)}}, []float64{.75, .25}},
+		{"unused share goes to others", res(80, 0, 0, 0), []share.Demand{{Weight: 3, Wanted: res(8, 0, 0, 0)}, {Weight: 1, Wanted: res(80, 0, 0, 0)}}, []float64{.1, .9}},
+		{"a met demand takes no more", res(80, 0, 0, 0), []share.Demand{{Weight: 1, Wanted: res(8, 0, 0, 0)}}, []float64{.1}},
+		{"no demand", res(80, 0, 0, 0), []share.Demand{{Weight: 1}}, []float64{0}},
+		{"another resource goes on growing", res(80, 0, 0, 4), []share.Demand{{Weight: 1, Wanted: res(80, 0, 0, 4)}, {Weight: 1, Wanted: res(40, 0, 0, 0)}}, []float64{.5, .5}},
+		{"memory holds back who used more", res(80, 0, 0, 0), []share.Demand{{Weight: 1, Wanted: res(80, 0, 0, 0), Used: 1}, {Weight: 1, Wanted: res(80, 0, 0, 0)}}, []float64{.25, .75}},
+		{"memory does not starve without need", res(80, 0, 0, 0), []share.Demand{{Weight: 1, Wanted: res(80, 0, 0, 0), Used: 1}, {Weight: 1, Wanted: res(8, 0, 0, 0)}}, []float64{.9, .1}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if d := cmp.Diff(c.want, share.Allocate(c.total, c.demands), cmpopts.EquateApprox(0, 1e-6)); d != "" {
+				t.Errorf("due (-want +got):\n%s", d)
+			}
+		})
+	}
+}
+
+// TestAllocateProperty checks that no resource is given twice, that none is left while someone wants it, and that
+// the parts of Divide sum to what there is.
+func TestAllocateProperty(t *testing.T) {
+	for seed := range uint64(500) {
+		r := rand.New(rand.NewPCG(seed, 2))
+		total := res(80, 64000, 1<<17, 4)
+		demands := make([]share.Demand, 1+r.IntN(8))
+		for i := range demands {
+			demands[i] = share.Demand{
+				Weight: 1 + r.Int64N(5), Used: r.Float64(),
+				Wanted: res(r.Int64N(100), fleet.MilliCores(r.Int64N(90000)), fleet.Mebibytes(r.Int64N(1<<18)), r.Int64N(6)),
+			}
+		}
+		var used [4]float64
+		due := share.Allocate(total, demands)
+		parts := func(i int) [4]float64 {
+			w := demands[i].Wanted
+			return [4]float64{float64(w.Slots) / 80, float64(w.Cores) / 64000, float64(w.Memory) / (1 << 17), float64(w.Accelerators) / 4}
+		}
+		for i := range demands {
+			largest := demands[i].Wanted.DominantShare(total)
+			for k, v := range parts(i) {
+				if largest > 0 {
+					used[k] += due[i] * v / largest
+				}
+			}
+		}
+		for i := range demands {
+			met, short := due[i] >= demands[i].Wanted.DominantShare(total)-1e-6, false
+			for k, v := range parts(i) {
+				if used[k] > 1+1e-6 {
+					t.Fatalf("seed %d: resource %d is given %.3f times", seed, k, used[k])
+				}
+				short = short || v > 0 && used[k] > 1-1e-6
+			}
+			if !met && !short {
+				t.Errorf("seed %d: demand %d is due %.3f while all it wants is free", seed, i, due[i])
+			}
+		}
+	}
+}
+
+func TestDivide(t *testing.T) {
+	standing := func(team fleet.TeamName, n int64) share.Standing {
+		return share.Standing{Team: team, Demand: res(n, 0, 0, 0)}
+	}
+	for _, c := range []struct {
+		name    string
+		slots   int64
+		reports []share.Report
+		want    []int64
+	}{
+		{"idle is spread evenly", 8, []share.Report{{}, {}, {}}, []int64{3, 3, 2}},
+		{"slots follow the demand", 8, []share.Report{{Teams: []share.Standing{standing("a", 40)}}, {}}, []int64{8, 0}},
+		{"the shares decide when all is full", 12, []share.Report{
+			{Teams: []share.Standing{standing("a", 100)}}, {Teams: []share.Standing{standing("b", 10)}},
+		}, []int64{8, 4}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			got := share.Divide(c.slots, map[fleet.TeamName]int64{"a": 2, "b": 1}, time.Second, c.reports)
+			if d := cmp.Diff(c.want, got); d != "" {
+				t.Errorf("parts (-want +got):\n%s", d)
+			}
+		})
+	}
+}
+
+// TestLedgerReports checks that old reports fade, that usage decays by half in a half-life, and that peers count.
+func TestLedgerReports(t *testing.T) {
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	total := res(80, 0, 0, 0)
+	underShare := func(age time.Duration) bool {
+		l := share.New()
+		a, b := l.Open(fleet.Team{Name: "a", Share: 1}, start), l.Open(fleet.Team{Name: "b", Share: 1}, start)
+		l.Wait(a, res(80, 0, 0, 0))
+		l.Wait(b, res(80, 0, 0, 0))
+		l.Refresh(total, []share.Report{{Age: age, Teams: []share.Standing{{Team: "a", Running: res(60, 0, 0, 0), Demand: res(60, 0, 0, 0)}}}}, start)
+
+		return l.UnderShare(a)
+	}
+	if underShare(100 * time.Millisecond) {
+		t.Error("a team with most of the pool at a peer counts as under its share")
+	}
+	if !underShare(time.Minute) {
+		t.Error("a report of a minute ago still counts")
+	}
+
+	l := share.New(share.WithHalfLife(10 * time.Second))
+	a := l.Open(fleet.Team{Name: "a", Share: 1}, start)
+	l.Refresh(total, nil, start)
+	l.Start(a, res(80, 0, 0, 0), start)
+	l.End(a, res(80, 0, 0, 0), start.Add(time.Second))
+	usage := func(after time.Duration) float64 { return l.Report("e", start.Add(after)).Teams[0].Usage }
+	first := usage(time.Second)
+	if half := usage(11 * time.Second); math.Abs(half/first-.5) > 1e-9 {
+		t.Errorf("usage after a half-life is %.3f of what it was", half/first)
+	}
+}
+
+func BenchmarkRefresh(b *testing.B) {
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	for _, size := range []struct{ teams, hosts int }{{6, 7}, {43, 70}} {
+		b.Run(fmt.Sprintf("teams-%d-hosts-%d", size.teams, size.hosts), func(b *testing.B) {
+			l := share.New()
+			teams := make([]share.Standing, 0, size.teams)
+			for i := range size.teams {
+				t := fleet.TeamName(rune('a' + i))
+				l.Open(fleet.Team{Name: t, Share: 1}, start)
+				teams = append(teams, share.Standing{Team: t, Running: res(3, 0, 0, 0), Demand: res(9, 0, 0, 0), Usage: 1})
+			}
+			reports := make([]share.Report, size.hosts-1)
+			for i := range reports {
+				reports[i] = share.Report{Teams: teams}
+			}
+			for b.Loop() {
+				l.Refresh(res(800, 0, 0, 0), reports, start)
+			}
+		})
+	}
+}
