Send each request at most once and say exactly what became of it

Cause: http.Transport repeats requests by itself on reused connections, and a cut, late or foreign answer and a silent connection were not told apart. A full pool refused instead of letting work wait. The gate grants from bounded lines by share, checks key, freshness and plan again at the grant and before the first byte, and keeps the limit and the slot of work whose outcome is unknown until the caller's deadline. The callers' interface reads ID, deadline, size and idempotence.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -1,17 +1,25 @@
 package admission
 
 import (
+	"context"
+	"errors"
 	"sync"
 	"time"
 
 	"lycheehook.example/lycheehook/endpoint"
 	"lycheehook.example/lycheehook/fleet"
+	"lycheehook.example/lycheehook/queue"
 	"lycheehook.example/lycheehook/refusal"
 	"lycheehook.example/lycheehook/revision"
+	"lycheehook.example/lycheehook/share"
 )
 
-// retryAfter is the time to come back that a refusal for a full limit or pool names.
-const retryAfter = 500 * time.Millisecond
+const (
+	// refreshInterval is how often shares are computed anew while requests come.
+	refreshInterval = 25 * time.Millisecond
+	// leastRetryAfter is the shortest time to come back that a refusal names.
+	leastRetryAfter = 100 * time.Millisecond
+)
 
 // Request is what a caller asks to be admitted.
 type Request struct {
@@ -19,115 +27,247 @@
 	Secret string
 	Queue  fleet.QueueName
 	Size   fleet.Resources
+	// Idempotent work may be put on an endpoint that failed lately.
+	Idempotent bool
 }
 
-// Grant is the right to run one request; it is released once.
-type Grant struct {
-	Team fleet.Team
-	Slot endpoint.Slot
-	done func()
-}
-
-// Release gives back what the grant holds; later calls do nothing.
-func (g Grant) Release() {
-	g.done()
-}
-
-// Gate admits requests against the configuration in force.
+// Gate admits requests against the configuration in force: at once when a slot is free and nobody waits for it,
+// else from bounded lines in the order of the teams' shares. Its function fields are called with its lock held,
+// so they must neither block nor call the gate.
 type Gate struct {
 	// Current returns the configuration in force.
 	Current func() *revision.Revision
 	// Fresh reports whether the configuration is known to be the one in force.
 	Fresh func(time.Time) bool
-	// Acquire takes an endpoint slot of a pool.
-	Acquire func(fleet.PoolName) (endpoint.Slot, error)
+	// AcquireLimit counts size against the upper limits of a team and of its customer.
+	AcquireLimit func(team fleet.Team, size fleet.Resources) (release func(), err error)
+	// AcquireSlot takes endpoint slots of a pool.
+	AcquireSlot func(endpoint.Ask) (endpoint.Slot, bool)
+	// Fits reports whether some endpoint of a pool has so many slots at all.
+	Fits func(fleet.PoolName, int64) bool
+	// Slots returns how many slots of a pool this process may use.
+	Slots func(fleet.PoolName) int64
+	// Total returns the capacity that shares are of.
+	Total func() fleet.Resources
+	// Reports returns what the other entry hosts last reported.
+	Reports func() []share.Report
 
-	mu      sync.Mutex
-	running map[fleet.TeamName]fleet.Resources
+	mu        sync.Mutex
+	stopping  bool
+	swept     *revision.Revision
+	ledger    *share.Ledger
+	pools     map[fleet.PoolName]*queue.Pool
+	estimates map[fleet.QueueName]queue.Estimate
 }
 
-// New returns a gate over a revision book and a set of endpoints.
+// New returns a gate over a revision book and a set of endpoints, whose upper limits count on this entry host alone.
 func New(b *revision.Book, s *endpoint.Set) *Gate {
-	return &Gate{Current: b.Current, Fresh: b.Fresh, Acquire: s.Acquire, running: map[fleet.TeamName]fleet.Resources{}}
+	g := &Gate{
+		Current: b.Current, Fresh: b.Fresh, AcquireLimit: NewLimits(b.Current).Acquire,
+		AcquireSlot: s.Acquire, Fits: s.Fits, Slots: s.Slots, Total: s.Total,
+		Reports: func() []share.Report { return nil },
+		ledger:  share.New(), pools: map[fleet.PoolName]*queue.Pool{}, estimates: map[fleet.QueueName]queue.Estimate{},
+	}
+	s.Changed = g.Wake
+
+	return g
 }
 
-// Admit returns a grant or a NotRunError.
-func (g *Gate) Admit(req Request, now time.Time) (Grant, error) {
-	rev := g.Current()
-	q, ok := rev.Tables.Queues.Get(req.Queue)
-	if !ok {
-		return Grant{}, refusal.Refuse(refusal.QueueUnknown, "queue %q does not exist", req.Queue)
+// Admit returns a grant or a NotRunError. It returns at once or waits until a slot is granted, the request is
+// refused, or ctx ends.
+func (g *Gate) Admit(ctx context.Context, req Request) (Grant, error) {
+	now := time.Now()
+	if ctx.Err() != nil {
+		return Grant{}, refuseContext(ctx)
 	}
-
-	team, err := g.team(rev, q, req.Secret, now)
+	p, err := g.permit(req, now)
 	if err != nil {
 		return Grant{}, err
 	}
-	if err := g.take(team, req.Size); err != nil {
+	if err := g.runnable(p, req.Size); err != nil {
 		return Grant{}, err
 	}
 
-	slot, err := g.Acquire(q.Pool)
+	g.mu.Lock()
+	if g.stopping {
+		g.mu.Unlock()
+		return Grant{}, refusal.Refuse(refusal.Stopping, "entry host is stopping").WithRetryAfter(leastRetryAfter)
+	}
+	g.refresh(now)
+	pool, account := g.pool(p.queue.Pool), g.ledger.Open(p.team, now)
+	if pool.Len() == 0 {
+		if t := g.start(p, account, req, now); t != nil {
+			g.mu.Unlock()
+			return Grant{ticket: t}, nil
+		}
+	}
+	w, err := g.enqueue(ctx, pool, account, p, req, now)
+	g.mu.Unlock()
 	if err != nil {
-		g.giveBack(team, req.Size)
 		return Grant{}, err
 	}
 
-	return Grant{Team: team, Slot: slot, done: sync.OnceFunc(func() {
+	return g.await(ctx, pool, w)
+}
+
+// Wake starts what can start now; it is to be called when capacity may have come from elsewhere.
+func (g *Gate) Wake() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	g.refresh(now)
+	g.dispatchAll(now)
+}
+
+// Run wakes the gate at short intervals until ctx ends, so that capacity that comes unannounced is found.
+func (g *Gate) Run(ctx context.Context) {
+	ticks := time.NewTicker(refreshInterval)
+	defer ticks.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks.C:
+			g.Wake()
+		}
+	}
+}
+
+// Stop refuses what waits and what comes; what was granted goes on.
+func (g *Gate) Stop() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.stopping = true
+	g.refuseWhere(func(*waiter) error {
+		return refusal.Refuse(refusal.Stopping, "entry host is stopping").WithRetryAfter(leastRetryAfter)
+	})
+}
+
+// Report returns what runs and waits here, for the other entry hosts.
+func (g *Gate) Report(entry fleet.EntryName) share.Report {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	return g.ledger.Report(entry, time.Now())
+}
+
+// Waiting returns how many requests wait for a pool.
+func (g *Gate) Waiting(p fleet.PoolName) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	return g.pool(p).Len()
+}
+
+// start takes the upper limit and a slot, or returns nil.
+func (g *Gate) start(p permit, a *share.Account, req Request, now time.Time) *ticket {
+	slot, ok := g.AcquireSlot(endpoint.Ask{Pool: p.queue.Pool, Slots: req.Size.Slots, Idempotent: req.Idempotent})
+	if !ok {
+		return nil
+	}
+	release, err := g.AcquireLimit(p.team, req.Size)
+	if err != nil {
 		slot.Release()
-		g.giveBack(team, req.Size)
-	})}, nil
+		return nil
+	}
+	g.ledger.Start(a, req.Size, now)
+
+	return &ticket{gate: g, permit: p, account: a, size: req.Size, slot: slot, limit: release, started: now}
+}
+
+// refresh computes the shares anew when they are old, and turns away what a new revision no longer allows.
+func (g *Gate) refresh(now time.Time) {
+	if rev := g.Current(); rev != g.swept {
+		g.swept = rev
+		g.refuseWhere(func(w *waiter) error {
+			p, err := g.renew(w.permit, now)
+			if err == nil {
+				w.permit = p
+				err = g.runnable(p, w.request.Size)
+			}
+
+			return err
+		})
+	}
+	if at := g.ledger.Refreshed(); at.IsZero() || now.Sub(at) >= refreshInterval {
+		g.ledger.Refresh(g.Total(), g.Reports(), now)
+	}
 }
 
-// team finds the team whose key came with the request; open queues need none.
-func (g *Gate) team(rev *revision.Revision, q fleet.Queue, secret string, now time.Time) (fleet.Team, error) {
-	if q.Open && secret == "" {
-		return fleet.Team{}, nil
+func (g *Gate) dispatchAll(now time.Time) {
+	for _, p := range g.pools {
+		g.dispatch(p, now)
 	}
-	if !g.Fresh(now) {
-		return fleet.Team{}, refusal.Refuse(refusal.NotFresh, "configuration was not confirmed recently").WithRetryAfter(retryAfter)
+}
+
+// dispatch grants free capacity of a pool to its waiting requests until nothing more can start.
+func (g *Gate) dispatch(p *queue.Pool, now time.Time) {
+	if p.Len() == 0 {
+		return
 	}
-	if secret == "" {
-		return fleet.Team{}, refusal.Refuse(refusal.KeyMissing, "queue %s needs a key", q.Name)
+	// A failed request for one slot holds for all others of its kind.
+	var fullForAll, fullForIdempotent bool
+	for p.Next(g.ledger, func(it *queue.Item) queue.Verdict {
+		w := it.Value.(*waiter)
+		switch {
+		case fullForIdempotent:
+			return queue.PoolFull
+		case fullForAll && !w.request.Idempotent:
+			return queue.Unfit
+		}
+		v, slotless := g.try(w, now)
+		if slotless && w.request.Size.Slots == 1 {
+			fullForAll = true
+			fullForIdempotent = w.request.Idempotent
+		}
+
+		return v
+	}) {
 	}
+}
 
-	k, err := rev.Keys.Match(secret)
+// try starts or refuses a waiting request, or says why it has to wait longer.
+func (g *Gate) try(w *waiter, now time.Time) (v queue.Verdict, slotless bool) {
+	renewed, err := g.renew(w.permit, now)
 	if err != nil {
-		return fleet.Team{}, refusal.Refuse(refusal.KeyUnknown, "key is unknown or withdrawn")
+		g.settle(w, nil, err)
+		return queue.Taken, false
 	}
-	t, ok := rev.Tables.Teams.Get(k.Team)
+	w.permit = renewed
+
+	ask := endpoint.Ask{Pool: w.permit.queue.Pool, Slots: w.request.Size.Slots, Idempotent: w.request.Idempotent}
+	slot, ok := g.AcquireSlot(ask)
 	if !ok {
-		return fleet.Team{}, refusal.Refuse(refusal.KeyUnknown, "team %s no longer exists", k.Team)
+		return queue.Unfit, true
 	}
-	if p, ok := rev.Tables.Plans.Get(t.Plan); !ok || !p.Allows(q.Name) {
-		return fleet.Team{}, refusal.Refuse(refusal.PlanForbids, "plan %s may not use queue %s", t.Plan, q.Name)
+	release, err := g.AcquireLimit(w.permit.team, w.request.Size)
+	if err != nil {
+		slot.Release()
+		return queue.Unfit, false
 	}
+	a := w.item.Account
+	g.ledger.Start(a, w.request.Size, now)
+	g.settle(w, &ticket{
+		gate: g, permit: w.permit, account: a, size: w.request.Size, slot: slot, limit: release, started: now,
+	}, nil)
 
-	return t, nil
+	return queue.Taken, false
 }
 
-func (g *Gate) take(t fleet.Team, size fleet.Resources) error {
-	if t.Name == "" {
-		return nil
-	}
-
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	next := g.running[t.Name].Plus(size)
-	if !next.FitsIn(t.UpperLimit) {
-		return refusal.Refuse(refusal.UpperLimit, "team %s is at its upper limit", t.Name).WithRetryAfter(retryAfter)
+func (g *Gate) pool(name fleet.PoolName) *queue.Pool {
+	p, ok := g.pools[name]
+	if !ok {
+		p = queue.New()
+		g.pools[name] = p
 	}
-	g.running[t.Name] = next
 
-	return nil
+	return p
 }
 
-func (g *Gate) giveBack(t fleet.Team, size fleet.Resources) {
-	if t.Name == "" {
-		return
+func refuseContext(ctx context.Context) error {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return refusal.Refuse(refusal.DeadlinePassed, "the deadline passed before a slot was free")
 	}
 
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.running[t.Name] = g.running[t.Name].Minus(size)
+	return refusal.Refuse(refusal.Cancelled, "the caller cancelled before a slot was free")
 }
--- a/entry/caller.go
+++ b/entry/caller.go
@@ -1,17 +1,13 @@
 package entry
 
 import (
-	"encoding/json"
+	"context"
 	"errors"
-	"io"
 	"net/http"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/emicklei/go-restful/v3"
-	"github.com/google/uuid"
 
 	"lycheehook.example/lycheehook/admission"
 	"lycheehook.example/lycheehook/endpoint"
@@ -19,24 +15,30 @@
 	"lycheehook.example/lycheehook/refusal"
 )
 
+// outcome is how a claimed request ended.
+type outcome string
+
 const (
-	headerRequestID = "Request-Id"
-	bearerPrefix    = "Bearer "
+	// outcomeNotRun says that no byte left, so that the request ID may be used again.
+	outcomeNotRun outcome = "NotRun"
+	// outcomeDone says that the caller was given the whole answer.
+	outcomeDone outcome = "Done"
+	// outcomeUnknown says that the request may have run.
+	outcomeUnknown outcome = "Unknown"
 )
 
-// refusalAnswer is the JSON form of a refusal or an unknown outcome.
-type refusalAnswer struct {
-	Code       refusal.Code
-	Reason     string
-	NotRun     bool
-	RetryAfter fleet.Duration `json:",omitzero"`
-}
+// claimFunc claims a request ID for a team before its first byte leaves, so that it runs at most once over all entry
+// hosts; settle is called once with how it ended. The error is a NotRunError, or an UnknownError for an ID that
+// another request has claimed.
+type claimFunc func(ctx context.Context, team fleet.TeamName, id string) (settle func(outcome), err error)
 
 // callerAPI serves the callers' interface.
 type callerAPI struct {
 	gate   *admission.Gate
 	sender *endpoint.Sender
 	log    *log.Logger
+	// claim is a seam; nil claims nothing.
+	claim claimFunc
 }
 
 func (a *callerAPI) handler() http.Handler {
@@ -45,6 +47,8 @@
 	ws.Route(ws.POST("/{queue}/work").To(a.work).AllowedMethodsWithoutContentType([]string{http.MethodPost}))
 
 	c := restful.NewContainer()
+	// net/http must see the panic that aborts a connection whose answer was cut.
+	c.DoNotRecover(true)
 	c.Add(ws)
 
 	return c
@@ -52,84 +56,80 @@
 
 // work runs one request and answers with the endpoint's whole answer.
 func (a *callerAPI) work(r *restful.Request, w *restful.Response) {
-	grant, err := a.gate.Admit(admission.Request{
-		Secret: strings.TrimPrefix(r.HeaderParameter("Authorization"), bearerPrefix),
-		Queue:  fleet.QueueName(r.PathParameter("queue")),
-		Size:   fleet.Resources{Slots: 1},
-	}, time.Now())
+	c, err := parseCall(r.Request, r.PathParameter("queue"))
+	w.Header().Set(headerRequestID, c.id)
 	if err != nil {
 		writeError(w, err)
 		return
 	}
-	defer grant.Release()
+	defer c.body.release()
+	// An upload that stalls is bounded by the caller's deadline like all else.
+	_ = http.NewResponseController(w.ResponseWriter).SetReadDeadline(c.deadline)
+	if err := c.body.read(w, r.Request); err != nil {
+		writeError(w, err)
+		return
+	}
 
-	id := r.HeaderParameter(headerRequestID)
-	if id == "" {
-		id = uuid.Must(uuid.NewV7()).String()
+	ctx, cancel := context.WithDeadline(r.Request.Context(), c.deadline)
+	defer cancel()
+	grant, err := a.gate.Admit(ctx, c.admission())
+	if err != nil {
+		writeError(w, err)
+		return
 	}
-	answer, err := a.sender.Send(r.Request.Context(), grant.Slot.Endpoint, endpoint.Request{
-		ID: id, Body: r.Request.Body, Length: r.Request.ContentLength,
-	})
+	settle, err := a.claimed(ctx, grant, c)
 	if err != nil {
+		grant.Release()
 		writeError(w, err)
+
 		return
 	}
-	defer func() { _ = answer.Body.Close() }()
+	answer, err := a.sender.Send(ctx, grant.Slot(), c.request(grant))
+	if err != nil {
+		a.end(grant, settle, c, err)
+		writeError(w, err)
 
-	copyAnswer(w, answer)
-}
+		return
+	}
 
-// copyAnswer streams the answer; a body that is cut short cuts the caller's connection, so that it can't pass for whole.
-func copyAnswer(w http.ResponseWriter, a endpoint.Answer) {
-	for name, values := range a.Header {
-		w.Header()[name] = values
+	err = copyAnswer(w, answer)
+	_ = answer.Body.Close()
+	if !answer.Whole() {
+		err = errors.Join(err, refusal.Uncertain(refusal.AnswerIncomplete, "the answer was not passed on whole"))
 	}
-	w.WriteHeader(a.Status)
-	if _, err := io.Copy(w, a.Body); err != nil {
+	a.end(grant, settle, c, err)
+	if err != nil {
+		// A body that is cut short cuts the caller's connection, so that it can't pass for whole.
 		panic(http.ErrAbortHandler)
 	}
 }
 
-func writeError(w http.ResponseWriter, err error) {
-	var notRun *refusal.NotRunError
-	if errors.As(err, &notRun) {
-		if notRun.RetryAfter > 0 {
-			seconds := int(notRun.RetryAfter.Round(time.Second) / time.Second)
-			w.Header().Set("Retry-After", strconv.Itoa(max(seconds, 1)))
-		}
-		writeJSON(w, statusOf(notRun.Code), refusalAnswer{
-			Code: notRun.Code, Reason: notRun.Reason, NotRun: true, RetryAfter: fleet.Duration(notRun.RetryAfter),
-		})
-
-		return
+// claimed claims the ID of a request that must not run twice.
+func (a *callerAPI) claimed(ctx context.Context, g admission.Grant, c call) (func(outcome), error) {
+	if a.claim == nil || c.idempotent {
+		return func(outcome) {}, nil
 	}
 
-	var unknown *refusal.UnknownError
-	if errors.As(err, &unknown) {
-		writeJSON(w, http.StatusBadGateway, refusalAnswer{Code: unknown.Code, Reason: unknown.Reason})
-		return
-	}
-
-	writeJSON(w, http.StatusInternalServerError, refusalAnswer{Code: refusal.OutcomeUnknown, Reason: err.Error()})
+	return a.claim(ctx, g.Team().Name, c.id)
 }
 
-func statusOf(c refusal.Code) int {
-	switch c {
-	case refusal.KeyMissing, refusal.KeyUnknown:
-		return http.StatusUnauthorized
-	case refusal.PlanForbids:
-		return http.StatusForbidden
-	case refusal.QueueUnknown:
-		return http.StatusNotFound
-	case refusal.UpperLimit, refusal.QueueFull:
-		return http.StatusTooManyRequests
+// end gives the grant back as soon as the request has surely ended: at once after a whole answer or when no byte left,
+// else at the caller's deadline, which the endpoint was told.
+func (a *callerAPI) end(g admission.Grant, settle func(outcome), c call, err error) {
+	var notRun *refusal.NotRunError
+	switch {
+	case err == nil:
+		settle(outcomeDone)
+		g.Done()
+	case errors.As(err, &notRun):
+		settle(outcomeNotRun)
+		g.Release()
 	default:
-		return http.StatusServiceUnavailable
+		settle(outcomeUnknown)
+		g.Hold(c.deadline.Add(endGrace))
+		a.log.Warn("outcome unknown", "request", c.id, "team", g.Team().Name, "endpoint", g.Slot().Endpoint().Name, "err", err)
 	}
 }
 
-func writeJSON(w http.ResponseWriter, status int, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(v)
-}
+// endGrace is added to the caller's deadline for the endpoint to end the work.
+const endGrace = time.Second
--- a/entry/providers.go
+++ b/entry/providers.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"lycheehook.example/lycheehook/endpoint"
 	"lycheehook.example/lycheehook/platform"
 	"lycheehook.example/lycheehook/revision"
 	"lycheehook.example/lycheehook/settings"
@@ -25,3 +26,7 @@
 func newBook(c *store.Client) *revision.Book {
 	return revision.New(c)
 }
+
+func newSender() *endpoint.Sender {
+	return endpoint.NewSender()
+}
--- a/entry/wire.go
+++ b/entry/wire.go
@@ -15,7 +15,7 @@
 func New(s settings.Settings, l *log.Logger) *Host {
 	wire.Build(
 		newHost, newBook, newStore, newPlatform,
-		endpoint.NewSet, endpoint.NewSender, admission.New,
+		endpoint.NewSet, newSender, admission.New,
 	)
 
 	return nil
--- a/entry/wire_gen.go
+++ b/entry/wire_gen.go
@@ -22,7 +22,7 @@
 	set := endpoint.NewSet()
 	platformClient := newPlatform(s)
 	gate := admission.New(book, set)
-	sender := endpoint.NewSender()
+	sender := newSender()
 	host := newHost(s, book, set, platformClient, gate, sender, l)
 	return host
 }
--- a/standin/endpoint.go
+++ b/standin/endpoint.go
@@ -15,6 +15,10 @@
 	HeaderRequestID = "X-Request-Id"
 	// HeaderBodyDigest carries the SHA-256 of the request body in the answer, for checks of whole answers.
 	HeaderBodyDigest = "X-Body-Digest"
+	// HeaderState is set to "Leaving" on every answer of an endpoint that is leaving.
+	HeaderState = "Endpoint-State"
+
+	healthPath = "/healthz"
 )
 
 // Endpoint is a stand-in for a runner: it answers each request with its own body and counts what it ran.
@@ -25,6 +29,8 @@
 	total    int
 	running  int
 	mostSeen int
+	leaving  bool
+	status   int
 }
 
 // NewEndpoint returns an endpoint that takes service for each request.
@@ -39,6 +45,20 @@
 	e.service = d
 }
 
+// SetLeaving makes the endpoint say on every answer that it is leaving; it goes on serving what it gets.
+func (e *Endpoint) SetLeaving(leaving bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = leaving
+}
+
+// SetStatus makes the endpoint answer work with the given status, as a worker that fails everything it starts does.
+func (e *Endpoint) SetStatus(status int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.status = status
+}
+
 // Runs returns how often the request with the given ID ran.
 func (e *Endpoint) Runs(requestID string) int {
 	e.mu.Lock()
@@ -64,7 +84,14 @@
 }
 
 // ServeHTTP runs one request: it reads the body, waits for the service time, and echoes the body.
+// A health probe is answered at once.
 func (e *Endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	status := e.announce(w, r)
+	if r.URL.Path == healthPath {
+		w.WriteHeader(status)
+		return
+	}
+
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -77,9 +104,27 @@
 	digest := sha256.Sum256(body)
 	w.Header().Set(HeaderRequestID, r.Header.Get(HeaderRequestID))
 	w.Header().Set(HeaderBodyDigest, hex.EncodeToString(digest[:]))
+	w.WriteHeader(status)
 	_, _ = w.Write(body)
 }
 
+// announce sets the state in the answer and returns its status.
+func (e *Endpoint) announce(w http.ResponseWriter, r *http.Request) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.leaving {
+		w.Header().Set(HeaderState, "Leaving")
+	}
+	switch {
+	case r.URL.Path == healthPath && e.leaving:
+		return http.StatusServiceUnavailable
+	case r.URL.Path == healthPath || e.status == 0:
+		return http.StatusOK
+	default:
+		return e.status
+	}
+}
+
 func (e *Endpoint) begin(requestID string) time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
