Add the load tool, experiments, and sample estates at today's sizes

Change: package load sends an open load of Poisson arrivals in turns, over several teams and entry hosts, judges each answer (whole, own) and asks the stand-in endpoints afterwards what ran (once, really, not after a refusal); text, JSON and SVG reports. Package experiment runs five set-ups over fresh estates and writes one table. The samples have 50 hosts, 5 pools, 10 runners.

Under "full" the one queue's pool did 2,706 requests a second although its 32 slots at 20 ms allow 1,600: each entry host counts slots by itself, so slots are overcommitted by up to seven times. That is the next fault to mend.

Conclusion: the check and the experiment show faults; slots and upper limits need one count across entry hosts.

--- a/cmd/lycheehook/dev.go
+++ b/cmd/lycheehook/dev.go
@@ -4,47 +4,105 @@
 	"fmt"
 	"io"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/charmbracelet/log"
 	"github.com/spf13/cobra"
 
 	"lycheehook.example/lycheehook/estate"
 )
 
+// errUsage says that the words of a command line are off.
+var errUsage = merry.Sentinel("usage")
+
+// devFlags are the flags of commands that run a sample estate.
+type devFlags struct {
+	sample  string
+	entries int
+}
+
+func (f *devFlags) add(cmd *cobra.Command) {
+	cmd.Flags().StringVar(&f.sample, "sample", "ledger", "sample to run: ledger or sleeves")
+	cmd.Flags().IntVar(&f.entries, "entries", 3, "number of entry hosts")
+}
+
+// newEstate returns the sample estate that the flags ask for.
+func (f *devFlags) newEstate(l *log.Logger) (*estate.Estate, error) {
+	samples := map[string]func() estate.Sample{"ledger": estate.Ledger, "sleeves": estate.Sleeves}
+	sample, ok := samples[f.sample]
+	if !ok {
+		return nil, merry.Prependf(errUsage, "--sample %q is neither ledger nor sleeves", f.sample)
+	}
+	if f.entries < 1 {
+		return nil, merry.Prependf(errUsage, "--entries %d is less than 1", f.entries)
+	}
+
+	return estate.New(l, estate.WithSample(sample()), estate.WithEntries(f.entries)), nil
+}
+
 func newDev() *cobra.Command {
+	var flags devFlags
 	var check bool
 	cmd := &cobra.Command{
 		Use:   "dev",
 		Short: "Run a sample estate on loopback",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			return runDev(cmd, check)
+			if check {
+				return checkDev(cmd, flags)
+			}
+
+			return runDev(cmd, flags)
 		},
 	}
+	flags.add(cmd)
 	cmd.Flags().BoolVar(&check, "check", false, "run the main job, say what was seen of each promise, and stop")
 
 	return cmd
 }
 
-func runDev(cmd *cobra.Command, check bool) error {
-	logs := cmd.ErrOrStderr()
-	if check {
-		logs = io.Discard
+func checkDev(cmd *cobra.Command, flags devFlags) error {
+	e, err := flags.newEstate(log.New(io.Discard))
+	if err != nil {
+		return err
 	}
-
-	e := estate.New(log.New(logs))
 	if err := e.Start(cmd.Context()); err != nil {
 		return err
 	}
 	defer e.Stop()
 
-	if check {
-		return e.Check(cmd.Context(), cmd.OutOrStdout())
-	}
+	return e.Check(cmd.Context(), cmd.OutOrStdout())
+}
 
-	for _, s := range e.Entries {
-		_, _ = fmt.Fprintf(cmd.OutOrStdout(), "%s: callers http://%s operators http://%s\n", s.Name, s.CallerAddress, s.OperatorAddress)
+func runDev(cmd *cobra.Command, flags devFlags) error {
+	e, err := flags.newEstate(log.New(cmd.ErrOrStderr()))
+	if err != nil {
+		return err
+	}
+	if err := e.Start(cmd.Context()); err != nil {
+		return err
+	}
+	defer e.Stop()
+	if err := e.Prepare(cmd.Context()); err != nil {
+		return err
 	}
+
+	printEstate(cmd.OutOrStdout(), e)
 	<-cmd.Context().Done()
 
 	return nil
 }
+
+// printEstate writes the addresses, the keys and a request to try.
+func printEstate(w io.Writer, e *estate.Estate) {
+	for _, s := range e.Entries() {
+		_, _ = fmt.Fprintf(w, "%s  callers %s  operators %s\n", s.Name, s.CallerAddress, s.OperatorAddress)
+	}
+	_, _ = fmt.Fprintf(w, "operators' token  %s\n", estate.DevOperatorToken)
+	for _, t := range e.Sample.Lists.Teams() {
+		_, _ = fmt.Fprintf(w, "key of team %-16s  %s\n", t.Name, e.Keys[t.Name])
+	}
+
+	t := e.Sample.Lists.Teams()[0]
+	_, _ = fmt.Fprintf(w, "\ntry:  curl -H 'Authorization: Bearer %s' -d 'hello' http://%s/v1/queues/%s/work\n",
+		e.Keys[t.Name], e.Entries()[0].CallerAddress, e.Sample.Lists.Plans[0].Queues[0])
+}
--- a/estate/check.go
+++ b/estate/check.go
@@ -1,16 +1,16 @@
 package estate
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"github.com/google/uuid"
 
+	"lycheehook.example/lycheehook/fleet"
 	"lycheehook.example/lycheehook/settings"
 )
 
@@ -20,99 +20,75 @@
 // inForceLimit is how long an accepted configuration may take to be in force everywhere.
 const inForceLimit = 4 * time.Second
 
-// Check runs the main job against a started estate and writes a line for each promise.
+// step checks one promise and returns what it saw.
+type step struct {
+	promise string
+	run     func(ctx context.Context) (string, error)
+}
+
+// Check runs the main job against a started estate and writes a line for each promise; it goes on after a failure and returns the first.
 func (e *Estate) Check(ctx context.Context, out io.Writer) error {
-	first := e.Entries[0]
-	lists := map[string]any{"Base": 0, "Lists": LedgerLists()}
-	if status, body, err := e.operate(ctx, first, http.MethodPut, "/v1/lists", lists); err != nil || status != http.StatusOK {
-		return merry.Prependf(ErrPromiseBroken, "lists not accepted: %d %s %v", status, body, err)
+	var first error
+	for _, s := range e.steps() {
+		began := time.Now()
+		saw, err := s.run(ctx)
+		mark := "ok    "
+		if err != nil {
+			mark, saw = "FAILED", err.Error()
+		}
+		_, _ = fmt.Fprintf(out, "%s %-58s %5d ms  %s\n", mark, s.promise, time.Since(began).Milliseconds(), saw)
+		if err != nil && first == nil {
+			first = err
+		}
 	}
 
-	_, body, err := e.operate(ctx, first, http.MethodPost, "/v1/keys", map[string]string{"Team": "postings"})
-	if err != nil {
-		return err
-	}
-	var given struct {
-		ID     string
-		Secret string
-	}
-	if err := json.Unmarshal(body, &given); err != nil {
-		return merry.Prepend(ErrPromiseBroken, string(body))
-	}
+	return first
+}
 
-	for _, s := range e.Entries {
-		if err := e.await(ctx, s, given.Secret, http.StatusOK); err != nil {
-			return err
-		}
+func (e *Estate) steps() []step {
+	return []step{
+		{"lists and keys are in force on every entry host", e.checkPrepare},
+		{"work of two teams over a full fleet is whole and run once", e.checkFullFleet},
+		{"a wrong key is refused as not run", e.checkWrongKey},
+		{"an edit of the plans is in force on every entry host", e.checkEdit},
+		{"a withdrawn key stops working on every entry host", e.checkWithdrawnKey},
+		{"an endpoint that is leaving gets nothing new", e.checkLeaving},
+		{"an entry host that stops cuts nothing off", e.checkGracefulStop},
+		{"an outage of the store loses and doubles nothing", e.checkStoreOutage},
 	}
-	_, _ = fmt.Fprintln(out, "ok: configuration is in force on every entry host and answers are whole")
+}
 
-	if status, _, err := e.post(ctx, first, "wrong.key.here"); err != nil || status != http.StatusUnauthorized {
-		return merry.Prependf(ErrPromiseBroken, "wrong key answered %d %v", status, err)
+// work sends one request and returns the answer.
+func (e *Estate) work(ctx context.Context, s settings.Settings, q fleet.QueueName, secret, body string) (answer, error) {
+	header := http.Header{
+		"Request-Id":      {uuid.Must(uuid.NewV7()).String()},
+		"Request-Timeout": {"10s"},
 	}
-	_, _ = fmt.Fprintln(out, "ok: a wrong key is refused")
-
-	if _, _, err := e.operate(ctx, first, http.MethodDelete, "/v1/keys/"+given.ID, nil); err != nil {
-		return err
+	if secret != "" {
+		header.Set("Authorization", "Bearer "+secret)
 	}
-	for _, s := range e.Entries {
-		if err := e.await(ctx, s, given.Secret, http.StatusUnauthorized); err != nil {
-			return err
-		}
+
+	a, err := call(ctx, http.MethodPost, "http://"+s.CallerAddress.String()+"/v1/queues/"+string(q)+"/work", header, []byte(body))
+	if err == nil && a.status == http.StatusOK && string(a.body) != body {
+		return a, merry.Prependf(ErrPromiseBroken, "answer %q to %q is not whole", a.body, body)
 	}
-	_, _ = fmt.Fprintln(out, "ok: a withdrawn key is refused on every entry host")
 
-	return nil
+	return a, err
 }
 
-// await posts until the entry host answers with the wanted status.
-func (e *Estate) await(ctx context.Context, s settings.Settings, secret string, want int) error {
-	deadline := time.Now().Add(inForceLimit)
+// awaitStatus repeats a request until the entry host answers with the wanted status.
+func (e *Estate) awaitStatus(
+	ctx context.Context, s settings.Settings, q fleet.QueueName, secret string, want int, limit time.Duration,
+) error {
+	deadline := time.Now().Add(limit)
 	for {
-		status, body, err := e.post(ctx, s, secret)
-		if err == nil && status == want {
+		a, err := e.work(ctx, s, q, secret, "await")
+		if err == nil && a.status == want {
 			return nil
 		}
 		if time.Now().After(deadline) {
-			return merry.Prependf(ErrPromiseBroken, "%s answers %d %s %v, want %d", s.Name, status, body, err, want)
+			return merry.Prependf(ErrPromiseBroken, "%s answers %d %s %v on queue %s, want %d", s.Name, a.status, a.body, err, q, want)
 		}
-		time.Sleep(10 * time.Millisecond)
+		time.Sleep(preparePoll)
 	}
 }
-
-func (e *Estate) post(ctx context.Context, s settings.Settings, secret string) (int, []byte, error) {
-	const sent = "contribution of 500"
-	status, body, err := call(ctx, http.MethodPost, "http://"+s.CallerAddress.String()+"/v1/queues/post/work", secret, []byte(sent))
-	if err == nil && status == http.StatusOK && string(body) != sent {
-		return status, body, merry.Prepend(ErrPromiseBroken, "answer is not whole")
-	}
-
-	return status, body, err
-}
-
-func (e *Estate) operate(ctx context.Context, s settings.Settings, method, path string, v any) (int, []byte, error) {
-	data, err := json.Marshal(v)
-	if err != nil {
-		return 0, nil, err
-	}
-
-	return call(ctx, method, "http://"+s.OperatorAddress.String()+path, s.OperatorToken, data)
-}
-
-func call(ctx context.Context, method, url, bearer string, body []byte) (int, []byte, error) {
-	r, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
-	if err != nil {
-		return 0, nil, err
-	}
-	r.Header.Set("Authorization", "Bearer "+bearer)
-	r.Header.Set("Content-Type", "application/json")
-
-	resp, err := http.DefaultClient.Do(r)
-	if err != nil {
-		return 0, nil, err
-	}
-	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(resp.Body)
-
-	return resp.StatusCode, data, err
-}
--- a/estate/estate.go
+++ b/estate/estate.go
@@ -13,33 +13,35 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/charmbracelet/log"
 
-	"lycheehook.example/lycheehook/entry"
 	"lycheehook.example/lycheehook/fleet"
-	"lycheehook.example/lycheehook/settings"
 	"lycheehook.example/lycheehook/standin"
 )
 
 const (
-	endpointSlots       = 8
-	endpointConnections = 64
-	readHeaderTimeout   = 5 * time.Second
+	defaultEntries    = 3
+	defaultService    = 20 * time.Millisecond
+	readHeaderTimeout = 5 * time.Second
 )
 
 // Estate is a running sample estate; its stand-ins are open to tests.
 type Estate struct {
+	Sample    Sample
 	Store     *standin.Store
 	Platform  *standin.Platform
 	Endpoints []*standin.Endpoint
-	// Entries are the settings of the entry hosts, with the addresses that they listen on.
-	Entries []settings.Settings
-
-	log         *log.Logger
-	entryCount  int
-	endpointCnt int
-	service     time.Duration
-	stops       []context.CancelFunc
-	wg          sync.WaitGroup
-	servers     []*http.Server
+	// Keys are the secrets of the keys that Prepare gave, by team.
+	Keys map[fleet.TeamName]string
+
+	log        *log.Logger
+	entryCount int
+	service    time.Duration
+	servers    []*http.Server
+
+	storeAddress    netip.AddrPort
+	platformAddress netip.AddrPort
+
+	mu      sync.Mutex
+	entries []*entryHost
 }
 
 // Option configures an Estate.
@@ -50,16 +52,21 @@
 	return func(e *Estate) { e.entryCount = n }
 }
 
-// WithEndpoints sets the number of endpoints and how long each takes for a request.
-func WithEndpoints(n int, service time.Duration) Option {
-	return func(e *Estate) { e.endpointCnt, e.service = n, service }
+// WithSample sets what the estate looks like; the default is Ledger.
+func WithSample(s Sample) Option {
+	return func(e *Estate) { e.Sample = s }
+}
+
+// WithService sets how long an endpoint takes for a request.
+func WithService(d time.Duration) Option {
+	return func(e *Estate) { e.service = d }
 }
 
 // New returns an estate that is not yet running.
 func New(l *log.Logger, opts ...Option) *Estate {
 	e := &Estate{
-		Store: standin.NewStore(), Platform: standin.NewPlatform(), log: l,
-		entryCount: 3, endpointCnt: 10, service: 20 * time.Millisecond,
+		Sample: Ledger(), Store: standin.NewStore(), Platform: standin.NewPlatform(), Keys: map[fleet.TeamName]string{},
+		log: l, entryCount: defaultEntries, service: defaultService,
 	}
 	for _, opt := range opts {
 		opt(e)
@@ -70,24 +77,22 @@
 
 // Start runs the stand-ins and the entry hosts and returns when all listen.
 func (e *Estate) Start(ctx context.Context) error {
-	storeAddr, err := e.serve(ctx, e.Store)
-	if err != nil {
+	var err error
+	if e.storeAddress, err = e.serve(ctx, e.Store); err != nil {
 		return err
 	}
-	platformAddr, err := e.serve(ctx, e.Platform)
-	if err != nil {
+	if e.platformAddress, err = e.serve(ctx, e.Platform); err != nil {
 		return err
 	}
+	for _, h := range e.Sample.Hosts {
+		e.Platform.PutHost(h)
+	}
 	if err := e.startEndpoints(ctx); err != nil {
 		return err
 	}
 
-	for i := range e.entryCount {
-		s := settings.Settings{
-			Name: fleet.EntryName(fmt.Sprintf("entry-%d", i+1)), Region: "region-1", Zone: zoneOf(i),
-			StoreAddress: storeAddr, PlatformAddress: platformAddr, OperatorToken: "dev-operator",
-		}
-		if err := e.startEntry(ctx, s); err != nil {
+	for range e.entryCount {
+		if _, err := e.AddEntry(ctx); err != nil {
 			return err
 		}
 	}
@@ -97,61 +102,41 @@
 
 // Stop stops the entry hosts gracefully, then the stand-ins.
 func (e *Estate) Stop() {
-	for _, stop := range e.stops {
-		stop()
+	for _, h := range e.live() {
+		h.stop()
+	}
+	for _, h := range e.live() {
+		h.wait()
 	}
-	e.wg.Wait()
 	for _, s := range e.servers {
 		_ = s.Close()
 	}
 }
 
-func (e *Estate) startEndpoints(ctx context.Context) error {
-	for i := range e.endpointCnt {
-		ep := standin.NewEndpoint(e.service)
-		addr, err := e.serve(ctx, ep)
-		if err != nil {
-			return err
-		}
-		host := fleet.HostName(fmt.Sprintf("worker-%02d", i+1))
-		pool := fleet.PoolName("ledger-a")
-		if i%5 == 4 {
-			pool = "ledger-b"
-		}
-		e.Endpoints = append(e.Endpoints, ep)
-		e.Platform.PutHost(fleet.Host{
-			Name: host, Region: "region-1", Zone: zoneOf(i), Rack: fleet.RackName(fmt.Sprintf("rack-%d", i/4+1)),
-			Pool: pool, State: fleet.HostLive, Capacity: fleet.Resources{Cores: 16_000, Memory: 32 << 10},
-		})
-		e.Platform.PutEndpoint(fleet.Endpoint{
-			Name: fleet.EndpointName(fmt.Sprintf("runner-%02d", i+1)), Address: addr, Host: host, Pool: pool, Zone: zoneOf(i),
-			Slots: endpointSlots, Connections: endpointConnections,
-		})
+// EndpointAddresses returns where the stand-in endpoints listen.
+func (e *Estate) EndpointAddresses() []netip.AddrPort {
+	addrs := make([]netip.AddrPort, len(e.Sample.Endpoints))
+	for i, ep := range e.Sample.Endpoints {
+		addrs[i] = ep.Address
 	}
 
-	return nil
+	return addrs
 }
 
-func (e *Estate) startEntry(ctx context.Context, s settings.Settings) error {
-	var err error
-	if s.CallerAddress, err = freeAddress(ctx); err != nil {
-		return err
-	}
-	if s.OperatorAddress, err = freeAddress(ctx); err != nil {
-		return err
-	}
-
-	ctx, stop := context.WithCancel(ctx)
-	e.stops = append(e.stops, stop)
-	e.Entries = append(e.Entries, s)
-	h := entry.New(s, e.log)
-	e.wg.Go(func() {
-		if err := h.Run(ctx); err != nil {
-			e.log.Error("entry host", "entry", s.Name, "err", err)
+func (e *Estate) startEndpoints(ctx context.Context) error {
+	for i, ep := range e.Sample.Endpoints {
+		s := standin.NewEndpoint(e.service)
+		addr, err := e.serve(ctx, s.Handler())
+		if err != nil {
+			return merry.Prepend(err, string(ep.Name))
 		}
-	})
+		ep.Address = addr
+		e.Sample.Endpoints[i] = ep
+		e.Endpoints = append(e.Endpoints, s)
+		e.Platform.PutEndpoint(ep)
+	}
 
-	return awaitListening(ctx, s.CallerAddress, s.OperatorAddress)
+	return nil
 }
 
 // serve serves h on a loopback port that the kernel chooses.
@@ -173,37 +158,6 @@
 	return netip.ParseAddrPort(l.Addr().String())
 }
 
-// freeAddress returns a loopback address whose port was free a moment ago.
-func freeAddress(ctx context.Context) (netip.AddrPort, error) {
-	var lc net.ListenConfig
-	l, err := lc.Listen(ctx, "tcp", "127.0.0.1:0")
-	if err != nil {
-		return netip.AddrPort{}, merry.Prepend(err, "listen")
-	}
-	defer func() { _ = l.Close() }()
-
-	return netip.ParseAddrPort(l.Addr().String())
-}
-
-func awaitListening(ctx context.Context, addrs ...netip.AddrPort) error {
-	var d net.Dialer
-	for _, a := range addrs {
-		for {
-			c, err := d.DialContext(ctx, "tcp", a.String())
-			if err == nil {
-				_ = c.Close()
-				break
-			}
-			if ctx.Err() != nil {
-				return merry.Prependf(ctx.Err(), "%s does not listen", a)
-			}
-			time.Sleep(time.Millisecond)
-		}
-	}
-
-	return nil
-}
-
-func zoneOf(i int) fleet.ZoneName {
-	return fleet.ZoneName("zone-" + string(rune('a'+i%4)))
+func entryName(n int) fleet.EntryName {
+	return fleet.EntryName(fmt.Sprintf("entry-%d", n))
 }
--- a/estate/estate_test.go
+++ b/estate/estate_test.go
@@ -10,13 +10,19 @@
 )
 
 func TestCheck(t *testing.T) {
-	e := estate.New(log.New(io.Discard))
-	if err := e.Start(t.Context()); err != nil {
-		t.Fatal(err)
-	}
-	defer e.Stop()
+	samples := map[string]func() estate.Sample{"ledger": estate.Ledger, "sleeves": estate.Sleeves}
+	for name, sample := range samples {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			e := estate.New(log.New(io.Discard), estate.WithSample(sample()))
+			if err := e.Start(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			defer e.Stop()
 
-	if err := e.Check(t.Context(), t.Output()); err != nil {
-		t.Error(err)
+			if err := e.Check(t.Context(), t.Output()); err != nil {
+				t.Error(err)
+			}
+		})
 	}
 }
--- /dev/null
+++ b/load/report.go
@@ -0,0 +1,194 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"lycheehook.example/lycheehook/fleet"
+	"lycheehook.example/lycheehook/refusal"
+)
+
+// Verdicts counts the requests whose answers broke a promise.
+type Verdicts struct {
+	// Doubled ran more than once though they were not idempotent.
+	Doubled int
+	// Lost were answered as done and never ran.
+	Lost int
+	// FalseNotRun were refused as not run and ran.
+	FalseNotRun int
+	// Mixed were answered with another request's answer.
+	Mixed int
+	// Cut were answered with part of an answer that claimed to be whole.
+	Cut int
+	// Audited says whether the endpoints were asked what really ran.
+	Audited bool
+}
+
+// Latency holds percentiles of the time from the intended start to the whole answer.
+type Latency struct {
+	P50, P90, P99, P999, Max fleet.Duration
+}
+
+// Window is what one team saw in one window of the run.
+type Window struct {
+	Sent, Done, NotRun, Unknown int
+	MeanLatency                 fleet.Duration
+	MaxLatency                  fleet.Duration
+	// Due is the team's fair part of all that was done in the window, in requests.
+	Due float64
+}
+
+// TeamReport is what one team saw in all.
+type TeamReport struct {
+	Team     fleet.TeamName
+	Share    int64
+	Sent     int
+	Skipped  int
+	Outcomes map[Outcome]int
+	Refusals map[refusal.Code]int
+	Latency  Latency
+	Windows  []Window
+}
+
+// Report is what a run saw.
+type Report struct {
+	Window   fleet.Duration
+	Teams    []TeamReport
+	Verdicts Verdicts
+}
+
+// Broken returns an error if any promise was seen broken.
+func (r Report) Broken() error {
+	v := r.Verdicts
+	if v.Doubled+v.Lost+v.FalseNotRun+v.Mixed+v.Cut == 0 {
+		return nil
+	}
+
+	return merry.Prependf(ErrBroken, "doubled %d, lost %d, false not run %d, mixed %d, cut %d",
+		v.Doubled, v.Lost, v.FalseNotRun, v.Mixed, v.Cut)
+}
+
+// report sums up the run; ran is how often each request ID ran, or nil if nobody could be asked.
+func (r *recorder) report(ran map[string]int) Report {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	rep := Report{Window: fleet.Duration(r.window), Verdicts: r.verdicts(ran)}
+	for i, t := range r.tracks {
+		rep.Teams = append(rep.Teams, TeamReport{
+			Team: r.streams[i].Team, Share: r.streams[i].Share, Sent: t.sent, Skipped: t.skipped,
+			Outcomes: t.outcomes, Refusals: t.codes,
+			Latency: Latency{
+				P50:  fleet.Duration(t.latency.ValueAtQuantile(50)),
+				P90:  fleet.Duration(t.latency.ValueAtQuantile(90)),
+				P99:  fleet.Duration(t.latency.ValueAtQuantile(99)),
+				P999: fleet.Duration(t.latency.ValueAtQuantile(99.9)),
+				Max:  fleet.Duration(t.latency.Max()),
+			},
+			Windows: windows(t.cells),
+		})
+	}
+	rep.fillDue()
+
+	return rep
+}
+
+func windows(cells []cell) []Window {
+	ws := make([]Window, len(cells))
+	for i, c := range cells {
+		ws[i] = Window{Sent: c.sent, Done: c.done, NotRun: c.notRun, Unknown: c.unknown, MaxLatency: fleet.Duration(c.latencyMax)}
+		if c.done > 0 {
+			ws[i].MeanLatency = fleet.Duration(c.latencySum / time.Duration(c.done))
+		}
+	}
+
+	return ws
+}
+
+// verdicts compares what the callers were told with what the endpoints ran.
+func (r *recorder) verdicts(ran map[string]int) Verdicts {
+	v := Verdicts{Audited: ran != nil}
+	for _, t := range r.tracks {
+		v.Mixed += t.outcomes[Mixed]
+		v.Cut += t.outcomes[Cut]
+	}
+	if ran == nil {
+		return v
+	}
+
+	for id, t := range r.told {
+		switch {
+		case ran[id] > 1 && !t.idempotent:
+			v.Doubled++
+		case ran[id] == 0 && t.outcome == Done:
+			v.Lost++
+		case ran[id] > 0 && t.outcome == NotRun:
+			v.FalseNotRun++
+		}
+	}
+
+	return v
+}
+
+// fillDue works out each team's fair part of what was done in each window.
+func (r *Report) fillDue() {
+	most := 0
+	for _, t := range r.Teams {
+		most = max(most, len(t.Windows))
+	}
+	for w := range most {
+		demand, weight, done := make([]float64, len(r.Teams)), make([]float64, len(r.Teams)), 0.0
+		for i, t := range r.Teams {
+			weight[i] = float64(t.Share)
+			if w < len(t.Windows) {
+				demand[i] = float64(max(t.Windows[w].Sent, t.Windows[w].Done))
+				done += float64(t.Windows[w].Done)
+			}
+		}
+		for i, d := range due(done, demand, weight) {
+			if w < len(r.Teams[i].Windows) {
+				r.Teams[i].Windows[w].Due = d
+			}
+		}
+	}
+}
+
+// WriteText writes the report as a table for people.
+func (r Report) WriteText(w io.Writer) error {
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(tw, "TEAM\tSHARE\tSENT\tDONE\tNOT RUN\tUNKNOWN\tP50\tP99\tMAX\tREFUSALS")
+	for _, t := range r.Teams {
+		_, _ = fmt.Fprintf(tw, "%s\t%d\t%d\t%d\t%d\t%d\t%s\t%s\t%s\t%s\n", t.Team, t.Share, t.Sent,
+			t.Outcomes[Done], t.Outcomes[NotRun], t.Outcomes[Unknown],
+			round(t.Latency.P50), round(t.Latency.P99), round(t.Latency.Max), refusals(t.Refusals))
+	}
+	if err := tw.Flush(); err != nil {
+		return err
+	}
+
+	v := r.Verdicts
+	_, err := fmt.Fprintf(w, "doubled %d, lost %d, false not run %d, mixed %d, cut %d (endpoints asked: %t)\n",
+		v.Doubled, v.Lost, v.FalseNotRun, v.Mixed, v.Cut, v.Audited)
+
+	return err
+}
+
+func round(d fleet.Duration) time.Duration {
+	return d.Std().Round(10 * time.Microsecond)
+}
+
+func refusals(codes map[refusal.Code]int) string {
+	parts := make([]string, 0, len(codes))
+	for code, n := range codes {
+		parts = append(parts, fmt.Sprintf("%s=%d", code, n))
+	}
+	slices.Sort(parts)
+
+	return strings.Join(parts, " ")
+}
