--- a/key/key.go
+++ b/key/key.go
@@ -1,9 +1,6 @@
 package key
 
 import (
-	"crypto/rand"
-	"crypto/sha256"
-	"crypto/subtle"
 	"encoding/base64"
 	"strings"
 	"time"
@@ -14,11 +11,8 @@
 )
 
 const (
-	prefix   = "lh"
-	idSize   = 9
-	saltSize = 16
-	// secretSize is the entropy of a secret in bytes; at this size a plain salted hash cannot be searched.
-	secretSize = 32
+	prefix = "lh"
+	idSize = 9
 )
 
 // Sentinel errors of keys.
@@ -41,19 +35,17 @@
 	Given time.Time
 }
 
-// Ring is an immutable set of keys in force.
-type Ring struct {
-	keys fleet.Table[ID, Key]
-}
-
 // Give makes a key for a team and returns it with its secret, which is kept nowhere.
 func Give(team fleet.TeamName, now time.Time) (Key, string) {
-	id := base64.RawURLEncoding.EncodeToString(random(idSize))
-	secret := base64.RawURLEncoding.EncodeToString(random(secretSize))
-	k := Key{ID: ID(id), Team: team, Salt: random(saltSize), Given: now}
-	k.Hash = hash(k.Salt, secret)
+	id := encode(random(idSize))
+	hashed, secret := NewSecret()
 
-	return k, strings.Join([]string{prefix, id, secret}, ".")
+	return Key{ID: ID(id), Team: team, Salt: hashed.Salt, Hash: hashed.Hash, Given: now}, strings.Join([]string{prefix, id, secret}, ".")
+}
+
+// Ring is an immutable set of keys in force.
+type Ring struct {
+	keys fleet.Table[ID, Key]
 }
 
 // NewRing returns a ring of the keys.
@@ -66,6 +58,23 @@
 	return r.keys.Values()
 }
 
+// OfTeam returns the keys of one team in the order of their IDs.
+func (r Ring) OfTeam(team fleet.TeamName) []Key {
+	var keys []Key
+	for _, k := range r.keys.All() {
+		if k.Team == team {
+			keys = append(keys, k)
+		}
+	}
+
+	return keys
+}
+
+// Get returns the key with the given ID and whether the ring has it.
+func (r Ring) Get(id ID) (Key, bool) {
+	return r.keys.Get(id)
+}
+
 // With returns a ring that has k too.
 func (r Ring) With(k Key) Ring {
 	return Ring{keys: r.keys.With(k.ID, k)}
@@ -84,31 +93,40 @@
 
 // Match returns the key whose secret was presented, compared in constant time.
 func (r Ring) Match(presented string) (Key, error) {
-	parts := strings.Split(presented, ".")
-	if len(parts) != 3 || parts[0] != prefix {
-		return Key{}, merry.Wrap(ErrMalformed)
+	id, secret, err := split(presented)
+	if err != nil {
+		return Key{}, err
 	}
 
-	k, ok := r.keys.Get(ID(parts[1]))
-	if subtle.ConstantTimeCompare(hash(k.Salt, parts[2]), k.Hash) != 1 || !ok {
+	// An unknown ID costs the same hash as a known one.
+	k, ok := r.keys.Get(id)
+	if matches := (Hashed{Salt: k.Salt, Hash: k.Hash}).Matches(secret); !matches || !ok {
 		return Key{}, merry.Wrap(ErrUnknown)
 	}
 
 	return k, nil
 }
 
-func hash(salt []byte, secret string) []byte {
-	h := sha256.New()
-	h.Write(salt)
-	h.Write([]byte(secret))
+// split takes a presented secret apart and refuses any other form before it is hashed.
+func split(presented string) (ID, string, error) {
+	const size = len(prefix) + 1 + (idSize*8+5)/6 + 1 + (secretSize*8+5)/6
+	if len(presented) != size {
+		return "", "", merry.Prependf(ErrMalformed, "%d characters in place of %d", len(presented), size)
+	}
 
-	return h.Sum(nil)
+	parts := strings.Split(presented, ".")
+	if len(parts) != 3 || parts[0] != prefix || !decodes(parts[1], idSize) || !decodes(parts[2], secretSize) {
+		return "", "", merry.Prependf(ErrMalformed, "must be %s.ID.SECRET", prefix)
+	}
+
+	return ID(parts[1]), parts[2], nil
 }
 
-func random(size int) []byte {
-	b := make([]byte, size)
-	// Read never fails: it ends the program when the system has no randomness.
-	_, _ = rand.Read(b)
+func encode(b []byte) string {
+	return base64.RawURLEncoding.EncodeToString(b)
+}
 
-	return b
+func decodes(text string, size int) bool {
+	b, err := base64.RawURLEncoding.Strict().DecodeString(text)
+	return err == nil && len(b) == size
 }
