Let dev write settings for entry hosts that run as processes of their own

Cause: the path was only ever run in one process; a killed entry host can only be shown with separate ones.

Errors no longer capture a stack: the log printed twelve lines of it for each refusal.

--- a/cmd/lycheehook/dev.go
+++ b/cmd/lycheehook/dev.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/charmbracelet/log"
@@ -11,6 +12,9 @@
 	"lycheehook.example/lycheehook/estate"
 )
 
+// separateLimit bounds how long dev waits for entry hosts that run as processes of their own.
+const separateLimit = 10 * time.Minute
+
 // errUsage says that the words of a command line are off.
 var errUsage = merry.Sentinel("usage")
 
@@ -18,6 +22,8 @@
 type devFlags struct {
 	sample  string
 	entries int
+	// separate is where settings of entry hosts that run as processes of their own go; empty runs them in this process.
+	separate string
 }
 
 func (f *devFlags) add(cmd *cobra.Command) {
@@ -36,7 +42,7 @@
 		return nil, merry.Prependf(errUsage, "--entries %d is less than 1", f.entries)
 	}
 
-	return estate.New(l, estate.WithSample(sample()), estate.WithEntries(f.entries)), nil
+	return estate.New(l, estate.WithSample(sample()), estate.WithEntries(f.entries), estate.WithSeparate(f.separate)), nil
 }
 
 func newDev() *cobra.Command {
@@ -55,6 +61,8 @@
 		},
 	}
 	flags.add(cmd)
+	cmd.Flags().StringVar(&flags.separate, "separate", "",
+		"write settings files of the entry hosts into this folder and wait until you run them with lycheehook entry")
 	cmd.Flags().BoolVar(&check, "check", false, "run the main job, say what was seen of each promise, and stop")
 
 	return cmd
@@ -82,6 +90,12 @@
 		return err
 	}
 	defer e.Stop()
+	if flags.separate != "" {
+		_, _ = fmt.Fprintf(cmd.OutOrStdout(), "settings of %d entry hosts are in %s\n", flags.entries, flags.separate)
+		if err := e.AwaitEntries(cmd.Context(), separateLimit); err != nil {
+			return err
+		}
+	}
 	if err := e.Prepare(cmd.Context()); err != nil {
 		return err
 	}
@@ -98,6 +112,9 @@
 		_, _ = fmt.Fprintf(w, "%s  callers %s  operators %s\n", s.Name, s.CallerAddress, s.OperatorAddress)
 	}
 	_, _ = fmt.Fprintf(w, "operators' token  %s\n", estate.DevOperatorToken)
+	for _, ep := range e.Sample.Endpoints {
+		_, _ = fmt.Fprintf(w, "%s  pool %s  %s\n", ep.Name, ep.Pool, ep.Address)
+	}
 	for _, t := range e.Sample.Lists.Teams() {
 		_, _ = fmt.Fprintf(w, "key of team %-16s  %s\n", t.Name, e.Keys[t.Name])
 	}
--- a/cmd/lycheehook/main.go
+++ b/cmd/lycheehook/main.go
@@ -7,6 +7,8 @@
 	"os"
 	"os/signal"
 	"syscall"
+
+	"github.com/ansel1/merry/v2"
 )
 
 func main() {
@@ -15,6 +17,9 @@
 
 // run returns the exit code of the command line.
 func run() int {
+	// Refusals are ordinary answers here; a stack for each would cost more than the decision.
+	merry.SetStackCaptureEnabled(false)
+
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 
--- a/estate/entry.go
+++ b/estate/entry.go
@@ -68,6 +68,11 @@
 		}
 	}
 
+	if e.separate != "" {
+		e.append(&entryHost{settings: s, stop: func() {}})
+		return s, e.writeEntry(s)
+	}
+
 	h := &entryHost{settings: s}
 	hostCtx, stop := context.WithCancel(ctx)
 	h.stop = stop
@@ -78,13 +83,17 @@
 		}
 	})
 
-	e.mu.Lock()
-	e.entries = append(e.entries, h)
-	e.mu.Unlock()
+	e.append(h)
 
 	return s, awaitListening(ctx, s.CallerAddress, s.OperatorAddress)
 }
 
+func (e *Estate) append(h *entryHost) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.entries = append(e.entries, h)
+}
+
 // StopEntry stops the first running entry host gracefully and returns when it has left.
 func (e *Estate) StopEntry() {
 	live := e.live()
--- a/estate/estate.go
+++ b/estate/estate.go
@@ -34,6 +34,7 @@
 
 	log        *log.Logger
 	entryCount int
+	separate   string
 	service    time.Duration
 	servers    []*http.Server
 
--- /dev/null
+++ b/estate/separate.go
@@ -0,0 +1,47 @@
+package estate
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"lycheehook.example/lycheehook/key"
+	"lycheehook.example/lycheehook/settings"
+)
+
+const settingsFileMode = 0o600
+
+// WithSeparate makes Start write a settings file for each entry host into dir in place of running it; the entry hosts are then processes of their own.
+func WithSeparate(dir string) Option {
+	return func(e *Estate) { e.separate = dir }
+}
+
+// writeEntry writes the settings file of an entry host that somebody else starts.
+func (e *Estate) writeEntry(s settings.Settings) error {
+	s.Operators = []settings.Operator{{Name: "dev", TokenHash: key.NewHashed(DevOperatorToken)}}
+	data, err := json.MarshalIndent(s, "", "  ")
+	if err != nil {
+		return merry.Prependf(err, "settings of %s", s.Name)
+	}
+	path := filepath.Join(e.separate, string(s.Name)+".json")
+
+	return os.WriteFile(path, append(data, '\n'), settingsFileMode)
+}
+
+// AwaitEntries returns when every entry host listens; it is for entry hosts that somebody else starts.
+func (e *Estate) AwaitEntries(ctx context.Context, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+
+	for _, s := range e.Entries() {
+		if err := awaitListening(ctx, s.CallerAddress, s.OperatorAddress); err != nil {
+			return merry.Prepend(err, string(s.Name))
+		}
+	}
+
+	return nil
+}
