Measure how costs grow and work them out at the target size

Cause: docs/CAPACITY.md needs a measured slope behind every figure and a command that anybody can run again.

Change: package capacity runs a measure at three or more sizes, fits a line by least squares, and says whether the cost at the target keeps its limit; lycheehook capacity prints the table.

--- a/cmd/lycheehook/root.go
+++ b/cmd/lycheehook/root.go
@@ -10,7 +10,7 @@
 		Short:        "Fleet capacity and maintenance manager",
 		SilenceUsage: true,
 	}
-	root.AddCommand(newEntry(), newDev(), newLoad(), newExperiment())
+	root.AddCommand(newEntry(), newDev(), newLoad(), newExperiment(), newCapacity())
 
 	return root
 }
