Let entry hosts ask each other over QUIC with mutual TLS

Entry hosts need one protocol for revisions, freshness, usage and allotments. Each request has a stream of its own and its answer counts only when whole; a path on which nothing came since a request left is replaced by one with a new socket.

--- /dev/null
+++ b/peer/quic.go
@@ -0,0 +1,324 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/quic-go/quic-go"
+)
+
+const (
+	protocolName = "lycheehook-peer"
+	// maxIdle ends a connection on which nothing came for so long.
+	maxIdle          = 10 * time.Second
+	handshakeTimeout = time.Second
+	// maxStreams bounds the requests that one peer may have open here.
+	maxStreams = 256
+	// serveTimeout bounds the handling of one request.
+	serveTimeout = 10 * time.Second
+
+	codeReplaced quic.ApplicationErrorCode = 1
+	codeCut      quic.StreamErrorCode      = 1
+)
+
+// connection is an outgoing connection with a socket of its own, so that a new one takes a new path through the network.
+type connection struct {
+	conn   *quic.Conn
+	socket net.PacketConn
+	tr     *quic.Transport
+	// heard is when the last answer came, in nanoseconds of the process's clock.
+	heard atomic.Int64
+	once  sync.Once
+}
+
+// dialling is a connection that is being set up; several requests may wait for it.
+type dialling struct {
+	done chan struct{}
+	conn *connection
+	err  error
+}
+
+// transport exchanges messages over QUIC.
+type transport struct {
+	server, client *tls.Config
+	socket         func() (net.PacketConn, error)
+	epoch          time.Time
+
+	mu     sync.Mutex
+	open   map[Peer]*dialling
+	tr     *quic.Transport
+	ln     *quic.Listener
+	conn   net.PacketConn
+	closed bool
+	wg     sync.WaitGroup
+}
+
+func newTransport() *transport {
+	return &transport{
+		open: map[Peer]*dialling{}, epoch: time.Now(),
+		socket: func() (net.PacketConn, error) { return net.ListenUDP("udp", nil) },
+	}
+}
+
+// withProtocol returns c for this protocol and its versions only.
+func withProtocol(c *tls.Config) *tls.Config {
+	c = c.Clone()
+	c.NextProtos = []string{protocolName}
+	c.MinVersion = tls.VersionTLS13
+
+	return c
+}
+
+func quicConfig() *quic.Config {
+	return &quic.Config{
+		HandshakeIdleTimeout: handshakeTimeout, MaxIdleTimeout: maxIdle,
+		MaxIncomingStreams: maxStreams, MaxIncomingUniStreams: -1,
+		InitialStreamReceiveWindow: 64 << 10, MaxStreamReceiveWindow: MaxMessageSize,
+		InitialConnectionReceiveWindow: 64 << 10, MaxConnectionReceiveWindow: 2 * MaxMessageSize,
+		DisablePathMTUDiscovery: true,
+	}
+}
+
+// exchange sends one request on a stream of its own and reads the answer to its end.
+func (t *transport) exchange(ctx context.Context, to Peer, request []byte) ([]byte, error) {
+	c, err := t.connect(ctx, to)
+	if err != nil {
+		return nil, merry.Prepend(ErrUnreachable, err.Error())
+	}
+
+	asked := time.Since(t.epoch)
+	data, err := c.roundTrip(ctx, request)
+	if err == nil {
+		c.heard.Store(int64(time.Since(t.epoch)))
+		return data, nil
+	}
+	if time.Duration(c.heard.Load()) < asked || c.conn.Context().Err() != nil {
+		// Nothing came since the request left: the path may be silent for good, so the next request takes a new one.
+		t.dropConnection(to, c)
+	}
+
+	return nil, merry.Prepend(ErrUnreachable, err.Error())
+}
+
+func (c *connection) roundTrip(ctx context.Context, request []byte) ([]byte, error) {
+	s, err := c.conn.OpenStreamSync(ctx)
+	if err != nil {
+		return nil, err
+	}
+	defer s.CancelRead(codeCut)
+	stop := context.AfterFunc(ctx, func() {
+		s.CancelRead(codeCut)
+		s.CancelWrite(codeCut)
+	})
+	defer stop()
+
+	if _, err := s.Write(request); err != nil {
+		return nil, err
+	}
+	if err := s.Close(); err != nil {
+		return nil, err
+	}
+
+	return readItem(s)
+}
+
+// connect returns the connection to a peer and dials if there is none.
+func (t *transport) connect(ctx context.Context, to Peer) (*connection, error) {
+	t.mu.Lock()
+	if t.closed {
+		t.mu.Unlock()
+		return nil, net.ErrClosed
+	}
+	d, ok := t.open[to]
+	if !ok {
+		d = &dialling{done: make(chan struct{})}
+		t.open[to] = d
+		t.wg.Go(func() { t.dial(context.WithoutCancel(ctx), to, d) })
+	}
+	t.mu.Unlock()
+
+	select {
+	case <-ctx.Done():
+		return nil, context.Cause(ctx)
+	case <-d.done:
+		return d.conn, d.err
+	}
+}
+
+func (t *transport) dial(ctx context.Context, to Peer, d *dialling) {
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	d.conn, d.err = t.dialOnce(ctx, to.Address)
+
+	t.mu.Lock()
+	if d.err != nil || t.closed || t.open[to] != d {
+		if t.open[to] == d {
+			delete(t.open, to)
+		}
+		if d.conn != nil {
+			d.conn.close()
+		}
+	}
+	t.mu.Unlock()
+	close(d.done)
+}
+
+func (t *transport) dialOnce(ctx context.Context, to netip.AddrPort) (*connection, error) {
+	if t.client == nil {
+		return nil, errors.New("no TLS configuration")
+	}
+	socket, err := t.socket()
+	if err != nil {
+		return nil, err
+	}
+
+	tr := &quic.Transport{Conn: socket}
+	conn, err := tr.Dial(ctx, net.UDPAddrFromAddrPort(to), t.client, quicConfig())
+	if err != nil {
+		_ = tr.Close()
+		_ = socket.Close()
+		return nil, err
+	}
+
+	return &connection{conn: conn, socket: socket, tr: tr}, nil
+}
+
+func (c *connection) close() {
+	c.once.Do(func() {
+		_ = c.conn.CloseWithError(codeReplaced, "")
+		_ = c.tr.Close()
+		_ = c.socket.Close()
+	})
+}
+
+// dropConnection forgets c, unless another has taken its place.
+func (t *transport) dropConnection(to Peer, c *connection) {
+	t.mu.Lock()
+	if d, ok := t.open[to]; ok && d.conn == c {
+		delete(t.open, to)
+	}
+	t.mu.Unlock()
+	c.close()
+}
+
+// drop ends the connection to a peer.
+func (t *transport) drop(to Peer) {
+	t.mu.Lock()
+	d, ok := t.open[to]
+	delete(t.open, to)
+	t.mu.Unlock()
+	if !ok {
+		return
+	}
+
+	select {
+	case <-d.done:
+		if d.conn != nil {
+			d.conn.close()
+		}
+	default:
+	}
+}
+
+// listen takes over conn for incoming connections.
+func (t *transport) listen(conn net.PacketConn) error {
+	if t.server == nil {
+		return errors.New("peer: no TLS configuration")
+	}
+	tr := &quic.Transport{Conn: conn}
+	ln, err := tr.Listen(t.server, quicConfig())
+	if err != nil {
+		return merry.Prepend(err, "listen for peers")
+	}
+
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.tr, t.ln, t.conn = tr, ln, conn
+
+	return nil
+}
+
+// accept serves incoming connections until ctx ends.
+func (t *transport) accept(ctx context.Context, serve func(context.Context, []byte) []byte) {
+	t.mu.Lock()
+	ln := t.ln
+	t.mu.Unlock()
+	if ln == nil {
+		return
+	}
+
+	t.wg.Go(func() {
+		for {
+			conn, err := ln.Accept(ctx)
+			if err != nil {
+				return
+			}
+			t.wg.Go(func() { t.serveConnection(ctx, conn, serve) })
+		}
+	})
+}
+
+func (t *transport) serveConnection(ctx context.Context, conn *quic.Conn, serve func(context.Context, []byte) []byte) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for {
+		s, err := conn.AcceptStream(ctx)
+		if err != nil {
+			return
+		}
+		wg.Go(func() { serveStream(ctx, s, serve) })
+	}
+}
+
+// serveStream answers one request; a request that is not whole is reset, never answered.
+func serveStream(ctx context.Context, s *quic.Stream, serve func(context.Context, []byte) []byte) {
+	ctx, cancel := context.WithTimeout(ctx, serveTimeout)
+	defer cancel()
+
+	_ = s.SetReadDeadline(time.Now().Add(serveTimeout))
+	request, err := readItem(s)
+	if err != nil {
+		s.CancelRead(codeCut)
+		s.CancelWrite(codeCut)
+		return
+	}
+
+	_ = s.SetWriteDeadline(time.Now().Add(serveTimeout))
+	if _, err := s.Write(serve(ctx, request)); err != nil {
+		s.CancelWrite(codeCut)
+		return
+	}
+	_ = s.Close()
+}
+
+// close ends every connection and the listener.
+func (t *transport) close() {
+	t.mu.Lock()
+	t.closed = true
+	open := t.open
+	t.open = map[Peer]*dialling{}
+	t.mu.Unlock()
+
+	for _, d := range open {
+		select {
+		case <-d.done:
+			if d.conn != nil {
+				d.conn.close()
+			}
+		default:
+		}
+	}
+	if t.ln != nil {
+		_ = t.ln.Close()
+		_ = t.tr.Close()
+		_ = t.conn.Close()
+	}
+	t.wg.Wait()
+}
--- /dev/null
+++ b/standin/network.go
@@ -0,0 +1,140 @@
+package standin
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"lycheehook.example/lycheehook/fleet"
+	"lycheehook.example/lycheehook/peer"
+)
+
+// PathFault is what happens to requests from one entry host to another.
+type PathFault struct {
+	// RequestLost loses the request before the peer sees it.
+	RequestLost bool
+	// AnswerLost loses the answer after the peer handled the request.
+	AnswerLost bool
+	// Doubled lets the peer handle the request twice.
+	Doubled bool
+	// RequestDelay and AnswerDelay are the times that the two ways take.
+	RequestDelay time.Duration
+	AnswerDelay  time.Duration
+}
+
+type path struct {
+	from, to fleet.EntryName
+}
+
+// Network carries requests between meshes in memory, so that tests can stop the clock.
+type Network struct {
+	mu     sync.Mutex
+	serve  map[netip.AddrPort]func(context.Context, []byte) []byte
+	faults map[path]PathFault
+	next   uint16
+	bytes  int64
+}
+
+// NewNetwork returns a network without processes.
+func NewNetwork() *Network {
+	return &Network{serve: map[netip.AddrPort]func(context.Context, []byte) []byte{}, faults: map[path]PathFault{}}
+}
+
+// Mesh returns a mesh that is attached to the network under a new address until ctx ends.
+func (n *Network) Mesh(ctx context.Context, name fleet.EntryName, incarnation peer.Incarnation, opts ...peer.Option) *peer.Mesh {
+	n.mu.Lock()
+	n.next++
+	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(n.next >> 8), byte(n.next)}), 7000)
+	n.mu.Unlock()
+
+	self := peer.Peer{Name: name, Incarnation: incarnation, Address: address}
+	opts = append(opts, peer.WithExchange(func(ctx context.Context, to peer.Peer, request []byte) ([]byte, error) {
+		return n.exchange(ctx, name, to, request)
+	}))
+	m := peer.New(self, opts...)
+
+	n.mu.Lock()
+	n.serve[address] = m.Serve
+	n.mu.Unlock()
+	context.AfterFunc(ctx, func() {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		delete(n.serve, address)
+	})
+
+	return m
+}
+
+// SetFault applies f to later requests from one entry host to another.
+func (n *Network) SetFault(from, to fleet.EntryName, f PathFault) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.faults[path{from, to}] = f
+}
+
+// Cut loses everything between two entry hosts, or heals the path.
+func (n *Network) Cut(a, b fleet.EntryName, cut bool) {
+	n.SetFault(a, b, PathFault{RequestLost: cut})
+	n.SetFault(b, a, PathFault{RequestLost: cut})
+}
+
+// Bytes returns the size of all messages so far.
+func (n *Network) Bytes() int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	return n.bytes
+}
+
+func (n *Network) exchange(ctx context.Context, from fleet.EntryName, to peer.Peer, request []byte) ([]byte, error) {
+	fault, serve := n.path(from, to)
+	if serve == nil || fault.RequestLost || !sleep(ctx, fault.RequestDelay) {
+		<-ctx.Done()
+		return nil, merry.Prependf(peer.ErrUnreachable, "request to %s lost", to.Name)
+	}
+
+	n.count(request)
+	answer := serve(ctx, request)
+	if fault.Doubled {
+		answer = serve(ctx, request)
+	}
+	n.count(answer)
+
+	// A path that was cut in the meantime loses the answer too.
+	if now, _ := n.path(from, to); fault.AnswerLost || now.RequestLost || !sleep(ctx, fault.AnswerDelay) {
+		<-ctx.Done()
+		return nil, merry.Prependf(peer.ErrUnreachable, "answer of %s lost", to.Name)
+	}
+
+	return answer, nil
+}
+
+func (n *Network) path(from fleet.EntryName, to peer.Peer) (PathFault, func(context.Context, []byte) []byte) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	return n.faults[path{from, to.Name}], n.serve[to.Address]
+}
+
+func (n *Network) count(message []byte) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.bytes += int64(len(message))
+}
+
+// sleep waits for d and reports whether ctx still runs.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
