Call hosts and workers under recorded intents

The control path needs drains, reboots and tasks whose lost answers can be settled. Each call to a host carries an intent and the store revision of the host's record as its fence; each task carries a token. Asking a worker about a task that it does not know makes it refuse a late start with that token, so the answer stays true.

--- a/standin/platform.go
+++ b/standin/platform.go
@@ -1,35 +1,80 @@
 package standin
 
 import (
-	"encoding/json"
-	"net/http"
+	"context"
 	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
 
 	"lycheehook.example/lycheehook/fleet"
+	"lycheehook.example/lycheehook/platform"
 )
 
-type inventoryAnswer struct {
-	Hosts     []fleet.Host
-	Endpoints []fleet.Endpoint
+// defaultRebootTime is how long a host stays down for a reboot.
+const defaultRebootTime = 5 * time.Minute
+
+// worker is the state of one host of the stand-in.
+type worker struct {
+	host     fleet.Host
+	draining bool
+	fence    uint64
+	intent   platform.IntentID
+	done     map[platform.IntentID]map[string]bool
+	rebooted platform.IntentID
+	// backAt is when the host is up again; zero while it is up.
+	backAt  time.Time
+	pending platform.IntentID
+	never   bool
+	crashed bool
+	failing bool
+	boots   int
+	tasks   map[fleet.JobID]*task
+	tokens  map[fleet.JobID]uint64
 }
 
 // Platform is a stand-in for the platform that runs the workers.
 type Platform struct {
-	mu        sync.Mutex
-	hosts     fleet.Table[fleet.HostName, fleet.Host]
-	endpoints fleet.Table[fleet.EndpointName, fleet.Endpoint]
+	mu         sync.Mutex
+	workers    map[fleet.HostName]*worker
+	endpoints  fleet.Table[fleet.EndpointName, fleet.Endpoint]
+	fault      Fault
+	delay      time.Duration
+	stale      *platform.Inventory
+	rebootTime time.Duration
+	taskTime   time.Duration
+	calls      map[string]int64
+	starts     map[fleet.JobID]int
+	cutOff     int
 }
 
 // NewPlatform returns a platform without hosts.
 func NewPlatform() *Platform {
-	return &Platform{}
+	return &Platform{
+		workers: map[fleet.HostName]*worker{}, rebootTime: defaultRebootTime,
+		calls: map[string]int64{}, starts: map[fleet.JobID]int{},
+	}
 }
 
-// PutHost adds or replaces a host.
+// PutHost adds a host or replaces what the inventory says about it.
 func (p *Platform) PutHost(h fleet.Host) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.hosts = p.hosts.With(h.Name, h)
+
+	if w, ok := p.workers[h.Name]; ok {
+		w.host = h
+		return
+	}
+	p.workers[h.Name] = &worker{
+		host: h, done: map[platform.IntentID]map[string]bool{}, tasks: map[fleet.JobID]*task{}, tokens: map[fleet.JobID]uint64{},
+	}
+}
+
+// RemoveHost takes a host out of the platform for good.
+func (p *Platform) RemoveHost(name fleet.HostName) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.workers, name)
 }
 
 // PutEndpoint adds or replaces an endpoint.
@@ -39,17 +84,271 @@
 	p.endpoints = p.endpoints.With(e.Name, e)
 }
 
-// ServeHTTP serves the protocol of the platform.
-func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path != "/v1/hosts" {
-		http.NotFound(w, r)
-		return
+// SetFault applies f to every later call.
+func (p *Platform) SetFault(f Fault) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fault = f
+}
+
+// SetDelay makes every later call take d longer.
+func (p *Platform) SetDelay(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.delay = d
+}
+
+// SetRebootTime sets how long a host stays down for a reboot.
+func (p *Platform) SetRebootTime(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.rebootTime = d
+}
+
+// SetStale freezes the inventory as it is now, or lets it follow the truth again.
+func (p *Platform) SetStale(stale bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	p.stale = nil
+	if stale {
+		inv := p.list()
+		p.stale = &inv
+	}
+}
+
+// SetCrashed takes a host down without warning, or brings it back.
+func (p *Platform) SetCrashed(name fleet.HostName, crashed bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	if w, ok := p.workers[name]; ok {
+		w.crashed = crashed
+		if crashed {
+			w.loseTasks()
+		}
+	}
+}
+
+// SetNeverReturns makes a host stay down after its next reboot for as long as it is set.
+func (p *Platform) SetNeverReturns(name fleet.HostName, never bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if w, ok := p.workers[name]; ok {
+		w.never = never
+	}
+}
+
+// Boots returns how often a host was rebooted.
+func (p *Platform) Boots(name fleet.HostName) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if w, ok := p.workers[name]; ok {
+		return w.boots
+	}
+
+	return 0
+}
+
+// OutOfService returns the hosts that take no new tasks now.
+func (p *Platform) OutOfService() []fleet.HostName {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	var out []fleet.HostName
+	for name, w := range p.workers {
+		if w.draining || !p.up(w) {
+			out = append(out, name)
+		}
+	}
+
+	return out
+}
+
+// Calls returns how often each call was made.
+func (p *Platform) Calls() map[string]int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	calls := make(map[string]int64, len(p.calls))
+	for name, n := range p.calls {
+		calls[name] = n
 	}
 
+	return calls
+}
+
+// Client returns a client that calls the platform without a network.
+func (p *Platform) Client() *platform.Client {
+	return &platform.Client{
+		Inventory:   p.inventory,
+		Status:      p.status,
+		Drain:       p.drain,
+		CancelDrain: p.cancelDrain,
+		Reboot:      p.reboot,
+		StartTask:   p.startTask,
+		RenewTasks:  p.renewTasks,
+		Task:        p.task,
+		Tasks:       p.listTasks,
+		Checkpoint:  p.checkpoint,
+		Throttle:    p.throttle,
+		StopTasks:   p.stopTasks,
+	}
+}
+
+// enter counts a call, applies delay and faults, and returns with the platform locked unless it returns an error.
+func (p *Platform) enter(ctx context.Context, name string) error {
 	p.mu.Lock()
-	answer := inventoryAnswer{Hosts: p.hosts.Values(), Endpoints: p.endpoints.Values()}
+	p.calls[name]++
+	delay, fault := p.delay, p.fault
 	p.mu.Unlock()
 
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(answer)
+	if delay > 0 {
+		select {
+		case <-ctx.Done():
+			return merry.Prepend(platform.ErrOutcomeUnknown, name)
+		case <-time.After(delay):
+		}
+	}
+
+	switch fault {
+	case FaultDown:
+		return merry.Prepend(platform.ErrUnavailable, name)
+	case FaultSilent:
+		<-ctx.Done()
+		return merry.Prepend(platform.ErrOutcomeUnknown, name)
+	case FaultNone, FaultAnswerLost:
+	}
+	p.mu.Lock()
+
+	return nil
+}
+
+// answer returns what a call with an effect reports under the fault in force; the platform is locked.
+func (p *Platform) answer(name string) error {
+	if p.fault == FaultAnswerLost {
+		return merry.Prepend(platform.ErrOutcomeUnknown, name)
+	}
+
+	return nil
+}
+
+// up brings the worker's reboot to an end when its time has come, and reports whether the worker is up.
+func (p *Platform) up(w *worker) bool {
+	if !w.backAt.IsZero() && !w.never && !time.Now().Before(w.backAt) {
+		w.backAt = time.Time{}
+		w.rebooted, w.pending = w.pending, ""
+	}
+
+	return w.backAt.IsZero() && !w.crashed
+}
+
+func (p *Platform) list() platform.Inventory {
+	hosts := fleet.Table[fleet.HostName, fleet.Host]{}
+	for name, w := range p.workers {
+		h := w.host.WithState(fleet.HostLive)
+		switch {
+		case !w.backAt.IsZero() && !p.up(w):
+			h = h.WithState(fleet.HostRebooting)
+		case !p.up(w):
+			h = h.WithState(fleet.HostLost)
+		case w.draining:
+			h = h.WithState(fleet.HostDraining)
+		}
+		hosts = hosts.With(name, h)
+	}
+
+	return platform.Inventory{Hosts: hosts.Values(), Endpoints: p.endpoints.Values()}
+}
+
+func (p *Platform) inventory(ctx context.Context) (platform.Inventory, error) {
+	if err := p.enter(ctx, "Inventory"); err != nil {
+		return platform.Inventory{}, readError(err)
+	}
+	defer p.mu.Unlock()
+	if p.stale != nil {
+		return *p.stale, nil
+	}
+
+	return p.list(), nil
+}
+
+func (p *Platform) status(ctx context.Context, name fleet.HostName) (platform.HostStatus, error) {
+	if err := p.enter(ctx, "Status"); err != nil {
+		return platform.HostStatus{}, readError(err)
+	}
+	defer p.mu.Unlock()
+
+	w, ok := p.workers[name]
+	if !ok {
+		return platform.HostStatus{}, merry.Prepend(platform.ErrNotFound, string(name))
+	}
+
+	return platform.HostStatus{
+		Host: name, Up: p.up(w), Draining: w.draining, Running: w.running(), Rebooted: w.rebooted, Intent: w.intent,
+	}, nil
+}
+
+// act carries out one call to a host unless it is fenced off or a repeat.
+func (p *Platform) act(ctx context.Context, kind string, c platform.HostCall, effect func(*worker) error) error {
+	if err := p.enter(ctx, kind); err != nil {
+		return err
+	}
+	defer p.mu.Unlock()
+
+	w, ok := p.workers[c.Host]
+	if !ok {
+		return merry.Prepend(platform.ErrNotFound, string(c.Host))
+	}
+	if c.Fence < w.fence {
+		return merry.Prependf(platform.ErrFenced, "%s %s: fence %d after %d", kind, c.Host, c.Fence, w.fence)
+	}
+	if w.done[c.Intent][kind] {
+		return p.answer(kind)
+	}
+	if err := effect(w); err != nil {
+		return err
+	}
+
+	w.fence, w.intent = c.Fence, c.Intent
+	if w.done[c.Intent] == nil {
+		w.done[c.Intent] = map[string]bool{}
+	}
+	w.done[c.Intent][kind] = true
+
+	return p.answer(kind)
+}
+
+func (p *Platform) drain(ctx context.Context, c platform.HostCall) error {
+	return p.act(ctx, "Drain", c, func(w *worker) error {
+		w.draining = true
+		return nil
+	})
+}
+
+func (p *Platform) cancelDrain(ctx context.Context, c platform.HostCall) error {
+	return p.act(ctx, "CancelDrain", c, func(w *worker) error {
+		if !p.up(w) {
+			return merry.Prependf(platform.ErrRefused, "host %s is down", c.Host)
+		}
+		w.draining = false
+
+		return nil
+	})
+}
+
+func (p *Platform) reboot(ctx context.Context, c platform.HostCall) error {
+	return p.act(ctx, "Reboot", c, func(w *worker) error {
+		if !w.draining {
+			return merry.Prependf(platform.ErrRefused, "host %s is not drained", c.Host)
+		}
+		if n := w.running(); n > 0 {
+			return merry.Prependf(platform.ErrRefused, "host %s runs %d tasks", c.Host, n)
+		}
+		w.boots++
+		w.pending = c.Intent
+		w.backAt = time.Now().Add(p.rebootTime)
+
+		return nil
+	})
 }
--- /dev/null
+++ b/standin/worker.go
@@ -0,0 +1,282 @@
+package standin
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"lycheehook.example/lycheehook/fleet"
+	"lycheehook.example/lycheehook/platform"
+)
+
+// task is a job's task on a worker.
+type task struct {
+	start     platform.TaskStart
+	status    platform.TaskStatus
+	expires   time.Time
+	throttled fleet.MilliCores
+}
+
+// SetFailing makes a worker fail every task that it is given from now on.
+func (p *Platform) SetFailing(name fleet.HostName, failing bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if w, ok := p.workers[name]; ok {
+		w.failing = failing
+	}
+}
+
+// SetTaskTime sets how long later tasks run; zero lets them run until FinishTask.
+func (p *Platform) SetTaskTime(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.taskTime = d
+}
+
+// SetUsage sets what a running task is reported to use.
+func (p *Platform) SetUsage(host fleet.HostName, job fleet.JobID, usage fleet.Resources) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if t := p.find(host, job); t != nil {
+		t.status.Usage = usage
+	}
+}
+
+// FinishTask ends a running task in the given state.
+func (p *Platform) FinishTask(host fleet.HostName, job fleet.JobID, state platform.TaskState) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if t := p.find(host, job); t != nil && t.status.State == platform.TaskRunning {
+		t.end(state, time.Now())
+	}
+}
+
+// Starts returns how often tasks of a job were started on all workers.
+func (p *Platform) Starts(job fleet.JobID) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	return p.starts[job]
+}
+
+// CutOff returns how many tasks lost their work to a stop or a reboot without a checkpoint.
+func (p *Platform) CutOff() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	return p.cutOff
+}
+
+func (p *Platform) find(host fleet.HostName, job fleet.JobID) *task {
+	w, ok := p.workers[host]
+	if !ok {
+		return nil
+	}
+
+	return w.tasks[job]
+}
+
+func (t *task) end(s platform.TaskState, now time.Time) {
+	t.status.State, t.status.Ended = s, now
+}
+
+// running settles lapsed and finished tasks and counts the rest.
+func (w *worker) running() int {
+	n := 0
+	for _, t := range w.tasks {
+		t.settle(time.Now())
+		if t.status.State == platform.TaskRunning {
+			n++
+		}
+	}
+
+	return n
+}
+
+// settle ends a task whose run time is over or whose lease has lapsed, whichever came first.
+func (t *task) settle(now time.Time) {
+	if t.status.State != platform.TaskRunning {
+		return
+	}
+	ended := t.status.Ended
+	switch {
+	case !ended.IsZero() && !now.Before(ended) && !ended.After(t.expires):
+		t.end(platform.TaskDone, ended)
+	case !now.Before(t.expires):
+		t.end(platform.TaskLapsed, t.expires)
+	}
+}
+
+func (w *worker) loseTasks() {
+	for _, t := range w.tasks {
+		if t.status.State == platform.TaskRunning {
+			t.end(platform.TaskLapsed, time.Now())
+		}
+	}
+}
+
+// enterWorker locks the platform and finds a worker that is up.
+func (p *Platform) enterWorker(ctx context.Context, kind string, host fleet.HostName) (*worker, error) {
+	if err := p.enter(ctx, kind); err != nil {
+		return nil, err
+	}
+
+	w, ok := p.workers[host]
+	if !ok {
+		p.mu.Unlock()
+		return nil, merry.Prepend(platform.ErrRefused, "no host "+string(host))
+	}
+	if !p.up(w) {
+		p.mu.Unlock()
+		return nil, merry.Prependf(platform.ErrUnavailable, "host %s is down", host)
+	}
+	w.running()
+
+	return w, nil
+}
+
+func (p *Platform) startTask(ctx context.Context, s platform.TaskStart) error {
+	w, err := p.enterWorker(ctx, "StartTask", s.Host)
+	if err != nil {
+		return err
+	}
+	defer p.mu.Unlock()
+
+	if s.Token < w.tokens[s.Job] {
+		return merry.Prependf(platform.ErrFenced, "job %s: token %d after %d", s.Job, s.Token, w.tokens[s.Job])
+	}
+	if t := w.tasks[s.Job]; t != nil && t.status.Token == s.Token {
+		return p.answer("StartTask")
+	}
+	if s.Token == w.tokens[s.Job] {
+		return merry.Prependf(platform.ErrFenced, "job %s: token %d was declared not started", s.Job, s.Token)
+	}
+	if w.draining {
+		return merry.Prependf(platform.ErrRefused, "host %s is draining", s.Host)
+	}
+
+	p.launch(w, s)
+
+	return p.answer("StartTask")
+}
+
+func (p *Platform) launch(w *worker, s platform.TaskStart) {
+	now := time.Now()
+	p.starts[s.Job]++
+	w.tokens[s.Job] = s.Token
+	t := &task{start: s, expires: now.Add(s.LeaseTTL.Std()), status: platform.TaskStatus{
+		Job: s.Job, Host: s.Host, Token: s.Token, State: platform.TaskRunning, Started: now,
+	}}
+	if p.taskTime > 0 {
+		t.status.Ended = now.Add(p.taskTime)
+	}
+	if w.failing {
+		t.end(platform.TaskFailed, now)
+	}
+	w.tasks[s.Job] = t
+}
+
+func (p *Platform) renewTasks(ctx context.Context, host fleet.HostName, tasks []platform.TaskCall) ([]fleet.JobID, error) {
+	w, err := p.enterWorker(ctx, "RenewTasks", host)
+	if err != nil {
+		return nil, err
+	}
+	defer p.mu.Unlock()
+
+	var gone []fleet.JobID
+	for _, c := range tasks {
+		t := w.tasks[c.Job]
+		if t == nil || t.status.Token != c.Token || t.status.State != platform.TaskRunning {
+			gone = append(gone, c.Job)
+			continue
+		}
+		t.expires = time.Now().Add(t.start.LeaseTTL.Std())
+	}
+
+	return gone, p.answer("RenewTasks")
+}
+
+func (p *Platform) task(ctx context.Context, c platform.TaskCall) (platform.TaskStatus, error) {
+	w, err := p.enterWorker(ctx, "Task", c.Host)
+	if err != nil {
+		return platform.TaskStatus{}, readError(err)
+	}
+	defer p.mu.Unlock()
+
+	t := w.tasks[c.Job]
+	if t != nil && t.status.Token >= c.Token {
+		return t.status, nil
+	}
+	// From here on a late start with this token is refused, so that the answer stays true.
+	w.tokens[c.Job] = max(w.tokens[c.Job], c.Token)
+
+	return platform.TaskStatus{}, merry.Prependf(platform.ErrNotFound, "job %s on %s", c.Job, c.Host)
+}
+
+func (p *Platform) listTasks(ctx context.Context, host fleet.HostName) ([]platform.TaskStatus, error) {
+	w, err := p.enterWorker(ctx, "Tasks", host)
+	if err != nil {
+		return nil, readError(err)
+	}
+	defer p.mu.Unlock()
+
+	all := make([]platform.TaskStatus, 0, len(w.tasks))
+	for _, t := range w.tasks {
+		all = append(all, t.status)
+	}
+	slices.SortFunc(all, func(a, b platform.TaskStatus) int { return strings.Compare(string(a.Job), string(b.Job)) })
+
+	return all, nil
+}
+
+// onTask applies an effect to a running task with the call's token.
+func (p *Platform) onTask(ctx context.Context, kind string, c platform.TaskCall, effect func(*task)) error {
+	w, err := p.enterWorker(ctx, kind, c.Host)
+	if err != nil {
+		return err
+	}
+	defer p.mu.Unlock()
+
+	t := w.tasks[c.Job]
+	if t == nil || t.status.State != platform.TaskRunning {
+		return merry.Prependf(platform.ErrNotFound, "job %s on %s", c.Job, c.Host)
+	}
+	if c.Token < t.status.Token {
+		return merry.Prependf(platform.ErrFenced, "job %s", c.Job)
+	}
+	effect(t)
+
+	return p.answer(kind)
+}
+
+func (p *Platform) checkpoint(ctx context.Context, c platform.TaskCall) error {
+	return p.onTask(ctx, "Checkpoint", c, func(t *task) { t.status.Checkpointed = true })
+}
+
+func (p *Platform) throttle(ctx context.Context, c platform.ThrottleCall) error {
+	return p.onTask(ctx, "Throttle", c.TaskCall, func(t *task) { t.throttled = c.Cores })
+}
+
+func (p *Platform) stopTasks(ctx context.Context, host fleet.HostName, tasks []platform.TaskCall) error {
+	w, err := p.enterWorker(ctx, "StopTasks", host)
+	if err != nil {
+		return err
+	}
+	defer p.mu.Unlock()
+
+	for _, c := range tasks {
+		t := w.tasks[c.Job]
+		if t == nil || t.status.State != platform.TaskRunning || c.Token < t.status.Token {
+			continue
+		}
+		if !t.status.Checkpointed {
+			p.cutOff++
+		}
+		t.end(platform.TaskStopped, time.Now())
+	}
+
+	return p.answer("StopTasks")
+}
