--- a/peer/codec.go
+++ b/peer/codec.go
@@ -89,10 +89,11 @@
 
 // readItem reads one data item up to the end of the stream and returns its bytes; anything less or more is an error.
 func readItem(r io.Reader) ([]byte, error) {
-	dec := decoding().NewDecoder(io.LimitReader(r, MaxMessageSize+1))
+	bounded := &io.LimitedReader{R: r, N: MaxMessageSize + 1}
+	dec := decoding().NewDecoder(bounded)
 	var item cbor.RawMessage
 	if err := dec.Decode(&item); err != nil {
-		if dec.NumBytesRead() > MaxMessageSize {
+		if bounded.N <= 0 {
 			return nil, merry.Wrap(ErrTooLarge)
 		}
 
--- a/peer/heartbeat.go
+++ b/peer/heartbeat.go
@@ -2,20 +2,15 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"lycheehook.example/lycheehook/fleet"
 )
 
 const (
 	kindHeartbeat Kind = "Heartbeat"
-	// MaxReportSize bounds one report in a heartbeat, in bytes.
-	MaxReportSize = 8 << 10
-	// maxReportsSize bounds all reports of one heartbeat, in bytes.
-	maxReportsSize = 16 << 10
 	// maxBackoff is the longest time between heartbeats to a peer that does not answer, in intervals.
 	maxBackoff = 8
 )
@@ -47,12 +42,13 @@
 	Received time.Time
 }
 
-// heartbeat is the message in both directions.
+// heartbeat is the message in both directions; answers carry no reports.
 type heartbeat struct {
-	Sequence uint64
-	From     Peer
-	Status   Status
-	Reports  map[string]cbor.RawMessage `cbor:",omitempty"`
+	Sequence    uint64
+	Incarnation Incarnation
+	Status      Status
+	// Reports are deflated CBOR, a map of names to reports.
+	Reports []byte `cbor:",omitempty"`
 }
 
 // SetStatus makes f the source of what heartbeats say.
@@ -69,27 +65,6 @@
 	m.onHeard = append(m.onHeard, f)
 }
 
-// Report adds a named report to every heartbeat; one larger than MaxReportSize is left out and counted.
-func Report[T any](m *Mesh, name string, produce func() T) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.reports[name] = func() ([]byte, error) { return encode(produce()) }
-}
-
-// OnReport calls f with each newer report of that name from a peer.
-func OnReport[T any](m *Mesh, name string, f func(from Peer, report T)) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.onReport[name] = func(from Peer, data []byte) {
-		var report T
-		if err := decode(data, &report); err != nil {
-			m.counters.dropped("Malformed")
-			return
-		}
-		f(from, report)
-	}
-}
-
 // Kick sends a heartbeat to every peer now.
 func (m *Mesh) Kick() {
 	m.mu.Lock()
@@ -142,11 +117,11 @@
 func (m *Mesh) sendHeartbeat(ctx context.Context, l *link) bool {
 	asked := time.Now()
 	reply, err := send[heartbeat](ctx, m, l.peer, kindHeartbeat, m.compose(l))
-	if err != nil || reply.From.Incarnation != l.peer.Incarnation && l.peer.Incarnation != "" {
+	if err != nil || reply.Incarnation != l.peer.Incarnation {
 		return false
 	}
 
-	h := Heard{From: reply.From, Status: reply.Status, Asked: asked, Received: time.Now()}
+	h := Heard{From: l.peer, Status: reply.Status, Asked: asked, Received: time.Now()}
 	m.mu.Lock()
 	l.heard = h
 	observers := m.onHeard
@@ -154,87 +129,63 @@
 	for _, f := range observers {
 		f(h)
 	}
-	m.deliver(reply)
 
 	return true
 }
 
-// compose returns the next heartbeat for a peer; l is nil for an answer to a process that is not a peer.
+// compose returns the next heartbeat for a peer, with reports when they are due.
 func (m *Mesh) compose(l *link) heartbeat {
 	m.mu.Lock()
-	status, reports := m.status, make(map[string]func() ([]byte, error), len(m.reports))
-	for name, r := range m.reports {
-		reports[name] = r
+	l.sequence++
+	hb := heartbeat{Sequence: l.sequence, Incarnation: m.self.Incarnation}
+	status, now := m.status, time.Now()
+	due := len(m.reports) > 0 && now.Sub(l.reported) >= m.reportInterval
+	if due {
+		l.reported = now
 	}
 	m.mu.Unlock()
 
-	hb := heartbeat{From: m.Self(), Status: status(), Reports: m.collect(reports)}
-	if l != nil {
-		m.mu.Lock()
-		l.sequence++
-		hb.Sequence = l.sequence
-		m.mu.Unlock()
+	hb.Status = status()
+	if due {
+		hb.Reports = m.packed(now)
 	}
 
 	return hb
 }
 
-func (m *Mesh) collect(reports map[string]func() ([]byte, error)) map[string]cbor.RawMessage {
-	if len(reports) == 0 {
-		return nil
-	}
-
-	size, all := 0, make(map[string]cbor.RawMessage, len(reports))
-	for name, produce := range reports {
-		data, err := produce()
-		if err != nil || len(data) > MaxReportSize || size+len(data) > maxReportsSize {
-			m.counters.dropped("TooLarge")
-			continue
-		}
-		size += len(data)
-		all[name] = data
-	}
-
-	return all
-}
-
-// answerHeartbeat takes a peer's heartbeat and answers with the own one.
-func (m *Mesh) answerHeartbeat(_ context.Context, _ Peer, hb heartbeat) (heartbeat, error) {
+// answerHeartbeat takes a peer's heartbeat and answers with the own status.
+func (m *Mesh) answerHeartbeat(_ context.Context, from Peer, hb heartbeat) (heartbeat, error) {
+	m.deliver(from, hb)
 	m.mu.Lock()
-	l := m.peers[hb.From.Name]
+	status := m.status
 	m.mu.Unlock()
-	m.deliver(hb)
 
-	return m.compose(l), nil
+	return heartbeat{Incarnation: m.Self().Incarnation, Status: status()}, nil
 }
 
 // deliver hands out the reports of a heartbeat unless one sent later came first.
-func (m *Mesh) deliver(hb heartbeat) {
+func (m *Mesh) deliver(from Peer, hb heartbeat) {
 	m.mu.Lock()
-	l, ok := m.peers[hb.From.Name]
-	if !ok || l.peer.Incarnation != hb.From.Incarnation || !l.received.advance(hb) {
+	l, ok := m.peers[from.Name]
+	if !ok || l.peer.Incarnation != from.Incarnation || hb.Sequence <= l.received {
 		m.mu.Unlock()
 		return
 	}
-	handlers := make(map[string]func(Peer, []byte), len(hb.Reports))
-	for name := range hb.Reports {
-		if f, ok := m.onReport[name]; ok {
-			handlers[name] = f
-		}
-	}
+	l.received = hb.Sequence
+	handlers := maps.Clone(m.onReport)
 	m.mu.Unlock()
-
-	for name, f := range handlers {
-		f(hb.From, hb.Reports[name])
+	if len(hb.Reports) == 0 {
+		return
 	}
-}
 
-// advance reports whether hb is newer than all before and remembers it.
-func (s *sequence) advance(hb heartbeat) bool {
-	if s.incarnation == hb.From.Incarnation && hb.Sequence <= s.number {
-		return false
+	reports, err := unpack(hb.Reports)
+	if err != nil {
+		m.counters.dropped("Malformed")
+		return
+	}
+	for name, data := range reports {
+		if f, ok := handlers[name]; ok {
+			f(from, data)
+		}
 	}
-	*s = sequence{incarnation: hb.From.Incarnation, number: hb.Sequence}
-
-	return true
 }
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -18,6 +18,8 @@
 const (
 	// DefaultHeartbeatInterval is the time between two heartbeats to one peer.
 	DefaultHeartbeatInterval = 500 * time.Millisecond
+	// DefaultReportInterval is the time between two sets of reports to one peer.
+	DefaultReportInterval = time.Second
 	// DefaultTimeout bounds a request whose context has no earlier deadline; a path that stays silent for so long is replaced.
 	DefaultTimeout = time.Second
 	// maxOutstanding bounds the requests that wait for answers of one peer.
@@ -67,11 +69,13 @@
 type Mesh struct {
 	self     Peer
 	interval time.Duration
-	timeout  time.Duration
-	exchange Exchange
-	quic     *transport
-	counters *counters
-	started  time.Time
+	// reportInterval is the time between two sets of reports to one peer.
+	reportInterval time.Duration
+	timeout        time.Duration
+	exchange       Exchange
+	quic           *transport
+	counters       *counters
+	started        time.Time
 
 	mu       sync.Mutex
 	handlers map[Kind]handler
@@ -82,6 +86,10 @@
 	onHeard  []func(Heard)
 	ctx      context.Context
 	wg       sync.WaitGroup
+
+	packMu        sync.Mutex
+	packedReports []byte
+	packedAt      time.Time
 }
 
 // link is what the mesh keeps of one peer.
@@ -92,14 +100,10 @@
 	stop        context.CancelFunc
 	sequence    uint64
 	heard       Heard
-	// received is the newest heartbeat sequence taken from the peer.
-	received sequence
-}
-
-// sequence orders the heartbeats of one incarnation.
-type sequence struct {
-	incarnation Incarnation
-	number      uint64
+	// received is the newest heartbeat taken from the peer.
+	received uint64
+	// reported is when the last reports went to the peer.
+	reported time.Time
 }
 
 // Option configures a Mesh.
@@ -115,6 +119,11 @@
 	return func(m *Mesh) { m.interval = d }
 }
 
+// WithReportInterval sets the time between two sets of reports to one peer.
+func WithReportInterval(d time.Duration) Option {
+	return func(m *Mesh) { m.reportInterval = d }
+}
+
 // WithTimeout bounds requests whose context has no earlier deadline.
 func WithTimeout(d time.Duration) Option {
 	return func(m *Mesh) { m.timeout = d }
@@ -133,7 +142,7 @@
 // New returns a mesh without peers that does nothing until Run.
 func New(self Peer, opts ...Option) *Mesh {
 	m := &Mesh{
-		self: self, interval: DefaultHeartbeatInterval, timeout: DefaultTimeout, counters: newCounters(), started: time.Now(),
+		self: self, interval: DefaultHeartbeatInterval, reportInterval: DefaultReportInterval, timeout: DefaultTimeout, counters: newCounters(), started: time.Now(),
 		handlers: map[Kind]handler{}, peers: map[fleet.EntryName]*link{},
 		reports: map[string]func() ([]byte, error){}, onReport: map[string]func(Peer, []byte){},
 		status: func() Status { return Status{} },
@@ -172,7 +181,7 @@
 	m.mu.Lock()
 	m.ctx = ctx
 	for _, l := range m.peers {
-		m.start(l)
+		m.start(ctx, l)
 	}
 	m.mu.Unlock()
 
@@ -225,13 +234,13 @@
 	l := &link{peer: p, outstanding: make(chan struct{}, maxOutstanding), kick: make(chan struct{}, 1), stop: func() {}}
 	m.peers[p.Name] = l
 	if m.ctx != nil {
-		m.start(l)
+		m.start(m.ctx, l)
 	}
 }
 
 // start runs the heartbeats of a peer; the mesh is locked.
-func (m *Mesh) start(l *link) {
-	ctx, cancel := context.WithCancel(m.ctx)
+func (m *Mesh) start(ctx context.Context, l *link) {
+	ctx, cancel := context.WithCancel(ctx)
 	l.stop = cancel
 	m.wg.Go(func() { m.beat(ctx, l) })
 }
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -25,35 +25,35 @@
 	stop func()
 }
 
-func authority(t testing.TB) *standin.Authority {
-	t.Helper()
+func authority(tb testing.TB) *standin.Authority {
+	tb.Helper()
 	ca, err := standin.NewAuthority()
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 
 	return ca
 }
 
-func start(t testing.TB, ca *standin.Authority, name fleet.EntryName, opts ...peer.Option) host {
-	t.Helper()
+func start(tb testing.TB, ca *standin.Authority, name fleet.EntryName, opts ...peer.Option) host {
+	tb.Helper()
 	server, client, err := ca.Configs(string(name))
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	socket, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 
 	opts = append([]peer.Option{peer.WithTLS(server, client), peer.WithHeartbeatInterval(10 * time.Millisecond)}, opts...)
 	m := peer.New(peer.Peer{Name: name, Incarnation: peer.Incarnation(name) + "-1"}, opts...)
 	if err := m.Listen(socket); err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	peer.Handle(m, "Echo", func(_ context.Context, _ peer.Peer, q echo) (echo, error) { return q, nil })
 
-	ctx, cancel := context.WithCancel(t.Context())
+	ctx, cancel := context.WithCancel(tb.Context())
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -63,7 +63,7 @@
 		cancel()
 		<-done
 	}}
-	t.Cleanup(h.stop)
+	tb.Cleanup(h.stop)
 
 	return h
 }
@@ -278,4 +278,3 @@
 		}
 	}
 }
-
--- a/peer/relay_test.go
+++ b/peer/relay_test.go
@@ -31,16 +31,16 @@
 	held   []byte
 }
 
-func newRelay(t testing.TB, server netip.AddrPort) *relay {
-	t.Helper()
+func newRelay(tb testing.TB, server netip.AddrPort) *relay {
+	tb.Helper()
 	front, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	r := &relay{server: server, front: front, flows: map[netip.AddrPort]*flow{}, random: rand.New(rand.NewPCG(1, 2))}
 	var wg sync.WaitGroup
-	wg.Go(func() { r.forward(t, &wg) })
-	t.Cleanup(func() {
+	wg.Go(func() { r.forward(tb, &wg) })
+	tb.Cleanup(func() {
 		_ = front.Close()
 		r.mu.Lock()
 		for _, f := range r.flows {
@@ -71,7 +71,8 @@
 	}
 }
 
-func (r *relay) forward(t testing.TB, wg *sync.WaitGroup) {
+func (r *relay) forward(tb testing.TB, wg *sync.WaitGroup) {
+	tb.Helper()
 	buf := make([]byte, 65536)
 	for {
 		n, from, err := r.front.ReadFromUDPAddrPort(buf)
@@ -83,7 +84,7 @@
 		if !ok {
 			back, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 			if err != nil {
-				t.Error(err)
+				tb.Error(err)
 				r.mu.Unlock()
 				return
 			}
--- a/standin/network.go
+++ b/standin/network.go
@@ -91,25 +91,38 @@
 
 func (n *Network) exchange(ctx context.Context, from fleet.EntryName, to peer.Peer, request []byte) ([]byte, error) {
 	fault, serve := n.path(from, to)
-	if serve == nil || fault.RequestLost || !sleep(ctx, fault.RequestDelay) {
-		<-ctx.Done()
-		return nil, merry.Prependf(peer.ErrUnreachable, "request to %s lost", to.Name)
+	answered := make(chan []byte, 1)
+	if serve != nil && !fault.RequestLost {
+		// A request that is on its way arrives even when its sender no longer waits.
+		go func() { answered <- n.carry(context.WithoutCancel(ctx), fault, serve, request) }()
 	}
 
+	select {
+	case <-ctx.Done():
+		return nil, merry.Prependf(peer.ErrUnreachable, "no answer of %s", to.Name)
+	case answer := <-answered:
+		// A path that was cut in the meantime loses the answer.
+		if now, _ := n.path(from, to); !now.RequestLost && !fault.AnswerLost {
+			return answer, nil
+		}
+	}
+	<-ctx.Done()
+
+	return nil, merry.Prependf(peer.ErrUnreachable, "answer of %s lost", to.Name)
+}
+
+// carry takes a request to its receiver and the answer back.
+func (n *Network) carry(ctx context.Context, f PathFault, serve func(context.Context, []byte) []byte, request []byte) []byte {
+	time.Sleep(f.RequestDelay)
 	n.count(request)
 	answer := serve(ctx, request)
-	if fault.Doubled {
+	if f.Doubled {
 		answer = serve(ctx, request)
 	}
 	n.count(answer)
+	time.Sleep(f.AnswerDelay)
 
-	// A path that was cut in the meantime loses the answer too.
-	if now, _ := n.path(from, to); fault.AnswerLost || now.RequestLost || !sleep(ctx, fault.AnswerDelay) {
-		<-ctx.Done()
-		return nil, merry.Prependf(peer.ErrUnreachable, "answer of %s lost", to.Name)
-	}
-
-	return answer, nil
+	return answer
 }
 
 func (n *Network) path(from fleet.EntryName, to peer.Peer) (PathFault, func(context.Context, []byte) []byte) {
@@ -124,17 +137,3 @@
 	defer n.mu.Unlock()
 	n.bytes += int64(len(message))
 }
-
-// sleep waits for d and reports whether ctx still runs.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
