Move hosts under availability budgets that two controllers can't overspend

A move or a reboot is one intent in the host's own record: it reserves a unit of each covering budget, drains, reboots, changes the pool by one compare-and-swap and returns. Each step is decided from the records alone, so whoever reads them next goes on. A unit returns only when a host record read no earlier than the budget shows that the host is back.

--- /dev/null
+++ b/move/doc.go
@@ -0,0 +1,3 @@
+// Package move carries hosts between pools, through drains and reboots, by one
+// record per host from which whoever takes over can finish or undo each step.
+package move
--- /dev/null
+++ b/move/explore_run_test.go
@@ -0,0 +1,40 @@
+package move_test
+
+import (
+	"testing"
+
+	"lycheehook.example/lycheehook/fleet"
+)
+
+func TestExplore(t *testing.T) {
+	both, pool := []fleet.Budget{poolBudget, zoneBudget}, []fleet.Budget{poolBudget}
+	cases := []struct {
+		name    string
+		budgets []fleet.Budget
+		exploration
+		broken bool
+	}{
+		{"one host", both, exploration{hosts: 1, maxRev: 18}, false},
+		{"one host and a loss", both, exploration{hosts: 1, crashes: 1, maxRev: 9}, false},
+		{"two hosts", pool, exploration{hosts: 2, maxRev: 17}, false},
+		{"two hosts and a loss", pool, exploration{hosts: 2, crashes: 1, maxRev: 8}, false},
+		{"without swap of host records", pool, exploration{hosts: 1, maxRev: 14, without: without{hostSwap: true}}, true},
+		{"without swap of budgets", pool, exploration{hosts: 2, maxRev: 14, without: without{budgetSwap: true}}, true},
+		{"without fence at the platform", pool, exploration{hosts: 1, maxRev: 14, without: without{platformFence: true}}, true},
+		{"without order of reads", pool, exploration{hosts: 2, maxRev: 14, without: without{readOrder: true}}, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			e := tc.exploration
+			e.config, e.limit = poolsAB(tc.budgets...), 1_000_000
+			fault := e.run()
+			if broken := fault != ""; broken != tc.broken {
+				t.Errorf("fault %q after %d states, want a fault: %v", fault, e.states, tc.broken)
+			}
+			if !tc.broken && !e.complete {
+				t.Errorf("exploration ended after %d states before it was complete", e.states)
+			}
+			t.Logf("%d states: %s", e.states, fault)
+		})
+	}
+}
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -154,6 +154,9 @@
 	if s.Token == w.tokens[s.Job] {
 		return merry.Prependf(platform.ErrFenced, "job %s: token %d was declared not started", s.Job, s.Token)
 	}
+	if s.HostFence < w.fence {
+		return merry.Prependf(platform.ErrFenced, "host %s: fence %d after %d", s.Host, s.HostFence, w.fence)
+	}
 	if w.draining {
 		return merry.Prependf(platform.ErrRefused, "host %s is draining", s.Host)
 	}
