--- a/admission/gate.go
+++ b/admission/gate.go
@@ -53,6 +53,7 @@
 	Reports func() []share.Report
 
 	mu        sync.Mutex
+	verified  verified
 	stopping  bool
 	swept     *revision.Revision
 	ledger    *share.Ledger
--- a/admission/permit.go
+++ b/admission/permit.go
@@ -39,7 +39,7 @@
 		return p, refusal.Refuse(refusal.KeyMissing, "queue %s needs a key", q.Name)
 	}
 
-	k, err := p.revision.Keys.Match(req.Secret)
+	k, err := g.verified.match(p.revision, req.Secret)
 	if err != nil {
 		return p, refusal.Refuse(refusal.KeyUnknown, "key is unknown or withdrawn")
 	}
--- a/admission/waiter.go
+++ b/admission/waiter.go
@@ -4,14 +4,17 @@
 	"context"
 	"time"
 
+	"lycheehook.example/lycheehook/fleet"
 	"lycheehook.example/lycheehook/queue"
 	"lycheehook.example/lycheehook/refusal"
 	"lycheehook.example/lycheehook/share"
 )
 
-// waiter is a request that waits in a line; the gate's lock guards it.
+// waiter is a request that waits in a line; the gate's lock guards its permit.
 type waiter struct {
 	permit  permit
+	queue   fleet.QueueName
+	maxWait time.Duration
 	request Request
 	item    queue.Item
 	// settled gets the one result of the waiter.
@@ -36,8 +39,13 @@
 			WithRetryAfter(max(wait-patience, leastRetryAfter))
 	}
 
-	w := &waiter{permit: p, request: req, settled: make(chan result, 1)}
-	w.item = queue.Item{Account: a, Queue: p.queue.Name, Urgent: p.queue.Urgent, Size: req.Size, Entered: now, Value: w}
+	w := &waiter{
+		permit: p, queue: p.queue.Name, maxWait: p.queue.MaxWait.Std(), request: req, settled: make(chan result, 1),
+	}
+	w.item = queue.Item{
+		Account: a, Queue: p.queue.Name, Urgent: p.queue.Urgent, Idempotent: req.Idempotent,
+		Size: req.Size, Entered: now, Value: w,
+	}
 	shed, err := pool.Add(&w.item, p.queue, p.team.Share)
 	if err != nil {
 		return nil, full(p, max(wait/2, leastRetryAfter))
@@ -69,8 +77,8 @@
 // await returns the result of a waiter, or takes it out of its line when its time is over.
 func (g *Gate) await(ctx context.Context, pool *queue.Pool, w *waiter) (Grant, error) {
 	var expired <-chan time.Time
-	if limit := w.permit.queue.MaxWait.Std(); limit > 0 {
-		t := time.NewTimer(limit)
+	if w.maxWait > 0 {
+		t := time.NewTimer(w.maxWait)
 		defer t.Stop()
 		expired = t.C
 	}
@@ -82,7 +90,7 @@
 		return g.leave(ctx, pool, w, refuseContext(ctx))
 	case <-expired:
 		return g.leave(ctx, pool, w, refusal.Refuse(refusal.WaitTooLong, "waited %v in queue %s",
-			w.permit.queue.MaxWait, w.permit.queue.Name).WithRetryAfter(leastRetryAfter))
+			w.maxWait, w.queue).WithRetryAfter(leastRetryAfter))
 	}
 }
 
--- a/queue/line.go
+++ b/queue/line.go
@@ -20,6 +20,7 @@
 	queue      fleet.QueueName
 	size       fleet.Resources
 	urgent     bool
+	idempotent bool
 	head, tail *Item
 }
 
@@ -61,23 +62,28 @@
 // line returns the line that it belongs to.
 func (t *teamLines) line(it *Item) *line {
 	for _, l := range t.lines {
-		if l.queue == it.Queue && l.urgent == it.Urgent && l.size == it.Size {
+		if l.takes(it) && l.size == it.Size {
 			return l
 		}
 	}
 	if len(t.lines) >= exactLines {
 		for _, l := range t.lines {
-			if l.queue == it.Queue && l.urgent == it.Urgent && classOf(l.size) == classOf(it.Size) {
+			if l.takes(it) && classOf(l.size) == classOf(it.Size) {
 				return l
 			}
 		}
 	}
-	l := &line{team: t, queue: it.Queue, size: it.Size, urgent: it.Urgent}
+	l := &line{team: t, queue: it.Queue, size: it.Size, urgent: it.Urgent, idempotent: it.Idempotent}
 	t.lines = append(t.lines, l)
 
 	return l
 }
 
+// takes reports whether an item differs from those of the line at most in size.
+func (l *line) takes(it *Item) bool {
+	return l.queue == it.Queue && l.urgent == it.Urgent && l.idempotent == it.Idempotent
+}
+
 func (t *teamLines) drop(l *line) {
 	last := len(t.lines) - 1
 	for i := range t.lines {
--- a/queue/pool.go
+++ b/queue/pool.go
@@ -28,7 +28,9 @@
 	Account *share.Account
 	Queue   fleet.QueueName
 	Urgent  bool
-	Size    fleet.Resources
+	// Idempotent work may start where other work may not, so it has lines of its own.
+	Idempotent bool
+	Size       fleet.Resources
 	// Entered is the time of arrival.
 	Entered time.Time
 	// Value belongs to the caller of Add.
