--- a/audit/segment.go
+++ b/audit/segment.go
@@ -1,288 +1,281 @@
-package endpoint
+package audit
 
 import (
-	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
-	"io"
-	"net/http"
-	"net/url"
+	"fmt"
+	"slices"
 	"strconv"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+	"github.com/google/uuid"
+
 	"lycheehook.example/lycheehook/fleet"
-	"lycheehook.example/lycheehook/refusal"
+	"lycheehook.example/lycheehook/store"
 )
 
-// maxAttempts bounds the attempts of one request.
-const maxAttempts = 3
-
-// Request is one request of a caller, on its way to an endpoint.
-type Request struct {
-	ID     string
-	Header http.Header
-	// Content is the whole body, unless Stream has it.
-	Content []byte
-	// Stream is a body that is not held; it can be sent only once.
-	Stream io.Reader
-	// Length is the size of Stream in bytes, or -1 if unknown.
-	Length int64
-	// Idempotent requests may be sent again after a byte has left.
-	Idempotent bool
-	// Ready is asked right before the first byte of an attempt leaves; its error ends the request as it is.
-	Ready func() error
-	// Again is asked before a request is sent again while an earlier attempt may still run; it takes over the slot
-	// of that attempt and reports whether another may run beside it.
-	Again func(earlier Slot) bool
-}
-
-// Answer is the endpoint's answer; Body must be read to its end and closed. A body that is cut short ends with a
-// refusal.UnknownError, never with io.EOF.
-type Answer struct {
-	Status int
-	Header http.Header
-	// Trailer is filled when the body was read to its end.
-	Trailer http.Header
-	Body    io.ReadCloser
-}
+const (
+	headKey       = "audit/head"
+	segmentPrefix = "audit/segment/"
+	maxAttempts   = 20
+	// maxTailAge bounds how long the tail is taken for the newest segment without asking, so that a host that seldom
+	// writes does not append to a segment that is about to be deleted.
+	maxTailAge = 30 * time.Second
+)
 
-// Sender sends requests to endpoints.
-type Sender struct {
-	dial   dialFunc
-	budget *budget
+// headRecord bounds the segments that the store has. Last may lag behind by a segment whose writer did not get to say so.
+type headRecord struct {
+	First uint64
+	Last  uint64
 }
 
-// Option configures a Sender.
-type Option func(*Sender)
-
-// WithDial replaces how connections are opened.
-func WithDial(d dialFunc) Option {
-	return func(s *Sender) { s.dial = d }
+type segmentRecord struct {
+	Entries []Entry
 }
 
-// NewSender returns a sender that speaks HTTP/1.1 over TCP.
-func NewSender(opts ...Option) *Sender {
-	s := &Sender{dial: dialTCP, budget: newBudget()}
-	for _, opt := range opts {
-		opt(s)
+// segments appends to the newest segment and deletes the oldest ones.
+type segments struct {
+	client *store.Client
+	size   int
+	kept   uint64
+
+	// tail is the newest segment as last seen, with its store revision; number zero means that it must be read first.
+	tail struct {
+		number   uint64
+		revision uint64
+		segment  segmentRecord
+		size     int
+		read     time.Time
 	}
+	// attempted is the oldest segment that may hold entries whose write had an unknown outcome; zero means none.
+	attempted uint64
+}
 
-	return s
+func segmentKey(number uint64) string {
+	return fmt.Sprintf("%s%020d", segmentPrefix, number)
 }
 
-// Send sends the request to the slot's endpoint. It tries again, within the retry budget, when no byte left or when
-// the request is idempotent, and then moves the slot to another endpoint. The error is a refusal.NotRunError if no
-// byte of any attempt left, and a refusal.UnknownError otherwise.
-func (s *Sender) Send(ctx context.Context, slot *Slot, req Request) (Answer, error) {
-	s.budget.earn()
-	if req.Stream != nil {
-		req.Stream = &callerBody{Reader: req.Stream}
-	}
-	var unknown *refusal.UnknownError
-	for n := 1; ; n++ {
-		answer, err := s.attempt(ctx, slot, req)
-		if err == nil && !s.turnedAway(req, answer) {
-			return answer, nil
+// append writes a batch that fits into one segment. After a lost answer or a conflict it reads the tail back and writes
+// only what is missing, so that no entry is lost or doubled.
+func (s *segments) append(ctx context.Context, batch []Entry) error {
+	var last error
+	for range maxAttempts {
+		if s.tail.number == 0 || time.Since(s.tail.read) > maxTailAge {
+			missing, err := s.load(ctx, batch)
+			if err != nil {
+				return err
+			}
+			batch = missing
 		}
-		// Once an attempt may have run, no later refusal can say that the request was not run.
-		if !errors.As(err, &unknown) && unknown != nil && err != nil {
-			err = unknown
+		if len(batch) == 0 {
+			s.attempted = 0
+			return nil
 		}
-		if n == maxAttempts || ctx.Err() != nil || !s.again(slot, req, err, unknown != nil || err == nil) {
-			return answer, err
+
+		last = s.write(ctx, batch)
+		switch {
+		case last == nil:
+			s.attempted = 0
+			return nil
+		case errors.Is(last, store.ErrConflict), errors.Is(last, store.ErrOutcomeUnknown):
+			if s.attempted == 0 {
+				s.attempted = s.tail.number
+			}
+			s.tail.number = 0
+		default:
+			return last
 		}
-		if err == nil {
-			_ = answer.Body.Close()
-			unknown = refusal.Uncertain(refusal.OutcomeUnknown, "endpoint turned the request away while leaving")
+		if ctx.Err() != nil {
+			return last
 		}
 	}
-}
 
-// turnedAway reports whether a leaving endpoint answered an idempotent request with 503.
-func (s *Sender) turnedAway(req Request, a Answer) bool {
-	return req.Idempotent && req.Stream == nil && a.Status == http.StatusServiceUnavailable &&
-		a.Header.Get(HeaderState) == StateLeaving
+	return merry.Prependf(last, "gave up after %d attempts", maxAttempts)
 }
 
-// again decides whether another attempt may be made and finds a slot for it.
-func (s *Sender) again(slot *Slot, req Request, err error, sent bool) bool {
-	body, streamed := req.Stream.(*callerBody)
-	if streamed && body.touched.Load() {
-		return false
+func (s *segments) write(ctx context.Context, batch []Entry) error {
+	size := 0
+	for _, e := range batch {
+		size += e.size()
 	}
-	var notRun *refusal.NotRunError
-	if !sent {
-		// Refusals by Ready are final; those of the connection are worth another try.
-		if !errors.As(err, &notRun) || notRun.Code != refusal.NoEndpoint || !s.budget.spend() {
-			return false
-		}
-		slot.swap()
-
-		return true
+	if s.tail.size+size > s.size && len(s.tail.segment.Entries) > 0 {
+		return s.rotate(ctx, batch, size)
 	}
-	if !req.Idempotent || req.Stream != nil || req.Again == nil {
-		return false
+
+	next := segmentRecord{Entries: append(slices.Clip(s.tail.segment.Entries), batch...)}
+	revision, err := s.put(ctx, s.tail.number, next, s.tail.revision)
+	if err != nil {
+		return err
 	}
+	s.tail.revision, s.tail.segment, s.tail.size = revision, next, s.tail.size+size
 
-	return s.budget.spend() && s.beside(slot, req)
+	return nil
 }
 
-// beside takes a slot of another endpoint for an attempt while an earlier one may still run.
-func (s *Sender) beside(slot *Slot, req Request) bool {
-	ask := slot.ask
-	ask.Avoid = slot.state.endpoint.Name
-	next, ok := slot.set.Acquire(ask)
-	if !ok {
-		return false
+// rotate starts the next segment with the batch and deletes what is kept no longer.
+func (s *segments) rotate(ctx context.Context, batch []Entry, size int) error {
+	number := s.tail.number + 1
+	next := segmentRecord{Entries: batch}
+	revision, err := s.put(ctx, number, next, 0)
+	if err != nil {
+		return err
 	}
-	if !req.Again(*slot) {
-		next.Release()
-		return false
+	if err := s.advance(ctx, number, revision); err != nil {
+		return err
 	}
-	*slot = next
+	s.tail.number, s.tail.revision, s.tail.segment, s.tail.size = number, revision, next, size
 
-	return true
+	return nil
 }
 
-// attempt sends the request once.
-func (s *Sender) attempt(ctx context.Context, slot *Slot, req Request) (Answer, error) {
-	st := slot.state
-	c, err := st.conns.take(ctx, s.dial, slot.set.connectionLimit(st))
+// advance records that a segment is the newest. A writer that slept for so long that the trail has moved past its segment
+// takes the segment back and reports a conflict.
+func (s *segments) advance(ctx context.Context, number, revision uint64) error {
+	head, base, err := s.head(ctx)
 	if err != nil {
-		if ctx.Err() != nil {
-			return Answer{}, refusal.Refuse(codeOfContext(ctx), "endpoint %s: %v", slot.Endpoint().Name, err)
+		return unsettled(err)
+	}
+	if number < head.First {
+		if err := s.remove(ctx, number, revision); err != nil {
+			return unsettled(err)
 		}
-		slot.set.observe(st, true)
 
-		return Answer{}, refusal.Refuse(refusal.NoEndpoint, "endpoint %s: %v", slot.Endpoint().Name, err)
+		return merry.Prependf(store.ErrConflict, "segment %d is older than the oldest kept, %d", number, head.First)
+	}
+	if number <= head.Last {
+		return nil
 	}
 
-	unsent := begin(ctx, c, *slot)
-	if req.Ready != nil {
-		if err := req.Ready(); err != nil {
-			unsent.exchange.release()
-			return Answer{}, err
+	next := headRecord{First: max(head.First, 1), Last: number}
+	for ; number-next.First >= s.kept; next.First++ {
+		// A deletion that fails is tried again at the next rotation, because the head still names the segment.
+		if err := s.remove(ctx, next.First, 0); err != nil {
+			break
 		}
 	}
-
-	r := outgoing(ctx, slot.Endpoint(), req)
-	resp, err := exchangeOnce(unsent, r, req) //nolint:bodyclose // answerBody closes it.
+	value, err := json.Marshal(next)
 	if err != nil {
-		s.blame(ctx, slot, c, err)
-		var notRun *refusal.NotRunError
-		if errors.As(err, &notRun) && ctx.Err() != nil {
-			err = refusal.Refuse(codeOfContext(ctx), "%s", notRun.Reason)
-		}
-
-		return Answer{}, err
+		return merry.Prepend(err, "encode head")
 	}
+	// The head may lag: readers and writers look for later segments. So a failure here loses nothing.
+	_, _ = s.client.CompareAndSwap(ctx, store.Write{Key: headKey, Value: value, Base: base})
+
+	return nil
+}
 
-	return s.answer(slot, unsent.exchange, req, resp)
+// unsettled makes the caller read back, because the segment was written before err.
+func unsettled(err error) error {
+	return merry.Prependf(store.ErrOutcomeUnknown, "%v", err)
 }
 
-// blame records a failure against the endpoint, or against its idle connections when a reused one failed: those may
-// have gone silent together, and a new connection has to show whether the endpoint is at fault.
-func (s *Sender) blame(ctx context.Context, slot *Slot, c *connection, err error) {
-	if errors.Is(err, refusal.Uncertain(refusal.CallerInterrupted, "")) || errors.Is(ctx.Err(), context.Canceled) {
-		return
+// remove deletes a segment; a revision of zero stands for whatever is there.
+func (s *segments) remove(ctx context.Context, number, revision uint64) error {
+	if revision == 0 {
+		r, err := s.client.Get(ctx, segmentKey(number))
+		if errors.Is(err, store.ErrNotFound) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		revision = r.Revision
 	}
-	if c.reused {
-		slot.state.conns.dropIdle()
-		return
+	_, err := s.client.CompareAndSwap(ctx, store.Write{Key: segmentKey(number), Base: revision, Delete: true})
+
+	return err
+}
+
+func (s *segments) put(ctx context.Context, number uint64, segment segmentRecord, base uint64) (uint64, error) {
+	value, err := json.Marshal(segment)
+	if err != nil {
+		return 0, merry.Prepend(err, "encode segment")
 	}
-	slot.set.observe(slot.state, true)
+
+	return s.client.CompareAndSwap(ctx, store.Write{Key: segmentKey(number), Value: value, Base: base})
 }
 
-func exchangeOnce(u Unsent, r *http.Request, req Request) (*http.Response, error) {
-	if req.Stream != nil {
-		u.exchange.body, _ = req.Stream.(*callerBody)
-		return u.Stream(r).Answer(r)
+// load reads the newest segment and returns the entries of batch that are in no segment since the first attempt to write them.
+func (s *segments) load(ctx context.Context, batch []Entry) ([]Entry, error) {
+	asked := time.Now()
+	head, _, err := s.head(ctx)
+	if err != nil {
+		return nil, err
 	}
-	sent, err := u.Write(r)
+
+	number := max(head.Last, 1)
+	if s.attempted > 0 {
+		number = max(min(s.attempted, number), head.First)
+	}
+	segment, revision, err := s.get(ctx, number)
 	if err != nil {
 		return nil, err
 	}
+	written := ids(segment)
+	for {
+		next, nextRevision, err := s.get(ctx, number+1)
+		if err != nil {
+			return nil, err
+		}
+		if nextRevision == 0 && number+1 > head.Last {
+			break
+		}
+		number, segment, revision = number+1, next, nextRevision
+		written = append(written, ids(segment)...)
+	}
+
+	s.tail.number, s.tail.revision, s.tail.segment, s.tail.size, s.tail.read = number, revision, segment, 0, asked
+	for _, e := range segment.Entries {
+		s.tail.size += e.size()
+	}
 
-	return sent.Answer(r)
+	return slices.DeleteFunc(slices.Clone(batch), func(e Entry) bool { return slices.Contains(written, e.ID) }), nil
 }
 
-// answer checks that the answer belongs to the request and binds its body to the connection.
-func (s *Sender) answer(slot *Slot, x *exchange, req Request, resp *http.Response) (Answer, error) {
-	st := slot.state
-	if foreign(x, req, resp) {
-		slot.set.observe(st, true)
-		return Answer{}, Sent{exchange: x}.Uncertain(refusal.OutcomeUnknown, errors.New("answer belongs to another request"))
-	}
-	if resp.Header.Get(HeaderState) == StateLeaving {
-		slot.set.setLeaving(st, true)
+func ids(s segmentRecord) []uuid.UUID {
+	list := make([]uuid.UUID, len(s.Entries))
+	for i, e := range s.Entries {
+		list[i] = e.ID
 	}
-	slot.set.observe(st, resp.StatusCode >= http.StatusInternalServerError)
 
-	return Answer{
-		Status: resp.StatusCode, Header: resp.Header, Trailer: resp.Trailer, Body: &answerBody{exchange: x, resp: resp},
-	}, nil
+	return list
 }
 
-// foreign reports whether the answer names another request, or is the one that servers send unasked on a connection
-// that was idle for long.
-func foreign(x *exchange, req Request, resp *http.Response) bool {
-	id := resp.Header.Get(HeaderRequestID)
+// head returns the head with its store revision, both zero if there is none yet.
+func (s *segments) head(ctx context.Context) (headRecord, uint64, error) {
+	var h headRecord
+	revision, err := s.read(ctx, headKey, &h)
 
-	return id != "" && id != req.ID || x.connection.reused && resp.StatusCode == http.StatusRequestTimeout
+	return h, revision, err
 }
 
-// outgoing returns the request in the form of the endpoint's protocol.
-func outgoing(ctx context.Context, e fleet.Endpoint, req Request) *http.Request {
-	h := EndToEnd(req.Header)
-	h.Set(HeaderRequestID, req.ID)
-	h.Set(HeaderIdempotent, strconv.FormatBool(req.Idempotent))
-	if d, ok := ctx.Deadline(); ok {
-		h.Set(HeaderTimeout, time.Until(d).Round(time.Millisecond).String())
-	}
-	if _, ok := h["User-Agent"]; !ok {
-		h.Set("User-Agent", "")
-	}
-
-	address := e.Address.String()
-	r := &http.Request{
-		Method: http.MethodPost, URL: &url.URL{Scheme: "http", Host: address, Path: "/"}, Host: address, Header: h,
-	}
-	switch {
-	case req.Stream != nil:
-		r.Body, r.ContentLength = io.NopCloser(req.Stream), req.Length
-	case len(req.Content) > 0:
-		r.Body, r.ContentLength = io.NopCloser(bytes.NewReader(req.Content)), int64(len(req.Content))
-	default:
-		r.Body = http.NoBody
-	}
+// get returns a segment with its store revision, both zero if there is none.
+func (s *segments) get(ctx context.Context, number uint64) (segmentRecord, uint64, error) {
+	var segment segmentRecord
+	revision, err := s.read(ctx, segmentKey(number), &segment)
 
-	return r
+	return segment, revision, err
 }
 
-func codeOfContext(ctx context.Context) refusal.Code {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return refusal.DeadlinePassed
+func (s *segments) read(ctx context.Context, key string, into any) (uint64, error) {
+	r, err := s.client.Get(ctx, key)
+	if errors.Is(err, store.ErrNotFound) {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, err
+	}
+	if err := json.Unmarshal(r.Value, into); err != nil {
+		return 0, merry.Prependf(err, "decode %s", key)
 	}
 
-	return refusal.Cancelled
+	return r.Revision, nil
 }
 
-// release returns an unused connection.
-func (x *exchange) release() {
-	if x.stop() {
-		x.slot.state.conns.put(x.connection)
-		return
+func lossEntry(host fleet.EntryName, lost uint64) Entry {
+	return Entry{
+		ID: uuid.Must(uuid.NewV7()), Time: time.Now().UTC(), Who: string(host), Host: host, Action: LoseEntries,
+		Subject: "Audit", Result: Accepted, Reason: strconv.FormatUint(lost, 10) + " entries did not fit into the buffer",
 	}
-	x.discard()
-}
-
-// connectionLimit returns how many connections to the endpoint this process may have open.
-func (s *Set) connectionLimit(st *state) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	slots := int64(max(st.endpoint.Slots, 1))
-	part := int64(st.endpoint.Connections) * s.allowed(st) / slots
-
-	// One more than the slots leaves a connection for probes.
-	return int(max(part, s.allowed(st)+1))
 }
