Divide limits among holders at run time

A holder admits work within its own parts without I/O, takes and gives parts in batches, moves them from peer to peer, and reclaims those of the dead.

--- /dev/null
+++ b/allotment/absence.go
@@ -0,0 +1,52 @@
+package allotment
+
+import (
+	"slices"
+	"time"
+
+	"lycheehook.example/lycheehook/fleet"
+)
+
+// absences are the holders without a member key, each with the first of the unbroken readings that lacked it; values are immutable.
+type absences struct {
+	since fleet.Table[fleet.Incarnation, time.Time]
+	// last is the moment of the newest reading.
+	last time.Time
+}
+
+// with returns the absences after a reading of the membership.
+//
+// A gap of maxGap or more between readings starts all over, because a key could
+// have come and gone in between.
+func (a absences) with(m Membership, holders []fleet.Incarnation, maxGap time.Duration) absences {
+	if !m.Confirmed.After(a.last) {
+		return a
+	}
+
+	unbroken := elapsed(a.last, m.Confirmed) < maxGap
+	next := absences{last: m.Confirmed}
+	for _, h := range holders {
+		if slices.Contains(m.Live, h) {
+			continue
+		}
+		since, ok := a.since.Get(h)
+		if !ok || !unbroken {
+			since = m.Confirmed
+		}
+		next.since = next.since.With(h, since)
+	}
+
+	return next
+}
+
+// lasting returns the holders that were absent for at least d.
+func (a absences) lasting(d time.Duration) []fleet.Incarnation {
+	var hs []fleet.Incarnation
+	for h, since := range a.since.All() {
+		if a.last.Sub(since) >= d {
+			hs = append(hs, h)
+		}
+	}
+
+	return hs
+}
