Run moves and maintenance waves in the entry host

Cause: the control path was not part of any process, and endpoints kept the pool of the lagging list while their host moved.

Open: every entry host still takes care of every pool; the division by membership follows.

--- a/entry/host.go
+++ b/entry/host.go
@@ -32,6 +32,7 @@
 	platform *platform.Client
 	caller   *callerAPI
 	operator *operatorAPI
+	control  *control
 	log      *log.Logger
 	listen   func(ctx context.Context, network, address string) (net.Listener, error)
 }
@@ -39,12 +40,12 @@
 // newHost puts the parts together; wire calls it.
 func newHost(
 	s settings.Settings, b *revision.Book, set *endpoint.Set, p *platform.Client,
-	g *admission.Gate, snd *endpoint.Sender, l *log.Logger,
+	g *admission.Gate, snd *endpoint.Sender, c *control, l *log.Logger,
 ) *Host {
 	var lc net.ListenConfig
 
 	return &Host{
-		settings: s, book: b, set: set, platform: p, log: l, listen: lc.Listen,
+		settings: s, book: b, set: set, platform: p, control: c, log: l, listen: lc.Listen,
 		caller:   &callerAPI{gate: g, sender: snd, log: l},
 		operator: &operatorAPI{book: b, token: s.OperatorToken},
 	}
@@ -67,6 +68,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { h.book.Follow(work) })
 	wg.Go(func() { h.followInventory(work) })
+	wg.Go(func() { h.control.run(work) })
 
 	servers := []*http.Server{
 		serve(&wg, callers, h.caller.handler()),
@@ -111,7 +113,7 @@
 		if err != nil {
 			h.log.Warn("inventory unavailable", "err", err)
 		} else {
-			h.set.Replace(inv.Endpoints)
+			h.set.Replace(endpointsOf(inv, h.control.moves.View().Hosts))
 		}
 
 		select {
--- a/entry/wire_gen.go
+++ b/entry/wire_gen.go
@@ -23,6 +23,7 @@
 	platformClient := newPlatform(s)
 	gate := admission.New(book, set)
 	sender := newSender()
-	host := newHost(s, book, set, platformClient, gate, sender, l)
+	entryControl := newControl(client, platformClient, book, l)
+	host := newHost(s, book, set, platformClient, gate, sender, entryControl, l)
 	return host
 }
