Give operators typed errors, names, keys, status, audit trail and metrics

Operators are named in the settings with a salted hash of their token, apart from teams' keys; the name goes into the audit trail. The same lists again change nothing, a conflict tells what the edit would undo. Listeners take TLS with reload and the limits of the settings; a chunked request ends its connection, so that nothing behind a doubled length is taken for a request.

--- a/entry/host.go
+++ b/entry/host.go
@@ -5,24 +5,22 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/charmbracelet/log"
 
 	"lycheehook.example/lycheehook/admission"
+	"lycheehook.example/lycheehook/audit"
 	"lycheehook.example/lycheehook/endpoint"
 	"lycheehook.example/lycheehook/platform"
 	"lycheehook.example/lycheehook/revision"
 	"lycheehook.example/lycheehook/settings"
+	"lycheehook.example/lycheehook/store"
 )
 
-const (
-	inventoryInterval = time.Second
-	// stopLimit bounds how long requests in progress may hold up a stop.
-	stopLimit         = 2 * time.Minute
-	readHeaderTimeout = 5 * time.Second
-)
+const inventoryInterval = time.Second
 
 // Host is one entry host.
 type Host struct {
@@ -32,6 +30,8 @@
 	platform *platform.Client
 	caller   *callerAPI
 	operator *operatorAPI
+	trail    *audit.Trail
+	stopping atomic.Bool
 	log      *log.Logger
 	listen   func(ctx context.Context, network, address string) (net.Listener, error)
 }
@@ -39,15 +39,19 @@
 // newHost puts the parts together; wire calls it.
 func newHost(
 	s settings.Settings, b *revision.Book, set *endpoint.Set, p *platform.Client,
-	g *admission.Gate, snd *endpoint.Sender, l *log.Logger,
+	g *admission.Gate, snd *endpoint.Sender, l *log.Logger, c *store.Client, t *audit.Trail, m *operatorMetrics,
 ) *Host {
 	var lc net.ListenConfig
-
-	return &Host{
-		settings: s, book: b, set: set, platform: p, log: l, listen: lc.Listen,
+	s = s.WithDefaults()
+	h := &Host{
+		settings: s, book: b, set: set, platform: p, log: l, listen: lc.Listen, trail: t,
 		caller:   &callerAPI{gate: g, sender: snd, log: l},
-		operator: &operatorAPI{book: b, token: s.OperatorToken},
+		operator: &operatorAPI{settings: s, book: b, trail: t, store: c, metrics: m, log: l},
 	}
+	h.operator.stopping = h.stopping.Load
+	h.operator.entries = h.operator.ownEntry
+
+	return h
 }
 
 // Run serves until ctx ends, then finishes what is in progress and returns.
@@ -67,31 +71,39 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { h.book.Follow(work) })
 	wg.Go(func() { h.followInventory(work) })
+	wg.Go(func() { h.trail.Run(work) })
 
+	if callers, err = secure(work, &wg, callers, h.settings.TLS.Callers, h.log); err != nil {
+		return merry.Prepend(err, "TLS for callers")
+	}
+	if operators, err = secure(work, &wg, operators, h.settings.TLS.Operators, h.log); err != nil {
+		return merry.Prepend(err, "TLS for operators")
+	}
 	servers := []*http.Server{
-		serve(&wg, callers, h.caller.handler()),
-		serve(&wg, operators, h.operator.handler()),
+		serve(&wg, callers, h.caller.handler(), h.settings.Limits),
+		serve(&wg, operators, h.operator.handler(), h.settings.Limits),
 	}
 	h.log.Info("entry host serves", "entry", h.settings.Name, "callers", callers.Addr(), "operators", operators.Addr())
 
 	<-ctx.Done()
-	err = stop(context.WithoutCancel(ctx), servers)
+	h.stopping.Store(true)
+	err = stop(context.WithoutCancel(ctx), servers, h.settings.StopLimit.Std())
 	stopWork()
 	wg.Wait()
 
 	return err
 }
 
-func serve(wg *sync.WaitGroup, l net.Listener, handler http.Handler) *http.Server {
-	s := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+func serve(wg *sync.WaitGroup, l net.Listener, handler http.Handler, limits settings.Limits) *http.Server {
+	s := newServer(handler, limits)
 	wg.Go(func() { _ = s.Serve(l) })
 
 	return s
 }
 
 // stop lets each server finish its requests in progress.
-func stop(ctx context.Context, servers []*http.Server) error {
-	ctx, cancel := context.WithTimeout(ctx, stopLimit)
+func stop(ctx context.Context, servers []*http.Server, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 
 	var first error
--- a/entry/operator.go
+++ b/entry/operator.go
@@ -1,132 +1,228 @@
 package entry
 
 import (
-	"crypto/subtle"
-	"encoding/json"
+	"context"
 	"errors"
+	"io"
 	"net/http"
 	"strings"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/emicklei/go-restful/v3"
 
+	"lycheehook.example/lycheehook/audit"
+	"lycheehook.example/lycheehook/document"
 	"lycheehook.example/lycheehook/fleet"
-	"lycheehook.example/lycheehook/key"
 	"lycheehook.example/lycheehook/plan"
 	"lycheehook.example/lycheehook/revision"
+	"lycheehook.example/lycheehook/settings"
+	"lycheehook.example/lycheehook/store"
 )
 
-// maxListSize bounds a list in a request, in bytes.
-const maxListSize = 8 << 20
-
-type listsDocument struct {
-	Base  uint64
-	Lists plan.Lists
-}
+const (
+	// maxOperatorBody bounds a request of an operator, in bytes.
+	maxOperatorBody = 8 << 20
+	// auditWait is how long an answer waits for its entry of the audit trail to be in the store.
+	auditWait = 2 * time.Second
+	// attributeOperator is where the name of the operator is kept during a request.
+	attributeOperator = "Operator"
+)
 
-type acceptedAnswer struct {
-	Revision uint64
-}
+// operatorCode is a stable identifier of an error of the operators' interface.
+type operatorCode string
+
+// The codes of the operators' interface.
+const (
+	codeOperatorUnknown  operatorCode = "OperatorUnknown"
+	codeRequestInvalid   operatorCode = "RequestInvalid"
+	codeRequestTooLarge  operatorCode = "RequestTooLarge"
+	codeListInvalid      operatorCode = "ListInvalid"
+	codeConflict         operatorCode = "Conflict"
+	codeNotFound         operatorCode = "NotFound"
+	codeStoreUnavailable operatorCode = "StoreUnavailable"
+	codeOutcomeUnknown   operatorCode = "OutcomeUnknown"
+)
 
-type giveKeyRequest struct {
-	Team fleet.TeamName
+// operatorStatuses gives the HTTP status of each code.
+var operatorStatuses = map[operatorCode]int{
+	codeOperatorUnknown:  http.StatusUnauthorized,
+	codeRequestInvalid:   http.StatusBadRequest,
+	codeRequestTooLarge:  http.StatusRequestEntityTooLarge,
+	codeListInvalid:      http.StatusUnprocessableEntity,
+	codeConflict:         http.StatusConflict,
+	codeNotFound:         http.StatusNotFound,
+	codeStoreUnavailable: http.StatusServiceUnavailable,
+	codeOutcomeUnknown:   http.StatusBadGateway,
 }
 
-type giveKeyAnswer struct {
-	ID       key.ID
-	Secret   string
-	Revision uint64
+// operatorError is the JSON form of an error of the operators' interface.
+type operatorError struct {
+	Code   operatorCode
+	Reason string
+	// Faults are what is wrong with the request, with the path of each field.
+	Faults []document.Fault `json:",omitempty"`
+	// Revision is the one in force, and Changes what it has that the request would undo; both for a conflict.
+	Revision uint64            `json:",omitempty"`
+	Changes  []document.Change `json:",omitempty"`
 }
 
-type operatorError struct {
-	Error string
+// Error implements error.
+func (e *operatorError) Error() string {
+	return string(e.Code) + ": " + e.Reason
 }
 
 // operatorAPI serves the operators' interface.
 type operatorAPI struct {
-	book  *revision.Book
-	token string
+	settings settings.Settings
+	book     *revision.Book
+	trail    *audit.Trail
+	store    *store.Client
+	metrics  *operatorMetrics
+	log      *log.Logger
+	// stopping reports whether the entry host is about to leave.
+	stopping func() bool
+	// entries returns what is known of the revisions of the entry hosts, this one first.
+	entries func(now time.Time) []entryStatus
 }
 
 func (a *operatorAPI) handler() http.Handler {
 	ws := new(restful.WebService)
 	ws.Path("/v1").Consumes(restful.MIME_JSON).Produces(restful.MIME_JSON)
 	ws.Filter(a.authenticate)
-	ws.Route(ws.GET("/lists").To(a.getLists))
-	ws.Route(ws.PUT("/lists").To(a.putLists))
-	ws.Route(ws.POST("/keys").To(a.giveKey))
-	ws.Route(ws.DELETE("/keys/{id}").To(a.withdrawKey))
+	a.routeLists(ws)
+	a.routeKeys(ws)
+	ws.Route(ws.GET("/status").To(a.getStatus).Operation("GetStatus"))
+	ws.Route(ws.GET("/audit").To(a.getAudit).Operation("GetAudit"))
 
 	c := restful.NewContainer()
+	c.Filter(a.metrics.count)
+	c.ServiceErrorHandler(func(e restful.ServiceError, _ *restful.Request, w *restful.Response) {
+		code := codeRequestInvalid
+		if e.Code == http.StatusNotFound {
+			code = codeNotFound
+		}
+		writeJSON(w, e.Code, operatorError{Code: code, Reason: e.Message})
+	})
 	c.Add(ws)
+	c.Handle("/healthz", http.HandlerFunc(a.healthz))
+	c.Handle("/readyz", http.HandlerFunc(a.readyz))
+	c.Handle("/metrics", a.metrics.handler())
 
-	return c
+	return http.MaxBytesHandler(c, maxOperatorBody)
 }
 
+// authenticate finds the operator whose token came with the request; every hash is compared, so the time tells nothing.
 func (a *operatorAPI) authenticate(r *restful.Request, w *restful.Response, chain *restful.FilterChain) {
-	presented := strings.TrimPrefix(r.HeaderParameter("Authorization"), bearerPrefix)
-	if subtle.ConstantTimeCompare([]byte(presented), []byte(a.token)) != 1 || a.token == "" {
-		writeJSON(w, http.StatusUnauthorized, operatorError{Error: "operator token missing or wrong"})
+	token, found := strings.CutPrefix(r.HeaderParameter("Authorization"), bearerPrefix)
+	name := ""
+	for _, o := range a.settings.Operators {
+		if o.TokenHash.Matches(token) {
+			name = o.Name
+		}
+	}
+	if !found || name == "" {
+		a.log.Warn("operator refused", "remote", r.Request.RemoteAddr, "path", r.Request.URL.Path)
+		a.fail(w, &operatorError{Code: codeOperatorUnknown, Reason: "the operator's token is missing or wrong"})
+
 		return
 	}
 
+	r.SetAttribute(attributeOperator, name)
 	chain.ProcessFilter(r, w)
 }
 
-func (a *operatorAPI) getLists(_ *restful.Request, w *restful.Response) {
-	cur := a.book.Current()
-	writeJSON(w, http.StatusOK, listsDocument{Base: cur.Number, Lists: cur.Lists})
+func operatorOf(r *restful.Request) string {
+	name, _ := r.Attribute(attributeOperator).(string)
+	return name
 }
 
-func (a *operatorAPI) putLists(r *restful.Request, w *restful.Response) {
-	var doc listsDocument
-	dec := json.NewDecoder(http.MaxBytesReader(w, r.Request.Body, maxListSize))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&doc); err != nil {
-		writeJSON(w, http.StatusBadRequest, operatorError{Error: err.Error()})
-		return
+// decode reads the body into v, or answers with every fault of it and returns false.
+func (a *operatorAPI) decode(r *restful.Request, w *restful.Response, v any) bool {
+	data, err := io.ReadAll(r.Request.Body)
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		a.fail(w, &operatorError{Code: codeRequestTooLarge, Reason: "a request must have at most 8 MiB"})
+		return false
+	}
+	if err != nil {
+		a.fail(w, &operatorError{Code: codeRequestInvalid, Reason: "the request was cut short: " + err.Error()})
+		return false
+	}
+	if _, faults := document.Decode(data, v); len(faults) > 0 {
+		a.fail(w, &operatorError{Code: codeRequestInvalid, Reason: "the request is not of the expected form", Faults: faults})
+		return false
 	}
 
-	next, err := a.book.Apply(r.Request.Context(), func(cur revision.Revision) (revision.Revision, error) {
-		if cur.Number != doc.Base {
-			return cur, revision.ErrStale
-		}
+	return true
+}
 
-		return cur.WithLists(doc.Lists), nil
-	})
-	a.answer(w, err, acceptedAnswer{Revision: next.Number})
+// fail answers with the typed form of an error.
+func (a *operatorAPI) fail(w http.ResponseWriter, err error) {
+	e := typed(err)
+	writeJSON(w, operatorStatuses[e.Code], e)
 }
 
-func (a *operatorAPI) giveKey(r *restful.Request, w *restful.Response) {
-	var req giveKeyRequest
-	if err := r.ReadEntity(&req); err != nil {
-		writeJSON(w, http.StatusBadRequest, operatorError{Error: err.Error()})
-		return
+func typed(err error) *operatorError {
+	var e *operatorError
+	switch {
+	case errors.As(err, &e):
+		return e
+	case errors.Is(err, plan.ErrInvalid):
+		return &operatorError{Code: codeListInvalid, Reason: err.Error()}
+	case errors.Is(err, revision.ErrStale):
+		return &operatorError{Code: codeConflict, Reason: err.Error()}
+	case errors.Is(err, store.ErrOutcomeUnknown):
+		return &operatorError{Code: codeOutcomeUnknown, Reason: "the change may or may not be accepted, look before you repeat it: " + err.Error()}
+	default:
+		return &operatorError{Code: codeStoreUnavailable, Reason: "nothing was changed: " + err.Error()}
 	}
+}
 
-	k, secret := key.Give(req.Team, time.Now())
-	next, err := a.book.Apply(r.Request.Context(), func(cur revision.Revision) (revision.Revision, error) {
-		return cur.WithKeys(cur.Keys.With(k)), nil
-	})
-	a.answer(w, err, giveKeyAnswer{ID: k.ID, Secret: secret, Revision: next.Number})
+// record adds what became of a change to the audit trail and reports whether its entry is in the store already.
+func (a *operatorAPI) record(ctx context.Context, e audit.Entry, err error) (written bool) {
+	e.Result = audit.Accepted
+	if err != nil {
+		failure := typed(err)
+		e.Result, e.Reason = audit.Refused, string(failure.Code)+": "+failure.Reason
+		if failure.Code == codeOutcomeUnknown {
+			e.Result = audit.Unknown
+		}
+	}
+	a.trail.Record(e)
+	if err != nil {
+		// Nothing changed, or nobody knows; the entry is written with the next batch.
+		return false
+	}
+
+	// The change is in force whether its caller waits or not, so the entry must not depend on the caller.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), auditWait)
+	defer cancel()
+
+	return a.trail.Flush(ctx) == nil
 }
 
-func (a *operatorAPI) withdrawKey(r *restful.Request, w *restful.Response) {
-	next, err := a.book.Apply(r.Request.Context(), func(cur revision.Revision) (revision.Revision, error) {
-		return cur.WithKeys(cur.Keys.Without(key.ID(r.PathParameter("id")))), nil
-	})
-	a.answer(w, err, acceptedAnswer{Revision: next.Number})
+func (a *operatorAPI) healthz(w http.ResponseWriter, _ *http.Request) {
+	_, _ = io.WriteString(w, "ok\n")
 }
 
-func (a *operatorAPI) answer(w http.ResponseWriter, err error, ok any) {
+// readyz says whether the balancer should send callers here.
+func (a *operatorAPI) readyz(w http.ResponseWriter, _ *http.Request) {
 	switch {
-	case err == nil:
-		writeJSON(w, http.StatusOK, ok)
-	case errors.Is(err, revision.ErrStale):
-		writeJSON(w, http.StatusConflict, operatorError{Error: err.Error()})
-	case errors.Is(err, plan.ErrInvalid):
-		writeJSON(w, http.StatusUnprocessableEntity, operatorError{Error: err.Error()})
+	case a.stopping():
+		http.Error(w, "stopping", http.StatusServiceUnavailable)
+	case !a.book.Fresh(time.Now()):
+		http.Error(w, "the configuration was not confirmed recently", http.StatusServiceUnavailable)
 	default:
-		writeJSON(w, http.StatusServiceUnavailable, operatorError{Error: err.Error()})
+		_, _ = io.WriteString(w, "ready\n")
 	}
 }
+
+// entryStatus is what an entry host has in force.
+type entryStatus struct {
+	Name     fleet.EntryName
+	Revision uint64
+	Fresh    bool
+	// HeardAgo is how long ago this was heard.
+	HeardAgo fleet.Duration `json:",omitzero"`
+}
--- /dev/null
+++ b/entry/operatorstatus.go
@@ -0,0 +1,78 @@
+package entry
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/emicklei/go-restful/v3"
+
+	"lycheehook.example/lycheehook/audit"
+	"lycheehook.example/lycheehook/fleet"
+)
+
+// statusAnswer is what this entry host knows.
+type statusAnswer struct {
+	Name     fleet.EntryName
+	Region   fleet.RegionName
+	Zone     fleet.ZoneName
+	Revision uint64
+	// Fresh says whether the revision is known to be in force, so that keyed work is taken.
+	Fresh    bool
+	Stopping bool
+	// Entries tells which revision is in force on which entry host, this one first.
+	Entries []entryStatus
+	Pools   []poolStatus
+	Teams   []teamStatus
+	Queues  []queueStatus
+	Audit   audit.Counts
+}
+
+type poolStatus struct {
+	Name     fleet.PoolName
+	Spare    bool
+	MinHosts int
+	Queues   []fleet.QueueName
+}
+
+type teamStatus struct {
+	Name       fleet.TeamName
+	Customer   fleet.CustomerName
+	Plan       fleet.PlanName
+	Share      int64
+	UpperLimit fleet.Resources
+	Keys       int
+}
+
+type queueStatus struct {
+	Name fleet.QueueName
+	Pool fleet.PoolName
+	Open bool
+}
+
+func (a *operatorAPI) getStatus(_ *restful.Request, w *restful.Response) {
+	now, cur := time.Now(), a.book.Current()
+	s := statusAnswer{
+		Name: a.settings.Name, Region: a.settings.Region, Zone: a.settings.Zone,
+		Revision: cur.Number, Fresh: a.book.Fresh(now), Stopping: a.stopping(), Entries: a.entries(now), Audit: a.trail.Counts(),
+	}
+
+	served := map[fleet.PoolName][]fleet.QueueName{}
+	for _, q := range cur.Tables.Queues.All() {
+		s.Queues = append(s.Queues, queueStatus{Name: q.Name, Pool: q.Pool, Open: q.Open})
+		served[q.Pool] = append(served[q.Pool], q.Name)
+	}
+	for _, p := range cur.Tables.Pools.All() {
+		s.Pools = append(s.Pools, poolStatus{Name: p.Name, Spare: p.Spare, MinHosts: p.MinHosts, Queues: served[p.Name]})
+	}
+	for _, t := range cur.Tables.Teams.All() {
+		s.Teams = append(s.Teams, teamStatus{
+			Name: t.Name, Customer: t.Customer, Plan: t.Plan, Share: t.Share, UpperLimit: t.UpperLimit, Keys: len(cur.Keys.OfTeam(t.Name)),
+		})
+	}
+	writeJSON(w, http.StatusOK, s)
+}
+
+// ownEntry returns the status of this entry host alone, for when it knows of no others.
+func (a *operatorAPI) ownEntry(now time.Time) []entryStatus {
+	return []entryStatus{{Name: a.settings.Name, Revision: a.book.Current().Number, Fresh: a.book.Fresh(now)}}
+}
--- a/entry/providers.go
+++ b/entry/providers.go
@@ -3,6 +3,9 @@
 import (
 	"time"
 
+	"github.com/charmbracelet/log"
+
+	"lycheehook.example/lycheehook/audit"
 	"lycheehook.example/lycheehook/platform"
 	"lycheehook.example/lycheehook/revision"
 	"lycheehook.example/lycheehook/settings"
@@ -25,3 +28,7 @@
 func newBook(c *store.Client) *revision.Book {
 	return revision.New(c)
 }
+
+func newTrail(c *store.Client, s settings.Settings, l *log.Logger) *audit.Trail {
+	return audit.New(c, s.Name, audit.WithLogger(l))
+}
--- a/entry/wire.go
+++ b/entry/wire.go
@@ -14,7 +14,7 @@
 // New returns an entry host with the given settings and logger.
 func New(s settings.Settings, l *log.Logger) *Host {
 	wire.Build(
-		newHost, newBook, newStore, newPlatform,
+		newHost, newBook, newStore, newPlatform, newTrail, newRegistry, newOperatorMetrics,
 		endpoint.NewSet, endpoint.NewSender, admission.New,
 	)
 
--- a/entry/wire_gen.go
+++ b/entry/wire_gen.go
@@ -23,6 +23,9 @@
 	platformClient := newPlatform(s)
 	gate := admission.New(book, set)
 	sender := endpoint.NewSender()
-	host := newHost(s, book, set, platformClient, gate, sender, l)
+	trail := newTrail(client, s, l)
+	registry := newRegistry()
+	entryOperatorMetrics := newOperatorMetrics(registry, book, trail)
+	host := newHost(s, book, set, platformClient, gate, sender, l, client, trail, entryOperatorMetrics)
 	return host
 }
--- a/estate/entry.go
+++ b/estate/entry.go
@@ -10,6 +10,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"lycheehook.example/lycheehook/entry"
+	"lycheehook.example/lycheehook/key"
 	"lycheehook.example/lycheehook/settings"
 )
 
@@ -59,7 +60,8 @@
 
 	s := settings.Settings{
 		Name: entryName(n + 1), Region: "region-1", Zone: zoneOf(n),
-		StoreAddress: e.storeAddress, PlatformAddress: e.platformAddress, OperatorToken: DevOperatorToken,
+		StoreAddress: e.storeAddress, PlatformAddress: e.platformAddress,
+		Operators: []settings.Operator{{Name: "dev", TokenHash: key.NewHashed(DevOperatorToken)}},
 	}
 	for _, addr := range []*netip.AddrPort{&s.CallerAddress, &s.OperatorAddress} {
 		var err error
--- a/estate/operate.go
+++ b/estate/operate.go
@@ -124,7 +124,7 @@
 		}
 	}
 
-	header := http.Header{"Content-Type": {"application/json"}, "Authorization": {"Bearer " + s.OperatorToken}}
+	header := http.Header{"Content-Type": {"application/json"}, "Authorization": {"Bearer " + DevOperatorToken}}
 
 	return call(ctx, method, "http://"+s.OperatorAddress.String()+path, header, data)
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -30,11 +30,9 @@
 	PlatformAddress netip.AddrPort
 	// Operators may use the operators' interface, each under an own name and token.
 	Operators []Operator
-	// OperatorToken is the secret of an operator in an estate that is set up in code; settings in a file give Operators.
-	OperatorToken string `json:"-"`
-	TLS           TLS    `json:",omitzero"`
-	Log           Log    `json:",omitzero"`
-	Limits        Limits `json:",omitzero"`
+	TLS       TLS    `json:",omitzero"`
+	Log       Log    `json:",omitzero"`
+	Limits    Limits `json:",omitzero"`
 	// MaxRequestTime bounds how long one request may take from its arrival to the end of its answer.
 	MaxRequestTime fleet.Duration `json:",omitzero"`
 	// StopLimit bounds how long requests in progress may hold up a stop; it must not be below MaxRequestTime.
