--- a/entry/wire_gen.go
+++ b/entry/wire_gen.go
@@ -18,12 +18,28 @@
 // New returns an entry host with the given settings and logger.
 func New(s settings.Settings, l *log.Logger) *Host {
 	client := newStore(s)
+	platformClient := newPlatform(s)
 	book := newBook(client)
 	set := endpoint.NewSet()
-	platformClient := newPlatform(s)
-	gate := admission.New(book, set)
 	sender := newSender()
+	gate := admission.New(book, set)
 	entryControl := newControl(client, platformClient, book, l)
-	host := newHost(s, book, set, platformClient, gate, sender, entryControl, l)
+	trail := newTrail(client, s, l)
+	registry := newRegistry()
+	entryOperatorMetrics := newOperatorMetrics(registry, book, trail)
+	entryParts := parts{
+		Settings: s,
+		Store:    client,
+		Platform: platformClient,
+		Book:     book,
+		Set:      set,
+		Sender:   sender,
+		Gate:     gate,
+		Control:  entryControl,
+		Trail:    trail,
+		Metrics:  entryOperatorMetrics,
+		Log:      l,
+	}
+	host := newHost(entryParts)
 	return host
 }
