--- a/plan/plan.go
+++ b/plan/plan.go
@@ -1,10 +1,6 @@
 package plan
 
 import (
-	"bytes"
-	"encoding/json"
-	"io"
-
 	"github.com/ansel1/merry/v2"
 
 	"lycheehook.example/lycheehook/fleet"
@@ -32,35 +28,22 @@
 	PlansList
 }
 
-// ParseCustomers decodes a customers' list and refuses unknown fields.
+// ParseCustomers decodes a customers' list and refuses fields that are unknown, doubled or of the wrong kind.
 func ParseCustomers(data []byte) (CustomersList, error) {
 	var l CustomersList
-	err := parse(data, &l)
+	err := invalid(newDocument(File{Name: "customers", Data: data}).decode(&l))
 
 	return l, err
 }
 
-// ParsePlans decodes a plans' list and refuses unknown fields.
+// ParsePlans decodes a plans' list and refuses fields that are unknown, doubled or of the wrong kind.
 func ParsePlans(data []byte) (PlansList, error) {
 	var l PlansList
-	err := parse(data, &l)
+	err := invalid(newDocument(File{Name: "plans", Data: data}).decode(&l))
 
 	return l, err
 }
 
-func parse(data []byte, list any) error {
-	dec := json.NewDecoder(bytes.NewReader(data))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(list); err != nil {
-		return merry.Prepend(ErrInvalid, err.Error())
-	}
-	if _, err := dec.Token(); err != io.EOF {
-		return merry.Prepend(ErrInvalid, "data after the end of the list")
-	}
-
-	return nil
-}
-
 // Fill returns the tables with the entities of the lists in place of those of earlier lists.
 func (l Lists) Fill(t fleet.Tables) fleet.Tables {
 	t.Customers = fleet.NewTable(func(c fleet.Customer) fleet.CustomerName { return c.Name }, l.Customers...)
