--- a/entry/caller.go
+++ b/entry/caller.go
@@ -117,6 +117,10 @@
 	switch c {
 	case refusal.KeyMissing, refusal.KeyUnknown:
 		return http.StatusUnauthorized
+	case refusal.RequestInvalid:
+		return http.StatusBadRequest
+	case refusal.RequestTooLarge:
+		return http.StatusRequestEntityTooLarge
 	case refusal.PlanForbids:
 		return http.StatusForbidden
 	case refusal.QueueUnknown:
