Take endpoint slots from those that all entry hosts share

Change: the set of endpoints takes a slot through a seam, Take, before it uses it, and passes over an endpoint that gives none; estimates use what is expected instead of all. TestTakePassesOverEndpointsWithoutSharedSlots fails without the passing over and without the release.

--- a/endpoint/set.go
+++ b/endpoint/set.go
@@ -11,6 +11,10 @@
 type Set struct {
 	// Allowed returns how many slots of an endpoint this process may use; the default is all.
 	Allowed func(fleet.Endpoint) int64
+	// Expected returns how many slots of an endpoint this process can count on in its estimates; the default is Allowed.
+	Expected func(fleet.Endpoint) int64
+	// Take takes slots of an endpoint from those that all processes share, without waiting; the default takes any.
+	Take func(e fleet.Endpoint, slots int64) (release func(), ok bool)
 	// Changed is called without locks held when slots may have become free other than by a release.
 	Changed func()
 
@@ -18,6 +22,8 @@
 	states map[fleet.EndpointName]*state
 	pools  map[fleet.PoolName][]*state
 	turn   uint64
+	// asks counts calls of Acquire.
+	asks uint64
 }
 
 // state is what is known of one endpoint; the lock of its set guards it, and conns guards itself.
@@ -25,8 +31,8 @@
 	endpoint fleet.Endpoint
 	conns    *connections
 	used     int64
-	// turn is when the endpoint was last chosen.
-	turn uint64
+	// turn is when the endpoint was last chosen, and passed the last ask whose slots it could not give.
+	turn, passed uint64
 	// removed says that the list no longer has the endpoint.
 	removed bool
 	// saidLeaving is what the endpoint itself said last.
@@ -46,15 +52,17 @@
 
 // Slot is the right to send one request to an endpoint; its zero value holds nothing.
 type Slot struct {
-	set   *Set
-	state *state
-	ask   Ask
+	set     *Set
+	state   *state
+	ask     Ask
+	release func()
 }
 
 // NewSet returns a set without endpoints.
 func NewSet() *Set {
 	return &Set{
 		Allowed: func(e fleet.Endpoint) int64 { return int64(e.Slots) },
+		Take:    func(fleet.Endpoint, int64) (func(), bool) { return func() {}, true },
 		Changed: func() {},
 		states:  map[fleet.EndpointName]*state{},
 		pools:   map[fleet.PoolName][]*state{},
@@ -103,6 +111,7 @@
 	s.set.mu.Lock()
 	s.state.used -= s.ask.Slots
 	s.set.mu.Unlock()
+	s.release()
 	s.state = nil
 }
 
@@ -113,9 +122,31 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
+	s.asks++
+	for {
+		best := s.leastUsed(ask, now)
+		if best == nil {
+			return Slot{}, false
+		}
+		release, ok := s.Take(best.endpoint, ask.Slots)
+		if !ok {
+			best.passed = s.asks
+			continue
+		}
+		s.turn++
+		best.turn = s.turn
+		best.used += ask.Slots
+
+		return Slot{set: s, state: best, ask: ask, release: release}, true
+	}
+}
+
+// leastUsed returns the least used endpoint that may get what is asked and was not passed over already; the set is locked.
+func (s *Set) leastUsed(ask Ask, now time.Time) *state {
 	var best *state
 	for _, st := range s.pools[ask.Pool] {
-		if st.endpoint.Name == ask.Avoid || !st.takesNew(now, ask.Idempotent) || st.used+ask.Slots > s.allowed(st) {
+		if st.passed == s.asks || st.endpoint.Name == ask.Avoid || !st.takesNew(now, ask.Idempotent) ||
+			st.used+ask.Slots > s.allowed(st) {
 			continue
 		}
 		// Among equally used endpoints they take turns.
@@ -123,14 +154,8 @@
 			best = st
 		}
 	}
-	if best == nil {
-		return Slot{}, false
-	}
-	s.turn++
-	best.turn = s.turn
-	best.used += ask.Slots
 
-	return Slot{set: s, state: best, ask: ask}, true
+	return best
 }
 
 // Fits reports whether any endpoint of the pool has so many slots, free or not; true while none is known.
@@ -146,7 +171,7 @@
 	return len(s.pools[pool]) == 0
 }
 
-// Slots returns how many slots of a pool this process may use on endpoints that take new work.
+// Slots returns how many slots of a pool this process can count on, on endpoints that take new work.
 func (s *Set) Slots(pool fleet.PoolName) int64 {
 	now := time.Now()
 	s.mu.Lock()
@@ -154,7 +179,7 @@
 	var n int64
 	for _, st := range s.pools[pool] {
 		if st.takesNew(now, false) {
-			n += s.allowed(st)
+			n += s.expected(st)
 		}
 	}
 
@@ -229,6 +254,15 @@
 	return min(s.Allowed(st.endpoint), int64(st.endpoint.Slots))
 }
 
+// expected is never more than what is allowed.
+func (s *Set) expected(st *state) int64 {
+	if s.Expected == nil {
+		return s.allowed(st)
+	}
+
+	return min(s.Expected(st.endpoint), s.allowed(st))
+}
+
 // takesNew reports whether the endpoint may get new work now.
 func (st *state) takesNew(now time.Time, idempotent bool) bool {
 	if st.removed || st.endpoint.Leaving || st.saidLeaving || st.health.unreachable {
--- a/endpoint/set_test.go
+++ b/endpoint/set_test.go
@@ -382,3 +382,37 @@
 		t.Errorf("header (-want +got):\n%s", d)
 	}
 }
+
+func TestTakePassesOverEndpointsWithoutSharedSlots(t *testing.T) {
+	shared := map[fleet.EndpointName]int64{"a": 1, "b": 2}
+	s := endpoint.NewSet()
+	s.Replace([]fleet.Endpoint{{Name: "a", Pool: "p", Slots: 8}, {Name: "b", Pool: "p", Slots: 8}})
+	s.Take = func(e fleet.Endpoint, n int64) (func(), bool) {
+		if shared[e.Name] < n {
+			return nil, false
+		}
+		shared[e.Name] -= n
+
+		return func() { shared[e.Name] += n }, true
+	}
+
+	var slots []endpoint.Slot
+	for range 3 {
+		slot, ok := s.Acquire(endpoint.Ask{Pool: "p"})
+		if !ok {
+			t.Fatalf("no slot while %v are shared", shared)
+		}
+		slots = append(slots, slot)
+	}
+	if _, ok := s.Acquire(endpoint.Ask{Pool: "p"}); ok {
+		t.Error("a slot was given that nobody shares")
+	}
+
+	for i := range slots {
+		slots[i].Release()
+		slots[i].Release()
+	}
+	if diff := cmp.Diff(map[fleet.EndpointName]int64{"a": 1, "b": 2}, shared); diff != "" {
+		t.Errorf("shared slots after release (-want +got):\n%s", diff)
+	}
+}
