Let the operators' lists say how hosts are taken through maintenance

Cause: operators drive the system by the two lists alone, but the policy of waves was fixed in code.

Change: the plans' list has Maintenance (period, notice, pause after a loss, lost hosts tolerated, limit of a return); a field that is left out has its default; checked, merged and in the published schema.

--- a/entry/control.go
+++ b/entry/control.go
@@ -35,7 +35,8 @@
 // newControl returns the control path over the configuration in force.
 func newControl(s *store.Client, p *platform.Client, b *revision.Book, l *log.Logger) *control {
 	c := &control{log: l, owns: func(string) bool { return true }}
-	c.waves = wave.New(s, wave.DefaultPolicy, func() wave.Hosts { return c.moves.View().Hosts }, func() bool { return c.owns(waveKey) })
+	c.waves = wave.New(s, func() wave.Policy { return wave.PolicyOf(b.Current().Lists.Maintenance) },
+		func() wave.Hosts { return c.moves.View().Hosts }, func() bool { return c.owns(waveKey) })
 	c.moves = move.New(s, p, func() (move.Config, bool) { return configOf(b, time.Now()) },
 		move.WithOwner(move.Owner{
 			Pool:   func(n fleet.PoolName) bool { return c.owns("pool/" + string(n)) },
--- a/fleet/entity.go
+++ b/fleet/entity.go
@@ -177,6 +177,20 @@
 	MaxWait Duration
 }
 
+// Maintenance is how the operators want every host taken through maintenance; a zero field stands for the default.
+type Maintenance struct {
+	// Period is the time from the start of one wave to the start of the next.
+	Period Duration `json:",omitzero"`
+	// Notice is how long a plan is shown before its wave starts.
+	Notice Duration `json:",omitzero"`
+	// SettleFor is how long a wave pauses after an unplanned loss.
+	SettleFor Duration `json:",omitzero"`
+	// MaxLost is the number of lost hosts above which a wave pauses until they return.
+	MaxLost int `json:",omitempty"`
+	// ReturnLimit is how long a host may take to come back before the wave goes on without it.
+	ReturnLimit Duration `json:",omitzero"`
+}
+
 // JobState is the state of a job in its life.
 type JobState string
 
--- a/plan/check.go
+++ b/plan/check.go
@@ -81,6 +81,7 @@
 	c.queues(l, pools)
 	c.plans(l, queues)
 	c.budgets(l, pools)
+	c.maintenance(l.Maintenance)
 	c.customers(l, plans)
 
 	return c.faults
@@ -112,6 +113,26 @@
 	}
 }
 
+// maintenance checks that no duration or count is below zero; zero stands for the default.
+func (c *checker) maintenance(m fleet.Maintenance) {
+	for _, d := range []struct {
+		field string
+		value fleet.Duration
+	}{
+		{"Period", m.Period},
+		{"Notice", m.Notice},
+		{"SettleFor", m.SettleFor},
+		{"ReturnLimit", m.ReturnLimit},
+	} {
+		if d.value < 0 {
+			c.add("must not be negative, is %v", []any{d.value}, "Maintenance.%s", d.field)
+		}
+	}
+	if m.MaxLost < 0 {
+		c.add("must not be negative, is %d", []any{m.MaxLost}, "Maintenance.MaxLost")
+	}
+}
+
 // unique records a name and reports a malformed or a repeated one.
 func (c *checker) unique(seen map[string]bool, name, path string, pathArgs ...any) {
 	if reason := nameFault(name); reason != "" {
--- a/plan/merge.go
+++ b/plan/merge.go
@@ -29,6 +29,7 @@
 	out.Queues = mergeEntries(&m, "Queues", base.Queues, ours.Queues, theirs.Queues, func(q fleet.Queue) string { return string(q.Name) })
 	out.Pools = mergeEntries(&m, "Pools", base.Pools, ours.Pools, theirs.Pools, func(p fleet.Pool) string { return string(p.Name) })
 	out.Budgets = mergeEntries(&m, "Budgets", base.Budgets, ours.Budgets, theirs.Budgets, func(b fleet.Budget) string { return string(b.Name) })
+	out.Maintenance = m.entry("Maintenance", base.Maintenance, ours.Maintenance, theirs.Maintenance).(fleet.Maintenance)
 	if len(m.conflicts) > 0 {
 		return ours, m.conflicts
 	}
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -20,6 +20,8 @@
 	Queues  []fleet.Queue
 	Pools   []fleet.Pool
 	Budgets []fleet.Budget `json:",omitempty"`
+	// Maintenance is how hosts of all pools are taken through maintenance.
+	Maintenance fleet.Maintenance `json:",omitzero"`
 }
 
 // Lists is both lists together; they are checked and put in force as one.
--- a/wave/wave.go
+++ b/wave/wave.go
@@ -33,18 +33,7 @@
 }
 
 // Policy is what operators set about waves.
-type Policy struct {
-	// Period is the time from the start of one wave to the start of the next.
-	Period fleet.Duration
-	// Notice is how long a plan is shown before its wave starts.
-	Notice fleet.Duration
-	// SettleFor is how long a wave pauses after an unplanned loss.
-	SettleFor fleet.Duration
-	// MaxLost is the number of lost hosts above which a wave pauses until they return.
-	MaxLost int
-	// ReturnLimit is how long a host may take to come back before the wave goes on without it.
-	ReturnLimit fleet.Duration
-}
+type Policy = fleet.Maintenance
 
 const week = 7 * 24 * time.Hour
 
@@ -56,6 +45,19 @@
 	}
 }
 
+// PolicyOf returns what the operators' lists say, with the default in place of each field that they leave out.
+func PolicyOf(m fleet.Maintenance) Policy {
+	d := DefaultPolicy()
+
+	return Policy{
+		Period:      cmp.Or(m.Period, d.Period),
+		Notice:      cmp.Or(m.Notice, d.Notice),
+		SettleFor:   cmp.Or(m.SettleFor, d.SettleFor),
+		MaxLost:     cmp.Or(m.MaxLost, d.MaxLost),
+		ReturnLimit: cmp.Or(m.ReturnLimit, d.ReturnLimit),
+	}
+}
+
 // Hosts is the host records that a wave decides over.
 type Hosts = map[fleet.HostName]record.Versioned[move.Record]
 
