--- a/admission/gate_test.go
+++ b/admission/gate_test.go
@@ -512,3 +512,27 @@
 		}
 	})
 }
+
+// TestAgain checks that a repeat beside an attempt that may still run counts against the upper limit, and that both
+// slots come back.
+func TestAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(8)
+		all := r.fill(t, "a", 3)
+		other, ok := r.set.Acquire(endpoint.Ask{Pool: "pool"})
+		if !ok || !all[0].Again(other, time.Now().Add(time.Second)) {
+			t.Fatal("no room for a repeat below the upper limit")
+		}
+		if all[1].Again(endpoint.Slot{}, time.Now()) {
+			t.Error("a repeat went beyond the upper limit")
+		}
+		began := time.Now()
+		r.fill(t, "a", 1)
+		if got := time.Since(began); got != time.Second {
+			t.Errorf("the repeat counted for %v, want until its end", got)
+		}
+		if got := r.set.Slots("pool"); got != 8 {
+			t.Errorf("%d slots", got)
+		}
+	})
+}
--- a/endpoint/answer.go
+++ b/endpoint/answer.go
@@ -43,9 +43,3 @@
 
 	return nil
 }
-
-// Whole reports whether the body of the answer was read to its end.
-func (a Answer) Whole() bool {
-	b, ok := a.Body.(*answerBody)
-	return ok && errors.Is(b.err, io.EOF)
-}
--- a/endpoint/fault_test.go
+++ b/endpoint/fault_test.go
@@ -382,3 +382,20 @@
 type errReader struct{}
 
 func (errReader) Read([]byte) (int, error) { return 0, errors.New("caller went away") }
+
+// TestUnknownStays checks that a repeat that was surely not run does not hide that the first attempt may have run.
+func TestUnknownStays(t *testing.T) {
+	r := &rawEndpoint{faults: map[int][]fault{0: {{read: -1, answer: plainAnswer, end: "close"}}}}
+	dials := 0
+	dial := func(ctx context.Context, a netip.AddrPort) (net.Conn, error) {
+		if dials++; dials > 1 {
+			return nil, errors.New("connection refused")
+		}
+
+		return r.pipe(ctx, a)
+	}
+	got := send(t.Context(), twoEndpoints(), endpoint.NewSender(endpoint.WithDial(dial)), true)
+	if !got.unknown || got.notRun || dials < 2 {
+		t.Errorf("told %v after %d dials", got.err, dials)
+	}
+}
--- a/entry/caller.go
+++ b/entry/caller.go
@@ -94,9 +94,6 @@
 
 	err = copyAnswer(w, answer)
 	_ = answer.Body.Close()
-	if !answer.Whole() {
-		err = errors.Join(err, refusal.Uncertain(refusal.AnswerIncomplete, "the answer was not passed on whole"))
-	}
 	a.end(grant, settle, c, err)
 	if err != nil {
 		// A body that is cut short cuts the caller's connection, so that it can't pass for whole.
--- /dev/null
+++ b/entry/caller_test.go
@@ -0,0 +1,347 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/google/go-cmp/cmp"
+
+	"lycheehook.example/lycheehook/admission"
+	"lycheehook.example/lycheehook/endpoint"
+	"lycheehook.example/lycheehook/fleet"
+	"lycheehook.example/lycheehook/key"
+	"lycheehook.example/lycheehook/plan"
+	"lycheehook.example/lycheehook/refusal"
+	"lycheehook.example/lycheehook/revision"
+	"lycheehook.example/lycheehook/standin"
+	"lycheehook.example/lycheehook/store"
+)
+
+const callerID = "01939f80-0000-7000-8000-000000000001"
+
+// callerRig is the callers' interface over real sockets with one endpoint of two slots.
+type callerRig struct {
+	api    *callerAPI
+	url    string
+	secret string
+	fresh  atomic.Bool
+	set    *endpoint.Set
+}
+
+func newCallerRig(tb testing.TB, slots int, h http.Handler) *callerRig {
+	tb.Helper()
+	backend := httptest.NewServer(h)
+	tb.Cleanup(backend.Close)
+	limit := fleet.Resources{Slots: 64, Cores: 8000}
+	lists := plan.Lists{
+		CustomersList: plan.CustomersList{Customers: []fleet.Customer{{
+			Name: "club", Plan: "p", Teams: []fleet.Team{{Name: "posting", Share: 1, UpperLimit: limit}},
+		}}},
+		PlansList: plan.PlansList{
+			Plans: []fleet.Plan{{Name: "p", Queues: []fleet.QueueName{"post"}, UpperLimit: limit}},
+			Queues: []fleet.Queue{
+				{Name: "post", Pool: "pool", MaxLength: 100, MaxWait: fleet.Duration(time.Minute)},
+				{Name: "other", Pool: "pool", MaxLength: 100, MaxWait: fleet.Duration(time.Minute)},
+			},
+			Pools: []fleet.Pool{{Name: "pool"}},
+		},
+	}
+	k, secret := key.Give("posting", time.Now())
+	rev := revision.Revision{Number: 1}.WithLists(lists).WithKeys(key.NewRing(k))
+
+	r := &callerRig{secret: secret, set: endpoint.NewSet()}
+	r.fresh.Store(true)
+	gate := admission.New(revision.New(&store.Client{}), r.set)
+	gate.Current = func() *revision.Revision { return &rev }
+	gate.Fresh = func(time.Time) bool { return r.fresh.Load() }
+	gate.AcquireLimit = admission.NewLimits(gate.Current).Acquire
+	r.set.Replace([]fleet.Endpoint{{
+		Name: "runner", Pool: "pool", Slots: slots, Connections: 64,
+		Address: netip.MustParseAddrPort(backend.Listener.Addr().String()),
+	}})
+	r.api = &callerAPI{gate: gate, sender: endpoint.NewSender(), log: log.New(io.Discard)}
+	front := httptest.NewServer(r.api.handler())
+	tb.Cleanup(front.Close)
+	r.url = front.URL + "/v1/queues/"
+
+	return r
+}
+
+// call sends one request; header lines are "Name: value".
+func (r *callerRig) call(ctx context.Context, queue string, body io.Reader, header ...string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, r.url+queue+"/work", body)
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+r.secret)
+	for _, h := range header {
+		name, value, _ := strings.Cut(h, ": ")
+		req.Header.Set(name, value)
+	}
+
+	return http.DefaultClient.Do(req)
+}
+
+// told is what a caller was told in place of an answer.
+type told struct {
+	Status int
+	Code   refusal.Code
+	NotRun bool
+}
+
+func (r *callerRig) told(t *testing.T, queue string, body io.Reader, header ...string) told {
+	t.Helper()
+	resp, err := r.call(t.Context(), queue, body, header...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var a refusalAnswer
+	if resp.StatusCode != http.StatusOK {
+		if err := json.NewDecoder(resp.Body).Decode(&a); err != nil {
+			t.Errorf("status %d: %v", resp.StatusCode, err)
+		}
+	}
+
+	return told{resp.StatusCode, a.Code, a.NotRun}
+}
+
+func TestCallerIsTold(t *testing.T) {
+	closing := http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+	slow := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	echo := standin.NewEndpoint(0)
+	for _, c := range []struct {
+		name   string
+		with   http.Handler
+		queue  string
+		body   io.Reader
+		header string
+		want   told
+	}{
+		{"done", echo, "post", nil, "", told{200, "", false}},
+		{"no key", echo, "post", nil, "Authorization: ", told{401, refusal.KeyMissing, true}},
+		{"another scheme", echo, "post", nil, "Authorization: Basic eDp5", told{401, refusal.KeyUnknown, true}},
+		{"unknown key", echo, "post", nil, "Authorization: Bearer x", told{401, refusal.KeyUnknown, true}},
+		{"unknown queue", echo, "none", nil, "", told{404, refusal.QueueUnknown, true}},
+		{"queue outside the plan", echo, "other", nil, "", told{403, refusal.PlanForbids, true}},
+		{"ID is no UUID", echo, "post", nil, "Request-Id: 7", told{400, refusal.RequestInvalid, true}},
+		{"ID is a UUID of version 4", echo, "post", nil, "Request-Id: 5d7f9b58-3d0a-4a7a-9d5b-0d0f8c1f2a3b", told{400, refusal.RequestInvalid, true}},
+		{"timeout without a unit", echo, "post", nil, "Request-Timeout: 10", told{400, refusal.RequestInvalid, true}},
+		{"timeout of nothing", echo, "post", nil, "Request-Timeout: 0s", told{400, refusal.RequestInvalid, true}},
+		{"timeout beyond the longest", echo, "post", nil, "Request-Timeout: 11m", told{400, refusal.RequestInvalid, true}},
+		{"idempotent perhaps", echo, "post", nil, "Idempotent: perhaps", told{400, refusal.RequestInvalid, true}},
+		{"size is no number", echo, "post", nil, "Size-Cores: many", told{400, refusal.RequestInvalid, true}},
+		{"size is negative", echo, "post", nil, "Size-Memory: -1", told{400, refusal.RequestInvalid, true}},
+		{"no slots", echo, "post", nil, "Size-Slots: 0", told{400, refusal.RequestInvalid, true}},
+		{"more slots than an endpoint", echo, "post", nil, "Size-Slots: 3", told{422, refusal.NeverRuns, true}},
+		{"more than the team may have", echo, "post", nil, "Size-Accelerators: 1", told{422, refusal.NeverRuns, true}},
+		{"body too large", echo, "post", io.LimitReader(zeros{}, maxBodySize+1), "Content-Length-Known: yes", told{413, refusal.RequestTooLarge, true}},
+		{"endpoint closes", closing, "post", nil, "", told{502, refusal.OutcomeUnknown, false}},
+		{"endpoint is slower than the deadline", slow, "post", nil, "Request-Timeout: 50ms", told{504, refusal.EndpointTimedOut, false}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newCallerRig(t, 2, c.with)
+			if c.header == "Content-Length-Known: yes" {
+				req, _ := http.NewRequestWithContext(t.Context(), http.MethodPost, r.url+c.queue+"/work", c.body)
+				req.ContentLength = maxBodySize + 1
+				w := httptest.NewRecorder()
+				req.Header.Set("Authorization", "Bearer "+r.secret)
+				r.api.handler().ServeHTTP(w, req)
+				var a refusalAnswer
+				_ = json.Unmarshal(w.Body.Bytes(), &a)
+				if d := cmp.Diff(c.want, told{w.Code, a.Code, a.NotRun}); d != "" {
+					t.Errorf("told (-want +got):\n%s", d)
+				}
+
+				return
+			}
+			header := []string{c.header}
+			if c.header == "" {
+				header = nil
+			}
+			if d := cmp.Diff(c.want, r.told(t, c.queue, c.body, header...)); d != "" {
+				t.Errorf("told (-want +got):\n%s", d)
+			}
+		})
+	}
+}
+
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) { clear(p); return len(p), nil }
+
+// TestCallerBodies checks that bodies of all sizes and forms come back whole.
+func TestCallerBodies(t *testing.T) {
+	r := newCallerRig(t, 2, standin.NewEndpoint(0))
+	for _, size := range []int{0, 1, heldBodySize - 1, heldBodySize, heldBodySize + 1, 3 << 20} {
+		for _, chunked := range []bool{false, true} {
+			body := bytes.Repeat([]byte("sleeve "), size/7+1)[:size]
+			var in io.Reader = bytes.NewReader(body)
+			if chunked {
+				in = io.MultiReader(in)
+			}
+			resp, err := r.call(t.Context(), "post", in, "Request-Id: "+callerID)
+			if err != nil {
+				t.Fatal(err)
+			}
+			got, err := io.ReadAll(resp.Body)
+			_ = resp.Body.Close()
+			digest := sha256.Sum256(body)
+			if err != nil || !bytes.Equal(got, body) || resp.Header.Get(standin.HeaderBodyDigest) != hex.EncodeToString(digest[:]) {
+				t.Errorf("%d bytes, chunked %t: got %d bytes, %v", size, chunked, len(got), err)
+			}
+			if resp.Header.Get(headerRequestID) != callerID {
+				t.Errorf("answer names request %q", resp.Header.Get(headerRequestID))
+			}
+		}
+	}
+}
+
+// TestCallerHeaders checks what an endpoint sees of a caller and the other way round.
+func TestCallerHeaders(t *testing.T) {
+	var seen http.Header
+	r := newCallerRig(t, 2, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		seen = r.Header.Clone()
+		w.Header().Set("Connection", "X-Hop")
+		w.Header().Set("X-Hop", "1")
+		w.Header().Set("X-End", "1")
+		w.Header().Set("Endpoint-State", "Fine")
+		w.Header().Set("Trailer", "X-Sum")
+		_, _ = io.WriteString(w, "part")
+		w.(http.Flusher).Flush()
+		w.Header().Set("X-Sum", "9")
+	}))
+	resp, err := r.call(t.Context(), "post", nil, "Request-Id: "+callerID, "Request-Timeout: 5s", "X-Mine: 1", "Connection: X-Gone", "X-Gone: 1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(resp.Body)
+	_ = resp.Body.Close()
+	if err != nil || string(body) != "part" || resp.Trailer.Get("X-Sum") != "9" {
+		t.Errorf("got %q, %v, trailer %v", body, err, resp.Trailer)
+	}
+	for name, want := range map[string]string{"X-Hop": "", "X-End": "1", "Endpoint-State": ""} {
+		if got := resp.Header.Get(name); got != want {
+			t.Errorf("caller sees %s %q, want %q", name, got, want)
+		}
+	}
+	for name, want := range map[string]string{"Authorization": "", "X-Gone": "", "X-Mine": "1", "X-Request-Id": callerID, "Idempotent": "false"} {
+		if got := seen.Get(name); got != want {
+			t.Errorf("endpoint sees %s %q, want %q", name, got, want)
+		}
+	}
+	if d, err := time.ParseDuration(seen.Get("Request-Timeout")); err != nil || d <= 0 || d > 5*time.Second {
+		t.Errorf("endpoint sees a timeout of %q", seen.Get("Request-Timeout"))
+	}
+}
+
+// TestCallerCutAnswer checks that an answer that was cut never looks whole to the caller.
+func TestCallerCutAnswer(t *testing.T) {
+	for name, length := range map[string]string{"by length": "100", "by end mark": ""} {
+		t.Run(name, func(t *testing.T) {
+			r := newCallerRig(t, 2, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				if length != "" {
+					w.Header().Set("Content-Length", length)
+				}
+				_, _ = io.WriteString(w, "half")
+				w.(http.Flusher).Flush()
+				panic(http.ErrAbortHandler)
+			}))
+			resp, err := r.call(t.Context(), "post", nil)
+			if err != nil {
+				return
+			}
+			defer func() { _ = resp.Body.Close() }()
+			if got, err := io.ReadAll(resp.Body); err == nil {
+				t.Errorf("a cut answer passed for whole: %q", got)
+			}
+		})
+	}
+}
+
+// TestCallerStop checks that a stop refuses what waits and what comes and finishes what runs.
+func TestCallerStop(t *testing.T) {
+	entered, leave := make(chan struct{}), make(chan struct{})
+	r := newCallerRig(t, 1, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		close(entered)
+		<-leave
+		_, _ = io.WriteString(w, "receipt")
+	}))
+	var wg sync.WaitGroup
+	var running, waiting told
+	wg.Go(func() { running = r.told(t, "post", nil) })
+	<-entered
+	wg.Go(func() { waiting = r.told(t, "post", nil) })
+	for r.api.gate.Waiting("pool") == 0 {
+		runtime.Gosched()
+	}
+	r.api.gate.Stop()
+	stopping := told{503, refusal.Stopping, true}
+	if d := cmp.Diff(stopping, r.told(t, "post", nil)); d != "" {
+		t.Errorf("a new request is told (-want +got):\n%s", d)
+	}
+	close(leave)
+	wg.Wait()
+	if d := cmp.Diff([]told{{200, "", false}, stopping}, []told{running, waiting}); d != "" {
+		t.Errorf("running and waiting are told (-want +got):\n%s", d)
+	}
+}
+
+// TestCallerClaim checks that a claim is settled exactly once with the exact outcome, and that a request which must
+// not run is not sent.
+func TestCallerClaim(t *testing.T) {
+	closing := http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+	for _, c := range []struct {
+		name    string
+		with    http.Handler
+		header  string
+		refused error
+		// slow makes the claim's write outlive the freshness of the configuration.
+		slow bool
+		want []string
+		told told
+	}{
+		{"done", standin.NewEndpoint(0), "", nil, false, []string{"posting " + callerID, "Done"}, told{200, "", false}},
+		{"unknown", closing, "", nil, false, []string{"posting " + callerID, "Unknown"}, told{502, refusal.OutcomeUnknown, false}},
+		{"idempotent work needs none", standin.NewEndpoint(0), "Idempotent: true", nil, false, nil, told{200, "", false}},
+		{"in progress elsewhere", closing, "", refusal.Uncertain(refusal.InProgress, "x"), false, []string{"posting " + callerID}, told{409, refusal.InProgress, false}},
+		{"store down", closing, "", refusal.Refuse(refusal.StoreUnavailable, "x"), false, []string{"posting " + callerID}, told{503, refusal.StoreUnavailable, true}},
+		{"key may be withdrawn by then", closing, "", nil, true, []string{"posting " + callerID, "NotRun"}, told{503, refusal.NotFresh, true}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newCallerRig(t, 2, c.with)
+			var got []string
+			r.api.claim = func(_ context.Context, team fleet.TeamName, id string) (func(outcome), error) {
+				got = append(got, fmt.Sprint(team, " ", id))
+				r.fresh.Store(!c.slow)
+
+				return func(o outcome) { got = append(got, string(o)) }, c.refused
+			}
+			header := []string{"Request-Id: " + callerID}
+			if c.header != "" {
+				header = append(header, c.header)
+			}
+			if d := cmp.Diff(c.told, r.told(t, "post", nil, header...)); d != "" {
+				t.Errorf("told (-want +got):\n%s", d)
+			}
+			if d := cmp.Diff(c.want, got); d != "" {
+				t.Errorf("claims (-want +got):\n%s", d)
+			}
+		})
+	}
+}
--- a/entry/calleranswer.go
+++ b/entry/calleranswer.go
@@ -27,7 +27,7 @@
 	RetryAfter fleet.Duration `json:",omitzero"`
 }
 
-// copyAnswer passes the answer on as it comes; an error says that the caller did not get it whole.
+// copyAnswer passes the answer on as it comes; only without an error did the caller get it whole.
 func copyAnswer(w http.ResponseWriter, a endpoint.Answer) error {
 	for name, values := range endpoint.EndToEnd(a.Header) {
 		w.Header()[name] = values
