--- a/allotment/fault_test.go
+++ b/allotment/fault_test.go
@@ -225,7 +225,7 @@
 					t.Error(s.violated)
 				}
 				if got != c.want {
-					t.Errorf("a runs %d of %d after the fault", got, c.want)
+					t.Errorf("a runs %d of %d after the fault\n%s", got, c.want, s.state())
 				}
 			})
 		})
--- a/allotment/site_test.go
+++ b/allotment/site_test.go
@@ -388,3 +388,17 @@
 	s.allowed = limit
 	s.mu.Unlock()
 }
+
+// state describes the records and the holders, for a failed test.
+func (s *site) state() string {
+	l, _ := s.store.Client().List(s.ctx, allotment.Limits)
+	var b strings.Builder
+	for _, r := range l.Records {
+		fmt.Fprintf(&b, "%s at %d: %s\n", r.Key, r.Revision, r.Value)
+	}
+	for _, n := range s.nodes {
+		fmt.Fprintf(&b, "%s runs %d, room %v\n", n.self, n.running, n.holder.Room(teamKey))
+	}
+
+	return b.String()
+}
--- a/allotment/wish.go
+++ b/allotment/wish.go
@@ -6,7 +6,7 @@
 type wish struct {
 	// grow is to be taken from the free amount, give to be returned to it.
 	grow, give fleet.Resources
-	// short is what remains to be asked from peers when nothing is free.
+	// short is what is lacking, to be asked from peers; it has a reserve as growth takes a round each.
 	short fleet.Resources
 }
 
@@ -26,8 +26,8 @@
 	var w wish
 	switch {
 	case d.short:
-		w.grow = roomy.Max(d.need).Minus(part).Max(fleet.Resources{})
-		w.short = d.need.Minus(part).Max(fleet.Resources{})
+		w.grow = roomy.Minus(part).Max(fleet.Resources{})
+		w.short = roomy.Min(l.Upper).Minus(part).Max(fleet.Resources{})
 	case d.idleTicks >= idleTicks:
 		w.give = part.Minus(roomy.Max(s.used)).Max(fleet.Resources{})
 	default:
