--- a/entry/host.go
+++ b/entry/host.go
@@ -22,31 +22,38 @@
 
 const inventoryInterval = time.Second
 
+// parts is what an entry host is put together from; wire fills it.
+type parts struct {
+	Settings settings.Settings
+	Store    *store.Client
+	Platform *platform.Client
+	Book     *revision.Book
+	Set      *endpoint.Set
+	Sender   *endpoint.Sender
+	Gate     *admission.Gate
+	Control  *control
+	Trail    *audit.Trail
+	Metrics  *operatorMetrics
+	Log      *log.Logger
+}
+
 // Host is one entry host.
 type Host struct {
-	settings settings.Settings
-	book     *revision.Book
-	set      *endpoint.Set
-	platform *platform.Client
+	parts
 	caller   *callerAPI
 	operator *operatorAPI
-	trail    *audit.Trail
 	stopping atomic.Bool
-	log      *log.Logger
 	listen   func(ctx context.Context, network, address string) (net.Listener, error)
 }
 
 // newHost puts the parts together; wire calls it.
-func newHost(
-	s settings.Settings, b *revision.Book, set *endpoint.Set, p *platform.Client,
-	g *admission.Gate, snd *endpoint.Sender, l *log.Logger, c *store.Client, t *audit.Trail, m *operatorMetrics,
-) *Host {
+func newHost(p parts) *Host {
 	var lc net.ListenConfig
-	s = s.WithDefaults()
+	p.Settings = p.Settings.WithDefaults()
 	h := &Host{
-		settings: s, book: b, set: set, platform: p, log: l, listen: lc.Listen, trail: t,
-		caller:   &callerAPI{gate: g, sender: snd, log: l},
-		operator: &operatorAPI{settings: s, book: b, trail: t, store: c, metrics: m, log: l},
+		parts: p, listen: lc.Listen,
+		caller:   &callerAPI{gate: p.Gate, sender: p.Sender, log: p.Log},
+		operator: &operatorAPI{settings: p.Settings, book: p.Book, trail: p.Trail, store: p.Store, metrics: p.Metrics, log: p.Log},
 	}
 	h.operator.stopping = h.stopping.Load
 	h.operator.entries = h.operator.ownEntry
@@ -56,11 +63,11 @@
 
 // Run serves until ctx ends, then finishes what is in progress and returns.
 func (h *Host) Run(ctx context.Context) error {
-	callers, err := h.listen(ctx, "tcp", h.settings.CallerAddress.String())
+	callers, err := h.listen(ctx, "tcp", h.Settings.CallerAddress.String())
 	if err != nil {
 		return merry.Prepend(err, "listen for callers")
 	}
-	operators, err := h.listen(ctx, "tcp", h.settings.OperatorAddress.String())
+	operators, err := h.listen(ctx, "tcp", h.Settings.OperatorAddress.String())
 	if err != nil {
 		return merry.Prepend(err, "listen for operators")
 	}
@@ -69,25 +76,26 @@
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
 	var wg sync.WaitGroup
-	wg.Go(func() { h.book.Follow(work) })
+	wg.Go(func() { h.Book.Follow(work) })
 	wg.Go(func() { h.followInventory(work) })
-	wg.Go(func() { h.trail.Run(work) })
+	wg.Go(func() { h.Trail.Run(work) })
+	wg.Go(func() { h.Control.run(work) })
 
-	if callers, err = secure(work, &wg, callers, h.settings.TLS.Callers, h.log); err != nil {
+	if callers, err = secure(work, &wg, callers, h.Settings.TLS.Callers, h.Log); err != nil {
 		return merry.Prepend(err, "TLS for callers")
 	}
-	if operators, err = secure(work, &wg, operators, h.settings.TLS.Operators, h.log); err != nil {
+	if operators, err = secure(work, &wg, operators, h.Settings.TLS.Operators, h.Log); err != nil {
 		return merry.Prepend(err, "TLS for operators")
 	}
 	servers := []*http.Server{
-		serve(&wg, callers, h.caller.handler(), h.settings.Limits),
-		serve(&wg, operators, h.operator.handler(), h.settings.Limits),
+		serve(&wg, callers, h.caller.handler(), h.Settings.Limits),
+		serve(&wg, operators, h.operator.handler(), h.Settings.Limits),
 	}
-	h.log.Info("entry host serves", "entry", h.settings.Name, "callers", callers.Addr(), "operators", operators.Addr())
+	h.Log.Info("entry host serves", "entry", h.Settings.Name, "callers", callers.Addr(), "operators", operators.Addr())
 
 	<-ctx.Done()
 	h.stopping.Store(true)
-	err = stop(context.WithoutCancel(ctx), servers, h.settings.StopLimit.Std())
+	err = stop(context.WithoutCancel(ctx), servers, h.Settings.StopLimit.Std())
 	stopWork()
 	wg.Wait()
 
@@ -119,11 +127,11 @@
 // followInventory keeps the set of endpoints up to date.
 func (h *Host) followInventory(ctx context.Context) {
 	for ctx.Err() == nil {
-		inv, err := h.platform.Inventory(ctx)
+		inv, err := h.Platform.Inventory(ctx)
 		if err != nil {
-			h.log.Warn("inventory unavailable", "err", err)
+			h.Log.Warn("inventory unavailable", "err", err)
 		} else {
-			h.set.Replace(inv.Endpoints)
+			h.Set.Replace(endpointsOf(inv, h.Control.moves.View().Hosts))
 		}
 
 		select {
--- a/entry/operator_test.go
+++ b/entry/operator_test.go
@@ -79,8 +79,8 @@
 	return w.Code
 }
 
-func (o *operators) putLists(base string) int {
-	return o.ask("PUT", "/v1/lists", `{"Base": `+base+`, "Lists": `+smallLists+`}`, nil)
+func (o *operators) putLists() int {
+	return o.ask("PUT", "/v1/lists", `{"Base": 0, "Lists": `+smallLists+`}`, nil)
 }
 
 func (o *operators) audited(query string) []string {
@@ -99,7 +99,7 @@
 
 func TestOperatorRefusals(t *testing.T) {
 	o := newOperators(t)
-	if status := o.putLists("0"); status != http.StatusOK {
+	if status := o.putLists(); status != http.StatusOK {
 		t.Fatalf("lists answered %d", status)
 	}
 	withoutPool := strings.Replace(smallLists, `"Pools": [{"Name": "ledger-a"}]`, `"Pools": []`, 1)
@@ -171,7 +171,7 @@
 
 func TestOperatorChangesAndTheirTrail(t *testing.T) {
 	o := newOperators(t)
-	if status := o.putLists("0"); status != http.StatusOK {
+	if status := o.putLists(); status != http.StatusOK {
 		t.Fatalf("lists answered %d", status)
 	}
 	var same acceptedAnswer
@@ -225,7 +225,7 @@
 
 func TestOperatorsDuringAnOutage(t *testing.T) {
 	o := newOperators(t)
-	o.putLists("0")
+	o.putLists()
 	o.store.SetFault(standin.FaultDown)
 	var got operatorError
 	if status := o.ask("POST", "/v1/keys", `{"Team": "postings"}`, &got); status != 503 || got.Code != codeStoreUnavailable {
@@ -255,7 +255,7 @@
 	if status, _ := probe("/readyz"); status != http.StatusServiceUnavailable {
 		t.Errorf("ready without a configuration: %d", status)
 	}
-	o.putLists("0")
+	o.putLists()
 	if status, body := probe("/readyz"); status != http.StatusOK {
 		t.Errorf("not ready: %d %s", status, body)
 	}
@@ -285,7 +285,7 @@
 
 func TestParallelEditsOfOneBase(t *testing.T) {
 	o := newOperators(t)
-	o.putLists("0")
+	o.putLists()
 	statuses := make(chan int, 8)
 	for i := range cap(statuses) {
 		go func() {
--- a/entry/providers.go
+++ b/entry/providers.go
@@ -6,6 +6,7 @@
 	"github.com/charmbracelet/log"
 
 	"lycheehook.example/lycheehook/audit"
+	"lycheehook.example/lycheehook/endpoint"
 	"lycheehook.example/lycheehook/platform"
 	"lycheehook.example/lycheehook/revision"
 	"lycheehook.example/lycheehook/settings"
@@ -32,3 +33,7 @@
 func newTrail(c *store.Client, s settings.Settings, l *log.Logger) *audit.Trail {
 	return audit.New(c, s.Name, audit.WithLogger(l))
 }
+
+func newSender() *endpoint.Sender {
+	return endpoint.NewSender()
+}
--- a/entry/wire.go
+++ b/entry/wire.go
@@ -14,8 +14,8 @@
 // New returns an entry host with the given settings and logger.
 func New(s settings.Settings, l *log.Logger) *Host {
 	wire.Build(
-		newHost, newBook, newStore, newPlatform, newTrail, newRegistry, newOperatorMetrics,
-		endpoint.NewSet, endpoint.NewSender, admission.New,
+		newHost, wire.Struct(new(parts), "*"), newBook, newStore, newPlatform, newControl, newTrail, newRegistry, newOperatorMetrics,
+		endpoint.NewSet, newSender, admission.New,
 	)
 
 	return nil
--- a/entry/wire_gen.go
+++ b/entry/wire_gen.go
@@ -18,14 +18,28 @@
 // New returns an entry host with the given settings and logger.
 func New(s settings.Settings, l *log.Logger) *Host {
 	client := newStore(s)
+	platformClient := newPlatform(s)
 	book := newBook(client)
 	set := endpoint.NewSet()
-	platformClient := newPlatform(s)
+	sender := newSender()
 	gate := admission.New(book, set)
-	sender := endpoint.NewSender()
+	entryControl := newControl(client, platformClient, book, l)
 	trail := newTrail(client, s, l)
 	registry := newRegistry()
 	entryOperatorMetrics := newOperatorMetrics(registry, book, trail)
-	host := newHost(s, book, set, platformClient, gate, sender, l, client, trail, entryOperatorMetrics)
+	entryParts := parts{
+		Settings: s,
+		Store:    client,
+		Platform: platformClient,
+		Book:     book,
+		Set:      set,
+		Sender:   sender,
+		Gate:     gate,
+		Control:  entryControl,
+		Trail:    trail,
+		Metrics:  entryOperatorMetrics,
+		Log:      l,
+	}
+	host := newHost(entryParts)
 	return host
 }
