Give operators a command line for lists, keys, status, audit trail and settings

An empty list may be written as null, as encoders do, and counts as empty. The deadline of a body is lifted by the server itself, so the wrapper that did it went; TestLongWorkOutlivesTheBodysDeadline stays.

--- a/cmd/lycheehook/entry.go
+++ b/cmd/lycheehook/entry.go
@@ -1,6 +1,9 @@
 package main
 
 import (
+	"io"
+
+	"github.com/ansel1/merry/v2"
 	"github.com/charmbracelet/log"
 	"github.com/spf13/cobra"
 
@@ -15,16 +18,30 @@
 		Short: "Run the process of an entry host",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			if path == "" {
+				return merry.Prepend(errUsage, "--settings must name a file")
+			}
 			s, err := settings.Read(path)
 			if err != nil {
 				return err
 			}
 
-			return entry.New(s, log.New(cmd.ErrOrStderr())).Run(cmd.Context())
+			return entry.New(s, newLogger(cmd.ErrOrStderr(), s)).Run(cmd.Context())
 		},
 	}
 	cmd.Flags().StringVar(&path, "settings", "", "file with the settings, as JSON")
-	_ = cmd.MarkFlagRequired("settings")
 
 	return cmd
 }
+
+// newLogger returns a logger of the level and format that the settings ask for.
+func newLogger(w io.Writer, s settings.Settings) *log.Logger {
+	levels := map[settings.LogLevel]log.Level{
+		settings.LogDebug: log.DebugLevel, settings.LogInfo: log.InfoLevel, settings.LogWarn: log.WarnLevel, settings.LogError: log.ErrorLevel,
+	}
+	formats := map[settings.LogFormat]log.Formatter{settings.LogLogfmt: log.LogfmtFormatter, settings.LogJSON: log.JSONFormatter}
+
+	return log.NewWithOptions(w, log.Options{
+		Level: levels[s.Log.Level], Formatter: formats[s.Log.Format], ReportTimestamp: true,
+	}).With("entry", s.Name)
+}
--- /dev/null
+++ b/cmd/lycheehook/status.go
@@ -0,0 +1,153 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"lycheehook.example/lycheehook/audit"
+	"lycheehook.example/lycheehook/fleet"
+)
+
+type statusAnswer struct {
+	Name     string
+	Region   string
+	Zone     string
+	Revision uint64
+	Fresh    bool
+	Stopping bool
+	Entries  []entryAnswer
+	Pools    []poolAnswer
+	Teams    []teamAnswer
+	Queues   []queueAnswer
+	Audit    audit.Counts
+}
+
+type entryAnswer struct {
+	Name     string
+	Revision uint64
+	Fresh    bool
+	HeardAgo fleet.Duration `json:",omitzero"`
+}
+
+type poolAnswer struct {
+	Name     string
+	Spare    bool
+	MinHosts int
+	Queues   []string
+}
+
+type teamAnswer struct {
+	Name       string
+	Customer   string
+	Plan       string
+	Share      int64
+	UpperLimit fleet.Resources
+	Keys       int
+}
+
+type queueAnswer struct {
+	Name string
+	Pool string
+	Open bool
+}
+
+// hostAnswer is the status of one entry host, or why it gave none.
+type hostAnswer struct {
+	Address string
+	Error   string `json:",omitempty"`
+	Status  *statusAnswer
+}
+
+func newStatus(p process) *cobra.Command {
+	f := &clientFlags{process: p}
+	cmd := &cobra.Command{
+		Use:   "status",
+		Short: "Show what is in force on each entry host, and the pools, teams and queues",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return runStatus(cmd, f)
+		},
+	}
+	f.add(cmd)
+
+	return cmd
+}
+
+func runStatus(cmd *cobra.Command, f *clientFlags) error {
+	c, err := f.client()
+	if err != nil {
+		return err
+	}
+
+	var hosts []hostAnswer
+	var newest *statusAnswer
+	for _, a := range c.addresses {
+		var s statusAnswer
+		h := hostAnswer{Address: a.String()}
+		if askErr := c.ask(cmd.Context(), a, http.MethodGet, "/v1/status", nil, &s); askErr != nil {
+			h.Error, err = askErr.Error(), askErr
+		} else {
+			h.Status = &s
+			if newest == nil || s.Revision > newest.Revision {
+				newest = &s
+			}
+		}
+		hosts = append(hosts, h)
+	}
+
+	if f.output == outputJSON {
+		if writeErr := writeJSON(cmd.OutOrStdout(), struct{ Hosts []hostAnswer }{hosts}); writeErr != nil {
+			return writeErr
+		}
+	} else if writeErr := writeStatus(cmd, hosts, newest); writeErr != nil {
+		return writeErr
+	}
+
+	return err
+}
+
+func writeStatus(cmd *cobra.Command, hosts []hostAnswer, newest *statusAnswer) error {
+	w := cmd.OutOrStdout()
+	entries := table{header: []string{"Entry host", "Zone", "Operators", "Revision", "State"}}
+	for _, h := range hosts {
+		if h.Status == nil {
+			entries.add("-", "-", h.Address, "-", h.Error)
+			continue
+		}
+		entries.add(h.Status.Name, h.Status.Zone, h.Address, h.Status.Revision, stateOf(h.Status))
+	}
+	if err := entries.write(w); err != nil || newest == nil {
+		return err
+	}
+
+	pools := table{header: []string{"Pool", "Spare", "Least hosts", "Queues"}}
+	for _, p := range newest.Pools {
+		pools.add(p.Name, p.Spare, p.MinHosts, strings.Join(p.Queues, " "))
+	}
+	teams := table{header: []string{"Team", "Customer", "Plan", "Share", "Slots", "Keys"}}
+	for _, t := range newest.Teams {
+		teams.add(t.Name, t.Customer, t.Plan, t.Share, t.UpperLimit.Slots, t.Keys)
+	}
+	for _, t := range []*table{&pools, &teams} {
+		_, _ = fmt.Fprintln(w)
+		if err := t.write(w); err != nil {
+			return err
+		}
+	}
+
+	return nil
+}
+
+func stateOf(s *statusAnswer) string {
+	switch {
+	case s.Stopping:
+		return "stopping"
+	case s.Fresh:
+		return "in force"
+	default:
+		return "not fresh"
+	}
+}
--- a/document/decode.go
+++ b/document/decode.go
@@ -34,7 +34,7 @@
 }
 
 // Decode decodes data into the struct that target points to and returns every fault: bad syntax, a field that is unknown,
-// doubled or null, and a value of the wrong form. Field names are matched exactly, and what is sound is decoded despite faults.
+// doubled or, but for lists, null, and a value of the wrong form. Field names are matched exactly, and what is sound is decoded despite faults.
 func Decode(data []byte, target any) (Lines, []Fault) {
 	d := decoder{data: data, lines: Lines{}}
 	var whole any
@@ -77,6 +77,8 @@
 	switch {
 	case depth > maxDepth:
 		d.fault(path, offset, "is nested more than %d deep", maxDepth)
+	case bytes.Equal(raw, []byte("null")) && v.Kind() == reflect.Slice:
+		// Encoders write an empty list so.
 	case bytes.Equal(raw, []byte("null")):
 		d.fault(path, offset, "is null, must be %s or be left out", allowed(v.Type()))
 	case isText(v.Type()):
--- a/document/decode_test.go
+++ b/document/decode_test.go
@@ -46,6 +46,7 @@
 		{`{"Extra": 1}`, ""},
 		{"{\"Count\": 1,\n\"Count\": 2}", "line 2: Count: stands twice"},
 		{`{"Count": null}`, "line 1: Count: is null, must be a whole number or be left out"},
+		{`{"List": null, "Inner": null}`, "line 1: Inner: is null, must be an object or be left out"},
 		{`{"Count": 1.5}`, "line 1: Count: is 1.5, must be a whole number"},
 		{`{"Count": 99999999999999999999}`, "line 1: Count: is 99999999999999999999, must be a whole number"},
 		{`{"Address": "example.org:80"}`, `line 1: Address: is "example.org:80", must be an IP address with a port such as "192.0.2.1:8080"`},
--- a/document/diff.go
+++ b/document/diff.go
@@ -69,12 +69,14 @@
 		return changes
 	}
 
-	_, named := a.([]any)
-	all := maps.Clone(ma)
+	_, aNamed := a.([]any)
+	_, bNamed := b.([]any)
+	all := map[string]any{}
+	maps.Copy(all, ma)
 	maps.Copy(all, mb)
 	for _, name := range slices.Sorted(maps.Keys(all)) {
 		inner := join(path, name)
-		if named {
+		if aNamed || bNamed {
 			inner = fmt.Sprintf("%s[%s]", path, name)
 		}
 		va, inA := ma[name]
@@ -92,8 +94,11 @@
 	return changes
 }
 
-// asMap returns the fields of an object, or the elements of a list by their names if each has one of its own.
+// asMap returns the fields of an object, or the elements of a list by their names if each has one of its own; an absent value has none.
 func asMap(v any) (map[string]any, bool) {
+	if v == nil {
+		return nil, true
+	}
 	if m, ok := v.(map[string]any); ok {
 		return m, true
 	}
--- a/document/diff_test.go
+++ b/document/diff_test.go
@@ -23,6 +23,9 @@
 		want     string
 	}{
 		{nil, nil, ""},
+		{nil, []item{}, ""},
+		{nil, []item{a}, `+ Items[a]: {"Name":"a","Share":1}`},
+		{[]item{a}, nil, `- Items[a]: {"Name":"a","Share":1}`},
 		{[]item{a, b}, []item{b, a}, ""},
 		{[]item{a}, []item{a, b}, `+ Items[b]: {"Name":"b","Share":2,"Tags":["x","y"]}`},
 		{[]item{a, b}, []item{b}, `- Items[a]: {"Name":"a","Share":1}`},
@@ -43,9 +46,8 @@
 		for i, c := range changes {
 			lines[i] = c.String()
 		}
-		got := strings.Join(lines, "\n")
-		if tt.from == nil && got != "" || tt.from != nil && got != tt.want {
-			t.Errorf("(-want +got):\n%s", cmp.Diff(tt.want, got))
+		if diff := cmp.Diff(tt.want, strings.Join(lines, "\n")); diff != "" {
+			t.Errorf("(-want +got):\n%s", diff)
 		}
 	}
 }
--- a/entry/listener.go
+++ b/entry/listener.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -56,27 +55,11 @@
 			return
 		}
 		if r.Body != http.NoBody {
-			c := http.NewResponseController(w)
-			// A connection without deadlines, as of a test's recorder, needs none.
-			_ = c.SetReadDeadline(time.Now().Add(l.ReadTimeout.Std()))
-			r.Body = &timedBody{ReadCloser: http.MaxBytesReader(w, r.Body, l.MaxBodyBytes), controller: c}
+			// The server lifts the deadline when the body has come. A connection without deadlines, as of a test's
+			// recorder, needs none.
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(l.ReadTimeout.Std()))
+			r.Body = http.MaxBytesReader(w, r.Body, l.MaxBodyBytes)
 		}
 		h.ServeHTTP(w, r)
 	})
 }
-
-// timedBody lifts the deadline of reads when the body has come whole, because the connection is still watched for the caller leaving.
-type timedBody struct {
-	io.ReadCloser
-	controller *http.ResponseController
-}
-
-// Read implements io.Reader.
-func (b *timedBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	if err == io.EOF {
-		_ = b.controller.SetReadDeadline(time.Time{})
-	}
-
-	return n, err
-}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -1,8 +1,10 @@
 package settings
 
 import (
+	"cmp"
 	"net/netip"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -162,7 +164,8 @@
 	s := Default()
 	lines, faults := document.Decode(data, &s)
 	if faults = append(faults, additional(s.Faults(), lines, faults)...); len(faults) > 0 {
-		return Settings{}, merry.Prepend(ErrInvalid, "\n"+document.Text(faults))
+		slices.SortStableFunc(faults, func(a, b document.Fault) int { return cmp.Compare(a.Line, b.Line) })
+		return Settings{}, merry.Append(ErrInvalid, "\n"+document.Text(faults))
 	}
 
 	return s, nil
