--- a/move/decide.go
+++ b/move/decide.go
@@ -118,6 +118,10 @@
 	Input
 	hosts  map[fleet.HostName]record.Versioned[Record]
 	drafts map[fleet.BudgetName]*draft
+	// names is the budgets in order.
+	names []fleet.BudgetName
+	// active is the hosts that are out of service or have an intent, in order.
+	active []fleet.HostName
 	out    Decision
 }
 
@@ -129,8 +133,9 @@
 	}
 	p.admitListed()
 	p.noteLosses()
+	p.findActive()
 	p.openBudgets()
-	for _, name := range slices.Sorted(maps.Keys(p.hosts)) {
+	for _, name := range p.active {
 		if v := p.hosts[name]; v.Revision != 0 && p.Owner.Pool(v.Value.Pool) {
 			p.advance(v)
 		}
@@ -187,6 +192,15 @@
 	}
 }
 
+func (p *pass) findActive() {
+	for name, v := range p.hosts {
+		if v.Value.Out() || v.Value.Intent != nil {
+			p.active = append(p.active, name)
+		}
+	}
+	slices.Sort(p.active)
+}
+
 // openBudgets brings every budget up to what the host records say.
 func (p *pass) openBudgets() {
 	for name, limit := range EffectiveBudgets(p.Config).All() {
@@ -197,13 +211,14 @@
 			d.Record = d.Settled(p.standings(limit), p.Now)
 		}
 		p.drafts[name] = d
+		p.names = append(p.names, name)
 	}
 }
 
 func (p *pass) standings(b fleet.Budget) map[fleet.HostName]budget.Standing {
 	all := map[fleet.HostName]budget.Standing{}
-	for name, v := range p.hosts {
-		if s := v.Value.Standing(b); s.Out || s.Intent != "" {
+	for _, name := range p.active {
+		if s := p.hosts[name].Value.Standing(b); s.Out || s.Intent != "" {
 			all[name] = s
 		}
 	}
@@ -233,7 +248,7 @@
 // covering returns the budgets that cover h, in order of name.
 func (p *pass) covering(h fleet.Host) []fleet.BudgetName {
 	var names []fleet.BudgetName
-	for _, name := range slices.Sorted(maps.Keys(p.drafts)) {
+	for _, name := range p.names {
 		if p.drafts[name].limit.Covers(h) {
 			names = append(names, name)
 		}
@@ -242,12 +257,13 @@
 	return names
 }
 
-// begin records an intent for each proposal whose budgets have a unit left.
+// begin records an intent for each proposal whose budgets have a unit left; who proposes has decided whose hosts these
+// may be.
 func (p *pass) begin() {
 	expected := map[fleet.BudgetName]int{}
 	for _, prop := range p.Proposals {
 		v, ok := p.hosts[prop.Host]
-		if !ok || v.Revision == 0 || v.Value.State != fleet.HostLive || v.Value.Intent != nil || !p.Owner.Pool(v.Value.Pool) {
+		if !ok || v.Revision == 0 || v.Value.State != fleet.HostLive || v.Value.Intent != nil {
 			continue
 		}
 		if _, exists := p.Config.Pools.Get(prop.To); prop.To != "" && !exists {
@@ -278,7 +294,7 @@
 
 // writeBudgets writes each changed budget once, however many hosts changed it.
 func (p *pass) writeBudgets() {
-	for _, name := range slices.Sorted(maps.Keys(p.drafts)) {
+	for _, name := range p.names {
 		d := p.drafts[name]
 		changed := !d.Equal(p.View.Budgets[name].Value) && (d.base != 0 || d.Out() > 0)
 		if changed && !d.unread && (d.spent || p.Owner.Budget(name)) {
--- /dev/null
+++ b/trace/fleet_test.go
@@ -0,0 +1,231 @@
+package trace_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"lycheehook.example/lycheehook/budget"
+	"lycheehook.example/lycheehook/fleet"
+	"lycheehook.example/lycheehook/move"
+	"lycheehook.example/lycheehook/platform"
+	"lycheehook.example/lycheehook/record"
+	"lycheehook.example/lycheehook/trace"
+)
+
+const (
+	rebootTime = 5 * time.Minute
+	maxTask    = 10 * time.Minute
+	// poolPart and zonePart are the parts of a pool and of a zone that the budgets let go out.
+	poolPart = 0.2
+	zonePart = 0.5
+)
+
+var epoch = time.Date(2026, 1, 5, 0, 0, 0, 0, time.UTC)
+
+// fleetRun carries decisions out in memory: actions take effect at once, drains and reboots after a time.
+type fleetRun struct {
+	view    move.View
+	config  move.Config
+	sights  map[fleet.HostName]*move.Sight
+	readyAt map[fleet.HostName]time.Time
+	rng     *rand.Rand
+	losses  []trace.Loss
+	rev     uint64
+
+	moves, writes, overspent int
+}
+
+func newRun(s trace.Size, seed uint64) *fleetRun {
+	r := &fleetRun{
+		view: move.View{
+			Hosts:   map[fleet.HostName]record.Versioned[move.Record]{},
+			Budgets: map[fleet.BudgetName]record.Versioned[budget.Record]{},
+		},
+		sights: map[fleet.HostName]*move.Sight{}, readyAt: map[fleet.HostName]time.Time{}, rng: rand.New(rand.NewPCG(seed, 2)), rev: 1,
+	}
+	for i, name := range trace.PoolNames(s) {
+		r.config.Pools = r.config.Pools.With(name, fleet.Pool{Name: name, Spare: i == 0, MinHosts: 1 - boolInt(i == 0)})
+	}
+	perPool := max(1, int(poolPart*float64(s.Hosts)/float64(s.Pools)))
+	for name := range r.config.Pools.All() {
+		r.setBudget(fleet.Budget{Name: fleet.BudgetName(name), Pools: []fleet.PoolName{name}, MaxUnavailable: perPool})
+	}
+	zones := map[fleet.ZoneName]int{}
+	for _, h := range trace.Hosts(s) {
+		zones[h.Zone]++
+		r.view.Hosts[h.Name] = record.Versioned[move.Record]{Value: move.Record{Host: h}, Revision: 1}
+		r.sights[h.Name] = &move.Sight{Asked: true, Status: platform.HostStatus{Host: h.Name, Up: true}}
+	}
+	for zone, n := range zones {
+		r.setBudget(fleet.Budget{Name: fleet.BudgetName(zone), Zones: []fleet.ZoneName{zone}, MaxUnavailable: int(zonePart * float64(n))})
+	}
+
+	return r
+}
+
+func boolInt(b bool) int {
+	if b {
+		return 1
+	}
+
+	return 0
+}
+
+func (r *fleetRun) setBudget(b fleet.Budget) {
+	r.config.Budgets = r.config.Budgets.With(b.Name, b)
+}
+
+// tick decides over the proposals and carries the decision out.
+func (r *fleetRun) tick(now time.Time, proposals []move.Proposal) {
+	r.events(now)
+	yes := move.Owner{Pool: func(fleet.PoolName) bool { return true }, Budget: func(fleet.BudgetName) bool { return true }}
+	for range 4 {
+		d := move.Decide(r.input(now, proposals, yes))
+		if len(d.Actions) == 0 {
+			break
+		}
+		for _, a := range d.Actions {
+			r.perform(a, now)
+		}
+	}
+	r.checkBudgets()
+}
+
+func (r *fleetRun) input(now time.Time, proposals []move.Proposal, o move.Owner) move.Input {
+	sights := map[fleet.HostName]move.Sight{}
+	for name, v := range r.view.Hosts {
+		if s := r.sights[name]; s.Lost || v.Value.Intent != nil || v.Value.Out() {
+			sights[name] = *s
+		}
+	}
+	r.view.HostsAt = r.rev
+
+	return move.Input{View: r.view, Config: r.config, Sights: sights, Proposals: proposals, Owner: o, Now: now}
+}
+
+func (r *fleetRun) perform(a fleet.Action, now time.Time) {
+	switch a := a.(type) {
+	case move.WriteHost:
+		r.rev++
+		r.writes++
+		if old := r.view.Hosts[a.Record.Name].Value; old.Pool != a.Record.Pool {
+			r.moves++
+		}
+		r.view.Hosts[a.Record.Name] = record.Versioned[move.Record]{Value: a.Record, Revision: r.rev}
+	case move.WriteBudget:
+		r.rev++
+		r.writes++
+		r.view.Budgets[a.Record.Name] = record.Versioned[budget.Record]{Value: a.Record, Revision: r.rev}
+	case move.CallHost:
+		r.call(a, now)
+	}
+}
+
+func (r *fleetRun) call(a move.CallHost, now time.Time) {
+	s := &r.sights[a.Call.Host].Status
+	switch a.Kind {
+	case move.CallDrain:
+		s.Draining, s.Running = true, 1
+		r.readyAt[a.Call.Host] = now.Add(time.Duration(r.rng.Int64N(int64(maxTask))))
+	case move.CallCancelDrain:
+		s.Draining, s.Running = false, 0
+	case move.CallReboot:
+		s.Up = false
+		r.readyAt[a.Call.Host] = now.Add(rebootTime)
+	}
+	s.Intent = a.Call.Intent
+}
+
+// events ends tasks and reboots whose time has come, and begins and ends losses.
+func (r *fleetRun) events(now time.Time) {
+	for name, at := range r.readyAt {
+		if now.Before(at) {
+			continue
+		}
+		s := &r.sights[name].Status
+		s.Running = 0
+		if !s.Up {
+			s.Up, s.Rebooted = true, s.Intent
+		}
+		delete(r.readyAt, name)
+	}
+	for _, l := range r.losses {
+		s := r.sights[l.Host]
+		if begin := epoch.Add(l.Begin); !now.Before(begin) && now.Before(epoch.Add(l.End)) {
+			s.Lost, s.Status.Up = true, false
+		} else if s.Lost && !now.Before(epoch.Add(l.End)) {
+			s.Lost, s.Status.Up = false, true
+		}
+	}
+}
+
+// checkBudgets counts budgets with more planned outages than their maximum.
+func (r *fleetRun) checkBudgets() {
+	var out []move.Record
+	for _, v := range r.view.Hosts {
+		if v.Value.Out() && v.Value.Intent != nil {
+			out = append(out, v.Value)
+		}
+	}
+	for _, b := range r.config.Budgets.All() {
+		planned := 0
+		for _, h := range out {
+			joining := h.Intent.From != h.Pool && !b.Covers(h.WithPool(h.Intent.From))
+			if b.Covers(h.Host) && !joining {
+				planned++
+			}
+		}
+		if planned > b.MaxUnavailable {
+			r.overspent++
+		}
+	}
+}
+
+// serving returns the live hosts of each pool.
+func (r *fleetRun) serving() map[fleet.PoolName]int {
+	n := map[fleet.PoolName]int{}
+	for _, v := range r.view.Hosts {
+		if pool, ok := v.Value.Usable(); ok {
+			n[pool]++
+		}
+	}
+
+	return n
+}
+
+// nearness returns how much of the fair part of a fleet of the given size the pools have: one is all of it.
+func nearness(serving map[fleet.PoolName]int, demand map[fleet.PoolName]float64, hosts int) float64 {
+	sum := 0.0
+	for _, d := range demand {
+		sum += d
+	}
+	// The pools weigh the same, so the fair part of a full fleet is the water level.
+	level := waterLevel(demand, float64(hosts))
+	got := 0.0
+	for name, d := range demand {
+		got += math.Min(float64(serving[name]), math.Min(d, level))
+	}
+
+	return got / math.Min(sum, float64(hosts))
+}
+
+func waterLevel(demand map[fleet.PoolName]float64, total float64) float64 {
+	low, high := 0.0, total
+	for range 40 {
+		mid, sum := (low+high)/2, 0.0
+		for _, d := range demand {
+			sum += math.Min(d, mid)
+		}
+		if sum > total {
+			high = mid
+		} else {
+			low = mid
+		}
+	}
+
+	return high
+}
+
+func sizeName(s trace.Size) string { return fmt.Sprintf("%d hosts, %d pools", s.Hosts, s.Pools) }
--- /dev/null
+++ b/trace/measure_test.go
@@ -0,0 +1,224 @@
+package trace_test
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"lycheehook.example/lycheehook/fleet"
+	"lycheehook.example/lycheehook/move"
+	"lycheehook.example/lycheehook/trace"
+	"lycheehook.example/lycheehook/wave"
+)
+
+const (
+	traceSeed  = 20260105
+	smallTrace = 24 * time.Hour
+	largeTrace = 6 * time.Hour
+	traceTick  = 30 * time.Second
+	traceLoad  = 0.7
+	meanWindow = 10 * time.Minute
+	warmUp     = time.Hour
+)
+
+var sizes = []trace.Size{{Hosts: 50, Pools: 5}, {Hosts: 890, Pools: 144}}
+
+// traceTime returns the length of the trace over a fleet; a large fleet shows as much in fewer hours.
+func traceTime(s trace.Size) time.Duration {
+	if s.Hosts > sizes[0].Hosts {
+		return largeTrace
+	}
+
+	return smallTrace
+}
+
+// result is what one planner did over a trace.
+type result struct {
+	movesPerHour, buffer, nearness, instant float64
+	writesPerMove                           float64
+	overspent                               int
+}
+
+func (r result) String() string {
+	return fmt.Sprintf("%8.2f moves/h  buffer %7.2f hosts  nearness %.4f (in the tick %.4f)  %4.1f writes/move  overspent %d",
+		r.movesPerHour, r.buffer, r.nearness, r.instant, r.writesPerMove, r.overspent)
+}
+
+// reactive follows the demand of the last tick at once.
+func reactive() move.Policy {
+	p := move.DefaultPolicy(move.LedgerWeights())
+	p.HalfLife, p.Weights.Moves = fleet.Duration(time.Second), 0
+
+	return p
+}
+
+// smoothed follows the same forecast as the planner, without hysteresis.
+func smoothed() move.Policy {
+	p := move.DefaultPolicy(move.LedgerWeights())
+	p.Weights.Moves = 0
+
+	return p
+}
+
+func runPlanner(s trace.Size, p move.Policy) result {
+	tr := trace.New(s, traceSeed, traceTime(s), traceTick, traceLoad)
+	run := newRun(s, traceSeed)
+	run.losses = tr.Losses
+	pl := move.NewPlanner(p)
+	var m meter
+	for i := range tr.Ticks {
+		now := epoch.Add(time.Duration(i) * traceTick)
+		demand := map[fleet.PoolName]move.Demand{}
+		last := map[fleet.PoolName]float64{}
+		for name, d := range tr.Demand {
+			demand[name], last[name] = move.Demand{Hosts: d[i]}, d[i]
+		}
+		pl = pl.WithDemand(demand, run.view, run.config, now)
+		run.tick(now, pl.Propose(run.view, run.config))
+		if now.Before(epoch.Add(warmUp)) {
+			run.moves, run.writes = 0, 0
+			continue
+		}
+		serving := run.serving()
+		mean := tr.Mean(i, meanWindow)
+		reserve := min(float64(serving[trace.PoolNames(s)[0]]), math.Ceil(p.Buffer*float64(s.Hosts)))
+		m.add(serving, mean, last, s.Hosts, reserve)
+	}
+	hours := (traceTime(s) - warmUp).Hours()
+
+	return result{
+		movesPerHour: float64(run.moves) / hours, buffer: m.buffer / m.n, nearness: m.near / m.n, instant: m.instant / m.n,
+		writesPerMove: float64(run.writes) / math.Max(1, float64(run.moves)), overspent: run.overspent,
+	}
+}
+
+// runFixed gives each pool the hosts of its highest mean for the whole trace.
+func runFixed(s trace.Size) result {
+	tr := trace.New(s, traceSeed, traceTime(s), traceTick, traceLoad)
+	fixed := map[fleet.PoolName]int{}
+	warm := int(warmUp / traceTick)
+	for i := warm; i < tr.Ticks; i++ {
+		for name, d := range tr.Mean(i, meanWindow) {
+			fixed[name] = max(fixed[name], int(math.Ceil(d)))
+		}
+	}
+	total := 0
+	for _, n := range fixed {
+		total += n
+	}
+	var m meter
+	for i := warm; i < tr.Ticks; i++ {
+		last := map[fleet.PoolName]float64{}
+		for name, d := range tr.Demand {
+			last[name] = d[i]
+		}
+		m.add(fixed, tr.Mean(i, meanWindow), last, total, 0)
+	}
+
+	return result{buffer: m.buffer / m.n, nearness: m.near / m.n, instant: m.instant / m.n}
+}
+
+// meter sums the measures over ticks.
+type meter struct {
+	n, buffer, near, instant float64
+}
+
+func (m *meter) add(serving map[fleet.PoolName]int, mean, last map[fleet.PoolName]float64, hosts int, reserve float64) {
+	m.n++
+	m.near += nearness(serving, mean, hosts)
+	m.instant += nearness(serving, last, hosts)
+	m.buffer += reserve
+	for name, d := range mean {
+		m.buffer += math.Max(0, float64(serving[name])-d)
+	}
+}
+
+// runWave returns how long a whole wave takes; with single, one host is out at a time.
+func runWave(s trace.Size, single bool) (time.Duration, *fleetRun) {
+	run := newRun(s, traceSeed)
+	rec := wave.Record{Number: 1, State: wave.Running, StartsAt: epoch}
+	for now := epoch; ; now = now.Add(traceTick) {
+		props, pr := wave.Decide(rec, wave.DefaultPolicy(), run.view.Hosts, now)
+		if pr.Left+pr.Moving == 0 {
+			return now.Sub(epoch), run
+		}
+		if single {
+			props = oneAtATime(props, pr)
+		}
+		run.tick(now, props)
+	}
+}
+
+func oneAtATime(props []move.Proposal, pr wave.Progress) []move.Proposal {
+	if pr.Moving > 0 || len(props) == 0 {
+		return nil
+	}
+
+	return props[:1]
+}
+
+// BenchmarkPlanners prints one table of the planners over the same trace, with ratios of one run.
+func BenchmarkPlanners(b *testing.B) {
+	for _, s := range sizes {
+		b.Run(fmt.Sprintf("%d-%d", s.Hosts, s.Pools), func(b *testing.B) {
+			for b.Loop() {
+				comparePlanners(b, s)
+			}
+		})
+	}
+}
+
+func comparePlanners(b *testing.B, s trace.Size) {
+	b.Helper()
+	ledger := runPlanner(s, move.DefaultPolicy(move.LedgerWeights()))
+	press := runPlanner(s, move.DefaultPolicy(move.PressWeights()))
+	simple, mild, fixed := runPlanner(s, reactive()), runPlanner(s, smoothed()), runFixed(s)
+	b.Logf("%s, %v at a load of %.2f", sizeName(s), traceTime(s), traceLoad)
+	b.Logf("  planner, ledger weights  %v", ledger)
+	b.Logf("  planner, press weights   %v", press)
+	b.Logf("  (a) reactive             %v", simple)
+	b.Logf("  forecast, no hysteresis  %v", mild)
+	b.Logf("  (c) fixed spare          %v", fixed)
+	b.Logf("  ratios: (a)/ledger moves %.1f, (a)/press moves %.1f, ledger/(c) buffer %.2f, press/(c) buffer %.2f",
+		simple.movesPerHour/ledger.movesPerHour, simple.movesPerHour/press.movesPerHour, ledger.buffer/fixed.buffer, press.buffer/fixed.buffer)
+}
+
+// BenchmarkWaves prints how long a whole wave takes, against one host at a time.
+func BenchmarkWaves(b *testing.B) {
+	for _, s := range sizes {
+		b.Run(fmt.Sprintf("%d-%d", s.Hosts, s.Pools), func(b *testing.B) {
+			for b.Loop() {
+				whole, run := runWave(s, false)
+				single, _ := runWave(s, true)
+				b.Logf("wave over %s: %v, (b) one host at a time %v, ratio %.1f, overspent %d, %.1f writes/host",
+					sizeName(s), whole, single, single.Seconds()/whole.Seconds(), run.overspent, float64(run.writes)/float64(s.Hosts))
+			}
+		})
+	}
+}
+
+// BenchmarkTick measures one planning tick: forecast, moves, wave and decision.
+func BenchmarkTick(b *testing.B) {
+	for _, s := range []trace.Size{{Hosts: 50, Pools: 5}, {Hosts: 222, Pools: 36}, {Hosts: 445, Pools: 72}, {Hosts: 890, Pools: 144}} {
+		b.Run(fmt.Sprintf("%d-%d", s.Hosts, s.Pools), func(b *testing.B) {
+			tr := trace.New(s, traceSeed, time.Hour, traceTick, traceLoad)
+			run := newRun(s, traceSeed)
+			pl := move.NewPlanner(move.DefaultPolicy(move.LedgerWeights()))
+			rec := wave.Record{Number: 1, State: wave.Running, StartsAt: epoch}
+			owner := move.Owner{Pool: func(fleet.PoolName) bool { return true }, Budget: func(fleet.BudgetName) bool { return true }}
+			i := 0
+			for b.Loop() {
+				now := epoch.Add(time.Duration(i) * traceTick)
+				demand := map[fleet.PoolName]move.Demand{}
+				for name, d := range tr.Demand {
+					demand[name] = move.Demand{Hosts: d[i%tr.Ticks]}
+				}
+				pl = pl.WithDemand(demand, run.view, run.config, now)
+				props, _ := wave.Decide(rec, wave.DefaultPolicy(), run.view.Hosts, now)
+				move.Decide(run.input(now, wave.Merge(pl.Propose(run.view, run.config), props), owner))
+				i++
+			}
+		})
+	}
+}
