Split the configuration into parts under one head, with seats and peers

Each edit writes the parts that it changed and then one small head by compare-and-swap; a lost answer is settled by the write's token. Only seats named in the head may write the next one; they follow the members' leases. Books offer what they wrote to their peers, take over newer heads from them, and confirm the head once for all instead of each on its own. The stand-in store gives single clients faults of their own and can forget events.

--- a/member/standing.go
+++ b/member/standing.go
@@ -123,6 +123,11 @@
 	if renewed.After(s.own[seat]) {
 		s.own[seat] = renewed
 	}
+	for old, at := range s.own {
+		if renewed.Sub(at) > s.limits.OutageLimit && !slices.Contains(s.head.Seats, old) {
+			delete(s.own, old)
+		}
+	}
 
 	return s
 }
@@ -146,6 +151,24 @@
 	return s
 }
 
+// HeldSeat is a seat that a process speaks for, with the moment of the last renewal of its lease.
+type HeldSeat struct {
+	Seat    Seat
+	Renewed time.Time
+}
+
+// Yield returns those seats of the held head that the process speaks for.
+func (s Standing) Yield() []HeldSeat {
+	var held []HeldSeat
+	for _, seat := range s.head.Seats {
+		if renewed, ok := s.own[seat]; ok {
+			held = append(held, HeldSeat{Seat: seat, Renewed: renewed})
+		}
+	}
+
+	return held
+}
+
 // Seated reports whether the process may write the next head.
 func (s Standing) Seated() bool {
 	return slices.ContainsFunc(s.head.Seats, func(seat Seat) bool {
@@ -201,10 +224,19 @@
 	return oldest
 }
 
+// Confirmed returns the newest moment known from the store, directly or through peers, and not by statements of all seats.
+func (s Standing) Confirmed() time.Time {
+	return s.confirmed
+}
+
 // Fresh reports whether the held head is known to have been in force within FreshFor.
 func (s Standing) Fresh(now time.Time) bool {
+	if !s.confirmed.IsZero() && now.Sub(s.confirmed) < s.limits.FreshFor {
+		return true
+	}
 	asOf := s.AsOf(now)
-	return s.head.Generation > 0 && !asOf.IsZero() && now.Sub(asOf) < s.limits.FreshFor
+
+	return !asOf.IsZero() && now.Sub(asOf) < s.limits.FreshFor
 }
 
 // Licensed reports whether a lease of the process was renewed within OutageLimit, so that others still count what it holds as held.
--- a/revision/book.go
+++ b/revision/book.go
@@ -2,67 +2,104 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 
-	"lycheehook.example/lycheehook/key"
-	"lycheehook.example/lycheehook/plan"
+	"lycheehook.example/lycheehook/fleet"
+	"lycheehook.example/lycheehook/member"
+	"lycheehook.example/lycheehook/peer"
 	"lycheehook.example/lycheehook/store"
 )
 
 const (
-	headKey   = "config/head"
-	watchWait = time.Second
-	retryWait = 200 * time.Millisecond
-	// DefaultFreshFor is how long a confirmation of the revision in force counts.
-	DefaultFreshFor = 3 * time.Second
+	// DefaultFreshFor is how long knowledge of what is in force counts.
+	DefaultFreshFor = member.DefaultFreshFor
+	// confirmAfter is the age from which a process confirms the head itself because no peer did.
+	confirmAfter = time.Second
+	confirmTick  = 200 * time.Millisecond
+	watchWait    = 10 * time.Second
+	retryWait    = 500 * time.Millisecond
+	tendInterval = time.Second
 )
 
-// ErrStale says that an edit was based on a revision that is no longer in force.
-var ErrStale = merry.Sentinel("revision: base is not the revision in force")
-
-// Edit returns the next state of the configuration from the one in force.
-type Edit func(Revision) (Revision, error)
-
-// headRecord is the form of the revision in the store.
-type headRecord struct {
-	Number    uint64
-	Customers plan.CustomersList
-	Plans     plan.PlansList
-	Keys      []key.Key
-}
+// Sentinel errors of revisions.
+var (
+	// ErrStale says that an edit was based on a revision that is no longer in force.
+	ErrStale = merry.Sentinel("revision: base is not the revision in force")
+	// ErrNotSeated says that this entry host may not accept edits yet; others may.
+	ErrNotSeated = merry.Sentinel("revision: this entry host may not accept edits yet")
+	// ErrDamaged says that a record of the configuration does not have the content that its key promises.
+	ErrDamaged = merry.Sentinel("revision: damaged record")
+	// ErrNoSuchRevision says that the history does not go back to a revision.
+	ErrNoSuchRevision = merry.Sentinel("revision: not in the history")
+)
 
 // Book follows the configuration in the store and edits it.
 type Book struct {
 	client   *store.Client
-	freshFor time.Duration
-
-	mu        sync.Mutex
-	base      uint64
-	confirmed time.Time
-	current   atomic.Pointer[Revision]
+	mesh     *peer.Mesh
+	registry *member.Registry
+	limits   member.Limits
+
+	current atomic.Pointer[Revision]
+
+	mu       sync.RWMutex
+	standing member.Standing
+	head     headRecord
+	// raw is the head as it is in the store, and base its store revision there.
+	raw   []byte
+	base  uint64
+	parts map[hash]*part
+	data  map[hash][]byte
+	// added are the parts that the revision in force has and the one before had not.
+	added    []hash
+	inForce  map[fleet.EntryName]uint64
+	moved    chan struct{}
+	reaching bool
+
+	// writing lets one write of this process be on its way at a time.
+	writing sync.Mutex
+	// fetching lets one take-over of a head from a peer run at a time.
+	fetching sync.Mutex
 }
 
 // Option configures a Book.
 type Option func(*Book)
 
-// WithFreshFor sets how long a confirmation of the revision in force counts.
+// WithFreshFor sets how long knowledge of what is in force counts.
 func WithFreshFor(d time.Duration) Option {
-	return func(b *Book) { b.freshFor = d }
+	return func(b *Book) { b.limits.FreshFor = d }
+}
+
+// WithOutageLimit sets how long a process may go on without renewing its lease in the store.
+func WithOutageLimit(d time.Duration) Option {
+	return func(b *Book) { b.limits.OutageLimit = d }
+}
+
+// WithPeers lets the book exchange revisions and what is known of them with other entry hosts, of which only those with a seat accept edits.
+func WithPeers(m *peer.Mesh, r *member.Registry) Option {
+	return func(b *Book) { b.mesh, b.registry = m, r }
 }
 
 // New returns a book over the store that has seen no revision yet.
 func New(client *store.Client, opts ...Option) *Book {
-	b := &Book{client: client, freshFor: DefaultFreshFor}
+	b := &Book{
+		client: client, limits: member.Limits{FreshFor: DefaultFreshFor, OutageLimit: member.DefaultOutageLimit},
+		parts: map[hash]*part{}, data: map[hash][]byte{}, inForce: map[fleet.EntryName]uint64{}, moved: make(chan struct{}),
+	}
 	b.current.Store(&Revision{})
 	for _, opt := range opts {
 		opt(b)
 	}
+	b.standing = member.NewStanding(b.limits)
+	if b.mesh != nil {
+		b.join()
+	}
 
 	return b
 }
@@ -72,114 +109,206 @@
 	return b.current.Load()
 }
 
-// Fresh reports whether the store confirmed the current revision recently enough to take keyed work.
+// Fresh reports whether the current revision is known to have been in force recently enough to take keyed work.
 func (b *Book) Fresh(now time.Time) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
+	b.mu.RLock()
+	defer b.mu.RUnlock()
 
-	return !b.confirmed.IsZero() && now.Sub(b.confirmed) < b.freshFor
+	return b.standing.Fresh(now)
 }
 
-// Follow keeps the book up to date until ctx ends.
-func (b *Book) Follow(ctx context.Context) {
-	for ctx.Err() == nil {
-		if err := b.refresh(ctx); err != nil {
-			pause(ctx, retryWait)
-			continue
-		}
-		b.awaitChange(ctx)
-	}
+// Licensed reports whether others still count what this process holds as held.
+func (b *Book) Licensed(now time.Time) bool {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+
+	return b.standing.Licensed(now)
 }
 
-// Apply carries out an edit of the revision in force and returns the accepted revision.
-func (b *Book) Apply(ctx context.Context, edit Edit) (Revision, error) {
-	if err := b.refresh(ctx); err != nil {
-		return Revision{}, err
-	}
+// Seated reports whether this process may accept edits.
+func (b *Book) Seated() bool {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
 
-	b.mu.Lock()
-	base, cur := b.base, *b.Current()
-	b.mu.Unlock()
+	return b.mayWrite()
+}
 
-	edited, err := edit(cur)
-	if err != nil {
-		return Revision{}, err
-	}
-	if err := edited.Lists.Check(); err != nil {
-		return Revision{}, err
-	}
+// mayWrite reports whether this process may write the next head; the book is locked.
+func (b *Book) mayWrite() bool {
+	// Without a head there is nothing to withdraw, and a book without peers never relies on statements of seats.
+	return b.standing.Seated() || len(b.head.Seats) == 0
+}
 
-	next := edited.next()
-	if err := b.write(ctx, next, base); err != nil {
-		return Revision{}, err
+// History returns the accepted edits, the newest first.
+func (b *Book) History() []Entry {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+
+	entries := make([]Entry, len(b.head.History))
+	for i, r := range b.head.History {
+		entries[i] = Entry{Number: r.Number, By: r.By, At: r.At}
 	}
 
-	return next, b.refresh(ctx)
+	return entries
 }
 
-func (b *Book) write(ctx context.Context, next Revision, base uint64) error {
-	value, err := json.Marshal(headRecord{
-		Number: next.Number, Customers: next.Lists.CustomersList, Plans: next.Lists.PlansList, Keys: next.Keys.Keys(),
-	})
-	if err != nil {
-		return merry.Prepend(err, "encode revision")
+// Follow keeps the book up to date until ctx ends.
+func (b *Book) Follow(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go(func() { b.confirm(ctx) })
+	wg.Go(func() { b.watch(ctx) })
+	wg.Go(func() { b.every(ctx, collectInterval, b.collect) })
+	if b.registry != nil {
+		wg.Go(func() { b.every(ctx, tendInterval, b.tend) })
 	}
+	wg.Wait()
+}
 
-	_, err = b.client.CompareAndSwap(ctx, store.Write{Key: headKey, Value: value, Base: base})
-	if errors.Is(err, store.ErrConflict) {
-		return merry.Prependf(ErrStale, "revision %d", next.Number-1)
+// every calls f in intervals until ctx ends.
+func (b *Book) every(ctx context.Context, d time.Duration, f func(context.Context)) {
+	for ctx.Err() == nil {
+		pause(ctx, jitter(d))
+		f(ctx)
 	}
+}
 
-	return err
+// confirm reads the head when neither this process nor a peer has confirmed it for a while.
+func (b *Book) confirm(ctx context.Context) {
+	for ctx.Err() == nil {
+		b.mu.RLock()
+		age := time.Since(b.standing.Confirmed())
+		b.mu.RUnlock()
+		if age < confirmAfter {
+			pause(ctx, jitter(confirmTick))
+			continue
+		}
+		if err := b.refresh(ctx); err != nil {
+			pause(ctx, jitter(retryWait))
+		}
+	}
+}
+
+// watch takes over heads as the store tells of them; confirmations do not depend on it, because a watch may fall silent or lag.
+func (b *Book) watch(ctx context.Context) {
+	after := uint64(0)
+	for ctx.Err() == nil {
+		b.mu.RLock()
+		after = max(after, b.base)
+		b.mu.RUnlock()
+		ev, err := b.client.Watch(ctx, headKey, after, watchWait)
+		if err != nil {
+			// The events may be compacted or the store away; the next head read shows where to go on.
+			after = 0
+			pause(ctx, jitter(retryWait))
+			continue
+		}
+		after = max(after, ev.Revision)
+		if n := len(ev.Events); n > 0 && !ev.Events[n-1].Deleted {
+			r := ev.Events[n-1].Record
+			_ = b.takeOver(ctx, r.Value, r.Revision, time.Time{}, b.fromStore)
+		}
+	}
 }
 
 // refresh reads the head; the moment before the read is what it confirms.
 func (b *Book) refresh(ctx context.Context) error {
 	asked := time.Now()
 	r, err := b.client.Get(ctx, headKey)
-	if errors.Is(err, store.ErrNotFound) {
-		return b.adopt(Revision{}, 0, asked)
+	switch {
+	case err == nil:
+		b.setReaching(true)
+		return b.takeOver(ctx, r.Value, r.Revision, asked, b.fromStore)
+	case isNotFound(err):
+		b.setReaching(true)
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.standing = b.standing.WithRead(member.Head{}, asked)
+		if b.head.Generation > 0 {
+			return merry.Prependf(ErrStale, "store has no head after generation %d", b.head.Generation)
+		}
+
+		return nil
+	default:
+		b.setReaching(false)
+		return err
 	}
+}
+
+func (b *Book) setReaching(ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.reaching = ok
+}
+
+// source returns the content of a part.
+type source func(context.Context, hash) ([]byte, error)
+
+// takeOver puts a head in force unless it is older than the one held; asked is zero for news that confirm nothing.
+func (b *Book) takeOver(ctx context.Context, raw []byte, base uint64, asked time.Time, from source) error {
+	h, err := parseHead(raw)
 	if err != nil {
 		return err
 	}
+	b.mu.RLock()
+	held := b.head
+	b.mu.RUnlock()
+	if h.Generation < held.Generation {
+		return merry.Prependf(ErrStale, "generation %d after %d", h.Generation, held.Generation)
+	}
 
-	var h headRecord
-	if err := json.Unmarshal(r.Value, &h); err != nil {
-		return merry.Prepend(err, "decode revision")
+	parts, err := b.load(ctx, h.Parts, from)
+	if err != nil {
+		return err
 	}
-	rev := Revision{Number: h.Number}.
-		WithLists(plan.Lists{CustomersList: h.Customers, PlansList: h.Plans}).
-		WithKeys(key.NewRing(h.Keys...))
 
-	return b.adopt(rev, r.Revision, asked)
+	return b.adopt(h, raw, base, asked, parts)
 }
 
-// adopt puts a revision in force unless a newer one already is.
-func (b *Book) adopt(r Revision, base uint64, asked time.Time) error {
+func (b *Book) adopt(h headRecord, raw []byte, base uint64, asked time.Time, parts []*part) error {
+	var next *Revision
+	if cur := b.Current(); cur.Number < h.Number {
+		r := join(h.Number, parts)
+		next = &r
+	}
+
 	b.mu.Lock()
 	defer b.mu.Unlock()
-
-	if r.Number < b.Current().Number {
-		return merry.Prependf(ErrStale, "store answered revision %d after %d", r.Number, b.Current().Number)
+	if h.Generation < b.head.Generation {
+		return merry.Prependf(ErrStale, "generation %d after %d", h.Generation, b.head.Generation)
 	}
-	b.base = base
-	if asked.After(b.confirmed) {
-		b.confirmed = asked
+	b.standing = b.standing.WithHead(h.membership())
+	if !asked.IsZero() {
+		b.standing = b.standing.WithRead(h.membership(), asked)
 	}
-	b.current.Store(&r)
+	if h.Generation == b.head.Generation {
+		b.base = max(b.base, base)
+		return nil
+	}
+	if next != nil && next.Number > b.Current().Number {
+		b.current.Store(next)
+	}
+	if h.Number > b.head.Number {
+		b.added = slices.DeleteFunc(slices.Clone(h.Parts), func(p hash) bool { return slices.Contains(b.head.Parts, p) })
+	}
+	b.head, b.raw, b.base = h, slices.Clone(raw), max(b.base, base)
+	b.prune()
+	close(b.moved)
+	b.moved = make(chan struct{})
 
 	return nil
 }
 
-// awaitChange returns when the head changed or a confirmation is due.
-func (b *Book) awaitChange(ctx context.Context) {
-	b.mu.Lock()
-	after := b.base
-	b.mu.Unlock()
-
-	if _, err := b.client.Watch(ctx, headKey, after, watchWait); err != nil {
-		pause(ctx, retryWait)
+// prune forgets the parts that are not of the revision in force; the book is locked.
+func (b *Book) prune() {
+	keep := make(map[hash]bool, len(b.head.Parts))
+	for _, h := range b.head.Parts {
+		keep[h] = true
+	}
+	for h := range b.parts {
+		if !keep[h] {
+			delete(b.parts, h)
+			delete(b.data, h)
+		}
 	}
 }
 
@@ -189,3 +318,8 @@
 	case <-time.After(d):
 	}
 }
+
+// jitter returns d less up to a quarter, so that many processes do not act together.
+func jitter(d time.Duration) time.Duration {
+	return d - time.Duration(rand.Int64N(int64(d)/4+1))
+}
--- a/revision/revision.go
+++ b/revision/revision.go
@@ -29,9 +29,3 @@
 	r.Keys = k
 	return r
 }
-
-// next returns the revision with the next number.
-func (r Revision) next() Revision {
-	r.Number++
-	return r
-}
--- a/standin/store.go
+++ b/standin/store.go
@@ -45,10 +45,13 @@
 	leases   map[store.LeaseID]lease
 	nextID   store.LeaseID
 	events   []store.Event
-	changed  chan struct{}
-	fault    Fault
-	delay    time.Duration
-	calls    map[string]int64
+	// compacted is the newest revision whose event is no longer kept.
+	compacted uint64
+	changed   chan struct{}
+	fault     Fault
+	delay     time.Duration
+	calls     map[string]int64
+	views     map[string]*view
 }
 
 // NewStore returns an empty store.
@@ -59,6 +62,7 @@
 		leases:  map[store.LeaseID]lease{},
 		changed: make(chan struct{}),
 		calls:   map[string]int64{},
+		views:   map[string]*view{},
 	}
 }
 
@@ -223,11 +227,26 @@
 func (s *Store) publish(e store.Event) {
 	s.events = append(s.events, e)
 	if len(s.events) > 2*keptEvents {
-		s.events = slices.Clone(s.events[len(s.events)-keptEvents:])
+		s.compact(len(s.events) - keptEvents)
 	}
 	s.wake()
 }
 
+// Compact forgets every event so far, as the service does from time to time.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.compact(len(s.events))
+}
+
+// compact forgets the oldest events; the store is locked.
+func (s *Store) compact(n int) {
+	if n > 0 {
+		s.compacted = s.events[n-1].Record.Revision
+		s.events = slices.Clone(s.events[n:])
+	}
+}
+
 // wake lets every waiting watch look again; the store is locked.
 func (s *Store) wake() {
 	close(s.changed)
@@ -302,7 +321,7 @@
 
 // since returns the events under prefix after a revision; the store is locked.
 func (s *Store) since(prefix string, after uint64) (store.Events, error) {
-	if len(s.events) > 0 && after+1 < s.events[0].Record.Revision && s.events[0].Record.Revision > 1 {
+	if after < s.compacted {
 		return store.Events{}, merry.Prepend(store.ErrCompacted, prefix)
 	}
 
