Settle lost answers of parts and look for the store's return

Tables over a group of entry hosts in memory showed three faults: a part whose answer was lost was written until the attempts ran out; one that took effect late likewise; and after an outage in which all entry hosts were replaced nobody read the store again, because the statements of the seats kept everyone fresh.

--- a/revision/book.go
+++ b/revision/book.go
@@ -21,10 +21,12 @@
 	DefaultFreshFor = member.DefaultFreshFor
 	// confirmAfter is the age from which a process confirms the head itself because no peer did.
 	confirmAfter = time.Second
-	confirmTick  = 200 * time.Millisecond
-	watchWait    = 10 * time.Second
-	retryWait    = 500 * time.Millisecond
-	tendInterval = time.Second
+	// probeInterval is the longest time between two reads of the head while the store answers.
+	probeInterval = 5 * time.Second
+	confirmTick   = 200 * time.Millisecond
+	watchWait     = 10 * time.Second
+	retryWait     = 500 * time.Millisecond
+	tendInterval  = time.Second
 )
 
 // Sentinel errors of revisions.
@@ -57,10 +59,12 @@
 	parts map[hash]*part
 	data  map[hash][]byte
 	// added are the parts that the revision in force has and the one before had not.
-	added    []hash
-	inForce  map[fleet.EntryName]uint64
-	moved    chan struct{}
+	added   []hash
+	inForce map[fleet.EntryName]uint64
+	moved   chan struct{}
+	// reaching says whether the last read of the head was answered, and readAt when it was asked for.
 	reaching bool
+	readAt   time.Time
 
 	// writing lets one write of this process be on its way at a time.
 	writing sync.Mutex
@@ -172,13 +176,11 @@
 	}
 }
 
-// confirm reads the head when neither this process nor a peer has confirmed it for a while.
+// confirm reads the head when neither this process nor a peer has confirmed it for a while, and from time to time to see that the
+// store can be reached.
 func (b *Book) confirm(ctx context.Context) {
 	for ctx.Err() == nil {
-		b.mu.RLock()
-		age := time.Since(b.standing.Confirmed())
-		b.mu.RUnlock()
-		if age < confirmAfter {
+		if !b.readDue(time.Now()) {
 			pause(ctx, jitter(confirmTick))
 			continue
 		}
@@ -188,6 +190,17 @@
 	}
 }
 
+func (b *Book) readDue(now time.Time) bool {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	probe := probeInterval
+	if !b.reaching {
+		probe = confirmAfter
+	}
+
+	return now.Sub(b.standing.Confirmed()) >= confirmAfter || now.Sub(b.readAt) >= probe
+}
+
 // watch takes over heads as the store tells of them; confirmations do not depend on it, because a watch may fall silent or lag.
 func (b *Book) watch(ctx context.Context) {
 	after := uint64(0)
@@ -216,10 +229,10 @@
 	r, err := b.client.Get(ctx, headKey)
 	switch {
 	case err == nil:
-		b.setReaching(true)
+		b.setReaching(true, asked)
 		return b.takeOver(ctx, r.Value, r.Revision, asked, b.fromStore)
 	case isNotFound(err):
-		b.setReaching(true)
+		b.setReaching(true, asked)
 		b.mu.Lock()
 		defer b.mu.Unlock()
 		b.standing = b.standing.WithRead(member.Head{}, asked)
@@ -229,15 +242,15 @@
 
 		return nil
 	default:
-		b.setReaching(false)
+		b.setReaching(false, asked)
 		return err
 	}
 }
 
-func (b *Book) setReaching(ok bool) {
+func (b *Book) setReaching(ok bool, asked time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.reaching = ok
+	b.reaching, b.readAt = ok, asked
 }
 
 // source returns the content of a part.
--- /dev/null
+++ b/revision/book_test.go
@@ -0,0 +1,413 @@
+package revision_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"lycheehook.example/lycheehook/fleet"
+	"lycheehook.example/lycheehook/key"
+	"lycheehook.example/lycheehook/member"
+	"lycheehook.example/lycheehook/peer"
+	"lycheehook.example/lycheehook/plan"
+	"lycheehook.example/lycheehook/revision"
+	"lycheehook.example/lycheehook/standin"
+	"lycheehook.example/lycheehook/store"
+)
+
+// group is a number of entry hosts over one store and one network in memory.
+type group struct {
+	tb      testing.TB
+	ctx     context.Context
+	store   *standin.Store
+	network *standin.Network
+	hosts   map[fleet.EntryName]*host
+	started int
+}
+
+// host is what an entry host has of this matter.
+type host struct {
+	name     fleet.EntryName
+	book     *revision.Book
+	registry *member.Registry
+	mesh     *peer.Mesh
+	stop     context.CancelFunc
+	wg       sync.WaitGroup
+}
+
+func newGroup(t *testing.T, n int) *group {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	g := &group{tb: t, ctx: ctx, store: standin.NewStore(), network: standin.NewNetwork(), hosts: map[fleet.EntryName]*host{}}
+	t.Cleanup(func() {
+		cancel()
+		for _, h := range g.hosts {
+			h.wg.Wait()
+		}
+	})
+	for i := range n {
+		g.start(fleet.EntryName(fmt.Sprintf("e%d", i+1)))
+	}
+	time.Sleep(5 * time.Second)
+
+	return g
+}
+
+// start runs an entry host; seeds are the addresses of the others.
+func (g *group) start(name fleet.EntryName) *host {
+	ctx, cancel := context.WithCancel(g.ctx)
+	g.started++
+	h := &host{name: name, stop: cancel}
+	h.mesh = g.network.Mesh(ctx, name, peer.Incarnation(fmt.Sprint(g.started)))
+	var seeds []netip.AddrPort
+	for _, other := range g.hosts {
+		seeds = append(seeds, other.mesh.Self().Address)
+	}
+	client := g.store.ClientFor(string(name))
+	h.registry = member.New(client, h.mesh, "zone-a", "region-1", member.WithSeeds(seeds...))
+	h.book = revision.New(client, revision.WithPeers(h.mesh, h.registry))
+	h.wg.Go(func() { h.mesh.Run(ctx) })
+	h.wg.Go(func() { h.registry.Run(ctx) })
+	h.wg.Go(func() { h.book.Follow(ctx) })
+	g.hosts[name] = h
+
+	return h
+}
+
+// crash ends an entry host without notice.
+func (g *group) crash(name fleet.EntryName) {
+	h := g.hosts[name]
+	delete(g.hosts, name)
+	h.stop()
+	h.wg.Wait()
+}
+
+// replace ends an entry host in good order and starts another process of its name.
+func (g *group) replace(name fleet.EntryName) *host {
+	h := g.hosts[name]
+	ctx, cancel := context.WithTimeout(g.ctx, 10*time.Second)
+	defer cancel()
+	_ = h.book.Leave(ctx)
+	g.crash(name)
+
+	return g.start(name)
+}
+
+func (g *group) fresh() int {
+	n := 0
+	for _, h := range g.hosts {
+		if h.book.Fresh(time.Now()) {
+			n++
+		}
+	}
+
+	return n
+}
+
+func lists(slots int64) plan.Lists {
+	return plan.Lists{
+		CustomersList: plan.CustomersList{Customers: []fleet.Customer{{Name: "nairobi", Plan: "ledger", Teams: []fleet.Team{
+			{Name: "post", Share: 1, UpperLimit: fleet.Resources{Slots: slots}},
+			{Name: "read", Share: 1, UpperLimit: fleet.Resources{Slots: 1}},
+		}}}},
+		PlansList: plan.PlansList{Plans: []fleet.Plan{{Name: "ledger"}}, Pools: []fleet.Pool{{Name: "a"}}},
+	}
+}
+
+func (h *host) put(t *testing.T, slots int64) revision.Revision {
+	t.Helper()
+	r, err := h.book.Put(t.Context(), "ann", h.book.Current().Number, lists(slots))
+	if err != nil {
+		t.Fatalf("%s: %v", h.name, err)
+	}
+
+	return r
+}
+
+// give gives a key to the team and returns its ID.
+func (h *host) give(t *testing.T) key.ID {
+	t.Helper()
+	k, _ := key.Give("post", time.Now())
+	_, err := h.book.Apply(t.Context(), func(cur revision.Revision) (revision.Revision, error) {
+		return cur.WithKeys(cur.Keys.With(k)), nil
+	})
+	if err != nil {
+		t.Fatalf("%s: %v", h.name, err)
+	}
+
+	return k.ID
+}
+
+func (h *host) withdraw(ctx context.Context, id key.ID) error {
+	_, err := h.book.Apply(ctx, func(cur revision.Revision) (revision.Revision, error) {
+		return cur.WithKeys(cur.Keys.Without(id)), nil
+	})
+
+	return err
+}
+
+// serves reports whether the entry host would take work for the key.
+func (h *host) serves(id key.ID) bool {
+	return h.book.Fresh(time.Now()) && h.book.Current().Keys.Has(id)
+}
+
+func TestEditIsInForceEverywhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 7)
+		h := g.hosts["e3"]
+		r := h.put(t, 5)
+		ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
+		defer cancel()
+		if missing := h.book.AwaitInForce(ctx, r.Number); len(missing) > 0 {
+			t.Fatalf("not in force on %v", missing)
+		}
+		for _, other := range g.hosts {
+			if diff := plan.Diff(lists(5), other.book.Current().Lists); len(diff) > 0 || other.book.Current().Number != r.Number {
+				t.Errorf("%s has revision %d, differences %v", other.name, other.book.Current().Number, diff)
+			}
+		}
+		if got := g.fresh(); got != 7 {
+			t.Errorf("%d fresh", got)
+		}
+	})
+}
+
+func TestSameContentGivesNoRevision(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 1)
+		h := g.hosts["e1"]
+		first := h.put(t, 5)
+		again := lists(5)
+		teams := again.Customers[0].Teams
+		teams[0], teams[1] = teams[1], teams[0]
+		second, err := h.book.Put(t.Context(), "ann", first.Number, again)
+		if err != nil || second.Number != first.Number || len(h.book.History()) != 1 {
+			t.Errorf("revision %d after %d, %v, history %v", second.Number, first.Number, err, h.book.History())
+		}
+	})
+}
+
+// TestRacingEdits makes edits of one base through different entry hosts.
+func TestRacingEdits(t *testing.T) {
+	edit := func(f func(*plan.Lists)) plan.Lists {
+		l := lists(5)
+		f(&l)
+		return l
+	}
+	limit := func(team int, slots int64) plan.Lists {
+		return edit(func(l *plan.Lists) { l.Customers[0].Teams[team].UpperLimit.Slots = slots })
+	}
+	dropPool := edit(func(l *plan.Lists) { l.Pools = nil })
+	useQueue := edit(func(l *plan.Lists) { l.Queues = []fleet.Queue{{Name: "q", Pool: "a", MaxLength: 1}} })
+	for _, c := range []struct {
+		name          string
+		first, second plan.Lists
+		want          error
+		text          string
+	}{
+		{"different entries", limit(0, 7), limit(1, 2), nil, ""},
+		{"same entry", limit(0, 7), limit(0, 8), revision.ErrStale, `Customers[nairobi].Teams[post]`},
+		{"same change", limit(0, 7), limit(0, 7), nil, ""},
+		{"merged lists are invalid", dropPool, useQueue, plan.ErrInvalid, `pool "a" does not exist`},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := newGroup(t, 2)
+				base := g.hosts["e1"].put(t, 5).Number
+				if _, err := g.hosts["e1"].book.Put(t.Context(), "ann", base, c.first); err != nil {
+					t.Fatal(err)
+				}
+				r, err := g.hosts["e2"].book.Put(t.Context(), "ben", base, c.second)
+				if !errors.Is(err, c.want) {
+					t.Fatalf("%v, want %v", err, c.want)
+				}
+				if c.want != nil {
+					if !contains(err.Error(), c.text) {
+						t.Errorf("error %q does not say %q", err, c.text)
+					}
+					return
+				}
+				for _, ch := range append(plan.Diff(lists(5), c.first), plan.Diff(lists(5), c.second)...) {
+					if !contains(fmt.Sprint(plan.Diff(lists(5), r.Lists)), ch.String()) {
+						t.Errorf("change %s was lost", ch)
+					}
+				}
+			})
+		})
+	}
+}
+
+func contains(text, part string) bool {
+	for i := range text {
+		if len(text)-i >= len(part) && text[i:i+len(part)] == part {
+			return true
+		}
+	}
+
+	return part == ""
+}
+
+func TestRestoreMakesANewRevisionAndKeepsKeysWithdrawn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 1)
+		h := g.hosts["e1"]
+		old := h.put(t, 5)
+		id := h.give(t)
+		h.put(t, 6)
+		if err := h.withdraw(t.Context(), id); err != nil {
+			t.Fatal(err)
+		}
+		r, err := h.book.Restore(t.Context(), "ben", old.Number)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := plan.Diff(lists(5), r.Lists); len(diff) > 0 || r.Number != old.Number+4 || r.Keys.Has(id) {
+			t.Errorf("revision %d, key back: %v, differences %v", r.Number, r.Keys.Has(id), diff)
+		}
+		var by []string
+		for _, e := range h.book.History() {
+			by = append(by, fmt.Sprint(e.Number, e.By))
+		}
+		if diff := cmp.Diff([]string{"5ben", "4", "3ann", "2", "1ann"}, by); diff != "" {
+			t.Errorf("history (-want +got):\n%s", diff)
+		}
+		if _, err := h.book.Restore(t.Context(), "ben", 77); !errors.Is(err, revision.ErrNoSuchRevision) {
+			t.Errorf("restore of a revision that never was: %v", err)
+		}
+	})
+}
+
+// TestOutcomeOfLostAnswers edits under faults of the store and compares what the writer was told with what came into force.
+func TestOutcomeOfLostAnswers(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		fault standin.Fault
+		// lifted is when the fault ends; zero means after the edit returned.
+		lifted time.Duration
+		want   error
+	}{
+		{"none", standin.FaultNone, 0, nil},
+		{"down", standin.FaultDown, 0, store.ErrUnavailable},
+		{"all answers lost", standin.FaultAnswerLost, 0, nil},
+		{"answers lost for a while", standin.FaultAnswerLost, time.Second, nil},
+		{"writes take effect late", standin.FaultWriteLate, 0, nil},
+		{"writes take effect late for a while", standin.FaultWriteLate, time.Second, nil},
+		{"reads are late", standin.FaultReadLate, 0, nil},
+		{"watches are silent", standin.FaultWatchSilent, 0, nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := newGroup(t, 3)
+				h := g.hosts["e2"]
+				h.put(t, 5)
+				time.Sleep(5 * time.Second)
+				g.store.SetClientFault("e2", c.fault)
+				if c.lifted > 0 {
+					time.AfterFunc(c.lifted, func() { g.store.SetClientFault("e2", standin.FaultNone) })
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+				defer cancel()
+				r, err := h.book.Put(ctx, "ann", h.book.Current().Number, lists(6))
+				if !errors.Is(err, c.want) {
+					t.Errorf("%v, want %v", err, c.want)
+				}
+				g.store.SetClientFault("e2", standin.FaultNone)
+				time.Sleep(15 * time.Second)
+				for _, other := range g.hosts {
+					cur := other.book.Current()
+					if accepted := len(plan.Diff(cur.Lists, lists(6))) == 0; accepted != (err == nil) {
+						t.Errorf("%s: edit is in force: %v, although the writer was told %v", other.name, accepted, err)
+					}
+					if err == nil && cur.Number != r.Number {
+						t.Errorf("%s: revision %d, want %d", other.name, cur.Number, r.Number)
+					}
+				}
+				if got := g.fresh(); got != 3 {
+					t.Errorf("%d fresh in the end", got)
+				}
+			})
+		})
+	}
+}
+
+// TestOutage checks who goes on and who refuses in an outage of the store.
+func TestOutage(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// during is what happens once the store is down for all.
+		during func(*testing.T, *group)
+		wait   time.Duration
+		fresh  int
+	}{
+		{"a minute", func(*testing.T, *group) {}, time.Minute, 3},
+		{"just under the limit", func(*testing.T, *group) {}, 59 * time.Minute, 3},
+		{"beyond the limit", func(*testing.T, *group) {}, 62 * time.Minute, 0},
+		{"one crashes", func(_ *testing.T, g *group) { g.crash("e1") }, time.Minute, 0},
+		{"one is replaced in good order", func(_ *testing.T, g *group) { g.replace("e1") }, time.Minute, 3},
+		{"all are replaced one after another", func(_ *testing.T, g *group) {
+			for _, name := range []fleet.EntryName{"e1", "e2", "e3"} {
+				g.replace(name)
+				time.Sleep(time.Minute)
+			}
+		}, time.Minute, 3},
+		{"an empty one starts", func(_ *testing.T, g *group) { g.start("e4") }, time.Minute, 4},
+		{"one is cut off from the others", func(_ *testing.T, g *group) {
+			g.network.Cut("e1", "e2", true)
+			g.network.Cut("e1", "e3", true)
+		}, time.Minute, 0},
+		{"one path is cut", func(_ *testing.T, g *group) { g.network.Cut("e1", "e2", true) }, time.Minute, 3},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := newGroup(t, 3)
+				g.hosts["e1"].put(t, 5)
+				id := g.hosts["e2"].give(t)
+				time.Sleep(5 * time.Second)
+				g.store.SetFault(standin.FaultDown)
+				for _, h := range g.hosts {
+					g.store.SetClientFault(string(h.name), standin.FaultDown)
+				}
+				time.Sleep(5 * time.Second)
+				c.during(t, g)
+				time.Sleep(c.wait)
+				serving := 0
+				for _, h := range g.hosts {
+					if h.serves(id) {
+						serving++
+					}
+				}
+				if serving != c.fresh {
+					t.Errorf("%d serve, want %d", serving, c.fresh)
+				}
+
+				// The store comes back: edits are accepted again and reach everyone.
+				g.store.SetFault(standin.FaultNone)
+				for _, h := range g.hosts {
+					g.store.SetClientFault(string(h.name), standin.FaultNone)
+				}
+				for i := range 4 {
+					for j := range i {
+						g.network.Cut(fleet.EntryName(fmt.Sprint("e", i)), fleet.EntryName(fmt.Sprint("e", j)), false)
+					}
+				}
+				time.Sleep(15 * time.Second)
+				if err := g.hosts["e3"].withdraw(t.Context(), id); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(4 * time.Second)
+				for _, h := range g.hosts {
+					if h.serves(id) || !h.book.Fresh(time.Now()) {
+						t.Errorf("%s: fresh %v, serves the withdrawn key %v", h.name, h.book.Fresh(time.Now()), h.serves(id))
+					}
+				}
+			})
+		})
+	}
+}
--- a/revision/edit.go
+++ b/revision/edit.go
@@ -227,7 +227,7 @@
 		return Revision{}, merry.Prepend(err, "encode manifest")
 	}
 	parts[hashOf(m)] = m
-	if err := b.writeParts(ctx, parts, held.Parts); err != nil {
+	if err := b.writeParts(ctx, parts, held.Parts, base); err != nil {
 		return Revision{}, err
 	}
 	next := held.successor().withEdit(order, hashOf(m), by, time.Now())
@@ -245,12 +245,12 @@
 
 // writeParts writes the parts that the held head does not refer to. A part that is there already is written again, so that a
 // collector which saw it unused meets a conflict.
-func (b *Book) writeParts(ctx context.Context, parts map[hash][]byte, held []hash) error {
+func (b *Book) writeParts(ctx context.Context, parts map[hash][]byte, held []hash, base uint64) error {
 	for h, data := range parts {
 		if slices.Contains(held, h) {
 			continue
 		}
-		if err := b.writePart(ctx, h, data); err != nil {
+		if err := b.writePart(ctx, h, data, base); err != nil {
 			return err
 		}
 	}
@@ -258,25 +258,29 @@
 	return nil
 }
 
-func (b *Book) writePart(ctx context.Context, h hash, data []byte) error {
+// writePart writes a part until it is known to be written after the head at base was.
+func (b *Book) writePart(ctx context.Context, h hash, data []byte, base uint64) error {
 	w := store.Write{Key: partPrefix + string(h), Value: data}
 	for range maxAttempts {
 		_, err := b.client.CompareAndSwap(ctx, w)
 		if !errors.Is(err, store.ErrConflict) && !errors.Is(err, store.ErrOutcomeUnknown) {
 			return err
 		}
-		r, err := b.client.Get(ctx, w.Key)
+		r, readErr := b.client.Get(ctx, w.Key)
 		switch {
-		case err == nil:
-			w.Base = r.Revision
-		case isNotFound(err):
-			w.Base = 0
-		default:
-			return err
+		case readErr == nil && r.Revision > base:
+			return nil
+		case readErr != nil && !isNotFound(readErr):
+			return readErr
+		}
+		w.Base = r.Revision
+		if errors.Is(err, store.ErrOutcomeUnknown) {
+			pause(ctx, jitter(retryWait))
 		}
 	}
 
-	return merry.Prependf(store.ErrConflict, "part %s", h)
+	// The head was not written, so the edit surely is not accepted.
+	return merry.Prependf(store.ErrUnavailable, "part %s", h)
 }
 
 // writeHead writes the next head over the one at base; from before the write leaves until its outcome is known, the process states nothing.
