Count limits and slots over all entry hosts, and let them hear each other

Cause: each entry host counted upper limits and endpoint slots by itself; in the set-up full, seven of them did 2,706 requests a second on 32 slots of 20 ms, which allow 1,600.

Change: the entry host joins the members, exchanges heartbeats over QUIC, takes parts of every limit and of every pool's slots, asks peers for parts, and hands back parts and seat when it leaves. Control work is divided by the owner of each pool and budget. Parts may be used while the own lease surely holds, or while every process with a seat says that it can't reach the store; only a process with a seat takes the parts of one that is gone.

--- a/allotment/holder.go
+++ b/allotment/holder.go
@@ -189,6 +189,19 @@
 	return e.standing.room()
 }
 
+// Part returns what this process may have running under a limit.
+func (h *Holder) Part(k Key) fleet.Resources {
+	e, ok := (*h.entries.Load())[k]
+	if !ok {
+		return fleet.Resources{}
+	}
+
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	return e.standing.part
+}
+
 // mayStart checks the licence, and that no pause was so long that parts may have been reclaimed meanwhile.
 func (h *Holder) mayStart(now time.Time) bool {
 	return elapsed(*h.heldSince.Load(), now) < h.timing.MaxRequestTime && h.Licensed(now)
--- a/cmd/lycheehook/entry.go
+++ b/cmd/lycheehook/entry.go
@@ -26,7 +26,12 @@
 				return err
 			}
 
-			return entry.New(s, newLogger(cmd.ErrOrStderr(), s)).Run(cmd.Context())
+			h, err := entry.New(s, newLogger(cmd.ErrOrStderr(), s))
+			if err != nil {
+				return err
+			}
+
+			return h.Run(cmd.Context())
 		},
 	}
 	cmd.Flags().StringVar(&path, "settings", "", "file with the settings, as JSON")
--- /dev/null
+++ b/entry/cluster_test.go
@@ -0,0 +1,109 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"lycheehook.example/lycheehook/cert"
+	"lycheehook.example/lycheehook/fleet"
+	"lycheehook.example/lycheehook/settings"
+	"lycheehook.example/lycheehook/standin"
+)
+
+// startCluster runs an entry host's place among the others, with files issued by a.
+func startCluster(t *testing.T, name fleet.EntryName, a *cert.Authority, s *standin.Store) *cluster {
+	t.Helper()
+	pair, err := a.Issue(PeerServerName, time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f, err := a.WriteFiles(filepath.Join(t.TempDir(), string(name)), pair)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := newCluster(settings.Settings{
+		Name: name, PeerAddress: freeUDP(t),
+		TLS: settings.TLS{Peers: settings.TLSFiles{CertificateFile: f.Certificate, KeyFile: f.Key, CAFile: f.CA}},
+	}, s.Client(), log.New(io.Discard))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := c.listen(); err != nil {
+		t.Fatal(err)
+	}
+
+	ctx, stop := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	wg.Go(func() { c.run(ctx) })
+	t.Cleanup(func() {
+		stop()
+		wg.Wait()
+	})
+
+	return c
+}
+
+func freeUDP(t *testing.T) netip.AddrPort {
+	t.Helper()
+	c, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+
+	return netip.MustParseAddrPort(c.LocalAddr().String())
+}
+
+// heard waits until c has an answer of a peer to a heartbeat, or the test's deadline comes near.
+func heard(t *testing.T, c *cluster, from fleet.EntryName, limit time.Duration) bool {
+	t.Helper()
+	for deadline := time.Now().Add(limit); time.Now().Before(deadline); {
+		if _, ok := c.mesh.Heard(from); ok {
+			return true
+		}
+		<-time.After(10 * time.Millisecond)
+	}
+
+	return false
+}
+
+func TestEntryHostsHearEachOther(t *testing.T) {
+	s := standin.NewStore()
+	ours, err := cert.NewAuthority("ours", time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a, b := startCluster(t, "a", ours, s), startCluster(t, "b", ours, s)
+	if !heard(t, a, "b", time.Minute) || !heard(t, b, "a", time.Minute) {
+		t.Error("entry hosts with certificates of one authority do not hear each other")
+	}
+}
+
+func TestEntryHostOfAnotherAuthorityIsNotHeard(t *testing.T) {
+	s := standin.NewStore()
+	ours, err := cert.NewAuthority("ours", time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	theirs, err := cert.NewAuthority("theirs", time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a, b := startCluster(t, "a", ours, s), startCluster(t, "b", ours, s)
+	stranger := startCluster(t, "stranger", theirs, s)
+	if !heard(t, a, "b", time.Minute) || !heard(t, b, "a", time.Minute) {
+		t.Fatal("entry hosts with certificates of one authority do not hear each other")
+	}
+	// By now the stranger was dialled as well, as it joined no later than heartbeats began.
+	if heard(t, a, "stranger", time.Second) || heard(t, stranger, "a", time.Second) {
+		t.Error("an entry host with a certificate of another authority is heard")
+	}
+}
--- a/entry/control.go
+++ b/entry/control.go
@@ -33,8 +33,8 @@
 }
 
 // newControl returns the control path over the configuration in force.
-func newControl(s *store.Client, p *platform.Client, b *revision.Book, l *log.Logger) *control {
-	c := &control{log: l, owns: func(string) bool { return true }}
+func newControl(s *store.Client, p *platform.Client, b *revision.Book, cl *cluster, l *log.Logger) *control {
+	c := &control{log: l, owns: cl.registry.Owns}
 	c.waves = wave.New(s, func() wave.Policy { return wave.PolicyOf(b.Current().Lists.Maintenance) },
 		func() wave.Hosts { return c.moves.View().Hosts }, func() bool { return c.owns(waveKey) })
 	c.moves = move.New(s, p, func() (move.Config, bool) { return configOf(b, time.Now()) },
--- a/entry/host.go
+++ b/entry/host.go
@@ -12,6 +12,7 @@
 	"github.com/charmbracelet/log"
 
 	"lycheehook.example/lycheehook/admission"
+	"lycheehook.example/lycheehook/allotment"
 	"lycheehook.example/lycheehook/audit"
 	"lycheehook.example/lycheehook/endpoint"
 	"lycheehook.example/lycheehook/platform"
@@ -20,7 +21,11 @@
 	"lycheehook.example/lycheehook/store"
 )
 
-const inventoryInterval = time.Second
+const (
+	inventoryInterval = time.Second
+	// leaveLimit bounds how long handing back may take.
+	leaveLimit = 5 * time.Second
+)
 
 // parts is what an entry host is put together from; wire fills it.
 type parts struct {
@@ -32,6 +37,8 @@
 	Sender   *endpoint.Sender
 	Gate     *admission.Gate
 	Control  *control
+	Cluster  *cluster
+	Limits   *limits
 	Trail    *audit.Trail
 	Metrics  *operatorMetrics
 	Log      *log.Logger
@@ -55,6 +62,9 @@
 		caller:   &callerAPI{gate: p.Gate, sender: p.Sender, log: p.Log},
 		operator: &operatorAPI{settings: p.Settings, book: p.Book, trail: p.Trail, store: p.Store, metrics: p.Metrics, log: p.Log},
 	}
+	p.Gate.AcquireLimit = p.Limits.acquire
+	p.Set.Take, p.Set.Expected = p.Limits.takeSlots, p.Limits.expectedSlots
+	p.Limits.holder.Grown = func(allotment.Key) { p.Gate.Wake() }
 	h.operator.stopping = h.stopping.Load
 	h.operator.entries = h.operator.ownEntry
 
@@ -72,6 +82,10 @@
 		return merry.Prepend(err, "listen for operators")
 	}
 
+	if err := h.Cluster.listen(); err != nil {
+		return err
+	}
+
 	// The background work outlives ctx so that requests in progress can finish.
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
@@ -80,6 +94,9 @@
 	wg.Go(func() { h.followInventory(work) })
 	wg.Go(func() { h.Trail.Run(work) })
 	wg.Go(func() { h.Control.run(work) })
+	wg.Go(func() { h.Cluster.run(work) })
+	wg.Go(func() { h.Limits.run(work) })
+	wg.Go(func() { h.Gate.Run(work) })
 
 	if callers, err = secure(work, &wg, callers, h.Settings.TLS.Callers, h.Log); err != nil {
 		return merry.Prepend(err, "TLS for callers")
@@ -95,13 +112,28 @@
 
 	<-ctx.Done()
 	h.stopping.Store(true)
-	err = stop(context.WithoutCancel(ctx), servers, h.Settings.StopLimit.Std())
+	h.Gate.Stop()
+	err = stop(work, servers, h.Settings.StopLimit.Std())
+	h.leave(work)
 	stopWork()
 	wg.Wait()
 
 	return err
 }
 
+// leave hands back what this entry host holds, so that the others need not wait for it.
+func (h *Host) leave(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaveLimit)
+	defer cancel()
+
+	if err := h.Limits.holder.Close(ctx); err != nil {
+		h.Log.Warn("parts of limits not handed back", "err", err)
+	}
+	if err := h.Book.Leave(ctx); err != nil {
+		h.Log.Warn("seat not handed over", "err", err)
+	}
+}
+
 func serve(wg *sync.WaitGroup, l net.Listener, handler http.Handler, limits settings.Limits) *http.Server {
 	s := newServer(handler, limits)
 	wg.Go(func() { _ = s.Serve(l) })
@@ -131,7 +163,10 @@
 		if err != nil {
 			h.Log.Warn("inventory unavailable", "err", err)
 		} else {
-			h.Set.Replace(endpointsOf(inv, h.Control.moves.View().Hosts))
+			view := h.Control.moves.View()
+			endpoints := endpointsOf(inv, view.Hosts)
+			h.Limits.setSlots(endpoints, view.HostsAt)
+			h.Set.Replace(endpoints)
 		}
 
 		select {
--- /dev/null
+++ b/entry/limits.go
@@ -0,0 +1,240 @@
+package entry
+
+import (
+	"context"
+	"maps"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"lycheehook.example/lycheehook/allotment"
+	"lycheehook.example/lycheehook/fleet"
+	"lycheehook.example/lycheehook/member"
+	"lycheehook.example/lycheehook/peer"
+	"lycheehook.example/lycheehook/revision"
+	"lycheehook.example/lycheehook/settings"
+	"lycheehook.example/lycheehook/store"
+)
+
+const (
+	// kindParts asks a peer for parts of limits.
+	kindParts peer.Kind = "Allotment/Parts"
+	// limitsInterval is the time between two looks for a newer configuration.
+	limitsInterval = 100 * time.Millisecond
+	// membersInterval is the time between two readings of the members.
+	membersInterval = time.Second
+	membersTimeout  = time.Second
+)
+
+// limits counts running work against upper limits and endpoint slots that all entry hosts share.
+type limits struct {
+	holder  *allotment.Holder
+	book    *revision.Book
+	cluster *cluster
+	store   *store.Client
+	log     *log.Logger
+
+	membership atomic.Pointer[allotment.Membership]
+	// teams has the keys of each team's limits under the configuration in force.
+	teams atomic.Pointer[map[fleet.TeamName]limitKeys]
+	// slots is what was last set for each pool; only the loop over the inventory uses it.
+	slots map[fleet.PoolName]map[string]fleet.Resources
+}
+
+// limitKeys are the limits that a team's work counts against.
+type limitKeys struct {
+	team, customer allotment.Key
+}
+
+// newLimits connects a holder of parts with the configuration, the members and the peers.
+func newLimits(s settings.Settings, c *store.Client, cl *cluster, b *revision.Book, l *log.Logger) *limits {
+	timing := allotment.DefaultTiming()
+	timing.LeaseTTL = member.DefaultLeaseTTL
+	timing.FreshFor = member.DefaultFreshFor
+	timing.MaxRequestTime = s.WithDefaults().MaxRequestTime.Std()
+
+	lm := &limits{
+		holder: allotment.New(c, cl.mesh.Self().Incarnation, allotment.WithTiming(timing)),
+		book:   b, cluster: cl, store: c, log: l, slots: map[fleet.PoolName]map[string]fleet.Resources{},
+	}
+	lm.membership.Store(&allotment.Membership{})
+	lm.teams.Store(&map[fleet.TeamName]limitKeys{})
+	lm.holder.Licensed = lm.licensed
+	lm.holder.Members = func() allotment.Membership { return *lm.membership.Load() }
+	lm.holder.Absent = lm.absent
+	lm.holder.Ask = lm.ask
+	peer.Handle(cl.mesh, kindParts, func(ctx context.Context, _ peer.Peer, req allotment.Request) (allotment.Answer, error) {
+		return lm.holder.Handle(ctx, req), nil
+	})
+
+	return lm
+}
+
+// licensed reports whether nobody can have taken this process's parts: its lease surely holds, or nobody who could see that it lapsed reaches the store.
+func (l *limits) licensed(now time.Time) bool {
+	return l.cluster.leaseHolds(now) || l.book.Licensed(now) && l.book.StoreLost(now)
+}
+
+// absent reads the members. An entry host without a seat takes no one's parts: those with seats may be serving without the store.
+func (l *limits) absent(ctx context.Context, i fleet.Incarnation) (bool, error) {
+	members, err := member.List(ctx, l.store)
+	if err != nil {
+		return false, err
+	}
+	for _, m := range members {
+		if m.Peer.Incarnation == i {
+			return false, nil
+		}
+	}
+
+	return i == l.holder.Self() || l.book.Seated(), nil
+}
+
+// ask asks a peer for parts.
+func (l *limits) ask(ctx context.Context, to fleet.Incarnation, req allotment.Request) (allotment.Answer, error) {
+	for _, p := range l.cluster.mesh.Peers() {
+		if p.Incarnation == to {
+			return peer.Call[allotment.Answer](ctx, l.cluster.mesh, p.Name, kindParts, req)
+		}
+	}
+
+	return allotment.Answer{}, peer.ErrUnknownPeer
+}
+
+// run keeps limits and members up to date until ctx ends.
+func (l *limits) run(ctx context.Context) {
+	go l.followMembers(ctx)
+	go l.followRevisions(ctx)
+	l.holder.Run(ctx)
+}
+
+func (l *limits) followMembers(ctx context.Context) {
+	for ctx.Err() == nil {
+		asked := time.Now()
+		call, cancel := context.WithTimeout(ctx, membersTimeout)
+		members, err := member.List(call, l.store)
+		cancel()
+		if err == nil {
+			m := allotment.Membership{Confirmed: asked}
+			for _, one := range members {
+				m.Live = append(m.Live, one.Peer.Incarnation)
+			}
+			l.membership.Store(&m)
+		}
+		pause(ctx, membersInterval)
+	}
+}
+
+// followRevisions puts the upper limits of each new revision in force.
+func (l *limits) followRevisions(ctx context.Context) {
+	seen := uint64(0)
+	for ctx.Err() == nil {
+		if cur := l.book.Current(); cur.Number > seen {
+			seen = cur.Number
+			l.adopt(cur)
+		}
+		pause(ctx, limitsInterval)
+	}
+}
+
+func (l *limits) adopt(r *revision.Revision) {
+	upper, teams := upperLimits(r.Tables)
+	l.teams.Store(&teams)
+	l.holder.SetLimits(allotment.Limits, r.Number, upper)
+}
+
+// upperLimits returns the upper limit of each team and each customer, and which of them a team's work counts against.
+func upperLimits(t fleet.Tables) (map[string]fleet.Resources, map[fleet.TeamName]limitKeys) {
+	upper, teams := map[string]fleet.Resources{}, map[fleet.TeamName]limitKeys{}
+	for name, c := range t.Customers.All() {
+		p, _ := t.Plans.Get(c.Plan)
+		upper["customer/"+string(name)] = p.UpperLimit
+	}
+	for name, team := range t.Teams.All() {
+		upper["team/"+string(name)] = team.UpperLimit
+		teams[name] = limitKeys{
+			team:     allotment.Key{Set: allotment.Limits, Name: "team/" + string(name)},
+			customer: allotment.Key{Set: allotment.Limits, Name: "customer/" + string(team.Customer)},
+		}
+	}
+
+	return upper, teams
+}
+
+// acquire counts work against the limits of its team and its customer.
+func (l *limits) acquire(t fleet.Team, size fleet.Resources) (func(), error) {
+	if t.Name == "" {
+		return func() {}, nil
+	}
+
+	keys := (*l.teams.Load())[t.Name]
+	team, err := l.holder.Acquire(keys.team, size)
+	if err != nil {
+		return nil, err
+	}
+	customer, err := l.holder.Acquire(keys.customer, size)
+	if err != nil {
+		team.Release()
+		return nil, err
+	}
+
+	return func() {
+		customer.Release()
+		team.Release()
+	}, nil
+}
+
+// setSlots shares the slots of the endpoints among the entry hosts; revision orders what they know of the endpoints.
+func (l *limits) setSlots(endpoints []fleet.Endpoint, revision uint64) {
+	if revision == 0 {
+		// The host records were not read yet, so what is known can't be ordered.
+		return
+	}
+
+	pools := map[fleet.PoolName]map[string]fleet.Resources{}
+	for _, e := range endpoints {
+		if pools[e.Pool] == nil {
+			pools[e.Pool] = map[string]fleet.Resources{}
+		}
+		pools[e.Pool][string(e.Name)] = fleet.Resources{Slots: int64(e.Slots)}
+	}
+	for pool := range l.slots {
+		if pools[pool] == nil {
+			pools[pool] = map[string]fleet.Resources{}
+		}
+	}
+
+	for pool, upper := range pools {
+		if known, ok := l.slots[pool]; !ok || !maps.Equal(known, upper) {
+			l.holder.SetLimits(allotment.Slots(pool), revision, upper)
+			l.slots[pool] = upper
+		}
+	}
+}
+
+// takeSlots takes slots of an endpoint from this entry host's part.
+func (l *limits) takeSlots(e fleet.Endpoint, n int64) (func(), bool) {
+	hold, err := l.holder.Acquire(slotsKey(e), fleet.Resources{Slots: n})
+	if err != nil {
+		return nil, false
+	}
+
+	return hold.Release, true
+}
+
+// expectedSlots returns this entry host's part of an endpoint's slots.
+func (l *limits) expectedSlots(e fleet.Endpoint) int64 {
+	return l.holder.Part(slotsKey(e)).Slots
+}
+
+func slotsKey(e fleet.Endpoint) allotment.Key {
+	return allotment.Key{Set: allotment.Slots(e.Pool), Name: string(e.Name)}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- a/entry/providers.go
+++ b/entry/providers.go
@@ -26,8 +26,8 @@
 	return platform.Dial(s.PlatformAddress, platformTimeout)
 }
 
-func newBook(c *store.Client) *revision.Book {
-	return revision.New(c)
+func newBook(c *store.Client, cl *cluster) *revision.Book {
+	return revision.New(c, revision.WithPeers(cl.mesh, cl.registry))
 }
 
 func newTrail(c *store.Client, s settings.Settings, l *log.Logger) *audit.Trail {
--- a/entry/wire_gen.go
+++ b/entry/wire_gen.go
@@ -15,15 +15,20 @@
 
 // Injectors from wire.go:
 
-// New returns an entry host with the given settings and logger.
-func New(s settings.Settings, l *log.Logger) *Host {
+// New returns an entry host with the given settings and logger; its error names a certificate that can't be read.
+func New(s settings.Settings, l *log.Logger) (*Host, error) {
 	client := newStore(s)
 	platformClient := newPlatform(s)
-	book := newBook(client)
+	entryCluster, err := newCluster(s, client, l)
+	if err != nil {
+		return nil, err
+	}
+	book := newBook(client, entryCluster)
 	set := endpoint.NewSet()
 	sender := newSender()
 	gate := admission.New(book, set)
-	entryControl := newControl(client, platformClient, book, l)
+	entryControl := newControl(client, platformClient, book, entryCluster, l)
+	entryLimits := newLimits(s, client, entryCluster, book, l)
 	trail := newTrail(client, s, l)
 	registry := newRegistry()
 	entryOperatorMetrics := newOperatorMetrics(registry, book, trail)
@@ -36,10 +41,12 @@
 		Sender:   sender,
 		Gate:     gate,
 		Control:  entryControl,
+		Cluster:  entryCluster,
+		Limits:   entryLimits,
 		Trail:    trail,
 		Metrics:  entryOperatorMetrics,
 		Log:      l,
 	}
 	host := newHost(entryParts)
-	return host
+	return host, nil
 }
--- a/estate/entry.go
+++ b/estate/entry.go
@@ -63,13 +63,17 @@
 		StoreAddress: e.storeAddress, PlatformAddress: e.platformAddress,
 		Operators: []settings.Operator{{Name: "dev", TokenHash: key.NewHashed(DevOperatorToken)}},
 	}
-	for _, addr := range []*netip.AddrPort{&s.CallerAddress, &s.OperatorAddress} {
+	for _, addr := range []*netip.AddrPort{&s.CallerAddress, &s.OperatorAddress, &s.PeerAddress} {
 		var err error
 		if *addr, err = freeAddress(ctx); err != nil {
 			return s, err
 		}
 	}
 
+	var err error
+	if s.TLS.Peers, err = e.issue(s); err != nil {
+		return s, err
+	}
 	if e.separate != "" {
 		e.append(&entryHost{settings: s, stop: func() {}})
 		return s, e.writeEntry(s)
@@ -78,7 +82,11 @@
 	h := &entryHost{settings: s}
 	hostCtx, stop := context.WithCancel(ctx)
 	h.stop = stop
-	process := entry.New(s, e.log.With("entry", s.Name))
+	process, err := entry.New(s, e.log.With("entry", s.Name))
+	if err != nil {
+		stop()
+		return s, err
+	}
 	h.done.Go(func() {
 		if err := process.Run(hostCtx); err != nil {
 			e.log.Error("entry host", "entry", s.Name, "err", err)
--- a/estate/estate.go
+++ b/estate/estate.go
@@ -7,12 +7,14 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"sync"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/charmbracelet/log"
 
+	"lycheehook.example/lycheehook/cert"
 	"lycheehook.example/lycheehook/fleet"
 	"lycheehook.example/lycheehook/standin"
 )
@@ -35,8 +37,11 @@
 	log        *log.Logger
 	entryCount int
 	separate   string
-	service    time.Duration
-	servers    []*http.Server
+	authority  *cert.Authority
+	// certificates is the folder of certificates; temporary is the one to remove at the end, if any.
+	certificates, temporary string
+	service                 time.Duration
+	servers                 []*http.Server
 
 	storeAddress    netip.AddrPort
 	platformAddress netip.AddrPort
@@ -78,7 +83,10 @@
 
 // Start runs the stand-ins and the entry hosts and returns when all listen.
 func (e *Estate) Start(ctx context.Context) error {
-	var err error
+	err := e.prepareCertificates()
+	if err != nil {
+		return err
+	}
 	if e.storeAddress, err = e.serve(ctx, e.Store); err != nil {
 		return err
 	}
@@ -112,6 +120,9 @@
 	for _, s := range e.servers {
 		_ = s.Close()
 	}
+	if e.temporary != "" {
+		_ = os.RemoveAll(e.temporary)
+	}
 }
 
 // EndpointAddresses returns where the stand-in endpoints listen.
--- a/estate/separate.go
+++ b/estate/separate.go
@@ -9,11 +9,17 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"lycheehook.example/lycheehook/cert"
+	"lycheehook.example/lycheehook/entry"
 	"lycheehook.example/lycheehook/key"
 	"lycheehook.example/lycheehook/settings"
 )
 
-const settingsFileMode = 0o600
+const (
+	settingsFileMode = 0o600
+	// certificateLifetime is how long the certificates of a sample estate are valid.
+	certificateLifetime = 30 * 24 * time.Hour
+)
 
 // WithSeparate makes Start write a settings file for each entry host into dir in place of running it; the entry hosts are then processes of their own.
 func WithSeparate(dir string) Option {
@@ -32,6 +38,31 @@
 	return os.WriteFile(path, append(data, '\n'), settingsFileMode)
 }
 
+// issue writes the files with which an entry host shows itself to the others.
+func (e *Estate) issue(s settings.Settings) (settings.TLSFiles, error) {
+	pair, err := e.authority.Issue(entry.PeerServerName, certificateLifetime)
+	if err != nil {
+		return settings.TLSFiles{}, merry.Prependf(err, "certificate of %s", s.Name)
+	}
+	files, err := e.authority.WriteFiles(filepath.Join(e.certificates, string(s.Name)), pair)
+
+	return settings.TLSFiles{CertificateFile: files.Certificate, KeyFile: files.Key, CAFile: files.CA}, err
+}
+
+// prepareCertificates makes an authority and a folder for the certificates that it issues.
+func (e *Estate) prepareCertificates() error {
+	var err error
+	if e.authority, err = cert.NewAuthority("lycheehook sample estate", certificateLifetime); err != nil {
+		return err
+	}
+	if e.certificates = e.separate; e.certificates == "" {
+		e.certificates, err = os.MkdirTemp("", "lycheehook-estate-")
+		e.temporary = e.certificates
+	}
+
+	return err
+}
+
 // AwaitEntries returns when every entry host listens; it is for entry hosts that somebody else starts.
 func (e *Estate) AwaitEntries(ctx context.Context, limit time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, limit)
--- a/load/request.go
+++ b/load/request.go
@@ -19,6 +19,9 @@
 	"lycheehook.example/lycheehook/standin"
 )
 
+// answerPart is the part of the timeout that is left for the answer to arrive after the request's own deadline.
+const answerPart = 8
+
 // maxAnswer bounds how much of an answer is read beyond the body's own size, in bytes.
 const maxAnswer = 1 << 16
 
@@ -95,7 +98,7 @@
 	}
 	r.Header.Set("Request-Id", req.id)
 	r.Header.Set("Idempotent", strconv.FormatBool(req.idempotent))
-	r.Header.Set("Request-Timeout", l.timeout.String())
+	r.Header.Set("Request-Timeout", (l.timeout - l.timeout/answerPart).String())
 	if s.Secret != "" {
 		r.Header.Set("Authorization", "Bearer "+s.Secret)
 	}
--- a/member/member.go
+++ b/member/member.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"encoding/binary"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	"lycheehook.example/lycheehook/fleet"
 	"lycheehook.example/lycheehook/peer"
+	"lycheehook.example/lycheehook/store"
 )
 
 // Member is one process of an entry host, under the lease that it holds in the store.
@@ -20,6 +22,23 @@
 	Joined time.Time
 }
 
+// List reads the members' records from the store.
+func List(ctx context.Context, c *store.Client) ([]Member, error) {
+	l, err := c.List(ctx, Prefix)
+	if err != nil {
+		return nil, err
+	}
+
+	members := make([]Member, 0, len(l.Records))
+	for _, rec := range l.Records {
+		if m, ok := parse(rec); ok {
+			members = append(members, m)
+		}
+	}
+
+	return members, nil
+}
+
 // compareSeats orders members for listings.
 func compareSeats(a, b Member) int {
 	return cmp.Compare(a.Seat, b.Seat)
--- a/member/standing.go
+++ b/member/standing.go
@@ -44,6 +44,8 @@
 	own map[Seat]time.Time
 	// stated maps the seats of others to the moment at which their holders last stated that they wrote nothing after the held head.
 	stated map[Seat]time.Time
+	// storeless maps the seats of others to the moment at which their holders last said that they can't reach the store.
+	storeless map[Seat]time.Time
 	// doubt says that a write of this process may have replaced the held head, now or later.
 	doubt bool
 }
@@ -70,7 +72,7 @@
 	}
 
 	// The newer head shows that the write in doubt replaced its base or never will, because it was conditional on it.
-	s.head, s.stated, s.doubt = h, nil, false
+	s.head, s.stated, s.storeless, s.doubt = h, nil, nil, false
 
 	return s
 }
@@ -95,19 +97,31 @@
 		s.confirmed = moment
 	}
 
-	s.stated = maps.Clone(s.stated)
+	s.stated, s.storeless = cloned(s.stated), cloned(s.storeless)
 	for _, name := range h.Status.Seats {
-		if s.stated == nil {
-			s.stated = map[Seat]time.Time{}
+		seat := Seat(name)
+		if !h.Asked.After(s.stated[seat]) {
+			continue
 		}
-		if seat := Seat(name); h.Asked.After(s.stated[seat]) {
-			s.stated[seat] = h.Asked
+		s.stated[seat] = h.Asked
+		delete(s.storeless, seat)
+		if !h.Status.StoreReachable {
+			s.storeless[seat] = h.Asked
 		}
 	}
 
 	return s
 }
 
+// cloned returns a copy that can be written to.
+func cloned(m map[Seat]time.Time) map[Seat]time.Time {
+	if m == nil {
+		return map[Seat]time.Time{}
+	}
+
+	return maps.Clone(m)
+}
+
 // WithDoubt returns the standing with a write in doubt or not; it is set before the write is sent.
 func (s Standing) WithDoubt(doubt bool) Standing {
 	s.doubt = doubt
@@ -250,6 +264,25 @@
 	return false
 }
 
+// StoreLost reports whether the holders of all seats said within FreshFor that they can't reach the store, so that nobody
+// with a seat can see there that this process's lease has lapsed.
+func (s Standing) StoreLost(now time.Time) bool {
+	if len(s.head.Seats) == 0 {
+		return false
+	}
+
+	for _, seat := range s.head.Seats {
+		if _, own := s.own[seat]; own {
+			continue
+		}
+		if moment, said := s.storeless[seat]; !said || now.Sub(moment) >= s.limits.FreshFor {
+			return false
+		}
+	}
+
+	return true
+}
+
 // Status returns what heartbeats say of the standing; generation, age and seats are of one moment.
 func (s Standing) Status(now time.Time) peer.Status {
 	st := peer.Status{Generation: s.head.Generation}
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -47,7 +47,7 @@
 )
 
 // Incarnation identifies one process of an entry host; a restarted process has another.
-type Incarnation string
+type Incarnation = fleet.Incarnation
 
 // Peer names one process of an entry host and where it listens for other entry hosts.
 type Peer struct {
--- a/peer/quic.go
+++ b/peer/quic.go
@@ -15,7 +15,8 @@
 )
 
 const (
-	protocolName = "lycheehook-peer"
+	// Protocol is the name under which the protocol is negotiated in TLS.
+	Protocol = "lycheehook-peer"
 	// maxIdle ends a connection on which nothing came for so long.
 	maxIdle          = 10 * time.Second
 	handshakeTimeout = time.Second
@@ -70,7 +71,7 @@
 // withProtocol returns c for this protocol and its versions only.
 func withProtocol(c *tls.Config) *tls.Config {
 	c = c.Clone()
-	c.NextProtos = []string{protocolName}
+	c.NextProtos = []string{Protocol}
 	c.MinVersion = tls.VersionTLS13
 
 	return c
--- a/revision/book.go
+++ b/revision/book.go
@@ -121,6 +121,14 @@
 	return b.standing.Fresh(now)
 }
 
+// StoreLost reports whether every process that may accept edits said lately that it can't reach the store.
+func (b *Book) StoreLost(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	return b.standing.StoreLost(now)
+}
+
 // Licensed reports whether others still count what this process holds as held.
 func (b *Book) Licensed(now time.Time) bool {
 	b.mu.RLock()
