--- a/allotment/fault_test.go
+++ b/allotment/fault_test.go
@@ -154,6 +154,25 @@
 		s.nodes["a"].set(func(n *node) { n.loseAnswers = false })
 		s.nodes["c"].set(func(n *node) { n.loseAnswers = false })
 	}, siteLimit},
+	{"writes of one holder arrive late", func(s *site) {
+		for range 8 {
+			s.load(2*time.Second, "a", "b", "c")
+			s.nodes["b"].set(func(n *node) { n.late = true })
+			s.load(time.Second, "a", "c")
+			s.nodes["b"].set(func(n *node) { n.late = false })
+			s.load(time.Second, "b")
+		}
+	}, siteLimit},
+	{"writes of all holders arrive late", func(s *site) {
+		for range 8 {
+			for _, late := range []bool{true, false} {
+				for _, name := range []string{"a", "b", "c"} {
+					s.nodes[name].set(func(n *node) { n.late = late })
+				}
+				s.load(2*time.Second, "a", "b", "c")
+			}
+		}
+	}, siteLimit},
 	{"replies of a peer are lost after it moved its part", func(s *site) {
 		s.nodes["b"].set(func(n *node) { n.loseReplies = true })
 		s.load(20*time.Second, "a", "b", "c")
--- a/allotment/peer.go
+++ b/allotment/peer.go
@@ -60,7 +60,7 @@
 		if !ok || w.Key.Set != g.set || w.Short.IsNegative() || req.From == h.self {
 			continue
 		}
-		if give, _ := e.spare(w); !give.IsZero() {
+		if give := e.spare(w); !give.IsZero() {
 			wants = append(wants, w)
 		}
 	}
@@ -77,7 +77,7 @@
 		if !ok || !known {
 			continue
 		}
-		give, _ := e.spare(w)
+		give := e.spare(w)
 		next = next.WithLimit(w.Key.Name, l.WithMove(h.self, to, e.pledge(give)))
 	}
 
@@ -131,8 +131,9 @@
 		return cmp.Compare(b.Amount.DominantShare(l.Upper), a.Amount.DominantShare(l.Upper))
 	})
 
-	var peers []fleet.Incarnation
-	for i := range min(askedPeers, len(parts)) {
+	n := min(askedPeers, len(parts))
+	peers := make([]fleet.Incarnation, 0, n)
+	for i := range n {
 		peers = append(peers, parts[h.turn(i, len(parts))].Holder)
 	}
 
@@ -225,11 +226,11 @@
 }
 
 // spare returns what can go to a peer now, and keeps the rest of what it should get from being used again.
-func (e *entry) spare(w Want) (give, reserve fleet.Resources) {
+func (e *entry) spare(w Want) fleet.Resources {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	give, reserve = spareFor(e.standing, e.demand, w)
+	give, reserve := spareFor(e.standing, e.demand, w)
 	e.standing.reserved = e.standing.reserved.Max(reserve)
 
-	return give, reserve
+	return give
 }
