--- a/allotment/run.go
+++ b/allotment/run.go
@@ -121,7 +121,7 @@
 	var holders []fleet.Incarnation
 	for _, g := range groups {
 		g.mu.Lock()
-		holders = append(holders, g.view.record.Holders()...)
+		holders = append(holders, g.view.holders...)
 		g.mu.Unlock()
 	}
 	slices.Sort(holders)
@@ -143,9 +143,7 @@
 
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	holders := g.view.record.Holders()
-
-	return slices.DeleteFunc(gone, func(i fleet.Incarnation) bool { return !slices.Contains(holders, i) })
+	return slices.DeleteFunc(gone, func(i fleet.Incarnation) bool { return !slices.Contains(g.view.holders, i) })
 }
 
 // measure closes the demand of the last tick.
--- a/allotment/view.go
+++ b/allotment/view.go
@@ -7,6 +7,8 @@
 // view is the newest state of one record that a holder has seen; values are immutable.
 type view struct {
 	record Record
+	// holders are all who have a part, sorted.
+	holders []fleet.Incarnation
 	// revision is that of the store; zero means that the key was never seen.
 	revision uint64
 	// doubt says that a write based on revision may still arrive.
@@ -21,7 +23,7 @@
 		return v, false
 	}
 
-	return view{record: r, revision: revision, unconfirmed: v.unconfirmed}, true
+	return view{record: r, holders: r.Holders(), revision: revision, unconfirmed: v.unconfirmed}, true
 }
 
 // closes reports whether a holder with these bounds may start nothing under the named limit.
--- a/claim/desk_test.go
+++ b/claim/desk_test.go
@@ -71,7 +71,7 @@
 	time.Sleep(2 * d.timing.MaxRequestTime)
 }
 
-func (d *desk) boot(name string) *process {
+func (d *desk) boot(name string) {
 	ctx, cancel := context.WithCancel(d.ctx)
 	p := &process{desk: d, self: fleet.NewIncarnation(fleet.EntryName(name)), cancel: cancel}
 	p.book = claim.New(p.client(), p.self, claim.WithTiming(d.timing))
@@ -80,8 +80,6 @@
 	d.books[name] = p
 	d.mu.Unlock()
 	go p.book.Run(ctx)
-
-	return p
 }
 
 func (d *desk) alive(i fleet.Incarnation) bool {
@@ -140,7 +138,7 @@
 }
 
 // post makes one attempt through a process, as an entry host would, and returns what the caller is told.
-func (d *desk) post(ctx context.Context, name, id string, runs time.Duration) (string, error) {
+func (d *desk) post(ctx context.Context, name, id string, runs time.Duration) error {
 	d.mu.Lock()
 	p := d.books[name]
 	d.mu.Unlock()
@@ -148,11 +146,11 @@
 	c, err := p.book.Claim(ctx, team, id, body(id))
 	if err != nil {
 		d.checkTold(id, err)
-		return "", err
+		return err
 	}
 	if c.Answer != nil {
 		d.check(string(c.Answer.Body) == "answer to "+id && d.count(id) == 1, "%s was told %q after %d runs", id, c.Answer.Body, d.count(id))
-		return string(c.Answer.Body), nil
+		return nil
 	}
 
 	d.mu.Lock()
@@ -163,12 +161,12 @@
 	d.check(n == 1, "%s runs for the %d. time, through %s", id, n, name)
 	time.Sleep(runs)
 	if p.died() {
-		return "", refusal.Uncertain(refusal.OutcomeUnknown, "%s died", name)
+		return refusal.Uncertain(refusal.OutcomeUnknown, "%s died", name)
 	}
 	answer := &claim.Answer{Status: 200, Body: []byte("answer to " + id)}
 	p.book.Settle(c, claim.Outcome{State: claim.Done, Answer: answer})
 
-	return string(answer.Body), nil
+	return nil
 }
 
 // died reports whether the process is to die with its requests.
--- a/claim/fault_test.go
+++ b/claim/fault_test.go
@@ -81,7 +81,7 @@
 		d.store.SetDelay(500 * time.Millisecond)
 		ctx, cancel := context.WithTimeout(d.ctx, 700*time.Millisecond)
 		defer cancel()
-		_, err := d.post(ctx, "a", id, 0)
+		err := d.post(ctx, "a", id, 0)
 		d.store.SetDelay(0)
 		time.Sleep(4 * time.Second)
 		return []refusal.Code{code(err), d.say("b", id, 0)}
@@ -128,7 +128,7 @@
 }
 
 func (d *desk) say(name, id string, runs time.Duration) refusal.Code {
-	_, err := d.post(d.ctx, name, id, runs)
+	err := d.post(d.ctx, name, id, runs)
 
 	return code(err)
 }
@@ -210,7 +210,7 @@
 		go func() {
 			ctx, cancel := context.WithTimeout(d.ctx, patience)
 			defer cancel()
-			_, _ = d.post(ctx, name, id, runs)
+			_ = d.post(ctx, name, id, runs)
 		}()
 		time.Sleep(10 * time.Millisecond)
 	}
