Record hosts and waves in the audit trail

The move controller tells of each action that it carried out, and the wave controller now of each record that it wrote; a lost answer is recorded as unknown.

--- a/audit/entry.go
+++ b/audit/entry.go
@@ -28,6 +28,7 @@
 	MoveHost    Action = "MoveHost"
 	DrainHost   Action = "DrainHost"
 	RebootHost  Action = "RebootHost"
+	PlanWave    Action = "PlanWave"
 	StartWave   Action = "StartWave"
 	EndWave     Action = "EndWave"
 	// LoseEntries reports entries that did not fit into the buffer.
--- a/entry/control.go
+++ b/entry/control.go
@@ -6,10 +6,12 @@
 
 	"github.com/charmbracelet/log"
 
+	"lycheehook.example/lycheehook/audit"
 	"lycheehook.example/lycheehook/fleet"
 	"lycheehook.example/lycheehook/move"
 	"lycheehook.example/lycheehook/platform"
 	"lycheehook.example/lycheehook/revision"
+	"lycheehook.example/lycheehook/settings"
 	"lycheehook.example/lycheehook/store"
 	"lycheehook.example/lycheehook/wave"
 )
@@ -33,16 +35,18 @@
 }
 
 // newControl returns the control path over the configuration in force.
-func newControl(s *store.Client, p *platform.Client, b *revision.Book, l *log.Logger) *control {
+func newControl(s *store.Client, p *platform.Client, b *revision.Book, t *audit.Trail, cfg settings.Settings, l *log.Logger) *control {
 	c := &control{log: l, owns: func(string) bool { return true }}
 	c.waves = wave.New(s, func() wave.Policy { return wave.PolicyOf(b.Current().Lists.Maintenance) },
-		func() wave.Hosts { return c.moves.View().Hosts }, func() bool { return c.owns(waveKey) })
+		func() wave.Hosts { return c.moves.View().Hosts }, func() bool { return c.owns(waveKey) }).
+		WithAudit(waveAudit(t, cfg.Name))
 	c.moves = move.New(s, p, func() (move.Config, bool) { return configOf(b, time.Now()) },
 		move.WithOwner(move.Owner{
 			Pool:   func(n fleet.PoolName) bool { return c.owns("pool/" + string(n)) },
 			Budget: func(n fleet.BudgetName) bool { return c.owns("budget/" + string(n)) },
 		}),
 		move.WithProposals(c.waves.Propose),
+		move.WithAudit(hostAudit(t, cfg.Name)),
 	)
 
 	return c
--- a/entry/wire_gen.go
+++ b/entry/wire_gen.go
@@ -23,8 +23,8 @@
 	set := endpoint.NewSet()
 	sender := newSender()
 	gate := admission.New(book, set)
-	entryControl := newControl(client, platformClient, book, l)
 	trail := newTrail(client, s, l)
+	entryControl := newControl(client, platformClient, book, trail, s, l)
 	registry := newRegistry()
 	entryOperatorMetrics := newOperatorMetrics(registry, book, trail)
 	entryParts := parts{
--- a/wave/controller.go
+++ b/wave/controller.go
@@ -21,13 +21,23 @@
 	hosts  func() Hosts
 	owns   func() bool
 
+	// changed is told of each record that this controller wrote; err is nil or of kind store.ErrOutcomeUnknown.
+	changed func(from, to Record, err error)
+
 	mu   sync.Mutex
 	last Record
 }
 
 // New returns a controller; hosts returns the host records last read, and owns whether this entry host writes the record.
 func New(s *store.Client, policy func() Policy, hosts func() Hosts, owns func() bool) *Controller {
-	return &Controller{store: s, policy: policy, hosts: hosts, owns: owns}
+	return &Controller{store: s, policy: policy, hosts: hosts, owns: owns, changed: func(Record, Record, error) {}}
+}
+
+// WithAudit makes the controller tell f of each record that it wrote, before its first step; err is nil or of kind
+// store.ErrOutcomeUnknown.
+func (c *Controller) WithAudit(f func(from, to Record, err error)) *Controller {
+	c.changed = f
+	return c
 }
 
 // Step reads the record and writes the next one if this entry host owns it. After an error the controller proposes
@@ -45,6 +55,9 @@
 	}
 
 	_, err = record.Write(ctx, c.store, Key, next, v.Revision)
+	if err == nil || errors.Is(err, store.ErrOutcomeUnknown) {
+		c.changed(v.Value, next, err)
+	}
 	if errors.Is(err, store.ErrConflict) || errors.Is(err, store.ErrOutcomeUnknown) {
 		// The next step reads what became of it.
 		return nil
