Document the interface and hold the pages and the code together

The longest time that a caller may ask for now comes from the settings, and a stop waits longer than that by default, so that it cuts off no request.

--- a/entry/caller.go
+++ b/entry/caller.go
@@ -37,6 +37,8 @@
 	gate   *admission.Gate
 	sender *endpoint.Sender
 	log    *log.Logger
+	// longest bounds the time that a caller may give a request.
+	longest time.Duration
 	// claim is a seam; nil claims nothing.
 	claim claimFunc
 }
@@ -56,7 +58,7 @@
 
 // work runs one request and answers with the endpoint's whole answer.
 func (a *callerAPI) work(r *restful.Request, w *restful.Response) {
-	c, err := parseCall(r.Request, r.PathParameter("queue"))
+	c, err := parseCall(r.Request, r.PathParameter("queue"), a.longest)
 	w.Header().Set(headerRequestID, c.id)
 	if err != nil {
 		writeError(w, err)
--- a/entry/caller_test.go
+++ b/entry/caller_test.go
@@ -74,7 +74,7 @@
 		Name: "runner", Pool: "pool", Slots: slots, Connections: 64,
 		Address: netip.MustParseAddrPort(backend.Listener.Addr().String()),
 	}})
-	r.api = &callerAPI{gate: gate, sender: endpoint.NewSender(), log: log.New(io.Discard)}
+	r.api = &callerAPI{gate: gate, sender: endpoint.NewSender(), log: log.New(io.Discard), longest: 10 * time.Minute}
 	front := httptest.NewServer(r.api.handler())
 	tb.Cleanup(front.Close)
 	r.url = front.URL + "/v1/queues/"
--- a/entry/callerrequest.go
+++ b/entry/callerrequest.go
@@ -31,7 +31,6 @@
 
 const (
 	defaultTimeout = time.Minute
-	maxTimeout     = 10 * time.Minute
 	// maxBodySize bounds the body of a request in bytes.
 	maxBodySize = 64 << 20
 	// heldBodySize is the size in bytes up to which a body is read whole before the request is admitted, so that
@@ -62,14 +61,14 @@
 var bodies = sync.Pool{New: func() any { return new(bytes.Buffer) }}
 
 // parseCall reads the head of a request; the error is a NotRunError.
-func parseCall(r *http.Request, queue string) (call, error) {
+func parseCall(r *http.Request, queue string, longest time.Duration) (call, error) {
 	c := call{queue: fleet.QueueName(queue), header: r.Header, body: &callBody{length: r.ContentLength}}
 	var err error
 	if c.id, err = parseID(r.Header.Get(headerRequestID)); err != nil {
 		return c, err
 	}
 	c.secret, _ = strings.CutPrefix(r.Header.Get("Authorization"), bearerPrefix)
-	timeout, err := parseTimeout(r.Header.Get(headerTimeout))
+	timeout, err := parseTimeout(r.Header.Get(headerTimeout), longest)
 	if err != nil {
 		return c, err
 	}
@@ -105,13 +104,14 @@
 	return id.String(), nil
 }
 
-func parseTimeout(text string) (time.Duration, error) {
+// parseTimeout returns the caller's own limit, which must not be above the longest that a request may take here.
+func parseTimeout(text string, longest time.Duration) (time.Duration, error) {
 	if text == "" {
-		return defaultTimeout, nil
+		return min(defaultTimeout, longest), nil
 	}
 	d, err := time.ParseDuration(text)
-	if err != nil || d <= 0 || d > maxTimeout {
-		return 0, refusal.Refuse(refusal.RequestInvalid, "%s %q is not a duration up to %v", headerTimeout, text, maxTimeout)
+	if err != nil || d <= 0 || d > longest {
+		return 0, refusal.Refuse(refusal.RequestInvalid, "%s %q is not a duration up to %v", headerTimeout, text, longest)
 	}
 
 	return d, nil
--- a/entry/host.go
+++ b/entry/host.go
@@ -52,7 +52,7 @@
 	p.Settings = p.Settings.WithDefaults()
 	h := &Host{
 		parts: p, listen: lc.Listen,
-		caller:   &callerAPI{gate: p.Gate, sender: p.Sender, log: p.Log},
+		caller:   &callerAPI{gate: p.Gate, sender: p.Sender, log: p.Log, longest: p.Settings.MaxRequestTime.Std()},
 		operator: &operatorAPI{settings: p.Settings, book: p.Book, trail: p.Trail, store: p.Store, metrics: p.Metrics, log: p.Log},
 	}
 	h.operator.stopping = h.stopping.Load
--- a/entry/operator.go
+++ b/entry/operator.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -22,7 +23,7 @@
 
 const (
 	// maxOperatorBody bounds a request of an operator, in bytes.
-	maxOperatorBody = 8 << 20
+	maxOperatorBody = plan.MaxListSize + 1<<20
 	// auditWait is how long an answer waits for its entry of the audit trail to be in the store.
 	auditWait = 2 * time.Second
 	// attributeOperator is where the name of the operator is kept during a request.
@@ -142,7 +143,7 @@
 	data, err := io.ReadAll(r.Request.Body)
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		a.fail(w, &operatorError{Code: codeRequestTooLarge, Reason: "a request must have at most 8 MiB"})
+		a.fail(w, &operatorError{Code: codeRequestTooLarge, Reason: fmt.Sprintf("a request must have at most %d bytes", maxOperatorBody)})
 		return false
 	}
 	if err != nil {
--- a/settings/check.go
+++ b/settings/check.go
@@ -18,7 +18,7 @@
 	minHeaderBytes = 4 << 10
 	maxHeaderBytes = 1 << 20
 	minBodyBytes   = 1 << 10
-	maxBodyBytes   = 1 << 30
+	maxBodyBytes   = 64 << 20
 	minTimeout     = 100 * time.Millisecond
 	maxTimeout     = time.Hour
 	maxStopLimit   = 24 * time.Hour
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -35,7 +35,7 @@
 	TLS       TLS    `json:",omitzero"`
 	Log       Log    `json:",omitzero"`
 	Limits    Limits `json:",omitzero"`
-	// MaxRequestTime bounds how long one request may take from its arrival to the end of its answer.
+	// MaxRequestTime bounds the time that a caller may give one request.
 	MaxRequestTime fleet.Duration `json:",omitzero"`
 	// StopLimit bounds how long requests in progress may hold up a stop; it must not be below MaxRequestTime.
 	StopLimit fleet.Duration `json:",omitzero"`
@@ -116,8 +116,8 @@
 			ReadTimeout:       fleet.Duration(time.Minute),
 			IdleTimeout:       fleet.Duration(2 * time.Minute),
 		},
-		MaxRequestTime: fleet.Duration(time.Minute),
-		StopLimit:      fleet.Duration(2 * time.Minute),
+		MaxRequestTime: fleet.Duration(10 * time.Minute),
+		StopLimit:      fleet.Duration(11 * time.Minute),
 	}
 }
 
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"os"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -60,9 +62,9 @@
 		{`"Zone"`, `"Log": {"Level": "Loud", "Format": "xml"}, "Zone"`, `Log.Level: is "Loud", must be one of Debug, Info, Warn, Error`},
 		{`"Zone"`, `"Log": {"Level": "Loud", "Format": "xml"}, "Zone"`, `Log.Format: is "xml", must be one of Logfmt, JSON`},
 		{`"Zone"`, `"Limits": {"MaxHeaderBytes": 1}, "Zone"`, `Limits.MaxHeaderBytes: is 1, must be 4096 to 1048576`},
-		{`"Zone"`, `"Limits": {"MaxBodyBytes": -1}, "Zone"`, `Limits.MaxBodyBytes: is -1, must be 1024 to 1073741824`},
+		{`"Zone"`, `"Limits": {"MaxBodyBytes": -1}, "Zone"`, `Limits.MaxBodyBytes: is -1, must be 1024 to 67108864`},
 		{`"Zone"`, `"Limits": {"IdleTimeout": "0s"}, "Zone"`, `Limits.IdleTimeout: is 0s, must be 100ms to 1h0m0s`},
-		{`"Zone"`, `"StopLimit": "1s", "Zone"`, `line 4: StopLimit: is 1s, must be MaxRequestTime (1m0s) to 24h0m0s`},
+		{`"Zone"`, `"StopLimit": "1s", "Zone"`, `line 4: StopLimit: is 1s, must be MaxRequestTime (10m0s) to 24h0m0s`},
 		{`"Zone"`, `"MaxRequestTime": 5, "Zone"`, `line 4: MaxRequestTime: is 5, must be a duration such as "1m30s"`},
 		{hash, `secret`, `line 9: Operators[0].TokenHash: is "secret", must be a salted hash "SALT.HASH"`},
 		{`"wanjiru"`, `""`, `line 9: Operators[0].Name: is "", must be`},
@@ -102,3 +104,36 @@
 		}
 	})
 }
+
+// Every setting stands in the documentation with its whole path.
+func TestSettingsAreDocumented(t *testing.T) {
+	doc, err := os.ReadFile("../docs/INTERFACE.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var walk func(t reflect.Type, path string) []string
+	walk = func(t reflect.Type, path string) (paths []string) {
+		for _, f := range reflect.VisibleFields(t) {
+			inner := path + f.Name
+			switch {
+			case f.Type.Kind() == reflect.Struct && f.Type.PkgPath() == t.PkgPath():
+				paths = append(paths, walk(f.Type, inner+".")...)
+			case f.Type.Kind() == reflect.Slice && f.Type.Elem().PkgPath() == t.PkgPath():
+				paths = append(paths, walk(f.Type.Elem(), inner+"[].")...)
+			default:
+				paths = append(paths, inner)
+			}
+		}
+
+		return paths
+	}
+	paths := walk(reflect.TypeFor[settings.Settings](), "")
+	if len(paths) < 20 {
+		t.Errorf("only %d settings found", len(paths))
+	}
+	for _, path := range paths {
+		if !strings.Contains(string(doc), "| `"+path+"` |") {
+			t.Errorf("docs/INTERFACE.md lacks %s", path)
+		}
+	}
+}
