--- /dev/null
+++ b/cmd/lycheehook/entry_test.go
@@ -0,0 +1,144 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"lycheehook.example/lycheehook/cert"
+	"lycheehook.example/lycheehook/key"
+	"lycheehook.example/lycheehook/settings"
+	"lycheehook.example/lycheehook/standin"
+)
+
+// lockedBuffer is a log that is read while it is written.
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	return l.b.Write(p)
+}
+
+// String returns what was written.
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	return l.b.String()
+}
+
+func freeAddress(t *testing.T) netip.AddrPort {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+// tlsFiles writes a certificate of an authority for loopback into a new directory.
+func tlsFiles(t *testing.T, a *cert.Authority) cert.Files {
+	t.Helper()
+	p, err := a.Issue("entry-1", time.Hour, net.IPv4(127, 0, 0, 1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	f, err := a.WriteFiles(t.TempDir(), p)
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	return f
+}
+
+func newAuthority(t *testing.T) *cert.Authority {
+	t.Helper()
+	a, err := cert.NewAuthority("operators", time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	return a
+}
+
+// An entry host that is started from a settings file serves operators over TLS, logs JSON without secrets, and stops when it is told.
+func TestEntryFromSettingsFile(t *testing.T) {
+	store, platform := httptest.NewServer(standin.NewStore()), httptest.NewServer(standin.NewPlatform())
+	defer store.Close()
+	defer platform.Close()
+	files, strangers := tlsFiles(t, newAuthority(t)), tlsFiles(t, newAuthority(t))
+	hash, token := key.NewSecret()
+	s := settings.Settings{
+		Name: "entry-1", Region: "region-1", Zone: "zone-a", CallerAddress: freeAddress(t), OperatorAddress: freeAddress(t),
+		StoreAddress:    netip.MustParseAddrPort(store.Listener.Addr().String()),
+		PlatformAddress: netip.MustParseAddrPort(platform.Listener.Addr().String()),
+		Operators:       []settings.Operator{{Name: "wanjiru", TokenHash: hash}},
+		TLS:             settings.TLS{Operators: settings.TLSFiles{CertificateFile: files.Certificate, KeyFile: files.Key}},
+		Log:             settings.Log{Format: settings.LogJSON},
+	}.WithDefaults()
+	data, err := json.Marshal(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), "entry.json")
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		t.Fatal(err)
+	}
+
+	ctx, stop := context.WithCancel(t.Context())
+	var logs lockedBuffer
+	ended := make(chan exitCode, 1)
+	go func() { ended <- run(ctx, []string{"entry", "--settings", path}, process{out: &logs, err: &logs, getenv: os.Getenv}) }()
+
+	var out bytes.Buffer
+	operate := func(ca string, args ...string) exitCode {
+		out.Reset()
+		env := map[string]string{envOperator: s.OperatorAddress.String(), envToken: token, envCA: ca}
+		return run(t.Context(), args, process{out: &out, err: &out, getenv: func(name string) string { return env[name] }})
+	}
+	for range 1000 {
+		if operate(files.CA, "status") == exitOK && strings.Contains(out.String(), "in force") {
+			break
+		}
+		<-time.After(10 * time.Millisecond)
+	}
+	if !strings.Contains(out.String(), "entry-1") || !strings.Contains(out.String(), "in force") {
+		t.Fatalf("status over TLS: %s\n%s", out.String(), logs.String())
+	}
+	if code := operate(strangers.CA, "customers", "get"); code != exitUnavailable || !strings.Contains(out.String(), "unknown authority") {
+		t.Errorf("an entry host of another authority was trusted: %d %s", code, out.String())
+	}
+	if code := operate("", "customers", "get"); code == exitOK {
+		t.Errorf("plain text was taken: %s", out.String())
+	}
+
+	stop()
+	if code := <-ended; code != exitOK {
+		t.Errorf("the entry host ended with %d", code)
+	}
+	for line := range strings.Lines(logs.String()) {
+		if !json.Valid([]byte(line)) {
+			t.Errorf("not a line of JSON: %s", line)
+		}
+	}
+	if text := logs.String(); !strings.Contains(text, "entry host serves") || strings.Contains(text, token) {
+		t.Errorf("logs without a start or with a token:\n%s", text)
+	}
+}
