--- a/cmd/lycheehook/entry_test.go
+++ b/cmd/lycheehook/entry_test.go
@@ -105,7 +105,9 @@
 	ctx, stop := context.WithCancel(t.Context())
 	var logs lockedBuffer
 	ended := make(chan exitCode, 1)
-	go func() { ended <- run(ctx, []string{"entry", "--settings", path}, process{out: &logs, err: &logs, getenv: os.Getenv}) }()
+	go func() {
+		ended <- run(ctx, []string{"entry", "--settings", path}, process{out: &logs, err: &logs, getenv: os.Getenv})
+	}()
 
 	var out bytes.Buffer
 	operate := func(ca string, args ...string) exitCode {
