--- a/cmd/lycheehook/entry_test.go
+++ b/cmd/lycheehook/entry_test.go
@@ -140,7 +140,7 @@
 			t.Errorf("not a line of JSON: %s", line)
 		}
 	}
-	if text := logs.String(); !strings.Contains(text, "entry host serves") || strings.Contains(text, token) {
-		t.Errorf("logs without a start or with a token:\n%s", text)
+	if text := logs.String(); !strings.Contains(text, "entry host serves") || strings.Contains(text, token) || !strings.Contains(text, "TLS handshake error") {
+		t.Errorf("logs without a start or a failed handshake, or with a token:\n%s", text)
 	}
 }
--- a/entry/host.go
+++ b/entry/host.go
@@ -88,8 +88,8 @@
 		return merry.Prepend(err, "TLS for operators")
 	}
 	servers := []*http.Server{
-		serve(&wg, callers, h.caller.handler(), h.Settings.Limits),
-		serve(&wg, operators, h.operator.handler(), h.Settings.Limits),
+		serve(&wg, callers, h.caller.handler(), h.Settings.Limits, h.Log),
+		serve(&wg, operators, h.operator.handler(), h.Settings.Limits, h.Log),
 	}
 	h.Log.Info("entry host serves", "entry", h.Settings.Name, "callers", callers.Addr(), "operators", operators.Addr())
 
@@ -102,8 +102,8 @@
 	return err
 }
 
-func serve(wg *sync.WaitGroup, l net.Listener, handler http.Handler, limits settings.Limits) *http.Server {
-	s := newServer(handler, limits)
+func serve(wg *sync.WaitGroup, l net.Listener, handler http.Handler, limits settings.Limits, logger *log.Logger) *http.Server {
+	s := newServer(handler, limits, logger)
 	wg.Go(func() { _ = s.Serve(l) })
 
 	return s
--- a/entry/listener.go
+++ b/entry/listener.go
@@ -31,8 +31,9 @@
 }
 
 // newServer returns a server whose connections are bounded by the limits.
-func newServer(h http.Handler, l settings.Limits) *http.Server {
+func newServer(h http.Handler, l settings.Limits, logger *log.Logger) *http.Server {
 	return &http.Server{
+		ErrorLog:          logger.StandardLog(log.StandardLogOptions{ForceLevel: log.WarnLevel}),
 		Handler:           limitBodies(h, l),
 		ReadHeaderTimeout: l.ReadHeaderTimeout.Std(),
 		IdleTimeout:       l.IdleTimeout.Std(),
--- a/entry/listener_test.go
+++ b/entry/listener_test.go
@@ -47,7 +47,7 @@
 		lis.seen = append(lis.seen, r.Method+" "+r.URL.Path)
 		lis.mu.Unlock()
 		respond(w, r)
-	}), limits)
+	}), limits, log.New(io.Discard))
 	go func() { _ = s.Serve(l) }()
 	t.Cleanup(func() { _ = s.Close() })
 
@@ -184,8 +184,7 @@
 	}
 	s := newServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.WriteString(w, r.TLS.PeerCertificates[0].Subject.CommonName)
-	}), testLimits())
-	s.ErrorLog = log.New(io.Discard).StandardLog()
+	}), testLimits(), log.New(io.Discard))
 	go func() { _ = s.Serve(l) }()
 	defer func() { _ = s.Close() }()
 
--- a/entry/operator_test.go
+++ b/entry/operator_test.go
@@ -245,6 +245,28 @@
 	}
 }
 
+// A change whose answer from the store was lost is accepted once, whether the operator repeats it or not.
+func TestLostAnswerOfTheStore(t *testing.T) {
+	o := newOperators(t)
+	o.store.SetFault(standin.FaultAnswerLost)
+	if status := o.putLists(); status != http.StatusOK && status != http.StatusBadGateway {
+		t.Errorf("lists answered %d, want accepted or unknown", status)
+	}
+	o.store.SetFault(standin.FaultNone)
+	if status := o.putLists(); status != http.StatusOK {
+		t.Errorf("the repeated edit answered %d", status)
+	}
+	if n := o.api.book.Current().Number; n != 1 {
+		t.Errorf("revision %d is in force, want 1", n)
+	}
+	if err := o.api.trail.Flush(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if got := o.audited("?action=ApplyLists"); len(got) != 1 || strings.HasSuffix(got[0], "Refused") {
+		t.Errorf("the trail says %v of one change that took effect", got)
+	}
+}
+
 func TestStatusAndProbes(t *testing.T) {
 	o := newOperators(t)
 	probe := func(path string) (int, string) {
