--- a/entry/host.go
+++ b/entry/host.go
@@ -59,7 +59,7 @@
 	p.Settings = p.Settings.WithDefaults()
 	h := &Host{
 		parts: p, listen: lc.Listen,
-		caller:   &callerAPI{gate: p.Gate, sender: p.Sender, log: p.Log},
+		caller:   &callerAPI{gate: p.Gate, sender: p.Sender, log: p.Log, longest: p.Settings.MaxRequestTime.Std()},
 		operator: &operatorAPI{settings: p.Settings, book: p.Book, trail: p.Trail, store: p.Store, metrics: p.Metrics, log: p.Log},
 	}
 	p.Gate.AcquireLimit = p.Limits.acquire
@@ -105,8 +105,8 @@
 		return merry.Prepend(err, "TLS for operators")
 	}
 	servers := []*http.Server{
-		serve(&wg, callers, h.caller.handler(), h.Settings.Limits),
-		serve(&wg, operators, h.operator.handler(), h.Settings.Limits),
+		serve(&wg, callers, h.caller.handler(), h.Settings.Limits, h.Log),
+		serve(&wg, operators, h.operator.handler(), h.Settings.Limits, h.Log),
 	}
 	h.Log.Info("entry host serves", "entry", h.Settings.Name, "callers", callers.Addr(), "operators", operators.Addr())
 
@@ -134,8 +134,8 @@
 	}
 }
 
-func serve(wg *sync.WaitGroup, l net.Listener, handler http.Handler, limits settings.Limits) *http.Server {
-	s := newServer(handler, limits)
+func serve(wg *sync.WaitGroup, l net.Listener, handler http.Handler, limits settings.Limits, logger *log.Logger) *http.Server {
+	s := newServer(handler, limits, logger)
 	wg.Go(func() { _ = s.Serve(l) })
 
 	return s
--- a/entry/listener_test.go
+++ b/entry/listener_test.go
@@ -47,7 +47,7 @@
 		lis.seen = append(lis.seen, r.Method+" "+r.URL.Path)
 		lis.mu.Unlock()
 		respond(w, r)
-	}), limits)
+	}), limits, log.New(io.Discard))
 	go func() { _ = s.Serve(l) }()
 	t.Cleanup(func() { _ = s.Close() })
 
@@ -81,7 +81,7 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = c.Close() }()
-	if err := c.SetDeadline(time.Now().Add(time.Minute)); err != nil {
+	if err := c.SetDeadline(time.Now().Add(10 * time.Second)); err != nil {
 		t.Fatal(err)
 	}
 	// The server may close before it has read all.
@@ -184,8 +184,7 @@
 	}
 	s := newServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.WriteString(w, r.TLS.PeerCertificates[0].Subject.CommonName)
-	}), testLimits())
-	s.ErrorLog = log.New(io.Discard).StandardLog()
+	}), testLimits(), log.New(io.Discard))
 	go func() { _ = s.Serve(l) }()
 	defer func() { _ = s.Close() }()
 
--- a/entry/operator_test.go
+++ b/entry/operator_test.go
@@ -119,8 +119,8 @@
 		{"too large", "PUT", "/v1/lists", strings.Repeat(" ", maxOperatorBody+1), operatorError{Code: codeRequestTooLarge}},
 		{"lists that do not hold together", "PUT", "/v1/lists", `{"Base": 1, "Lists": ` + withoutPool + `}`,
 			operatorError{Code: codeListInvalid, Faults: []document.Fault{{Path: "Queues[0].Pool", Reason: `pool "ledger-a" does not exist`}}}},
-		{"stale base", "POST", "/v1/lists/customers", `{"Base": 0, "Customers": []}`, operatorError{Code: codeConflict, Revision: 1, Changes: []document.Change{
-			{Path: "Customers[kisumu-clubs]", After: `{"Name":"kisumu-clubs","Plan":"ledger",` +
+		{"stale base", "POST", "/v1/lists/customers", `{"Base": 0, "Customers": []}`, operatorError{Code: codeConflict, Revision: 1, Changes: []plan.Change{
+			{Path: "Customers[kisumu-clubs]", To: `{"Name":"kisumu-clubs","Plan":"ledger",` +
 				`"Teams":[{"Name":"postings","Share":1,"UpperLimit":{"Slots":8}}]}`},
 		}}},
 		{"base of the future", "POST", "/v1/lists/plans", `{"Base": 7, "Plans": []}`, operatorError{Code: codeConflict, Revision: 1}},
@@ -245,6 +245,28 @@
 	}
 }
 
+// A change whose answer from the store was lost is accepted once, whether the operator repeats it or not.
+func TestLostAnswerOfTheStore(t *testing.T) {
+	o := newOperators(t)
+	o.store.SetFault(standin.FaultAnswerLost)
+	if status := o.putLists(); status != http.StatusOK && status != http.StatusBadGateway {
+		t.Errorf("lists answered %d, want accepted or unknown", status)
+	}
+	o.store.SetFault(standin.FaultNone)
+	if status := o.putLists(); status != http.StatusOK {
+		t.Errorf("the repeated edit answered %d", status)
+	}
+	if n := o.api.book.Current().Number; n != 1 {
+		t.Errorf("revision %d is in force, want 1", n)
+	}
+	if err := o.api.trail.Flush(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if got := o.audited("?action=ApplyLists"); len(got) != 1 || strings.HasSuffix(got[0], "Refused") {
+		t.Errorf("the trail says %v of one change that took effect", got)
+	}
+}
+
 func TestStatusAndProbes(t *testing.T) {
 	o := newOperators(t)
 	probe := func(path string) (int, string) {
--- a/entry/wire_gen.go
+++ b/entry/wire_gen.go
@@ -27,9 +27,9 @@
 	set := endpoint.NewSet()
 	sender := newSender()
 	gate := admission.New(book, set)
-	entryControl := newControl(client, platformClient, book, entryCluster, l)
-	entryLimits := newLimits(s, client, entryCluster, book, l)
 	trail := newTrail(client, s, l)
+	entryControl := newControl(client, platformClient, book, entryCluster, trail, s, l)
+	entryLimits := newLimits(s, client, entryCluster, book, l)
 	registry := newRegistry()
 	entryOperatorMetrics := newOperatorMetrics(registry, book, trail)
 	entryParts := parts{
