Place jobs on workers, never twice what is not idempotent

Many jobs share one store value; a job's place is written before its worker is called, and what became of a call is asked of the worker by token, which also makes it refuse a late start. Only a worker's proof that it never started a job, or a checkpoint, places a job again that is not idempotent. Shortfalls tells operators which pool can't keep what was promised with a zone lost.

A spare pool needs no budget of its own: its hosts serve nobody, and the default of one host throttled every move of a large fleet.

--- a/fleet/entity.go
+++ b/fleet/entity.go
@@ -188,6 +188,10 @@
 	JobFailed    JobState = "Failed"
 	JobCancelled JobState = "Cancelled"
 	JobNeverRuns JobState = "NeverRuns"
+	// JobStarting is placed on a worker that may or may not have started it yet.
+	JobStarting JobState = "Starting"
+	// JobOutcomeUnknown may have run and is not idempotent, so it is never placed again.
+	JobOutcomeUnknown JobState = "OutcomeUnknown"
 )
 
 // Job is work that is placed on a worker host and asked about later.
--- /dev/null
+++ b/job/job_test.go
@@ -0,0 +1,228 @@
+package job_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"lycheehook.example/lycheehook/fleet"
+	"lycheehook.example/lycheehook/job"
+	"lycheehook.example/lycheehook/move"
+	"lycheehook.example/lycheehook/platform"
+	"lycheehook.example/lycheehook/record"
+	"lycheehook.example/lycheehook/standin"
+)
+
+const (
+	workers  = 6
+	taskTime = 50 * time.Second
+	stepTime = 10 * time.Second
+)
+
+var workerSize = fleet.Resources{Cores: 16_000, Memory: 32 << 10}
+
+// yard is workers and a store with a few controllers over them.
+type yard struct {
+	store       *standin.Store
+	platform    *standin.Platform
+	hosts       map[fleet.HostName]record.Versioned[move.Record]
+	controllers []*job.Controller
+}
+
+func newYard(controllers int) *yard {
+	y := &yard{store: standin.NewStore(), platform: standin.NewPlatform()}
+	y.platform.SetTaskTime(taskTime)
+	y.hosts = map[fleet.HostName]record.Versioned[move.Record]{}
+	for i := range workers {
+		h := fleet.Host{Name: fleet.HostName(fmt.Sprint("w", i)), Pool: "p", State: fleet.HostLive, Capacity: workerSize}
+		y.platform.PutHost(h)
+		y.hosts[h.Name] = record.Versioned[move.Record]{Value: move.Record{Host: h}, Revision: 1}
+	}
+	tables := fleet.Tables{Queues: fleet.NewTable(func(q fleet.Queue) fleet.QueueName { return q.Name }, fleet.Queue{Name: "q", Pool: "p"})}
+	for range controllers {
+		y.controllers = append(y.controllers, job.New(y.store.Client(), y.platform.Client(),
+			func() fleet.Tables { return tables }, func() map[fleet.HostName]record.Versioned[move.Record] { return y.hosts },
+			job.WithRetention(24*time.Hour)))
+	}
+
+	return y
+}
+
+func newJob(i int, idempotent bool) fleet.Job {
+	return fleet.Job{
+		ID: fleet.JobID(fmt.Sprintf("j%03d", i)), Queue: "q", Size: fleet.Resources{Cores: 4_000, Memory: 1 << 10}, Idempotent: idempotent,
+	}
+}
+
+func (y *yard) steps(ctx context.Context, t *testing.T, n int) {
+	t.Helper()
+	for range n {
+		if _, err := y.controllers[0].Step(ctx, time.Now()); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(stepTime)
+	}
+}
+
+func (y *yard) state(t *testing.T, id fleet.JobID) fleet.JobState {
+	t.Helper()
+	e, _, err := y.controllers[0].Find(t.Context(), id)
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	return e.State
+}
+
+// TestNeverTwice lets three controllers run jobs while stores, platforms and workers fail, and holds that a job that is
+// not idempotent starts at most once, and that every job ends.
+func TestNeverTwice(t *testing.T) {
+	const jobs = 40
+	faults := []standin.Fault{standin.FaultNone, standin.FaultNone, standin.FaultDown, standin.FaultAnswerLost}
+	for seed := range uint64(12) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				rng := rand.New(rand.NewPCG(seed, 9))
+				y := newYard(3)
+				for i := range jobs {
+					if err := y.controllers[0].Submit(t.Context(), newJob(i, i%2 == 0)); err != nil {
+						t.Fatal(err)
+					}
+				}
+				for range 120 {
+					y.store.SetFault(faults[rng.IntN(len(faults))])
+					y.platform.SetFault(faults[rng.IntN(len(faults))])
+					y.platform.SetCrashed(fleet.HostName(fmt.Sprint("w", rng.IntN(workers))), rng.IntN(4) == 0)
+					_, _ = y.controllers[rng.IntN(3)].Step(t.Context(), time.Now())
+					time.Sleep(time.Duration(rng.IntN(int(stepTime))))
+				}
+				y.store.SetFault(standin.FaultNone)
+				y.platform.SetFault(standin.FaultNone)
+				for i := range workers {
+					y.platform.SetCrashed(fleet.HostName(fmt.Sprint("w", i)), false)
+				}
+				y.steps(t.Context(), t, 60)
+				for i := range jobs {
+					j := newJob(i, i%2 == 0)
+					if n := y.platform.Starts(j.ID); !j.Idempotent && n > 1 {
+						t.Errorf("%s is not idempotent and was started %d times", j.ID, n)
+					}
+					if s := y.state(t, j.ID); s != fleet.JobDone && (j.Idempotent || s != fleet.JobOutcomeUnknown) {
+						t.Errorf("%s ends as %s", j.ID, s)
+					}
+				}
+			})
+		})
+	}
+}
+
+// TestLateStart lets a controller that was paused between its write and its call wake after another took over.
+func TestLateStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		y := newYard(2)
+		if err := y.controllers[0].Submit(t.Context(), newJob(1, false)); err != nil {
+			t.Fatal(err)
+		}
+		y.platform.SetFault(standin.FaultDown)
+		y.steps(t.Context(), t, 1)
+		y.platform.SetFault(standin.FaultNone)
+		e, _, _ := y.controllers[0].Find(t.Context(), "j001")
+		if e.State != fleet.JobStarting {
+			t.Fatalf("state %s, want Starting", e.State)
+		}
+		// The other controller asks the worker, which proves that it never started the job, and places it elsewhere.
+		gone := y.hosts[e.Host]
+		gone.Value.State = fleet.HostDraining
+		y.hosts[e.Host] = gone
+		if _, err := y.controllers[1].Step(t.Context(), time.Now()); err != nil {
+			t.Fatal(err)
+		}
+		late := platform.TaskStart{Job: e.ID, Host: e.Host, Token: e.Token, HostFence: e.HostFence, LeaseTTL: fleet.Duration(time.Minute)}
+		if err := y.platform.Client().StartTask(t.Context(), late); err == nil {
+			t.Error("the late start was taken")
+		}
+		y.steps(t.Context(), t, 10)
+		if n, s := y.platform.Starts(e.ID), y.state(t, e.ID); n != 1 || s != fleet.JobDone {
+			t.Errorf("started %d times and ends as %s", n, s)
+		}
+	})
+}
+
+func TestNeverRuns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		y := newYard(1)
+		j := newJob(1, true)
+		j.Size.Cores = workerSize.Cores + 1
+		if err := y.controllers[0].Submit(t.Context(), j); err != nil {
+			t.Fatal(err)
+		}
+		if y.steps(t.Context(), t, 1); y.state(t, j.ID) != fleet.JobNeverRuns {
+			t.Errorf("state %s after one step, want NeverRuns", y.state(t, j.ID))
+		}
+	})
+}
+
+// TestBatches holds that many submissions, placements and cancels cost at most one write for each shard.
+func TestBatches(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		y := newYard(1)
+		jobs, ids := make([]fleet.Job, 300), make([]fleet.JobID, 300)
+		for i := range jobs {
+			jobs[i] = newJob(i, true)
+			ids[i] = jobs[i].ID
+		}
+		acts := []struct {
+			name string
+			do   func() error
+		}{
+			{"submit", func() error { return y.controllers[0].Submit(t.Context(), jobs...) }},
+			{"step", func() error { _, err := y.controllers[0].Step(t.Context(), time.Now()); return err }},
+			{"cancel", func() error { return y.controllers[0].Cancel(t.Context(), ids...) }},
+			{"step after cancel", func() error { _, err := y.controllers[0].Step(t.Context(), time.Now()); return err }},
+		}
+		for _, a := range acts {
+			before := y.store.Calls()["CompareAndSwap"]
+			if err := a.do(); err != nil {
+				t.Fatal(a.name, err)
+			}
+			if n := y.store.Calls()["CompareAndSwap"] - before; n > job.Shards {
+				t.Errorf("%s of %d jobs made %d writes, want at most %d", a.name, len(jobs), n, job.Shards)
+			}
+		}
+		y.steps(t.Context(), t, 2)
+		for _, id := range ids {
+			if s := y.state(t, id); s != fleet.JobCancelled {
+				t.Fatalf("%s ends as %s, want Cancelled", id, s)
+			}
+		}
+	})
+}
+
+func TestQuiesce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		y := newYard(1)
+		if err := y.controllers[0].Submit(t.Context(), newJob(1, true), newJob(2, false)); err != nil {
+			t.Fatal(err)
+		}
+		y.steps(t.Context(), t, 2)
+		for _, id := range []fleet.JobID{"j001", "j002"} {
+			e, _, _ := y.controllers[0].Find(t.Context(), id)
+			y.controllers[0].Quiesce(t.Context(), move.Wait{Host: e.Host, Reason: move.WaitTasks})
+		}
+		y.steps(t.Context(), t, 12)
+		if n := y.platform.CutOff(); n != 0 {
+			t.Errorf("%d tasks cut off", n)
+		}
+		for _, id := range []fleet.JobID{"j001", "j002"} {
+			if s := y.state(t, id); s != fleet.JobDone {
+				t.Errorf("%s ends as %s", id, s)
+			}
+		}
+		if n := y.platform.Starts("j002"); n != 1 {
+			t.Errorf("the job that is not idempotent was started %d times", n)
+		}
+	})
+}
--- a/move/decide.go
+++ b/move/decide.go
@@ -226,7 +226,8 @@
 	return all
 }
 
-// EffectiveBudgets returns the operators' budgets, and one of a single host for each pool that none of them names.
+// EffectiveBudgets returns the operators' budgets, and one of a single host for each pool that none of them names; the
+// hosts of a spare pool serve nobody and need none.
 func EffectiveBudgets(c Config) fleet.Table[fleet.BudgetName, fleet.Budget] {
 	named := map[fleet.PoolName]bool{}
 	all := c.Budgets
@@ -235,8 +236,8 @@
 			named[pool] = true
 		}
 	}
-	for name := range c.Pools.All() {
-		if !named[name] {
+	for name, pool := range c.Pools.All() {
+		if !named[name] && !pool.Spare {
 			b := fleet.Budget{Name: fleet.BudgetName("pool:" + name), Pools: []fleet.PoolName{name}, MaxUnavailable: 1}
 			all = all.With(b.Name, b)
 		}
--- /dev/null
+++ b/placement/claim.go
@@ -0,0 +1,80 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+
+	"lycheehook.example/lycheehook/fleet"
+)
+
+// Shortfall is a pool whose hosts can't keep what its customers were promised when one zone is lost.
+type Shortfall struct {
+	Pool fleet.PoolName
+	// Lost is the availability zone whose loss was assumed; empty means none.
+	Lost fleet.ZoneName `json:",omitempty"`
+	// Promised and Capacity are the sums of claims and of the hosts that are left.
+	Promised fleet.Resources
+	Capacity fleet.Resources
+}
+
+// Shortfalls returns every pool and lost zone for which the promises of all customers exceed the hosts that are left.
+// A plan's claim counts against the pool of each of its queues; resources that no claim names don't count.
+func Shortfalls(t fleet.Tables) []Shortfall {
+	promised := promises(t)
+	zones := map[fleet.ZoneName]bool{"": true}
+	for _, h := range t.Hosts.All() {
+		zones[h.Zone] = true
+	}
+
+	var all []Shortfall
+	for pool, sum := range promised {
+		for zone := range zones {
+			left := capacity(t, pool, zone)
+			if !sum.FitsIn(left) {
+				all = append(all, Shortfall{Pool: pool, Lost: zone, Promised: sum, Capacity: left})
+			}
+		}
+	}
+	slices.SortFunc(all, func(a, b Shortfall) int { return cmp.Or(cmp.Compare(a.Pool, b.Pool), cmp.Compare(a.Lost, b.Lost)) })
+
+	return all
+}
+
+// promises sums the claims on each pool; a customer's claim counts once per pool, however many queues lead there.
+func promises(t fleet.Tables) map[fleet.PoolName]fleet.Resources {
+	sums := map[fleet.PoolName]fleet.Resources{}
+	for _, c := range t.Customers.All() {
+		plan, ok := t.Plans.Get(c.Plan)
+		if !ok || plan.Claim.IsZero() {
+			continue
+		}
+		counted := map[fleet.PoolName]bool{}
+		for _, name := range plan.Queues {
+			q, ok := t.Queues.Get(name)
+			if !ok || counted[q.Pool] {
+				continue
+			}
+			counted[q.Pool] = true
+			sums[q.Pool] = sums[q.Pool].Plus(plan.Claim)
+		}
+	}
+
+	return sums
+}
+
+// capacity sums the hosts of a pool outside a lost zone, and the slots of its endpoints there.
+func capacity(t fleet.Tables, pool fleet.PoolName, lost fleet.ZoneName) fleet.Resources {
+	var sum fleet.Resources
+	for _, h := range t.Hosts.All() {
+		if h.Pool == pool && (h.Zone != lost || lost == "") {
+			sum = sum.Plus(h.Capacity)
+		}
+	}
+	for _, e := range t.Endpoints.All() {
+		if e.Pool == pool && (e.Zone != lost || lost == "") && !e.Leaving {
+			sum.Slots += int64(e.Slots)
+		}
+	}
+
+	return sum
+}
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -110,6 +110,18 @@
 	}
 }
 
+// taken sums the sizes of the running tasks.
+func (w *worker) taken() fleet.Resources {
+	var sum fleet.Resources
+	for _, t := range w.tasks {
+		if t.status.State == platform.TaskRunning {
+			sum = sum.Plus(t.start.Size)
+		}
+	}
+
+	return sum
+}
+
 func (w *worker) loseTasks() {
 	for _, t := range w.tasks {
 		if t.status.State == platform.TaskRunning {
@@ -161,6 +173,10 @@
 		return merry.Prependf(platform.ErrRefused, "host %s is draining", s.Host)
 	}
 
+	if !w.taken().Plus(s.Size).FitsIn(w.host.Capacity) {
+		return merry.Prependf(platform.ErrRefused, "host %s has no room", s.Host)
+	}
+
 	p.launch(w, s)
 
 	return p.answer("StartTask")
