Hold planners, late starts and the tail of a zone to account

Jobs now run under controllers that step at once while starts arrive long after they were given up; that found no fault, and fails when an unsure write or answer counts as sure or a worker forgets what it declared not started.

A whole host for a fraction of one is idle for the rest, so a pool goes without the fraction that the weights say (critical ratio); a pool of one idle host counts as idle now; and a zone starts while at most two hosts of the last one are still out.

--- a/job/job_test.go
+++ b/job/job_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -32,7 +33,35 @@
 	controllers []*job.Controller
 }
 
-func newYard(controllers int) *yard {
+// flaky returns a client in which each call meets a fault that change chooses.
+func flaky(c *platform.Client, change func()) *platform.Client {
+	return &platform.Client{
+		StartTask: func(ctx context.Context, s platform.TaskStart) error { change(); return c.StartTask(ctx, s) },
+		RenewTasks: func(ctx context.Context, h fleet.HostName, t []platform.TaskCall) ([]fleet.JobID, error) {
+			change()
+			return c.RenewTasks(ctx, h, t)
+		},
+		Task: func(ctx context.Context, q platform.TaskCall) (platform.TaskStatus, error) {
+			change()
+			return c.Task(ctx, q)
+		},
+		Tasks: func(ctx context.Context, h fleet.HostName) ([]platform.TaskStatus, error) {
+			change()
+			return c.Tasks(ctx, h)
+		},
+		Checkpoint: func(ctx context.Context, q platform.TaskCall) error { change(); return c.Checkpoint(ctx, q) },
+		StopTasks: func(ctx context.Context, h fleet.HostName, t []platform.TaskCall) error {
+			change()
+			return c.StopTasks(ctx, h, t)
+		},
+	}
+}
+
+func newYard(controllers int, s *storm) *yard {
+	change := calm
+	if s != nil {
+		change = s.change
+	}
 	y := &yard{store: standin.NewStore(), platform: standin.NewPlatform()}
 	y.platform.SetTaskTime(taskTime)
 	y.hosts = map[fleet.HostName]record.Versioned[move.Record]{}
@@ -42,8 +71,12 @@
 		y.hosts[h.Name] = record.Versioned[move.Record]{Value: move.Record{Host: h}, Revision: 1}
 	}
 	tables := fleet.Tables{Queues: fleet.NewTable(func(q fleet.Queue) fleet.QueueName { return q.Name }, fleet.Queue{Name: "q", Pool: "p"})}
+	client := flaky(y.platform.Client(), func() { change(y.platform) })
+	if s != nil {
+		client = s.delayed(client)
+	}
 	for range controllers {
-		y.controllers = append(y.controllers, job.New(y.store.Client(), y.platform.Client(),
+		y.controllers = append(y.controllers, job.New(y.store.Client(), client,
 			func() fleet.Tables { return tables }, func() map[fleet.HostName]record.Versioned[move.Record] { return y.hosts },
 			job.WithRetention(24*time.Hour)))
 	}
@@ -51,6 +84,8 @@
 	return y
 }
 
+func calm(*standin.Platform) {}
+
 func newJob(i int, idempotent bool) fleet.Job {
 	return fleet.Job{
 		ID: fleet.JobID(fmt.Sprintf("j%03d", i)), Queue: "q", Size: fleet.Resources{Cores: 4_000, Memory: 1 << 10}, Idempotent: idempotent,
@@ -77,41 +112,88 @@
 	return e.State
 }
 
-// TestNeverTwice lets three controllers run jobs while stores, platforms and workers fail, and holds that a job that is
-// not idempotent starts at most once, and that every job ends.
+// storm chooses faults at random; it is safe for use by many goroutines.
+type storm struct {
+	mu     sync.Mutex
+	rng    *rand.Rand
+	over   bool
+	faults []standin.Fault
+}
+
+func newStorm(seed uint64) *storm {
+	return &storm{
+		rng:    rand.New(rand.NewPCG(seed, 9)),
+		faults: []standin.Fault{standin.FaultNone, standin.FaultNone, standin.FaultDown, standin.FaultAnswerLost},
+	}
+}
+
+func (s *storm) intN(n int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.rng.IntN(n)
+}
+
+func (s *storm) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.over = true
+}
+
+func (s *storm) change(p *standin.Platform) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.over {
+		p.SetFault(standin.FaultNone)
+		return
+	}
+	p.SetFault(s.faults[s.rng.IntN(len(s.faults))])
+}
+
+// delayed lets a start arrive long after its caller gave it up.
+func (s *storm) delayed(c *platform.Client) *platform.Client {
+	late := *c
+	late.StartTask = func(ctx context.Context, q platform.TaskStart) error {
+		if s.intN(3) > 0 {
+			return c.StartTask(ctx, q)
+		}
+		wait := time.Duration(s.intN(int(4 * stepTime)))
+		go func() {
+			time.Sleep(wait)
+			_ = c.StartTask(context.WithoutCancel(ctx), q)
+		}()
+
+		return platform.ErrOutcomeUnknown
+	}
+
+	return &late
+}
+
+// TestNeverTwice lets three controllers run jobs at once while stores, platforms and workers fail and calls arrive
+// late, and holds that a job that is not idempotent starts at most once, and that every job ends.
 func TestNeverTwice(t *testing.T) {
 	const jobs = 40
-	faults := []standin.Fault{standin.FaultNone, standin.FaultNone, standin.FaultDown, standin.FaultAnswerLost}
 	for seed := range uint64(12) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				rng := rand.New(rand.NewPCG(seed, 9))
-				y := newYard(3)
+				s := newStorm(seed)
+				y := newYard(3, s)
+				y.platform.SetDelay(50 * time.Millisecond)
+				y.store.SetDelay(50 * time.Millisecond)
 				for i := range jobs {
 					if err := y.controllers[0].Submit(t.Context(), newJob(i, i%2 == 0)); err != nil {
 						t.Fatal(err)
 					}
 				}
-				for range 120 {
-					y.store.SetFault(faults[rng.IntN(len(faults))])
-					y.platform.SetFault(faults[rng.IntN(len(faults))])
-					y.platform.SetCrashed(fleet.HostName(fmt.Sprint("w", rng.IntN(workers))), rng.IntN(4) == 0)
-					_, _ = y.controllers[rng.IntN(3)].Step(t.Context(), time.Now())
-					time.Sleep(time.Duration(rng.IntN(int(stepTime))))
-				}
-				y.store.SetFault(standin.FaultNone)
-				y.platform.SetFault(standin.FaultNone)
-				for i := range workers {
-					y.platform.SetCrashed(fleet.HostName(fmt.Sprint("w", i)), false)
-				}
+				y.weather(t.Context(), s)
 				y.steps(t.Context(), t, 60)
 				for i := range jobs {
 					j := newJob(i, i%2 == 0)
 					if n := y.platform.Starts(j.ID); !j.Idempotent && n > 1 {
 						t.Errorf("%s is not idempotent and was started %d times", j.ID, n)
 					}
-					if s := y.state(t, j.ID); s != fleet.JobDone && (j.Idempotent || s != fleet.JobOutcomeUnknown) {
-						t.Errorf("%s ends as %s", j.ID, s)
+					if st := y.state(t, j.ID); st != fleet.JobDone && (j.Idempotent || st != fleet.JobOutcomeUnknown) {
+						t.Errorf("%s ends as %s", j.ID, st)
 					}
 				}
 			})
@@ -119,10 +201,34 @@
 	}
 }
 
+// weather runs every controller on its own until the storm is over.
+func (y *yard) weather(ctx context.Context, s *storm) {
+	var wg sync.WaitGroup
+	for _, c := range y.controllers {
+		wg.Go(func() {
+			for range 60 {
+				_, _ = c.Step(ctx, time.Now())
+				time.Sleep(time.Duration(s.intN(int(stepTime))))
+			}
+		})
+	}
+	for range 60 {
+		y.store.SetFault(s.faults[s.intN(len(s.faults))])
+		y.platform.SetCrashed(fleet.HostName(fmt.Sprint("w", s.intN(workers))), s.intN(4) == 0)
+		time.Sleep(stepTime / 2)
+	}
+	s.end()
+	y.store.SetFault(standin.FaultNone)
+	for i := range workers {
+		y.platform.SetCrashed(fleet.HostName(fmt.Sprint("w", i)), false)
+	}
+	wg.Wait()
+}
+
 // TestLateStart lets a controller that was paused between its write and its call wake after another took over.
 func TestLateStart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		y := newYard(2)
+		y := newYard(2, nil)
 		if err := y.controllers[0].Submit(t.Context(), newJob(1, false)); err != nil {
 			t.Fatal(err)
 		}
@@ -153,7 +259,7 @@
 
 func TestNeverRuns(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		y := newYard(1)
+		y := newYard(1, nil)
 		j := newJob(1, true)
 		j.Size.Cores = workerSize.Cores + 1
 		if err := y.controllers[0].Submit(t.Context(), j); err != nil {
@@ -168,7 +274,7 @@
 // TestBatches holds that many submissions, placements and cancels cost at most one write for each shard.
 func TestBatches(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		y := newYard(1)
+		y := newYard(1, nil)
 		jobs, ids := make([]fleet.Job, 300), make([]fleet.JobID, 300)
 		for i := range jobs {
 			jobs[i] = newJob(i, true)
@@ -203,7 +309,7 @@
 
 func TestQuiesce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		y := newYard(1)
+		y := newYard(1, nil)
 		if err := y.controllers[0].Submit(t.Context(), newJob(1, true), newJob(2, false)); err != nil {
 			t.Fatal(err)
 		}
--- a/move/planner.go
+++ b/move/planner.go
@@ -45,6 +45,12 @@
 	return w
 }
 
+// spared returns the part of a host that a pool goes without, because a whole one would be idle for the rest of its
+// time: the critical ratio of the newsvendor model (Arrow, Harris and Marschak, Optimal Inventory Policy, 1951).
+func (w Weights) spared() float64 {
+	return w.BufferCost / (w.BufferCost + w.ShareNearness)
+}
+
 // Policy is what operators set about moves.
 type Policy struct {
 	Weights Weights
@@ -60,10 +66,10 @@
 	// regretUnit is the time over which a lacking or idle host costs as much as its weight says.
 	regretUnit      = 5 * time.Minute
 	defaultHalfLife = 10 * time.Minute
-	defaultHeadroom = 0.05
+	defaultHeadroom = 0
 	defaultBuffer   = 0.04
 	// shrinkSlack is how far below its hosts a pool's need must fall before a host counts as idle, in hosts.
-	shrinkSlack = 1.0
+	shrinkSlack = 0.5
 )
 
 // DefaultPolicy returns a policy with the given weights.
@@ -205,7 +211,7 @@
 			continue
 		}
 		floors[name] = p.MinHosts
-		needs[name] = max(p.MinHosts, int(math.Ceil(pl.need(name)-1e-9)))
+		needs[name] = max(p.MinHosts, int(math.Ceil(pl.need(name)-pl.policy.Weights.spared())))
 		shares[name] = pl.trends[name].Share
 	}
 
--- a/trace/measure_test.go
+++ b/trace/measure_test.go
@@ -14,8 +14,7 @@
 
 const (
 	traceSeed  = 20260105
-	smallTrace = 24 * time.Hour
-	largeTrace = 6 * time.Hour
+	traceTime  = 24 * time.Hour
 	traceTick  = 30 * time.Second
 	traceLoad  = 0.7
 	meanWindow = 10 * time.Minute
@@ -24,15 +23,6 @@
 
 var sizes = []trace.Size{{Hosts: 50, Pools: 5}, {Hosts: 890, Pools: 144}}
 
-// traceTime returns the length of the trace over a fleet; a large fleet shows as much in fewer hours.
-func traceTime(s trace.Size) time.Duration {
-	if s.Hosts > sizes[0].Hosts {
-		return largeTrace
-	}
-
-	return smallTrace
-}
-
 // result is what one planner did over a trace.
 type result struct {
 	movesPerHour, buffer, nearness, instant float64
@@ -62,7 +52,7 @@
 }
 
 func runPlanner(s trace.Size, p move.Policy) result {
-	tr := trace.New(s, traceSeed, traceTime(s), traceTick, traceLoad)
+	tr := trace.New(s, traceSeed, traceTime, traceTick, traceLoad)
 	run := newRun(s, traceSeed)
 	run.losses = tr.Losses
 	pl := move.NewPlanner(p)
@@ -85,7 +75,7 @@
 		reserve := min(float64(serving[trace.PoolNames(s)[0]]), math.Ceil(p.Buffer*float64(s.Hosts)))
 		m.add(serving, mean, last, s.Hosts, reserve)
 	}
-	hours := (traceTime(s) - warmUp).Hours()
+	hours := (traceTime - warmUp).Hours()
 
 	return result{
 		movesPerHour: float64(run.moves) / hours, buffer: m.buffer / m.n, nearness: m.near / m.n, instant: m.instant / m.n,
@@ -96,8 +86,8 @@
 // runFixed gives each pool its mean over the trace and the smallest fixed spare, the same for each pool, with which the
 // pools come as near to their shares as wanted.
 func runFixed(s trace.Size, wanted float64) (result, int) {
-	tr := trace.New(s, traceSeed, traceTime(s), traceTick, traceLoad)
-	whole := tr.Mean(tr.Ticks-1, traceTime(s))
+	tr := trace.New(s, traceSeed, traceTime, traceTick, traceLoad)
+	whole := tr.Mean(tr.Ticks-1, traceTime)
 	for spare := 0; ; spare++ {
 		fixed, total := map[fleet.PoolName]int{}, 0
 		for name, d := range whole {
@@ -174,7 +164,7 @@
 	press := runPlanner(s, move.DefaultPolicy(move.PressWeights()))
 	simple, mild := runPlanner(s, reactive()), runPlanner(s, smoothed())
 	fixed, spare := runFixed(s, min(ledger.nearness, press.nearness))
-	b.Logf("%s, %v at a load of %.2f", sizeName(s), traceTime(s), traceLoad)
+	b.Logf("%s, %v at a load of %.2f", sizeName(s), traceTime, traceLoad)
 	b.Logf("  planner, ledger weights  %v", ledger)
 	b.Logf("  planner, press weights   %v", press)
 	b.Logf("  (a) reactive             %v", simple)
--- a/wave/progress.go
+++ b/wave/progress.go
@@ -65,6 +65,7 @@
 func (r Record) survey(p Policy, all []move.Record, now time.Time) Progress {
 	pr := Progress{Number: r.Number, State: r.State}
 	var waiting fleet.ZoneName
+	moving := map[fleet.ZoneName]int{}
 	for _, h := range all {
 		rebooting := h.Intent != nil && h.Intent.Reboot
 		switch {
@@ -75,6 +76,7 @@
 			pr.NotReturned = append(pr.NotReturned, h.Name)
 		case rebooting:
 			pr.Moving++
+			moving[h.Zone]++
 			pr.Zone = firstZone(pr.Zone, h.Zone)
 		case r.Due(h):
 			pr.Left++
@@ -83,8 +85,8 @@
 			pr.Done++
 		}
 	}
-	// The zone whose hosts are out is finished before another one starts.
-	if pr.Zone == "" {
+	// A zone starts when no more than the tail of another one is still out.
+	if waiting != "" && pr.Moving-moving[waiting] <= p.Tail {
 		pr.Zone = waiting
 	}
 	r.hold(&pr, p)
@@ -139,3 +141,16 @@
 
 	return merged
 }
+
+// Owned keeps the proposals that this entry host may begin: its own pools' maintenance, and moves if it owns the plan
+// of moves, so that two entry hosts don't give a pool the same host twice.
+func Owned(props []move.Proposal, hosts Hosts, pool func(fleet.PoolName) bool, ownsMoves bool) []move.Proposal {
+	var owned []move.Proposal
+	for _, p := range props {
+		if p.To != "" && ownsMoves || p.To == "" && pool(hosts[p.Host].Value.Pool) {
+			owned = append(owned, p)
+		}
+	}
+
+	return owned
+}
--- a/wave/wave.go
+++ b/wave/wave.go
@@ -42,6 +42,8 @@
 	SettleFor fleet.Duration
 	// MaxLost is the number of lost hosts above which a wave pauses until they return.
 	MaxLost int
+	// Tail is the number of hosts of one zone that may still be out when the next zone starts.
+	Tail int
 	// ReturnLimit is how long a host may take to come back before the wave goes on without it.
 	ReturnLimit fleet.Duration
 }
@@ -52,7 +54,7 @@
 func DefaultPolicy() Policy {
 	return Policy{
 		Period: fleet.Duration(6 * week), Notice: fleet.Duration(24 * time.Hour),
-		SettleFor: fleet.Duration(15 * time.Minute), MaxLost: 2, ReturnLimit: fleet.Duration(move.DefaultReturnLimit),
+		SettleFor: fleet.Duration(15 * time.Minute), MaxLost: 2, Tail: 2, ReturnLimit: fleet.Duration(move.DefaultReturnLimit),
 	}
 }
 
--- a/wave/wave_test.go
+++ b/wave/wave_test.go
@@ -42,7 +42,7 @@
 
 func newTrial() *trial {
 	tr := &trial{store: standin.NewStore(), platform: standin.NewPlatform(), policy: wave.DefaultPolicy()}
-	tr.policy.Notice = fleet.Duration(time.Minute)
+	tr.policy.Notice, tr.policy.Tail = fleet.Duration(time.Minute), 0
 	var pools []fleet.Pool
 	var budgets []fleet.Budget
 	for i := range hostCount {
