--- a/job/controller.go
+++ b/job/controller.go
@@ -42,6 +42,7 @@
 	tables    func() fleet.Tables
 	hosts     func() map[fleet.HostName]record.Versioned[move.Record]
 	owns      func(shard int) bool
+	room      func(fleet.TeamName) (fleet.Resources, bool)
 	policy    placement.Policy
 	lease     time.Duration
 	retention time.Duration
@@ -65,6 +66,12 @@
 // WithPolicy sets the policy of placement.
 func WithPolicy(p placement.Policy) Option { return func(c *Controller) { c.policy = p } }
 
+// WithRoom sets how much each team may have running in the owned shards together, which is the part of its upper limit
+// that this entry host holds; false means no limit.
+func WithRoom(room func(fleet.TeamName) (fleet.Resources, bool)) Option {
+	return func(c *Controller) { c.room = room }
+}
+
 // WithRetention sets how long an ended job can be asked about.
 func WithRetention(d time.Duration) Option { return func(c *Controller) { c.retention = d } }
 
@@ -76,6 +83,7 @@
 	c := &Controller{
 		store: s, platform: p, tables: tables, hosts: hosts, owns: func(int) bool { return true },
 		policy: placement.DefaultPolicy(), lease: defaultLease, retention: defaultRetention,
+		room:   func(fleet.TeamName) (fleet.Resources, bool) { return fleet.Resources{}, false },
 		silent: map[fleet.HostName]time.Time{},
 	}
 	for _, opt := range opts {
@@ -93,7 +101,8 @@
 	return int(h.Sum32() % Shards)
 }
 
-func key(shard int) string { return Prefix + strconv.Itoa(shard) }
+// Key returns the store key of a shard.
+func Key(shard int) string { return Prefix + strconv.Itoa(shard) }
 
 // Submit records jobs, many in one write per shard; a job that is recorded already stays as it is. After an error some
 // of the jobs may be recorded, and submitting them again is safe.
@@ -128,7 +137,7 @@
 
 // Find returns a job as last written; the second result is false if it is not known.
 func (c *Controller) Find(ctx context.Context, id fleet.JobID) (Entry, bool, error) {
-	v, err := record.Read[Shard](ctx, c.store, key(ShardOf(id)))
+	v, err := record.Read[Shard](ctx, c.store, Key(ShardOf(id)))
 	e, ok := v.Value.Jobs[id]
 
 	return e, ok, err
@@ -144,7 +153,7 @@
 		groups[shard] = append(groups[shard], item)
 	}
 	for _, shard := range slices.Sorted(maps.Keys(groups)) {
-		_, err := record.Update(ctx, c, key(shard), func(s Shard) (Shard, bool, error) {
+		_, err := record.Update(ctx, c, Key(shard), func(s Shard) (Shard, bool, error) {
 			if s.Jobs == nil {
 				s.Jobs = map[fleet.JobID]Entry{}
 			}
--- a/job/job_test.go
+++ b/job/job_test.go
@@ -57,7 +57,7 @@
 	}
 }
 
-func newYard(controllers int, s *storm) *yard {
+func newYard(controllers int, s *storm, opts ...job.Option) *yard {
 	change := calm
 	if s != nil {
 		change = s.change
@@ -78,7 +78,7 @@
 	for range controllers {
 		y.controllers = append(y.controllers, job.New(y.store.Client(), client,
 			func() fleet.Tables { return tables }, func() map[fleet.HostName]record.Versioned[move.Record] { return y.hosts },
-			job.WithRetention(24*time.Hour)))
+			append(opts, job.WithRetention(24*time.Hour))...))
 	}
 
 	return y
@@ -332,3 +332,36 @@
 		}
 	})
 }
+
+func TestTeamLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		y := newYard(1, nil, job.WithRoom(func(fleet.TeamName) (fleet.Resources, bool) {
+			return fleet.Resources{Cores: 3 * 4_000, Memory: 64 << 10}, true
+		}))
+		jobs := make([]fleet.Job, 20)
+		for i := range jobs {
+			jobs[i] = newJob(i, true)
+			jobs[i].Team = "t"
+		}
+		if err := y.controllers[0].Submit(t.Context(), jobs...); err != nil {
+			t.Fatal(err)
+		}
+		for range 60 {
+			y.steps(t.Context(), t, 1)
+			running := 0
+			for _, j := range jobs {
+				if s := y.state(t, j.ID); s == fleet.JobStarting || s == fleet.JobRunning {
+					running++
+				}
+			}
+			if running > 3 {
+				t.Fatalf("%d jobs of a team that may have three", running)
+			}
+		}
+		for _, j := range jobs {
+			if s := y.state(t, j.ID); s != fleet.JobDone {
+				t.Errorf("%s ends as %s", j.ID, s)
+			}
+		}
+	})
+}
--- a/job/step.go
+++ b/job/step.go
@@ -35,20 +35,43 @@
 
 	shards := map[int]record.Versioned[Shard]{}
 	for shard := range Shards {
-		if v, ok := page.Records[key(shard)[len(Prefix):]]; ok {
+		if v, ok := page.Records[Key(shard)[len(Prefix):]]; ok {
 			shards[shard] = v
 		}
 	}
-	used := usedBy(shards)
+	l := load{hosts: usedBy(shards), teams: c.runningBy(shards)}
 	for _, shard := range slices.Sorted(maps.Keys(shards)) {
 		if c.owns(shard) {
-			c.stepShard(ctx, shard, shards[shard], used, now, &rep)
+			c.stepShard(ctx, shard, shards[shard], l, now, &rep)
 		}
 	}
 
 	return rep, nil
 }
 
+// load is what runs already, with what this step adds.
+type load struct {
+	hosts map[fleet.HostName]fleet.Resources
+	teams map[fleet.TeamName]fleet.Resources
+}
+
+// runningBy sums what each team has running in the owned shards.
+func (c *Controller) runningBy(shards map[int]record.Versioned[Shard]) map[fleet.TeamName]fleet.Resources {
+	running := map[fleet.TeamName]fleet.Resources{}
+	for shard, v := range shards {
+		if !c.owns(shard) {
+			continue
+		}
+		for _, e := range v.Value.Jobs {
+			if e.Ongoing() {
+				running[e.Team] = running[e.Team].Plus(e.Reserved)
+			}
+		}
+	}
+
+	return running
+}
+
 // usedBy sums what the jobs of all shards take of each worker.
 func usedBy(shards map[int]record.Versioned[Shard]) map[fleet.HostName]fleet.Resources {
 	used := map[fleet.HostName]fleet.Resources{}
@@ -64,11 +87,11 @@
 }
 
 func (c *Controller) stepShard(
-	ctx context.Context, shard int, v record.Versioned[Shard], used map[fleet.HostName]fleet.Resources, now time.Time, rep *Report,
+	ctx context.Context, shard int, v record.Versioned[Shard], l load, now time.Time, rep *Report,
 ) {
 	jobs := maps.Clone(v.Value.Jobs)
 	c.settle(ctx, jobs, now, rep)
-	starts := c.place(jobs, used, now, rep)
+	starts := c.place(jobs, l, now, rep)
 	for id, e := range jobs {
 		if e.Over() && now.Sub(e.Ended) > c.retention {
 			delete(jobs, id)
@@ -77,7 +100,7 @@
 	if maps.Equal(jobs, v.Value.Jobs) {
 		return
 	}
-	if _, err := record.Write(ctx, c.store, key(shard), Shard{Jobs: jobs}, v.Revision); err != nil {
+	if _, err := record.Write(ctx, c.store, Key(shard), Shard{Jobs: jobs}, v.Revision); err != nil {
 		// Without a sure write no worker is called: what became of it is read in the next step.
 		rep.Failed = append(rep.Failed, err)
 		return
@@ -226,7 +249,7 @@
 }
 
 // place writes places into jobs and returns the entries whose workers are to be called after the write.
-func (c *Controller) place(jobs map[fleet.JobID]Entry, used map[fleet.HostName]fleet.Resources, now time.Time, rep *Report) []Entry {
+func (c *Controller) place(jobs map[fleet.JobID]Entry, l load, now time.Time, rep *Report) []Entry {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
@@ -237,7 +260,8 @@
 		}
 	}
 	records := c.hosts()
-	hosts, workers := c.workers(records, used, now)
+	hosts, workers := c.workers(records, l.hosts, now)
+	waiting = c.withinLimits(waiting, l, rep)
 	placed, left := placement.Place(waiting, hosts, workers, c.policy)
 	for _, u := range left {
 		if u.Reason == placement.NeverFits {
@@ -250,7 +274,8 @@
 	for _, a := range placed {
 		e := jobs[a.Job].PlacedOn(a.Host, records[a.Host].Revision, a.Need, now)
 		jobs[a.Job] = e
-		used[a.Host] = used[a.Host].Plus(a.Need)
+		l.hosts[a.Host] = l.hosts[a.Host].Plus(a.Need)
+		l.teams[e.Team] = l.teams[e.Team].Plus(a.Need)
 		starts = append(starts, e)
 	}
 	rep.Placed += len(placed)
@@ -258,6 +283,23 @@
 	return starts
 }
 
+// withinLimits keeps the jobs that their teams may have running now, in the order of placement.
+func (c *Controller) withinLimits(waiting []placement.Job, l load, rep *Report) []placement.Job {
+	planned := maps.Clone(l.teams)
+	kept := make([]placement.Job, 0, len(waiting))
+	for _, j := range placement.InOrder(waiting) {
+		after := planned[j.Team].Plus(j.Need)
+		if room, limited := c.room(j.Team); limited && !after.FitsIn(room) {
+			rep.Unplaced = append(rep.Unplaced, placement.Unplaced{Job: j.ID, Reason: placement.TeamLimit})
+			continue
+		}
+		planned[j.Team] = after
+		kept = append(kept, j)
+	}
+
+	return kept
+}
+
 // workers returns every host, and those that may take work: a host whose record is not sure to be in a pool is left out.
 func (c *Controller) workers(
 	records map[fleet.HostName]record.Versioned[move.Record], used map[fleet.HostName]fleet.Resources, now time.Time,
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -45,6 +45,8 @@
 	NoPool Reason = "NoPool"
 	// NoRoom is a job that waits for room.
 	NoRoom Reason = "NoRoom"
+	// TeamLimit is a job whose team has as much running as it may have.
+	TeamLimit Reason = "TeamLimit"
 )
 
 // Unplaced is a job that was not placed, with the reason.
@@ -85,7 +87,7 @@
 
 	var placed []Assignment
 	var left []Unplaced
-	for _, j := range inOrder(jobs) {
+	for _, j := range InOrder(jobs) {
 		if reason := possible(j, largest[j.Pool]); reason != "" {
 			left = append(left, Unplaced{j.ID, reason})
 			continue
@@ -121,8 +123,8 @@
 	return pools
 }
 
-// inOrder returns urgent jobs first, and within that the oldest.
-func inOrder(jobs []Job) []Job {
+// InOrder returns the jobs in the order in which they are placed: urgent ones first, and within that the oldest.
+func InOrder(jobs []Job) []Job {
 	ordered := slices.Clone(jobs)
 	slices.SortStableFunc(ordered, func(a, b Job) int {
 		if a.Urgent != b.Urgent {
