--- a/job/job_test.go
+++ b/job/job_test.go
@@ -175,6 +175,7 @@
 	const jobs = 40
 	for seed := range uint64(12) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				s := newStorm(seed)
 				y := newYard(3, s)
--- a/move/controller.go
+++ b/move/controller.go
@@ -21,8 +21,8 @@
 const (
 	// maxRounds bounds how often one step reads, decides and acts.
 	maxRounds = 4
-	// statusCalls bounds the calls for the status of hosts that are made at once.
-	statusCalls = 16
+	// hostCalls bounds the calls about hosts that are made at once.
+	hostCalls = 16
 	// DefaultLossGrace is how long a host must be gone before it counts as lost.
 	DefaultLossGrace = 30 * time.Second
 	// DefaultDrainLimit is how long a drain waits for tasks before the host is brought back.
@@ -224,7 +224,7 @@
 	var mu sync.Mutex
 	answers := make(map[fleet.HostName]answer, len(names))
 	var g errgroup.Group
-	g.SetLimit(statusCalls)
+	g.SetLimit(hostCalls)
 	for _, name := range names {
 		g.Go(func() error {
 			s, err := c.platform.Status(ctx, name)
@@ -261,40 +261,58 @@
 	return s
 }
 
-// perform carries the actions out and reports whether any took effect.
+// perform carries the actions out and reports whether any took effect. Writes go one after the other, in the order of
+// the decision; calls to hosts don't depend on each other and go together, so that a silent host holds up no other.
 func (c *Controller) perform(ctx context.Context, actions []fleet.Action, rep *Report) bool {
-	progress := false
+	done := len(rep.Done)
+	var calls []CallHost
 	for _, a := range actions {
-		err := c.carryOut(ctx, a, rep)
-		if err != nil {
-			rep.Failed = append(rep.Failed, merry.Prepend(err, a.Subject()))
+		if call, ok := a.(CallHost); ok {
+			calls = append(calls, call)
 			continue
 		}
-		progress = true
-		rep.Done = append(rep.Done, a)
-		c.audit(a)
+		rep.Writes++
+		c.note(a, c.write(ctx, a), rep)
 	}
 
-	return progress
+	errs := make([]error, len(calls))
+	var g errgroup.Group
+	g.SetLimit(hostCalls)
+	for i, call := range calls {
+		g.Go(func() error {
+			errs[i] = c.callHost(ctx, call)
+			return nil
+		})
+	}
+	_ = g.Wait()
+	for i, call := range calls {
+		c.note(call, errs[i], rep)
+	}
+
+	return len(rep.Done) > done
+}
+
+func (c *Controller) note(a fleet.Action, err error, rep *Report) {
+	if err != nil {
+		rep.Failed = append(rep.Failed, merry.Prepend(err, a.Subject()))
+		return
+	}
+	rep.Done = append(rep.Done, a)
+	c.audit(a)
 }
 
-func (c *Controller) carryOut(ctx context.Context, a fleet.Action, rep *Report) error {
+func (c *Controller) write(ctx context.Context, a fleet.Action) error {
+	var err error
 	switch a := a.(type) {
 	case WriteHost:
-		rep.Writes++
-		_, err := record.Write(ctx, c.store, Prefix+a.Subject(), a.Record, a.Base)
-
-		return err
+		_, err = record.Write(ctx, c.store, Prefix+a.Subject(), a.Record, a.Base)
 	case WriteBudget:
-		rep.Writes++
-		_, err := record.Write(ctx, c.store, budget.Prefix+a.Subject(), a.Record, a.Base)
-
-		return err
-	case CallHost:
-		return c.callHost(ctx, a)
+		_, err = record.Write(ctx, c.store, budget.Prefix+a.Subject(), a.Record, a.Base)
 	default:
-		return merry.Errorf("no carrier for %T", a)
+		err = merry.Errorf("no carrier for %T", a)
 	}
+
+	return err
 }
 
 func (c *Controller) callHost(ctx context.Context, a CallHost) error {
--- a/move/controller_test.go
+++ b/move/controller_test.go
@@ -112,6 +112,7 @@
 	faults := []standin.Fault{standin.FaultNone, standin.FaultNone, standin.FaultDown, standin.FaultAnswerLost}
 	for seed := range uint64(12) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				rng := rand.New(rand.NewPCG(seed, 5))
 				b := newBench(3, swapAll)
--- a/move/explore_run_test.go
+++ b/move/explore_run_test.go
@@ -25,6 +25,7 @@
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
 			e := tc.exploration
 			e.config, e.limit = poolsAB(tc.budgets...), 1_000_000
 			fault := e.run()
--- a/upkeep/upkeep_test.go
+++ b/upkeep/upkeep_test.go
@@ -126,6 +126,7 @@
 func TestEverythingAtOnce(t *testing.T) {
 	for seed := range uint64(4) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				s := newSite()
 				s.submit(t)
