Wait longer for holders that may not know this process

A member that joined during an outage could reclaim from holders that are cut off with each other and serve on each other's word: they do not ask a process that they never heard of. Such a reclaim waits OutageLimit longer now, unless the member package says that the holder knew this process.

The moved amount is now added to what is left.

Entries of limits that are gone are dropped.

--- a/allotment/absence.go
+++ b/allotment/absence.go
@@ -39,11 +39,11 @@
 	return next
 }
 
-// lasting returns the holders that were absent for at least d.
-func (a absences) lasting(d time.Duration) []fleet.Incarnation {
+// lasting returns the holders that were absent for at least as long as wait says for each.
+func (a absences) lasting(wait func(fleet.Incarnation) time.Duration) []fleet.Incarnation {
 	var hs []fleet.Incarnation
 	for h, since := range a.since.All() {
-		if a.last.Sub(since) >= d {
+		if a.last.Sub(since) >= wait(h) {
 			hs = append(hs, h)
 		}
 	}
--- a/allotment/bench_test.go
+++ b/allotment/bench_test.go
@@ -11,7 +11,7 @@
 )
 
 // benchHolder returns a holder with n limits of which every member has a part.
-func benchHolder(b *testing.B, limits, members int) (*Holder, Membership) {
+func benchHolder(b *testing.B, limits, members int) *Holder {
 	b.Helper()
 	st := standin.NewStore()
 	upper := map[string]fleet.Resources{}
@@ -35,11 +35,11 @@
 	}
 	last.Members = func() Membership { return m }
 
-	return last, m
+	return last
 }
 
 func BenchmarkAcquire(b *testing.B) {
-	h, _ := benchHolder(b, 43, 7)
+	h := benchHolder(b, 43, 7)
 	k := Key{Set: Limits, Name: "team-007"}
 	size := fleet.Resources{Slots: 1, Cores: 500}
 	b.ReportAllocs()
@@ -53,7 +53,7 @@
 }
 
 func BenchmarkAcquireRefused(b *testing.B) {
-	h, _ := benchHolder(b, 43, 7)
+	h := benchHolder(b, 43, 7)
 	k := Key{Set: Limits, Name: "team-007"}
 	size := fleet.Resources{Slots: 5000}
 	b.ReportAllocs()
@@ -65,7 +65,7 @@
 }
 
 func BenchmarkAcquireParallel(b *testing.B) {
-	h, _ := benchHolder(b, 43, 7)
+	h := benchHolder(b, 43, 7)
 	b.ReportAllocs()
 	b.RunParallel(func(pb *testing.PB) {
 		for i := 0; pb.Next(); i++ {
@@ -79,7 +79,8 @@
 
 // BenchmarkTick is one round in which nothing changes, without the store's answers.
 func BenchmarkTick(b *testing.B) {
-	eachSize(b, func(b *testing.B, h *Holder, _ int) {
+	eachSize(b, func(b *testing.B, h *Holder) {
+		b.Helper()
 		h.listed = time.Now().Add(time.Hour)
 		for b.Loop() {
 			h.tick(context.Background(), time.Now())
@@ -89,7 +90,8 @@
 
 // BenchmarkRefresh is the reading of all records, which runs once in RefreshEvery, when all of them changed.
 func BenchmarkRefresh(b *testing.B) {
-	eachSize(b, func(b *testing.B, h *Holder, _ int) {
+	eachSize(b, func(b *testing.B, h *Holder) {
+		b.Helper()
 		for b.Loop() {
 			for _, g := range h.allGroups() {
 				g.view.revision = 0
@@ -102,7 +104,8 @@
 
 // BenchmarkChange is one take or give, with reading and writing of its record.
 func BenchmarkChange(b *testing.B) {
-	eachSize(b, func(b *testing.B, h *Holder, _ int) {
+	eachSize(b, func(b *testing.B, h *Holder) {
+		b.Helper()
 		k := Key{Set: Limits, Name: "team-007"}
 		g := h.groups[k.record()]
 		for i := 0; b.Loop(); i++ {
@@ -122,14 +125,14 @@
 	})
 }
 
-func eachSize(b *testing.B, run func(b *testing.B, h *Holder, limits int)) {
+func eachSize(b *testing.B, run func(b *testing.B, h *Holder)) {
 	b.Helper()
 	for _, limits := range []int{43, 430} {
 		for _, members := range []int{7, 28} {
 			b.Run(fmt.Sprintf("limits=%d/members=%d", limits, members), func(b *testing.B) {
-				h, _ := benchHolder(b, limits, members)
+				h := benchHolder(b, limits, members)
 				b.ReportAllocs()
-				run(b, h, limits)
+				run(b, h)
 			})
 		}
 	}
--- a/allotment/entry.go
+++ b/allotment/entry.go
@@ -142,3 +142,11 @@
 
 	return able
 }
+
+// unused reports whether nothing runs and nothing is held.
+func (e *entry) unused() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	return e.standing.used.IsZero() && e.standing.part.IsZero()
+}
--- a/allotment/fault_test.go
+++ b/allotment/fault_test.go
@@ -230,7 +230,7 @@
 	for _, c := range faultCases {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				s := newSite(t, 1, siteLimit)
+				s := newSite(t, siteLimit)
 				defer s.stop()
 				for _, name := range []string{"a", "b", "c"} {
 					s.boot(name, 1, siteLimit)
--- a/allotment/group.go
+++ b/allotment/group.go
@@ -100,6 +100,25 @@
 	}
 }
 
+// prune removes entries that are of no use any more and returns their keys.
+func (g *group) prune() []Key {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	var gone []Key
+	g.entries = slices.DeleteFunc(g.entries, func(e *entry) bool {
+		_, known := g.bounds.upper[e.key.Name]
+		if known || g.bounds.revision > g.view.record.Revision || !e.unused() {
+			return false
+		}
+		gone = append(gone, e.key)
+
+		return true
+	})
+
+	return gone
+}
+
 // settle drops the pledges of a write that was surely not carried out, unless an earlier one is in doubt; g.mu is held.
 func (g *group) settle() {
 	if g.view.doubt {
--- a/allotment/holder.go
+++ b/allotment/holder.go
@@ -60,6 +60,8 @@
 	Members func() Membership
 	// Absent reads the store and reports whether it has no member key for an incarnation.
 	Absent func(ctx context.Context, i fleet.Incarnation) (bool, error)
+	// Knows reports whether a holder surely had this process in the membership that it last read from the store.
+	Knows func(i fleet.Incarnation) bool
 	// Ask sends a request for parts to a peer.
 	Ask func(ctx context.Context, to fleet.Incarnation, req Request) (Answer, error)
 	// Grown is called without locks held when a part grew or work may start again.
@@ -102,6 +104,7 @@
 		Absent: func(context.Context, fleet.Incarnation) (bool, error) {
 			return false, store.ErrUnavailable
 		},
+		Knows: func(fleet.Incarnation) bool { return false },
 		Ask: func(context.Context, fleet.Incarnation, Request) (Answer, error) {
 			return Answer{}, store.ErrUnavailable
 		},
--- a/allotment/measure_test.go
+++ b/allotment/measure_test.go
@@ -26,7 +26,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				s := newSite(t, 1, siteLimit)
+				s := newSite(t, siteLimit)
 				defer s.stop()
 				for i := range c.hosts {
 					s.boot(string(rune('a'+i)), 1, siteLimit)
@@ -68,7 +68,7 @@
 // TestDeadPartsReturn measures how long after a death the dead holder's part is in use again, and that it is not too soon.
 func TestDeadPartsReturn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newSite(t, 1, siteLimit)
+		s := newSite(t, siteLimit)
 		defer s.stop()
 		for _, name := range []string{"a", "b", "c"} {
 			s.boot(name, 1, siteLimit)
@@ -107,7 +107,7 @@
 	for _, c := range []struct{ teams, factor int }{{1, 1}, {1, 10}, {1, 100}, {43, 1}, {43, 10}} {
 		t.Run(fmt.Sprintf("%d teams, load times %d", c.teams, c.factor), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				s := newSite(t, 1, siteLimit*int64(c.teams))
+				s := newSite(t, siteLimit*int64(c.teams))
 				defer s.stop()
 				upper := map[string]fleet.Resources{}
 				keys := make([]allotment.Key, c.teams)
--- a/allotment/record.go
+++ b/allotment/record.go
@@ -75,7 +75,9 @@
 func (l Limit) WithMove(from, to fleet.Incarnation, amount fleet.Resources) Limit {
 	moved := maskOut(amount.Max(fleet.Resources{}).Min(l.Part(from)), l.Excess())
 
-	return l.withPart(from, l.Part(from).Minus(moved)).withPart(to, l.Part(to).Plus(moved))
+	l = l.withPart(from, l.Part(from).Minus(moved))
+
+	return l.withPart(to, l.Part(to).Plus(moved))
 }
 
 // WithUpper returns the limit with another bound.
--- a/allotment/run.go
+++ b/allotment/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -70,6 +71,7 @@
 	aged := now.Sub(h.aged) >= h.timing.Tick
 	if aged {
 		h.aged = now
+		h.prune()
 	}
 	for _, g := range groups {
 		h.measure(g, len(members.Live), aged)
@@ -132,10 +134,22 @@
 	h.absent = h.absent.with(m, holders, h.timing.LeaseTTL/2)
 }
 
+// reclaimWait returns how long a holder must be absent before its part may be used by others.
+//
+// A holder that never heard of this process may be serving on the word of others
+// that are cut off with it, because it does not ask this one.
+func (h *Holder) reclaimWait(i fleet.Incarnation) time.Duration {
+	if h.Knows(i) {
+		return h.timing.ReclaimAfter()
+	}
+
+	return h.timing.ReclaimAfter() + h.timing.OutageLimit
+}
+
 // dead returns the holders of parts in a group whose work has surely ended.
 func (h *Holder) dead(g *group) []fleet.Incarnation {
 	h.mu.Lock()
-	gone := h.absent.lasting(h.timing.ReclaimAfter())
+	gone := h.absent.lasting(h.reclaimWait)
 	h.mu.Unlock()
 	if len(gone) == 0 {
 		return nil
@@ -143,9 +157,26 @@
 
 	g.mu.Lock()
 	defer g.mu.Unlock()
+
 	return slices.DeleteFunc(gone, func(i fleet.Incarnation) bool { return !slices.Contains(g.view.holders, i) })
 }
 
+// prune drops entries of limits that the configuration lacks and of which nothing is held any more.
+func (h *Holder) prune() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	entries := maps.Clone(*h.entries.Load())
+	for _, g := range h.groups {
+		for _, k := range g.prune() {
+			delete(entries, k)
+		}
+	}
+	if len(entries) < len(*h.entries.Load()) {
+		h.entries.Store(&entries)
+	}
+}
+
 // measure closes the demand of the last tick.
 func (h *Holder) measure(g *group, n int, aged bool) {
 	g.mu.Lock()
--- a/allotment/site_test.go
+++ b/allotment/site_test.go
@@ -59,7 +59,7 @@
 	running       int64
 }
 
-func newSite(t *testing.T, seed uint64, limit int64) *site {
+func newSite(t *testing.T, limit int64) *site {
 	t.Helper()
 	timing := allotment.DefaultTiming()
 	timing.MaxRequestTime = 10 * time.Second
@@ -68,7 +68,7 @@
 
 	return &site{
 		ctx: ctx, cancel: cancel, store: standin.NewStore(), timing: timing, nodes: map[string]*node{},
-		allowed: limit, rng: rand.New(rand.NewPCG(seed, 1)),
+		allowed: limit, rng: rand.New(rand.NewPCG(1, 1)),
 	}
 }
 
@@ -100,6 +100,7 @@
 		return false, err
 	}
 	n.holder.Ask = n.ask
+	n.holder.Knows = func(fleet.Incarnation) bool { return true }
 	n.holder.SetLimits(allotment.Limits, revision, map[string]fleet.Resources{teamKey.Name: slots(limit)})
 
 	s.mu.Lock()
--- a/allotment/timing.go
+++ b/allotment/timing.go
@@ -12,6 +12,8 @@
 	MaxRequestTime time.Duration
 	// Margin covers the drift of clocks and the way of a request to its endpoint.
 	Margin time.Duration
+	// OutageLimit is the longest for which processes that are cut off from the store serve on each other's word.
+	OutageLimit time.Duration
 	// Tick is the time between rounds of taking, giving and asking.
 	Tick time.Duration
 	// RefreshEvery is the time between readings of all records of a kind.
@@ -32,6 +34,7 @@
 		FreshFor:       3 * time.Second,
 		MaxRequestTime: 30 * time.Second,
 		Margin:         2 * time.Second,
+		OutageLimit:    time.Hour,
 		Tick:           250 * time.Millisecond,
 		RefreshEvery:   time.Second,
 		IdleAfter:      10 * time.Second,
--- a/claim/entry.go
+++ b/claim/entry.go
@@ -36,6 +36,7 @@
 
 // Token identifies one attempt of one process to claim.
 type Token struct {
+	_       struct{} `cbor:",toarray"`
 	Owner   fleet.Incarnation
 	Attempt uint64
 }
--- a/claim/head.go
+++ b/claim/head.go
@@ -10,6 +10,7 @@
 
 // Segment names a sealed part of a shard, which never changes any more.
 type Segment struct {
+	_ struct{} `cbor:",toarray"`
 	// Revision is that of the head whose entries were sealed; it is part of the segment's key.
 	Revision uint64
 	// Oldest and Newest bound the times of the IDs in it, in Unix milliseconds.
--- a/claim/shard.go
+++ b/claim/shard.go
@@ -188,7 +188,7 @@
 	added = append(append(added, withdrawals...), granted...)
 
 	next := head
-	if next.size() >= s.book.timing.SealSize {
+	if len(next.Entries) > 0 && next.size() >= s.book.timing.SealSize {
 		if err := s.seal(ctx, head, revision); err != nil {
 			return err
 		}
