--- a/claim/fault_test.go
+++ b/claim/fault_test.go
@@ -61,8 +61,8 @@
 			d.books["a"].set(func(p *process) { p.lose, p.down = false, true })
 		}()
 		first := d.say("a", id, 0)
-		d.books["a"].set(func(p *process) { p.down = false })
 		second := d.say("b", id, 0)
+		d.books["a"].set(func(p *process) { p.down = false })
 		time.Sleep(3 * time.Second)
 		return []refusal.Code{first, second, d.say("b", id, 0)}
 	}, []refusal.Code{refusal.StoreUnavailable, refusal.InProgress, ""}},
