Close a limit that was higher in a revision between

It compared the new bound with the record seen only. Now it keeps the last revisions of the bounds and starts nothing if the limit was higher in any since the record's, or if one is missing. The model has a limit that is raised and lowered again, and finds the fault without the revisions in between; so does a case of its own.

An absence is counted from the second reading that lacked the key: the moment of a reading is the one before it, so the first one overstated the absence by up to a reading.

--- a/allotment/absence.go
+++ b/allotment/absence.go
@@ -7,8 +7,12 @@
 	"lycheehook.example/lycheehook/fleet"
 )
 
-// absences are the holders without a member key, each with the first of the unbroken readings that lacked it; values are immutable.
+// absences are the holders without a member key, each with the second of the unbroken readings that lacked it; values are immutable.
+//
+// The second counts because the moment of a reading is the one before it: the
+// key may have been there until the first reading was answered.
 type absences struct {
+	// since is zero for a holder that only one reading lacked.
 	since fleet.Table[fleet.Incarnation, time.Time]
 	// last is the moment of the newest reading.
 	last time.Time
@@ -30,7 +34,10 @@
 			continue
 		}
 		since, ok := a.since.Get(h)
-		if !ok || !unbroken {
+		switch {
+		case !ok || !unbroken:
+			since = time.Time{}
+		case since.IsZero():
 			since = m.Confirmed
 		}
 		next.since = next.since.With(h, since)
@@ -43,7 +50,7 @@
 func (a absences) lasting(wait func(fleet.Incarnation) time.Duration) []fleet.Incarnation {
 	var hs []fleet.Incarnation
 	for h, since := range a.since.All() {
-		if a.last.Sub(since) >= wait(h) {
+		if !since.IsZero() && a.last.Sub(since) >= wait(h) {
 			hs = append(hs, h)
 		}
 	}
--- a/allotment/absence_test.go
+++ b/allotment/absence_test.go
@@ -31,13 +31,13 @@
 		want  []fleet.Incarnation
 	}{
 		{"present", [][]reading{every(0, 100*s, s, "b")}, true, nil},
-		{"absent too short", [][]reading{every(0, 39*s, s)}, true, nil},
-		{"absent long enough", [][]reading{every(0, 40*s, s)}, true, []fleet.Incarnation{"b"}},
+		{"absent too short", [][]reading{every(0, 40*s, s)}, true, nil},
+		{"absent long enough", [][]reading{every(0, 41*s, s)}, true, []fleet.Incarnation{"b"}},
 		{"seen again in between", [][]reading{every(0, 30*s, s), every(31*s, 31*s, s, "b"), every(32*s, 60*s, s)}, true, nil},
 		{"no store contact in between", [][]reading{every(0, 30*s, s), every(33*s, 60*s, s)}, true, nil},
-		{"an old reading comes late", [][]reading{every(0, 30*s, s), every(10*s, 10*s, s, "b"), every(31*s, 40*s, s)}, true, []fleet.Incarnation{"b"}},
+		{"an old reading comes late", [][]reading{every(0, 30*s, s), every(10*s, 10*s, s, "b"), every(31*s, 41*s, s)}, true, []fleet.Incarnation{"b"}},
 		{"absent long enough but unknown to it", [][]reading{every(0, 100*s, s)}, false, nil},
-		{"absent beyond the limit of an outage", [][]reading{every(0, 3640*s, s)}, false, []fleet.Incarnation{"b"}},
+		{"absent beyond the limit of an outage", [][]reading{every(0, 3641*s, s)}, false, []fleet.Incarnation{"b"}},
 	} {
 		h := New(&store.Client{}, "a")
 		h.Knows = func(fleet.Incarnation) bool { return c.knows }
--- a/allotment/fault_test.go
+++ b/allotment/fault_test.go
@@ -117,6 +117,16 @@
 		s.setLimit(3, 50, "a", "b", "c")
 		s.load(10*time.Second, "a", "b", "c")
 	}, 50},
+	{"limit is raised and lowered unseen by a holder", func(s *site) {
+		s.load(5*time.Second, "a", "b", "c")
+		s.nodes["a"].set(func(n *node) { n.noStore = true })
+		s.setLimit(2, 80, "b", "c", "a")
+		s.load(2*time.Second, "b", "c")
+		s.setLimit(3, 50, "a", "b", "c")
+		s.load(time.Second, "a", "b", "c")
+		s.nodes["a"].set(func(n *node) { n.noStore = false })
+		s.load(20*time.Second, "a", "b", "c")
+	}, 50},
 	{"an older revision comes late", func(s *site) {
 		s.load(5*time.Second, "a", "b", "c")
 		s.setLimit(5, 10, "a", "b", "c")
--- a/allotment/holder.go
+++ b/allotment/holder.go
@@ -217,7 +217,7 @@
 		h.mu.Unlock()
 		return
 	}
-	h.bounds[set] = bounds{revision: revision, upper: maps.Clone(upper)}
+	h.bounds[set] = h.bounds[set].with(revision, maps.Clone(upper))
 	for name := range upper {
 		h.entry(Key{Set: set, Name: name})
 	}
--- a/allotment/model_test.go
+++ b/allotment/model_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"flag"
 	"fmt"
+	"slices"
 	"testing"
 
 	"lycheehook.example/lycheehook/explore"
@@ -30,6 +31,7 @@
 	withoutFence       without = "revision as fence"
 	withoutClosing     without = "closing until a lowered limit is in the record"
 	withoutExcess      without = "no growth while in excess"
+	withoutHistory     without = "revisions of the limit in between"
 )
 
 const modelLimit = "team"
@@ -70,8 +72,10 @@
 	// delayed is a write whose answer was given up on and which may still arrive.
 	delayed modelWrite
 	// faults that are left.
-	pauses, deaths, losses, lowers int
-	broken                         bool
+	pauses, deaths, losses int
+	// edits are the limit in each revision, from the first on.
+	edits  []int64
+	broken bool
 }
 
 // modelRules has what the search varies.
@@ -98,16 +102,21 @@
 	return sum
 }
 
-// allowed is the newest bound once all that can act have it.
+// allowed is the highest limit of all revisions from the oldest that a live holder has to the newest.
 func (m *model) allowed(holders int) int64 {
-	bound := int64(0)
+	oldest, newest := uint64(len(m.edits)), uint64(0)
 	for _, h := range m.holders[:holders] {
 		if !h.dead {
-			bound = max(bound, h.bounds.upper[modelLimit].Slots)
+			oldest, newest = min(oldest, h.bounds.revision), max(newest, h.bounds.revision)
 		}
 	}
 
-	return bound
+	return slices.Max(m.edits[oldest-1 : newest])
+}
+
+// modelUpper returns the limits of a configuration.
+func modelUpper(n int64) map[string]fleet.Resources {
+	return map[string]fleet.Resources{modelLimit: modelSlots(n)}
 }
 
 // at returns a copy of the state in which change was made to one holder.
@@ -133,6 +142,11 @@
 		return h.view.unconfirmed
 	}
 
+	if r.out == withoutHistory {
+		l, _ := h.view.record.Limits.Get(modelLimit)
+		return h.view.unconfirmed || !l.Upper.FitsIn(h.bounds.upper[modelLimit])
+	}
+
 	return h.view.closes(modelLimit, h.bounds)
 }
 
@@ -259,12 +273,12 @@
 		next.broken = next.running() > m.allowed(r.holders)
 		add(next, "work starts on %d", i)
 	}
-	if h.bounds.revision == 1 && m.lowers > 0 {
+	for r2 := h.bounds.revision + 1; r2 <= uint64(len(m.edits)); r2++ {
 		next := m.at(i, func(h *modelHolder) {
-			h.bounds = bounds{revision: 2, upper: map[string]fleet.Resources{modelLimit: modelSlots(1)}}
+			h.bounds = h.bounds.with(r2, modelUpper(m.edits[r2-1]))
 			h.standing = h.standing.withClosed(r.closes(*h))
 		})
-		add(next, "%d has the lowered limit", i)
+		add(next, "%d has revision %d of the limit", i, r2)
 	}
 }
 
@@ -358,7 +372,7 @@
 	for _, h := range m.holders[:r.holders] {
 		s := h.standing
 		k += fmt.Sprint("|", s.used.Slots, s.part.Slots, s.pledged.Slots, s.excess.Slots, s.closed, base(h.view.revision), h.view.record.Revision,
-			h.view.doubt, h.view.unconfirmed, h.bounds.revision, h.licensed, h.key, h.paused, h.dead, h.gap, h.waited)
+			h.view.doubt, h.view.unconfirmed, h.bounds.revision, h.bounds.oldest(), h.licensed, h.key, h.paused, h.dead, h.gap, h.waited)
 		if h.planned {
 			k += fmt.Sprint("!", base(h.op.base), limit(h.op.next), h.op.reclaim)
 		}
@@ -369,12 +383,15 @@
 
 // run searches the model with the given faults.
 func (r modelRules) run(faults model, depth int) (explore.Report, error) {
-	upper := bounds{revision: 1, upper: map[string]fleet.Resources{modelLimit: modelSlots(2)}}
 	m := faults
-	m.record = Record{}.WithLimits(1, upper.upper)
+	if len(m.edits) == 0 {
+		m.edits = []int64{2}
+	}
+	first := bounds{}.with(1, modelUpper(m.edits[0]))
+	m.record = Record{}.WithLimits(1, first.upper)
 	m.revision = 1
 	for i := range r.holders {
-		m.holders[i] = modelHolder{bounds: upper, licensed: true, key: true}
+		m.holders[i] = modelHolder{bounds: first, licensed: true, key: true}
 		m = r.adopt(m, i)
 	}
 
@@ -395,8 +412,9 @@
 	"pause":   {pauses: 1},
 	"death":   {deaths: 1},
 	"loss":    {losses: 1},
-	"lowered": {lowers: 1},
-	"all":     {pauses: 1, deaths: 1, losses: 1, lowers: 1},
+	"lowered": {edits: []int64{2, 1}},
+	"raised":  {edits: []int64{1, 2, 1}},
+	"all":     {pauses: 1, deaths: 1, losses: 1, edits: []int64{2, 1}},
 }
 
 func TestModelHolds(t *testing.T) {
@@ -405,7 +423,7 @@
 		holders int
 		depth   int
 	}{
-		{"none", 2, 60}, {"pause", 2, 10}, {"death", 2, 11}, {"loss", 2, 10}, {"lowered", 2, 10}, {"all", 2, 6},
+		{"none", 2, 60}, {"pause", 2, 10}, {"death", 2, 11}, {"loss", 2, 10}, {"lowered", 2, 10}, {"raised", 2, 9}, {"all", 2, 6},
 		{"none", 3, 7}, {"pause", 3, 6}, {"death", 3, 7}, {"loss", 3, 6}, {"lowered", 3, 6}, {"all", 3, 4},
 	} {
 		depth := max(c.depth, *deep)
@@ -433,6 +451,7 @@
 		{withoutFence, "none", 14},
 		{withoutClosing, "lowered", 14},
 		{withoutExcess, "lowered", 14},
+		{withoutHistory, "raised", 14},
 	} {
 		t.Run(string(c.out), func(t *testing.T) {
 			report, err := modelRules{out: c.out, holders: 2}.run(modelFaults[c.faults], c.depth)
