Keep slots for a large request that waits and bound uploads

Cause: requests for one slot could pass a larger one by for as long as they kept coming. The read deadline of the caller's connection ended the request itself at its deadline, told as CallerInterrupted in place of EndpointTimedOut (seen in 1 of 10 runs with -race); lifted always, a stalled upload held its connection for good. The deadline is lifted only after a whole body. Conclusion: no request starves behind smaller ones; at most one endpoint of a pool idles for it in part.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -47,6 +47,9 @@
 	Fits func(fleet.PoolName, int64) bool
 	// Slots returns how many slots of a pool this process may use.
 	Slots func(fleet.PoolName) int64
+	// Reserve keeps slots of one endpoint of a pool for a request that needs several, and Unreserve ends it.
+	Reserve   func(fleet.PoolName, int64)
+	Unreserve func(fleet.PoolName)
 	// Total returns the capacity that shares are of.
 	Total func() fleet.Resources
 	// Reports returns what the other entry hosts last reported.
@@ -58,6 +61,7 @@
 	swept     *revision.Revision
 	ledger    *share.Ledger
 	pools     map[fleet.PoolName]*queue.Pool
+	reserved  map[fleet.PoolName]reservation
 	estimates map[fleet.QueueName]queue.Estimate
 }
 
@@ -66,6 +70,7 @@
 	g := &Gate{
 		Current: b.Current, Fresh: b.Fresh, AcquireLimit: NewLimits(b.Current).Acquire,
 		AcquireSlot: s.Acquire, Fits: s.Fits, Slots: s.Slots, Total: s.Total,
+		Reserve: s.Reserve, Unreserve: s.Unreserve, reserved: map[fleet.PoolName]reservation{},
 		Reports: func() []share.Report { return nil },
 		ledger:  share.New(), pools: map[fleet.PoolName]*queue.Pool{}, estimates: map[fleet.QueueName]queue.Estimate{},
 	}
@@ -196,8 +201,11 @@
 }
 
 func (g *Gate) dispatchAll(now time.Time) {
-	for _, p := range g.pools {
-		g.dispatch(p, now)
+	for name, p := range g.pools {
+		if p.Len() > 0 || g.reserved[name].item != nil {
+			g.reserve(name, p, now)
+			g.dispatch(p, now)
+		}
 	}
 }
 
--- a/admission/waiter.go
+++ b/admission/waiter.go
@@ -100,6 +100,9 @@
 	removed := pool.Remove(&w.item)
 	if removed {
 		g.ledger.Unwait(w.item.Account, w.request.Size)
+		if g.reserved[w.permit.queue.Pool].item == &w.item {
+			g.dispatchAll(time.Now())
+		}
 	}
 	g.mu.Unlock()
 	if removed {
--- a/endpoint/set.go
+++ b/endpoint/set.go
@@ -25,6 +25,8 @@
 	endpoint fleet.Endpoint
 	conns    *connections
 	used     int64
+	// reserved is how many slots are kept for one large request, and smaller ones may not take.
+	reserved int64
 	// turn is when the endpoint was last chosen.
 	turn uint64
 	// removed says that the list no longer has the endpoint.
@@ -115,7 +117,7 @@
 
 	var best *state
 	for _, st := range s.pools[ask.Pool] {
-		if st.endpoint.Name == ask.Avoid || !st.takesNew(now, ask.Idempotent) || st.used+ask.Slots > s.allowed(st) {
+		if st.endpoint.Name == ask.Avoid || !st.takesNew(now, ask.Idempotent) || !s.hasRoom(st, ask.Slots) {
 			continue
 		}
 		// Among equally used endpoints they take turns.
@@ -128,11 +130,51 @@
 	}
 	s.turn++
 	best.turn = s.turn
+	if ask.Slots >= best.reserved {
+		best.reserved = 0
+	}
 	best.used += ask.Slots
 
 	return Slot{set: s, state: best, ask: ask}, true
 }
 
+// Reserve keeps slots of one endpoint of a pool for a request that needs so many at once: smaller requests may no
+// longer take them as they come free. Of all endpoints only one is reserved at a time, so the others go on.
+func (s *Set) Reserve(pool fleet.PoolName, slots int64) {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var best *state
+	for _, st := range s.pools[pool] {
+		st.reserved = 0
+		if st.takesNew(now, false) && s.allowed(st) >= slots && (best == nil || st.used < best.used) {
+			best = st
+		}
+	}
+	if best != nil {
+		best.reserved = slots
+	}
+}
+
+// Unreserve gives up the reservation in a pool.
+func (s *Set) Unreserve(pool fleet.PoolName) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, st := range s.pools[pool] {
+		st.reserved = 0
+	}
+}
+
+// hasRoom reports whether so many slots are free and not reserved for a larger request.
+func (s *Set) hasRoom(st *state, slots int64) bool {
+	used := st.used + slots
+	if slots < st.reserved {
+		used += st.reserved
+	}
+
+	return used <= s.allowed(st)
+}
+
 // Fits reports whether any endpoint of the pool has so many slots, free or not; true while none is known.
 func (s *Set) Fits(pool fleet.PoolName, slots int64) bool {
 	s.mu.Lock()
--- a/entry/caller.go
+++ b/entry/caller.go
@@ -63,9 +63,7 @@
 		return
 	}
 	defer c.body.release()
-	// An upload that stalls is bounded by the caller's deadline like all else.
-	_ = http.NewResponseController(w.ResponseWriter).SetReadDeadline(c.deadline)
-	if err := c.body.read(w, r.Request); err != nil {
+	if err := c.readBody(w.ResponseWriter, r.Request); err != nil {
 		writeError(w, err)
 		return
 	}
--- a/entry/caller_test.go
+++ b/entry/caller_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"crypto/sha256"
@@ -8,6 +9,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -345,3 +347,39 @@
 		})
 	}
 }
+
+// TestCallerUpload checks that an upload that stalls or breaks off holds no slot and is told to be not run.
+func TestCallerUpload(t *testing.T) {
+	for name, breaks := range map[string]bool{"stalls": false, "breaks off": true} {
+		t.Run(name, func(t *testing.T) {
+			echo := standin.NewEndpoint(0)
+			r := newCallerRig(t, 1, echo)
+			var d net.Dialer
+			c, err := d.DialContext(t.Context(), "tcp", strings.Split(r.url, "/")[2])
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = c.Close() }()
+			_, _ = fmt.Fprintf(c, "POST /v1/queues/post/work HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\n"+
+				"Request-Timeout: 100ms\r\nContent-Length: 10\r\n\r\nhalf", r.secret)
+			if breaks {
+				_ = c.(*net.TCPConn).CloseWrite()
+			}
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = resp.Body.Close() }()
+			var a refusalAnswer
+			if err := json.NewDecoder(resp.Body).Decode(&a); err != nil || !a.NotRun || resp.StatusCode >= 500 {
+				t.Errorf("told %d %+v, %v", resp.StatusCode, a, err)
+			}
+			if echo.Total() != 0 {
+				t.Errorf("ran %d times", echo.Total())
+			}
+			if got := r.told(t, "post", nil); got.Status != http.StatusOK {
+				t.Errorf("the slot was held: %+v", got)
+			}
+		})
+	}
+}
--- a/entry/callerrequest.go
+++ b/entry/callerrequest.go
@@ -137,6 +137,24 @@
 	}, nil
 }
 
+// readBody reads a small body within the caller's deadline. After a whole body the connection's own deadline is lifted
+// again, because net/http would take it for the caller's going away while the request runs; otherwise it stays, because
+// net/http reads what is left of a body before it answers.
+func (c call) readBody(w http.ResponseWriter, r *http.Request) error {
+	rc := http.NewResponseController(w)
+	_ = rc.SetReadDeadline(c.deadline)
+	err := c.body.read(w, r)
+	switch {
+	case err != nil:
+	case c.body.stream != nil:
+		_ = rc.SetReadDeadline(c.deadline.Add(endGrace))
+	default:
+		_ = rc.SetReadDeadline(time.Time{})
+	}
+
+	return err
+}
+
 // read holds a small body whole; the error is a NotRunError, because nothing was sent yet.
 func (b *callBody) read(w http.ResponseWriter, r *http.Request) error {
 	body := http.MaxBytesReader(w, r.Body, maxBodySize)
--- a/queue/pool.go
+++ b/queue/pool.go
@@ -144,6 +144,20 @@
 	}
 }
 
+// Oldest returns the oldest item among the heads of lines for which f holds, or nil.
+func (p *Pool) Oldest(f func(*Item) bool) *Item {
+	var best *Item
+	for _, t := range p.order {
+		for _, l := range t.lines {
+			if f(l.head) && (best == nil || l.head.sequence < best.sequence) {
+				best = l.head
+			}
+		}
+	}
+
+	return best
+}
+
 // Next offers capacity to the waiting items, in the order in which they should have it, until try takes one or
 // nothing can start, and reports whether one was taken. Urgent work of teams that are under their share goes
 // first; then the team with the lowest score, and of its work the urgent first and then the oldest.
