--- a/fleet/entity.go
+++ b/fleet/entity.go
@@ -177,6 +177,22 @@
 	MaxWait Duration
 }
 
+// Maintenance is how the operators want every host taken through maintenance; a zero field stands for the default.
+type Maintenance struct {
+	// Period is the time from the start of one wave to the start of the next.
+	Period Duration `json:",omitzero"`
+	// Notice is how long a plan is shown before its wave starts.
+	Notice Duration `json:",omitzero"`
+	// SettleFor is how long a wave pauses after an unplanned loss.
+	SettleFor Duration `json:",omitzero"`
+	// MaxLost is the number of lost hosts above which a wave pauses until they return.
+	MaxLost int `json:",omitempty"`
+	// Tail is the number of hosts of one zone that may still be out when the next zone starts.
+	Tail int `json:",omitempty"`
+	// ReturnLimit is how long a host may take to come back before the wave goes on without it.
+	ReturnLimit Duration `json:",omitzero"`
+}
+
 // JobState is the state of a job in its life.
 type JobState string
 
@@ -188,6 +204,10 @@
 	JobFailed    JobState = "Failed"
 	JobCancelled JobState = "Cancelled"
 	JobNeverRuns JobState = "NeverRuns"
+	// JobStarting is placed on a worker that may or may not have started it yet.
+	JobStarting JobState = "Starting"
+	// JobOutcomeUnknown may have run and is not idempotent, so it is never placed again.
+	JobOutcomeUnknown JobState = "OutcomeUnknown"
 )
 
 // Job is work that is placed on a worker host and asked about later.
--- a/member/standing.go
+++ b/member/standing.go
@@ -44,6 +44,8 @@
 	own map[Seat]time.Time
 	// stated maps the seats of others to the moment at which their holders last stated that they wrote nothing after the held head.
 	stated map[Seat]time.Time
+	// storeless maps the seats of others to the moment at which their holders last said that they can't reach the store.
+	storeless map[Seat]time.Time
 	// doubt says that a write of this process may have replaced the held head, now or later.
 	doubt bool
 }
@@ -70,7 +72,7 @@
 	}
 
 	// The newer head shows that the write in doubt replaced its base or never will, because it was conditional on it.
-	s.head, s.stated, s.doubt = h, nil, false
+	s.head, s.stated, s.storeless, s.doubt = h, nil, nil, false
 
 	return s
 }
@@ -95,19 +97,31 @@
 		s.confirmed = moment
 	}
 
-	s.stated = maps.Clone(s.stated)
+	s.stated, s.storeless = cloned(s.stated), cloned(s.storeless)
 	for _, name := range h.Status.Seats {
-		if s.stated == nil {
-			s.stated = map[Seat]time.Time{}
+		seat := Seat(name)
+		if !h.Asked.After(s.stated[seat]) {
+			continue
 		}
-		if seat := Seat(name); h.Asked.After(s.stated[seat]) {
-			s.stated[seat] = h.Asked
+		s.stated[seat] = h.Asked
+		delete(s.storeless, seat)
+		if !h.Status.StoreReachable {
+			s.storeless[seat] = h.Asked
 		}
 	}
 
 	return s
 }
 
+// cloned returns a copy that can be written to.
+func cloned(m map[Seat]time.Time) map[Seat]time.Time {
+	if m == nil {
+		return map[Seat]time.Time{}
+	}
+
+	return maps.Clone(m)
+}
+
 // WithDoubt returns the standing with a write in doubt or not; it is set before the write is sent.
 func (s Standing) WithDoubt(doubt bool) Standing {
 	s.doubt = doubt
@@ -123,6 +137,11 @@
 	if renewed.After(s.own[seat]) {
 		s.own[seat] = renewed
 	}
+	for old, at := range s.own {
+		if renewed.Sub(at) > s.limits.OutageLimit && !slices.Contains(s.head.Seats, old) {
+			delete(s.own, old)
+		}
+	}
 
 	return s
 }
@@ -146,6 +165,24 @@
 	return s
 }
 
+// HeldSeat is a seat that a process speaks for, with the moment of the last renewal of its lease.
+type HeldSeat struct {
+	Seat    Seat
+	Renewed time.Time
+}
+
+// Yield returns those seats of the held head that the process speaks for.
+func (s Standing) Yield() []HeldSeat {
+	var held []HeldSeat
+	for _, seat := range s.head.Seats {
+		if renewed, ok := s.own[seat]; ok {
+			held = append(held, HeldSeat{Seat: seat, Renewed: renewed})
+		}
+	}
+
+	return held
+}
+
 // Seated reports whether the process may write the next head.
 func (s Standing) Seated() bool {
 	return slices.ContainsFunc(s.head.Seats, func(seat Seat) bool {
@@ -201,10 +238,19 @@
 	return oldest
 }
 
+// Confirmed returns the newest moment known from the store, directly or through peers, and not by statements of all seats.
+func (s Standing) Confirmed() time.Time {
+	return s.confirmed
+}
+
 // Fresh reports whether the held head is known to have been in force within FreshFor.
 func (s Standing) Fresh(now time.Time) bool {
+	if !s.confirmed.IsZero() && now.Sub(s.confirmed) < s.limits.FreshFor {
+		return true
+	}
 	asOf := s.AsOf(now)
-	return s.head.Generation > 0 && !asOf.IsZero() && now.Sub(asOf) < s.limits.FreshFor
+
+	return !asOf.IsZero() && now.Sub(asOf) < s.limits.FreshFor
 }
 
 // Licensed reports whether a lease of the process was renewed within OutageLimit, so that others still count what it holds as held.
@@ -218,6 +264,25 @@
 	return false
 }
 
+// StoreLost reports whether the holders of all seats said within FreshFor that they can't reach the store, so that nobody
+// with a seat can see there that this process's lease has lapsed.
+func (s Standing) StoreLost(now time.Time) bool {
+	if len(s.head.Seats) == 0 {
+		return false
+	}
+
+	for _, seat := range s.head.Seats {
+		if _, own := s.own[seat]; own {
+			continue
+		}
+		if moment, said := s.storeless[seat]; !said || now.Sub(moment) >= s.limits.FreshFor {
+			return false
+		}
+	}
+
+	return true
+}
+
 // Status returns what heartbeats say of the standing; generation, age and seats are of one moment.
 func (s Standing) Status(now time.Time) peer.Status {
 	st := peer.Status{Generation: s.head.Generation}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -1,8 +1,10 @@
 package settings
 
 import (
+	"cmp"
 	"net/netip"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -33,7 +35,7 @@
 	TLS       TLS    `json:",omitzero"`
 	Log       Log    `json:",omitzero"`
 	Limits    Limits `json:",omitzero"`
-	// MaxRequestTime bounds how long one request may take from its arrival to the end of its answer.
+	// MaxRequestTime bounds the time that a caller may give one request.
 	MaxRequestTime fleet.Duration `json:",omitzero"`
 	// StopLimit bounds how long requests in progress may hold up a stop; it must not be below MaxRequestTime.
 	StopLimit fleet.Duration `json:",omitzero"`
@@ -114,8 +116,8 @@
 			ReadTimeout:       fleet.Duration(time.Minute),
 			IdleTimeout:       fleet.Duration(2 * time.Minute),
 		},
-		MaxRequestTime: fleet.Duration(time.Minute),
-		StopLimit:      fleet.Duration(2 * time.Minute),
+		MaxRequestTime: fleet.Duration(10 * time.Minute),
+		StopLimit:      fleet.Duration(11 * time.Minute),
 	}
 }
 
@@ -162,7 +164,8 @@
 	s := Default()
 	lines, faults := document.Decode(data, &s)
 	if faults = append(faults, additional(s.Faults(), lines, faults)...); len(faults) > 0 {
-		return Settings{}, merry.Prepend(ErrInvalid, "\n"+document.Text(faults))
+		slices.SortStableFunc(faults, func(a, b document.Fault) int { return cmp.Compare(a.Line, b.Line) })
+		return Settings{}, merry.Append(ErrInvalid, "\n"+document.Text(faults))
 	}
 
 	return s, nil
