--- a/member/lease.go
+++ b/member/lease.go
@@ -219,10 +219,10 @@
 	self, now := r.mesh.Self(), time.Now()
 	r.mu.Lock()
 	for _, m := range in.Members {
-		if _, member := r.members[m.Seat]; member || m.Peer.Incarnation == self.Incarnation {
+		if _, member := r.members[m.Seat]; member || m.Peer == self {
 			continue
 		}
-		r.guests[m.Peer.Incarnation] = guest{member: m, until: now.Add(guestFor)}
+		r.guests[m.Peer] = guest{member: m, until: now.Add(guestFor)}
 	}
 	r.mu.Unlock()
 	r.mesh.SetPeers(r.peers(now))
--- a/member/registry.go
+++ b/member/registry.go
@@ -66,7 +66,7 @@
 	epoch     int
 	members   map[Seat]Member
 	listed    bool
-	guests    map[peer.Incarnation]guest
+	guests    map[peer.Peer]guest
 	goneSince map[Seat]time.Time
 	reachable bool
 	onRenewed []func(Seat, time.Time)
@@ -90,7 +90,7 @@
 func New(client *store.Client, mesh *peer.Mesh, zone fleet.ZoneName, region fleet.RegionName, opts ...Option) *Registry {
 	r := &Registry{
 		client: client, mesh: mesh, ttl: DefaultLeaseTTL, self: Member{Zone: zone, Region: region},
-		members: map[Seat]Member{}, guests: map[peer.Incarnation]guest{}, goneSince: map[Seat]time.Time{},
+		members: map[Seat]Member{}, guests: map[peer.Peer]guest{}, goneSince: map[Seat]time.Time{},
 	}
 	for _, opt := range opts {
 		opt(r)
@@ -305,9 +305,9 @@
 	for _, m := range r.members {
 		take(m)
 	}
-	for incarnation, g := range r.guests {
+	for p, g := range r.guests {
 		if now.After(g.until) {
-			delete(r.guests, incarnation)
+			delete(r.guests, p)
 			continue
 		}
 		take(g.member)
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -198,7 +198,7 @@
 
 	gone := maps.Clone(m.peers)
 	for _, p := range peers {
-		if p.Incarnation == m.self.Incarnation {
+		if p.Name == m.self.Name && p.Incarnation == m.self.Incarnation {
 			continue
 		}
 		if l, ok := m.peers[p.Name]; ok && l.peer == p {
--- a/revision/book_test.go
+++ b/revision/book_test.go
@@ -30,6 +30,7 @@
 	network *standin.Network
 	hosts   map[fleet.EntryName]*host
 	started int
+	limit   time.Duration
 }
 
 // host is what an entry host has of this matter.
@@ -43,14 +44,21 @@
 }
 
 func newGroup(t *testing.T, n int) *group {
+	t.Helper()
+	return newGroupWithLimit(t, n, 5*time.Minute)
+}
+
+func newGroupWithLimit(t *testing.T, n int, limit time.Duration) *group {
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
-	g := &group{tb: t, ctx: ctx, store: standin.NewStore(), network: standin.NewNetwork(), hosts: map[fleet.EntryName]*host{}}
+	g := &group{tb: t, ctx: ctx, store: standin.NewStore(), network: standin.NewNetwork(), hosts: map[fleet.EntryName]*host{}, limit: limit}
 	t.Cleanup(func() {
 		cancel()
 		for _, h := range g.hosts {
 			h.wg.Wait()
 		}
+		// Requests and late writes that are on their way end by themselves.
+		time.Sleep(15 * time.Second)
 	})
 	for i := range n {
 		g.start(fleet.EntryName(fmt.Sprintf("e%d", i+1)))
@@ -72,7 +80,7 @@
 	}
 	client := g.store.ClientFor(string(name))
 	h.registry = member.New(client, h.mesh, "zone-a", "region-1", member.WithSeeds(seeds...))
-	h.book = revision.New(client, revision.WithPeers(h.mesh, h.registry))
+	h.book = revision.New(client, revision.WithPeers(h.mesh, h.registry), revision.WithOutageLimit(g.limit))
 	h.wg.Go(func() { h.mesh.Run(ctx) })
 	h.wg.Go(func() { h.registry.Run(ctx) })
 	h.wg.Go(func() { h.book.Follow(ctx) })
@@ -347,8 +355,8 @@
 		fresh  int
 	}{
 		{"a minute", func(*testing.T, *group) {}, time.Minute, 3},
-		{"just under the limit", func(*testing.T, *group) {}, 59 * time.Minute, 3},
-		{"beyond the limit", func(*testing.T, *group) {}, 62 * time.Minute, 0},
+		{"just under the limit", func(*testing.T, *group) {}, 5*time.Minute - 15*time.Second, 3},
+		{"beyond the limit", func(*testing.T, *group) {}, 6 * time.Minute, 0},
 		{"one crashes", func(_ *testing.T, g *group) { g.crash("e1") }, time.Minute, 0},
 		{"one is replaced in good order", func(_ *testing.T, g *group) { g.replace("e1") }, time.Minute, 3},
 		{"all are replaced one after another", func(_ *testing.T, g *group) {
@@ -411,3 +419,91 @@
 		})
 	}
 }
+
+// TestAllReplacedAtOnce crashes every entry host at the same moment: the new ones serve what was in force, and edits wait until
+// an operator says that the old ones are gone, or for the outage limit.
+func TestAllReplacedAtOnce(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		end  func(*group)
+		// wait is how long nobody may edit.
+		blocked bool
+		unblock func(*testing.T, *group)
+	}{
+		{"in good order", func(g *group) {
+			for _, h := range g.hosts {
+				_ = h.book.Leave(g.ctx)
+			}
+		}, false, nil},
+		{"crash, operator takes over", func(*group) {}, true, func(t *testing.T, g *group) {
+			t.Helper()
+			if err := g.hosts["e1"].book.TakeOver(t.Context()); err != nil {
+				t.Error(err)
+			}
+		}},
+		{"crash, limit passes", func(*group) {}, true, func(*testing.T, *group) { time.Sleep(5*time.Minute + 10*time.Second) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := newGroup(t, 3)
+				g.hosts["e1"].put(t, 5)
+				id := g.hosts["e1"].give(t)
+				time.Sleep(5 * time.Second)
+				c.end(g)
+				names := []fleet.EntryName{"e1", "e2", "e3"}
+				for _, name := range names {
+					g.crash(name)
+				}
+				for _, name := range names {
+					g.start(name)
+				}
+				time.Sleep(5 * time.Second)
+				for _, h := range g.hosts {
+					if !h.serves(id) {
+						t.Errorf("%s does not serve", h.name)
+					}
+				}
+				err := g.hosts["e2"].withdraw(t.Context(), id)
+				if blocked := errors.Is(err, revision.ErrNotSeated); blocked != c.blocked || (err != nil) != c.blocked {
+					t.Fatalf("edit: %v", err)
+				}
+				if c.unblock == nil {
+					return
+				}
+				c.unblock(t, g)
+				time.Sleep(5 * time.Second)
+				if err := g.hosts["e2"].withdraw(t.Context(), id); err != nil {
+					t.Error(err)
+				}
+			})
+		})
+	}
+}
+
+// TestOneReplacedEveryMinute replaces one entry host each minute while edits go on through the others.
+func TestOneReplacedEveryMinute(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 4)
+		for i := range 4 {
+			name := fleet.EntryName(fmt.Sprint("e", i%4+1))
+			if i%2 == 0 {
+				g.replace(name)
+			} else {
+				g.crash(name)
+				g.start(name)
+			}
+			time.Sleep(55 * time.Second)
+			editor := g.hosts[fleet.EntryName(fmt.Sprint("e", (i+1)%4+1))]
+			number := editor.put(t, int64(i+1)).Number
+			ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
+			if missing := editor.book.AwaitInForce(ctx, number); len(missing) > 0 {
+				t.Errorf("minute %d: not in force on %v", i, missing)
+			}
+			cancel()
+			time.Sleep(5 * time.Second)
+			if got := g.fresh(); got != 4 {
+				t.Errorf("minute %d: %d fresh", i, got)
+			}
+		}
+	})
+}
--- a/revision/edit.go
+++ b/revision/edit.go
@@ -180,6 +180,7 @@
 
 // awaitSeat reads the head and waits a little for the seat of a process that just started.
 func (b *Book) awaitSeat(ctx context.Context) error {
+	caller := ctx
 	ctx, cancel := context.WithTimeout(ctx, seatWait)
 	defer cancel()
 	for {
@@ -187,6 +188,9 @@
 		moved := b.moved
 		b.mu.RUnlock()
 		if err := b.refresh(ctx); err != nil {
+			if ctx.Err() != nil && caller.Err() == nil {
+				return merry.Prepend(ErrNotSeated, err.Error())
+			}
 			return err
 		}
 		if b.Seated() {
