--- a/cmd/lycheehook/status.go
+++ b/cmd/lycheehook/status.go
@@ -37,6 +37,8 @@
 	Spare    bool
 	MinHosts int
 	Queues   []string
+	Slots    int64
+	Waiting  int
 }
 
 type teamAnswer struct {
@@ -46,6 +48,8 @@
 	Share      int64
 	UpperLimit fleet.Resources
 	Keys       int
+	Running    fleet.Resources
+	Waiting    fleet.Resources
 }
 
 type queueAnswer struct {
@@ -123,13 +127,16 @@
 		return err
 	}
 
-	pools := table{header: []string{"Pool", "Spare", "Least hosts", "Queues"}}
+	pools := table{header: []string{"Pool", "Spare", "Least hosts", "Slots", "Waiting", "Queues"}}
 	for _, p := range newest.Pools {
-		pools.add(p.Name, p.Spare, p.MinHosts, strings.Join(p.Queues, " "))
+		pools.add(p.Name, p.Spare, p.MinHosts, p.Slots, sumOf(hosts, func(s *statusAnswer) int64 { return waitingFor(s, p.Name) }),
+			strings.Join(p.Queues, " "))
 	}
-	teams := table{header: []string{"Team", "Customer", "Plan", "Share", "Slots", "Keys"}}
+	teams := table{header: []string{"Team", "Customer", "Plan", "Share", "Limit", "Running", "Waiting", "Keys"}}
 	for _, t := range newest.Teams {
-		teams.add(t.Name, t.Customer, t.Plan, t.Share, t.UpperLimit.Slots, t.Keys)
+		running := sumOf(hosts, func(s *statusAnswer) int64 { return teamOf(s, t.Name).Running.Slots })
+		waiting := sumOf(hosts, func(s *statusAnswer) int64 { return teamOf(s, t.Name).Waiting.Slots })
+		teams.add(t.Name, t.Customer, t.Plan, t.Share, t.UpperLimit.Slots, running, waiting, t.Keys)
 	}
 	for _, t := range []*table{&pools, &teams} {
 		_, _ = fmt.Fprintln(w)
@@ -151,3 +158,35 @@
 		return "not fresh"
 	}
 }
+
+// sumOf adds up a figure over the entry hosts that answered, as each knows only of its own work.
+func sumOf(hosts []hostAnswer, figure func(*statusAnswer) int64) int64 {
+	total := int64(0)
+	for _, h := range hosts {
+		if h.Status != nil {
+			total += figure(h.Status)
+		}
+	}
+
+	return total
+}
+
+func waitingFor(s *statusAnswer, pool string) int64 {
+	for _, p := range s.Pools {
+		if p.Name == pool {
+			return int64(p.Waiting)
+		}
+	}
+
+	return 0
+}
+
+func teamOf(s *statusAnswer, name string) teamAnswer {
+	for _, t := range s.Teams {
+		if t.Name == name {
+			return t
+		}
+	}
+
+	return teamAnswer{}
+}
--- a/entry/host.go
+++ b/entry/host.go
@@ -17,6 +17,7 @@
 	"lycheehook.example/lycheehook/platform"
 	"lycheehook.example/lycheehook/revision"
 	"lycheehook.example/lycheehook/settings"
+	"lycheehook.example/lycheehook/share"
 	"lycheehook.example/lycheehook/store"
 )
 
@@ -57,6 +58,11 @@
 	}
 	h.operator.stopping = h.stopping.Load
 	h.operator.entries = h.operator.ownEntry
+	h.operator.load = loadView{
+		teams:   func() share.Report { return p.Gate.Report(p.Settings.Name) },
+		waiting: p.Gate.Waiting,
+		slots:   p.Set.Slots,
+	}
 
 	return h
 }
--- a/entry/operator.go
+++ b/entry/operator.go
@@ -85,6 +85,7 @@
 	stopping func() bool
 	// entries returns what is known of the revisions of the entry hosts, this one first.
 	entries func(now time.Time) []entryStatus
+	load    loadView
 }
 
 func (a *operatorAPI) handler() http.Handler {
--- a/entry/operator_test.go
+++ b/entry/operator_test.go
@@ -16,10 +16,12 @@
 
 	"lycheehook.example/lycheehook/audit"
 	"lycheehook.example/lycheehook/document"
+	"lycheehook.example/lycheehook/fleet"
 	"lycheehook.example/lycheehook/key"
 	"lycheehook.example/lycheehook/plan"
 	"lycheehook.example/lycheehook/revision"
 	"lycheehook.example/lycheehook/settings"
+	"lycheehook.example/lycheehook/share"
 	"lycheehook.example/lycheehook/standin"
 )
 
@@ -55,6 +57,13 @@
 		stopping: func() bool { return o.stopped },
 	}
 	o.api.entries = o.api.ownEntry
+	o.api.load = loadView{
+		teams: func() share.Report {
+			return share.Report{Teams: []share.Standing{{Team: "postings", Running: fleet.Resources{Slots: 3}, Demand: fleet.Resources{Slots: 4}}}}
+		},
+		waiting: func(fleet.PoolName) int { return 2 },
+		slots:   func(fleet.PoolName) int64 { return 16 },
+	}
 	o.handler = o.api.handler()
 
 	return o
@@ -294,6 +303,12 @@
 	if diff := cmp.Diff([]entryStatus{{Name: "entry-1", Revision: 1, Fresh: true}}, s.Entries); diff != "" || len(s.Teams) != 1 || len(s.Queues) != 1 {
 		t.Errorf("status %+v (-want +got):\n%s", s, diff)
 	}
+	if p := s.Pools[0]; p.Slots != 16 || p.Waiting != 2 {
+		t.Errorf("pool %+v, want 16 slots and 2 waiting", p)
+	}
+	if tm := s.Teams[0]; tm.Running.Slots != 3 || tm.Waiting.Slots != 1 {
+		t.Errorf("team %+v, want 3 slots running and 1 waiting", tm)
+	}
 	_, metrics := probe("/metrics")
 	for _, want := range []string{
 		`lycheehook_operator_requests_total{operation="PutLists",status="200"} 1`, "lycheehook_revision 1", "lycheehook_fresh 1",
--- a/entry/operatorstatus.go
+++ b/entry/operatorstatus.go
@@ -8,6 +8,7 @@
 
 	"lycheehook.example/lycheehook/audit"
 	"lycheehook.example/lycheehook/fleet"
+	"lycheehook.example/lycheehook/share"
 )
 
 // statusAnswer is what this entry host knows.
@@ -32,6 +33,9 @@
 	Spare    bool
 	MinHosts int
 	Queues   []fleet.QueueName
+	// Slots is what the pool's endpoints have that may get new work, and Waiting the requests that wait here.
+	Slots   int64
+	Waiting int
 }
 
 type teamStatus struct {
@@ -41,6 +45,16 @@
 	Share      int64
 	UpperLimit fleet.Resources
 	Keys       int
+	// Running and Waiting are what the team has running and waiting on this entry host.
+	Running fleet.Resources `json:",omitzero"`
+	Waiting fleet.Resources `json:",omitzero"`
+}
+
+// loadView tells of the work on this entry host.
+type loadView struct {
+	teams   func() share.Report
+	waiting func(fleet.PoolName) int
+	slots   func(fleet.PoolName) int64
 }
 
 type queueStatus struct {
@@ -62,11 +76,19 @@
 		served[q.Pool] = append(served[q.Pool], q.Name)
 	}
 	for _, p := range cur.Tables.Pools.All() {
-		s.Pools = append(s.Pools, poolStatus{Name: p.Name, Spare: p.Spare, MinHosts: p.MinHosts, Queues: served[p.Name]})
+		s.Pools = append(s.Pools, poolStatus{
+			Name: p.Name, Spare: p.Spare, MinHosts: p.MinHosts, Queues: served[p.Name],
+			Slots: a.load.slots(p.Name), Waiting: a.load.waiting(p.Name),
+		})
+	}
+	standings := map[fleet.TeamName]share.Standing{}
+	for _, st := range a.load.teams().Teams {
+		standings[st.Team] = st
 	}
 	for _, t := range cur.Tables.Teams.All() {
 		s.Teams = append(s.Teams, teamStatus{
 			Name: t.Name, Customer: t.Customer, Plan: t.Plan, Share: t.Share, UpperLimit: t.UpperLimit, Keys: len(cur.Keys.OfTeam(t.Name)),
+			Running: standings[t.Name].Running, Waiting: standings[t.Name].Demand.Minus(standings[t.Name].Running),
 		})
 	}
 	writeJSON(w, http.StatusOK, s)
