--- a/entry/wire_gen.go
+++ b/entry/wire_gen.go
@@ -15,16 +15,21 @@
 
 // Injectors from wire.go:
 
-// New returns an entry host with the given settings and logger.
-func New(s settings.Settings, l *log.Logger) *Host {
+// New returns an entry host with the given settings and logger; its error names a certificate that can't be read.
+func New(s settings.Settings, l *log.Logger) (*Host, error) {
 	client := newStore(s)
 	platformClient := newPlatform(s)
-	book := newBook(client)
+	entryCluster, err := newCluster(s, client, l)
+	if err != nil {
+		return nil, err
+	}
+	book := newBook(client, entryCluster)
 	set := endpoint.NewSet()
 	sender := newSender()
 	gate := admission.New(book, set)
 	trail := newTrail(client, s, l)
-	entryControl := newControl(client, platformClient, book, trail, s, l)
+	entryControl := newControl(client, platformClient, book, entryCluster, trail, s, l)
+	entryLimits := newLimits(s, client, entryCluster, book, l)
 	registry := newRegistry()
 	entryOperatorMetrics := newOperatorMetrics(registry, book, trail)
 	entryParts := parts{
@@ -36,10 +41,12 @@
 		Sender:   sender,
 		Gate:     gate,
 		Control:  entryControl,
+		Cluster:  entryCluster,
+		Limits:   entryLimits,
 		Trail:    trail,
 		Metrics:  entryOperatorMetrics,
 		Log:      l,
 	}
 	host := newHost(entryParts)
-	return host
+	return host, nil
 }
