Keep edits of different entries, and let operators restore earlier lists

An edit from an older base is merged with what others did since; edits of the same entries are refused with both sides. The history and the restore of earlier lists have requests and commands; the status names the entry hosts on which the revision is in force.

--- a/cmd/lycheehook/client.go
+++ b/cmd/lycheehook/client.go
@@ -43,7 +43,9 @@
 	Reason   string
 	Faults   []document.Fault
 	Revision uint64
-	Changes  []plan.Change
+	// Conflicts are the entries that the edit and others since its base both changed, and Changes what the edit would change.
+	Conflicts []plan.Conflict
+	Changes   []plan.Change
 }
 
 // Error implements error.
@@ -56,6 +58,9 @@
 	if e.Revision > 0 {
 		fmt.Fprintf(&b, "\nrevision %d is in force", e.Revision)
 	}
+	for _, c := range e.Conflicts {
+		fmt.Fprintf(&b, "\n! %s: in force %s, edited to %s", c.Path, c.Ours, c.Theirs)
+	}
 	for _, c := range e.Changes {
 		b.WriteString("\n" + c.String())
 	}
--- a/cmd/lycheehook/list.go
+++ b/cmd/lycheehook/list.go
@@ -126,8 +126,8 @@
 	cmd := &cobra.Command{
 		Use:   "apply FILE",
 		Short: "Put the list in a file in force",
-		Long: "Put the list in a file in force. The file replaces the whole list. With --base the edit is refused if another " +
-			"revision than that is in force; without, it is made from the revision in force now.",
+		Long: "Put the list in a file in force. The file replaces the whole list. With --base, what others edited " +
+			"since that revision is kept, and an edit of the same entries is refused; without, it is made from the revision in force now.",
 		Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			c, cur, err := l.current(cmd, f)
--- a/cmd/lycheehook/root.go
+++ b/cmd/lycheehook/root.go
@@ -14,7 +14,7 @@
 	}
 	root.AddCommand(
 		newEntry(), newDev(), newLoad(), newExperiment(), newCapacity(),
-		newCheck(), newList(customersList, p), newList(plansList, p), newKeys(p), newStatus(p), newAudit(p), newSettings(),
+		newCheck(), newList(customersList, p), newList(plansList, p), newKeys(p), newRevisions(p), newStatus(p), newAudit(p), newSettings(),
 	)
 
 	return root
--- a/cmd/lycheehook/status.go
+++ b/cmd/lycheehook/status.go
@@ -28,8 +28,7 @@
 type entryAnswer struct {
 	Name     string
 	Revision uint64
-	Fresh    bool
-	HeardAgo fleet.Duration `json:",omitzero"`
+	InForce  bool
 }
 
 type poolAnswer struct {
--- a/cmd/lycheehook/wait.go
+++ b/cmd/lycheehook/wait.go
@@ -59,7 +59,7 @@
 		for _, e := range s.Entries {
 			// What an entry host says of itself counts for more than what another heard of it.
 			if _, known := inForce[e.Name]; !known || e.Name == s.Name {
-				inForce[e.Name] = e.Revision >= revision && e.Fresh
+				inForce[e.Name] = e.Revision >= revision && e.InForce
 			}
 		}
 	}
--- a/entry/caller.go
+++ b/entry/caller.go
@@ -65,8 +65,11 @@
 		return
 	}
 	defer c.body.release()
-	// An upload that stalls is bounded by the caller's deadline like all else.
-	_ = http.NewResponseController(w.ResponseWriter).SetReadDeadline(c.deadline)
+	if r.Request.Body != http.NoBody {
+		// An upload that stalls is bounded by the caller's deadline like all else. Without a body the server already watches
+		// the connection, and would take the end of the deadline for the caller leaving.
+		_ = http.NewResponseController(w.ResponseWriter).SetReadDeadline(c.deadline)
+	}
 	if err := c.body.read(w, r.Request); err != nil {
 		writeError(w, err)
 		return
--- a/entry/host.go
+++ b/entry/host.go
@@ -67,7 +67,7 @@
 	p.Set.Take, p.Set.Expected = p.Limits.takeSlots, p.Limits.expectedSlots
 	p.Limits.holder.Grown = func(allotment.Key) { p.Gate.Wake() }
 	h.operator.stopping = h.stopping.Load
-	h.operator.entries = h.operator.ownEntry
+	h.operator.entries = h.operator.knownEntries
 	h.operator.load = loadView{
 		teams:   func() share.Report { return p.Gate.Report(p.Settings.Name) },
 		waiting: p.Gate.Waiting,
--- a/entry/operator.go
+++ b/entry/operator.go
@@ -63,9 +63,11 @@
 	Reason string
 	// Faults are what is wrong with the request, with the path of each field.
 	Faults []document.Fault `json:",omitempty"`
-	// Revision is the one in force, and Changes what it has that the request would undo; both for a conflict.
-	Revision uint64        `json:",omitempty"`
-	Changes  []plan.Change `json:",omitempty"`
+	// Revision is the one in force, Conflicts the entries that it and the edit both changed since the base, and Changes what
+	// the edit as a whole would change in it; all for a conflict.
+	Revision  uint64          `json:",omitempty"`
+	Conflicts []plan.Conflict `json:",omitempty"`
+	Changes   []plan.Change   `json:",omitempty"`
 }
 
 // Error implements error.
@@ -94,6 +96,7 @@
 	ws.Filter(a.authenticate)
 	a.routeLists(ws)
 	a.routeKeys(ws)
+	a.routeRevisions(ws)
 	ws.Route(ws.GET("/status").To(a.getStatus).Operation("GetStatus"))
 	ws.Route(ws.GET("/audit").To(a.getAudit).Operation("GetAudit"))
 
@@ -172,6 +175,8 @@
 		return e
 	case errors.Is(err, plan.ErrInvalid):
 		return &operatorError{Code: codeListInvalid, Reason: err.Error()}
+	case notInHistory(err):
+		return &operatorError{Code: codeNotFound, Reason: err.Error()}
 	case errors.Is(err, revision.ErrStale):
 		return &operatorError{Code: codeConflict, Reason: err.Error()}
 	case errors.Is(err, store.ErrOutcomeUnknown):
@@ -220,11 +225,10 @@
 	}
 }
 
-// entryStatus is what an entry host has in force.
+// entryStatus is what is known of an entry host.
 type entryStatus struct {
-	Name     fleet.EntryName
+	Name fleet.EntryName
+	// Revision is zero if another entry host has not put the revision of this one in force yet.
 	Revision uint64
-	Fresh    bool
-	// HeardAgo is how long ago this was heard.
-	HeardAgo fleet.Duration `json:",omitzero"`
+	InForce  bool
 }
--- a/entry/operator_test.go
+++ b/entry/operator_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -56,7 +57,7 @@
 		book: b, trail: trail, store: c, metrics: newOperatorMetrics(newRegistry(), b, trail), log: log.New(io.Discard),
 		stopping: func() bool { return o.stopped },
 	}
-	o.api.entries = o.api.ownEntry
+	o.api.entries = o.api.knownEntries
 	o.api.load = loadView{
 		teams: func() share.Report {
 			return share.Report{Teams: []share.Standing{{Team: "postings", Running: fleet.Resources{Slots: 3}, Demand: fleet.Resources{Slots: 4}}}}
@@ -128,10 +129,11 @@
 		{"too large", "PUT", "/v1/lists", strings.Repeat(" ", maxOperatorBody+1), operatorError{Code: codeRequestTooLarge}},
 		{"lists that do not hold together", "PUT", "/v1/lists", `{"Base": 1, "Lists": ` + withoutPool + `}`,
 			operatorError{Code: codeListInvalid, Faults: []document.Fault{{Path: "Queues[0].Pool", Reason: `pool "ledger-a" does not exist`}}}},
-		{"stale base", "POST", "/v1/lists/customers", `{"Base": 0, "Customers": []}`, operatorError{Code: codeConflict, Revision: 1, Changes: []plan.Change{
-			{Path: "Customers[kisumu-clubs]", To: `{"Name":"kisumu-clubs","Plan":"ledger",` +
-				`"Teams":[{"Name":"postings","Share":1,"UpperLimit":{"Slots":8}}]}`},
-		}}},
+		{"base before the history", "POST", "/v1/lists/customers", `{"Base": 0, "Customers": []}`,
+			operatorError{Code: codeConflict, Revision: 1, Changes: []plan.Change{
+				{Path: "Customers[kisumu-clubs]", From: `{"Name":"kisumu-clubs","Plan":"ledger",` +
+					`"Teams":[{"Name":"postings","Share":1,"UpperLimit":{"Slots":8}}]}`},
+			}}},
 		{"base of the future", "POST", "/v1/lists/plans", `{"Base": 7, "Plans": []}`, operatorError{Code: codeConflict, Revision: 1}},
 		{"key for no team", "POST", "/v1/keys", `{"Team": "nobody"}`, operatorError{Code: codeNotFound}},
 		{"withdraw no key", "DELETE", "/v1/keys/none", "", operatorError{Code: codeNotFound}},
@@ -300,7 +302,7 @@
 
 	var s statusAnswer
 	o.ask("GET", "/v1/status", "", &s)
-	if diff := cmp.Diff([]entryStatus{{Name: "entry-1", Revision: 1, Fresh: true}}, s.Entries); diff != "" || len(s.Teams) != 1 || len(s.Queues) != 1 {
+	if diff := cmp.Diff([]entryStatus{{Name: "entry-1", Revision: 1, InForce: true}}, s.Entries); diff != "" || len(s.Teams) != 1 || len(s.Queues) != 1 {
 		t.Errorf("status %+v (-want +got):\n%s", s, diff)
 	}
 	if p := s.Pools[0]; p.Slots != 16 || p.Waiting != 2 {
@@ -320,6 +322,78 @@
 	}
 }
 
+// Edits of different entries from one base are both kept; an edit of the same entry is refused with both sides.
+func TestEditsOfOneBaseMerge(t *testing.T) {
+	o := newOperators(t)
+	o.putLists()
+	second := strings.Replace(smallLists, `"Slots": 8}}]}],`, `"Slots": 8}}]}, {"Name": "nairobi", "Plan": "ledger", "Teams": []}],`, 1)
+	var merged acceptedAnswer
+	if status := o.ask("PUT", "/v1/lists", `{"Base": 1, "Lists": `+second+`}`, nil); status != http.StatusOK {
+		t.Fatalf("first edit answered %d", status)
+	}
+	share := func(n int) string {
+		return fmt.Sprintf(`{"Base": 1, "Customers": [{"Name": "kisumu-clubs", "Plan": "ledger",
+			"Teams": [{"Name": "postings", "Share": %d, "UpperLimit": {"Slots": 8}}]}]}`, n)
+	}
+	if status := o.ask("POST", "/v1/lists/customers", share(7), &merged); status != http.StatusOK || merged.Revision != 3 {
+		t.Fatalf("edit of another entry answered %d %+v", status, merged)
+	}
+	cur := o.api.book.Current()
+	if _, kept := cur.Tables.Customers.Get("nairobi"); !kept {
+		t.Error("the first edit is lost")
+	}
+	if tm, _ := cur.Tables.Teams.Get("postings"); tm.Share != 7 {
+		t.Errorf("share %d, want 7", tm.Share)
+	}
+
+	var refused operatorError
+	if status := o.ask("POST", "/v1/lists/customers", share(9), &refused); status != http.StatusConflict || len(refused.Conflicts) != 1 {
+		t.Fatalf("edit of the same entry answered %d %+v", status, refused)
+	}
+	if c := refused.Conflicts[0]; !strings.Contains(c.Path, "postings") || !strings.Contains(c.Ours+c.Theirs, "9") || !strings.Contains(c.Ours+c.Theirs, "7") {
+		t.Errorf("conflict %+v does not show both sides", c)
+	}
+}
+
+func TestRevisions(t *testing.T) {
+	o := newOperators(t)
+	o.putLists()
+	var k giveKeyAnswer
+	o.ask("POST", "/v1/keys", `{"Team": "postings"}`, &k)
+	o.ask("PUT", "/v1/lists", `{"Base": 2, "Lists": `+strings.Replace(smallLists, `"Share": 1`, `"Share": 5`, 1)+`}`, nil)
+	o.ask("DELETE", "/v1/keys/"+string(k.ID), "", nil)
+
+	var h revisionsAnswer
+	o.ask("GET", "/v1/revisions", "", &h)
+	var got []string
+	for _, r := range h.Revisions {
+		got = append(got, fmt.Sprint(r.Number, " ", r.By))
+	}
+	if diff := cmp.Diff([]string{"4 wanjiru", "3 wanjiru", "2 wanjiru", "1 wanjiru"}, got); diff != "" {
+		t.Errorf("(-want +got):\n%s", diff)
+	}
+	var old listsDocument
+	if status := o.ask("GET", "/v1/revisions/1/lists", "", &old); status != http.StatusOK || old.Lists.Customers[0].Teams[0].Share != 1 {
+		t.Errorf("revision 1 answered %d %+v", status, old)
+	}
+	var restored acceptedAnswer
+	if status := o.ask("POST", "/v1/revisions/1/restore", "", &restored); status != http.StatusOK || restored.Revision != 5 || len(restored.Changes) != 1 {
+		t.Errorf("restore answered %d %+v", status, restored)
+	}
+	cur := o.api.book.Current()
+	if tm, _ := cur.Tables.Teams.Get("postings"); tm.Share != 1 || len(cur.Keys.Keys()) != 0 {
+		t.Errorf("share %d with %d keys, want 1 and the withdrawn key withdrawn", tm.Share, len(cur.Keys.Keys()))
+	}
+	for path, want := range map[string]int{"/v1/revisions/9/lists": 404, "/v1/revisions/x/lists": 400} {
+		if status := o.ask("GET", path, "", nil); status != want {
+			t.Errorf("%s answered %d, want %d", path, status, want)
+		}
+	}
+	if got := o.audited("?subject=Lists/Restore"); len(got) != 1 {
+		t.Errorf("the trail says %v of the restore", got)
+	}
+}
+
 func TestParallelEditsOfOneBase(t *testing.T) {
 	o := newOperators(t)
 	o.putLists()
--- a/entry/operatorlists.go
+++ b/entry/operatorlists.go
@@ -1,6 +1,9 @@
 package entry
 
 import (
+	"context"
+	"errors"
+	"fmt"
 	"net/http"
 
 	"github.com/emicklei/go-restful/v3"
@@ -74,35 +77,38 @@
 	}
 }
 
-// applyLists puts the lists that edit returns in force if base still is; the same lists again change nothing.
+// applyLists puts the lists that edit returns in force. The same lists again change nothing; edits of other entries since the
+// base are kept, and edits of the same ones are a conflict.
 func (a *operatorAPI) applyLists(
 	r *restful.Request, w *restful.Response, base uint64, subject string, edit func(plan.Lists) plan.Lists,
 ) {
 	var changes []plan.Change
-	var unchanged *operatorError
-	next, err := a.book.Apply(r.Request.Context(), func(cur revision.Revision) (revision.Revision, error) {
-		lists := edit(cur.Lists)
-		changes = plan.Diff(cur.Lists, lists)
-		if len(changes) == 0 {
-			unchanged = &operatorError{Code: codeConflict, Revision: cur.Number}
-			return cur, unchanged
+	unchanged := uint64(0)
+	ctx, who := r.Request.Context(), operatorOf(r)
+	next, err := a.book.ApplyAs(ctx, who, func(cur revision.Revision) (revision.Revision, error) {
+		unchanged = 0
+		if len(plan.Diff(cur.Lists, edit(cur.Lists))) == 0 {
+			unchanged = cur.Number
+			return cur, nil
 		}
-		if cur.Number != base {
-			return cur, conflict(cur, lists, base)
+		lists, err := a.merge(ctx, cur, base, edit)
+		if err != nil {
+			return cur, err
 		}
 		if faults := listFaults(lists); len(faults) > 0 {
 			return cur, &operatorError{Code: codeListInvalid, Reason: "the lists do not hold together", Faults: faults}
 		}
+		changes = plan.Diff(cur.Lists, lists)
 
 		return cur.WithLists(lists), nil
 	})
-	if unchanged != nil {
-		writeJSON(w, http.StatusOK, acceptedAnswer{Revision: unchanged.Revision})
+	if err == nil && unchanged > 0 {
+		writeJSON(w, http.StatusOK, acceptedAnswer{Revision: unchanged})
 		return
 	}
 
-	written := a.record(r.Request.Context(), audit.Entry{
-		Who: operatorOf(r), Action: audit.ApplyLists, Subject: subject, Base: base, Revision: next.Number, Changes: lines(changes),
+	written := a.record(ctx, audit.Entry{
+		Who: who, Action: audit.ApplyLists, Subject: subject, Base: base, Revision: next.Number, Changes: lines(changes),
 	}, err)
 	if err != nil {
 		a.fail(w, err)
@@ -111,14 +117,31 @@
 	writeJSON(w, http.StatusOK, acceptedAnswer{Revision: next.Number, Changes: changes, AuditPending: !written})
 }
 
-// conflict names what the lists would undo of the revision in force.
-func conflict(cur revision.Revision, lists plan.Lists, base uint64) error {
-	reason := "the edit was made from another revision than the one in force; Changes lead from the edit to what is in force"
-	if base > cur.Number {
-		reason = "the edit names a later revision than the one in force"
+// merge returns the edit of the base on top of the revision in force.
+func (a *operatorAPI) merge(ctx context.Context, cur revision.Revision, base uint64, edit func(plan.Lists) plan.Lists) (plan.Lists, error) {
+	if cur.Number == base {
+		return edit(cur.Lists), nil
+	}
+
+	conflict := &operatorError{Code: codeConflict, Revision: cur.Number, Changes: plan.Diff(cur.Lists, edit(cur.Lists))}
+	from, err := a.book.At(ctx, base)
+	if errors.Is(err, revision.ErrNoSuchRevision) {
+		conflict.Reason = fmt.Sprintf("the edit was made from revision %d, which the history does not have", base)
+		return plan.Lists{}, conflict
+	}
+	if err != nil {
+		return plan.Lists{}, err
+	}
+	mine := edit(from.Lists)
+	merged, conflicts := plan.Merge(from.Lists, cur.Lists, mine)
+	if len(conflicts) > 0 {
+		conflict.Reason = fmt.Sprintf("the same entries were edited since revision %d", base)
+		conflict.Conflicts = conflicts
+
+		return plan.Lists{}, conflict
 	}
 
-	return &operatorError{Code: codeConflict, Reason: reason, Revision: cur.Number, Changes: plan.Diff(lists, cur.Lists)}
+	return merged, nil
 }
 
 func listFaults(l plan.Lists) []document.Fault {
--- a/entry/operatorstatus.go
+++ b/entry/operatorstatus.go
@@ -1,7 +1,9 @@
 package entry
 
 import (
+	"maps"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/emicklei/go-restful/v3"
@@ -94,7 +96,19 @@
 	writeJSON(w, http.StatusOK, s)
 }
 
-// ownEntry returns the status of this entry host alone, for when it knows of no others.
-func (a *operatorAPI) ownEntry(now time.Time) []entryStatus {
-	return []entryStatus{{Name: a.settings.Name, Revision: a.book.Current().Number, Fresh: a.book.Fresh(now)}}
+// knownEntries returns this entry host, and of the others which have put its revision in force.
+func (a *operatorAPI) knownEntries(now time.Time) []entryStatus {
+	cur := a.book.Current().Number
+	entries := []entryStatus{{Name: a.settings.Name, Revision: cur, InForce: a.book.Fresh(now)}}
+	others := a.book.InForce(cur)
+	delete(others, a.settings.Name)
+	for _, name := range slices.Sorted(maps.Keys(others)) {
+		e := entryStatus{Name: name, InForce: others[name]}
+		if e.InForce {
+			e.Revision = cur
+		}
+		entries = append(entries, e)
+	}
+
+	return entries
 }
