Let the protocol between entry hosts follow its certificate files

It kept the client's certificate and authority of the start; both sides now use the newest files for each new connection and still ask for the name of peers.

--- a/cert/peers.go
+++ b/cert/peers.go
@@ -8,9 +8,9 @@
 )
 
 // Peers returns the configurations for mutual TLS between peers, to accept and to dial with. Each side must show a certificate
-// of a common authority; names are not compared, because peers dial each other by address and may take over a name. Every new
-// connection uses the newest sound state of the files, and the configurations may be kept and cloned.
-func (s *Source) Peers() (server, client *tls.Config, err error) {
+// of a common authority for the name that all peers share, because peers dial each other by address and may take over a host's
+// name. Every new connection uses the newest sound state of the files, and the configurations may be kept and cloned.
+func (s *Source) Peers(name string) (server, client *tls.Config, err error) {
 	if m := s.current.Load(); m.certificate == nil || m.authorities == nil {
 		return nil, nil, merry.Prepend(ErrInvalid, "peers need a certificate and an authority")
 	}
@@ -20,7 +20,7 @@
 		SessionTicketsDisabled: true,
 		ClientAuth:             tls.RequireAnyClientCert,
 		GetCertificate:         func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return s.current.Load().certificate, nil },
-		VerifyConnection:       s.verify(x509.ExtKeyUsageClientAuth),
+		VerifyConnection:       s.verify(name, x509.ExtKeyUsageClientAuth),
 	}
 	client = &tls.Config{
 		MinVersion:             tls.VersionTLS13,
@@ -28,14 +28,14 @@
 		// VerifyConnection checks the chain in its place, against the authorities of the moment.
 		InsecureSkipVerify:   true,
 		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return s.current.Load().certificate, nil },
-		VerifyConnection:     s.verify(x509.ExtKeyUsageServerAuth),
+		VerifyConnection:     s.verify(name, x509.ExtKeyUsageServerAuth),
 	}
 
 	return server, client, nil
 }
 
 // verify returns a check of the other side's chain against the authorities in use.
-func (s *Source) verify(usage x509.ExtKeyUsage) func(tls.ConnectionState) error {
+func (s *Source) verify(name string, usage x509.ExtKeyUsage) func(tls.ConnectionState) error {
 	return func(cs tls.ConnectionState) error {
 		if len(cs.PeerCertificates) == 0 {
 			return merry.Prepend(ErrInvalid, "the peer shows no certificate")
@@ -45,7 +45,7 @@
 			between.AddCert(c)
 		}
 		_, err := cs.PeerCertificates[0].Verify(x509.VerifyOptions{
-			Roots: s.current.Load().authorities, Intermediates: between, KeyUsages: []x509.ExtKeyUsage{usage},
+			DNSName: name, Roots: s.current.Load().authorities, Intermediates: between, KeyUsages: []x509.ExtKeyUsage{usage},
 		})
 
 		return err
--- a/cert/peers_test.go
+++ b/cert/peers_test.go
@@ -15,7 +15,7 @@
 
 func peers(t *testing.T, s *cert.Source) (server, client *tls.Config) {
 	t.Helper()
-	server, client, err := s.Peers()
+	server, client, err := s.Peers("peer")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -26,8 +26,8 @@
 // expiredPair writes a certificate that has expired and returns configurations that show it all the same.
 func expiredPair(t *testing.T, a *cert.Authority) (server, client *tls.Config) {
 	t.Helper()
-	server, client = peers(t, source(t, files(t, a, "entry-9", t.TempDir(), time.Hour)))
-	f := files(t, a, "entry-9", t.TempDir(), -time.Second)
+	server, client = peers(t, source(t, files(t, a, "peer", t.TempDir(), time.Hour)))
+	f := files(t, a, "peer", t.TempDir(), -time.Second)
 	pair, err := tls.LoadX509KeyPair(f.Certificate, f.Key)
 	if err != nil {
 		t.Fatal(err)
@@ -40,11 +40,12 @@
 
 func TestPeers(t *testing.T) {
 	ours, theirs := authority(t, "ours"), authority(t, "theirs")
-	ourServer, ourClient := peers(t, source(t, files(t, ours, "entry-1", t.TempDir(), time.Hour)))
-	theirServer, theirClient := peers(t, source(t, files(t, theirs, "entry-1", t.TempDir(), time.Hour)))
+	ourServer, ourClient := peers(t, source(t, files(t, ours, "peer", t.TempDir(), time.Hour)))
+	theirServer, theirClient := peers(t, source(t, files(t, theirs, "peer", t.TempDir(), time.Hour)))
 	expiredServer, expiredClient := expiredPair(t, ours)
 	blind := theirClient.Clone()
 	blind.VerifyConnection = nil
+	otherServer, otherClient := peers(t, source(t, files(t, ours, "operators", t.TempDir(), time.Hour)))
 	anonymous := ourClient.Clone()
 	anonymous.GetClientCertificate = nil
 
@@ -57,6 +58,8 @@
 		{"client does not trust the server", theirServer, ourClient, false},
 		{"server does not trust the client", ourServer, blind, false},
 		{"client shows nothing", ourServer, anonymous, false},
+		{"client is of another name", ourServer, otherClient, false},
+		{"server is of another name", otherServer, ourClient, false},
 		{"client has expired", ourServer, expiredClient, false},
 		{"server has expired", expiredServer, ourClient, false},
 	}
@@ -66,7 +69,7 @@
 		}
 	}
 
-	if _, _, err := source(t, cert.Files{CA: files(t, ours, "x", t.TempDir(), time.Hour).CA}).Peers(); !errors.Is(err, cert.ErrInvalid) {
+	if _, _, err := source(t, cert.Files{CA: files(t, ours, "x", t.TempDir(), time.Hour).CA}).Peers("peer"); !errors.Is(err, cert.ErrInvalid) {
 		t.Errorf("peers without a certificate: %v", err)
 	}
 }
@@ -78,13 +81,13 @@
 	dirs := []string{t.TempDir(), t.TempDir()}
 	var sources []*cert.Source
 	for _, dir := range dirs {
-		sources = append(sources, source(t, files(t, ours, "entry-1", dir, time.Hour)))
+		sources = append(sources, source(t, files(t, ours, "peer", dir, time.Hour)))
 	}
 	server, _ := peers(t, sources[0])
 	_, client := peers(t, sources[1])
-	_, left := peers(t, source(t, files(t, ours, "entry-3", t.TempDir(), time.Hour)))
+	_, left := peers(t, source(t, files(t, ours, "peer", t.TempDir(), time.Hour)))
 	for i, dir := range dirs {
-		files(t, theirs, "entry-1", dir, time.Hour)
+		files(t, theirs, "peer", dir, time.Hour)
 		if err := sources[i].Reload(); err != nil {
 			t.Fatal(err)
 		}
@@ -103,7 +106,7 @@
 	type echo struct{ Text string }
 	ours, theirs := authority(t, "ours"), authority(t, "theirs")
 	mesh := func(a *cert.Authority, name string) (*peer.Mesh, peer.Peer) {
-		server, client := peers(t, source(t, files(t, a, name, t.TempDir(), time.Hour)))
+		server, client := peers(t, source(t, files(t, a, "peer", t.TempDir(), time.Hour)))
 		socket, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 		if err != nil {
 			t.Fatal(err)
--- a/entry/cluster.go
+++ b/entry/cluster.go
@@ -39,7 +39,11 @@
 			return nil, merry.Prepend(err, "certificates for peers")
 		}
 		cl.source = source
-		opts = append(opts, peer.WithTLS(source.Server(peer.Protocol), source.Client(PeerServerName, peer.Protocol)))
+		server, client, err := source.Peers(PeerServerName)
+		if err != nil {
+			return nil, merry.Prepend(err, "certificates for peers")
+		}
+		opts = append(opts, peer.WithTLS(server, client))
 	}
 	cl.mesh = peer.New(self, opts...)
 	cl.registry = member.New(c, cl.mesh, s.Zone, s.Region)
