--- a/fleet/entity.go
+++ b/fleet/entity.go
@@ -187,6 +187,8 @@
 	SettleFor Duration `json:",omitzero"`
 	// MaxLost is the number of lost hosts above which a wave pauses until they return.
 	MaxLost int `json:",omitempty"`
+	// Tail is the number of hosts of one zone that may still be out when the next zone starts.
+	Tail int `json:",omitempty"`
 	// ReturnLimit is how long a host may take to come back before the wave goes on without it.
 	ReturnLimit Duration `json:",omitzero"`
 }
@@ -202,6 +204,10 @@
 	JobFailed    JobState = "Failed"
 	JobCancelled JobState = "Cancelled"
 	JobNeverRuns JobState = "NeverRuns"
+	// JobStarting is placed on a worker that may or may not have started it yet.
+	JobStarting JobState = "Starting"
+	// JobOutcomeUnknown may have run and is not idempotent, so it is never placed again.
+	JobOutcomeUnknown JobState = "OutcomeUnknown"
 )
 
 // Job is work that is placed on a worker host and asked about later.
--- a/plan/check.go
+++ b/plan/check.go
@@ -128,8 +128,16 @@
 			c.add("must not be negative, is %v", []any{d.value}, "Maintenance.%s", d.field)
 		}
 	}
-	if m.MaxLost < 0 {
-		c.add("must not be negative, is %d", []any{m.MaxLost}, "Maintenance.MaxLost")
+	for _, n := range []struct {
+		field string
+		value int
+	}{
+		{"MaxLost", m.MaxLost},
+		{"Tail", m.Tail},
+	} {
+		if n.value < 0 {
+			c.add("must not be negative, is %d", []any{n.value}, "Maintenance.%s", n.field)
+		}
 	}
 }
 
--- a/wave/wave.go
+++ b/wave/wave.go
@@ -41,7 +41,7 @@
 func DefaultPolicy() Policy {
 	return Policy{
 		Period: fleet.Duration(6 * week), Notice: fleet.Duration(24 * time.Hour),
-		SettleFor: fleet.Duration(15 * time.Minute), MaxLost: 2, ReturnLimit: fleet.Duration(move.DefaultReturnLimit),
+		SettleFor: fleet.Duration(15 * time.Minute), MaxLost: 2, Tail: 2, ReturnLimit: fleet.Duration(move.DefaultReturnLimit),
 	}
 }
 
@@ -54,6 +54,7 @@
 		Notice:      cmp.Or(m.Notice, d.Notice),
 		SettleFor:   cmp.Or(m.SettleFor, d.SettleFor),
 		MaxLost:     cmp.Or(m.MaxLost, d.MaxLost),
+		Tail:        cmp.Or(m.Tail, d.Tail),
 		ReturnLimit: cmp.Or(m.ReturnLimit, d.ReturnLimit),
 	}
 }
