--- a/entry/callerrequest.go
+++ b/entry/callerrequest.go
@@ -141,6 +141,11 @@
 // again, because net/http would take it for the caller's going away while the request runs; otherwise it stays, because
 // net/http reads what is left of a body before it answers.
 func (c call) readBody(w http.ResponseWriter, r *http.Request) error {
+	if r.Body == http.NoBody {
+		// The server already watches the connection and would take the end of a deadline for the caller leaving.
+		return c.body.read(w, r)
+	}
+
 	rc := http.NewResponseController(w)
 	_ = rc.SetReadDeadline(c.deadline)
 	err := c.body.read(w, r)
--- a/entry/host.go
+++ b/entry/host.go
@@ -18,6 +18,7 @@
 	"lycheehook.example/lycheehook/platform"
 	"lycheehook.example/lycheehook/revision"
 	"lycheehook.example/lycheehook/settings"
+	"lycheehook.example/lycheehook/share"
 	"lycheehook.example/lycheehook/store"
 )
 
@@ -66,7 +67,12 @@
 	p.Set.Take, p.Set.Expected = p.Limits.takeSlots, p.Limits.expectedSlots
 	p.Limits.holder.Grown = func(allotment.Key) { p.Gate.Wake() }
 	h.operator.stopping = h.stopping.Load
-	h.operator.entries = h.operator.ownEntry
+	h.operator.entries = h.operator.knownEntries
+	h.operator.load = loadView{
+		teams:   func() share.Report { return p.Gate.Report(p.Settings.Name) },
+		waiting: p.Gate.Waiting,
+		slots:   p.Set.Slots,
+	}
 
 	return h
 }
