--- a/wave/wave.go
+++ b/wave/wave.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -50,12 +51,25 @@
 
 const week = 7 * 24 * time.Hour
 
-// DefaultPolicy returns one wave in six weeks with a day's notice.
+// DefaultPolicy returns one wave in six weeks with a day's notice, under the ledger's weights.
 func DefaultPolicy() Policy {
-	return Policy{
+	p := Policy{
 		Period: fleet.Duration(6 * week), Notice: fleet.Duration(24 * time.Hour),
-		SettleFor: fleet.Duration(15 * time.Minute), MaxLost: 2, Tail: 2, ReturnLimit: fleet.Duration(move.DefaultReturnLimit),
+		SettleFor: fleet.Duration(15 * time.Minute), MaxLost: 2, ReturnLimit: fleet.Duration(move.DefaultReturnLimit),
 	}
+
+	return p.WithWeights(move.LedgerWeights())
+}
+
+// tailHosts is the tail of a wave to which only roll-out time matters, in hosts.
+const tailHosts = 3
+
+// WithWeights returns the policy with a tail by how much roll-out time matters against nearness to shares.
+func (p Policy) WithWeights(w move.Weights) Policy {
+	w = w.WithDefaults()
+	p.Tail = int(math.Round(tailHosts * w.RollOut / (w.RollOut + w.ShareNearness)))
+
+	return p
 }
 
 // Hosts is the host records that a wave decides over.
--- a/wave/wave_test.go
+++ b/wave/wave_test.go
@@ -220,3 +220,60 @@
 		t.Errorf("merged (-want +got):\n%s", diff)
 	}
 }
+
+// TestOutageInWave loses a rack, a zone or the store in the middle of a wave, and holds that no host is drained
+// meanwhile and that the wave ends once they are back.
+func TestOutageInWave(t *testing.T) {
+	lose := func(in func(i int) bool) func(*trial, bool) {
+		return func(tr *trial, lost bool) {
+			for i := range hostCount {
+				if in(i) {
+					tr.platform.SetCrashed(hostName(i), lost)
+				}
+			}
+		}
+	}
+	cases := []struct {
+		name string
+		set  func(tr *trial, lost bool)
+	}{
+		{"zone", lose(func(i int) bool { return i%4 == 2 })},
+		{"three hosts of a zone", lose(func(i int) bool { return i%4 == 1 && i < 12 })},
+		{"most of a zone in maintenance", lose(func(i int) bool { return i%4 == 0 && i > 0 })},
+		{"store", func(tr *trial, lost bool) {
+			tr.store.SetFault(standin.FaultNone)
+			if lost {
+				tr.store.SetFault(standin.FaultDown)
+			}
+		}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				tr := newTrial()
+				for range 20 {
+					tr.step(t.Context(), t)
+				}
+				tc.set(tr, true)
+				// A loss becomes known after its grace; drains that began before it may still be called.
+				for range 10 {
+					tr.step(t.Context(), t)
+				}
+				drains := tr.platform.Calls()["Drain"]
+				for range 700 {
+					tr.step(t.Context(), t)
+				}
+				if n := tr.platform.Calls()["Drain"] - drains; n != 0 {
+					t.Errorf("%d drains during the outage", n)
+				}
+				tc.set(tr, false)
+				for i := 0; i < tickBudget && tr.entry.waves.Record().State != wave.Done; i++ {
+					tr.step(t.Context(), t)
+				}
+				if p := tr.entry.waves.Progress(time.Now()); p.Done != hostCount {
+					t.Errorf("the wave did not end after the outage: %+v", p)
+				}
+			})
+		})
+	}
+}
