--- a/fleet/entity.go
+++ b/fleet/entity.go
@@ -96,6 +96,8 @@
 	Name BudgetName
 	// Pools limits the scope to hosts of these pools; empty means all.
 	Pools []PoolName `json:",omitempty"`
+	// Plans adds the pools of these plans' queues to the scope.
+	Plans []PlanName `json:",omitempty"`
 	// Zones limits the scope to hosts of these availability zones; empty means all.
 	Zones []ZoneName `json:",omitempty"`
 	// MaxUnavailable counts planned and unplanned outages together, in hosts.
--- a/move/decide.go
+++ b/move/decide.go
@@ -19,13 +19,6 @@
 	HostsAt uint64
 }
 
-// Config is the operators' lists in force.
-type Config struct {
-	Pools    fleet.Table[fleet.PoolName, fleet.Pool]
-	Budgets  fleet.Table[fleet.BudgetName, fleet.Budget]
-	Revision uint64
-}
-
 // Sight is what the platform says about a host.
 type Sight struct {
 	// Asked reports whether Status is known.
@@ -226,26 +219,6 @@
 	return all
 }
 
-// EffectiveBudgets returns the operators' budgets, and one of a single host for each pool that none of them names; the
-// hosts of a spare pool serve nobody and need none.
-func EffectiveBudgets(c Config) fleet.Table[fleet.BudgetName, fleet.Budget] {
-	named := map[fleet.PoolName]bool{}
-	all := c.Budgets
-	for _, b := range c.Budgets.All() {
-		for _, pool := range b.Pools {
-			named[pool] = true
-		}
-	}
-	for name, pool := range c.Pools.All() {
-		if !named[name] && !pool.Spare {
-			b := fleet.Budget{Name: fleet.BudgetName("pool:" + name), Pools: []fleet.PoolName{name}, MaxUnavailable: 1}
-			all = all.With(b.Name, b)
-		}
-	}
-
-	return all
-}
-
 // covering returns the budgets that cover h, in order of name.
 func (p *pass) covering(h fleet.Host) []fleet.BudgetName {
 	var names []fleet.BudgetName
--- a/upkeep/upkeep.go
+++ b/upkeep/upkeep.go
@@ -102,7 +102,7 @@
 
 func (c *Controller) config() (move.Config, bool) {
 	l := c.lists()
-	return move.Config{Pools: l.Tables.Pools, Budgets: l.Tables.Budgets, Revision: l.Revision}, l.InForce
+	return move.ConfigOf(l.Tables, l.Revision), l.InForce
 }
 
 // propose merges moves and maintenance, so that a host drained for one does the other in the same drain.
