--- a/upkeep/upkeep.go
+++ b/upkeep/upkeep.go
@@ -21,6 +21,9 @@
 	// Revision is the number of the accepted edit; InForce says that it is known to be the newest.
 	Revision uint64
 	InForce  bool
+	// Moves and Waves are the policies that the lists carry; nil leaves those of the options.
+	Moves *move.Policy
+	Waves *wave.Policy
 }
 
 // Names that divide the work beside the pools, in the same ownership as pools.
@@ -85,7 +88,7 @@
 	}
 	c.planner = move.NewPlanner(c.movePolicy)
 
-	c.Waves = wave.New(s, func() wave.Policy { return c.wavePolicy }, c.hosts, func() bool { return c.owns(ownerOfWave) })
+	c.Waves = wave.New(s, c.policyOfWaves, c.hosts, func() bool { return c.owns(ownerOfWave) })
 	c.Jobs = job.New(s, p, func() fleet.Tables { return c.lists().Tables }, c.hosts, append([]job.Option{
 		job.WithOwner(func(shard int) bool { return c.owns(fleet.PoolName(job.Key(shard))) }),
 	}, c.jobOpts...)...)
@@ -105,6 +108,22 @@
 	return move.ConfigOf(l.Tables, l.Revision), l.InForce
 }
 
+func (c *Controller) policyOfMoves() move.Policy {
+	if p := c.lists().Moves; p != nil {
+		return *p
+	}
+
+	return c.movePolicy
+}
+
+func (c *Controller) policyOfWaves() wave.Policy {
+	if p := c.lists().Waves; p != nil {
+		return *p
+	}
+
+	return c.wavePolicy
+}
+
 // propose merges moves and maintenance, so that a host drained for one does the other in the same drain.
 func (c *Controller) propose(v move.View, now time.Time) []move.Proposal {
 	cfg, _ := c.config()
@@ -132,7 +151,7 @@
 	cfg, _ := c.config()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.planner = c.planner.WithDemand(c.demand(), c.Moves.View(), cfg, now)
+	c.planner = c.planner.WithPolicy(c.policyOfMoves()).WithDemand(c.demand(), c.Moves.View(), cfg, now)
 }
 
 // Preview returns what operators see before an edit: the wave's plan and progress, and the pools that can't keep what
--- a/upkeep/upkeep_test.go
+++ b/upkeep/upkeep_test.go
@@ -211,6 +211,22 @@
 	}
 }
 
+// TestPolicyOfLists holds that the policies which the lists carry go before those of the options.
+func TestPolicyOfLists(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite()
+		moves, waves := move.DefaultPolicy(move.PressWeights()), wave.DefaultPolicy()
+		moves.HalfLife, waves.Notice = fleet.Duration(1000*time.Hour), fleet.Duration(1000*time.Hour)
+		s.lists.Moves, s.lists.Waves = &moves, &waves
+		for range 300 {
+			s.step(t.Context())
+		}
+		if n := s.platform.Calls()["Drain"]; n != 0 {
+			t.Errorf("%d drains under policies that plan none yet", n)
+		}
+	})
+}
+
 // TestNotInForce holds that nothing new begins under lists that may be old.
 func TestNotInForce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -224,3 +240,27 @@
 		}
 	})
 }
+
+// TestIdleCalls holds that a fleet at rest costs each entry host four reads of the store a step, and no write.
+func TestIdleCalls(t *testing.T) {
+	const steps = 50
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite()
+		s.demand, s.alive = nil, []int{0}
+		waves := wave.DefaultPolicy()
+		s.lists.Waves = &waves
+		for range 5 {
+			s.step(t.Context())
+		}
+		before := s.store.Calls()
+		for range steps {
+			s.step(t.Context())
+		}
+		after := s.store.Calls()
+		for call, want := range map[string]int64{"List": 3 * steps, "Get": steps, "CompareAndSwap": 0} {
+			if n := after[call] - before[call]; n != want {
+				t.Errorf("%d calls of %s in %d steps, want %d", n, call, steps, want)
+			}
+		}
+	})
+}
