Drain a host for at least the lag of the platform's list

A host without tasks was rebooted at once after its drain, while an entry host with an older list could still send a request to one of its endpoints. A drain now lasts at least 10 s, seen by one controller, before a quiet host counts as drained; requests in progress count as running work, and the stand-in lists a draining host's endpoints as leaving. Without the least time TestRequestsAreNotCutOff sees the reboot under a request.

--- a/move/advance.go
+++ b/move/advance.go
@@ -136,7 +136,7 @@
 		p.call(CallDrain, v)
 		return
 	}
-	if s.Running == 0 && s.Up {
+	if s.Running == 0 && s.Up && p.quiet(r.Name) {
 		p.writeHost(r.Drained(p.Now), v.Revision)
 		return
 	}
@@ -149,6 +149,12 @@
 	p.wait(Wait{Host: r.Name, Phase: Draining, Reason: WaitTasks, Running: s.Running, Since: r.Intent.Entered})
 }
 
+// quiet reports whether a host has drained for long enough that no reader of a lagging list sends it work any more.
+func (p *pass) quiet(name fleet.HostName) bool {
+	since := p.Sights[name].DrainingSince
+	return p.MinDrain == 0 || !since.IsZero() && p.Now.Sub(since) >= p.MinDrain
+}
+
 func (p *pass) reboot(v record.Versioned[Record]) {
 	r, s := v.Value, p.Sights[v.Value.Name].Status
 	switch {
--- a/move/controller.go
+++ b/move/controller.go
@@ -25,6 +25,8 @@
 	hostCalls = 16
 	// DefaultLossGrace is how long a host must be gone before it counts as lost.
 	DefaultLossGrace = 30 * time.Second
+	// DefaultMinDrain is how long a host drains at least; it exceeds the lag of the platform's list.
+	DefaultMinDrain = 10 * time.Second
 	// DefaultDrainLimit is how long a drain waits for tasks before the host is brought back.
 	DefaultDrainLimit = 6 * time.Hour
 	// DefaultReturnLimit is how long a reboot may take before the host is reported.
@@ -54,12 +56,20 @@
 	quiesce     func(context.Context, Wait)
 	audit       func(fleet.Action)
 	lossGrace   time.Duration
+	minDrain    time.Duration
 	drainLimit  time.Duration
 	returnLimit time.Duration
 
 	mu      sync.Mutex
 	view    View
 	suspect map[fleet.HostName]time.Time
+	drains  map[fleet.HostName]seenDrain
+}
+
+// seenDrain is when a host was first seen to drain under an intent.
+type seenDrain struct {
+	intent platform.IntentID
+	since  time.Time
 }
 
 // Option configures a Controller.
@@ -82,6 +92,9 @@
 // WithLossGrace sets how long a host must be gone before it counts as lost.
 func WithLossGrace(d time.Duration) Option { return func(c *Controller) { c.lossGrace = d } }
 
+// WithMinDrain sets how long a host drains at least; it has to exceed the lag of the platform's list.
+func WithMinDrain(d time.Duration) Option { return func(c *Controller) { c.minDrain = d } }
+
 // WithDrainLimit sets how long a drain waits for tasks before the host is brought back.
 func WithDrainLimit(d time.Duration) Option { return func(c *Controller) { c.drainLimit = d } }
 
@@ -96,8 +109,8 @@
 		propose:   func(View, time.Time) []Proposal { return nil },
 		quiesce:   func(context.Context, Wait) {},
 		audit:     func(fleet.Action) {},
-		lossGrace: DefaultLossGrace, drainLimit: DefaultDrainLimit, returnLimit: DefaultReturnLimit,
-		suspect: map[fleet.HostName]time.Time{},
+		lossGrace: DefaultLossGrace, minDrain: DefaultMinDrain, drainLimit: DefaultDrainLimit, returnLimit: DefaultReturnLimit,
+		suspect: map[fleet.HostName]time.Time{}, drains: map[fleet.HostName]seenDrain{},
 	}
 	for _, opt := range opts {
 		opt(c)
@@ -173,7 +186,7 @@
 	cfg, inForce := c.config()
 	in := Input{
 		View: v, Config: cfg, Sights: c.look(ctx, v, now), Owner: c.owner,
-		DrainLimit: c.drainLimit, ReturnLimit: c.returnLimit, Now: now,
+		MinDrain: c.minDrain, DrainLimit: c.drainLimit, ReturnLimit: c.returnLimit, Now: now,
 	}
 	if inForce {
 		in.Proposals = c.propose(v, now)
@@ -249,6 +262,8 @@
 	s := Sight{Asked: a.err == nil, Status: a.status}
 	if a.err == nil && a.status.Up {
 		delete(c.suspect, name)
+		s.DrainingSince = c.drainingSince(name, a.status, now)
+
 		return s
 	}
 	since, suspected := c.suspect[name]
@@ -261,6 +276,21 @@
 	return s
 }
 
+// drainingSince remembers when a host was first seen to drain; whoever takes over waits for its full time again.
+func (c *Controller) drainingSince(name fleet.HostName, s platform.HostStatus, now time.Time) time.Time {
+	if !s.Draining {
+		delete(c.drains, name)
+		return time.Time{}
+	}
+	seen, ok := c.drains[name]
+	if !ok || seen.intent != s.Intent {
+		seen = seenDrain{intent: s.Intent, since: now}
+		c.drains[name] = seen
+	}
+
+	return seen.since
+}
+
 // perform carries the actions out and reports whether any took effect. Writes go one after the other, in the order of
 // the decision; calls to hosts don't depend on each other and go together, so that a silent host holds up no other.
 func (c *Controller) perform(ctx context.Context, actions []fleet.Action, rep *Report) bool {
--- a/move/controller_test.go
+++ b/move/controller_test.go
@@ -273,3 +273,37 @@
 		t.Errorf("%v went out of service while the store was down", out)
 	}
 }
+
+// TestRequestsAreNotCutOff lets a request arrive at a draining host from a reader of a lagging list.
+func TestRequestsAreNotCutOff(t *testing.T) {
+	const lag, service = 5 * time.Second, time.Minute
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(1, rebootFirst)
+		running := 0
+		b.platform.SetBusy(hostName(0), func() int { return running })
+		b.platform.PutEndpoint(fleet.Endpoint{Name: "e", Host: hostName(0)})
+		step := func() { _, _ = b.controllers[0].Step(t.Context(), time.Now()) }
+		for len(b.platform.OutOfService()) == 0 {
+			step()
+		}
+		inv, err := b.platform.Client().Inventory(t.Context())
+		if err != nil || !inv.Endpoints[0].Leaving {
+			t.Errorf("endpoints %v, %v, want the drained host's to be leaving", inv.Endpoints, err)
+		}
+		step()
+		time.Sleep(lag)
+		step()
+		running++
+		for range int(service / tickTime) {
+			if n := b.platform.Boots(hostName(0)); n != 0 {
+				t.Fatal("rebooted while a request was in progress")
+			}
+			time.Sleep(tickTime)
+			step()
+		}
+		running--
+		if b.steps(t.Context(), 100); b.platform.Boots(hostName(0)) != 1 || b.held() != 0 {
+			t.Errorf("%d reboots, %d units held", b.platform.Boots(hostName(0)), b.held())
+		}
+	})
+}
--- a/move/decide.go
+++ b/move/decide.go
@@ -24,6 +24,8 @@
 	// Asked reports whether Status is known.
 	Asked  bool
 	Status platform.HostStatus
+	// DrainingSince is when the host was first seen to drain under its intent.
+	DrainingSince time.Time
 	// Lost says that the host has been gone for longer than a lagging list can explain.
 	Lost bool
 	// Listed is the host as in the inventory, for a host that has no record yet.
@@ -43,6 +45,8 @@
 	Sights    map[fleet.HostName]Sight
 	Proposals []Proposal
 	Owner     Owner
+	// MinDrain is how long a host drains at least, because work may arrive from a reader of a lagging list.
+	MinDrain time.Duration
 	// DrainLimit is how long a drain may wait for tasks before the host is brought back; zero means without end.
 	DrainLimit time.Duration
 	// ReturnLimit is how long a reboot may take before the host is reported.
--- a/move/http_test.go
+++ b/move/http_test.go
@@ -26,7 +26,7 @@
 	storeClient := store.Dial(address(httptest.NewServer(st)), time.Second)
 	platformClient := platform.Dial(address(httptest.NewServer(p)), time.Second)
 	c := move.New(storeClient, platformClient, func() (move.Config, bool) { return poolsAB(poolBudget, zoneBudget), true },
-		move.WithProposals(func(v move.View, _ time.Time) []move.Proposal {
+		move.WithMinDrain(0), move.WithProposals(func(v move.View, _ time.Time) []move.Proposal {
 			if v.Hosts["h0"].Value.Pool != "a" {
 				return nil
 			}
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -45,6 +45,7 @@
 	taskTime   time.Duration
 	calls      map[string]int64
 	starts     map[fleet.JobID]int
+	busy       map[fleet.HostName]func() int
 	cutOff     int
 }
 
@@ -52,7 +53,7 @@
 func NewPlatform() *Platform {
 	return &Platform{
 		workers: map[fleet.HostName]*worker{}, rebootTime: defaultRebootTime,
-		calls: map[string]int64{}, starts: map[fleet.JobID]int{},
+		calls: map[string]int64{}, starts: map[fleet.JobID]int{}, busy: map[fleet.HostName]func() int{},
 	}
 }
 
@@ -84,6 +85,13 @@
 	p.endpoints = p.endpoints.With(e.Name, e)
 }
 
+// SetBusy sets who counts the requests in progress on the endpoints of a host; they count as running work.
+func (p *Platform) SetBusy(name fleet.HostName, requests func() int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.busy[name] = requests
+}
+
 // SetFault applies f to every later call.
 func (p *Platform) SetFault(f Fault) {
 	p.mu.Lock()
@@ -243,6 +251,28 @@
 	return w.backAt.IsZero() && !w.crashed
 }
 
+// running counts the tasks and requests in progress on a worker.
+func (p *Platform) running(w *worker) int {
+	n := w.running()
+	if requests, ok := p.busy[w.host.Name]; ok {
+		n += requests()
+	}
+
+	return n
+}
+
+// leaving marks the endpoints of hosts that take no new work.
+func (p *Platform) leaving() []fleet.Endpoint {
+	all := p.endpoints.Values()
+	for i, e := range all {
+		if w, ok := p.workers[e.Host]; ok && (w.draining || !p.up(w)) {
+			all[i] = e.WithLeaving(true)
+		}
+	}
+
+	return all
+}
+
 func (p *Platform) list() platform.Inventory {
 	hosts := fleet.Table[fleet.HostName, fleet.Host]{}
 	for name, w := range p.workers {
@@ -258,7 +288,7 @@
 		hosts = hosts.With(name, h)
 	}
 
-	return platform.Inventory{Hosts: hosts.Values(), Endpoints: p.endpoints.Values()}
+	return platform.Inventory{Hosts: hosts.Values(), Endpoints: p.leaving()}
 }
 
 func (p *Platform) inventory(ctx context.Context) (platform.Inventory, error) {
@@ -285,7 +315,7 @@
 	}
 
 	return platform.HostStatus{
-		Host: name, Up: p.up(w), Draining: w.draining, Running: w.running(), Rebooted: w.rebooted, Intent: w.intent,
+		Host: name, Up: p.up(w), Draining: w.draining, Running: p.running(w), Rebooted: w.rebooted, Intent: w.intent,
 	}, nil
 }
 
@@ -342,8 +372,8 @@
 		if !w.draining {
 			return merry.Prependf(platform.ErrRefused, "host %s is not drained", c.Host)
 		}
-		if n := w.running(); n > 0 {
-			return merry.Prependf(platform.ErrRefused, "host %s runs %d tasks", c.Host, n)
+		if n := p.running(w); n > 0 {
+			return merry.Prependf(platform.ErrRefused, "host %s runs %d tasks and requests", c.Host, n)
 		}
 		w.boots++
 		w.pending = c.Intent
