--- a/move/decide.go
+++ b/move/decide.go
@@ -19,18 +19,13 @@
 	HostsAt uint64
 }
 
-// Config is the operators' lists in force.
-type Config struct {
-	Pools    fleet.Table[fleet.PoolName, fleet.Pool]
-	Budgets  fleet.Table[fleet.BudgetName, fleet.Budget]
-	Revision uint64
-}
-
 // Sight is what the platform says about a host.
 type Sight struct {
 	// Asked reports whether Status is known.
 	Asked  bool
 	Status platform.HostStatus
+	// DrainingSince is when the host was first seen to drain under its intent.
+	DrainingSince time.Time
 	// Lost says that the host has been gone for longer than a lagging list can explain.
 	Lost bool
 	// Listed is the host as in the inventory, for a host that has no record yet.
@@ -50,6 +45,8 @@
 	Sights    map[fleet.HostName]Sight
 	Proposals []Proposal
 	Owner     Owner
+	// MinDrain is how long a host drains at least, because work may arrive from a reader of a lagging list.
+	MinDrain time.Duration
 	// DrainLimit is how long a drain may wait for tasks before the host is brought back; zero means without end.
 	DrainLimit time.Duration
 	// ReturnLimit is how long a reboot may take before the host is reported.
@@ -226,26 +223,6 @@
 	return all
 }
 
-// EffectiveBudgets returns the operators' budgets, and one of a single host for each pool that none of them names; the
-// hosts of a spare pool serve nobody and need none.
-func EffectiveBudgets(c Config) fleet.Table[fleet.BudgetName, fleet.Budget] {
-	named := map[fleet.PoolName]bool{}
-	all := c.Budgets
-	for _, b := range c.Budgets.All() {
-		for _, pool := range b.Pools {
-			named[pool] = true
-		}
-	}
-	for name, pool := range c.Pools.All() {
-		if !named[name] && !pool.Spare {
-			b := fleet.Budget{Name: fleet.BudgetName("pool:" + name), Pools: []fleet.PoolName{name}, MaxUnavailable: 1}
-			all = all.With(b.Name, b)
-		}
-	}
-
-	return all
-}
-
 // covering returns the budgets that cover h, in order of name.
 func (p *pass) covering(h fleet.Host) []fleet.BudgetName {
 	var names []fleet.BudgetName
