--- a/wave/wave.go
+++ b/wave/wave.go
@@ -34,7 +34,7 @@
 }
 
 // Policy is what operators set about waves.
-type Policy = fleet.Maintenance
+type Policy fleet.Maintenance
 
 const week = 7 * 24 * time.Hour
 
