--- a/allotment/site_test.go
+++ b/allotment/site_test.go
@@ -263,6 +263,8 @@
 	if n.lease != 0 && c.KeepAlive(ctx, n.lease) == nil {
 		return true
 	}
+	// The key may be bound to another lease from here on, so the old one says nothing about it any more.
+	n.lease = 0
 	l, err := c.Grant(ctx, n.site.timing.LeaseTTL)
 	if err != nil {
 		return false
