--- a/member/registry_test.go
+++ b/member/registry_test.go
@@ -20,10 +20,10 @@
 	stop func()
 }
 
-func start(t *testing.T, s *standin.Store, n *standin.Network, name fleet.EntryName, incarnation peer.Incarnation) process {
+func start(t *testing.T, s *standin.Store, n *standin.Network, name fleet.EntryName) process {
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
-	mesh := n.Mesh(ctx, name, incarnation)
+	mesh := n.Mesh(ctx, name, "1")
 	mesh.SetStatus(func() peer.Status { return peer.Status{StoreReachable: true} })
 	r := member.New(s.ClientFor(string(name)), mesh, "zone-a", "region-1")
 	var wg sync.WaitGroup
@@ -64,8 +64,8 @@
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				s, n := standin.NewStore(), standin.NewNetwork()
-				e1, e2 := start(t, s, n, "e1", "1"), start(t, s, n, "e2", "1")
-				start(t, s, n, "e3", "1")
+				e1, e2 := start(t, s, n, "e1"), start(t, s, n, "e2")
+				start(t, s, n, "e3")
 				time.Sleep(3 * time.Second)
 				seat := e1.Self().Seat
 				c.fault(s, n, e1)
@@ -88,7 +88,7 @@
 func TestLeaseThatLapsedGivesANewSeat(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s, n := standin.NewStore(), standin.NewNetwork()
-		e1 := start(t, s, n, "e1", "1")
+		e1 := start(t, s, n, "e1")
 		time.Sleep(3 * time.Second)
 		first := e1.Self().Seat
 		s.SetClientFault("e1", standin.FaultDown)
--- a/revision/book_test.go
+++ b/revision/book_test.go
@@ -74,7 +74,7 @@
 	g.started++
 	h := &host{name: name, stop: cancel}
 	h.mesh = g.network.Mesh(ctx, name, peer.Incarnation(fmt.Sprint(g.started)))
-	var seeds []netip.AddrPort
+	seeds := make([]netip.AddrPort, 0, len(g.hosts))
 	for _, other := range g.hosts {
 		seeds = append(seeds, other.mesh.Self().Address)
 	}
@@ -98,14 +98,14 @@
 }
 
 // replace ends an entry host in good order and starts another process of its name.
-func (g *group) replace(name fleet.EntryName) *host {
+func (g *group) replace(name fleet.EntryName) {
 	h := g.hosts[name]
 	ctx, cancel := context.WithTimeout(g.ctx, 10*time.Second)
 	defer cancel()
 	_ = h.book.Leave(ctx)
 	g.crash(name)
 
-	return g.start(name)
+	g.start(name)
 }
 
 func (g *group) fresh() int {
@@ -279,7 +279,7 @@
 		if diff := plan.Diff(lists(5), r.Lists); len(diff) > 0 || r.Number != old.Number+4 || r.Keys.Has(id) {
 			t.Errorf("revision %d, key back: %v, differences %v", r.Number, r.Keys.Has(id), diff)
 		}
-		var by []string
+		by := make([]string, 0, len(h.book.History()))
 		for _, e := range h.book.History() {
 			by = append(by, fmt.Sprint(e.Number, e.By))
 		}
