--- a/revision/book_test.go
+++ b/revision/book_test.go
@@ -69,7 +69,7 @@
 }
 
 // start runs an entry host; seeds are the addresses of the others.
-func (g *group) start(name fleet.EntryName) *host {
+func (g *group) start(name fleet.EntryName) {
 	ctx, cancel := context.WithCancel(g.ctx)
 	g.started++
 	h := &host{name: name, stop: cancel}
@@ -85,8 +85,6 @@
 	h.wg.Go(func() { h.registry.Run(ctx) })
 	h.wg.Go(func() { h.book.Follow(ctx) })
 	g.hosts[name] = h
-
-	return h
 }
 
 // crash ends an entry host without notice.
