--- a/revision/book_test.go
+++ b/revision/book_test.go
@@ -69,12 +69,12 @@
 }
 
 // start runs an entry host; seeds are the addresses of the others.
-func (g *group) start(name fleet.EntryName) *host {
+func (g *group) start(name fleet.EntryName) {
 	ctx, cancel := context.WithCancel(g.ctx)
 	g.started++
 	h := &host{name: name, stop: cancel}
 	h.mesh = g.network.Mesh(ctx, name, peer.Incarnation(fmt.Sprint(g.started)))
-	var seeds []netip.AddrPort
+	seeds := make([]netip.AddrPort, 0, len(g.hosts))
 	for _, other := range g.hosts {
 		seeds = append(seeds, other.mesh.Self().Address)
 	}
@@ -85,8 +85,6 @@
 	h.wg.Go(func() { h.registry.Run(ctx) })
 	h.wg.Go(func() { h.book.Follow(ctx) })
 	g.hosts[name] = h
-
-	return h
 }
 
 // crash ends an entry host without notice.
@@ -98,14 +96,14 @@
 }
 
 // replace ends an entry host in good order and starts another process of its name.
-func (g *group) replace(name fleet.EntryName) *host {
+func (g *group) replace(name fleet.EntryName) {
 	h := g.hosts[name]
 	ctx, cancel := context.WithTimeout(g.ctx, 10*time.Second)
 	defer cancel()
 	_ = h.book.Leave(ctx)
 	g.crash(name)
 
-	return g.start(name)
+	g.start(name)
 }
 
 func (g *group) fresh() int {
@@ -279,7 +277,7 @@
 		if diff := plan.Diff(lists(5), r.Lists); len(diff) > 0 || r.Number != old.Number+4 || r.Keys.Has(id) {
 			t.Errorf("revision %d, key back: %v, differences %v", r.Number, r.Keys.Has(id), diff)
 		}
-		var by []string
+		by := make([]string, 0, len(h.book.History()))
 		for _, e := range h.book.History() {
 			by = append(by, fmt.Sprint(e.Number, e.By))
 		}
