Claim request IDs, exchange usage, and probe endpoints in the entry host

Change: a request whose caller gave its ID is claimed in the store before its first byte leaves, and a repeat gets the same answer if it is short. Each heartbeat report carries the teams' work. The prober runs. Parts of a holder that is gone are taken only by a process that had a seat for as long as the wait (Knows), since a group that serves on its own word needs the word of every seat.

--- a/endpoint/sender.go
+++ b/endpoint/sender.go
@@ -132,7 +132,7 @@
 // beside takes a slot of another endpoint for an attempt while an earlier one may still run.
 func (s *Sender) beside(slot *Slot, req Request) bool {
 	ask := slot.ask
-	ask.Avoid = slot.state.endpoint.Name
+	ask.Avoid = slot.endpoint.Name
 	next, ok := slot.set.Acquire(ask)
 	if !ok {
 		return false
@@ -284,8 +284,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	slots := int64(max(st.endpoint.Slots, 1))
-	part := int64(st.endpoint.Connections) * s.allowed(st) / slots
+	own := max(s.expected(st), st.used)
+	part := int64(st.endpoint.Connections) * own / slots
 
 	// One more than the slots leaves a connection for probes.
-	return int(max(part, s.allowed(st)+1))
+	return int(max(part, own+1))
 }
--- a/endpoint/set.go
+++ b/endpoint/set.go
@@ -54,10 +54,12 @@
 
 // Slot is the right to send one request to an endpoint; its zero value holds nothing.
 type Slot struct {
-	set     *Set
-	state   *state
-	ask     Ask
-	release func()
+	set   *Set
+	state *state
+	// endpoint is as the list had it when the slot was taken.
+	endpoint fleet.Endpoint
+	ask      Ask
+	release  func()
 }
 
 // NewSet returns a set without endpoints.
@@ -102,7 +104,7 @@
 		return fleet.Endpoint{}
 	}
 
-	return s.state.endpoint
+	return s.endpoint
 }
 
 // Release gives the slot back; later calls do nothing.
@@ -142,7 +144,7 @@
 			best.reserved = 0
 		}
 
-		return Slot{set: s, state: best, ask: ask, release: release}, true
+		return Slot{set: s, state: best, endpoint: best.endpoint, ask: ask, release: release}, true
 	}
 }
 
@@ -257,7 +259,7 @@
 // swap moves the slot to another endpoint and reports whether one was free.
 func (s *Slot) swap() bool {
 	ask := s.ask
-	ask.Avoid = s.state.endpoint.Name
+	ask.Avoid = s.endpoint.Name
 	next, ok := s.set.Acquire(ask)
 	if ok {
 		next.ask.Avoid = s.ask.Avoid
--- a/entry/caller.go
+++ b/entry/caller.go
@@ -10,28 +10,11 @@
 	"github.com/emicklei/go-restful/v3"
 
 	"lycheehook.example/lycheehook/admission"
+	"lycheehook.example/lycheehook/claim"
 	"lycheehook.example/lycheehook/endpoint"
-	"lycheehook.example/lycheehook/fleet"
 	"lycheehook.example/lycheehook/refusal"
 )
 
-// outcome is how a claimed request ended.
-type outcome string
-
-const (
-	// outcomeNotRun says that no byte left, so that the request ID may be used again.
-	outcomeNotRun outcome = "NotRun"
-	// outcomeDone says that the caller was given the whole answer.
-	outcomeDone outcome = "Done"
-	// outcomeUnknown says that the request may have run.
-	outcomeUnknown outcome = "Unknown"
-)
-
-// claimFunc claims a request ID for a team before its first byte leaves, so that it runs at most once over all entry
-// hosts; settle is called once with how it ended. The error is a NotRunError, or an UnknownError for an ID that
-// another request has claimed.
-type claimFunc func(ctx context.Context, team fleet.TeamName, id string) (settle func(outcome), err error)
-
 // callerAPI serves the callers' interface.
 type callerAPI struct {
 	gate   *admission.Gate
@@ -41,6 +24,8 @@
 	longest time.Duration
 	// claim is a seam; nil claims nothing.
 	claim claimFunc
+	// keptAnswer is the size in bytes up to which an answer is kept for a caller that repeats its request.
+	keptAnswer int
 }
 
 func (a *callerAPI) handler() http.Handler {
@@ -77,52 +62,51 @@
 		writeError(w, err)
 		return
 	}
-	settle, err := a.claimed(ctx, grant, c)
+	cl, err := a.claimID(ctx, grant, c)
 	if err != nil {
 		grant.Release()
 		writeError(w, err)
 
 		return
 	}
+	if cl.earlier != nil {
+		grant.Release()
+		writeEarlier(w, cl.earlier)
+
+		return
+	}
 	answer, err := a.sender.Send(ctx, grant.Slot(), c.request(grant))
 	if err != nil {
-		a.end(grant, settle, c, err)
+		a.end(grant, cl, c, nil, err)
 		writeError(w, err)
 
 		return
 	}
 
+	kept := &keeper{ReadCloser: answer.Body, limit: a.keptAnswer}
+	answer.Body = kept
 	err = copyAnswer(w, answer)
 	_ = answer.Body.Close()
-	a.end(grant, settle, c, err)
+	a.end(grant, cl, c, kept.answer(answer), err)
 	if err != nil {
 		// A body that is cut short cuts the caller's connection, so that it can't pass for whole.
 		panic(http.ErrAbortHandler)
 	}
 }
 
-// claimed claims the ID of a request that must not run twice.
-func (a *callerAPI) claimed(ctx context.Context, g admission.Grant, c call) (func(outcome), error) {
-	if a.claim == nil || c.idempotent {
-		return func(outcome) {}, nil
-	}
-
-	return a.claim(ctx, g.Team().Name, c.id)
-}
-
 // end gives the grant back as soon as the request has surely ended: at once after a whole answer or when no byte left,
 // else at the caller's deadline, which the endpoint was told.
-func (a *callerAPI) end(g admission.Grant, settle func(outcome), c call, err error) {
+func (a *callerAPI) end(g admission.Grant, cl claimed, c call, kept *claim.Answer, err error) {
 	var notRun *refusal.NotRunError
 	switch {
 	case err == nil:
-		settle(outcomeDone)
+		cl.settle(outcomeDone, kept)
 		g.Done()
 	case errors.As(err, &notRun):
-		settle(outcomeNotRun)
+		cl.settle(outcomeNotRun, nil)
 		g.Release()
 	default:
-		settle(outcomeUnknown)
+		cl.settle(outcomeUnknown, nil)
 		g.Hold(c.deadline.Add(endGrace))
 		a.log.Warn("outcome unknown", "request", c.id, "team", g.Team().Name, "endpoint", g.Slot().Endpoint().Name, "err", err)
 	}
--- a/entry/caller_test.go
+++ b/entry/caller_test.go
@@ -22,8 +22,10 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/google/go-cmp/cmp"
+	"github.com/google/uuid"
 
 	"lycheehook.example/lycheehook/admission"
+	"lycheehook.example/lycheehook/claim"
 	"lycheehook.example/lycheehook/endpoint"
 	"lycheehook.example/lycheehook/fleet"
 	"lycheehook.example/lycheehook/key"
@@ -328,11 +330,11 @@
 		t.Run(c.name, func(t *testing.T) {
 			r := newCallerRig(t, 2, c.with)
 			var got []string
-			r.api.claim = func(_ context.Context, team fleet.TeamName, id string) (func(outcome), error) {
+			r.api.claim = func(_ context.Context, team fleet.TeamName, id string, _ [32]byte) (claimed, error) {
 				got = append(got, fmt.Sprint(team, " ", id))
 				r.fresh.Store(!c.slow)
 
-				return func(o outcome) { got = append(got, string(o)) }, c.refused
+				return claimed{settle: func(o outcome, _ *claim.Answer) { got = append(got, string(o)) }}, c.refused
 			}
 			header := []string{"Request-Id: " + callerID}
 			if c.header != "" {
@@ -348,6 +350,39 @@
 	}
 }
 
+// TestCallerClaimInStore checks, over a real book of claims, that a repeat is answered as the first attempt was and runs nothing.
+func TestCallerClaimInStore(t *testing.T) {
+	echo := standin.NewEndpoint(0)
+	r := newCallerRig(t, 2, echo)
+	b := claim.New(standin.NewStore().Client(), "a#1")
+	ctx, stop := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	wg.Go(func() { b.Run(ctx) })
+	defer wg.Wait()
+	defer stop()
+	r.api.claim, r.api.keptAnswer = claimIn(b), claim.DefaultTiming().AnswerSize
+
+	id := uuid.Must(uuid.NewV7()).String()
+	for _, c := range []struct {
+		name   string
+		header string
+		want   told
+		runs   int
+	}{
+		{"first", "Request-Id: " + id, told{200, "", false}, 1},
+		{"repeat", "Request-Id: " + id, told{200, "", false}, 1},
+		{"without an ID", "Idempotent: false", told{200, "", false}, 2},
+		{"another ID", "Request-Id: " + uuid.Must(uuid.NewV7()).String(), told{200, "", false}, 3},
+	} {
+		if d := cmp.Diff(c.want, r.told(t, "post", nil, c.header)); d != "" {
+			t.Errorf("%s: told (-want +got):\n%s", c.name, d)
+		}
+		if echo.Total() != c.runs {
+			t.Errorf("%s: %d runs, want %d", c.name, echo.Total(), c.runs)
+		}
+	}
+}
+
 // TestCallerUpload checks that an upload that stalls or breaks off holds no slot and is told to be not run.
 func TestCallerUpload(t *testing.T) {
 	for name, breaks := range map[string]bool{"stalls": false, "breaks off": true} {
--- a/entry/callerrequest.go
+++ b/entry/callerrequest.go
@@ -41,7 +41,9 @@
 
 // call is one request of a caller.
 type call struct {
-	id         string
+	id string
+	// named says that the caller gave the ID, and may repeat the request under it.
+	named      bool
 	queue      fleet.QueueName
 	secret     string
 	deadline   time.Time
@@ -67,6 +69,7 @@
 	if c.id, err = parseID(r.Header.Get(headerRequestID)); err != nil {
 		return c, err
 	}
+	c.named = r.Header.Get(headerRequestID) != ""
 	c.secret, _ = strings.CutPrefix(r.Header.Get("Authorization"), bearerPrefix)
 	timeout, err := parseTimeout(r.Header.Get(headerTimeout), longest)
 	if err != nil {
--- a/entry/host.go
+++ b/entry/host.go
@@ -14,6 +14,7 @@
 	"lycheehook.example/lycheehook/admission"
 	"lycheehook.example/lycheehook/allotment"
 	"lycheehook.example/lycheehook/audit"
+	"lycheehook.example/lycheehook/claim"
 	"lycheehook.example/lycheehook/endpoint"
 	"lycheehook.example/lycheehook/platform"
 	"lycheehook.example/lycheehook/revision"
@@ -40,6 +41,7 @@
 	Control  *control
 	Cluster  *cluster
 	Limits   *limits
+	Claims   *claim.Book
 	Trail    *audit.Trail
 	Metrics  *operatorMetrics
 	Log      *log.Logger
@@ -63,6 +65,8 @@
 		caller:   &callerAPI{gate: p.Gate, sender: p.Sender, log: p.Log, longest: p.Settings.MaxRequestTime.Std()},
 		operator: &operatorAPI{settings: p.Settings, book: p.Book, trail: p.Trail, store: p.Store, metrics: p.Metrics, log: p.Log},
 	}
+	h.caller.claim, h.caller.keptAnswer = claimIn(p.Claims), claim.DefaultTiming().AnswerSize
+	newUsage(p.Settings.Name, p.Cluster.mesh, p.Gate)
 	p.Gate.AcquireLimit = p.Limits.acquire
 	p.Set.Take, p.Set.Expected = p.Limits.takeSlots, p.Limits.expectedSlots
 	p.Limits.holder.Grown = func(allotment.Key) { p.Gate.Wake() }
@@ -103,6 +107,8 @@
 	wg.Go(func() { h.Cluster.run(work) })
 	wg.Go(func() { h.Limits.run(work) })
 	wg.Go(func() { h.Gate.Run(work) })
+	wg.Go(func() { h.Claims.Run(work) })
+	wg.Go(func() { endpoint.NewProber(h.Set, h.Sender).Run(work) })
 
 	if callers, err = secure(work, &wg, callers, h.Settings.TLS.Callers, h.Log); err != nil {
 		return merry.Prepend(err, "TLS for callers")
@@ -132,6 +138,9 @@
 	ctx, cancel := context.WithTimeout(ctx, leaveLimit)
 	defer cancel()
 
+	if err := h.Claims.Close(ctx); err != nil {
+		h.Log.Warn("outcomes of requests not written", "err", err)
+	}
 	if err := h.Limits.holder.Close(ctx); err != nil {
 		h.Log.Warn("parts of limits not handed back", "err", err)
 	}
--- a/entry/limits.go
+++ b/entry/limits.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
 
 	"lycheehook.example/lycheehook/allotment"
+	"lycheehook.example/lycheehook/claim"
 	"lycheehook.example/lycheehook/fleet"
 	"lycheehook.example/lycheehook/member"
 	"lycheehook.example/lycheehook/peer"
@@ -35,7 +37,10 @@
 	store   *store.Client
 	log     *log.Logger
 
-	membership atomic.Pointer[allotment.Membership]
+	timing allotment.Timing
+	// seatedSince is since when this process has had a seat; nil while it has none.
+	seatedSince atomic.Pointer[time.Time]
+	membership  atomic.Pointer[allotment.Membership]
 	// teams has the keys of each team's limits under the configuration in force.
 	teams atomic.Pointer[map[fleet.TeamName]limitKeys]
 	// slots is what was last set for each pool; only the loop over the inventory uses it.
@@ -56,13 +61,14 @@
 
 	lm := &limits{
 		holder: allotment.New(c, cl.mesh.Self().Incarnation, allotment.WithTiming(timing)),
-		book:   b, cluster: cl, store: c, log: l, slots: map[fleet.PoolName]map[string]fleet.Resources{},
+		timing: timing, book: b, cluster: cl, store: c, log: l, slots: map[fleet.PoolName]map[string]fleet.Resources{},
 	}
 	lm.membership.Store(&allotment.Membership{})
 	lm.teams.Store(&map[fleet.TeamName]limitKeys{})
 	lm.holder.Licensed = lm.licensed
 	lm.holder.Members = func() allotment.Membership { return *lm.membership.Load() }
 	lm.holder.Absent = lm.absent
+	lm.holder.Knows = lm.knows
 	lm.holder.Ask = lm.ask
 	peer.Handle(cl.mesh, kindParts, func(ctx context.Context, _ peer.Peer, req allotment.Request) (allotment.Answer, error) {
 		return lm.holder.Handle(ctx, req), nil
@@ -76,7 +82,7 @@
 	return l.cluster.leaseHolds(now) || l.book.Licensed(now) && l.book.StoreLost(now)
 }
 
-// absent reads the members. An entry host without a seat takes no one's parts: those with seats may be serving without the store.
+// absent reads the members from the store and reports whether there is none of that incarnation.
 func (l *limits) absent(ctx context.Context, i fleet.Incarnation) (bool, error) {
 	members, err := member.List(ctx, l.store)
 	if err != nil {
@@ -88,7 +94,35 @@
 		}
 	}
 
-	return i == l.holder.Self() || l.book.Seated(), nil
+	return true, nil
+}
+
+// knows reports whether nobody can be serving on the word of a group that lacks this process. Whoever serves without the
+// store needs the word of every seat of the head that it holds, and whoever wrote the head with this process's seat
+// ceased to give it. After that the work that was admitted takes no longer than a part is kept anyway.
+func (l *limits) knows(fleet.Incarnation) bool {
+	since := l.seatedSince.Load()
+	return since != nil && time.Since(*since) >= l.timing.ReclaimAfter()
+}
+
+// noteSeat keeps the moment since which this process has had a seat without a break.
+func (l *limits) noteSeat(now time.Time) {
+	switch seated := l.book.Seated(); {
+	case !seated:
+		l.seatedSince.Store(nil)
+	case l.seatedSince.Load() == nil:
+		l.seatedSince.Store(&now)
+	}
+}
+
+// newClaims returns the book of claims of this process.
+func newClaims(s settings.Settings, c *store.Client, l *limits) *claim.Book {
+	timing := claim.DefaultTiming()
+	timing.MaxRequestTime = s.WithDefaults().MaxRequestTime.Std()
+	b := claim.New(c, l.holder.Self(), claim.WithTiming(timing))
+	b.Alive = func(owner fleet.Incarnation) bool { return slices.Contains(l.membership.Load().Live, owner) }
+
+	return b
 }
 
 // ask asks a peer for parts.
@@ -112,6 +146,7 @@
 func (l *limits) followMembers(ctx context.Context) {
 	for ctx.Err() == nil {
 		asked := time.Now()
+		l.noteSeat(asked)
 		call, cancel := context.WithTimeout(ctx, membersTimeout)
 		members, err := member.List(call, l.store)
 		cancel()
--- a/entry/wire.go
+++ b/entry/wire.go
@@ -14,7 +14,7 @@
 // New returns an entry host with the given settings and logger; its error names a certificate that can't be read.
 func New(s settings.Settings, l *log.Logger) (*Host, error) {
 	wire.Build(
-		newHost, wire.Struct(new(parts), "*"), newBook, newStore, newPlatform, newControl, newCluster, newLimits, newTrail, newRegistry, newOperatorMetrics,
+		newHost, wire.Struct(new(parts), "*"), newBook, newStore, newPlatform, newControl, newCluster, newLimits, newClaims, newTrail, newRegistry, newOperatorMetrics,
 		endpoint.NewSet, newSender, admission.New,
 	)
 
--- a/entry/wire_gen.go
+++ b/entry/wire_gen.go
@@ -30,6 +30,7 @@
 	trail := newTrail(client, s, l)
 	entryControl := newControl(client, platformClient, book, entryCluster, trail, s, l)
 	entryLimits := newLimits(s, client, entryCluster, book, l)
+	claimBook := newClaims(s, client, entryLimits)
 	registry := newRegistry()
 	entryOperatorMetrics := newOperatorMetrics(registry, book, trail)
 	entryParts := parts{
@@ -43,6 +44,7 @@
 		Control:  entryControl,
 		Cluster:  entryCluster,
 		Limits:   entryLimits,
+		Claims:   claimBook,
 		Trail:    trail,
 		Metrics:  entryOperatorMetrics,
 		Log:      l,
--- a/key/key.go
+++ b/key/key.go
@@ -37,12 +37,21 @@
 
 // Give makes a key for a team and returns it with its secret, which is kept nowhere.
 func Give(team fleet.TeamName, now time.Time) (Key, string) {
-	id := encode(random(idSize))
+	id := newID()
 	hashed, secret := NewSecret()
 
 	return Key{ID: ID(id), Team: team, Salt: hashed.Salt, Hash: hashed.Hash, Given: now}, strings.Join([]string{prefix, id, secret}, ".")
 }
 
+// newID makes a random ID that no command line takes for a flag.
+func newID() string {
+	for {
+		if id := encode(random(idSize)); !strings.HasPrefix(id, "-") {
+			return id
+		}
+	}
+}
+
 // Ring is an immutable set of keys in force.
 type Ring struct {
 	keys fleet.Table[ID, Key]
--- a/key/key_test.go
+++ b/key/key_test.go
@@ -165,3 +165,13 @@
 	fmt.Println(found.Team, errors.Is(err, key.ErrUnknown))
 	// Output: postings true
 }
+
+// TestIDsAreNoFlags draws so many IDs that one in 64 with a leading dash could not stay unseen.
+func TestIDsAreNoFlags(t *testing.T) {
+	const draws = 2000
+	for range draws {
+		if k, _ := key.Give("postings", time.Time{}); strings.HasPrefix(string(k.ID), "-") {
+			t.Fatalf("ID %s looks like a flag", k.ID)
+		}
+	}
+}
--- a/plan/check.go
+++ b/plan/check.go
@@ -80,7 +80,7 @@
 	c.pools(l)
 	c.queues(l, pools)
 	c.plans(l, queues)
-	c.budgets(l, pools)
+	c.budgets(l, pools, plans)
 	c.maintenance(l.Maintenance)
 	c.customers(l, plans)
 
@@ -231,7 +231,7 @@
 	}
 }
 
-func (c *checker) budgets(l Lists, pools map[string]bool) {
+func (c *checker) budgets(l Lists, pools, plans map[string]bool) {
 	budgets := map[string]bool{}
 	for i, b := range l.Budgets {
 		c.unique(budgets, string(b.Name), "Budgets[%d].Name", i)
@@ -243,6 +243,11 @@
 				c.add("pool %q does not exist", []any{p}, "Budgets[%d].Pools[%d]", i, j)
 			}
 		}
+		for j, p := range b.Plans {
+			if !plans[string(p)] {
+				c.add("plan %q does not exist", []any{p}, "Budgets[%d].Plans[%d]", i, j)
+			}
+		}
 		for j, z := range b.Zones {
 			if reason := nameFault(string(z)); reason != "" {
 				c.add("%s", []any{reason}, "Budgets[%d].Zones[%d]", i, j)
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -66,6 +66,7 @@
 		{`"30s"`, `"half an hour"`, `p.json:3: Queues[0].MaxWait: time: invalid duration "half an hour"`},
 		{`"MinHosts": 2`, `"MinHosts": -2, "Spare": true`, `p.json:4: Pools[0].MinHosts: must not be negative, is -2` + "\n" + `p.json:4: Pools[1].Spare: pool "a" is the spare already`},
 		{`"Pools": ["a"]`, `"Pools": ["z"]`, `p.json:5: Budgets[0].Pools[0]: pool "z" does not exist`},
+		{`"Pools": ["a"]`, `"Plans": ["z"]`, `p.json:5: Budgets[0].Plans[0]: plan "z" does not exist`},
 		{`"MaxUnavailable": 1`, `"MaxUnavailable": -1`, `p.json:5: Budgets[0].MaxUnavailable: must not be negative, is -1`},
 		{`"Budgets": [`, `"Budgets": 5 [`, `p.json:5: Budgets: must be an array, is a number` + "\n" + `p.json:5: : is not JSON: invalid character '[' after object key:value pair`},
 		{`"Share": 4`, `"Share": `, `c.json:8: : is not JSON: invalid character ',' looking for beginning of value`},
