--- a/member/lease.go
+++ b/member/lease.go
@@ -150,6 +150,10 @@
 
 // renewFor renews a lease on behalf of a peer.
 func (r *Registry) renewFor(ctx context.Context, _ peer.Peer, req renewRequest) (renewAnswer, error) {
+	// A store that never answers must not hold the peer's request for longer than the lease could last.
+	ctx, cancel := context.WithTimeout(ctx, r.ttl)
+	defer cancel()
+
 	err := r.client.KeepAlive(ctx, req.Lease)
 
 	return renewAnswer{Renewed: err == nil, Lapsed: errors.Is(err, store.ErrLeaseLapsed)}, nil
--- a/revision/edit.go
+++ b/revision/edit.go
@@ -69,8 +69,10 @@
 // ApplyAs is Apply with the name of who edits, for the history. An edit that changes nothing makes no new revision.
 // When it returns store.ErrOutcomeUnknown the edit may come into force or not.
 func (b *Book) ApplyAs(ctx context.Context, by string, edit Edit) (Revision, error) {
-	b.writing.Lock()
-	defer b.writing.Unlock()
+	if err := b.writing.take(ctx); err != nil {
+		return Revision{}, err
+	}
+	defer b.writing.give()
 	if err := b.settle(ctx); err != nil {
 		return Revision{}, err
 	}
--- a/revision/exchange.go
+++ b/revision/exchange.go
@@ -170,8 +170,15 @@
 	}()
 }
 
+// offerTimeout bounds the taking over of an offered head.
+const offerTimeout = 2 * time.Second
+
 // answerOffer takes over a head that its writer sends; it confirms nothing, because it may be late.
 func (b *Book) answerOffer(ctx context.Context, from peer.Peer, msg headMessage) (offerAnswer, error) {
+	// Its parts may be missing here, and the store that has them may never answer.
+	ctx, cancel := context.WithTimeout(ctx, offerTimeout)
+	defer cancel()
+
 	err := b.takeOver(ctx, msg.Raw, msg.Base, time.Time{}, func(ctx context.Context, h hash) ([]byte, error) {
 		if data, ok := msg.Parts[string(h)]; ok {
 			return data, nil
--- a/revision/seat.go
+++ b/revision/seat.go
@@ -35,10 +35,10 @@
 // tend settles doubt and keeps the seats in step with the members.
 func (b *Book) tend(ctx context.Context) {
 	self := b.registry.Self().Seat
-	if self == "" || !b.writing.TryLock() {
+	if self == "" || !b.writing.tryTake() {
 		return
 	}
-	defer b.writing.Unlock()
+	defer b.writing.give()
 	if err := b.settle(ctx); err != nil {
 		return
 	}
@@ -88,8 +88,10 @@
 // TakeOver gives this process the only seat although those who have one may be alive; an operator calls it who knows that
 // they are gone. If they are not, and cut off, they may go on with the revision in force before for up to OutageLimit.
 func (b *Book) TakeOver(ctx context.Context) error {
-	b.writing.Lock()
-	defer b.writing.Unlock()
+	if err := b.writing.take(ctx); err != nil {
+		return err
+	}
+	defer b.writing.give()
 	self := b.registry.Self().Seat
 	if self == "" {
 		return merry.Wrap(member.ErrNotJoined)
@@ -114,8 +116,10 @@
 	if b.registry == nil {
 		return nil
 	}
-	b.writing.Lock()
-	defer b.writing.Unlock()
+	if err := b.writing.take(ctx); err != nil {
+		return err
+	}
+	defer b.writing.give()
 	self := b.registry.Self().Seat
 	if err := b.leaveInStore(ctx, self); err == nil {
 		return nil
