--- a/entry/hostaudit.go
+++ b/entry/hostaudit.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"lycheehook.example/lycheehook/audit"
 	"lycheehook.example/lycheehook/fleet"
@@ -41,7 +42,7 @@
 func waveAudit(t *audit.Trail, who fleet.EntryName) func(from, to wave.Record, err error) {
 	return func(from, to wave.Record, err error) {
 		e := audit.Entry{Who: string(who), Action: waveActions[to.State], Subject: fmt.Sprintf("Waves/%d", to.Number), Result: audit.Accepted}
-		e.Changes = []string{fmt.Sprintf("state %s -> %s, starts at %s", from.State, to.State, to.StartsAt)}
+		e.Changes = []string{fmt.Sprintf("state %s -> %s, starts at %s", from.State, to.State, to.StartsAt.UTC().Format(time.RFC3339))}
 		if err != nil {
 			e.Result, e.Reason = audit.Unknown, err.Error()
 		}
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"errors"
 	"net"
 	"strings"
@@ -10,9 +12,9 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"lycheehook.example/lycheehook/cert"
 	"lycheehook.example/lycheehook/fleet"
 	"lycheehook.example/lycheehook/peer"
-	"lycheehook.example/lycheehook/standin"
 )
 
 type echo struct {
@@ -25,9 +27,9 @@
 	stop func()
 }
 
-func authority(tb testing.TB) *standin.Authority {
+func authority(tb testing.TB) *cert.Authority {
 	tb.Helper()
-	ca, err := standin.NewAuthority()
+	ca, err := cert.NewAuthority("test", time.Hour)
 	if err != nil {
 		tb.Fatal(err)
 	}
@@ -35,9 +37,28 @@
 	return ca
 }
 
-func start(tb testing.TB, ca *standin.Authority, name fleet.EntryName, opts ...peer.Option) host {
+// configs returns the configurations of one process for accepting and for dialling, with a new certificate.
+func configs(ca *cert.Authority) (server, client *tls.Config, err error) {
+	const name = "peer.test"
+	pair, err := ca.Issue(name, time.Hour)
+	if err != nil {
+		return nil, nil, err
+	}
+	certificate, err := tls.X509KeyPair(pair.Certificate, pair.Key)
+	if err != nil {
+		return nil, nil, err
+	}
+	pool := x509.NewCertPool()
+	pool.AppendCertsFromPEM(ca.PEM())
+	certificates := []tls.Certificate{certificate}
+
+	return &tls.Config{Certificates: certificates, ClientAuth: tls.RequireAndVerifyClientCert, ClientCAs: pool, MinVersion: tls.VersionTLS13},
+		&tls.Config{Certificates: certificates, RootCAs: pool, ServerName: name, MinVersion: tls.VersionTLS13}, nil
+}
+
+func start(tb testing.TB, ca *cert.Authority, name fleet.EntryName, opts ...peer.Option) host {
 	tb.Helper()
-	server, client, err := ca.Configs(string(name))
+	server, client, err := configs(ca)
 	if err != nil {
 		tb.Fatal(err)
 	}
@@ -131,7 +152,7 @@
 func TestServerRefusesClientWithoutCertificate(t *testing.T) {
 	ca := authority(t)
 	b := start(t, ca, "b")
-	server, client, err := ca.Configs("a")
+	server, client, err := configs(ca)
 	if err != nil {
 		t.Fatal(err)
 	}
