Let a heartbeat give up its wait for another peer's head

A heartbeat that saw a newer head waited on a mutex for the fetch from another peer, so one peer that does not answer held up the word of all others; a mutex also stops the tests' clock, which is what showed it.

Ruled out: the store's faults alone (the wait was the process's own).

Change: the wait for the fetch ends with the time of the own fetch.

--- a/revision/book.go
+++ b/revision/book.go
@@ -69,7 +69,7 @@
 	// writing lets one write of this process be on its way at a time.
 	writing turn
 	// fetching lets one take-over of a head from a peer run at a time.
-	fetching sync.Mutex
+	fetching turn
 }
 
 // Option configures a Book.
@@ -94,7 +94,7 @@
 func New(client *store.Client, opts ...Option) *Book {
 	b := &Book{
 		client: client, limits: member.Limits{FreshFor: DefaultFreshFor, OutageLimit: member.DefaultOutageLimit},
-		parts: map[hash]*part{}, data: map[hash][]byte{}, inForce: map[fleet.EntryName]uint64{}, moved: make(chan struct{}), writing: newTurn(),
+		parts: map[hash]*part{}, data: map[hash][]byte{}, inForce: map[fleet.EntryName]uint64{}, moved: make(chan struct{}), writing: newTurn(), fetching: newTurn(),
 	}
 	b.current.Store(&Revision{})
 	for _, opt := range opts {
--- a/revision/exchange.go
+++ b/revision/exchange.go
@@ -94,8 +94,10 @@
 
 // fetchFrom takes over the head of a peer with the parts that this process lacks.
 func (b *Book) fetchFrom(ctx context.Context, from peer.Peer) error {
-	b.fetching.Lock()
-	defer b.fetching.Unlock()
+	if err := b.fetching.take(ctx); err != nil {
+		return err
+	}
+	defer b.fetching.give()
 	msg, err := peer.Call[headMessage](ctx, b.mesh, from.Name, kindHead, headRequest{})
 	if err != nil {
 		return err
--- a/revision/turn.go
+++ b/revision/turn.go
@@ -21,7 +21,7 @@
 	case t <- struct{}{}:
 		return nil
 	case <-ctx.Done():
-		return merry.Prepend(store.ErrUnavailable, "an earlier write is still on its way")
+		return merry.Prepend(store.ErrUnavailable, "waited too long for another call to end")
 	}
 }
 
