Make claims while requests wait, so that no slot waits for the store

Cause: a claim was written after its slot was granted, so the slot was held for the claim's 10 to 200 ms besides the work's 20 ms.

Change: a request that has to wait starts its claim as it joins the line; one that is refused while it waits gives the ID back. A request that need not wait claims as before: then slots are free anyway.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -29,6 +29,9 @@
 	Size   fleet.Resources
 	// Idempotent work may be put on an endpoint that failed lately.
 	Idempotent bool
+	// Waiting is called without locks held when the request begins to wait, so that what it needs besides can be done
+	// meanwhile; nil for nothing.
+	Waiting func(team fleet.Team)
 }
 
 // Gate admits requests against the configuration in force: at once when a slot is free and nobody waits for it,
@@ -112,6 +115,9 @@
 	if err != nil {
 		return Grant{}, err
 	}
+	if req.Waiting != nil {
+		req.Waiting(p.team)
+	}
 
 	return g.await(ctx, pool, w)
 }
--- a/entry/caller.go
+++ b/entry/caller.go
@@ -12,6 +12,7 @@
 	"lycheehook.example/lycheehook/admission"
 	"lycheehook.example/lycheehook/claim"
 	"lycheehook.example/lycheehook/endpoint"
+	"lycheehook.example/lycheehook/fleet"
 	"lycheehook.example/lycheehook/refusal"
 )
 
@@ -57,12 +58,18 @@
 
 	ctx, cancel := context.WithDeadline(r.Request.Context(), c.deadline)
 	defer cancel()
-	grant, err := a.gate.Admit(ctx, c.admission())
+	pending := &pendingClaim{api: a, call: c}
+	request := c.admission()
+	request.Waiting = func(t fleet.Team) { pending.begin(ctx, t) }
+	grant, err := a.gate.Admit(ctx, request)
 	if err != nil {
+		cancel()
+		pending.abandon()
 		writeError(w, err)
+
 		return
 	}
-	cl, err := a.claimID(ctx, grant, c)
+	cl, err := pending.result(ctx, grant.Team())
 	if err != nil {
 		grant.Release()
 		writeError(w, err)
--- a/entry/callerclaim.go
+++ b/entry/callerclaim.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"strconv"
 
-	"lycheehook.example/lycheehook/admission"
 	"lycheehook.example/lycheehook/claim"
 	"lycheehook.example/lycheehook/endpoint"
 	"lycheehook.example/lycheehook/fleet"
@@ -68,12 +67,51 @@
 }
 
 // claimID claims the ID of a request that must not run twice; one whose caller gave no ID can't be repeated.
-func (a *callerAPI) claimID(ctx context.Context, g admission.Grant, c call) (claimed, error) {
+func (a *callerAPI) claimID(ctx context.Context, team fleet.TeamName, c call) (claimed, error) {
 	if a.claim == nil || c.idempotent || !c.named {
 		return claimed{settle: func(outcome, *claim.Answer) {}}, nil
 	}
 
-	return a.claim(ctx, g.Team().Name, c.id, c.body.digest())
+	return a.claim(ctx, team, c.id, c.body.digest())
+}
+
+// pendingClaim is a claim that is made while its request waits for a slot, so that no slot waits for the store.
+type pendingClaim struct {
+	api  *callerAPI
+	call call
+	done chan struct{}
+	cl   claimed
+	err  error
+}
+
+// begin makes the claim beside the wait.
+func (p *pendingClaim) begin(ctx context.Context, team fleet.Team) {
+	p.done = make(chan struct{})
+	go func() {
+		defer close(p.done)
+		p.cl, p.err = p.api.claimID(ctx, team.Name, p.call)
+	}()
+}
+
+// result returns the claim, made now if the request did not have to wait.
+func (p *pendingClaim) result(ctx context.Context, team fleet.Team) (claimed, error) {
+	if p.done == nil {
+		return p.api.claimID(ctx, team.Name, p.call)
+	}
+	<-p.done
+
+	return p.cl, p.err
+}
+
+// abandon gives the ID back for another attempt, because the request was refused while it waited.
+func (p *pendingClaim) abandon() {
+	if p.done == nil {
+		return
+	}
+	<-p.done
+	if p.err == nil && p.cl.earlier == nil {
+		p.cl.settle(outcomeNotRun, nil)
+	}
 }
 
 // digest identifies the body of a request; one that is not held is known by its length alone.
