Don't ask peers to renew the lease of a process that stops

Ruled out: the bound on renewals for peers; it only made the wait visible.

Change: a call that ended because the process stops says nothing about the store. Usage is reported four times a second, as shares follow it.

--- a/entry/cluster.go
+++ b/entry/cluster.go
@@ -17,6 +17,9 @@
 	"lycheehook.example/lycheehook/store"
 )
 
+// reportInterval is the time between two reports of the teams' work to one peer.
+const reportInterval = 250 * time.Millisecond
+
 // PeerServerName is the name that the certificates of peers are issued for.
 const PeerServerName = "peer.lycheehook"
 
@@ -32,7 +35,7 @@
 func newCluster(s settings.Settings, c *store.Client, l *log.Logger) (*cluster, error) {
 	self := peer.Peer{Name: s.Name, Incarnation: fleet.NewIncarnation(s.Name), Address: s.PeerAddress}
 	cl := &cluster{settings: s}
-	var opts []peer.Option
+	opts := []peer.Option{peer.WithReportInterval(reportInterval)}
 	if s.PeerAddress.IsValid() {
 		source, err := newPeerSource(s.TLS.Peers, l)
 		if err != nil {
--- a/member/lease.go
+++ b/member/lease.go
@@ -115,6 +115,10 @@
 		pause(ctx, r.ttl/renewals)
 		asked := time.Now()
 		err := r.client.KeepAlive(ctx, lease)
+		if ctx.Err() != nil {
+			// The call ended because the process stops, which says nothing about the store.
+			return
+		}
 		r.setReachable(answered(err))
 		if !answered(err) {
 			err = r.renewThroughPeer(ctx, lease)
