Hand back parts of limits only when nothing takes them any more

Cause: on a stop the holder handed back its parts while its rounds still ran, so a round could take some again, and others would wait a minute for the parts of a process that had left in good order. Found by reading.

Change: the rounds end before the parts are handed back.

--- a/entry/host.go
+++ b/entry/host.go
@@ -105,7 +105,10 @@
 	wg.Go(func() { h.Trail.Run(work) })
 	wg.Go(func() { h.Control.run(work) })
 	wg.Go(func() { h.Cluster.run(work) })
-	wg.Go(func() { h.Limits.run(work) })
+	limitsCtx, stopLimits := context.WithCancel(work)
+	defer stopLimits()
+	var limitsEnd sync.WaitGroup
+	limitsEnd.Go(func() { h.Limits.run(limitsCtx) })
 	wg.Go(func() { h.Gate.Run(work) })
 	wg.Go(func() { h.Claims.Run(work) })
 	wg.Go(func() { endpoint.NewProber(h.Set, h.Sender).Run(work) })
@@ -126,6 +129,9 @@
 	h.stopping.Store(true)
 	h.Gate.Stop()
 	err = stop(work, servers, h.Settings.StopLimit.Std())
+	// Parts may be handed back only when nothing takes parts any more.
+	stopLimits()
+	limitsEnd.Wait()
 	h.leave(work)
 	stopWork()
 	wg.Wait()
--- a/entry/limits.go
+++ b/entry/limits.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -138,9 +139,11 @@
 
 // run keeps limits and members up to date until ctx ends.
 func (l *limits) run(ctx context.Context) {
-	go l.followMembers(ctx)
-	go l.followRevisions(ctx)
+	var wg sync.WaitGroup
+	wg.Go(func() { l.followMembers(ctx) })
+	wg.Go(func() { l.followRevisions(ctx) })
 	l.holder.Run(ctx)
+	wg.Wait()
 }
 
 func (l *limits) followMembers(ctx context.Context) {
