Leave the members at once, so that an outage after a stop finds no gap

Cause: an entry host that left in good order wrote itself back among the seats, as its own upkeep of seats still ran, and stayed a member until its lease lapsed, so others wrote it back too. When the store went down within those 5 s nobody could state for that seat, and every entry host refused keyed work after 3 s.

Ruled out: the rule itself (a fresh estate stays fresh through an outage of 6 s) and the replacement's own seat.

Change: a book that has left takes no seat again, and the member record is removed by revoking its lease.

TestStoppedEntryHostHoldsNothing fails without the revocation.

--- a/entry/host.go
+++ b/entry/host.go
@@ -153,6 +153,9 @@
 	if err := h.Book.Leave(ctx); err != nil {
 		h.Log.Warn("seat not handed over", "err", err)
 	}
+	if err := h.Cluster.registry.Leave(ctx); err != nil {
+		h.Log.Warn("member record not removed", "err", err)
+	}
 }
 
 func serve(wg *sync.WaitGroup, l net.Listener, handler http.Handler, limits settings.Limits, logger *log.Logger) *http.Server {
--- a/estate/estate_test.go
+++ b/estate/estate_test.go
@@ -3,17 +3,21 @@
 import (
 	"io"
 	"slices"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/charmbracelet/log"
 
 	"lycheehook.example/lycheehook/allotment"
 	"lycheehook.example/lycheehook/estate"
 	"lycheehook.example/lycheehook/fleet"
+	"lycheehook.example/lycheehook/member"
 )
 
-// TestStoppedEntryHostHoldsNoParts checks that an entry host which leaves in good order hands back all that it held.
-func TestStoppedEntryHostHoldsNoParts(t *testing.T) {
+// TestStoppedEntryHostHoldsNothing checks that an entry host which leaves in good order hands back its parts and its seat
+// and is no member any more: who waits for the word of one that is gone is not fresh in an outage.
+func TestStoppedEntryHostHoldsNothing(t *testing.T) {
 	e := estate.New(log.New(io.Discard))
 	if err := e.Start(t.Context()); err != nil {
 		t.Fatal(err)
@@ -31,6 +35,33 @@
 	if got := holders(t, e); slices.Contains(got, leaving) {
 		t.Errorf("%s left, but parts are held by %v", leaving, got)
 	}
+	// The others may write the seat in once more before they see that the member is gone.
+	deadline := time.Now().Add(member.DefaultFreshFor)
+	for named := namedBy(t, e, leaving); len(named) > 0; named = namedBy(t, e, leaving) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%s left, but %v still name it", leaving, named)
+		}
+		<-time.After(10 * time.Millisecond)
+	}
+}
+
+// namedBy returns the keys of the store that name an entry host as a member or as one with a seat.
+func namedBy(t *testing.T, e *estate.Estate, name fleet.EntryName) []string {
+	t.Helper()
+	var keys []string
+	for _, prefix := range []string{"member/", "config/head"} {
+		l, err := e.Store.Client().List(t.Context(), prefix)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, r := range l.Records {
+			if strings.Contains(r.Key+string(r.Value), string(name)+"#") {
+				keys = append(keys, r.Key)
+			}
+		}
+	}
+
+	return keys
 }
 
 // holders returns the entry hosts that hold a part of any limit.
--- a/member/lease.go
+++ b/member/lease.go
@@ -38,7 +38,7 @@
 
 // keepLease joins under a new lease, renews it until it lapses, and starts over.
 func (r *Registry) keepLease(ctx context.Context) {
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && !r.leaving.Load() {
 		if err := r.join(ctx); err != nil {
 			pause(ctx, retryWait)
 			continue
@@ -47,6 +47,19 @@
 	}
 }
 
+// Leave takes the process's record out of the store at once, so that the others need not wait for its lease to lapse.
+func (r *Registry) Leave(ctx context.Context) error {
+	r.leaving.Store(true)
+	r.mu.Lock()
+	lease := r.lease
+	r.mu.Unlock()
+	if lease == 0 {
+		return nil
+	}
+
+	return r.client.Revoke(ctx, lease)
+}
+
 // join opens a lease and writes the process's record under a new seat.
 func (r *Registry) join(ctx context.Context) error {
 	asked := time.Now()
--- a/member/registry.go
+++ b/member/registry.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -60,6 +61,9 @@
 	ttl    time.Duration
 	seeds  []netip.AddrPort
 
+	// leaving says that the process ends and joins no more.
+	leaving atomic.Bool
+
 	mu        sync.Mutex
 	lease     store.LeaseID
 	renewed   time.Time
--- a/revision/book.go
+++ b/revision/book.go
@@ -68,6 +68,8 @@
 
 	// writing lets one write of this process be on its way at a time.
 	writing turn
+	// left says that the process gave its seat up and takes none again.
+	left atomic.Bool
 	// fetching lets one take-over of a head from a peer run at a time.
 	fetching turn
 }
--- a/revision/seat.go
+++ b/revision/seat.go
@@ -39,6 +39,9 @@
 		return
 	}
 	defer b.writing.give()
+	if b.left.Load() {
+		return
+	}
 	if err := b.settle(ctx); err != nil {
 		return
 	}
@@ -120,6 +123,7 @@
 		return err
 	}
 	defer b.writing.give()
+	b.left.Store(true)
 	self := b.registry.Self().Seat
 	if err := b.leaveInStore(ctx, self); err == nil {
 		return nil
