Ask once more for the licence of a part right before the first byte

A process that was admitted, then cut off or paused while its claim was written, could start work on a part that it may no longer use. Found by reading; the deadline of the request and the wait before a part is taken from a holder bounded the harm.

Change: the callers' interface asks the holder too, for work of a team.

--- a/entry/caller.go
+++ b/entry/caller.go
@@ -23,6 +23,8 @@
 	log    *log.Logger
 	// longest bounds the time that a caller may give a request.
 	longest time.Duration
+	// mayStart reports whether work that was admitted may still start; nil always lets it.
+	mayStart func(now time.Time) bool
 	// claim is a seam; nil claims nothing.
 	claim claimFunc
 	// keptAnswer is the size in bytes up to which an answer is kept for a caller that repeats its request.
@@ -82,7 +84,9 @@
 
 		return
 	}
-	answer, err := a.sender.Send(ctx, grant.Slot(), c.request(grant))
+	outgoing := c.request(grant)
+	outgoing.Ready = func() error { return a.ready(grant) }
+	answer, err := a.sender.Send(ctx, grant.Slot(), outgoing)
 	if err != nil {
 		a.end(grant, cl, c, nil, err)
 		writeError(w, err)
@@ -101,6 +105,18 @@
 	}
 }
 
+// ready is asked right before the first byte leaves: the request may have waited for its claim, or the process been paused.
+func (a *callerAPI) ready(g admission.Grant) error {
+	if err := g.Recheck(); err != nil {
+		return err
+	}
+	if a.mayStart != nil && g.Team().Name != "" && !a.mayStart(time.Now()) {
+		return refusal.Refuse(refusal.NotFresh, "this entry host can no longer count on its part of the limits")
+	}
+
+	return nil
+}
+
 // end gives the grant back as soon as the request has surely ended: at once after a whole answer or when no byte left,
 // else at the caller's deadline, which the endpoint was told.
 func (a *callerAPI) end(g admission.Grant, cl claimed, c call, kept *claim.Answer, err error) {
--- a/entry/caller_test.go
+++ b/entry/caller_test.go
@@ -350,6 +350,25 @@
 	}
 }
 
+// TestCallerLosesItsPart checks that a request which was admitted is not sent once the process may no longer use its parts.
+func TestCallerLosesItsPart(t *testing.T) {
+	for _, may := range []bool{true, false} {
+		echo := standin.NewEndpoint(0)
+		r := newCallerRig(t, 2, echo)
+		r.api.mayStart = func(time.Time) bool { return may }
+		want, runs := told{200, "", false}, 1
+		if !may {
+			want, runs = told{503, refusal.NotFresh, true}, 0
+		}
+		if d := cmp.Diff(want, r.told(t, "post", nil)); d != "" {
+			t.Errorf("may start %t: told (-want +got):\n%s", may, d)
+		}
+		if echo.Total() != runs {
+			t.Errorf("may start %t: %d runs, want %d", may, echo.Total(), runs)
+		}
+	}
+}
+
 // TestCallerClaimInStore checks, over a real book of claims, that a repeat is answered as the first attempt was and runs nothing.
 func TestCallerClaimInStore(t *testing.T) {
 	echo := standin.NewEndpoint(0)
--- a/entry/callerrequest.go
+++ b/entry/callerrequest.go
@@ -200,7 +200,7 @@
 // request returns what is sent to the endpoint: no key and no header that is meant for lycheehook.
 func (c call) request(g admission.Grant) endpoint.Request {
 	req := endpoint.Request{
-		ID: c.id, Idempotent: c.idempotent, Ready: g.Recheck,
+		ID: c.id, Idempotent: c.idempotent,
 		Header: endpoint.EndToEnd(c.header, "Authorization", headerRequestID, headerTimeout, headerIdempotent, "Expect"),
 		Again:  func(earlier endpoint.Slot) bool { return g.Again(earlier, c.deadline.Add(endGrace)) },
 	}
--- a/entry/host.go
+++ b/entry/host.go
@@ -66,6 +66,7 @@
 		operator: &operatorAPI{settings: p.Settings, book: p.Book, trail: p.Trail, store: p.Store, metrics: p.Metrics, log: p.Log},
 	}
 	h.caller.claim, h.caller.keptAnswer = claimIn(p.Claims), claim.DefaultTiming().AnswerSize
+	h.caller.mayStart = p.Limits.holder.MayStart
 	newUsage(p.Settings.Name, p.Cluster.mesh, p.Gate)
 	p.Gate.AcquireLimit = p.Limits.acquire
 	p.Set.Take, p.Set.Expected = p.Limits.takeSlots, p.Limits.expectedSlots
