--- a/budget/budget.go
+++ b/budget/budget.go
@@ -8,7 +8,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"lycheehook.example/lycheehook/fleet"
-	"lycheehook.example/lycheehook/platform"
+	"lycheehook.example/lycheehook/hostapi"
 )
 
 // Prefix is the store prefix of budget records; the budget's name follows.
@@ -38,7 +38,7 @@
 	Host   fleet.HostName
 	Reason Reason
 	// Intent is the recorded intent that spent the unit; empty for an unplanned outage.
-	Intent platform.IntentID `json:",omitempty"`
+	Intent hostapi.IntentID `json:",omitempty"`
 	Since  time.Time
 }
 
@@ -73,7 +73,7 @@
 }
 
 // HeldBy reports whether the host holds a unit under the intent.
-func (r Record) HeldBy(h fleet.HostName, intent platform.IntentID) bool {
+func (r Record) HeldBy(h fleet.HostName, intent hostapi.IntentID) bool {
 	hold, ok := r.Hold(h)
 	return ok && hold.Intent == intent
 }
@@ -89,7 +89,7 @@
 }
 
 // WithPlanned returns the record with a unit spent for a planned outage, or ErrExhausted or ErrHeld.
-func (r Record) WithPlanned(h fleet.HostName, intent platform.IntentID, now time.Time) (Record, error) {
+func (r Record) WithPlanned(h fleet.HostName, intent hostapi.IntentID, now time.Time) (Record, error) {
 	if r.HeldBy(h, intent) {
 		return r, nil
 	}
@@ -105,7 +105,7 @@
 
 // WithOut returns the record with a unit for a host that is out of service already, even over the maximum. A unit that
 // the host holds already keeps its intent, because a host record read long ago may know less than the unit.
-func (r Record) WithOut(h fleet.HostName, reason Reason, intent platform.IntentID, now time.Time) Record {
+func (r Record) WithOut(h fleet.HostName, reason Reason, intent hostapi.IntentID, now time.Time) Record {
 	old, held := r.Hold(h)
 	if held && old.Reason == reason {
 		return r
@@ -125,7 +125,7 @@
 	// Reason says why it is out.
 	Reason Reason
 	// Intent is the host's recorded intent, as long as the budget is among those that it spends.
-	Intent platform.IntentID
+	Intent hostapi.IntentID
 }
 
 // Settled returns the record with a unit for every host that is out, and without the units of hosts that returned or
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -11,14 +11,14 @@
 
 	"lycheehook.example/lycheehook/budget"
 	"lycheehook.example/lycheehook/fleet"
-	"lycheehook.example/lycheehook/platform"
+	"lycheehook.example/lycheehook/hostapi"
 )
 
 var at = time.Unix(100, 0).UTC()
 
 func limit(n int) fleet.Budget { return fleet.Budget{Name: "b", MaxUnavailable: n} }
 
-func planned(h fleet.HostName, intent platform.IntentID) budget.Hold {
+func planned(h fleet.HostName, intent hostapi.IntentID) budget.Hold {
 	return budget.Hold{Host: h, Reason: budget.Planned, Intent: intent, Since: at}
 }
 
@@ -27,7 +27,7 @@
 }
 
 func TestTransitions(t *testing.T) {
-	spend := func(h fleet.HostName, intent platform.IntentID) func(budget.Record) (budget.Record, error) {
+	spend := func(h fleet.HostName, intent hostapi.IntentID) func(budget.Record) (budget.Record, error) {
 		return func(r budget.Record) (budget.Record, error) { return r.WithPlanned(h, intent, at) }
 	}
 	settle := func(s map[fleet.HostName]budget.Standing) func(budget.Record) (budget.Record, error) {
@@ -105,7 +105,7 @@
 			case 2:
 				r = r.Settled(map[fleet.HostName]budget.Standing{h: {Out: true, Reason: budget.Planned}}, at)
 			default:
-				next, err := r.WithPlanned(h, platform.IntentID(fmt.Sprint(h, i)), at)
+				next, err := r.WithPlanned(h, hostapi.IntentID(fmt.Sprint(h, i)), at)
 				if err == nil && next.Out() > out && out >= r.MaxUnavailable {
 					t.Fatalf("unit %d of %d given for a planned outage", next.Out(), r.MaxUnavailable)
 				}
--- a/entry/control.go
+++ b/entry/control.go
@@ -9,7 +9,7 @@
 	"lycheehook.example/lycheehook/audit"
 	"lycheehook.example/lycheehook/fleet"
 	"lycheehook.example/lycheehook/move"
-	"lycheehook.example/lycheehook/platform"
+	"lycheehook.example/lycheehook/hostapi"
 	"lycheehook.example/lycheehook/revision"
 	"lycheehook.example/lycheehook/settings"
 	"lycheehook.example/lycheehook/store"
@@ -36,7 +36,7 @@
 
 // newControl returns the control path over the configuration in force.
 func newControl(
-	s *store.Client, p *platform.Client, b *revision.Book, cl *cluster, t *audit.Trail, cfg settings.Settings, l *log.Logger,
+	s *store.Client, p *hostapi.Client, b *revision.Book, cl *cluster, t *audit.Trail, cfg settings.Settings, l *log.Logger,
 ) *control {
 	c := &control{log: l, owns: cl.registry.Owns}
 	c.waves = wave.New(s, func() wave.Policy { return wave.PolicyOf(b.Current().Lists.Maintenance) },
@@ -112,7 +112,7 @@
 }
 
 // endpointsOf returns the endpoints of the inventory with the pools of their hosts' records; one whose host can't be told to be in use gets nothing new.
-func endpointsOf(inv platform.Inventory, hosts wave.Hosts) []fleet.Endpoint {
+func endpointsOf(inv hostapi.Inventory, hosts wave.Hosts) []fleet.Endpoint {
 	endpoints := make([]fleet.Endpoint, 0, len(inv.Endpoints))
 	for _, e := range inv.Endpoints {
 		if rec, known := hosts[e.Host]; known {
--- a/entry/control_test.go
+++ b/entry/control_test.go
@@ -7,7 +7,7 @@
 
 	"lycheehook.example/lycheehook/fleet"
 	"lycheehook.example/lycheehook/move"
-	"lycheehook.example/lycheehook/platform"
+	"lycheehook.example/lycheehook/hostapi"
 	"lycheehook.example/lycheehook/record"
 	"lycheehook.example/lycheehook/wave"
 )
@@ -36,7 +36,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			inv := platform.Inventory{Endpoints: []fleet.Endpoint{listed.WithLeaving(tt.listLeaving)}}
+			inv := hostapi.Inventory{Endpoints: []fleet.Endpoint{listed.WithLeaving(tt.listLeaving)}}
 			want := listed.WithLeaving(tt.wantLeaving)
 			want.Pool = tt.wantPool
 			if diff := cmp.Diff([]fleet.Endpoint{want}, endpointsOf(inv, tt.hosts), cmp.Comparer(func(a, b fleet.Endpoint) bool { return a == b })); diff != "" {
--- a/entry/host.go
+++ b/entry/host.go
@@ -16,7 +16,7 @@
 	"lycheehook.example/lycheehook/audit"
 	"lycheehook.example/lycheehook/claim"
 	"lycheehook.example/lycheehook/endpoint"
-	"lycheehook.example/lycheehook/platform"
+	"lycheehook.example/lycheehook/hostapi"
 	"lycheehook.example/lycheehook/revision"
 	"lycheehook.example/lycheehook/settings"
 	"lycheehook.example/lycheehook/share"
@@ -33,7 +33,7 @@
 type parts struct {
 	Settings settings.Settings
 	Store    *store.Client
-	Platform *platform.Client
+	Platform *hostapi.Client
 	Book     *revision.Book
 	Set      *endpoint.Set
 	Sender   *endpoint.Sender
--- a/entry/hostaudit_test.go
+++ b/entry/hostaudit_test.go
@@ -10,7 +10,7 @@
 	"lycheehook.example/lycheehook/audit"
 	"lycheehook.example/lycheehook/fleet"
 	"lycheehook.example/lycheehook/move"
-	"lycheehook.example/lycheehook/platform"
+	"lycheehook.example/lycheehook/hostapi"
 	"lycheehook.example/lycheehook/standin"
 	"lycheehook.example/lycheehook/wave"
 )
@@ -22,8 +22,8 @@
 	hosts(move.WriteHost{Record: move.Record{
 		Host: fleet.Host{Name: "worker-1", Pool: "a", State: fleet.HostDraining}, Intent: &move.Intent{To: "b", Phase: move.Draining},
 	}})
-	hosts(move.CallHost{Kind: move.CallDrain, Call: platform.HostCall{Host: "worker-1"}})
-	hosts(move.CallHost{Kind: move.CallReboot, Call: platform.HostCall{Host: "worker-1"}})
+	hosts(move.CallHost{Kind: move.CallDrain, Call: hostapi.HostCall{Host: "worker-1"}})
+	hosts(move.CallHost{Kind: move.CallReboot, Call: hostapi.HostCall{Host: "worker-1"}})
 	hosts(move.WriteBudget{})
 
 	// A wave whose record is written with a lost answer, and then one whose writing is known.
--- a/entry/providers.go
+++ b/entry/providers.go
@@ -7,7 +7,7 @@
 
 	"lycheehook.example/lycheehook/audit"
 	"lycheehook.example/lycheehook/endpoint"
-	"lycheehook.example/lycheehook/platform"
+	"lycheehook.example/lycheehook/hostapi"
 	"lycheehook.example/lycheehook/revision"
 	"lycheehook.example/lycheehook/settings"
 	"lycheehook.example/lycheehook/store"
@@ -22,8 +22,8 @@
 	return store.Dial(s.StoreAddress, storeTimeout)
 }
 
-func newPlatform(s settings.Settings) *platform.Client {
-	return platform.Dial(s.PlatformAddress, platformTimeout)
+func newPlatform(s settings.Settings) *hostapi.Client {
+	return hostapi.Dial(s.PlatformAddress, platformTimeout)
 }
 
 func newBook(c *store.Client, cl *cluster) *revision.Book {
--- a/platform/http.go
+++ b/hostapi/http.go
@@ -1,4 +1,4 @@
-package platform
+package hostapi
 
 import (
 	"bytes"
--- a/platform/platform.go
+++ b/hostapi/platform.go
@@ -1,4 +1,4 @@
-package platform
+package hostapi
 
 import (
 	"context"
@@ -12,15 +12,15 @@
 // Sentinel errors of the platform.
 var (
 	// ErrUnavailable says that the platform surely did not carry the call out.
-	ErrUnavailable = merry.Sentinel("platform: unavailable")
+	ErrUnavailable = merry.Sentinel("hostapi: unavailable")
 	// ErrOutcomeUnknown says that a call may or may not have taken effect.
-	ErrOutcomeUnknown = merry.Sentinel("platform: outcome unknown")
+	ErrOutcomeUnknown = merry.Sentinel("hostapi: outcome unknown")
 	// ErrRefused says that the platform answered and won't carry the call out.
-	ErrRefused = merry.Sentinel("platform: refused")
+	ErrRefused = merry.Sentinel("hostapi: refused")
 	// ErrFenced says that a call with a higher fence reached the host or task before, so nothing was done.
-	ErrFenced = merry.Sentinel("platform: fenced off by a newer call")
+	ErrFenced = merry.Sentinel("hostapi: fenced off by a newer call")
 	// ErrNotFound says that the platform has no such host or task.
-	ErrNotFound = merry.Sentinel("platform: not found")
+	ErrNotFound = merry.Sentinel("hostapi: not found")
 )
 
 // IntentID identifies one recorded intent; the platform treats calls of the same kind and intent as one.
--- a/platform/platform_test.go
+++ b/hostapi/platform_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package hostapi_test
 
 import (
 	"context"
@@ -12,48 +12,48 @@
 	"github.com/google/go-cmp/cmp"
 
 	"lycheehook.example/lycheehook/fleet"
-	"lycheehook.example/lycheehook/platform"
+	"lycheehook.example/lycheehook/hostapi"
 	"lycheehook.example/lycheehook/standin"
 )
 
 const callTimeout = 200 * time.Millisecond
 
-func serve(t *testing.T) (*standin.Platform, *platform.Client) {
+func serve(t *testing.T) (*standin.Platform, *hostapi.Client) {
 	t.Helper()
 	p := standin.NewPlatform()
 	p.PutHost(fleet.Host{Name: "w1", Pool: "a", Zone: "z1", Rack: "r1", Capacity: fleet.Resources{Cores: 16_000}})
 	s := httptest.NewServer(p)
 	t.Cleanup(s.Close)
 
-	return p, platform.Dial(netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://")), callTimeout)
+	return p, hostapi.Dial(netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://")), callTimeout)
 }
 
-func hostCall(intent platform.IntentID, fence uint64) platform.HostCall {
-	return platform.HostCall{Host: "w1", Intent: intent, Fence: fence}
+func hostCall(intent hostapi.IntentID, fence uint64) hostapi.HostCall {
+	return hostapi.HostCall{Host: "w1", Intent: intent, Fence: fence}
 }
 
-func start(token uint64) platform.TaskStart {
-	return platform.TaskStart{Job: "j1", Host: "w1", Token: token, LeaseTTL: fleet.Duration(time.Hour)}
+func start(token uint64) hostapi.TaskStart {
+	return hostapi.TaskStart{Job: "j1", Host: "w1", Token: token, LeaseTTL: fleet.Duration(time.Hour)}
 }
 
 // effects are the calls with an effect, each with a check of whether it took effect.
 var effects = []struct {
 	name string
-	call func(context.Context, *platform.Client) error
-	done func(context.Context, *platform.Client) bool
+	call func(context.Context, *hostapi.Client) error
+	done func(context.Context, *hostapi.Client) bool
 }{
 	{
-		"Drain", func(ctx context.Context, c *platform.Client) error { return c.Drain(ctx, hostCall("i1", 1)) },
-		func(ctx context.Context, c *platform.Client) bool {
+		"Drain", func(ctx context.Context, c *hostapi.Client) error { return c.Drain(ctx, hostCall("i1", 1)) },
+		func(ctx context.Context, c *hostapi.Client) bool {
 			s, _ := c.Status(ctx, "w1")
 			return s.Draining && s.Intent == "i1"
 		},
 	},
 	{
-		"StartTask", func(ctx context.Context, c *platform.Client) error { return c.StartTask(ctx, start(5)) },
-		func(ctx context.Context, c *platform.Client) bool {
-			s, err := c.Task(ctx, platform.TaskCall{Job: "j1", Host: "w1", Token: 5})
-			return err == nil && s.State == platform.TaskRunning
+		"StartTask", func(ctx context.Context, c *hostapi.Client) error { return c.StartTask(ctx, start(5)) },
+		func(ctx context.Context, c *hostapi.Client) bool {
+			s, err := c.Task(ctx, hostapi.TaskCall{Job: "j1", Host: "w1", Token: 5})
+			return err == nil && s.State == hostapi.TaskRunning
 		},
 	},
 }
@@ -65,9 +65,9 @@
 		done  bool
 	}{
 		{standin.FaultNone, nil, true},
-		{standin.FaultDown, platform.ErrUnavailable, false},
-		{standin.FaultAnswerLost, platform.ErrOutcomeUnknown, true},
-		{standin.FaultSilent, platform.ErrOutcomeUnknown, false},
+		{standin.FaultDown, hostapi.ErrUnavailable, false},
+		{standin.FaultAnswerLost, hostapi.ErrOutcomeUnknown, true},
+		{standin.FaultSilent, hostapi.ErrOutcomeUnknown, false},
 	}
 	for _, e := range effects {
 		for _, f := range faults {
@@ -90,8 +90,8 @@
 	s := httptest.NewServer(nil)
 	addr := netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://"))
 	s.Close()
-	c := platform.Dial(addr, callTimeout)
-	if err := c.Drain(t.Context(), hostCall("i1", 1)); !errors.Is(err, platform.ErrUnavailable) {
+	c := hostapi.Dial(addr, callTimeout)
+	if err := c.Drain(t.Context(), hostCall("i1", 1)); !errors.Is(err, hostapi.ErrUnavailable) {
 		t.Errorf("error %v, want ErrUnavailable", err)
 	}
 }
@@ -99,33 +99,33 @@
 func TestHostCalls(t *testing.T) {
 	type step struct {
 		call string
-		platform.HostCall
+		hostapi.HostCall
 		want error
 	}
 	cases := []struct {
 		name  string
 		steps []step
-		want  platform.HostStatus
+		want  hostapi.HostStatus
 		boots int
 	}{
 		{"repeat is one", []step{{"Drain", hostCall("i1", 1), nil}, {"Drain", hostCall("i1", 1), nil}},
-			platform.HostStatus{Host: "w1", Up: true, Draining: true, Intent: "i1"}, 0},
+			hostapi.HostStatus{Host: "w1", Up: true, Draining: true, Intent: "i1"}, 0},
 		{"late drain is fenced off", []step{
-			{"Drain", hostCall("i1", 1), nil}, {"CancelDrain", hostCall("i1", 3), nil}, {"Drain", hostCall("i0", 2), platform.ErrFenced},
-		}, platform.HostStatus{Host: "w1", Up: true, Intent: "i1"}, 0},
+			{"Drain", hostCall("i1", 1), nil}, {"CancelDrain", hostCall("i1", 3), nil}, {"Drain", hostCall("i0", 2), hostapi.ErrFenced},
+		}, hostapi.HostStatus{Host: "w1", Up: true, Intent: "i1"}, 0},
 		{"repeat after cancel has no effect", []step{
 			{"Drain", hostCall("i1", 1), nil}, {"CancelDrain", hostCall("i1", 1), nil}, {"Drain", hostCall("i1", 1), nil},
-		}, platform.HostStatus{Host: "w1", Up: true, Intent: "i1"}, 0},
-		{"reboot needs a drain", []step{{"Reboot", hostCall("i1", 1), platform.ErrRefused}},
-			platform.HostStatus{Host: "w1", Up: true}, 0},
+		}, hostapi.HostStatus{Host: "w1", Up: true, Intent: "i1"}, 0},
+		{"reboot needs a drain", []step{{"Reboot", hostCall("i1", 1), hostapi.ErrRefused}},
+			hostapi.HostStatus{Host: "w1", Up: true}, 0},
 		{"reboot once", []step{
 			{"Drain", hostCall("i1", 1), nil}, {"Reboot", hostCall("i1", 2), nil}, {"Reboot", hostCall("i1", 2), nil},
-		}, platform.HostStatus{Host: "w1", Draining: true, Intent: "i1"}, 1},
+		}, hostapi.HostStatus{Host: "w1", Draining: true, Intent: "i1"}, 1},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			p, c := serve(t)
-			calls := map[string]func(context.Context, platform.HostCall) error{"Drain": c.Drain, "CancelDrain": c.CancelDrain, "Reboot": c.Reboot}
+			calls := map[string]func(context.Context, hostapi.HostCall) error{"Drain": c.Drain, "CancelDrain": c.CancelDrain, "Reboot": c.Reboot}
 			for _, s := range tc.steps {
 				if err := calls[s.call](t.Context(), s.HostCall); !errors.Is(err, s.want) {
 					t.Fatalf("%s %v: error %v, want %v", s.call, s.HostCall, err, s.want)
@@ -148,11 +148,11 @@
 // TestTaskDeclaredNotStarted holds that an answer "not found" stays true when the start arrives late.
 func TestTaskDeclaredNotStarted(t *testing.T) {
 	p, c := serve(t)
-	if _, err := c.Task(t.Context(), platform.TaskCall{Job: "j1", Host: "w1", Token: 5}); !errors.Is(err, platform.ErrNotFound) {
+	if _, err := c.Task(t.Context(), hostapi.TaskCall{Job: "j1", Host: "w1", Token: 5}); !errors.Is(err, hostapi.ErrNotFound) {
 		t.Fatalf("error %v, want ErrNotFound", err)
 	}
 	for _, token := range []uint64{4, 5} {
-		if err := c.StartTask(t.Context(), start(token)); !errors.Is(err, platform.ErrFenced) {
+		if err := c.StartTask(t.Context(), start(token)); !errors.Is(err, hostapi.ErrFenced) {
 			t.Errorf("late start with token %d: error %v, want ErrFenced", token, err)
 		}
 	}
@@ -164,7 +164,7 @@
 func TestTaskCalls(t *testing.T) {
 	ctx := t.Context()
 	p, c := serve(t)
-	call := platform.TaskCall{Job: "j1", Host: "w1", Token: 5}
+	call := hostapi.TaskCall{Job: "j1", Host: "w1", Token: 5}
 	for range 2 {
 		if err := c.StartTask(ctx, start(5)); err != nil {
 			t.Fatal(err)
@@ -173,27 +173,27 @@
 	if n := p.Starts("j1"); n != 1 {
 		t.Errorf("started %d times, want once", n)
 	}
-	gone, err := c.RenewTasks(ctx, "w1", []platform.TaskCall{call, {Job: "j9", Host: "w1", Token: 1}})
+	gone, err := c.RenewTasks(ctx, "w1", []hostapi.TaskCall{call, {Job: "j9", Host: "w1", Token: 1}})
 	if diff := cmp.Diff([]fleet.JobID{"j9"}, gone); err != nil || diff != "" {
 		t.Errorf("renew: %v (-want +got):\n%s", err, diff)
 	}
 	if err := c.Drain(ctx, hostCall("i1", 1)); err != nil {
 		t.Fatal(err)
 	}
-	if err := c.Reboot(ctx, hostCall("i1", 1)); !errors.Is(err, platform.ErrRefused) {
+	if err := c.Reboot(ctx, hostCall("i1", 1)); !errors.Is(err, hostapi.ErrRefused) {
 		t.Errorf("reboot under a running task: error %v, want ErrRefused", err)
 	}
-	if err := c.Throttle(ctx, platform.ThrottleCall{TaskCall: call, Cores: 500}); err != nil {
+	if err := c.Throttle(ctx, hostapi.ThrottleCall{TaskCall: call, Cores: 500}); err != nil {
 		t.Error(err)
 	}
 	if err := c.Checkpoint(ctx, call); err != nil {
 		t.Error(err)
 	}
-	if err := c.StopTasks(ctx, "w1", []platform.TaskCall{call}); err != nil {
+	if err := c.StopTasks(ctx, "w1", []hostapi.TaskCall{call}); err != nil {
 		t.Error(err)
 	}
 	s, err := c.Task(ctx, call)
-	if err != nil || s.State != platform.TaskStopped || !s.Checkpointed {
+	if err != nil || s.State != hostapi.TaskStopped || !s.Checkpointed {
 		t.Errorf("task %+v, %v, want stopped after a checkpoint", s, err)
 	}
 	if n := p.CutOff(); n != 0 {
--- a/job/controller.go
+++ b/job/controller.go
@@ -14,7 +14,7 @@
 	"lycheehook.example/lycheehook/fleet"
 	"lycheehook.example/lycheehook/move"
 	"lycheehook.example/lycheehook/placement"
-	"lycheehook.example/lycheehook/platform"
+	"lycheehook.example/lycheehook/hostapi"
 	"lycheehook.example/lycheehook/record"
 	"lycheehook.example/lycheehook/store"
 )
@@ -38,7 +38,7 @@
 // Controller places and follows the jobs of the shards that it owns; a wrong guess of ownership costs a conflict.
 type Controller struct {
 	store     *store.Client
-	platform  *platform.Client
+	platform  *hostapi.Client
 	tables    func() fleet.Tables
 	hosts     func() map[fleet.HostName]record.Versioned[move.Record]
 	owns      func(shard int) bool
@@ -77,7 +77,7 @@
 
 // New returns a controller over the queues in tables and the host records that a move controller last read.
 func New(
-	s *store.Client, p *platform.Client, tables func() fleet.Tables,
+	s *store.Client, p *hostapi.Client, tables func() fleet.Tables,
 	hosts func() map[fleet.HostName]record.Versioned[move.Record], opts ...Option,
 ) *Controller {
 	c := &Controller{
--- a/job/job.go
+++ b/job/job.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"lycheehook.example/lycheehook/fleet"
-	"lycheehook.example/lycheehook/platform"
+	"lycheehook.example/lycheehook/hostapi"
 )
 
 // Prefix is the store prefix of job shards; the shard's number follows.
@@ -42,8 +42,8 @@
 }
 
 // Call returns the fenced name of the job's task.
-func (e Entry) Call() platform.TaskCall {
-	return platform.TaskCall{Job: e.ID, Host: e.Host, Token: e.Token}
+func (e Entry) Call() hostapi.TaskCall {
+	return hostapi.TaskCall{Job: e.ID, Host: e.Host, Token: e.Token}
 }
 
 // PlacedOn returns the entry with a place that is written before the worker is called.
@@ -92,25 +92,25 @@
 }
 
 // Settled returns the entry after its worker told the task's status.
-func (e Entry) Settled(s platform.TaskStatus, now time.Time) Entry {
+func (e Entry) Settled(s hostapi.TaskStatus, now time.Time) Entry {
 	switch s.State {
-	case platform.TaskRunning:
+	case hostapi.TaskRunning:
 		if e.State == fleet.JobStarting {
 			e.State, e.Started = fleet.JobRunning, s.Started.UTC().Round(0)
 		}
 
 		return e
-	case platform.TaskDone:
+	case hostapi.TaskDone:
 		return e.EndedAs(fleet.JobDone, now)
-	case platform.TaskFailed:
+	case hostapi.TaskFailed:
 		return e.EndedAs(fleet.JobFailed, now)
-	case platform.TaskStopped:
+	case hostapi.TaskStopped:
 		if s.Checkpointed && !e.Cancel {
 			return e.Unplaced()
 		}
 
 		return e.Interrupted(now)
-	case platform.TaskLapsed:
+	case hostapi.TaskLapsed:
 		return e.Interrupted(now)
 	default:
 		return e
--- a/job/job_test.go
+++ b/job/job_test.go
@@ -12,7 +12,7 @@
 	"lycheehook.example/lycheehook/fleet"
 	"lycheehook.example/lycheehook/job"
 	"lycheehook.example/lycheehook/move"
-	"lycheehook.example/lycheehook/platform"
+	"lycheehook.example/lycheehook/hostapi"
 	"lycheehook.example/lycheehook/record"
 	"lycheehook.example/lycheehook/standin"
 )
@@ -34,23 +34,23 @@
 }
 
 // flaky returns a client in which each call meets a fault that change chooses.
-func flaky(c *platform.Client, change func()) *platform.Client {
-	return &platform.Client{
-		StartTask: func(ctx context.Context, s platform.TaskStart) error { change(); return c.StartTask(ctx, s) },
-		RenewTasks: func(ctx context.Context, h fleet.HostName, t []platform.TaskCall) ([]fleet.JobID, error) {
+func flaky(c *hostapi.Client, change func()) *hostapi.Client {
+	return &hostapi.Client{
+		StartTask: func(ctx context.Context, s hostapi.TaskStart) error { change(); return c.StartTask(ctx, s) },
+		RenewTasks: func(ctx context.Context, h fleet.HostName, t []hostapi.TaskCall) ([]fleet.JobID, error) {
 			change()
 			return c.RenewTasks(ctx, h, t)
 		},
-		Task: func(ctx context.Context, q platform.TaskCall) (platform.TaskStatus, error) {
+		Task: func(ctx context.Context, q hostapi.TaskCall) (hostapi.TaskStatus, error) {
 			change()
 			return c.Task(ctx, q)
 		},
-		Tasks: func(ctx context.Context, h fleet.HostName) ([]platform.TaskStatus, error) {
+		Tasks: func(ctx context.Context, h fleet.HostName) ([]hostapi.TaskStatus, error) {
 			change()
 			return c.Tasks(ctx, h)
 		},
-		Checkpoint: func(ctx context.Context, q platform.TaskCall) error { change(); return c.Checkpoint(ctx, q) },
-		StopTasks: func(ctx context.Context, h fleet.HostName, t []platform.TaskCall) error {
+		Checkpoint: func(ctx context.Context, q hostapi.TaskCall) error { change(); return c.Checkpoint(ctx, q) },
+		StopTasks: func(ctx context.Context, h fleet.HostName, t []hostapi.TaskCall) error {
 			change()
 			return c.StopTasks(ctx, h, t)
 		},
@@ -151,9 +151,9 @@
 }
 
 // delayed lets a start arrive long after its caller gave it up.
-func (s *storm) delayed(c *platform.Client) *platform.Client {
+func (s *storm) delayed(c *hostapi.Client) *hostapi.Client {
 	late := *c
-	late.StartTask = func(ctx context.Context, q platform.TaskStart) error {
+	late.StartTask = func(ctx context.Context, q hostapi.TaskStart) error {
 		if s.intN(3) > 0 {
 			return c.StartTask(ctx, q)
 		}
@@ -163,7 +163,7 @@
 			_ = c.StartTask(context.WithoutCancel(ctx), q)
 		}()
 
-		return platform.ErrOutcomeUnknown
+		return hostapi.ErrOutcomeUnknown
 	}
 
 	return &late
@@ -247,7 +247,7 @@
 		if _, err := y.controllers[1].Step(t.Context(), time.Now()); err != nil {
 			t.Fatal(err)
 		}
-		late := platform.TaskStart{Job: e.ID, Host: e.Host, Token: e.Token, HostFence: e.HostFence, LeaseTTL: fleet.Duration(time.Minute)}
+		late := hostapi.TaskStart{Job: e.ID, Host: e.Host, Token: e.Token, HostFence: e.HostFence, LeaseTTL: fleet.Duration(time.Minute)}
 		if err := y.platform.Client().StartTask(t.Context(), late); err == nil {
 			t.Error("the late start was taken")
 		}
--- a/job/step.go
+++ b/job/step.go
@@ -10,7 +10,7 @@
 	"lycheehook.example/lycheehook/fleet"
 	"lycheehook.example/lycheehook/move"
 	"lycheehook.example/lycheehook/placement"
-	"lycheehook.example/lycheehook/platform"
+	"lycheehook.example/lycheehook/hostapi"
 	"lycheehook.example/lycheehook/record"
 )
 
@@ -112,7 +112,7 @@
 }
 
 func (c *Controller) start(ctx context.Context, e Entry, rep *Report) {
-	err := c.platform.StartTask(ctx, platform.TaskStart{
+	err := c.platform.StartTask(ctx, hostapi.TaskStart{
 		Job: e.ID, Host: e.Host, Token: e.Token, HostFence: e.HostFence, Size: e.Reserved, LeaseTTL: fleet.Duration(c.lease),
 	})
 	if err != nil {
@@ -125,7 +125,7 @@
 // settle renews the leases of one worker's tasks in one call, stops cancelled ones in another, and asks about the rest.
 func (c *Controller) settle(ctx context.Context, jobs map[fleet.JobID]Entry, now time.Time, rep *Report) {
 	for _, host := range hostsOf(jobs) {
-		var renew, stop []platform.TaskCall
+		var renew, stop []hostapi.TaskCall
 		for _, id := range slices.Sorted(maps.Keys(jobs)) {
 			e := jobs[id]
 			switch {
@@ -180,7 +180,7 @@
 		return
 	}
 	delete(c.silent, host)
-	listed := make(map[fleet.JobID]platform.TaskStatus, len(all))
+	listed := make(map[fleet.JobID]hostapi.TaskStatus, len(all))
 	for _, s := range all {
 		listed[s.Job] = s
 	}
@@ -197,7 +197,7 @@
 		switch {
 		case err == nil:
 			jobs[id] = c.learn(e, s, now, rep)
-		case errors.Is(err, platform.ErrNotFound):
+		case errors.Is(err, hostapi.ErrNotFound):
 			jobs[id] = e.NotStarted(now)
 		default:
 			rep.Failed = append(rep.Failed, err)
@@ -228,7 +228,7 @@
 }
 
 // learn settles an entry and remembers what its task used and how it ended.
-func (c *Controller) learn(e Entry, s platform.TaskStatus, now time.Time, rep *Report) Entry {
+func (c *Controller) learn(e Entry, s hostapi.TaskStatus, now time.Time, rep *Report) Entry {
 	next := e.Settled(s, now)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -323,7 +323,7 @@
 	if err != nil {
 		return
 	}
-	var saved []platform.TaskCall
+	var saved []hostapi.TaskCall
 	for _, v := range page.Records {
 		for _, e := range v.Value.Jobs {
 			if e.Host == w.Host && e.State == fleet.JobRunning && e.Idempotent && c.platform.Checkpoint(ctx, e.Call()) == nil {
--- a/move/controller.go
+++ b/move/controller.go
@@ -13,7 +13,7 @@
 
 	"lycheehook.example/lycheehook/budget"
 	"lycheehook.example/lycheehook/fleet"
-	"lycheehook.example/lycheehook/platform"
+	"lycheehook.example/lycheehook/hostapi"
 	"lycheehook.example/lycheehook/record"
 	"lycheehook.example/lycheehook/store"
 )
@@ -49,7 +49,7 @@
 // Controller carries hosts through their intents; any number of them may work on the same store.
 type Controller struct {
 	store       *store.Client
-	platform    *platform.Client
+	platform    *hostapi.Client
 	config      func() (Config, bool)
 	owner       Owner
 	propose     func(View, time.Time) []Proposal
@@ -68,7 +68,7 @@
 
 // seenDrain is when a host was first seen to drain under an intent.
 type seenDrain struct {
-	intent platform.IntentID
+	intent hostapi.IntentID
 	since  time.Time
 }
 
@@ -102,7 +102,7 @@
 func WithReturnLimit(d time.Duration) Option { return func(c *Controller) { c.returnLimit = d } }
 
 // New returns a controller; config returns the operators' lists and whether they are known to be in force.
-func New(s *store.Client, p *platform.Client, config func() (Config, bool), opts ...Option) *Controller {
+func New(s *store.Client, p *hostapi.Client, config func() (Config, bool), opts ...Option) *Controller {
 	all := Owner{Pool: func(fleet.PoolName) bool { return true }, Budget: func(fleet.BudgetName) bool { return true }}
 	c := &Controller{
 		store: s, platform: p, config: config, owner: all,
@@ -229,7 +229,7 @@
 }
 
 type answer struct {
-	status platform.HostStatus
+	status hostapi.HostStatus
 	err    error
 }
 
@@ -255,7 +255,7 @@
 
 // judge tells a host that is gone from one about which nothing is known: silence of the platform proves no loss.
 func (c *Controller) judge(name fleet.HostName, a answer, now time.Time) Sight {
-	unknown := a.err != nil && !errors.Is(a.err, platform.ErrNotFound)
+	unknown := a.err != nil && !errors.Is(a.err, hostapi.ErrNotFound)
 	if unknown {
 		return Sight{}
 	}
@@ -277,7 +277,7 @@
 }
 
 // drainingSince remembers when a host was first seen to drain; whoever takes over waits for its full time again.
-func (c *Controller) drainingSince(name fleet.HostName, s platform.HostStatus, now time.Time) time.Time {
+func (c *Controller) drainingSince(name fleet.HostName, s hostapi.HostStatus, now time.Time) time.Time {
 	if !s.Draining {
 		delete(c.drains, name)
 		return time.Time{}
@@ -364,7 +364,7 @@
 	switch {
 	case err == nil && s.Up:
 		return merry.Prepend(ErrInService, string(host))
-	case err != nil && !errors.Is(err, platform.ErrNotFound):
+	case err != nil && !errors.Is(err, hostapi.ErrNotFound):
 		return err
 	}
 	v, err := record.Read[Record](ctx, c.store, Prefix+string(host))
--- a/move/controller_test.go
+++ b/move/controller_test.go
@@ -11,7 +11,7 @@
 
 	"lycheehook.example/lycheehook/fleet"
 	"lycheehook.example/lycheehook/move"
-	"lycheehook.example/lycheehook/platform"
+	"lycheehook.example/lycheehook/hostapi"
 	"lycheehook.example/lycheehook/standin"
 	"lycheehook.example/lycheehook/store"
 )
@@ -187,8 +187,8 @@
 			t.Fatal(s)
 		}
 		for name, revision := range old {
-			err := b.platform.Client().StartTask(t.Context(), platform.TaskStart{Job: "j", Host: name, Token: 1, HostFence: revision})
-			if !errors.Is(err, platform.ErrFenced) {
+			err := b.platform.Client().StartTask(t.Context(), hostapi.TaskStart{Job: "j", Host: name, Token: 1, HostFence: revision})
+			if !errors.Is(err, hostapi.ErrFenced) {
 				t.Errorf("%s took a task under the record of its old pool: %v", name, err)
 			}
 		}
@@ -245,7 +245,7 @@
 		var asked int
 		b := newBench(1, rebootFirst, move.WithQuiesce(func(context.Context, move.Wait) { asked++ }), move.WithDrainLimit(time.Hour))
 		b.steps(t.Context(), 1)
-		start := platform.TaskStart{Job: "j", Host: hostName(0), Token: 1, HostFence: 1 << 40, LeaseTTL: fleet.Duration(24 * time.Hour)}
+		start := hostapi.TaskStart{Job: "j", Host: hostName(0), Token: 1, HostFence: 1 << 40, LeaseTTL: fleet.Duration(24 * time.Hour)}
 		if err := b.platform.Client().StartTask(t.Context(), start); err != nil {
 			// The first step may have drained the host already; the task then never started.
 			t.Fatal(err)
@@ -254,7 +254,7 @@
 		if len(rep.Waits) != 1 || rep.Waits[0].Reason != move.WaitTasks || asked == 0 || b.platform.Boots(hostName(0)) != 0 {
 			t.Errorf("waits %v, quiesce asked %d times, %d reboots", rep.Waits, asked, b.platform.Boots(hostName(0)))
 		}
-		b.platform.FinishTask(hostName(0), "j", platform.TaskDone)
+		b.platform.FinishTask(hostName(0), "j", hostapi.TaskDone)
 		b.steps(t.Context(), 100)
 		if n := b.platform.Boots(hostName(0)); n != 1 || b.platform.CutOff() != 0 || b.held() != 0 {
 			t.Errorf("%d reboots, %d tasks cut off, %d units held", n, b.platform.CutOff(), b.held())
--- a/move/decide.go
+++ b/move/decide.go
@@ -7,7 +7,7 @@
 
 	"lycheehook.example/lycheehook/budget"
 	"lycheehook.example/lycheehook/fleet"
-	"lycheehook.example/lycheehook/platform"
+	"lycheehook.example/lycheehook/hostapi"
 	"lycheehook.example/lycheehook/record"
 )
 
@@ -23,7 +23,7 @@
 type Sight struct {
 	// Asked reports whether Status is known.
 	Asked  bool
-	Status platform.HostStatus
+	Status hostapi.HostStatus
 	// DrainingSince is when the host was first seen to drain under its intent.
 	DrainingSince time.Time
 	// Lost says that the host has been gone for longer than a lagging list can explain.
@@ -85,7 +85,7 @@
 // CallHost asks the platform to do something to a host.
 type CallHost struct {
 	Kind CallKind
-	Call platform.HostCall
+	Call hostapi.HostCall
 }
 
 // Subject returns the host's name.
@@ -286,7 +286,7 @@
 }
 
 func (p *pass) call(kind CallKind, v record.Versioned[Record]) {
-	p.out.Actions = append(p.out.Actions, CallHost{Kind: kind, Call: platform.HostCall{
+	p.out.Actions = append(p.out.Actions, CallHost{Kind: kind, Call: hostapi.HostCall{
 		Host: v.Value.Name, Intent: v.Value.Intent.ID, Fence: v.Revision,
 	}})
 }
--- a/move/explore_test.go
+++ b/move/explore_test.go
@@ -11,7 +11,7 @@
 	"lycheehook.example/lycheehook/budget"
 	"lycheehook.example/lycheehook/fleet"
 	"lycheehook.example/lycheehook/move"
-	"lycheehook.example/lycheehook/platform"
+	"lycheehook.example/lycheehook/hostapi"
 	"lycheehook.example/lycheehook/record"
 )
 
@@ -33,7 +33,7 @@
 type platHost struct {
 	draining, down, crashed bool
 	fence                   uint64
-	intent, pending, booted platform.IntentID
+	intent, pending, booted hostapi.IntentID
 	done                    string
 }
 
@@ -98,7 +98,7 @@
 	for i := range e.hosts {
 		name, s := hostNames[i], r.sights[i]
 		in.View.Hosts[name] = r.hosts[i]
-		in.Sights[name] = move.Sight{Asked: true, Lost: s.crashed, Status: platform.HostStatus{
+		in.Sights[name] = move.Sight{Asked: true, Lost: s.crashed, Status: hostapi.HostStatus{
 			Host: name, Up: !s.down && !s.crashed, Draining: s.draining, Rebooted: s.booted, Intent: s.intent,
 		}}
 		if r.hosts[i].Value.Pool == "a" {
--- a/move/http_test.go
+++ b/move/http_test.go
@@ -9,7 +9,7 @@
 
 	"lycheehook.example/lycheehook/fleet"
 	"lycheehook.example/lycheehook/move"
-	"lycheehook.example/lycheehook/platform"
+	"lycheehook.example/lycheehook/hostapi"
 	"lycheehook.example/lycheehook/standin"
 	"lycheehook.example/lycheehook/store"
 )
@@ -24,7 +24,7 @@
 	p.SetRebootTime(0)
 	p.PutHost(fleet.Host{Name: "h0", Pool: "a", Zone: "z"})
 	storeClient := store.Dial(address(httptest.NewServer(st)), time.Second)
-	platformClient := platform.Dial(address(httptest.NewServer(p)), time.Second)
+	platformClient := hostapi.Dial(address(httptest.NewServer(p)), time.Second)
 	c := move.New(storeClient, platformClient, func() (move.Config, bool) { return poolsAB(poolBudget, zoneBudget), true },
 		move.WithMinDrain(0), move.WithProposals(func(v move.View, _ time.Time) []move.Proposal {
 			if v.Hosts["h0"].Value.Pool != "a" {
--- a/move/move.go
+++ b/move/move.go
@@ -6,7 +6,7 @@
 
 	"lycheehook.example/lycheehook/budget"
 	"lycheehook.example/lycheehook/fleet"
-	"lycheehook.example/lycheehook/platform"
+	"lycheehook.example/lycheehook/hostapi"
 )
 
 // Prefix is the store prefix of host records; the host's name follows.
@@ -29,7 +29,7 @@
 
 // Intent is what is being done to a host; every platform call names it.
 type Intent struct {
-	ID platform.IntentID
+	ID hostapi.IntentID
 	// From and To are equal when the host does not change its pool.
 	From   fleet.PoolName
 	To     fleet.PoolName
@@ -101,8 +101,8 @@
 	return r
 }
 
-func intentID(h fleet.HostName, revision uint64) platform.IntentID {
-	return platform.IntentID(fmt.Sprintf("%s-%d", h, revision))
+func intentID(h fleet.HostName, revision uint64) hostapi.IntentID {
+	return hostapi.IntentID(fmt.Sprintf("%s-%d", h, revision))
 }
 
 // Aborted returns the record without its intent; only a host that was not drained yet may abort.
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -8,7 +8,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"lycheehook.example/lycheehook/fleet"
-	"lycheehook.example/lycheehook/platform"
+	"lycheehook.example/lycheehook/hostapi"
 )
 
 // defaultRebootTime is how long a host stays down for a reboot.
@@ -19,12 +19,12 @@
 	host     fleet.Host
 	draining bool
 	fence    uint64
-	intent   platform.IntentID
-	done     map[platform.IntentID]map[string]bool
-	rebooted platform.IntentID
+	intent   hostapi.IntentID
+	done     map[hostapi.IntentID]map[string]bool
+	rebooted hostapi.IntentID
 	// backAt is when the host is up again; zero while it is up.
 	backAt  time.Time
-	pending platform.IntentID
+	pending hostapi.IntentID
 	never   bool
 	crashed bool
 	failing bool
@@ -40,7 +40,7 @@
 	endpoints  fleet.Table[fleet.EndpointName, fleet.Endpoint]
 	fault      Fault
 	delay      time.Duration
-	stale      *platform.Inventory
+	stale      *hostapi.Inventory
 	rebootTime time.Duration
 	taskTime   time.Duration
 	calls      map[string]int64
@@ -67,7 +67,7 @@
 		return
 	}
 	p.workers[h.Name] = &worker{
-		host: h, done: map[platform.IntentID]map[string]bool{}, tasks: map[fleet.JobID]*task{}, tokens: map[fleet.JobID]uint64{},
+		host: h, done: map[hostapi.IntentID]map[string]bool{}, tasks: map[fleet.JobID]*task{}, tokens: map[fleet.JobID]uint64{},
 	}
 }
 
@@ -187,8 +187,8 @@
 }
 
 // Client returns a client that calls the platform without a network.
-func (p *Platform) Client() *platform.Client {
-	return &platform.Client{
+func (p *Platform) Client() *hostapi.Client {
+	return &hostapi.Client{
 		Inventory:   p.inventory,
 		Status:      p.status,
 		Drain:       p.drain,
@@ -214,17 +214,17 @@
 	if delay > 0 {
 		select {
 		case <-ctx.Done():
-			return merry.Prepend(platform.ErrOutcomeUnknown, name)
+			return merry.Prepend(hostapi.ErrOutcomeUnknown, name)
 		case <-time.After(delay):
 		}
 	}
 
 	switch fault {
 	case FaultDown:
-		return merry.Prepend(platform.ErrUnavailable, name)
+		return merry.Prepend(hostapi.ErrUnavailable, name)
 	case FaultSilent:
 		<-ctx.Done()
-		return merry.Prepend(platform.ErrOutcomeUnknown, name)
+		return merry.Prepend(hostapi.ErrOutcomeUnknown, name)
 	case FaultNone, FaultAnswerLost:
 	}
 	p.mu.Lock()
@@ -235,7 +235,7 @@
 // answer returns what a call with an effect reports under the fault in force; the platform is locked.
 func (p *Platform) answer(name string) error {
 	if p.fault == FaultAnswerLost {
-		return merry.Prepend(platform.ErrOutcomeUnknown, name)
+		return merry.Prepend(hostapi.ErrOutcomeUnknown, name)
 	}
 
 	return nil
@@ -273,7 +273,7 @@
 	return all
 }
 
-func (p *Platform) list() platform.Inventory {
+func (p *Platform) list() hostapi.Inventory {
 	hosts := fleet.Table[fleet.HostName, fleet.Host]{}
 	for name, w := range p.workers {
 		h := w.host.WithState(fleet.HostLive)
@@ -288,12 +288,12 @@
 		hosts = hosts.With(name, h)
 	}
 
-	return platform.Inventory{Hosts: hosts.Values(), Endpoints: p.leaving()}
+	return hostapi.Inventory{Hosts: hosts.Values(), Endpoints: p.leaving()}
 }
 
-func (p *Platform) inventory(ctx context.Context) (platform.Inventory, error) {
+func (p *Platform) inventory(ctx context.Context) (hostapi.Inventory, error) {
 	if err := p.enter(ctx, "Inventory"); err != nil {
-		return platform.Inventory{}, readError(err)
+		return hostapi.Inventory{}, readError(err)
 	}
 	defer p.mu.Unlock()
 	if p.stale != nil {
@@ -303,24 +303,24 @@
 	return p.list(), nil
 }
 
-func (p *Platform) status(ctx context.Context, name fleet.HostName) (platform.HostStatus, error) {
+func (p *Platform) status(ctx context.Context, name fleet.HostName) (hostapi.HostStatus, error) {
 	if err := p.enter(ctx, "Status"); err != nil {
-		return platform.HostStatus{}, readError(err)
+		return hostapi.HostStatus{}, readError(err)
 	}
 	defer p.mu.Unlock()
 
 	w, ok := p.workers[name]
 	if !ok {
-		return platform.HostStatus{}, merry.Prepend(platform.ErrNotFound, string(name))
+		return hostapi.HostStatus{}, merry.Prepend(hostapi.ErrNotFound, string(name))
 	}
 
-	return platform.HostStatus{
+	return hostapi.HostStatus{
 		Host: name, Up: p.up(w), Draining: w.draining, Running: p.running(w), Rebooted: w.rebooted, Intent: w.intent,
 	}, nil
 }
 
 // act carries out one call to a host unless it is fenced off or a repeat.
-func (p *Platform) act(ctx context.Context, kind string, c platform.HostCall, effect func(*worker) error) error {
+func (p *Platform) act(ctx context.Context, kind string, c hostapi.HostCall, effect func(*worker) error) error {
 	if err := p.enter(ctx, kind); err != nil {
 		return err
 	}
@@ -328,10 +328,10 @@
 
 	w, ok := p.workers[c.Host]
 	if !ok {
-		return merry.Prepend(platform.ErrNotFound, string(c.Host))
+		return merry.Prepend(hostapi.ErrNotFound, string(c.Host))
 	}
 	if c.Fence < w.fence {
-		return merry.Prependf(platform.ErrFenced, "%s %s: fence %d after %d", kind, c.Host, c.Fence, w.fence)
+		return merry.Prependf(hostapi.ErrFenced, "%s %s: fence %d after %d", kind, c.Host, c.Fence, w.fence)
 	}
 	if w.done[c.Intent][kind] {
 		return p.answer(kind)
@@ -349,17 +349,17 @@
 	return p.answer(kind)
 }
 
-func (p *Platform) drain(ctx context.Context, c platform.HostCall) error {
+func (p *Platform) drain(ctx context.Context, c hostapi.HostCall) error {
 	return p.act(ctx, "Drain", c, func(w *worker) error {
 		w.draining = true
 		return nil
 	})
 }
 
-func (p *Platform) cancelDrain(ctx context.Context, c platform.HostCall) error {
+func (p *Platform) cancelDrain(ctx context.Context, c hostapi.HostCall) error {
 	return p.act(ctx, "CancelDrain", c, func(w *worker) error {
 		if !p.up(w) {
-			return merry.Prependf(platform.ErrRefused, "host %s is down", c.Host)
+			return merry.Prependf(hostapi.ErrRefused, "host %s is down", c.Host)
 		}
 		w.draining = false
 
@@ -367,13 +367,13 @@
 	})
 }
 
-func (p *Platform) reboot(ctx context.Context, c platform.HostCall) error {
+func (p *Platform) reboot(ctx context.Context, c hostapi.HostCall) error {
 	return p.act(ctx, "Reboot", c, func(w *worker) error {
 		if !w.draining {
-			return merry.Prependf(platform.ErrRefused, "host %s is not drained", c.Host)
+			return merry.Prependf(hostapi.ErrRefused, "host %s is not drained", c.Host)
 		}
 		if n := p.running(w); n > 0 {
-			return merry.Prependf(platform.ErrRefused, "host %s runs %d tasks and requests", c.Host, n)
+			return merry.Prependf(hostapi.ErrRefused, "host %s runs %d tasks and requests", c.Host, n)
 		}
 		w.boots++
 		w.pending = c.Intent
--- a/standin/platformserver.go
+++ b/standin/platformserver.go
@@ -7,7 +7,7 @@
 	"net/http"
 
 	"lycheehook.example/lycheehook/fleet"
-	"lycheehook.example/lycheehook/platform"
+	"lycheehook.example/lycheehook/hostapi"
 )
 
 type platformHostRequest struct {
@@ -16,7 +16,7 @@
 
 type platformTasksRequest struct {
 	Host  fleet.HostName
-	Tasks []platform.TaskCall
+	Tasks []hostapi.TaskCall
 }
 
 type platformRenewAnswer struct {
@@ -24,7 +24,7 @@
 }
 
 type platformTasksAnswer struct {
-	Tasks []platform.TaskStatus
+	Tasks []hostapi.TaskStatus
 }
 
 type platformErrorAnswer struct {
@@ -38,10 +38,10 @@
 	status int
 	name   string
 }{
-	{platform.ErrUnavailable, http.StatusServiceUnavailable, "Unavailable"},
-	{platform.ErrRefused, http.StatusConflict, "Refused"},
-	{platform.ErrFenced, http.StatusPreconditionFailed, "Fenced"},
-	{platform.ErrNotFound, http.StatusNotFound, "NotFound"},
+	{hostapi.ErrUnavailable, http.StatusServiceUnavailable, "Unavailable"},
+	{hostapi.ErrRefused, http.StatusConflict, "Refused"},
+	{hostapi.ErrFenced, http.StatusPreconditionFailed, "Fenced"},
+	{hostapi.ErrNotFound, http.StatusNotFound, "NotFound"},
 }
 
 // ServeHTTP serves the protocol of the platform.
@@ -64,7 +64,7 @@
 	}
 }
 
-func (p *Platform) serveTasks(w http.ResponseWriter, r *http.Request, c *platform.Client) {
+func (p *Platform) serveTasks(w http.ResponseWriter, r *http.Request, c *hostapi.Client) {
 	switch r.URL.Path {
 	case "/v1/tasks/start":
 		servePlatform(w, r, effect(c.StartTask))
@@ -74,7 +74,7 @@
 			return platformRenewAnswer{Gone: gone}, err
 		})
 	case "/v1/tasks/status":
-		servePlatform(w, r, func(ctx context.Context, q platform.TaskCall) (any, error) { return c.Task(ctx, q) })
+		servePlatform(w, r, func(ctx context.Context, q hostapi.TaskCall) (any, error) { return c.Task(ctx, q) })
 	case "/v1/tasks/list":
 		servePlatform(w, r, func(ctx context.Context, q platformHostRequest) (any, error) {
 			all, err := c.Tasks(ctx, q.Host)
@@ -109,7 +109,7 @@
 
 // writePlatformAnswer writes an answer; an unknown outcome cuts the connection, as a lost answer would.
 func writePlatformAnswer(w http.ResponseWriter, answer any, err error) {
-	if errors.Is(err, platform.ErrOutcomeUnknown) {
+	if errors.Is(err, hostapi.ErrOutcomeUnknown) {
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("Content-Type", "application/json")
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -9,13 +9,13 @@
 	"github.com/ansel1/merry/v2"
 
 	"lycheehook.example/lycheehook/fleet"
-	"lycheehook.example/lycheehook/platform"
+	"lycheehook.example/lycheehook/hostapi"
 )
 
 // task is a job's task on a worker.
 type task struct {
-	start     platform.TaskStart
-	status    platform.TaskStatus
+	start     hostapi.TaskStart
+	status    hostapi.TaskStatus
 	expires   time.Time
 	throttled fleet.MilliCores
 }
@@ -46,10 +46,10 @@
 }
 
 // FinishTask ends a running task in the given state.
-func (p *Platform) FinishTask(host fleet.HostName, job fleet.JobID, state platform.TaskState) {
+func (p *Platform) FinishTask(host fleet.HostName, job fleet.JobID, state hostapi.TaskState) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if t := p.find(host, job); t != nil && t.status.State == platform.TaskRunning {
+	if t := p.find(host, job); t != nil && t.status.State == hostapi.TaskRunning {
 		t.end(state, time.Now())
 	}
 }
@@ -79,7 +79,7 @@
 	return w.tasks[job]
 }
 
-func (t *task) end(s platform.TaskState, now time.Time) {
+func (t *task) end(s hostapi.TaskState, now time.Time) {
 	t.status.State, t.status.Ended = s, now
 }
 
@@ -88,7 +88,7 @@
 	n := 0
 	for _, t := range w.tasks {
 		t.settle(time.Now())
-		if t.status.State == platform.TaskRunning {
+		if t.status.State == hostapi.TaskRunning {
 			n++
 		}
 	}
@@ -98,15 +98,15 @@
 
 // settle ends a task whose run time is over or whose lease has lapsed, whichever came first.
 func (t *task) settle(now time.Time) {
-	if t.status.State != platform.TaskRunning {
+	if t.status.State != hostapi.TaskRunning {
 		return
 	}
 	ended := t.status.Ended
 	switch {
 	case !ended.IsZero() && !now.Before(ended) && !ended.After(t.expires):
-		t.end(platform.TaskDone, ended)
+		t.end(hostapi.TaskDone, ended)
 	case !now.Before(t.expires):
-		t.end(platform.TaskLapsed, t.expires)
+		t.end(hostapi.TaskLapsed, t.expires)
 	}
 }
 
@@ -114,7 +114,7 @@
 func (w *worker) taken() fleet.Resources {
 	var sum fleet.Resources
 	for _, t := range w.tasks {
-		if t.status.State == platform.TaskRunning {
+		if t.status.State == hostapi.TaskRunning {
 			sum = sum.Plus(t.start.Size)
 		}
 	}
@@ -124,8 +124,8 @@
 
 func (w *worker) loseTasks() {
 	for _, t := range w.tasks {
-		if t.status.State == platform.TaskRunning {
-			t.end(platform.TaskLapsed, time.Now())
+		if t.status.State == hostapi.TaskRunning {
+			t.end(hostapi.TaskLapsed, time.Now())
 		}
 	}
 }
@@ -139,18 +139,18 @@
 	w, ok := p.workers[host]
 	if !ok {
 		p.mu.Unlock()
-		return nil, merry.Prepend(platform.ErrRefused, "no host "+string(host))
+		return nil, merry.Prepend(hostapi.ErrRefused, "no host "+string(host))
 	}
 	if !p.up(w) {
 		p.mu.Unlock()
-		return nil, merry.Prependf(platform.ErrUnavailable, "host %s is down", host)
+		return nil, merry.Prependf(hostapi.ErrUnavailable, "host %s is down", host)
 	}
 	w.running()
 
 	return w, nil
 }
 
-func (p *Platform) startTask(ctx context.Context, s platform.TaskStart) error {
+func (p *Platform) startTask(ctx context.Context, s hostapi.TaskStart) error {
 	w, err := p.enterWorker(ctx, "StartTask", s.Host)
 	if err != nil {
 		return err
@@ -158,23 +158,23 @@
 	defer p.mu.Unlock()
 
 	if s.Token < w.tokens[s.Job] {
-		return merry.Prependf(platform.ErrFenced, "job %s: token %d after %d", s.Job, s.Token, w.tokens[s.Job])
+		return merry.Prependf(hostapi.ErrFenced, "job %s: token %d after %d", s.Job, s.Token, w.tokens[s.Job])
 	}
 	if t := w.tasks[s.Job]; t != nil && t.status.Token == s.Token {
 		return p.answer("StartTask")
 	}
 	if s.Token == w.tokens[s.Job] {
-		return merry.Prependf(platform.ErrFenced, "job %s: token %d was declared not started", s.Job, s.Token)
+		return merry.Prependf(hostapi.ErrFenced, "job %s: token %d was declared not started", s.Job, s.Token)
 	}
 	if s.HostFence < w.fence {
-		return merry.Prependf(platform.ErrFenced, "host %s: fence %d after %d", s.Host, s.HostFence, w.fence)
+		return merry.Prependf(hostapi.ErrFenced, "host %s: fence %d after %d", s.Host, s.HostFence, w.fence)
 	}
 	if w.draining {
-		return merry.Prependf(platform.ErrRefused, "host %s is draining", s.Host)
+		return merry.Prependf(hostapi.ErrRefused, "host %s is draining", s.Host)
 	}
 
 	if !w.taken().Plus(s.Size).FitsIn(w.host.Capacity) {
-		return merry.Prependf(platform.ErrRefused, "host %s has no room", s.Host)
+		return merry.Prependf(hostapi.ErrRefused, "host %s has no room", s.Host)
 	}
 
 	p.launch(w, s)
@@ -182,23 +182,23 @@
 	return p.answer("StartTask")
 }
 
-func (p *Platform) launch(w *worker, s platform.TaskStart) {
+func (p *Platform) launch(w *worker, s hostapi.TaskStart) {
 	now := time.Now()
 	p.starts[s.Job]++
 	w.tokens[s.Job] = s.Token
-	t := &task{start: s, expires: now.Add(s.LeaseTTL.Std()), status: platform.TaskStatus{
-		Job: s.Job, Host: s.Host, Token: s.Token, State: platform.TaskRunning, Started: now,
+	t := &task{start: s, expires: now.Add(s.LeaseTTL.Std()), status: hostapi.TaskStatus{
+		Job: s.Job, Host: s.Host, Token: s.Token, State: hostapi.TaskRunning, Started: now,
 	}}
 	if p.taskTime > 0 {
 		t.status.Ended = now.Add(p.taskTime)
 	}
 	if w.failing {
-		t.end(platform.TaskFailed, now)
+		t.end(hostapi.TaskFailed, now)
 	}
 	w.tasks[s.Job] = t
 }
 
-func (p *Platform) renewTasks(ctx context.Context, host fleet.HostName, tasks []platform.TaskCall) ([]fleet.JobID, error) {
+func (p *Platform) renewTasks(ctx context.Context, host fleet.HostName, tasks []hostapi.TaskCall) ([]fleet.JobID, error) {
 	w, err := p.enterWorker(ctx, "RenewTasks", host)
 	if err != nil {
 		return nil, err
@@ -208,7 +208,7 @@
 	var gone []fleet.JobID
 	for _, c := range tasks {
 		t := w.tasks[c.Job]
-		if t == nil || t.status.Token != c.Token || t.status.State != platform.TaskRunning {
+		if t == nil || t.status.Token != c.Token || t.status.State != hostapi.TaskRunning {
 			gone = append(gone, c.Job)
 			continue
 		}
@@ -218,10 +218,10 @@
 	return gone, p.answer("RenewTasks")
 }
 
-func (p *Platform) task(ctx context.Context, c platform.TaskCall) (platform.TaskStatus, error) {
+func (p *Platform) task(ctx context.Context, c hostapi.TaskCall) (hostapi.TaskStatus, error) {
 	w, err := p.enterWorker(ctx, "Task", c.Host)
 	if err != nil {
-		return platform.TaskStatus{}, readError(err)
+		return hostapi.TaskStatus{}, readError(err)
 	}
 	defer p.mu.Unlock()
 
@@ -232,27 +232,27 @@
 	// From here on a late start with this token is refused, so that the answer stays true.
 	w.tokens[c.Job] = max(w.tokens[c.Job], c.Token)
 
-	return platform.TaskStatus{}, merry.Prependf(platform.ErrNotFound, "job %s on %s", c.Job, c.Host)
+	return hostapi.TaskStatus{}, merry.Prependf(hostapi.ErrNotFound, "job %s on %s", c.Job, c.Host)
 }
 
-func (p *Platform) listTasks(ctx context.Context, host fleet.HostName) ([]platform.TaskStatus, error) {
+func (p *Platform) listTasks(ctx context.Context, host fleet.HostName) ([]hostapi.TaskStatus, error) {
 	w, err := p.enterWorker(ctx, "Tasks", host)
 	if err != nil {
 		return nil, readError(err)
 	}
 	defer p.mu.Unlock()
 
-	all := make([]platform.TaskStatus, 0, len(w.tasks))
+	all := make([]hostapi.TaskStatus, 0, len(w.tasks))
 	for _, t := range w.tasks {
 		all = append(all, t.status)
 	}
-	slices.SortFunc(all, func(a, b platform.TaskStatus) int { return strings.Compare(string(a.Job), string(b.Job)) })
+	slices.SortFunc(all, func(a, b hostapi.TaskStatus) int { return strings.Compare(string(a.Job), string(b.Job)) })
 
 	return all, nil
 }
 
 // onTask applies an effect to a running task with the call's token.
-func (p *Platform) onTask(ctx context.Context, kind string, c platform.TaskCall, effect func(*task)) error {
+func (p *Platform) onTask(ctx context.Context, kind string, c hostapi.TaskCall, effect func(*task)) error {
 	w, err := p.enterWorker(ctx, kind, c.Host)
 	if err != nil {
 		return err
@@ -260,26 +260,26 @@
 	defer p.mu.Unlock()
 
 	t := w.tasks[c.Job]
-	if t == nil || t.status.State != platform.TaskRunning {
-		return merry.Prependf(platform.ErrNotFound, "job %s on %s", c.Job, c.Host)
+	if t == nil || t.status.State != hostapi.TaskRunning {
+		return merry.Prependf(hostapi.ErrNotFound, "job %s on %s", c.Job, c.Host)
 	}
 	if c.Token < t.status.Token {
-		return merry.Prependf(platform.ErrFenced, "job %s", c.Job)
+		return merry.Prependf(hostapi.ErrFenced, "job %s", c.Job)
 	}
 	effect(t)
 
 	return p.answer(kind)
 }
 
-func (p *Platform) checkpoint(ctx context.Context, c platform.TaskCall) error {
+func (p *Platform) checkpoint(ctx context.Context, c hostapi.TaskCall) error {
 	return p.onTask(ctx, "Checkpoint", c, func(t *task) { t.status.Checkpointed = true })
 }
 
-func (p *Platform) throttle(ctx context.Context, c platform.ThrottleCall) error {
+func (p *Platform) throttle(ctx context.Context, c hostapi.ThrottleCall) error {
 	return p.onTask(ctx, "Throttle", c.TaskCall, func(t *task) { t.throttled = c.Cores })
 }
 
-func (p *Platform) stopTasks(ctx context.Context, host fleet.HostName, tasks []platform.TaskCall) error {
+func (p *Platform) stopTasks(ctx context.Context, host fleet.HostName, tasks []hostapi.TaskCall) error {
 	w, err := p.enterWorker(ctx, "StopTasks", host)
 	if err != nil {
 		return err
@@ -288,13 +288,13 @@
 
 	for _, c := range tasks {
 		t := w.tasks[c.Job]
-		if t == nil || t.status.State != platform.TaskRunning || c.Token < t.status.Token {
+		if t == nil || t.status.State != hostapi.TaskRunning || c.Token < t.status.Token {
 			continue
 		}
 		if !t.status.Checkpointed {
 			p.cutOff++
 		}
-		t.end(platform.TaskStopped, time.Now())
+		t.end(hostapi.TaskStopped, time.Now())
 	}
 
 	return p.answer("StopTasks")
--- a/trace/fleet_test.go
+++ b/trace/fleet_test.go
@@ -9,7 +9,7 @@
 	"lycheehook.example/lycheehook/budget"
 	"lycheehook.example/lycheehook/fleet"
 	"lycheehook.example/lycheehook/move"
-	"lycheehook.example/lycheehook/platform"
+	"lycheehook.example/lycheehook/hostapi"
 	"lycheehook.example/lycheehook/record"
 	"lycheehook.example/lycheehook/trace"
 )
@@ -56,7 +56,7 @@
 	for _, h := range trace.Hosts(s) {
 		zones[h.Zone]++
 		r.view.Hosts[h.Name] = record.Versioned[move.Record]{Value: move.Record{Host: h}, Revision: 1}
-		r.sights[h.Name] = &move.Sight{Asked: true, Status: platform.HostStatus{Host: h.Name, Up: true}}
+		r.sights[h.Name] = &move.Sight{Asked: true, Status: hostapi.HostStatus{Host: h.Name, Up: true}}
 	}
 	for zone, n := range zones {
 		r.setBudget(fleet.Budget{Name: fleet.BudgetName(zone), Zones: []fleet.ZoneName{zone}, MaxUnavailable: int(zonePart * float64(n))})
--- a/upkeep/upkeep.go
+++ b/upkeep/upkeep.go
@@ -10,7 +10,7 @@
 	"lycheehook.example/lycheehook/job"
 	"lycheehook.example/lycheehook/move"
 	"lycheehook.example/lycheehook/placement"
-	"lycheehook.example/lycheehook/platform"
+	"lycheehook.example/lycheehook/hostapi"
 	"lycheehook.example/lycheehook/store"
 	"lycheehook.example/lycheehook/wave"
 )
@@ -78,7 +78,7 @@
 }
 
 // New returns a controller over the platform's store and workers.
-func New(s *store.Client, p *platform.Client, lists func() Lists, opts ...Option) *Controller {
+func New(s *store.Client, p *hostapi.Client, lists func() Lists, opts ...Option) *Controller {
 	c := &Controller{
 		lists: lists, owns: func(fleet.PoolName) bool { return true },
 		movePolicy: move.DefaultPolicy(move.LedgerWeights()), wavePolicy: wave.DefaultPolicy(),
