--- /dev/null
+++ b/dispatch/dispatch.go
@@ -0,0 +1,292 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"lycheehook.example/lycheehook/ledger"
+	"lycheehook.example/lycheehook/owner"
+	"lycheehook.example/lycheehook/schedule"
+	"lycheehook.example/lycheehook/store"
+	"lycheehook.example/lycheehook/work"
+)
+
+const (
+	// passInterval is the least time between two passes, so that events gather.
+	passInterval = 4 * time.Millisecond
+	// tickInterval is the most time between two passes, for what only time brings about.
+	tickInterval = 100 * time.Millisecond
+	// storeInterval is the least time between two batches of the log, since the store counts each call.
+	storeInterval = 20 * time.Millisecond
+)
+
+// Dispatcher serves terms of ownership.
+type Dispatcher struct {
+	client   *store.Client
+	follower *ledger.Follower
+	workers  work.Workers
+	bounds   schedule.Bounds
+	config   func() (work.Config, bool)
+	log      *log.Logger
+	roster   func(ctx context.Context, tell func(Roster))
+	observe  schedule.Observer
+	host     ledger.Owner
+}
+
+// Roster is a change among the registered workers.
+type Roster struct {
+	// Whole says that Present are all workers that there are.
+	Whole   bool
+	Present []work.Registration
+	Gone    []work.WorkerID
+}
+
+// Option changes a new dispatcher.
+type Option func(*Dispatcher)
+
+// WithObserver makes f be told of each decision about a run.
+func WithObserver(f schedule.Observer) Option {
+	return func(d *Dispatcher) { d.observe = f }
+}
+
+// New returns a dispatcher; config returns the configuration in force, and roster follows the registered workers.
+func New(
+	c *store.Client, f *ledger.Follower, w work.Workers, b schedule.Bounds, host ledger.Owner, l *log.Logger,
+	config func() (work.Config, bool), roster func(ctx context.Context, tell func(Roster)), options ...Option,
+) *Dispatcher {
+	d := &Dispatcher{
+		client: c, follower: f, workers: w, bounds: b, host: host, log: l, config: config, roster: roster, observe: func(schedule.Decision) {},
+	}
+	for _, o := range options {
+		o(d)
+	}
+
+	return d
+}
+
+// term is one term that is being served.
+type term struct {
+	*Dispatcher
+	owned *owner.Term
+	log   *logWriter
+
+	mu      sync.Mutex
+	sched   *schedule.Scheduler
+	version int64
+	writing bool
+	wrote   time.Time
+	wake    chan struct{}
+	lost    context.CancelFunc
+}
+
+// Serve owns the workers until the term or the context is over.
+func (d *Dispatcher) Serve(ctx context.Context, owned *owner.Term) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+
+	t := &term{Dispatcher: d, owned: owned, wake: make(chan struct{}, 1), lost: cancel}
+	jobs := &inbox{}
+	d.follower.OnJob(jobs.put)
+	defer d.follower.OnJob(nil)
+
+	book, _, err := ledger.Read(ctx, d.client)
+	for err != nil && ctx.Err() == nil && !owned.Over() {
+		d.log.Warn("read of the ledger at the start of a term failed", "error", err)
+		pause(ctx, retryPause)
+		book, _, err = ledger.Read(ctx, d.client)
+	}
+	if err != nil {
+		return
+	}
+	t.sched = schedule.New(owned.Revision, d.bounds, book.Entries(), time.Now(), schedule.WithObserver(d.observe))
+	t.log = newLogWriter(d.client, d.host, owned.Revision, book.NextBatch(), d.log)
+	jobs.deliver(t.addJob)
+
+	var all sync.WaitGroup
+	all.Go(func() { d.roster(ctx, t.setRoster) })
+	t.run(ctx)
+	cancel()
+	all.Wait()
+}
+
+func (t *term) run(ctx context.Context) {
+	tick := time.NewTicker(tickInterval)
+	defer tick.Stop()
+	for ctx.Err() == nil && !t.owned.Over() {
+		t.pass(ctx)
+		pause(ctx, passInterval)
+		select {
+		case <-ctx.Done():
+		case <-t.wake:
+		case <-tick.C:
+			t.mu.Lock()
+			t.sched.Tick()
+			t.mu.Unlock()
+		}
+	}
+}
+
+// pass lets the scheduler decide and sends out what it decided.
+func (t *term) pass(ctx context.Context) {
+	now := time.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	if c, ok := t.config(); ok && c.Version != t.version {
+		t.sched.SetConfig(c)
+		t.version = c.Version
+	}
+	t.sched.Lapse(now)
+	if t.owned.Valid() {
+		t.sched.Place(now)
+		for _, l := range t.sched.Looks(now) {
+			go t.look(l)
+		}
+		for _, o := range t.sched.Stops(now) {
+			go t.order(o)
+		}
+	}
+	t.store(ctx, now)
+}
+
+// store begins to write the changes that have gathered, unless others are being written.
+func (t *term) store(ctx context.Context, now time.Time) {
+	if t.writing || now.Sub(t.wrote) < storeInterval {
+		return
+	}
+	changes, starts := t.sched.Take()
+	if len(changes) == 0 {
+		t.sched.Stored(nil, now)
+		return
+	}
+	t.writing, t.wrote = true, now
+	go t.write(ctx, changes, starts)
+}
+
+func (t *term) write(ctx context.Context, changes []ledger.Change, starts []schedule.Start) {
+	if err := t.log.append(ctx, changes); err != nil {
+		t.Dispatcher.log.Warn("term ends, its log can't be written", "term", t.owned.Revision, "error", err)
+		t.lost()
+
+		return
+	}
+	t.mu.Lock()
+	t.writing = false
+	var orders []schedule.Order
+	if t.owned.Valid() {
+		orders = t.sched.Stored(starts, time.Now())
+	} else {
+		t.sched.Withdraw(starts)
+	}
+	t.mu.Unlock()
+	for _, o := range orders {
+		go t.order(o)
+	}
+	t.signal()
+}
+
+func (t *term) look(l schedule.Look) {
+	sight, err := t.workers.Look(l.Worker, l.Order)
+	t.mu.Lock()
+	t.sched.Seen(l, sight, err, time.Now())
+	t.mu.Unlock()
+	t.signal()
+}
+
+func (t *term) order(o schedule.Order) {
+	var a work.Answer
+	var err error
+	switch {
+	case !t.owned.Valid():
+		err = work.ErrNotSent
+	case o.Start != nil:
+		a, err = t.workers.Start(o.Worker, *o.Start)
+	default:
+		a, err = t.workers.Stop(o.Worker, *o.Stop)
+	}
+	t.mu.Lock()
+	t.sched.Answered(o, a, err, time.Now())
+	t.mu.Unlock()
+	t.signal()
+}
+
+func (t *term) addJob(j work.Job, revision uint64) {
+	t.mu.Lock()
+	t.sched.AddJob(j, revision, time.Now())
+	t.mu.Unlock()
+	t.signal()
+}
+
+func (t *term) setRoster(r Roster) {
+	now := time.Now()
+	t.mu.Lock()
+	if r.Whole {
+		present := map[work.WorkerID]bool{}
+		for _, p := range r.Present {
+			present[p.ID] = true
+		}
+		for _, id := range t.sched.Registered() {
+			if !present[id] {
+				t.sched.Deregister(id)
+			}
+		}
+	}
+	for _, p := range r.Present {
+		t.sched.Register(p, now)
+	}
+	for _, id := range r.Gone {
+		t.sched.Deregister(id)
+	}
+	t.mu.Unlock()
+	t.signal()
+}
+
+func (t *term) signal() {
+	select {
+	case t.wake <- struct{}{}:
+	default:
+	}
+}
+
+// inbox keeps jobs until there is someone to take them.
+type inbox struct {
+	mu      sync.Mutex
+	waiting []arrival
+	tell    func(j work.Job, revision uint64)
+}
+
+type arrival struct {
+	job      work.Job
+	revision uint64
+}
+
+func (i *inbox) put(j work.Job, revision uint64) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.tell != nil {
+		i.tell(j, revision)
+		return
+	}
+	i.waiting = append(i.waiting, arrival{j, revision})
+}
+
+func (i *inbox) deliver(tell func(j work.Job, revision uint64)) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for _, a := range i.waiting {
+		tell(a.job, a.revision)
+	}
+	i.waiting, i.tell = nil, tell
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- a/entry/control.go
+++ b/entry/control.go
@@ -8,8 +8,8 @@
 
 	"lycheehook.example/lycheehook/audit"
 	"lycheehook.example/lycheehook/fleet"
-	"lycheehook.example/lycheehook/move"
 	"lycheehook.example/lycheehook/hostapi"
+	"lycheehook.example/lycheehook/move"
 	"lycheehook.example/lycheehook/revision"
 	"lycheehook.example/lycheehook/settings"
 	"lycheehook.example/lycheehook/store"
--- a/entry/control_test.go
+++ b/entry/control_test.go
@@ -6,8 +6,8 @@
 	"github.com/google/go-cmp/cmp"
 
 	"lycheehook.example/lycheehook/fleet"
-	"lycheehook.example/lycheehook/move"
 	"lycheehook.example/lycheehook/hostapi"
+	"lycheehook.example/lycheehook/move"
 	"lycheehook.example/lycheehook/record"
 	"lycheehook.example/lycheehook/wave"
 )
--- a/entry/hostaudit_test.go
+++ b/entry/hostaudit_test.go
@@ -9,8 +9,8 @@
 
 	"lycheehook.example/lycheehook/audit"
 	"lycheehook.example/lycheehook/fleet"
-	"lycheehook.example/lycheehook/move"
 	"lycheehook.example/lycheehook/hostapi"
+	"lycheehook.example/lycheehook/move"
 	"lycheehook.example/lycheehook/standin"
 	"lycheehook.example/lycheehook/wave"
 )
--- /dev/null
+++ b/intake/desk.go
@@ -0,0 +1,225 @@
+package intake
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/charmbracelet/log"
+
+	"lycheehook.example/lycheehook/store"
+)
+
+// Sentinel errors of the desk.
+var (
+	// ErrNotStored says that a record surely is not stored, and won't be.
+	ErrNotStored = merry.Sentinel("intake: not stored")
+	// ErrUnknown says that a record may have been stored, or may be later.
+	ErrUnknown = merry.Sentinel("intake: outcome unknown")
+)
+
+const (
+	// maxBatch is how many records go into one transaction: each takes an expectation and a put.
+	maxBatch = store.MaxTxnEntries / 2
+	// The wait for the store's answer starts low, since an answer may be lost, and doubles with each try.
+	minStoreWait = 150 * time.Millisecond
+	maxStoreWait = 1200 * time.Millisecond
+	retryPause   = 60 * time.Millisecond
+)
+
+// Desk writes records under conditions, many in one transaction.
+type Desk struct {
+	client *store.Client
+	log    *log.Logger
+	mu     sync.Mutex
+	queue  []*filing
+	busy   bool
+}
+
+// filing is one record that is to be written if the key still has a revision.
+type filing struct {
+	key   string
+	value []byte
+	base  uint64
+	// sent says that a write may have taken effect, or may yet.
+	sent bool
+	// unsettled says that an earlier write was not answered.
+	unsettled bool
+	// abandoned says that nobody waits any more.
+	abandoned bool
+	done      chan struct{}
+	revision  uint64
+	err       error
+	// conflict is what stood at the key instead.
+	conflict *store.Record
+}
+
+// NewDesk returns a desk without work.
+func NewDesk(c *store.Client, l *log.Logger) *Desk {
+	return &Desk{client: c, log: l}
+}
+
+// File writes a value if the key still has revision base, and returns the new revision. Another state of the key is
+// returned as a record with store.ErrConflict; a value that is there already counts as written.
+func (d *Desk) File(ctx context.Context, key string, value []byte, base uint64) (uint64, *store.Record, error) {
+	f := &filing{key: key, value: value, base: base, done: make(chan struct{})}
+	d.mu.Lock()
+	d.queue = append(d.queue, f)
+	if !d.busy {
+		d.busy = true
+		go d.work(context.WithoutCancel(ctx))
+	}
+	d.mu.Unlock()
+	select {
+	case <-f.done:
+		return f.revision, f.conflict, f.err
+	case <-ctx.Done():
+		return d.giveUp(f)
+	}
+}
+
+// giveUp ends the wait for a filing; one that was never sent is surely not written.
+func (d *Desk) giveUp(f *filing) (uint64, *store.Record, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	select {
+	case <-f.done:
+		return f.revision, f.conflict, f.err
+	default:
+	}
+	f.abandoned = true
+	if f.sent {
+		return 0, nil, ErrUnknown
+	}
+
+	return 0, nil, ErrNotStored
+}
+
+// work writes batches until nothing waits.
+func (d *Desk) work(ctx context.Context) {
+	wait := minStoreWait
+	for {
+		batch := d.take()
+		if len(batch) == 0 {
+			return
+		}
+		if !d.write(ctx, batch, wait) {
+			wait = min(maxStoreWait, 2*wait)
+			time.Sleep(retryPause)
+			continue
+		}
+		wait = minStoreWait
+	}
+}
+
+// take returns the next batch, without those whose callers have gone; an empty one ends the work.
+func (d *Desk) take() []*filing {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var batch []*filing
+	keys := map[string]bool{}
+	rest := d.queue[:0]
+	for _, f := range d.queue {
+		switch {
+		case f.abandoned:
+		case len(batch) < maxBatch && !keys[f.key]:
+			keys[f.key] = true
+			f.sent = true
+			batch = append(batch, f)
+		default:
+			rest = append(rest, f)
+		}
+	}
+	d.queue = rest
+	d.busy = len(batch) > 0
+
+	return batch
+}
+
+// write writes a batch and reports whether the store answered; what is not settled goes back into the queue.
+func (d *Desk) write(ctx context.Context, batch []*filing, wait time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	var t store.Txn
+	for _, f := range batch {
+		t.Expect = append(t.Expect, store.Expectation{Key: f.key, Revision: f.base})
+		t.Puts = append(t.Puts, store.Put{Key: f.key, Value: f.value})
+	}
+	revision, err := d.client.Commit(ctx, t)
+	var c *store.ConflictError
+	switch {
+	case err == nil:
+		for _, f := range batch {
+			f.settle(revision, nil, nil)
+		}
+
+		return true
+	case errors.As(err, &c):
+		d.split(batch, c.Records)
+		return true
+	}
+	if errors.Is(err, store.ErrUnavailable) {
+		d.unsend(batch)
+	} else {
+		d.doubt(batch)
+	}
+	d.log.Warn("jobs not stored yet", "records", len(batch), "wait", wait, "error", err)
+	d.putBack(batch)
+
+	return false
+}
+
+// split settles the filings whose keys have another revision, and puts the others back.
+func (d *Desk) split(batch []*filing, found []store.Record) {
+	byKey := make(map[string]store.Record, len(found))
+	for _, r := range found {
+		byKey[r.Key] = r
+	}
+	var again []*filing
+	for _, f := range batch {
+		r, exists := byKey[f.key]
+		switch {
+		case exists && bytes.Equal(r.Value, f.value):
+			f.settle(r.Revision, nil, nil)
+		case exists && r.Revision != f.base:
+			f.settle(0, &r, store.ErrConflict)
+		case !exists && f.base != 0:
+			f.settle(0, nil, store.ErrConflict)
+		default:
+			again = append(again, f)
+		}
+	}
+	d.putBack(again)
+}
+
+// doubt notes that the last write of a batch may have taken effect, or may yet.
+func (d *Desk) doubt(batch []*filing) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, f := range batch {
+		f.unsettled = true
+	}
+}
+
+// unsend notes that the last write of a batch surely had no effect; an earlier one may have had.
+func (d *Desk) unsend(batch []*filing) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, f := range batch {
+		f.sent = f.unsettled
+	}
+}
+
+func (d *Desk) putBack(batch []*filing) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.queue = append(batch, d.queue...)
+}
+
+func (f *filing) settle(revision uint64, found *store.Record, err error) {
+	f.revision, f.conflict, f.err = revision, found, err
+	close(f.done)
+}
--- /dev/null
+++ b/intake/router.go
@@ -0,0 +1,63 @@
+package intake
+
+import (
+	"cmp"
+	"net"
+	"slices"
+	"strings"
+
+	"lycheehook.example/lycheehook/fleet"
+	"lycheehook.example/lycheehook/work"
+)
+
+// Router finds the queue and the workspace of a request under one configuration.
+type Router struct {
+	config work.Config
+	// byHost has the queues of each host, those with the longest prefix first.
+	byHost map[string][]work.Queue
+	byKey  map[string]fleet.WorkspaceName
+}
+
+// NewRouter returns the router of a configuration.
+func NewRouter(c work.Config) *Router {
+	r := &Router{config: c, byHost: map[string][]work.Queue{}, byKey: map[string]fleet.WorkspaceName{}}
+	for _, q := range c.Queues {
+		r.byHost[q.Host] = append(r.byHost[q.Host], q)
+	}
+	for _, queues := range r.byHost {
+		slices.SortFunc(queues, func(a, b work.Queue) int { return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)) })
+	}
+	for _, w := range c.Workspaces {
+		for _, k := range w.Keys {
+			r.byKey[k] = w.Name
+		}
+	}
+
+	return r
+}
+
+// Config returns the configuration.
+func (r *Router) Config() work.Config {
+	return r.config
+}
+
+// Queue returns the queue that a request's host and path select, and the rest of the path.
+func (r *Router) Queue(host, path string) (work.Queue, string, bool) {
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	for _, q := range r.byHost[host] {
+		if rest, ok := strings.CutPrefix(path, q.PathPrefix); ok {
+			return q, rest, true
+		}
+	}
+
+	return work.Queue{}, "", false
+}
+
+// Workspace returns the workspace of a key.
+func (r *Router) Workspace(key string) (fleet.WorkspaceName, bool) {
+	w, ok := r.byKey[key]
+
+	return w, ok
+}
--- a/job/controller.go
+++ b/job/controller.go
@@ -12,9 +12,9 @@
 	"github.com/ansel1/merry/v2"
 
 	"lycheehook.example/lycheehook/fleet"
+	"lycheehook.example/lycheehook/hostapi"
 	"lycheehook.example/lycheehook/move"
 	"lycheehook.example/lycheehook/placement"
-	"lycheehook.example/lycheehook/hostapi"
 	"lycheehook.example/lycheehook/record"
 	"lycheehook.example/lycheehook/store"
 )
--- a/job/job_test.go
+++ b/job/job_test.go
@@ -10,9 +10,9 @@
 	"time"
 
 	"lycheehook.example/lycheehook/fleet"
+	"lycheehook.example/lycheehook/hostapi"
 	"lycheehook.example/lycheehook/job"
 	"lycheehook.example/lycheehook/move"
-	"lycheehook.example/lycheehook/hostapi"
 	"lycheehook.example/lycheehook/record"
 	"lycheehook.example/lycheehook/standin"
 )
--- a/job/step.go
+++ b/job/step.go
@@ -8,9 +8,9 @@
 	"time"
 
 	"lycheehook.example/lycheehook/fleet"
+	"lycheehook.example/lycheehook/hostapi"
 	"lycheehook.example/lycheehook/move"
 	"lycheehook.example/lycheehook/placement"
-	"lycheehook.example/lycheehook/hostapi"
 	"lycheehook.example/lycheehook/record"
 )
 
--- /dev/null
+++ b/ledger/book.go
@@ -0,0 +1,253 @@
+package ledger
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+
+	"lycheehook.example/lycheehook/fleet"
+	"lycheehook.example/lycheehook/store"
+	"lycheehook.example/lycheehook/work"
+)
+
+// Owner is the record of who owns the workers.
+type Owner struct {
+	Host fleet.EntryName `cbor:"1,keyasint"`
+	// Process tells two lives of a host's process apart.
+	Process string `cbor:"2,keyasint"`
+}
+
+// Host is the record of an entry host.
+type Host struct {
+	Name fleet.EntryName `cbor:"1,keyasint"`
+	Zone fleet.ZoneName  `cbor:"2,keyasint"`
+	// PeerAddress is where other entry hosts reach it.
+	PeerAddress string `cbor:"3,keyasint"`
+}
+
+// Book is a copy of the ledger that follows the store's changes; its methods may be called by any goroutine.
+type Book struct {
+	mu       sync.Mutex
+	entries  map[fleet.JobID]*Entry
+	orphans  map[fleet.JobID][]Change
+	hosts    map[fleet.EntryName]Host
+	owner    Owner
+	ownerRev uint64
+	next     uint64
+	early    map[uint64]Batch
+	skipped  int
+}
+
+// NewBook returns an empty book.
+func NewBook() *Book {
+	return &Book{
+		entries: map[fleet.JobID]*Entry{}, orphans: map[fleet.JobID][]Change{}, hosts: map[fleet.EntryName]Host{}, early: map[uint64]Batch{},
+	}
+}
+
+// Read returns the book as it stands in the store, and the store revision from which changes are to be followed.
+func Read(ctx context.Context, c *store.Client) (*Book, uint64, error) {
+	l, err := c.List(ctx, Prefix)
+	if err != nil {
+		return nil, 0, err
+	}
+	b := NewBook()
+	// Keys sort as host, job, log, owner, so every job is there before the changes to it.
+	slices.SortFunc(l.Records, func(x, y store.Record) int { return strings.Compare(x.Key, y.Key) })
+	first := true
+	for _, r := range l.Records {
+		if first && strings.HasPrefix(r.Key, LogPrefix) {
+			if n, err := batchNumber(r.Key); err == nil {
+				b.next = n
+				first = false
+			}
+		}
+		b.Follow(store.Event{Record: r})
+	}
+
+	return b, l.Revision, nil
+}
+
+// Follow carries over one change of the store; a record that can't be read is passed over and counted.
+func (b *Book) Follow(ev store.Event) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	var err error
+	key := ev.Record.Key
+	switch {
+	case key == OwnerKey:
+		err = b.followOwner(ev)
+	case strings.HasPrefix(key, JobPrefix):
+		err = b.followJob(ev)
+	case strings.HasPrefix(key, LogPrefix):
+		err = b.followLog(ev)
+	case strings.HasPrefix(key, HostPrefix):
+		err = b.followHost(ev)
+	}
+	if err != nil {
+		b.skipped++
+	}
+}
+
+func (b *Book) followOwner(ev store.Event) error {
+	if ev.Deleted {
+		b.owner, b.ownerRev = Owner{}, 0
+		return nil
+	}
+	o, err := Decode[Owner](ev.Record.Key, ev.Record.Value)
+	if err == nil {
+		b.owner, b.ownerRev = o, ev.Record.Revision
+	}
+
+	return err
+}
+
+func (b *Book) followHost(ev store.Event) error {
+	name := fleet.EntryName(strings.TrimPrefix(ev.Record.Key, HostPrefix))
+	if ev.Deleted {
+		delete(b.hosts, name)
+		return nil
+	}
+	h, err := Decode[Host](ev.Record.Key, ev.Record.Value)
+	if err == nil {
+		b.hosts[name] = h
+	}
+
+	return err
+}
+
+func (b *Book) followJob(ev store.Event) error {
+	id := fleet.JobID(strings.TrimPrefix(ev.Record.Key, JobPrefix))
+	if ev.Deleted {
+		delete(b.entries, id)
+		return nil
+	}
+	j, err := Decode[work.Job](ev.Record.Key, ev.Record.Value)
+	if err != nil {
+		return err
+	}
+	if e, ok := b.entries[id]; ok {
+		if ev.Record.Revision > e.Revision {
+			e.Job, e.Revision = j, ev.Record.Revision
+		}
+
+		return nil
+	}
+	e := NewEntry(j, ev.Record.Revision)
+	b.entries[id] = e
+	for _, c := range b.orphans[id] {
+		e.Apply(c)
+	}
+	delete(b.orphans, id)
+
+	return nil
+}
+
+// followLog applies batches in the order of their numbers, each once.
+func (b *Book) followLog(ev store.Event) error {
+	if ev.Deleted {
+		return nil
+	}
+	n, err := batchNumber(ev.Record.Key)
+	if err != nil || n < b.next {
+		return err
+	}
+	batch, err := Decode[Batch](ev.Record.Key, ev.Record.Value)
+	if err != nil {
+		return err
+	}
+	b.early[n] = batch
+	for {
+		batch, ok := b.early[b.next]
+		if !ok {
+			return nil
+		}
+		delete(b.early, b.next)
+		b.next++
+		for _, c := range batch.Changes {
+			b.apply(c)
+		}
+	}
+}
+
+func (b *Book) apply(c Change) {
+	if e, ok := b.entries[c.Attempt.Job]; ok {
+		e.Apply(c)
+		return
+	}
+	b.orphans[c.Attempt.Job] = append(b.orphans[c.Attempt.Job], c)
+}
+
+// Status returns a job's state, and whether the book has it.
+func (b *Book) Status(id fleet.JobID) (State, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e, ok := b.entries[id]
+	if !ok {
+		return Queued, false
+	}
+
+	return e.State(), true
+}
+
+// Job returns a job with the store revision of its record, and whether the book has it.
+func (b *Book) Job(id fleet.JobID) (work.Job, uint64, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e, ok := b.entries[id]
+	if !ok {
+		return work.Job{}, 0, false
+	}
+
+	return e.Job, e.Revision, true
+}
+
+// Pending returns how many jobs of a queue are accepted and have no task that started.
+func (b *Book) Pending(q fleet.QueueName) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := 0
+	for _, e := range b.entries {
+		if e.Job.Queue == q && e.State() == Queued {
+			n++
+		}
+	}
+
+	return n
+}
+
+// Hosts returns the entry hosts, by name.
+func (b *Book) Hosts() []Host {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	hosts := make([]Host, 0, len(b.hosts))
+	for _, h := range b.hosts {
+		hosts = append(hosts, h)
+	}
+	slices.SortFunc(hosts, func(x, y Host) int { return strings.Compare(string(x.Name), string(y.Name)) })
+
+	return hosts
+}
+
+// Owner returns who owns the workers, with the store revision of the record; zero means nobody.
+func (b *Book) Owner() (Owner, uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	return b.owner, b.ownerRev
+}
+
+// NextBatch returns the number that the log's next batch gets.
+func (b *Book) NextBatch() uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	return b.next
+}
+
+// Entries returns the jobs; the caller must be the only user of the book.
+func (b *Book) Entries() map[fleet.JobID]*Entry {
+	return b.entries
+}
--- /dev/null
+++ b/ledger/entry.go
@@ -0,0 +1,186 @@
+package ledger
+
+import (
+	"slices"
+
+	"lycheehook.example/lycheehook/work"
+)
+
+// State is the state of a job.
+type State uint8
+
+// The states of jobs.
+const (
+	Queued State = iota
+	InProgress
+	Completed
+	Failed
+	Cancelled
+)
+
+// Live is an attempt that may be running.
+type Live struct {
+	Number int
+	Worker work.WorkerID
+	Life   work.Life
+}
+
+// TaskState is what the log says of a task.
+type TaskState struct {
+	// Attempts is the highest number given to an attempt.
+	Attempts int
+	Failures int
+	Done     bool
+	Live     []Live
+	// Checkpoint is the newest state saved by an ended attempt.
+	Checkpoint string
+}
+
+// StepOf names a step of an occurrence.
+type StepOf struct {
+	Occurrence int
+	Step       int
+}
+
+// StepState is what the log says of a step of an occurrence.
+type StepState struct {
+	Tasks []TaskState
+	// Done counts the tasks that are done.
+	Done int
+}
+
+// Entry is a job with what became of its tasks.
+type Entry struct {
+	Job work.Job
+	// Revision is the store revision of the job's record.
+	Revision uint64
+	Failed   bool
+	started  bool
+	steps    map[StepOf]*StepState
+	total    int
+	done     int
+}
+
+// NewEntry returns a job of which nothing has started.
+func NewEntry(j work.Job, revision uint64) *Entry {
+	e := &Entry{Job: j, Revision: revision, steps: map[StepOf]*StepState{}}
+	for _, s := range j.Steps {
+		e.total += s.Count
+	}
+	e.total *= j.Occurrences()
+
+	return e
+}
+
+// Step returns the state of a step, which the job must have.
+func (e *Entry) Step(s StepOf) *StepState {
+	st, ok := e.steps[s]
+	if !ok {
+		st = &StepState{Tasks: make([]TaskState, e.Job.Steps[s.Step].Count)}
+		e.steps[s] = st
+	}
+
+	return st
+}
+
+// Has reports whether the job has such a task.
+func (e *Entry) Has(t work.Task) bool {
+	return t.Occurrence >= 0 && t.Occurrence < e.Job.Occurrences() && t.Step >= 0 && t.Step < len(e.Job.Steps) &&
+		t.Index >= 0 && t.Index < e.Job.Steps[t.Step].Count
+}
+
+// Task returns the state of a task, which the job must have.
+func (e *Entry) Task(t work.Task) *TaskState {
+	return &e.Step(StepOf{t.Occurrence, t.Step}).Tasks[t.Index]
+}
+
+// Apply carries a change over into the entry; a change of a task that the job does not have is passed over.
+func (e *Entry) Apply(c Change) {
+	if c.Kind == JobFailed {
+		e.Failed = true
+		return
+	}
+	if !e.Has(c.Attempt.Task) {
+		return
+	}
+	s := e.Task(c.Attempt.Task)
+	s.Attempts = max(s.Attempts, c.Attempt.Number)
+	switch c.Kind {
+	case Assigned:
+		e.started = true
+		s.Live = append(s.Live, Live{c.Attempt.Number, c.Worker, c.Life})
+	case Ended:
+		e.end(s, c)
+	}
+}
+
+// Withdraw takes back an assignment that was applied and will not be stored.
+func (e *Entry) Withdraw(a work.Attempt) {
+	s := e.Task(a.Task)
+	s.Live = slices.DeleteFunc(s.Live, func(l Live) bool { return l.Number == a.Number })
+	s.Attempts = a.Number - 1
+}
+
+func (e *Entry) end(s *TaskState, c Change) {
+	s.Live = slices.DeleteFunc(s.Live, func(l Live) bool { return l.Number == c.Attempt.Number })
+	if c.Checkpoint != "" {
+		s.Checkpoint = c.Checkpoint
+	}
+	switch c.Outcome {
+	case work.OutcomeDone:
+		if !s.Done {
+			s.Done = true
+			e.done++
+			e.Step(StepOf{c.Attempt.Occurrence, c.Attempt.Step}).Done++
+		}
+	case work.OutcomeFailed:
+		s.Failures++
+	}
+}
+
+// State returns the job's state as callers see it.
+func (e *Entry) State() State {
+	switch {
+	case e.Job.Cancelled:
+		return Cancelled
+	case e.Failed:
+		return Failed
+	case e.total > 0 && e.done >= e.total:
+		return Completed
+	case e.started:
+		return InProgress
+	default:
+		return Queued
+	}
+}
+
+// Over reports whether nothing of the job will start any more.
+func (e *Entry) Over() bool {
+	return e.State() > InProgress
+}
+
+// StepDone reports whether all tasks of a step of an occurrence are done.
+func (e *Entry) StepDone(s StepOf) bool {
+	st, ok := e.steps[s]
+
+	return ok && st.Done >= len(st.Tasks)
+}
+
+// LiveAttempts calls yield for each attempt that may be running.
+func (e *Entry) LiveAttempts(yield func(work.Attempt, Live) bool) {
+	for s, st := range e.steps {
+		for i := range st.Tasks {
+			for _, l := range st.Tasks[i].Live {
+				a := work.Attempt{Task: work.Task{Job: e.Job.ID, Occurrence: s.Occurrence, Step: s.Step, Index: i}, Number: l.Number}
+				if !yield(a, l) {
+					return
+				}
+			}
+		}
+	}
+}
+
+// String returns the state's name for logs.
+func (s State) String() string {
+	return [...]string{"Queued", "InProgress", "Completed", "Failed", "Cancelled"}[s]
+}
--- /dev/null
+++ b/ledger/follower.go
@@ -0,0 +1,142 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"lycheehook.example/lycheehook/store"
+	"lycheehook.example/lycheehook/work"
+)
+
+const (
+	// watchWait is how long the store may hold back an answer without changes.
+	watchWait = 10 * time.Second
+	// watchPause between watches lets changes gather, since the store counts each call.
+	watchPause = 100 * time.Millisecond
+	// retryPause is the pause after a failed call to the store.
+	retryPause = 200 * time.Millisecond
+)
+
+// Follower keeps a book up to date with the store.
+type Follower struct {
+	client  *store.Client
+	log     *log.Logger
+	current atomic.Pointer[Book]
+	mu      sync.Mutex
+	onJob   func(j work.Job, revision uint64)
+	changed chan struct{}
+}
+
+// NewFollower returns a follower that has read nothing yet.
+func NewFollower(c *store.Client, l *log.Logger) *Follower {
+	return &Follower{client: c, log: l, changed: make(chan struct{}, 1)}
+}
+
+// Book returns the newest book, or nil before the first was read.
+func (f *Follower) Book() *Book {
+	return f.current.Load()
+}
+
+// Changed delivers a value after changes were carried over; one that nobody takes is dropped.
+func (f *Follower) Changed() <-chan struct{} {
+	return f.changed
+}
+
+// OnJob makes f be told of each job that is added or changed from now on; nil ends that.
+func (f *Follower) OnJob(tell func(j work.Job, revision uint64)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.onJob = tell
+}
+
+// Run follows the store until the context ends.
+func (f *Follower) Run(ctx context.Context) {
+	var after uint64
+	for ctx.Err() == nil {
+		if f.Book() == nil || after == 0 {
+			at, err := f.read(ctx)
+			if err != nil {
+				f.log.Warn("read of the ledger failed", "error", err)
+				sleep(ctx, retryPause)
+
+				continue
+			}
+			after = at
+		}
+		ev, err := f.client.Watch(ctx, Prefix, after, watchWait)
+		switch {
+		case errors.Is(err, store.ErrCompacted):
+			f.log.Warn("the store dropped its history, reading the ledger anew", "after", after)
+			after = 0
+		case err != nil:
+			f.log.Warn("watch of the ledger failed", "error", err)
+			sleep(ctx, retryPause)
+		case len(ev.Events) > 0:
+			f.follow(ev.Events)
+			after = ev.Revision
+			sleep(ctx, watchPause)
+		}
+	}
+}
+
+func (f *Follower) read(ctx context.Context) (uint64, error) {
+	b, at, err := Read(ctx, f.client)
+	if err != nil {
+		return 0, err
+	}
+	f.current.Store(b)
+	for _, e := range b.Entries() {
+		f.tell(e.Job, e.Revision)
+	}
+	f.signal()
+
+	return at, nil
+}
+
+func (f *Follower) follow(events []store.Event) {
+	b := f.Book()
+	for _, ev := range events {
+		b.Follow(ev)
+		if ev.Deleted || !strings.HasPrefix(ev.Record.Key, JobPrefix) {
+			continue
+		}
+		j, err := Decode[work.Job](ev.Record.Key, ev.Record.Value)
+		if err != nil {
+			f.log.Error("job can't be read", "error", err)
+			continue
+		}
+		f.tell(j, ev.Record.Revision)
+	}
+	f.signal()
+}
+
+func (f *Follower) tell(j work.Job, revision uint64) {
+	f.mu.Lock()
+	tell := f.onJob
+	f.mu.Unlock()
+	if tell != nil {
+		tell(j, revision)
+	}
+}
+
+func (f *Follower) signal() {
+	select {
+	case f.changed <- struct{}{}:
+	default:
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/manager/manager.go
@@ -0,0 +1,155 @@
+package manager
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/charmbracelet/log"
+	"github.com/google/uuid"
+
+	"lycheehook.example/lycheehook/dispatch"
+	"lycheehook.example/lycheehook/intake"
+	"lycheehook.example/lycheehook/ledger"
+	"lycheehook.example/lycheehook/owner"
+	"lycheehook.example/lycheehook/platform"
+	"lycheehook.example/lycheehook/schedule"
+	"lycheehook.example/lycheehook/settings"
+)
+
+const (
+	// storeTimeout bounds a call to the store that sets no time of its own.
+	storeTimeout = 3 * time.Second
+	// orderTimeout bounds an order to a worker, which answers within milliseconds.
+	orderTimeout = 400 * time.Millisecond
+	// readHeaderTimeout bounds the time from the first byte of a request to the end of its header.
+	readHeaderTimeout = 3 * time.Second
+	idleTimeout       = time.Minute
+	// stopMargin is kept of the platform's grace for the end of the process.
+	stopMargin = time.Second
+)
+
+// Manager is one process of the manager.
+type Manager struct {
+	settings  settings.Manager
+	log       *log.Logger
+	config    *Configuration
+	follower  *ledger.Follower
+	seat      *owner.Seat
+	candidate *owner.Candidate
+	dispatch  *dispatch.Dispatcher
+	handler   *intake.Handler
+	stopping  atomic.Bool
+}
+
+// New returns a manager with the given settings and logger.
+func New(s settings.Manager, l *log.Logger) (*Manager, error) {
+	process, err := uuid.NewRandom()
+	if err != nil {
+		return nil, merry.Prepend(err, "name of the process")
+	}
+	transport := platform.NewTransport()
+	client := platform.NewStore(transport.To(s.StoreAddress.String()), storeTimeout)
+	m := &Manager{settings: s, log: l, follower: ledger.NewFollower(client, l)}
+	m.handler = intake.NewHandler(client, m.follower, l)
+	m.config = NewConfiguration(client, l, m.handler.SetConfig)
+	self := ledger.Owner{Host: s.Name, Process: process.String()}
+	m.seat = owner.NewSeat(client, ledger.Host{Name: s.Name, Zone: s.Zone, PeerAddress: s.PeerAddress.String()}, l)
+	m.candidate = owner.NewCandidate(client, m.seat, m.follower, self.Process, l)
+	m.dispatch = dispatch.New(
+		client, m.follower, platform.NewWorkers(transport, orderTimeout), bounds(s), self, l,
+		m.config.Current, followRoster(client, l), dispatch.WithObserver(m.observe),
+	)
+
+	return m, nil
+}
+
+func bounds(s settings.Manager) schedule.Bounds {
+	return schedule.Bounds{MaxLease: s.Bounds.MaxLease.Std(), EarlyStart: s.Bounds.EarlyStart.Std()}
+}
+
+// observe logs a decision of the scheduler.
+func (m *Manager) observe(d schedule.Decision) {
+	m.log.Info(d.What, "task", d.Attempt.Task, "attempt", d.Attempt.Number, "worker", d.Worker, "outcome", d.Outcome, "reason", d.Reason)
+}
+
+// Run serves until the context ends, and then finishes what has begun.
+func (m *Manager) Run(ctx context.Context) error {
+	m.log.Info("starting", "host", m.settings.Name, "zone", m.settings.Zone)
+	callers, err := serve(ctx, m.settings.CallerAddress, m.handler)
+	if err != nil {
+		return err
+	}
+	ready, err := serve(ctx, m.settings.ReadyAddress, m.readiness())
+	if err != nil {
+		return err
+	}
+
+	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	var all sync.WaitGroup
+	all.Go(func() { m.config.Run(background) })
+	all.Go(func() { m.follower.Run(background) })
+	all.Go(func() { m.seat.Run(background) })
+	all.Go(func() { m.candidate.Run(ctx, m.dispatch.Serve) })
+
+	<-ctx.Done()
+	m.log.Info("stopping")
+	m.stopping.Store(true)
+	m.stop(background, callers, ready)
+	m.seat.Leave(background)
+	cancel()
+	all.Wait()
+	m.log.Info("stopped")
+
+	return nil
+}
+
+// stop lets the callers' requests end within the platform's grace.
+func (m *Manager) stop(ctx context.Context, callers, ready *http.Server) {
+	ctx, cancel := context.WithTimeout(ctx, max(stopMargin, m.settings.Bounds.Grace.Std()-stopMargin))
+	defer cancel()
+	if err := callers.Shutdown(ctx); err != nil {
+		m.log.Warn("requests cut off by the stop", "error", err)
+	}
+	if err := ready.Close(); err != nil {
+		m.log.Debug("close of the ready address", "error", err)
+	}
+}
+
+// readiness answers the platform's balancer.
+func (m *Manager) readiness() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+platform.PathReady, func(w http.ResponseWriter, _ *http.Request) {
+		if m.stopping.Load() || !m.handler.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+
+	return mux
+}
+
+func serve(ctx context.Context, at netip.AddrPort, h http.Handler) (*http.Server, error) {
+	var lc net.ListenConfig
+	l, err := lc.Listen(ctx, "tcp", at.String())
+	if err != nil {
+		return nil, merry.Prependf(err, "listen at %s", at)
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	go func() {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			// The listener is the process's purpose; without it the platform must start it anew.
+			panic(err)
+		}
+	}()
+
+	return s, nil
+}
--- a/move/controller_test.go
+++ b/move/controller_test.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"lycheehook.example/lycheehook/fleet"
-	"lycheehook.example/lycheehook/move"
 	"lycheehook.example/lycheehook/hostapi"
+	"lycheehook.example/lycheehook/move"
 	"lycheehook.example/lycheehook/standin"
 	"lycheehook.example/lycheehook/store"
 )
--- /dev/null
+++ b/schedule/look.go
@@ -0,0 +1,176 @@
+package schedule
+
+import (
+	"errors"
+	"time"
+
+	"lycheehook.example/lycheehook/ledger"
+	"lycheehook.example/lycheehook/work"
+)
+
+// Look is a look at a worker that is due.
+type Look struct {
+	Worker work.Registration
+	Order  work.Look
+	life   work.Life
+	asked  time.Time
+	stored uint64
+}
+
+// Looks returns the looks that are due; each must be answered by Seen before the worker is looked at again.
+func (s *Scheduler) Looks(now time.Time) []Look {
+	var looks []Look
+	for _, w := range s.workers {
+		if wait, due := s.lookDue(w, now); due {
+			w.looking, w.wake = s.token(w), false
+			looks = append(looks, Look{
+				Worker: w.reg, life: w.life, asked: now, stored: w.stored,
+				Order: work.Look{Token: s.token(w), Acked: w.stored, Until: s.lease(w, now), Wait: wait},
+			})
+		}
+	}
+
+	return looks
+}
+
+// lookDue reports whether a worker is to be looked at now, and how long it may hold back its answer.
+func (s *Scheduler) lookDue(w *worker, now time.Time) (time.Duration, bool) {
+	if w.looking == s.token(w) || w.reg.Address == "" || now.Before(w.nextTry) {
+		return 0, false
+	}
+	switch {
+	case !w.met:
+		return 0, w.present || len(w.runs) > 0
+	case w.stored != w.seen:
+		// The worker would answer at once with ends that are being stored.
+		return 0, false
+	case w.wake:
+		return 0, true
+	case len(w.runs) > 0:
+		return lookWait, true
+	default:
+		return 0, w.acked < w.stored && now.Sub(w.heard) > ackWait
+	}
+}
+
+// Seen takes in the answer to a look.
+func (s *Scheduler) Seen(l Look, sight work.Sight, err error, now time.Time) {
+	w, ok := s.workers[l.Worker.ID]
+	if !ok {
+		return
+	}
+	if w.looking == l.Order.Token {
+		w.looking = 0
+	}
+	if l.life != w.life || l.Order.Token != s.token(w) {
+		// The answer is about an earlier life, or to an earlier token, and proves nothing any more.
+		w.wake = true
+		return
+	}
+	if err != nil {
+		s.unseen(w, err, now)
+		return
+	}
+	if sight.Life != 0 && sight.Life != w.life {
+		if sight.Life > w.life {
+			s.reborn(w, sight.Life)
+		}
+
+		return
+	}
+	w.unheard, w.acked = 0, max(w.acked, l.stored)
+	w.clock, w.asked, w.heard = sight.Clock, l.asked, now
+	if !w.met {
+		w.met, s.dirty = true, true
+	}
+	if l.Order.Until == 0 && len(w.runs) > 0 {
+		// The first look at a worker only teaches its clock; the next one renews the leases.
+		w.wake = true
+	}
+	s.takeEnds(w, sight.Ended, now)
+	s.takeActive(w, l, sight.Active, now)
+}
+
+func (s *Scheduler) unseen(w *worker, err error, now time.Time) {
+	w.unheard++
+	w.nextTry = now.Add(retryWait)
+	if errors.Is(err, work.ErrFenced) {
+		w.raise()
+	}
+	if w.unheard == silentAfter {
+		s.observe(Decision{What: "WorkerSilent", Worker: w.id, Reason: err.Error()})
+		s.dirty = true
+	}
+}
+
+// takeEnds takes in the ends that were not taken in before.
+func (s *Scheduler) takeEnds(w *worker, ends []work.End, now time.Time) {
+	for _, end := range ends {
+		if end.Number <= w.seen {
+			continue
+		}
+		w.seen = end.Number
+		r, ok := w.runs[end.Attempt]
+		if ok {
+			s.judge(w, end.Outcome, now)
+			s.end(r, end.Outcome, end.Checkpoint, "listed by the worker")
+			continue
+		}
+		s.strayEnd(w, end)
+	}
+}
+
+// strayEnd takes in the end of a run that was believed over; work that is done counts all the same.
+func (s *Scheduler) strayEnd(w *worker, end work.End) {
+	e, ok := s.entries[end.Attempt.Job]
+	if !ok || !e.Has(end.Attempt.Task) || end.Outcome != work.OutcomeDone || e.Task(end.Attempt.Task).Done {
+		return
+	}
+	s.observe(Decision{What: "StrayEnd", Attempt: end.Attempt, Worker: w.id, Outcome: end.Outcome})
+	s.record(e, ledger.Change{Kind: ledger.Ended, Attempt: end.Attempt, Worker: w.id, Life: w.life, Outcome: end.Outcome})
+	s.stopOthers(e, end.Attempt)
+	s.finish(e)
+}
+
+// takeActive takes in what runs, and settles the runs that are not listed.
+func (s *Scheduler) takeActive(w *worker, l Look, active []work.Activity, now time.Time) {
+	listed := make(map[work.Attempt]bool, len(active))
+	for _, act := range active {
+		listed[act.Attempt] = true
+		r, ok := w.runs[act.Attempt]
+		if !ok {
+			r = s.stray(w, act.Attempt)
+		}
+		if r.phase != confirmed && r.phase != assigned {
+			r.phase, r.since = confirmed, now
+		}
+		r.percent = act.Percent
+	}
+	for a, r := range w.runs {
+		if listed[a] {
+			continue
+		}
+		switch {
+		case r.phase == unanswered || r.phase == inherited:
+			// The worker has seen a higher token than the order had, so the order can't begin any more.
+			s.end(r, work.OutcomeNotStarted, "", "not listed under a newer token")
+		case r.phase == confirmed && r.since.Before(l.asked):
+			s.end(r, work.OutcomeLapsed, "", "no longer listed")
+		}
+	}
+}
+
+// stray holds room for a run that nobody should have started, until it is stopped.
+func (s *Scheduler) stray(w *worker, a work.Attempt) *run {
+	s.observe(Decision{What: "StrayRun", Attempt: a, Worker: w.id})
+	r := &run{attempt: a, worker: w, life: w.life, phase: confirmed, stop: true}
+	if e, ok := s.entries[a.Job]; ok && e.Has(a.Task) {
+		r.reserved = e.Job.Steps[a.Step].Reserved()
+		s.hold(e, r)
+
+		return r
+	}
+	w.runs[a] = r
+
+	return r
+}
--- /dev/null
+++ b/schedule/place.go
@@ -0,0 +1,240 @@
+package schedule
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"lycheehook.example/lycheehook/fleet"
+	"lycheehook.example/lycheehook/ledger"
+	"lycheehook.example/lycheehook/work"
+)
+
+// ready is a step with tasks that may start.
+type ready struct {
+	job    *job
+	step   ledger.StepOf
+	queue  work.Queue
+	tasks  []int
+	rank   rank
+	spread map[work.WorkerID]int
+}
+
+// Place assigns tasks that may start to workers with room.
+func (s *Scheduler) Place(now time.Time) {
+	if !s.dirty {
+		return
+	}
+	s.dirty = false
+	byPool := map[fleet.PoolName][]*worker{}
+	for _, w := range s.workers {
+		if w.usable(now) {
+			byPool[w.reg.Pool] = append(byPool[w.reg.Pool], w)
+		}
+	}
+	for _, ws := range byPool {
+		slices.SortFunc(ws, func(a, b *worker) int { return cmp.Compare(a.id, b.id) })
+	}
+
+	for _, r := range s.ready(now) {
+		s.placeStep(r, byPool[r.queue.Pool])
+	}
+}
+
+// NextDue returns when the next occurrence of a job may start; the zero time means that none waits for its time.
+func (s *Scheduler) NextDue(now time.Time) time.Time {
+	var next time.Time
+	for _, j := range s.jobs {
+		for k := range j.entry.Job.Occurrences() {
+			due := j.entry.Job.Due(k)
+			if due.After(now) {
+				if next.IsZero() || due.Before(next) {
+					next = due
+				}
+
+				break
+			}
+		}
+	}
+
+	return next
+}
+
+// ready returns the steps with tasks that may start, in the order in which they are placed.
+func (s *Scheduler) ready(now time.Time) []*ready {
+	var list []*ready
+	for _, j := range s.jobs {
+		q, ok := s.queues[j.entry.Job.Queue]
+		if !ok {
+			continue
+		}
+		for k := range j.entry.Job.Occurrences() {
+			if j.entry.Job.Due(k).After(now) {
+				break
+			}
+			list = s.readySteps(list, j, q, k, now)
+		}
+	}
+	slices.SortFunc(list, func(a, b *ready) int { return a.rank.compare(b.rank) })
+
+	return list
+}
+
+func (s *Scheduler) readySteps(list []*ready, j *job, q work.Queue, occurrence int, now time.Time) []*ready {
+	e := j.entry
+	for i, step := range e.Job.Steps {
+		at := ledger.StepOf{Occurrence: occurrence, Step: i}
+		if e.StepDone(at) || slices.ContainsFunc(step.After, func(a int) bool {
+			return !e.StepDone(ledger.StepOf{Occurrence: occurrence, Step: a})
+		}) {
+			continue
+		}
+		var tasks []int
+		for n := range e.Step(at).Tasks {
+			if t := &e.Step(at).Tasks[n]; !t.Done && len(t.Live) == 0 {
+				tasks = append(tasks, n)
+			}
+		}
+		if len(tasks) > 0 {
+			list = append(list, &ready{job: j, step: at, queue: q, tasks: tasks, rank: s.rank(j, q, occurrence, now)})
+		}
+	}
+
+	return list
+}
+
+// placeStep assigns as many of a step's tasks as find room; those of a gang all or none.
+func (s *Scheduler) placeStep(r *ready, workers []*worker) {
+	e := r.job.entry
+	step := e.Job.Steps[r.step.Step]
+	if step.Gang {
+		s.placeGang(r, step, workers)
+		return
+	}
+	for _, n := range r.tasks {
+		w := s.choose(r, step, workers)
+		if w == nil {
+			return
+		}
+		s.assign(r, n, e.Step(r.step).Tasks[n].Attempts+1, w)
+	}
+}
+
+// placeGang assigns all tasks of a gang under one attempt number, or none of them.
+func (s *Scheduler) placeGang(r *ready, step work.Step, workers []*worker) {
+	e := r.job.entry
+	tasks := e.Step(r.step).Tasks
+	if len(r.tasks) < len(tasks) {
+		// Members of an earlier attempt are not over yet.
+		return
+	}
+	attempt := 0
+	for i := range tasks {
+		attempt = max(attempt, tasks[i].Attempts)
+	}
+	first := len(s.starting)
+	firstChange := len(s.changes)
+	for _, n := range r.tasks {
+		w := s.choose(r, step, workers)
+		if w == nil {
+			s.withdraw(first, firstChange)
+			return
+		}
+		s.assign(r, n, attempt+1, w)
+	}
+}
+
+// withdraw takes back the assignments made since, of which nothing was stored.
+func (s *Scheduler) withdraw(first, firstChange int) {
+	for _, r := range s.starting[first:] {
+		e := s.release(r)
+		e.Withdraw(r.attempt)
+	}
+	s.starting, s.changes = s.starting[:first], s.changes[:firstChange]
+}
+
+// assign puts a task on a worker; its order goes out once that is stored.
+func (s *Scheduler) assign(r *ready, index, number int, w *worker) {
+	e := r.job.entry
+	a := work.Attempt{
+		Task:   work.Task{Job: e.Job.ID, Occurrence: r.step.Occurrence, Step: r.step.Step, Index: index},
+		Number: number,
+	}
+	run := &run{attempt: a, worker: w, life: w.life, reserved: e.Job.Steps[a.Step].Reserved()}
+	s.hold(e, run)
+	r.spread[w.id]++
+	s.starting = append(s.starting, run)
+	s.record(e, ledger.Change{Kind: ledger.Assigned, Attempt: a, Worker: w.id, Life: w.life})
+	s.observe(Decision{What: "Assigned", Attempt: a, Worker: w.id})
+}
+
+// withinLimit reports whether the workspace may have one more task of that size running.
+func (s *Scheduler) withinLimit(name fleet.WorkspaceName, size fleet.Resources) bool {
+	ws, ok := s.limits[name]
+	if !ok {
+		return true
+	}
+	after := s.running[name].Plus(size)
+	within := func(limit, n int64) bool { return limit == 0 || n <= limit }
+
+	return within(int64(ws.UpperLimit.Cores), int64(after.Cores)) && within(int64(ws.UpperLimit.Memory), int64(after.Memory)) &&
+		within(ws.UpperLimit.Accelerators, after.Accelerators)
+}
+
+// choose returns the worker for the next task of a step, or nil if there is none with room.
+func (s *Scheduler) choose(r *ready, step work.Step, workers []*worker) *worker {
+	if !s.withinLimit(r.job.entry.Job.Workspace, step.Size) {
+		return nil
+	}
+	if r.spread == nil {
+		r.spread = spreadOf(r)
+	}
+	need := step.Reserved()
+	var best *worker
+	var bestScore float64
+	for _, w := range workers {
+		if !need.FitsIn(w.reg.Capacity.Minus(w.used)) || !hasLabel(w.reg, step.Label) ||
+			step.MaxPerWorker > 0 && r.spread[w.id] >= step.MaxPerWorker {
+			continue
+		}
+		if score := score(r, step, w); best == nil || score < bestScore {
+			best, bestScore = w, score
+		}
+	}
+
+	return best
+}
+
+// farPenalty puts a worker on another rack than the data behind every worker on it.
+const farPenalty = 10
+
+// score is lower for the better worker: tasks that last are spread, all others packed.
+func score(r *ready, step work.Step, w *worker) float64 {
+	after := w.used.Plus(step.Reserved()).DominantShare(w.reg.Capacity)
+	score := 1 - after
+	if step.Lasting {
+		score = after + float64(r.spread[w.id])
+	}
+	if step.Rack != "" && step.Rack != w.reg.Rack {
+		score += farPenalty
+	}
+
+	return score
+}
+
+// spreadOf counts the live tasks of the step on each worker.
+func spreadOf(r *ready) map[work.WorkerID]int {
+	spread := map[work.WorkerID]int{}
+	st := r.job.entry.Step(r.step)
+	for i := range st.Tasks {
+		for _, l := range st.Tasks[i].Live {
+			spread[l.Worker]++
+		}
+	}
+
+	return spread
+}
+
+func hasLabel(r work.Registration, label string) bool {
+	return label == "" || slices.Contains(r.Labels, label)
+}
--- /dev/null
+++ b/schedule/schedule.go
@@ -0,0 +1,199 @@
+package schedule
+
+import (
+	"time"
+
+	"lycheehook.example/lycheehook/fleet"
+	"lycheehook.example/lycheehook/ledger"
+	"lycheehook.example/lycheehook/work"
+)
+
+// Scheduler has the tables of jobs, workers and runs of one term of ownership; one goroutine at a time may use it.
+type Scheduler struct {
+	term     uint64
+	bounds   Bounds
+	observe  Observer
+	queues   map[fleet.QueueName]work.Queue
+	pools    map[fleet.PoolName]work.Pool
+	limits   map[fleet.WorkspaceName]work.Workspace
+	entries  map[fleet.JobID]*ledger.Entry
+	jobs     map[fleet.JobID]*job
+	workers  map[work.WorkerID]*worker
+	running  map[fleet.WorkspaceName]fleet.Resources
+	changes  []ledger.Change
+	starting []*run
+	// dirty says that something has changed since tasks were last placed.
+	dirty bool
+}
+
+// Bounds is what the platform promises and asks for.
+type Bounds struct {
+	// MaxLease bounds the lease of what runs on a worker.
+	MaxLease time.Duration
+	// EarlyStart is how long before its time an occurrence may start.
+	EarlyStart time.Duration
+}
+
+// Observer is told of each decision about a run, for logs and metrics.
+type Observer func(Decision)
+
+// Decision is one thing that was decided or learnt about a run or a worker.
+type Decision struct {
+	// What is the kind of the decision, such as Assigned or Ended.
+	What    string
+	Attempt work.Attempt
+	Worker  work.WorkerID
+	Outcome work.Outcome
+	// Reason says what decided it.
+	Reason string
+}
+
+// job is an accepted job that is not over.
+type job struct {
+	entry *ledger.Entry
+	// seen is when this host learnt of the job, which the time of its submission bounds from below.
+	seen time.Time
+}
+
+// Option changes a new scheduler.
+type Option func(*Scheduler)
+
+// WithObserver makes f be told of each decision.
+func WithObserver(f Observer) Option {
+	return func(s *Scheduler) { s.observe = f }
+}
+
+// New returns the scheduler of a term of ownership that begins at store revision term, for the jobs of a ledger; what may
+// still run on workers that don't answer is waited for until its lease has surely ended.
+func New(term uint64, b Bounds, entries map[fleet.JobID]*ledger.Entry, now time.Time, options ...Option) *Scheduler {
+	s := &Scheduler{
+		term: term, bounds: b, observe: func(Decision) {}, entries: entries,
+		queues: map[fleet.QueueName]work.Queue{}, pools: map[fleet.PoolName]work.Pool{}, limits: map[fleet.WorkspaceName]work.Workspace{},
+		jobs: map[fleet.JobID]*job{}, workers: map[work.WorkerID]*worker{}, running: map[fleet.WorkspaceName]fleet.Resources{}, dirty: true,
+	}
+	for _, o := range options {
+		o(s)
+	}
+	for _, e := range entries {
+		s.adopt(e, now)
+	}
+
+	return s
+}
+
+// adopt takes over a job with the runs that an earlier owner may have started.
+func (s *Scheduler) adopt(e *ledger.Entry, now time.Time) {
+	if !e.Over() {
+		s.jobs[e.Job.ID] = &job{entry: e, seen: e.Job.Submitted}
+	}
+	for a, l := range e.LiveAttempts {
+		w := s.worker(l.Worker)
+		if w.life == 0 {
+			w.life = l.Life
+		}
+		w.lapse = now.Add(leaseBound(s.bounds.MaxLease))
+		r := &run{attempt: a, worker: w, life: l.Life, phase: inherited, reserved: e.Job.Steps[a.Step].Reserved()}
+		if l.Life < w.life {
+			r.stop = true
+		}
+		s.hold(e, r)
+	}
+}
+
+// SetConfig puts a configuration in force.
+func (s *Scheduler) SetConfig(c work.Config) {
+	clear(s.pools)
+	clear(s.limits)
+	for _, q := range c.Queues {
+		s.queues[q.Name] = q
+	}
+	for _, p := range c.Pools {
+		s.pools[p.Name] = p
+	}
+	for _, w := range c.Workspaces {
+		s.limits[w.Name] = w
+	}
+	s.dirty = true
+}
+
+// AddJob takes in an accepted job, or a job that is cancelled now.
+func (s *Scheduler) AddJob(j work.Job, revision uint64, now time.Time) {
+	e, ok := s.entries[j.ID]
+	if !ok {
+		e = ledger.NewEntry(j, revision)
+		s.entries[j.ID] = e
+	}
+	if revision > e.Revision {
+		e.Job, e.Revision = j, revision
+	}
+	if e.Over() {
+		s.close(e)
+		return
+	}
+	if s.jobs[j.ID] == nil {
+		s.jobs[j.ID] = &job{entry: e, seen: now}
+		s.dirty = true
+	}
+}
+
+// close stops all that runs of a job that is over.
+func (s *Scheduler) close(e *ledger.Entry) {
+	delete(s.jobs, e.Job.ID)
+	for a, l := range e.LiveAttempts {
+		if w, ok := s.workers[l.Worker]; ok {
+			if r, ok := w.runs[a]; ok {
+				r.stop = true
+				w.wake = true
+			}
+		}
+	}
+	s.dirty = true
+}
+
+// Take returns the changes to store and the starts that wait for them.
+func (s *Scheduler) Take() ([]ledger.Change, []Start) {
+	changes, runs := s.changes, s.starting
+	s.changes, s.starting = nil, nil
+	starts := make([]Start, 0, len(runs))
+	for _, r := range runs {
+		starts = append(starts, Start{run: r})
+	}
+
+	return changes, starts
+}
+
+// record adds a change to those that are to be stored and carries it over at once.
+func (s *Scheduler) record(e *ledger.Entry, c ledger.Change) {
+	e.Apply(c)
+	s.changes = append(s.changes, c)
+}
+
+// Jobs returns how many jobs are not over.
+func (s *Scheduler) Jobs() int {
+	return len(s.jobs)
+}
+
+// Running returns how many runs are held on workers.
+func (s *Scheduler) Running() int {
+	n := 0
+	for _, w := range s.workers {
+		n += len(w.runs)
+	}
+
+	return n
+}
+
+// Tick makes the next placement look at what only time has changed.
+func (s *Scheduler) Tick() {
+	s.dirty = true
+}
+
+// Withdraw takes back starts that are stored and must not be sent.
+func (s *Scheduler) Withdraw(starts []Start) {
+	for _, st := range starts {
+		if st.run.worker.runs[st.run.attempt] == st.run {
+			s.end(st.run, work.OutcomeNotStarted, "", "term not vouched for")
+		}
+	}
+	s.acknowledge()
+}
--- /dev/null
+++ b/settings/manager.go
@@ -0,0 +1,110 @@
+package settings
+
+import (
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"lycheehook.example/lycheehook/document"
+	"lycheehook.example/lycheehook/fleet"
+)
+
+// Manager is what the manager of jobs on the users' platform is told at its start.
+type Manager struct {
+	Name fleet.EntryName
+	Zone fleet.ZoneName
+	// CallerAddress is where callers connect, ReadyAddress where the balancer asks whether they may.
+	CallerAddress netip.AddrPort
+	ReadyAddress  netip.AddrPort
+	// PeerAddress is where the other entry hosts reach this one.
+	PeerAddress    netip.AddrPort
+	MetricsAddress netip.AddrPort
+	// SeedAddresses are peers to begin with; they may be gone.
+	SeedAddresses []netip.AddrPort
+	StoreAddress  netip.AddrPort
+	// CloudAddress and AdviceAddress are empty where the platform has no such service.
+	CloudAddress  string `json:",omitempty"`
+	AdviceAddress string `json:",omitempty"`
+	Bounds        Bounds
+}
+
+// Bounds is what the platform promises and asks for.
+type Bounds struct {
+	// Grace is the time between the request to stop and the kill.
+	Grace fleet.Duration `json:",omitzero"`
+	// MaxLease bounds the lease of what runs on a worker.
+	MaxLease fleet.Duration `json:",omitzero"`
+	// StopTime bounds how long a worker takes to stop a run.
+	StopTime fleet.Duration `json:",omitzero"`
+	// EarlyStart is how long before its time an occurrence may start.
+	EarlyStart fleet.Duration `json:",omitzero"`
+	// StatusTime is how long callers may ask for the state of a job that ended.
+	StatusTime fleet.Duration `json:",omitzero"`
+	// DutyQuiet is how long nobody may order a host after its holder has changed.
+	DutyQuiet fleet.Duration `json:",omitzero"`
+	// NoticeTime is after how long a task that is not at work counts as away.
+	NoticeTime fleet.Duration `json:",omitzero"`
+	// MoveTime and UpkeepTime are how long a host is away.
+	MoveTime   fleet.Duration `json:",omitzero"`
+	UpkeepTime fleet.Duration `json:",omitzero"`
+	// PaceTime is how long a change of pace takes.
+	PaceTime fleet.Duration `json:",omitzero"`
+	// HarmTime is how long a task may be over its bound because of others.
+	HarmTime fleet.Duration `json:",omitzero"`
+}
+
+// DefaultManager returns the values of the fields that a file may leave out.
+func DefaultManager() Manager {
+	return Manager{Bounds: Bounds{
+		Grace:      fleet.Duration(6 * time.Second),
+		MaxLease:   fleet.Duration(6 * time.Second),
+		StopTime:   fleet.Duration(200 * time.Millisecond),
+		EarlyStart: fleet.Duration(250 * time.Millisecond),
+		StatusTime: fleet.Duration(2 * time.Minute),
+		DutyQuiet:  fleet.Duration(3 * time.Second),
+		NoticeTime: fleet.Duration(4500 * time.Millisecond),
+		MoveTime:   fleet.Duration(1500 * time.Millisecond),
+		UpkeepTime: fleet.Duration(2 * time.Second),
+		PaceTime:   fleet.Duration(100 * time.Millisecond),
+		HarmTime:   fleet.Duration(4 * time.Second),
+	}}
+}
+
+// ReadManager returns the manager's settings in a file; an error of kind ErrInvalid names every fault.
+func ReadManager(path string) (Manager, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Manager{}, merry.Prepend(ErrInvalid, err.Error())
+	}
+	m := DefaultManager()
+	lines, faults := document.Decode(data, &m)
+	if faults = append(faults, additional(m.Faults(), lines, faults)...); len(faults) > 0 {
+		return Manager{}, merry.Append(ErrInvalid, path+"\n"+document.Text(faults))
+	}
+
+	return m, nil
+}
+
+// Faults returns everything wrong with the settings.
+func (m Manager) Faults() []document.Fault {
+	var c checker
+	c.name("Name", string(m.Name))
+	c.name("Zone", string(m.Zone))
+	c.address("CallerAddress", m.CallerAddress)
+	c.address("ReadyAddress", m.ReadyAddress)
+	c.address("PeerAddress", m.PeerAddress)
+	c.address("MetricsAddress", m.MetricsAddress)
+	c.address("StoreAddress", m.StoreAddress)
+	for path, d := range map[string]fleet.Duration{
+		"Bounds.Grace": m.Bounds.Grace, "Bounds.MaxLease": m.Bounds.MaxLease, "Bounds.StopTime": m.Bounds.StopTime,
+		"Bounds.StatusTime": m.Bounds.StatusTime, "Bounds.MoveTime": m.Bounds.MoveTime, "Bounds.UpkeepTime": m.Bounds.UpkeepTime,
+	} {
+		if d <= 0 {
+			c.add(path, "is %s, must be above 0s", d)
+		}
+	}
+
+	return c.faults
+}
--- a/store/store.go
+++ b/store/store.go
@@ -55,6 +55,45 @@
 	Delete bool
 }
 
+// Expectation is a condition of a transaction: the key's revision is Revision, and zero means that the key does not exist.
+type Expectation struct {
+	Key      string
+	Revision uint64
+}
+
+// Put writes a value at a key without a condition of its own.
+type Put struct {
+	Key   string
+	Value []byte
+	// Lease binds the key to a lease; zero keeps it until it is deleted.
+	Lease LeaseID
+}
+
+// MaxTxnEntries bounds the expectations, puts and removals of a transaction together.
+const MaxTxnEntries = 32
+
+// Txn is a set of writes that is carried out as a whole if every expectation holds, and not at all otherwise.
+type Txn struct {
+	Expect  []Expectation
+	Puts    []Put
+	Removes []string
+}
+
+// ConflictError is an ErrConflict with the present state of the expected keys that exist.
+type ConflictError struct {
+	Records []Record
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string {
+	return ErrConflict.Error()
+}
+
+// Is reports whether target is ErrConflict.
+func (e *ConflictError) Is(target error) bool {
+	return target == ErrConflict
+}
+
 // Event tells of a change of one key.
 type Event struct {
 	Record  Record
@@ -81,6 +120,8 @@
 	List func(ctx context.Context, prefix string) (Listing, error)
 	// CompareAndSwap carries out w and returns the new store revision.
 	CompareAndSwap func(ctx context.Context, w Write) (uint64, error)
+	// Commit carries out a transaction and returns its store revision; a failed expectation gives a ConflictError.
+	Commit func(ctx context.Context, t Txn) (uint64, error)
 	// Watch returns the changes under prefix after a revision; it waits up to wait for the first and returns none if there is none.
 	Watch func(ctx context.Context, prefix string, after uint64, wait time.Duration) (Events, error)
 	// Grant opens a lease.
--- a/trace/fleet_test.go
+++ b/trace/fleet_test.go
@@ -8,8 +8,8 @@
 
 	"lycheehook.example/lycheehook/budget"
 	"lycheehook.example/lycheehook/fleet"
-	"lycheehook.example/lycheehook/move"
 	"lycheehook.example/lycheehook/hostapi"
+	"lycheehook.example/lycheehook/move"
 	"lycheehook.example/lycheehook/record"
 	"lycheehook.example/lycheehook/trace"
 )
--- a/upkeep/upkeep.go
+++ b/upkeep/upkeep.go
@@ -7,10 +7,10 @@
 	"time"
 
 	"lycheehook.example/lycheehook/fleet"
+	"lycheehook.example/lycheehook/hostapi"
 	"lycheehook.example/lycheehook/job"
 	"lycheehook.example/lycheehook/move"
 	"lycheehook.example/lycheehook/placement"
-	"lycheehook.example/lycheehook/hostapi"
 	"lycheehook.example/lycheehook/store"
 	"lycheehook.example/lycheehook/wave"
 )
