Maintain hosts of a wave in time, and see through silent watches

Change: the owner empties and maintains hosts within each wave's bound and the steps' budgets; a book without changes is read anew; room is kept for lasting tasks that find none; a hang-up is noted.

--- a/cmd/lycheehook/manager.go
+++ b/cmd/lycheehook/manager.go
@@ -2,6 +2,8 @@
 
 import (
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/charmbracelet/log"
@@ -39,7 +41,11 @@
 				return err
 			}
 
-			return m.Run(cmd.Context())
+			hangup := make(chan os.Signal, 1)
+			signal.Notify(hangup, syscall.SIGHUP)
+			defer signal.Stop(hangup)
+
+			return m.Run(cmd.Context(), hangup)
 		},
 	}
 	cmd.Flags().StringVar(&path, "settings", "", "file with the settings, as JSON; "+settingsVariable+" names it where this does not")
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -32,10 +32,29 @@
 	config   func() (work.Config, bool)
 	log      *log.Logger
 	roster   func(ctx context.Context, tell func(Roster))
+	hosts    Hosts
 	observe  schedule.Observer
 	host     ledger.Owner
 }
 
+// Hosts is what a dispatcher needs to order hosts; a dispatcher without it orders none.
+type Hosts struct {
+	Cloud work.Cloud
+	// Holder names the entry host in orders to the cloud.
+	Holder string
+	// Quiet is how long nobody may order a host after the owner has changed.
+	Quiet time.Duration
+	// Waves returns the operators' requests for upkeep.
+	Waves func() []work.WaveOrder
+	// TellWave writes what the operators read of a wave, if the owner's record still has the revision of the term.
+	TellWave func(ctx context.Context, term uint64, st schedule.WaveStatus) error
+}
+
+// WithHosts lets the dispatcher order hosts.
+func WithHosts(h Hosts) Option {
+	return func(d *Dispatcher) { d.hosts = h }
+}
+
 // Roster is a change among the registered workers.
 type Roster struct {
 	// Whole says that Present are all workers that there are.
@@ -106,6 +125,10 @@
 	jobs.deliver(t.addJob)
 
 	var all sync.WaitGroup
+	t.sched.SetMaintained(book.Maintained())
+	if d.hosts.Waves != nil {
+		all.Go(func() { t.orderHosts(ctx) })
+	}
 	all.Go(func() { d.roster(ctx, t.setRoster) })
 	t.run(ctx)
 	cancel()
--- a/ledger/book.go
+++ b/ledger/book.go
@@ -36,6 +36,8 @@
 	ownerRev uint64
 	next     uint64
 	early    map[uint64]Batch
+	// maintained has the hosts that had their upkeep, by wave.
+	maintained map[int64][]fleet.HostName
 	skipped  int
 }
 
@@ -43,6 +45,7 @@
 func NewBook() *Book {
 	return &Book{
 		entries: map[fleet.JobID]*Entry{}, orphans: map[fleet.JobID][]Change{}, hosts: map[fleet.EntryName]Host{}, early: map[uint64]Batch{},
+		maintained: map[int64][]fleet.HostName{},
 	}
 }
 
@@ -173,6 +176,10 @@
 }
 
 func (b *Book) apply(c Change) {
+	if c.Kind == Maintained {
+		b.maintained[int64(c.Life)] = append(b.maintained[int64(c.Life)], fleet.HostName(c.Worker))
+		return
+	}
 	if e, ok := b.entries[c.Attempt.Job]; ok {
 		e.Apply(c)
 		return
@@ -247,6 +254,11 @@
 	return b.next
 }
 
+// Maintained returns the hosts that had their upkeep, by wave; the caller must be the only user of the book.
+func (b *Book) Maintained() map[int64][]fleet.HostName {
+	return b.maintained
+}
+
 // Entries returns the jobs; the caller must be the only user of the book.
 func (b *Book) Entries() map[fleet.JobID]*Entry {
 	return b.entries
--- a/ledger/change.go
+++ b/ledger/change.go
@@ -41,6 +41,8 @@
 	Ended
 	// JobFailed is a job of which a task used up its attempts.
 	JobFailed
+	// Maintained is a host that had its upkeep: Worker has the host's name and Life the number of the wave.
+	Maintained
 )
 
 // Change is one entry of the log.
--- a/ledger/follower.go
+++ b/ledger/follower.go
@@ -16,7 +16,10 @@
 
 const (
 	// watchWait is how long the store may hold back an answer without changes.
-	watchWait = 10 * time.Second
+	watchWait = time.Second
+	// readInterval is the least time between two reads of the whole ledger after watches without changes, since a watch
+	// may go silent while changes are made.
+	readInterval = 1500 * time.Millisecond
 	// watchPause between watches lets changes gather, since the store counts each call.
 	watchPause = 100 * time.Millisecond
 	// retryPause is the pause after a failed call to the store.
@@ -58,6 +61,7 @@
 // Run follows the store until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	var after uint64
+	var read time.Time
 	for ctx.Err() == nil {
 		if f.Book() == nil || after == 0 {
 			at, err := f.read(ctx)
@@ -67,7 +71,7 @@
 
 				continue
 			}
-			after = at
+			after, read = at, time.Now()
 		}
 		ev, err := f.client.Watch(ctx, Prefix, after, watchWait)
 		switch {
@@ -81,6 +85,8 @@
 			f.follow(ev.Events)
 			after = ev.Revision
 			sleep(ctx, watchPause)
+		case time.Since(read) > readInterval:
+			after = 0
 		}
 	}
 }
--- a/manager/config.go
+++ b/manager/config.go
@@ -46,13 +46,13 @@
 	return *p, true
 }
 
-// Waves returns the operators' requests for upkeep, by the end of their keys.
-func (c *Configuration) Waves() map[string]work.WaveOrder {
+// Waves returns the operators' requests for upkeep.
+func (c *Configuration) Waves() []work.WaveOrder {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	waves := make(map[string]work.WaveOrder, len(c.waves))
-	for k, w := range c.waves {
-		waves[k] = w
+	waves := make([]work.WaveOrder, 0, len(c.waves))
+	for _, w := range c.waves {
+		waves = append(waves, w)
 	}
 
 	return waves
--- a/manager/manager.go
+++ b/manager/manager.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,6 +23,7 @@
 	"lycheehook.example/lycheehook/platform"
 	"lycheehook.example/lycheehook/schedule"
 	"lycheehook.example/lycheehook/settings"
+	"lycheehook.example/lycheehook/store"
 )
 
 const (
@@ -28,6 +31,10 @@
 	storeTimeout = 3 * time.Second
 	// orderTimeout bounds an order to a worker, which answers within milliseconds.
 	orderTimeout = 400 * time.Millisecond
+	// cloudTimeout bounds a call to the cloud.
+	cloudTimeout = time.Second
+	// quietMargin is added to the time in which nobody orders hosts, for clocks and delays.
+	quietMargin = 500 * time.Millisecond
 	// readHeaderTimeout bounds the time from the first byte of a request to the end of its header.
 	readHeaderTimeout = 3 * time.Second
 	idleTimeout       = time.Minute
@@ -64,12 +71,35 @@
 	m.candidate = owner.NewCandidate(client, m.seat, m.follower, self.Process, l)
 	m.dispatch = dispatch.New(
 		client, m.follower, platform.NewWorkers(transport, orderTimeout), bounds(s), self, l,
-		m.config.Current, followRoster(client, l), dispatch.WithObserver(m.observe),
+		m.config.Current, followRoster(client, l), dispatch.WithObserver(m.observe), m.withHosts(transport, client),
 	)
 
 	return m, nil
 }
 
+// withHosts lets the owner order hosts, where the platform has a cloud.
+func (m *Manager) withHosts(t *platform.Transport, c *store.Client) dispatch.Option {
+	if m.settings.CloudAddress == "" {
+		return dispatch.WithHosts(dispatch.Hosts{})
+	}
+
+	return dispatch.WithHosts(dispatch.Hosts{
+		Cloud: platform.NewCloud(t.To(m.settings.CloudAddress), cloudTimeout), Holder: string(m.settings.Name),
+		Quiet: m.settings.Bounds.DutyQuiet.Std() + quietMargin, Waves: m.config.Waves,
+		TellWave: func(ctx context.Context, term uint64, st schedule.WaveStatus) error {
+			_, err := c.Commit(ctx, store.Txn{
+				Expect: []store.Expectation{{Key: ledger.OwnerKey, Revision: term}},
+				Puts: []store.Put{{
+					Key:   platform.WaveStatusPrefix + strconv.FormatInt(st.Number, 10),
+					Value: platform.EncodeWaveStatus(st.State == schedule.WaveCompleted),
+				}},
+			})
+
+			return err
+		},
+	})
+}
+
 func bounds(s settings.Manager) schedule.Bounds {
 	return schedule.Bounds{MaxLease: s.Bounds.MaxLease.Std(), EarlyStart: s.Bounds.EarlyStart.Std()}
 }
@@ -80,7 +110,7 @@
 }
 
 // Run serves until the context ends, and then finishes what has begun.
-func (m *Manager) Run(ctx context.Context) error {
+func (m *Manager) Run(ctx context.Context, hangup <-chan os.Signal) error {
 	m.log.Info("starting", "host", m.settings.Name, "zone", m.settings.Zone)
 	callers, err := serve(ctx, m.settings.CallerAddress, m.handler)
 	if err != nil {
@@ -99,7 +129,7 @@
 	all.Go(func() { m.seat.Run(background) })
 	all.Go(func() { m.candidate.Run(ctx, m.dispatch.Serve) })
 
-	<-ctx.Done()
+	m.awaitStop(ctx, hangup)
 	m.log.Info("stopping")
 	m.stopping.Store(true)
 	m.stop(background, callers, ready)
@@ -111,6 +141,19 @@
 	return nil
 }
 
+// awaitStop returns when the context ends. The settings that may change while the process runs have no effect before
+// its next start, so a hang-up is only noted.
+func (m *Manager) awaitStop(ctx context.Context, hangup <-chan os.Signal) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangup:
+			m.log.Info("hang-up: settings are read at the next start")
+		}
+	}
+}
+
 // stop lets the callers' requests end within the platform's grace.
 func (m *Manager) stop(ctx context.Context, callers, ready *http.Server) {
 	ctx, cancel := context.WithTimeout(ctx, max(stopMargin, m.settings.Bounds.Grace.Std()-stopMargin))
--- /dev/null
+++ b/schedule/host.go
@@ -0,0 +1,260 @@
+package schedule
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"lycheehook.example/lycheehook/fleet"
+	"lycheehook.example/lycheehook/work"
+)
+
+// hostPhase is how far an order to a host has come.
+type hostPhase uint8
+
+const (
+	// serving hosts have nothing planned.
+	serving hostPhase = iota
+	// emptying hosts get no new tasks, and their lasting tasks are moved away.
+	emptying
+	// ordering hosts have an order on its way, which may be carried out late.
+	ordering
+	// away hosts are being moved or maintained.
+	away
+)
+
+// host is a machine of the cloud with what is planned for it.
+type host struct {
+	work.HostStatus
+	phase hostPhase
+	// plan is what the host is being emptied for.
+	plan hostPlan
+	// since is when the phase began.
+	since time.Time
+	// retry is when an order may be given again.
+	retry time.Time
+}
+
+// hostPlan is an upkeep for a wave, or a move to a pool.
+type hostPlan struct {
+	wave int64
+	pool fleet.PoolName
+}
+
+// HostOrder is an order to the cloud.
+type HostOrder struct {
+	Host fleet.HostName
+	// Wave is the wave that the host is maintained for; zero for a move.
+	Wave int64
+	// Pool is where the host moves.
+	Pool fleet.PoolName
+	host *host
+}
+
+const (
+	// orderRetry is the pause before an order to the cloud that was not carried out is given again.
+	orderRetry = 400 * time.Millisecond
+	// batchPatience is how long a host that is being emptied waits for tasks that end by themselves.
+	batchPatience = 4 * time.Second
+)
+
+// SetHosts takes in the cloud's list of hosts.
+func (s *Scheduler) SetHosts(list []work.HostStatus, asked, now time.Time) {
+	present := make(map[fleet.HostName]bool, len(list))
+	for _, st := range list {
+		present[st.Host] = true
+		h, ok := s.hosts[st.Host]
+		if !ok {
+			h = &host{}
+			s.hosts[st.Host] = h
+		}
+		h.HostStatus = st
+		// A list that was asked for before the order was answered may still show the host as it was.
+		if h.phase == away && h.since.Before(asked) && st.State == work.HostUp {
+			s.returned(h, now)
+		}
+	}
+	for name := range s.hosts {
+		if !present[name] {
+			delete(s.hosts, name)
+		}
+	}
+	s.listed = now
+	s.dirty = true
+}
+
+// returned takes in that a host is up again after an order.
+func (s *Scheduler) returned(h *host, now time.Time) {
+	if h.plan.wave != 0 {
+		s.maintained(h.plan.wave, h.Host)
+	}
+	h.phase, h.plan, h.since = serving, hostPlan{}, now
+}
+
+// HostsAway reports whether a host is under way, so that the list is worth reading soon.
+func (s *Scheduler) HostsAway() bool {
+	for _, h := range s.hosts {
+		if h.phase == ordering || h.phase == away {
+			return true
+		}
+	}
+
+	return false
+}
+
+// HostsListed returns when the cloud's list was last taken in.
+func (s *Scheduler) HostsListed() time.Time {
+	return s.listed
+}
+
+// empty begins to empty a host for a plan.
+func (s *Scheduler) empty(h *host, p hostPlan, now time.Time) {
+	h.phase, h.plan, h.since = emptying, p, now
+	s.observe(Decision{What: "HostEmptying", Worker: h.Worker, Reason: string(h.Host) + " " + string(p.pool)})
+}
+
+// keepServing gives up what was planned for a host that nothing was ordered of.
+func (s *Scheduler) keepServing(h *host, now time.Time) {
+	h.phase, h.plan, h.since = serving, hostPlan{}, now
+	s.dirty = true
+}
+
+// hostOf returns the host that a worker is a life of, or nil if the list does not tell.
+func (s *Scheduler) hostOf(id work.WorkerID) *host {
+	for _, h := range s.hosts {
+		if h.Worker == id {
+			return h
+		}
+	}
+
+	return nil
+}
+
+// markCordons notes on each worker whether its host is being emptied or is due for upkeep.
+func (s *Scheduler) markCordons() {
+	for _, w := range s.workers {
+		w.cordoned, w.due = false, false
+	}
+	for _, h := range s.hosts {
+		w, ok := s.workers[h.Worker]
+		if !ok {
+			continue
+		}
+		w.cordoned = h.phase != serving
+		w.due = s.dueHosts[h.Host]
+	}
+}
+
+// HostOrders returns the orders to the cloud that are due now.
+func (s *Scheduler) HostOrders(now time.Time) []HostOrder {
+	if s.listed.IsZero() {
+		return nil
+	}
+	s.planUpkeep(now)
+	s.markCordons()
+	var orders []HostOrder
+	for _, h := range s.sortedHosts() {
+		switch h.phase {
+		case emptying:
+			if s.emptied(h, now) {
+				h.phase, h.since = ordering, now
+				orders = append(orders, s.hostOrder(h))
+			}
+		case ordering:
+			if !h.retry.IsZero() && now.After(h.retry) {
+				h.retry = time.Time{}
+				orders = append(orders, s.hostOrder(h))
+			}
+		case serving, away:
+		}
+	}
+
+	return orders
+}
+
+func (s *Scheduler) hostOrder(h *host) HostOrder {
+	return HostOrder{Host: h.Host, Wave: h.plan.wave, Pool: h.plan.pool, host: h}
+}
+
+func (s *Scheduler) sortedHosts() []*host {
+	list := make([]*host, 0, len(s.hosts))
+	for _, h := range s.hosts {
+		list = append(list, h)
+	}
+	slices.SortFunc(list, func(a, b *host) int { return cmp.Compare(a.Host, b.Host) })
+
+	return list
+}
+
+// emptied moves away what lasts on a host, and reports whether the host can be ordered away.
+func (s *Scheduler) emptied(h *host, now time.Time) bool {
+	w, ok := s.workers[h.Worker]
+	if !ok {
+		return true
+	}
+	batch := false
+	for _, r := range w.runs {
+		e, known := s.entries[r.attempt.Job]
+		if !known || !e.Has(r.attempt.Task) || !e.Job.Steps[r.attempt.Step].Lasting {
+			batch = true
+			continue
+		}
+		if !r.stop && s.mayStop(e, r) {
+			r.stop, r.moved = true, true
+			w.wake = true
+		}
+	}
+	if len(w.runs) == 0 {
+		return true
+	}
+
+	return batch && now.Sub(h.since) > batchPatience && s.onlyBatch(w)
+}
+
+// onlyBatch reports whether nothing on the worker lasts.
+func (s *Scheduler) onlyBatch(w *worker) bool {
+	for _, r := range w.runs {
+		if e, ok := s.entries[r.attempt.Job]; !ok || !e.Has(r.attempt.Task) || e.Job.Steps[r.attempt.Step].Lasting {
+			return false
+		}
+	}
+
+	return true
+}
+
+// HostAnswered takes in the answer to an order.
+func (s *Scheduler) HostAnswered(o HostOrder, err error, now time.Time) {
+	h := o.host
+	if s.hosts[h.Host] != h || h.phase != ordering {
+		return
+	}
+	s.observe(Decision{What: "HostOrdered", Worker: h.Worker, Reason: string(h.Host) + " " + reasonOf(err)})
+	switch hostOutcome(err) {
+	case carriedOut:
+		h.phase, h.since = away, now
+		s.gone(h, now)
+	case refusedForGood:
+		if h.plan.wave != 0 {
+			s.maintained(h.plan.wave, h.Host)
+		}
+		s.keepServing(h, now)
+	case refusedForNow:
+		h.phase = emptying
+		h.since = now
+	case unknown:
+		h.retry = now.Add(orderRetry)
+	}
+}
+
+// gone takes in that everything on a host was ended by its order.
+func (s *Scheduler) gone(h *host, now time.Time) {
+	w, ok := s.workers[h.Worker]
+	if !ok {
+		return
+	}
+	w.present = false
+	for _, r := range w.runs {
+		s.end(r, work.OutcomeLapsed, "", "host was ordered away")
+	}
+	w.lapse = now
+}
--- a/schedule/look.go
+++ b/schedule/look.go
@@ -46,6 +46,8 @@
 		return 0, false
 	case w.wake:
 		return 0, true
+	case s.warmingUp(w):
+		return warmUpWait, true
 	case len(w.runs) > 0:
 		return lookWait, true
 	default:
@@ -53,6 +55,20 @@
 	}
 }
 
+// warmingUp reports whether a lasting task on the worker is not at work yet.
+func (s *Scheduler) warmingUp(w *worker) bool {
+	for _, r := range w.runs {
+		if r.phase != confirmed || r.percent >= fullPace {
+			continue
+		}
+		if e, ok := s.entries[r.attempt.Job]; ok && e.Has(r.attempt.Task) && e.Job.Steps[r.attempt.Step].Lasting {
+			return true
+		}
+	}
+
+	return false
+}
+
 // Seen takes in the answer to a look.
 func (s *Scheduler) Seen(l Look, sight work.Sight, err error, now time.Time) {
 	w, ok := s.workers[l.Worker.ID]
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -36,6 +36,9 @@
 		slices.SortFunc(ws, func(a, b *worker) int { return cmp.Compare(a.id, b.id) })
 	}
 
+	for _, w := range s.workers {
+		w.kept = fleet.Resources{}
+	}
 	for _, r := range s.ready(now) {
 		s.placeStep(r, byPool[r.queue.Pool])
 	}
@@ -114,6 +117,11 @@
 	for _, n := range r.tasks {
 		w := s.choose(r, step, workers)
 		if w == nil {
+			if step.Lasting && s.withinLimit(e.Job.Workspace, step.Size) {
+				keepRoom(r, step, workers)
+				continue
+			}
+
 			return
 		}
 		s.assign(r, n, e.Step(r.step).Tasks[n].Attempts+1, w)
@@ -193,7 +201,11 @@
 	var best *worker
 	var bestScore float64
 	for _, w := range workers {
-		if !need.FitsIn(w.reg.Capacity.Minus(w.used)) || !hasLabel(w.reg, step.Label) ||
+		free := w.reg.Capacity.Minus(w.used)
+		if !step.Lasting {
+			free = free.Minus(w.kept)
+		}
+		if !need.FitsIn(free) || !hasLabel(w.reg, step.Label) ||
 			step.MaxPerWorker > 0 && r.spread[w.id] >= step.MaxPerWorker {
 			continue
 		}
@@ -205,6 +217,33 @@
 	return best
 }
 
+// keepRoom keeps the room that becomes free on one worker for a task that lasts and finds none.
+func keepRoom(r *ready, step work.Step, workers []*worker) {
+	need := step.Reserved()
+	var best *worker
+	for _, w := range workers {
+		if !need.FitsIn(w.reg.Capacity.Minus(w.kept)) || !hasLabel(w.reg, step.Label) ||
+			step.MaxPerWorker > 0 && r.spread[w.id] >= step.MaxPerWorker {
+			continue
+		}
+		if best == nil || w.used.Plus(w.kept).DominantShare(w.reg.Capacity) < best.used.Plus(best.kept).DominantShare(best.reg.Capacity) {
+			best = w
+		}
+	}
+	if best != nil {
+		best.kept = best.kept.Plus(need)
+		r.spread[best.id]++
+	}
+}
+
+// duePenalty puts a worker that is due for upkeep behind all others, for a task that lasts.
+const duePenalty = 3
+
+// sortBy sorts by rising keys and keeps the order of equals.
+func sortBy[T any](list []T, key func(T) float64) {
+	slices.SortStableFunc(list, func(a, b T) int { return cmp.Compare(key(a), key(b)) })
+}
+
 // farPenalty puts a worker on another rack than the data behind every worker on it.
 const farPenalty = 10
 
@@ -214,6 +253,9 @@
 	score := 1 - after
 	if step.Lasting {
 		score = after + float64(r.spread[w.id])
+		if w.due {
+			score += duePenalty
+		}
 	}
 	if step.Rack != "" && step.Rack != w.reg.Rack {
 		score += farPenalty
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -10,18 +10,24 @@
 
 // Scheduler has the tables of jobs, workers and runs of one term of ownership; one goroutine at a time may use it.
 type Scheduler struct {
-	term     uint64
-	bounds   Bounds
-	observe  Observer
-	queues   map[fleet.QueueName]work.Queue
-	pools    map[fleet.PoolName]work.Pool
-	limits   map[fleet.WorkspaceName]work.Workspace
-	entries  map[fleet.JobID]*ledger.Entry
-	jobs     map[fleet.JobID]*job
-	workers  map[work.WorkerID]*worker
-	running  map[fleet.WorkspaceName]fleet.Resources
-	changes  []ledger.Change
-	starting []*run
+	term    uint64
+	bounds  Bounds
+	observe Observer
+	queues  map[fleet.QueueName]work.Queue
+	pools   map[fleet.PoolName]work.Pool
+	limits  map[fleet.WorkspaceName]work.Workspace
+	entries map[fleet.JobID]*ledger.Entry
+	jobs    map[fleet.JobID]*job
+	workers map[work.WorkerID]*worker
+	running map[fleet.WorkspaceName]fleet.Resources
+	hosts   map[fleet.HostName]*host
+	// listed is when the cloud's list was last taken in.
+	listed           time.Time
+	waves            map[int64]*wave
+	dueHosts         map[fleet.HostName]bool
+	maintainedBefore map[int64][]fleet.HostName
+	changes          []ledger.Change
+	starting         []*run
 	// dirty says that something has changed since tasks were last placed.
 	dirty bool
 }
@@ -70,6 +76,7 @@
 		term: term, bounds: b, observe: func(Decision) {}, entries: entries,
 		queues: map[fleet.QueueName]work.Queue{}, pools: map[fleet.PoolName]work.Pool{}, limits: map[fleet.WorkspaceName]work.Workspace{},
 		jobs: map[fleet.JobID]*job{}, workers: map[work.WorkerID]*worker{}, running: map[fleet.WorkspaceName]fleet.Resources{}, dirty: true,
+		hosts: map[fleet.HostName]*host{}, waves: map[int64]*wave{}, dueHosts: map[fleet.HostName]bool{},
 	}
 	for _, o := range options {
 		o(s)
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -23,6 +23,10 @@
 	ackWait = 400 * time.Millisecond
 	// retryWait is the pause before a worker that did not answer is asked again.
 	retryWait = 150 * time.Millisecond
+	// fullPace is the percentage of a run that is at work.
+	fullPace = 100
+	// warmUpWait is how long a worker may hold back its answer while a lasting task is not yet at work there.
+	warmUpWait = 250 * time.Millisecond
 )
 
 // phase is how far a run has come.
@@ -55,6 +59,8 @@
 	// since is when the worker confirmed the run.
 	since   time.Time
 	percent int
+	// moved says that the run is stopped so that its task goes on elsewhere.
+	moved bool
 	// stop says that the run is to be ended, stopSent when that was last ordered.
 	stop     bool
 	stopSent time.Time
@@ -71,6 +77,8 @@
 	met  bool
 	runs map[work.Attempt]*run
 	used fleet.Resources
+	// kept is room that only tasks that last may take.
+	kept fleet.Resources
 	// clock is the worker's clock at its newest answer, which was asked for at asked and came at heard.
 	clock        time.Duration
 	asked, heard time.Time
@@ -87,8 +95,10 @@
 	// wake asks for a look at once.
 	wake bool
 	// failures counts the runs in a row that failed there.
-	failures   int
-	quarantine time.Time
+	failures int
+	// cordoned workers get no new tasks; due ones are to have their upkeep.
+	cordoned, due bool
+	quarantine    time.Time
 }
 
 func leaseBound(lease time.Duration) time.Duration {
@@ -205,5 +215,5 @@
 
 // usable reports whether tasks may be placed on the worker.
 func (w *worker) usable(now time.Time) bool {
-	return w.present && w.met && !w.reg.Draining && w.unheard < silentAfter && !now.Before(w.quarantine)
+	return w.present && w.met && !w.cordoned && !w.reg.Draining && w.unheard < silentAfter && !now.Before(w.quarantine)
 }
