Move idle hosts to the pools whose work arrives, and the needless ones to standby

Cause: each queue asks five times its mean in turn, more than its pool holds, while the other pools idle and are paid for. Change: balance learns the inflow of each pool with its trend and plans moves of idle hosts; lasting tasks share few hosts.

--- /dev/null
+++ b/balance/balance.go
@@ -0,0 +1,166 @@
+package balance
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"lycheehook.example/lycheehook/fleet"
+)
+
+const (
+	// trendTime is how far back arrivals are looked at.
+	trendTime = 3 * time.Second
+	// sampleTime is the width of a bucket of arrivals.
+	sampleTime = 500 * time.Millisecond
+	// headroom is the part by which a pool is larger than its demand, and spareHosts what is added to that.
+	headroom   = 0.12
+	spareHosts = 0.6
+	// surplusTime is how long a host must have been needless before it leaves; a move there and back costs about as
+	// much as two seconds in a pool.
+	surplusTime = 1500 * time.Millisecond
+)
+
+// Pool is what is known of a pool.
+type Pool struct {
+	Name fleet.PoolName
+	// Hosts counts those that serve or are on their way into the pool.
+	Hosts int
+	// Demand is the work that runs and waits, in hosts.
+	Demand float64
+	// Least is how many hosts the pool's lasting tasks need.
+	Least int
+	// Idle hosts may leave at once; those that should go first come first.
+	Idle []fleet.HostName
+}
+
+// Move takes a host from one pool to another.
+type Move struct {
+	Host fleet.HostName
+	From fleet.PoolName
+	To   fleet.PoolName
+}
+
+// Balancer keeps what was seen of each pool.
+type Balancer struct {
+	lead  time.Duration
+	pools map[fleet.PoolName]*history
+}
+
+// history is what was seen of a pool.
+type history struct {
+	// arrivals has the work that came in each bucket, in host-seconds.
+	arrivals map[int64]float64
+	// surplus is since when the pool has been larger than it should be; zero while it is not.
+	surplus time.Time
+}
+
+// New returns a balancer for hosts that take lead to move.
+func New(lead time.Duration) *Balancer {
+	return &Balancer{lead: lead, pools: map[fleet.PoolName]*history{}}
+}
+
+func (b *Balancer) history(p fleet.PoolName) *history {
+	h, ok := b.pools[p]
+	if !ok {
+		h = &history{arrivals: map[int64]float64{}}
+		b.pools[p] = h
+	}
+
+	return h
+}
+
+// Arrive notes that work of some host-seconds has come for a pool.
+func (b *Balancer) Arrive(p fleet.PoolName, hostSeconds float64, now time.Time) {
+	b.history(p).arrivals[bucket(now)] += hostSeconds
+}
+
+func bucket(t time.Time) int64 {
+	return t.UnixNano() / int64(sampleTime)
+}
+
+// Inflow returns the work that is expected to arrive each second once a move that begins now is over, in hosts.
+func (b *Balancer) Inflow(p fleet.PoolName, now time.Time) float64 {
+	h := b.history(p)
+	last := bucket(now) - 1
+	count := int64(trendTime / sampleTime)
+	for k := range h.arrivals {
+		if k <= last-2*count {
+			delete(h.arrivals, k)
+		}
+	}
+	half := count / 2
+	var older, newer float64
+	for i := range half {
+		newer += h.arrivals[last-i]
+		older += h.arrivals[last-half-i]
+	}
+	span := (time.Duration(half) * sampleTime).Seconds()
+	newer, older = newer/span, older/span
+	slope := (newer - older) / span
+
+	return max(0, newer+max(0, slope)*b.lead.Seconds())
+}
+
+// Want returns how many hosts a pool should have.
+func (b *Balancer) Want(p Pool, now time.Time) int {
+	work := max(p.Demand, b.Inflow(p.Name, now))
+
+	return max(p.Least, int(math.Ceil(work*(1+headroom)+spareHosts)))
+}
+
+// Plan returns the moves that bring pools to their sizes: hosts from standby first, then those that others don't need.
+func (b *Balancer) Plan(pools []Pool, standby fleet.PoolName, spares []fleet.HostName, now time.Time) []Move {
+	var moves []Move
+	var lacking []lack
+	var offers []Move
+	for _, p := range pools {
+		want := b.Want(p, now)
+		h := b.history(p.Name)
+		if p.Hosts <= want {
+			h.surplus = time.Time{}
+			if p.Hosts < want {
+				lacking = append(lacking, lack{p.Name, want - p.Hosts})
+			}
+
+			continue
+		}
+		if h.surplus.IsZero() {
+			h.surplus = now
+		}
+		for _, host := range p.Idle[:min(len(p.Idle), p.Hosts-want)] {
+			offers = append(offers, Move{Host: host, From: p.Name})
+		}
+	}
+	slices.SortFunc(lacking, func(x, y lack) int { return cmp.Or(cmp.Compare(y.hosts, x.hosts), cmp.Compare(x.pool, y.pool)) })
+
+	for _, l := range lacking {
+		for range l.hosts {
+			switch {
+			case len(spares) > 0:
+				moves = append(moves, Move{Host: spares[0], From: standby, To: l.pool})
+				spares = spares[1:]
+			case len(offers) > 0:
+				moves = append(moves, Move{Host: offers[0].Host, From: offers[0].From, To: l.pool})
+				offers = offers[1:]
+			}
+		}
+	}
+	if standby == "" {
+		return moves
+	}
+	for _, o := range offers {
+		if now.Sub(b.history(o.From).surplus) >= surplusTime {
+			moves = append(moves, Move{Host: o.Host, From: o.From, To: standby})
+		}
+	}
+
+	return moves
+}
+
+// lack is how many hosts a pool is short of.
+type lack struct {
+	pool  fleet.PoolName
+	hosts int
+}
--- a/dispatch/hosts.go
+++ b/dispatch/hosts.go
@@ -26,11 +26,7 @@
 		for _, o := range t.hosts.Waves() {
 			t.sched.SetWave(o, now)
 		}
-		wanted := t.sched.OpenWaves()
 		t.mu.Unlock()
-		if !wanted {
-			continue
-		}
 		t.listHosts(ctx, now)
 		if now.Sub(began) >= t.hosts.Quiet && t.owned.Valid() {
 			t.orderRound(ctx, now)
--- a/ledger/book.go
+++ b/ledger/book.go
@@ -38,7 +38,7 @@
 	early    map[uint64]Batch
 	// maintained has the hosts that had their upkeep, by wave.
 	maintained map[int64][]fleet.HostName
-	skipped  int
+	skipped    int
 }
 
 // NewBook returns an empty book.
--- a/manager/manager.go
+++ b/manager/manager.go
@@ -101,7 +101,7 @@
 }
 
 func bounds(s settings.Manager) schedule.Bounds {
-	return schedule.Bounds{MaxLease: s.Bounds.MaxLease.Std(), EarlyStart: s.Bounds.EarlyStart.Std()}
+	return schedule.Bounds{MaxLease: s.Bounds.MaxLease.Std(), EarlyStart: s.Bounds.EarlyStart.Std(), MoveTime: s.Bounds.MoveTime.Std()}
 }
 
 // observe logs a decision of the scheduler.
--- a/schedule/host.go
+++ b/schedule/host.go
@@ -31,6 +31,8 @@
 	plan hostPlan
 	// since is when the phase began.
 	since time.Time
+	// refused has the pools that the host can't be part of.
+	refused map[fleet.PoolName]bool
 	// retry is when an order may be given again.
 	retry time.Time
 }
@@ -65,7 +67,7 @@
 		present[st.Host] = true
 		h, ok := s.hosts[st.Host]
 		if !ok {
-			h = &host{}
+			h = &host{refused: map[fleet.PoolName]bool{}}
 			s.hosts[st.Host] = h
 		}
 		h.HostStatus = st
@@ -119,17 +121,6 @@
 	s.dirty = true
 }
 
-// hostOf returns the host that a worker is a life of, or nil if the list does not tell.
-func (s *Scheduler) hostOf(id work.WorkerID) *host {
-	for _, h := range s.hosts {
-		if h.Worker == id {
-			return h
-		}
-	}
-
-	return nil
-}
-
 // markCordons notes on each worker whether its host is being emptied or is due for upkeep.
 func (s *Scheduler) markCordons() {
 	for _, w := range s.workers {
@@ -151,6 +142,7 @@
 		return nil
 	}
 	s.planUpkeep(now)
+	s.planMoves(now)
 	s.markCordons()
 	var orders []HostOrder
 	for _, h := range s.sortedHosts() {
@@ -236,6 +228,8 @@
 	case refusedForGood:
 		if h.plan.wave != 0 {
 			s.maintained(h.plan.wave, h.Host)
+		} else {
+			h.refused[h.plan.pool] = true
 		}
 		s.keepServing(h, now)
 	case refusedForNow:
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -32,18 +32,29 @@
 			byPool[w.reg.Pool] = append(byPool[w.reg.Pool], w)
 		}
 	}
+	s.countLasting()
 	for _, ws := range byPool {
 		slices.SortFunc(ws, func(a, b *worker) int { return cmp.Compare(a.id, b.id) })
 	}
 
-	for _, w := range s.workers {
-		w.kept = fleet.Resources{}
-	}
+	s.waiting = s.waiting[:0]
 	for _, r := range s.ready(now) {
 		s.placeStep(r, byPool[r.queue.Pool])
 	}
 }
 
+// countLasting counts the lasting tasks on each worker.
+func (s *Scheduler) countLasting() {
+	for _, w := range s.workers {
+		w.kept, w.lasting = fleet.Resources{}, 0
+		for _, r := range w.runs {
+			if e, ok := s.entries[r.attempt.Job]; ok && e.Has(r.attempt.Task) && e.Job.Steps[r.attempt.Step].Lasting {
+				w.lasting++
+			}
+		}
+	}
+}
+
 // NextDue returns when the next occurrence of a job may start; the zero time means that none waits for its time.
 func (s *Scheduler) NextDue(now time.Time) time.Time {
 	var next time.Time
@@ -114,13 +125,16 @@
 		s.placeGang(r, step, workers)
 		return
 	}
-	for _, n := range r.tasks {
+	for i, n := range r.tasks {
 		w := s.choose(r, step, workers)
 		if w == nil {
 			if step.Lasting && s.withinLimit(e.Job.Workspace, step.Size) {
 				keepRoom(r, step, workers)
+				s.wait(r, 1)
+
 				continue
 			}
+			s.wait(r, len(r.tasks)-i)
 
 			return
 		}
@@ -128,6 +142,14 @@
 	}
 }
 
+// wait notes that some tasks of a step found no room, unless it is their workspace that may not have more.
+func (s *Scheduler) wait(r *ready, tasks int) {
+	if !s.withinLimit(r.job.entry.Job.Workspace, r.job.entry.Job.Steps[r.step.Step].Size) {
+		return
+	}
+	s.waiting = append(s.waiting, &ready{job: r.job, step: r.step, queue: r.queue, tasks: r.tasks[:tasks]})
+}
+
 // placeGang assigns all tasks of a gang under one attempt number, or none of them.
 func (s *Scheduler) placeGang(r *ready, step work.Step, workers []*worker) {
 	e := r.job.entry
@@ -146,6 +168,7 @@
 		w := s.choose(r, step, workers)
 		if w == nil {
 			s.withdraw(first, firstChange)
+			s.wait(r, len(r.tasks))
 			return
 		}
 		s.assign(r, n, attempt+1, w)
@@ -170,6 +193,9 @@
 	}
 	run := &run{attempt: a, worker: w, life: w.life, reserved: e.Job.Steps[a.Step].Reserved()}
 	s.hold(e, run)
+	if e.Job.Steps[a.Step].Lasting {
+		w.lasting++
+	}
 	r.spread[w.id]++
 	s.starting = append(s.starting, run)
 	s.record(e, ledger.Change{Kind: ledger.Assigned, Attempt: a, Worker: w.id, Life: w.life})
@@ -236,6 +262,9 @@
 	}
 }
 
+// sharePreference draws lasting tasks to workers that have such already.
+const sharePreference = 0.6
+
 // duePenalty puts a worker that is due for upkeep behind all others, for a task that lasts.
 const duePenalty = 3
 
@@ -252,7 +281,11 @@
 	after := w.used.Plus(step.Reserved()).DominantShare(w.reg.Capacity)
 	score := 1 - after
 	if step.Lasting {
-		score = after + float64(r.spread[w.id])
+		// Lasting tasks share few workers, so that the others can leave the pool, but not more than two of a step do.
+		score = after/10 + float64(r.spread[w.id])/2
+		if w.lasting > 0 {
+			score -= sharePreference
+		}
 		if w.due {
 			score += duePenalty
 		}
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"lycheehook.example/lycheehook/balance"
 	"lycheehook.example/lycheehook/fleet"
 	"lycheehook.example/lycheehook/ledger"
 	"lycheehook.example/lycheehook/work"
@@ -26,8 +27,13 @@
 	waves            map[int64]*wave
 	dueHosts         map[fleet.HostName]bool
 	maintainedBefore map[int64][]fleet.HostName
-	changes          []ledger.Change
-	starting         []*run
+	balancer         *balance.Balancer
+	// planned is when the pools were last planned.
+	planned time.Time
+	// waiting has the steps whose tasks found no room in the last placement.
+	waiting  []*ready
+	changes  []ledger.Change
+	starting []*run
 	// dirty says that something has changed since tasks were last placed.
 	dirty bool
 }
@@ -38,6 +44,8 @@
 	MaxLease time.Duration
 	// EarlyStart is how long before its time an occurrence may start.
 	EarlyStart time.Duration
+	// MoveTime is how long a host is away when it changes its pool.
+	MoveTime time.Duration
 }
 
 // Observer is told of each decision about a run, for logs and metrics.
@@ -77,6 +85,7 @@
 		queues: map[fleet.QueueName]work.Queue{}, pools: map[fleet.PoolName]work.Pool{}, limits: map[fleet.WorkspaceName]work.Workspace{},
 		jobs: map[fleet.JobID]*job{}, workers: map[work.WorkerID]*worker{}, running: map[fleet.WorkspaceName]fleet.Resources{}, dirty: true,
 		hosts: map[fleet.HostName]*host{}, waves: map[int64]*wave{}, dueHosts: map[fleet.HostName]bool{},
+		balancer: balance.New(b.MoveTime + planLead),
 	}
 	for _, o := range options {
 		o(s)
@@ -139,6 +148,7 @@
 	}
 	if s.jobs[j.ID] == nil {
 		s.jobs[j.ID] = &job{entry: e, seen: now}
+		s.arrive(s.jobs[j.ID], now)
 		s.dirty = true
 	}
 }
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -79,6 +79,8 @@
 	used fleet.Resources
 	// kept is room that only tasks that last may take.
 	kept fleet.Resources
+	// lasting counts the lasting tasks that run there.
+	lasting int
 	// clock is the worker's clock at its newest answer, which was asked for at asked and came at heard.
 	clock        time.Duration
 	asked, heard time.Time
