Tell a rise of work from the chance of few large jobs

Change: a rise counts beyond its standard deviation; hosts leave when they were needless for keepTime; no spare host for lasting tasks.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -17,9 +17,9 @@
 	// headroom is the part by which a pool is larger than its demand, and spareHosts what is added to that.
 	headroom   = 0.12
 	spareHosts = 0.6
-	// surplusTime is how long a host must have been needless before it leaves; a move there and back costs about as
-	// much as two seconds in a pool.
-	surplusTime = 1500 * time.Millisecond
+	// keepTime is how long a host must have been needless before it leaves; a move there and back costs about as much
+	// as two seconds in a pool.
+	keepTime = 2500 * time.Millisecond
 )
 
 // Pool is what is known of a pool.
@@ -50,10 +50,14 @@
 
 // history is what was seen of a pool.
 type history struct {
-	// arrivals has the work that came in each bucket, in host-seconds.
-	arrivals map[int64]float64
-	// surplus is since when the pool has been larger than it should be; zero while it is not.
-	surplus time.Time
+	arrivals map[int64]arrivals
+	// wants has the largest size that was wanted in each bucket.
+	wants map[int64]int
+}
+
+// arrivals is the work that came in one bucket, in host-seconds, with the sum of the squares of its parts.
+type arrivals struct {
+	sum, squares float64
 }
 
 // New returns a balancer for hosts that take lead to move.
@@ -64,7 +68,7 @@
 func (b *Balancer) history(p fleet.PoolName) *history {
 	h, ok := b.pools[p]
 	if !ok {
-		h = &history{arrivals: map[int64]float64{}}
+		h = &history{arrivals: map[int64]arrivals{}, wants: map[int64]int{}}
 		b.pools[p] = h
 	}
 
@@ -73,34 +77,40 @@
 
 // Arrive notes that work of some host-seconds has come for a pool.
 func (b *Balancer) Arrive(p fleet.PoolName, hostSeconds float64, now time.Time) {
-	b.history(p).arrivals[bucket(now)] += hostSeconds
+	h := b.history(p)
+	a := h.arrivals[bucket(now)]
+	h.arrivals[bucket(now)] = arrivals{a.sum + hostSeconds, a.squares + hostSeconds*hostSeconds}
 }
 
 func bucket(t time.Time) int64 {
 	return t.UnixNano() / int64(sampleTime)
 }
 
-// Inflow returns the work that is expected to arrive each second once a move that begins now is over, in hosts.
+// Inflow returns the work that is expected to arrive each second once a move that begins now is over, in hosts. A rise
+// counts only as far as it is larger than what chance brings about when few large jobs come.
 func (b *Balancer) Inflow(p fleet.PoolName, now time.Time) float64 {
 	h := b.history(p)
 	last := bucket(now) - 1
 	count := int64(trendTime / sampleTime)
 	for k := range h.arrivals {
-		if k <= last-2*count {
+		if k <= last-count {
 			delete(h.arrivals, k)
 		}
 	}
 	half := count / 2
-	var older, newer float64
+	var older, newer arrivals
 	for i := range half {
-		newer += h.arrivals[last-i]
-		older += h.arrivals[last-half-i]
+		n, o := h.arrivals[last-i], h.arrivals[last-half-i]
+		newer = arrivals{newer.sum + n.sum, newer.squares + n.squares}
+		older = arrivals{older.sum + o.sum, older.squares + o.squares}
 	}
 	span := (time.Duration(half) * sampleTime).Seconds()
-	newer, older = newer/span, older/span
-	slope := (newer - older) / span
+	mean := (newer.sum + older.sum) / (2 * span)
+	rise := newer.sum - older.sum - math.Sqrt(newer.squares+older.squares)
+	slope := max(0, rise) / (span * span)
 
-	return max(0, newer+max(0, slope)*b.lead.Seconds())
+	// The mean is that of the middle of the time that was looked at.
+	return mean + slope*(span+b.lead.Seconds())
 }
 
 // Want returns how many hosts a pool should have.
@@ -110,6 +120,22 @@
 	return max(p.Least, int(math.Ceil(work*(1+headroom)+spareHosts)))
 }
 
+// keep returns the largest size that was wanted within the time for which a host is kept.
+func (h *history) keep(want int, now time.Time) int {
+	k := bucket(now)
+	h.wants[k] = max(h.wants[k], want)
+	most := 0
+	for at, w := range h.wants {
+		if at <= k-int64(keepTime/sampleTime) {
+			delete(h.wants, at)
+			continue
+		}
+		most = max(most, w)
+	}
+
+	return most
+}
+
 // Plan returns the moves that bring pools to their sizes: hosts from standby first, then those that others don't need.
 func (b *Balancer) Plan(pools []Pool, standby fleet.PoolName, spares []fleet.HostName, now time.Time) []Move {
 	var moves []Move
@@ -117,19 +143,12 @@
 	var offers []Move
 	for _, p := range pools {
 		want := b.Want(p, now)
-		h := b.history(p.Name)
-		if p.Hosts <= want {
-			h.surplus = time.Time{}
-			if p.Hosts < want {
-				lacking = append(lacking, lack{p.Name, want - p.Hosts})
-			}
-
+		keep := b.history(p.Name).keep(want, now)
+		if p.Hosts < want {
+			lacking = append(lacking, lack{p.Name, want - p.Hosts})
 			continue
 		}
-		if h.surplus.IsZero() {
-			h.surplus = now
-		}
-		for _, host := range p.Idle[:min(len(p.Idle), p.Hosts-want)] {
+		for _, host := range p.Idle[:max(0, min(len(p.Idle), p.Hosts-keep))] {
 			offers = append(offers, Move{Host: host, From: p.Name})
 		}
 	}
@@ -151,9 +170,7 @@
 		return moves
 	}
 	for _, o := range offers {
-		if now.Sub(b.history(o.From).surplus) >= surplusTime {
-			moves = append(moves, Move{Host: o.Host, From: o.From, To: standby})
-		}
+		moves = append(moves, Move{Host: o.Host, From: o.From, To: standby})
 	}
 
 	return moves
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -138,7 +138,7 @@
 	return any
 }
 
-// least returns how many hosts the lasting tasks of a pool need for their spread, with one to spare.
+// least returns how many hosts the lasting tasks of a pool need for their spread.
 func (s *Scheduler) least(p fleet.PoolName) int {
 	least := 1
 	for _, j := range s.jobs {
@@ -148,7 +148,7 @@
 		for _, step := range j.entry.Job.Steps {
 			if step.Lasting {
 				per := cmp.Or(step.MaxPerWorker, 2)
-				least = max(least, (step.Count+per-1)/per+1)
+				least = max(least, (step.Count+per-1)/per)
 			}
 		}
 	}
