Let the leases of silent workers end, and stop what an earlier owner left of cancelled jobs

Cause: each look at a silent worker planned a new lease, so its end was never reached and lasting tasks were not restarted (LOST); runs of a job that was cancelled before a take-over were not stopped (UNASKED). Hosts that a pool could spare were kept from pools that lacked them. Change: no renewal for a worker that has not answered; adopted runs of jobs that are over are stopped; spare hosts go at once to a pool that lacks them, later to standby.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -140,7 +140,7 @@
 func (b *Balancer) Plan(pools []Pool, standby fleet.PoolName, spares []fleet.HostName, now time.Time) []Move {
 	var moves []Move
 	var lacking []lack
-	var offers []Move
+	var offers []offer
 	for _, p := range pools {
 		want := b.Want(p, now)
 		keep := b.history(p.Name).keep(want, now)
@@ -148,8 +148,8 @@
 			lacking = append(lacking, lack{p.Name, want - p.Hosts})
 			continue
 		}
-		for _, host := range p.Idle[:max(0, min(len(p.Idle), p.Hosts-keep))] {
-			offers = append(offers, Move{Host: host, From: p.Name})
+		for i, host := range p.Idle[:min(len(p.Idle), p.Hosts-want)] {
+			offers = append(offers, offer{Move{Host: host, From: p.Name, To: standby}, p.Hosts-i > keep})
 		}
 	}
 	slices.SortFunc(lacking, func(x, y lack) int { return cmp.Or(cmp.Compare(y.hosts, x.hosts), cmp.Compare(x.pool, y.pool)) })
@@ -170,12 +170,20 @@
 		return moves
 	}
 	for _, o := range offers {
-		moves = append(moves, Move{Host: o.Host, From: o.From, To: standby})
+		if o.needless {
+			moves = append(moves, o.Move)
+		}
 	}
 
 	return moves
 }
 
+// offer is a host that its pool does not need now; a needless one was not needed for a time.
+type offer struct {
+	Move
+	needless bool
+}
+
 // lack is how many hosts a pool is short of.
 type lack struct {
 	pool  fleet.PoolName
--- a/schedule/look.go
+++ b/schedule/look.go
@@ -25,7 +25,7 @@
 			w.looking, w.wake = s.token(w), false
 			looks = append(looks, Look{
 				Worker: w.reg, life: w.life, asked: now, stored: w.stored,
-				Order: work.Look{Token: s.token(w), Acked: w.stored, Until: s.lease(w, now), Wait: wait},
+				Order: work.Look{Token: s.token(w), Acked: w.stored, Until: s.renewal(w, now), Wait: wait},
 			})
 		}
 	}
@@ -33,6 +33,15 @@
 	return looks
 }
 
+// renewal returns the end of a new lease for a look. A worker that has not answered gets none, so that its leases end.
+func (s *Scheduler) renewal(w *worker, now time.Time) time.Duration {
+	if w.unheard > 0 || len(w.runs) == 0 {
+		return 0
+	}
+
+	return s.lease(w, now)
+}
+
 // lookDue reports whether a worker is to be looked at now, and how long it may hold back its answer.
 func (s *Scheduler) lookDue(w *worker, now time.Time) (time.Duration, bool) {
 	if w.looking == s.token(w) || w.reg.Address == "" || now.Before(w.nextTry) {
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -109,9 +109,7 @@
 		}
 		w.lapse = now.Add(leaseBound(s.bounds.MaxLease))
 		r := &run{attempt: a, worker: w, life: l.Life, phase: inherited, reserved: e.Job.Steps[a.Step].Reserved()}
-		if l.Life < w.life {
-			r.stop = true
-		}
+		r.stop = l.Life < w.life || e.Over() || e.Task(a.Task).Done
 		s.hold(e, r)
 	}
 }
