Reach the store through peers while it turns this host away

Change: a call that was surely not carried out goes through a peer, which passes it on only directly; a write without an answer is left to its caller. Hosts answer peers at their control address.

--- a/manager/manager.go
+++ b/manager/manager.go
@@ -14,6 +14,7 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/charmbracelet/log"
+	"github.com/emicklei/go-restful/v3"
 	"github.com/google/uuid"
 
 	"lycheehook.example/lycheehook/dispatch"
@@ -21,6 +22,7 @@
 	"lycheehook.example/lycheehook/ledger"
 	"lycheehook.example/lycheehook/owner"
 	"lycheehook.example/lycheehook/platform"
+	"lycheehook.example/lycheehook/relay"
 	"lycheehook.example/lycheehook/schedule"
 	"lycheehook.example/lycheehook/settings"
 	"lycheehook.example/lycheehook/store"
@@ -48,6 +50,7 @@
 	log       *log.Logger
 	config    *Configuration
 	follower  *ledger.Follower
+	route     *relay.Route
 	seat      *owner.Seat
 	candidate *owner.Candidate
 	dispatch  *dispatch.Dispatcher
@@ -62,8 +65,13 @@
 		return nil, merry.Prepend(err, "name of the process")
 	}
 	transport := platform.NewTransport()
-	client := platform.NewStore(transport.To(s.StoreAddress.String()), storeTimeout)
-	m := &Manager{settings: s, log: l, follower: ledger.NewFollower(client, l)}
+	m := &Manager{settings: s, log: l}
+	m.route = relay.New(
+		transport.To(s.StoreAddress.String()), relay.Via(transport), m.peers,
+		platform.Request{Method: http.MethodGet, Path: platform.ProbePath}, l,
+	)
+	client := platform.NewStore(m.route.Exchange, storeTimeout)
+	m.follower = ledger.NewFollower(client, l)
 	m.handler = intake.NewHandler(client, m.follower, l)
 	m.config = NewConfiguration(client, l, m.handler.SetConfig)
 	self := ledger.Owner{Host: s.Name, Process: process.String()}
@@ -100,6 +108,29 @@
 	})
 }
 
+// peers returns where the other entry hosts can be reached.
+func (m *Manager) peers() []string {
+	self := m.settings.PeerAddress.String()
+	known := map[string]bool{}
+	var list []string
+	add := func(address string) {
+		if address != self && !known[address] {
+			known[address] = true
+			list = append(list, address)
+		}
+	}
+	if b := m.follower.Book(); b != nil {
+		for _, h := range b.Hosts() {
+			add(h.PeerAddress)
+		}
+	}
+	for _, a := range m.settings.SeedAddresses {
+		add(a.String())
+	}
+
+	return list
+}
+
 func bounds(s settings.Manager) schedule.Bounds {
 	return schedule.Bounds{MaxLease: s.Bounds.MaxLease.Std(), EarlyStart: s.Bounds.EarlyStart.Std(), MoveTime: s.Bounds.MoveTime.Std()}
 }
@@ -116,6 +147,11 @@
 	if err != nil {
 		return err
 	}
+	peers := restful.NewContainer()
+	peers.Add(relay.NewServer(m.route).Service())
+	if _, err := serve(ctx, m.settings.PeerAddress, peers); err != nil {
+		return err
+	}
 	ready, err := serve(ctx, m.settings.ReadyAddress, m.readiness())
 	if err != nil {
 		return err
