Notice a watch that went silent within a second and a half

Change: every watch waits a second at most; only silence and failed connections count fully towards leaving the direct way, so that watches which the store cuts don't.

--- a/manager/roster.go
+++ b/manager/roster.go
@@ -15,7 +15,8 @@
 )
 
 const (
-	rosterWait = 5 * time.Second
+	// rosterWait is how long a watch may be held back; a connection that has gone silent is noticed only after it.
+	rosterWait = time.Second
 	// rosterPause between watches lets heartbeats gather, since the store counts each call.
 	rosterPause = 300 * time.Millisecond
 )
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -141,7 +141,7 @@
 		return
 	}
 	r.failures += refusalWeight
-	if err != nil {
+	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, platform.ErrNotSent) {
 		r.failures += silenceWeight - refusalWeight
 	}
 	if !r.left && r.failures >= leaveAt {
