Let a new owner order hosts at once, and a restarted owner take over at once

Change: an order to a host is announced in the ledger before it goes out; a new owner leaves alone only the hosts that were announced of late. A process that finds an earlier one of its own host as owner replaces it, since that one is surely dead.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -42,8 +42,6 @@
 	Cloud work.Cloud
 	// Holder names the entry host in orders to the cloud.
 	Holder string
-	// Quiet is how long nobody may order a host after the owner has changed.
-	Quiet time.Duration
 	// Waves returns the operators' requests for upkeep.
 	Waves func() []work.WaveOrder
 	// TellWave writes what the operators read of a wave, if the owner's record still has the revision of the term.
@@ -126,6 +124,7 @@
 
 	var all sync.WaitGroup
 	t.sched.SetMaintained(book.Maintained())
+	t.sched.SetOrdered(book.Ordered(), time.Now())
 	if d.hosts.Waves != nil {
 		all.Go(func() { t.orderHosts(ctx) })
 	}
--- a/dispatch/hosts.go
+++ b/dispatch/hosts.go
@@ -10,7 +10,7 @@
 
 const (
 	// hostInterval is the time between two rounds over the hosts.
-	hostInterval = 100 * time.Millisecond
+	hostInterval = 50 * time.Millisecond
 	// The list of hosts is read often while one is under way, since each call is counted.
 	busyListInterval = 500 * time.Millisecond
 	idleListInterval = 5 * time.Second
@@ -18,7 +18,6 @@
 
 // orderHosts keeps hosts up until the term is over.
 func (t *term) orderHosts(ctx context.Context) {
-	began := time.Now()
 	for ctx.Err() == nil && !t.owned.Over() {
 		pause(ctx, hostInterval)
 		now := time.Now()
@@ -28,7 +27,7 @@
 		}
 		t.mu.Unlock()
 		t.listHosts(ctx, now)
-		if now.Sub(began) >= t.hosts.Quiet && t.owned.Valid() {
+		if t.owned.Valid() {
 			t.orderRound(ctx, now)
 		}
 	}
--- a/ledger/book.go
+++ b/ledger/book.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"lycheehook.example/lycheehook/fleet"
 	"lycheehook.example/lycheehook/store"
@@ -16,6 +17,8 @@
 	Host fleet.EntryName `cbor:"1,keyasint"`
 	// Process tells two lives of a host's process apart.
 	Process string `cbor:"2,keyasint"`
+	// PeerAddress tells a host from one that replaced it under its name.
+	PeerAddress string `cbor:"3,keyasint"`
 }
 
 // Host is the record of an entry host.
@@ -38,6 +41,8 @@
 	early    map[uint64]Batch
 	// maintained has the hosts that had their upkeep, by wave.
 	maintained map[int64][]fleet.HostName
+	// ordered has when each host was last ordered, by the clock of the owner of that time.
+	ordered map[fleet.HostName]time.Time
 	skipped    int
 }
 
@@ -45,7 +50,7 @@
 func NewBook() *Book {
 	return &Book{
 		entries: map[fleet.JobID]*Entry{}, orphans: map[fleet.JobID][]Change{}, hosts: map[fleet.EntryName]Host{}, early: map[uint64]Batch{},
-		maintained: map[int64][]fleet.HostName{},
+		maintained: map[int64][]fleet.HostName{}, ordered: map[fleet.HostName]time.Time{},
 	}
 }
 
@@ -170,15 +175,19 @@
 		delete(b.early, b.next)
 		b.next++
 		for _, c := range batch.Changes {
-			b.apply(c)
+			b.apply(c, batch.At)
 		}
 	}
 }
 
-func (b *Book) apply(c Change) {
-	if c.Kind == Maintained {
+func (b *Book) apply(c Change, at time.Time) {
+	switch c.Kind {
+	case Maintained:
 		b.maintained[int64(c.Life)] = append(b.maintained[int64(c.Life)], fleet.HostName(c.Worker))
 		return
+	case HostOrdered:
+		b.ordered[fleet.HostName(c.Worker)] = at
+		return
 	}
 	if e, ok := b.entries[c.Attempt.Job]; ok {
 		e.Apply(c)
@@ -259,6 +268,11 @@
 	return b.maintained
 }
 
+// Ordered returns when each host was last ordered away; the caller must be the only user of the book.
+func (b *Book) Ordered() map[fleet.HostName]time.Time {
+	return b.ordered
+}
+
 // Entries returns the jobs; the caller must be the only user of the book.
 func (b *Book) Entries() map[fleet.JobID]*Entry {
 	return b.entries
--- a/ledger/change.go
+++ b/ledger/change.go
@@ -43,6 +43,8 @@
 	JobFailed
 	// Maintained is a host that had its upkeep: Worker has the host's name and Life the number of the wave.
 	Maintained
+	// HostOrdered is a host that is about to be ordered away: Worker has the host's name.
+	HostOrdered
 )
 
 // Change is one entry of the log.
--- a/manager/manager.go
+++ b/manager/manager.go
@@ -35,8 +35,6 @@
 	orderTimeout = 400 * time.Millisecond
 	// cloudTimeout bounds a call to the cloud.
 	cloudTimeout = time.Second
-	// quietMargin is added to the time in which nobody orders hosts, for clocks and delays.
-	quietMargin = 500 * time.Millisecond
 	// readHeaderTimeout bounds the time from the first byte of a request to the end of its header.
 	readHeaderTimeout = 3 * time.Second
 	idleTimeout       = time.Minute
@@ -93,7 +91,7 @@
 
 	return dispatch.WithHosts(dispatch.Hosts{
 		Cloud: platform.NewCloud(t.To(m.settings.CloudAddress), cloudTimeout), Holder: string(m.settings.Name),
-		Quiet: m.settings.Bounds.DutyQuiet.Std() + quietMargin, Waves: m.config.Waves,
+		Waves: m.config.Waves,
 		TellWave: func(ctx context.Context, term uint64, st schedule.WaveStatus) error {
 			_, err := c.Commit(ctx, store.Txn{
 				Expect: []store.Expectation{{Key: ledger.OwnerKey, Revision: term}},
@@ -132,7 +130,10 @@
 }
 
 func bounds(s settings.Manager) schedule.Bounds {
-	return schedule.Bounds{MaxLease: s.Bounds.MaxLease.Std(), EarlyStart: s.Bounds.EarlyStart.Std(), MoveTime: s.Bounds.MoveTime.Std()}
+	return schedule.Bounds{
+		MaxLease: s.Bounds.MaxLease.Std(), EarlyStart: s.Bounds.EarlyStart.Std(), MoveTime: s.Bounds.MoveTime.Std(),
+		DutyQuiet: s.Bounds.DutyQuiet.Std(),
+	}
 }
 
 // observe logs a decision of the scheduler.
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -60,13 +60,16 @@
 		o, revision := b.Owner()
 		var t *Term
 		switch {
+		case revision != 0 && o.Process != c.process && o.Host == c.seat.host.Name && o.PeerAddress == c.seat.host.PeerAddress:
+			// An earlier process of this very host owned the workers, and is surely dead.
+			t = c.seek(ctx, revision)
 		case revision != 0 && (o.Process != c.process || revision == c.ended):
 			c.wait(ctx)
 			continue
 		case revision != 0:
 			t = c.adopt(revision)
 		default:
-			t = c.seek(ctx)
+			t = c.seek(ctx, 0)
 		}
 		if t == nil {
 			sleep(ctx, contestPause)
@@ -112,19 +115,19 @@
 	}
 }
 
-// seek returns a term if nobody owns the workers, or nil.
-func (c *Candidate) seek(ctx context.Context) *Term {
+// seek returns a term if the owner's record still has revision base, zero for none, or nil.
+func (c *Candidate) seek(ctx context.Context, base uint64) *Term {
 	lease, vouched := c.seat.Lease()
 	if !vouched {
 		return nil
 	}
-	value, err := ledger.Encode(ledger.Owner{Host: c.seat.host.Name, Process: c.process})
+	value, err := ledger.Encode(ledger.Owner{Host: c.seat.host.Name, Process: c.process, PeerAddress: c.seat.host.PeerAddress})
 	if err != nil {
 		c.log.Error("owner's record", "error", err)
 		return nil
 	}
 	revision, err := c.client.Commit(ctx, store.Txn{
-		Expect: []store.Expectation{{Key: ledger.OwnerKey}}, Puts: []store.Put{{Key: ledger.OwnerKey, Value: value, Lease: lease}},
+		Expect: []store.Expectation{{Key: ledger.OwnerKey, Revision: base}}, Puts: []store.Put{{Key: ledger.OwnerKey, Value: value, Lease: lease}},
 	})
 	if errors.Is(err, store.ErrOutcomeUnknown) {
 		revision, err = c.settle(ctx, value)
--- a/schedule/host.go
+++ b/schedule/host.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lycheehook.example/lycheehook/fleet"
+	"lycheehook.example/lycheehook/ledger"
 	"lycheehook.example/lycheehook/work"
 )
 
@@ -58,6 +59,10 @@
 	orderRetry = 400 * time.Millisecond
 	// batchPatience is how long a host that is being emptied waits for tasks that end by themselves.
 	batchPatience = 4 * time.Second
+	// clockSkew is how far the clocks of two entry hosts may differ.
+	clockSkew = 6 * time.Second
+	// quietMargin is added to the time in which a host is left alone, for delays.
+	quietMargin = 500 * time.Millisecond
 )
 
 // SetHosts takes in the cloud's list of hosts.
@@ -149,11 +154,10 @@
 		switch h.phase {
 		case emptying:
 			if s.emptied(h, now) {
-				h.phase, h.since = ordering, now
-				orders = append(orders, s.hostOrder(h))
+				s.announce(h, now)
 			}
 		case ordering:
-			if !h.retry.IsZero() && now.After(h.retry) {
+			if !h.retry.IsZero() && !now.Before(h.retry) {
 				h.retry = time.Time{}
 				orders = append(orders, s.hostOrder(h))
 			}
@@ -164,6 +168,27 @@
 	return orders
 }
 
+// announce has an order to a host stored before it goes out, so that the next owner knows of it.
+func (s *Scheduler) announce(h *host, now time.Time) {
+	h.phase, h.since, h.retry = ordering, now, time.Time{}
+	s.changes = append(s.changes, ledger.Change{Kind: ledger.HostOrdered, Worker: work.WorkerID(h.Host)})
+	s.announced = append(s.announced, h)
+}
+
+// SetOrdered takes in when earlier owners ordered hosts; those of late are left alone for a time.
+func (s *Scheduler) SetOrdered(ordered map[fleet.HostName]time.Time, now time.Time) {
+	for name, at := range ordered {
+		if now.Sub(at) < s.bounds.DutyQuiet+clockSkew {
+			s.quiet[name] = now.Add(s.bounds.DutyQuiet + quietMargin)
+		}
+	}
+}
+
+// free reports whether a host may be planned for.
+func (s *Scheduler) free(h *host, now time.Time) bool {
+	return h.phase == serving && h.State == work.HostUp && now.After(s.quiet[h.Host])
+}
+
 func (s *Scheduler) hostOrder(h *host) HostOrder {
 	return HostOrder{Host: h.Host, Wave: h.plan.wave, Pool: h.plan.pool, host: h}
 }
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -22,8 +22,8 @@
 		return
 	}
 	s.planned = now
-	standby, spares := s.standby()
-	for _, m := range s.balancer.Plan(s.poolStates(), standby, spares, now) {
+	standby, spares := s.standby(now)
+	for _, m := range s.balancer.Plan(s.poolStates(now), standby, spares, now) {
 		h := s.hosts[m.Host]
 		if h.refused[m.To] {
 			continue
@@ -33,7 +33,7 @@
 }
 
 // standby returns the pool whose hosts are off, with those that can be brought in.
-func (s *Scheduler) standby() (fleet.PoolName, []fleet.HostName) {
+func (s *Scheduler) standby(now time.Time) (fleet.PoolName, []fleet.HostName) {
 	var name fleet.PoolName
 	for _, p := range s.pools {
 		if p.Standby && (name == "" || p.Name < name) {
@@ -42,7 +42,7 @@
 	}
 	var spares []fleet.HostName
 	for _, h := range s.sortedHosts() {
-		if name != "" && h.Pool == name && h.phase == serving && h.State == work.HostUp {
+		if name != "" && h.Pool == name && s.free(h, now) {
 			spares = append(spares, h.Host)
 		}
 	}
@@ -59,7 +59,7 @@
 }
 
 // poolStates returns what the balancer is to know of each pool that is on.
-func (s *Scheduler) poolStates() []balance.Pool {
+func (s *Scheduler) poolStates(now time.Time) []balance.Pool {
 	demand := s.demand()
 	var list []balance.Pool
 	for _, p := range s.pools {
@@ -77,7 +77,7 @@
 					continue
 				}
 				st.Hosts++
-				if s.idle(h) {
+				if s.idle(h) && s.free(h, now) {
 					st.Idle = append(st.Idle, h.Host)
 				}
 			case h.plan.wave != 0:
--- a/schedule/run.go
+++ b/schedule/run.go
@@ -17,9 +17,10 @@
 	maxQuarantine        = 16 * time.Second
 )
 
-// Start is a run whose assignment is to be stored before its order goes out.
+// Start is a run, or an order to a host, that is to be stored before its order goes out.
 type Start struct {
-	run *run
+	run  *run
+	host *host
 }
 
 // Order is an order to a worker.
@@ -40,6 +41,10 @@
 	s.acknowledge()
 	orders := make([]Order, 0, len(starts))
 	for _, st := range starts {
+		if st.host != nil {
+			st.host.retry = now
+			continue
+		}
 		if o, ok := s.order(st.run, now); ok {
 			orders = append(orders, o)
 		}
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -23,9 +23,13 @@
 	running map[fleet.WorkspaceName]fleet.Resources
 	hosts   map[fleet.HostName]*host
 	// listed is when the cloud's list was last taken in.
-	listed           time.Time
-	waves            map[int64]*wave
-	dueHosts         map[fleet.HostName]bool
+	listed   time.Time
+	waves    map[int64]*wave
+	dueHosts map[fleet.HostName]bool
+	// quiet has the hosts that an earlier owner ordered, until when this one must leave them alone.
+	quiet map[fleet.HostName]time.Time
+	// announced has the hosts whose orders wait for the ledger.
+	announced        []*host
 	maintainedBefore map[int64][]fleet.HostName
 	balancer         *balance.Balancer
 	// planned is when the pools were last planned.
@@ -46,6 +50,8 @@
 	EarlyStart time.Duration
 	// MoveTime is how long a host is away when it changes its pool.
 	MoveTime time.Duration
+	// DutyQuiet is how long nobody may order a host after another owner did.
+	DutyQuiet time.Duration
 }
 
 // Observer is told of each decision about a run, for logs and metrics.
@@ -84,7 +90,7 @@
 		term: term, bounds: b, observe: func(Decision) {}, entries: entries,
 		queues: map[fleet.QueueName]work.Queue{}, pools: map[fleet.PoolName]work.Pool{}, limits: map[fleet.WorkspaceName]work.Workspace{},
 		jobs: map[fleet.JobID]*job{}, workers: map[work.WorkerID]*worker{}, running: map[fleet.WorkspaceName]fleet.Resources{}, dirty: true,
-		hosts: map[fleet.HostName]*host{}, waves: map[int64]*wave{}, dueHosts: map[fleet.HostName]bool{},
+		hosts: map[fleet.HostName]*host{}, waves: map[int64]*wave{}, quiet: map[fleet.HostName]time.Time{}, dueHosts: map[fleet.HostName]bool{},
 		balancer: balance.New(b.MoveTime + planLead),
 	}
 	for _, o := range options {
@@ -167,12 +173,15 @@
 
 // Take returns the changes to store and the starts that wait for them.
 func (s *Scheduler) Take() ([]ledger.Change, []Start) {
-	changes, runs := s.changes, s.starting
-	s.changes, s.starting = nil, nil
-	starts := make([]Start, 0, len(runs))
+	changes, runs, hosts := s.changes, s.starting, s.announced
+	s.changes, s.starting, s.announced = nil, nil, nil
+	starts := make([]Start, 0, len(runs)+len(hosts))
 	for _, r := range runs {
 		starts = append(starts, Start{run: r})
 	}
+	for _, h := range hosts {
+		starts = append(starts, Start{host: h})
+	}
 
 	return changes, starts
 }
@@ -206,6 +215,10 @@
 // Withdraw takes back starts that are stored and must not be sent.
 func (s *Scheduler) Withdraw(starts []Start) {
 	for _, st := range starts {
+		if st.host != nil {
+			s.keepServing(st.host, time.Time{})
+			continue
+		}
 		if st.run.worker.runs[st.run.attempt] == st.run {
 			s.end(st.run, work.OutcomeNotStarted, "", "term not vouched for")
 		}
--- a/schedule/upkeep.go
+++ b/schedule/upkeep.go
@@ -151,7 +151,9 @@
 			case !ok || w.done[name]:
 			case h.phase == serving && h.State == work.HostUp:
 				s.dueHosts[name] = true
-				waiting = append(waiting, h)
+				if s.free(h, now) {
+					waiting = append(waiting, h)
+				}
 			case h.plan.wave == w.order.Number:
 				busy++
 			}
