Count an earlier owner's hosts for a wave, and believe only the list that a host went down

Change: hosts that are down, or were announced of late, count for their wave; runs end only when the list shows another life or a host that is away. Pools keep 1.6 hosts beyond their work and let the rest go after a second.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -14,12 +14,11 @@
 	trendTime = 3 * time.Second
 	// sampleTime is the width of a bucket of arrivals.
 	sampleTime = 500 * time.Millisecond
-	// headroom is the part by which a pool is larger than its demand, and spareHosts what is added to that.
-	headroom   = 0.12
-	spareHosts = 0.6
-	// keepTime is how long a host must have been needless before it leaves; a move there and back costs about as much
-	// as two seconds in a pool.
-	keepTime = 2500 * time.Millisecond
+	// spareHosts is by how much a pool is larger than its work, so that a new job need not wait for a move.
+	spareHosts = 1.6
+	// keepTime is how long a host must have been needless before it leaves for standby; a move there and back costs
+	// about as much as two seconds in a pool.
+	keepTime = time.Second
 )
 
 // Pool is what is known of a pool.
@@ -117,7 +116,7 @@
 func (b *Balancer) Want(p Pool, now time.Time) int {
 	work := max(p.Demand, b.Inflow(p.Name, now))
 
-	return max(p.Least, int(math.Ceil(work*(1+headroom)+spareHosts)))
+	return max(p.Least, int(math.Ceil(work+spareHosts)))
 }
 
 // keep returns the largest size that was wanted within the time for which a host is kept.
--- a/schedule/host.go
+++ b/schedule/host.go
@@ -75,10 +75,18 @@
 			h = &host{refused: map[fleet.PoolName]bool{}}
 			s.hosts[st.Host] = h
 		}
+		if before := h.Worker; before != "" && st.Worker != "" && before != st.Worker {
+			s.gone(before, now)
+		}
 		h.HostStatus = st
 		// A list that was asked for before the order was answered may still show the host as it was.
-		if h.phase == away && h.since.Before(asked) && st.State == work.HostUp {
+		if h.phase != away || !h.since.Before(asked) {
+			continue
+		}
+		if st.State == work.HostUp {
 			s.returned(h, now)
+		} else {
+			s.gone(h.Worker, now)
 		}
 	}
 	for name := range s.hosts {
@@ -92,9 +100,6 @@
 
 // returned takes in that a host is up again after an order.
 func (s *Scheduler) returned(h *host, now time.Time) {
-	if h.plan.wave != 0 {
-		s.maintained(h.plan.wave, h.Host)
-	}
 	h.phase, h.plan, h.since = serving, hostPlan{}, now
 }
 
@@ -248,8 +253,11 @@
 	s.observe(Decision{What: "HostOrdered", Worker: h.Worker, Reason: string(h.Host) + " " + reasonOf(err)})
 	switch hostOutcome(err) {
 	case carriedOut:
+		// The answer is the same if the order was carried out long ago, so only the list shows what has ended there.
 		h.phase, h.since = away, now
-		s.gone(h, now)
+		if h.plan.wave != 0 {
+			s.maintained(h.plan.wave, h.Host)
+		}
 	case refusedForGood:
 		if h.plan.wave != 0 {
 			s.maintained(h.plan.wave, h.Host)
@@ -265,9 +273,9 @@
 	}
 }
 
-// gone takes in that everything on a host was ended by its order.
-func (s *Scheduler) gone(h *host, now time.Time) {
-	w, ok := s.workers[h.Worker]
+// gone takes in that a worker has ended with all that ran there.
+func (s *Scheduler) gone(id work.WorkerID, now time.Time) {
+	w, ok := s.workers[id]
 	if !ok {
 		return
 	}
--- /dev/null
+++ b/schedule/host_test.go
@@ -0,0 +1,109 @@
+package schedule
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"lycheehook.example/lycheehook/fleet"
+	"lycheehook.example/lycheehook/work"
+)
+
+// cloud returns a list in which worker i is the life of host i.
+func cloud(state work.HostState, hosts int) []work.HostStatus {
+	var list []work.HostStatus
+	for i := range hosts {
+		list = append(list, work.HostStatus{
+			Host: fleet.HostName(fmt.Sprint("h", i)), Pool: testPool, State: state, Worker: work.WorkerID(fmt.Sprint("w", i)),
+			Capacity: fleet.Resources{Cores: 16000, Memory: 32768},
+		})
+	}
+
+	return list
+}
+
+func names(list []work.HostStatus) []fleet.HostName {
+	var hosts []fleet.HostName
+	for _, h := range list {
+		hosts = append(hosts, h.Host)
+	}
+
+	return hosts
+}
+
+// orders returns the orders to hosts that go out within a second.
+func (b *bench) orders() []HostOrder {
+	var all []HostOrder
+	for range 10 {
+		all = append(all, b.s.HostOrders(b.now)...)
+		b.step(100 * time.Millisecond)
+	}
+
+	return all
+}
+
+func (b *bench) list(l []work.HostStatus) {
+	b.s.SetHosts(l, b.now, b.now)
+}
+
+// Harambee, trouble-3: a new owner ordered more hosts down than the wave allows, beside those of the owner before.
+func TestWaveBoundAfterTakeOver(t *testing.T) {
+	b := newBench(t, 6)
+	b.settle()
+	l := cloud(work.HostUp, 6)
+	l[0].State, l[1].State = work.HostUpkeep, work.HostUpkeep
+	b.list(l)
+	b.s.SetWave(work.WaveOrder{Number: 1, Hosts: names(l), Duration: 8 * time.Second, MaxDown: 2}, b.now)
+	check(t, "orders while two hosts are down", 0, len(b.orders()))
+
+	b.list(cloud(work.HostUp, 6))
+	check(t, "orders once they are back", 2, len(b.orders()))
+}
+
+// An upkeep that an earlier owner had carried out is answered as done and ends nothing, so what runs there is held on to.
+func TestUpkeepDoneBefore(t *testing.T) {
+	b := newBench(t, 2)
+	b.settle()
+	b.submit("j", work.Step{Count: 2, Size: size(1000)})
+	b.settle()
+	l := cloud(work.HostUp, 2)
+	b.list(l)
+	b.s.SetWave(work.WaveOrder{Number: 1, Hosts: names(l)[:1], Duration: time.Second, MaxDown: 1}, b.now)
+	var orders []HostOrder
+	for len(orders) == 0 && b.now.Before(b.s.waves[1].seen.Add(10*time.Second)) {
+		orders = append(orders, b.orders()...)
+	}
+	if len(orders) != 1 {
+		t.Fatalf("%d orders", len(orders))
+	}
+	b.s.HostAnswered(orders[0], nil, b.now)
+	b.step(100 * time.Millisecond)
+	b.list(l)
+	b.settle()
+
+	check(t, "running tasks", 2, b.running())
+	check(t, "attempts", 1, b.book["j"].Task(work.Task{Job: "j"}).Attempts)
+}
+
+// What lasts on a host is moved away one task at a time, as its step allows, before the host is ordered down.
+func TestLastingTasksMovedOneByOne(t *testing.T) {
+	b := newBench(t, 4)
+	b.settle()
+	b.submit("j", work.Step{Count: 4, Size: size(1000), Lasting: true, MaxAway: 1})
+	b.settle()
+	l := cloud(work.HostUp, 4)
+	b.list(l)
+	b.s.SetWave(work.WaveOrder{Number: 1, Hosts: names(l)[:1], Duration: 5 * time.Second, MaxDown: 1}, b.now)
+	for range 60 {
+		orders := b.s.HostOrders(b.now)
+		if got := b.running(); got < 3 {
+			t.Fatalf("%d of 4 tasks at work", got)
+		}
+		for _, o := range orders {
+			check(t, "tasks on a host that is ordered down", 0, len(b.runs[work.WorkerID("w"+string(o.Host[1:]))]))
+			return
+		}
+		b.step(100 * time.Millisecond)
+	}
+	t.Error("the host was never ordered down")
+}
--- a/schedule/upkeep.go
+++ b/schedule/upkeep.go
@@ -148,14 +148,14 @@
 		for _, name := range w.order.Hosts {
 			h, ok := s.hosts[name]
 			switch {
-			case !ok || w.done[name]:
-			case h.phase == serving && h.State == work.HostUp:
+			case !ok:
+			case s.mayBeDown(h, w, now):
+				busy++
+			case !w.done[name] && h.phase == serving:
 				s.dueHosts[name] = true
 				if s.free(h, now) {
 					waiting = append(waiting, h)
 				}
-			case h.plan.wave == w.order.Number:
-				busy++
 			}
 		}
 		for _, h := range s.quietest(waiting) {
@@ -171,6 +171,18 @@
 	}
 }
 
+// mayBeDown reports whether a host is, or may come to be, down for a wave, also by an order of an earlier owner.
+func (s *Scheduler) mayBeDown(h *host, w *wave, now time.Time) bool {
+	switch {
+	case h.phase != serving:
+		return h.plan.wave == w.order.Number
+	case h.State == work.HostUpkeep, h.State == work.HostDown:
+		return true
+	default:
+		return !w.done[h.Host] && now.Before(s.quiet[h.Host])
+	}
+}
+
 const (
 	// turnaround is the time that one host takes from the start of its emptying until it is back.
 	turnaround = 5 * time.Second
