Log and count every decision, and leave workers alone whose host is away

Cause: an on-call engineer had only unbounded, blocking log lines without ages and versions, and no metrics. Change: telemetry writes lines from a bounded queue, limits each kind, and serves counters and histograms; answers and decisions carry id, inputs, age, version and outcome. A worker that the list shows as gone is not used or looked at any more.

--- a/cmd/lycheehook/manager.go
+++ b/cmd/lycheehook/manager.go
@@ -11,6 +11,7 @@
 
 	"lycheehook.example/lycheehook/manager"
 	"lycheehook.example/lycheehook/settings"
+	"lycheehook.example/lycheehook/telemetry"
 )
 
 // settingsVariable names the settings file where no flag does.
@@ -33,8 +34,10 @@
 			if err != nil {
 				return err
 			}
-			l := log.NewWithOptions(cmd.OutOrStdout(), log.Options{
-				Level: log.InfoLevel, Formatter: log.LogfmtFormatter, ReportTimestamp: true,
+			out := telemetry.NewWriter(cmd.OutOrStdout())
+			defer out.Close()
+			l := log.NewWithOptions(out, log.Options{
+				Level: log.InfoLevel, Formatter: log.LogfmtFormatter, ReportTimestamp: true, TimeFormat: telemetry.TimeFormat,
 			})
 			m, err := manager.New(s, l)
 			if err != nil {
--- a/intake/handler.go
+++ b/intake/handler.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/charmbracelet/log"
 
 	"lycheehook.example/lycheehook/fleet"
@@ -35,12 +36,30 @@
 	client   *store.Client
 	follower *ledger.Follower
 	log      *log.Logger
+	observe  Observer
 	router   atomic.Pointer[Router]
 }
 
+// Observer is told of each answer, for logs and metrics.
+type Observer func(Answered)
+
+// Answered is one answer to a caller.
+type Answered struct {
+	Method    string
+	Job       fleet.JobID
+	Queue     fleet.QueueName
+	Workspace fleet.WorkspaceName
+	Status    int
+	// Reason says why a request was refused; empty if it was not.
+	Reason string
+	// Version is that of the configuration which decided; zero if there was none.
+	Version int64
+	Took    time.Duration
+}
+
 // NewHandler returns a handler that refuses all until it has a configuration.
-func NewHandler(c *store.Client, f *ledger.Follower, l *log.Logger) *Handler {
-	return &Handler{desk: NewDesk(c, l), client: c, follower: f, log: l}
+func NewHandler(c *store.Client, f *ledger.Follower, l *log.Logger, observe Observer) *Handler {
+	return &Handler{desk: NewDesk(c, l), client: c, follower: f, log: l, observe: observe}
 }
 
 // SetConfig puts a configuration in force.
@@ -53,42 +72,106 @@
 	return h.router.Load() != nil && h.follower.Book() != nil
 }
 
+// reply is the answer to a request.
+type reply struct {
+	status int
+	body   []byte
+	reason string
+	// retryAfter is the number of seconds after which a repeat is likely to be taken; zero if that is not known.
+	retryAfter int
+}
+
+func accept(body []byte) reply {
+	return reply{status: http.StatusOK, body: body}
+}
+
+func refuse(status int, reason string) reply {
+	return reply{status: status, body: platform.EncodeError(reason), reason: reason}
+}
+
+// unavailable refuses what was surely not done, and says when to come back.
+func unavailable(reason string) reply {
+	r := refuse(http.StatusServiceUnavailable, reason)
+	r.retryAfter = storeRetry
+
+	return r
+}
+
+func (r reply) write(w http.ResponseWriter) {
+	if r.retryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(r.retryAfter))
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(r.status)
+	// The caller may have gone; there is nobody left to tell.
+	_, _ = w.Write(r.body)
+}
+
+// request is a request with what the configuration says of it.
+type request struct {
+	*http.Request
+	router    *Router
+	queue     work.Queue
+	workspace fleet.WorkspaceName
+	id        fleet.JobID
+}
+
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	router := h.router.Load()
-	if router == nil {
-		refuse(w, http.StatusServiceUnavailable, "no configuration yet", storeRetry)
-		return
+	began := time.Now()
+	req := request{Request: r, router: h.router.Load()}
+	ctx, cancel := context.WithTimeout(r.Context(), deadline(r))
+	defer cancel()
+
+	answer := h.answer(ctx, w, &req)
+	answer.write(w)
+	a := Answered{
+		Method: r.Method, Job: req.id, Queue: req.queue.Name, Workspace: req.workspace, Status: answer.status, Reason: answer.reason,
+		Took: time.Since(began),
 	}
-	q, rest, ok := router.Queue(r.Host, r.URL.Path)
+	if req.router != nil {
+		a.Version = req.router.Config().Version
+	}
+	h.observe(a)
+}
+
+func (h *Handler) answer(ctx context.Context, w http.ResponseWriter, r *request) reply {
+	if r.router == nil {
+		return unavailable("no configuration yet")
+	}
+	queue, rest, ok := r.router.Queue(r.Host, r.URL.Path)
 	if !ok {
-		refuse(w, http.StatusNotFound, "no such queue", 0)
-		return
+		return refuse(http.StatusNotFound, "no such queue")
 	}
-	workspace, known := router.Workspace(r.Header.Get(platform.HeaderKey))
-	if !q.Open && !known {
-		refuse(w, http.StatusUnauthorized, "unknown key", 0)
-		return
+	r.queue = queue
+	workspace, known := r.router.Workspace(r.Header.Get(platform.HeaderKey))
+	if !queue.Open {
+		if !known {
+			return refuse(http.StatusUnauthorized, "unknown key")
+		}
+		r.workspace = workspace
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), deadline(r))
-	defer cancel()
+	if rest == "" && r.Method == http.MethodGet {
+		return h.pending(queue)
+	}
+	if !platform.ValidJobID(rest) {
+		return refuse(http.StatusBadRequest, "a job's ID has 16 hexadecimal digits")
+	}
+	r.id = fleet.JobID(rest)
 
-	switch {
-	case rest == "" && r.Method == http.MethodGet:
-		h.pending(w, q)
-	case !platform.ValidJobID(rest):
-		refuse(w, http.StatusBadRequest, "a job's ID has 16 hexadecimal digits", 0)
-	case r.Method == http.MethodPost:
-		h.submit(ctx, w, r, router, q, workspace, fleet.JobID(rest))
-	case r.Method == http.MethodGet:
-		h.state(ctx, w, fleet.JobID(rest))
-	case r.Method == http.MethodDelete:
-		h.cancel(ctx, w, fleet.JobID(rest))
+	switch r.Method {
+	case http.MethodPost:
+		return h.submit(ctx, w, r)
+	case http.MethodGet:
+		return h.state(ctx, r.id)
+	case http.MethodDelete:
+		return h.cancel(ctx, r.id)
 	default:
-		refuse(w, http.StatusMethodNotAllowed, "use GET, POST or DELETE", 0)
+		return refuse(http.StatusMethodNotAllowed, "use GET, POST or DELETE")
 	}
 }
 
+// deadline returns how long a caller's request may take here.
 func deadline(r *http.Request) time.Duration {
 	ms, err := strconv.ParseInt(r.Header.Get(platform.HeaderDeadline), 10, 64)
 	if err != nil || ms <= 0 {
@@ -98,47 +181,49 @@
 	return max(answerTime, time.Duration(ms)*time.Millisecond-answerTime)
 }
 
-func (h *Handler) submit(
-	ctx context.Context, w http.ResponseWriter, r *http.Request, router *Router, q work.Queue, ws fleet.WorkspaceName, id fleet.JobID,
-) {
-	limit := router.Config().MaxBodyBytes
-	if limit <= 0 {
-		limit = maxBody
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	if err != nil {
-		refuse(w, http.StatusBadRequest, "body can't be read: "+err.Error(), 0)
-		return
-	}
-	j, err := platform.DecodeJob(body)
+// submit stores a job and only then accepts it.
+func (h *Handler) submit(ctx context.Context, w http.ResponseWriter, r *request) reply {
+	j, err := r.job(w)
 	if err != nil {
-		refuse(w, http.StatusBadRequest, err.Error(), 0)
-		return
+		return refuse(http.StatusBadRequest, err.Error())
 	}
-	if !q.Open {
-		j.Workspace = ws
-	}
-	j.ID, j.Queue, j.Pool, j.Submitted = id, q.Name, q.Pool, time.Now().UTC()
 	value, err := ledger.Encode(j)
 	if err != nil {
-		refuse(w, http.StatusInternalServerError, err.Error(), 0)
-		return
+		return refuse(http.StatusInternalServerError, err.Error())
 	}
 
-	_, found, err := h.desk.File(ctx, ledger.JobKey(id), value, 0)
-	h.log.Info("job submitted", "job", id, "queue", q.Name, "workspace", j.Workspace, "error", err)
+	_, found, err := h.desk.File(ctx, ledger.JobKey(j.ID), value, 0)
 	switch {
 	case err == nil, found != nil && !tombstone(*found):
-		answer(w, http.StatusOK, platform.EncodeState(platform.StateQueued))
+		return accept(platform.EncodeState(platform.StateQueued))
 	case found != nil:
-		refuse(w, http.StatusConflict, "the job was cancelled before it came", 0)
+		return refuse(http.StatusConflict, "the job was cancelled before it came")
 	case errors.Is(err, ErrNotStored):
-		refuse(w, http.StatusServiceUnavailable, "the store can't be reached", storeRetry)
+		return unavailable("the store can't be reached")
 	default:
-		refuse(w, http.StatusGatewayTimeout, "the store did not answer in time", 0)
+		return refuse(http.StatusGatewayTimeout, "the store did not answer in time")
 	}
 }
 
+// job returns the job that a request submits.
+func (r *request) job(w http.ResponseWriter) (work.Job, error) {
+	limit := r.router.Config().MaxBodyBytes
+	if limit <= 0 {
+		limit = maxBody
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	if err != nil {
+		return work.Job{}, merry.Prepend(err, "body can't be read")
+	}
+	j, err := platform.DecodeJob(body)
+	if err != nil {
+		return work.Job{}, err
+	}
+	j.ID, j.Queue, j.Pool, j.Workspace, j.Submitted = r.id, r.queue.Name, r.queue.Pool, r.workspace, time.Now().UTC()
+
+	return j, nil
+}
+
 // tombstone reports whether a record stands for a job that was cancelled before it came.
 func tombstone(r store.Record) bool {
 	j, err := ledger.Decode[work.Job](r.Key, r.Value)
@@ -151,15 +236,15 @@
 	ledger.Failed: platform.StateFailed, ledger.Cancelled: platform.StateCancelled,
 }
 
-func (h *Handler) state(ctx context.Context, w http.ResponseWriter, id fleet.JobID) {
+func (h *Handler) state(ctx context.Context, id fleet.JobID) reply {
 	j, _, state, err := h.find(ctx, id)
 	switch {
 	case err == nil && len(j.Steps) > 0:
-		answer(w, http.StatusOK, platform.EncodeState(states[state]))
+		return accept(platform.EncodeState(states[state]))
 	case err == nil, errors.Is(err, store.ErrNotFound):
-		refuse(w, http.StatusGone, "no such job", 0)
+		return refuse(http.StatusGone, "no such job")
 	default:
-		refuse(w, http.StatusServiceUnavailable, "the store can't be reached", storeRetry)
+		return unavailable("the store can't be reached")
 	}
 }
 
@@ -185,73 +270,57 @@
 }
 
 // cancel marks a job as cancelled, or keeps it from being accepted later if nobody has submitted it.
-func (h *Handler) cancel(ctx context.Context, w http.ResponseWriter, id fleet.JobID) {
+func (h *Handler) cancel(ctx context.Context, id fleet.JobID) reply {
 	for {
 		j, revision, _, err := h.find(ctx, id)
 		if err != nil && !errors.Is(err, store.ErrNotFound) {
-			refuse(w, http.StatusServiceUnavailable, "the store can't be reached", storeRetry)
-			return
+			return unavailable("the store can't be reached")
 		}
 		absent := err != nil
 		if absent {
 			j = work.Job{ID: id, Submitted: time.Now().UTC()}
 		}
 		if j.Cancelled {
-			h.answerCancel(w, id, len(j.Steps) == 0)
-			return
+			return cancelled(len(j.Steps) == 0)
 		}
 		value, err := ledger.Encode(j.WithCancelled())
 		if err != nil {
-			refuse(w, http.StatusInternalServerError, err.Error(), 0)
-			return
+			return refuse(http.StatusInternalServerError, err.Error())
 		}
 		_, found, err := h.desk.File(ctx, ledger.JobKey(id), value, revision)
 		switch {
 		case err == nil:
-			h.answerCancel(w, id, absent)
-			return
+			return cancelled(absent)
 		case errors.Is(err, store.ErrConflict) && ctx.Err() == nil:
-			if found != nil {
-				if b := h.follower.Book(); b != nil {
-					b.Follow(store.Event{Record: *found})
-				}
-			}
+			h.learn(found)
+		case errors.Is(err, ErrUnknown):
+			return refuse(http.StatusGatewayTimeout, "the store did not answer in time")
 		default:
-			refuse(w, http.StatusServiceUnavailable, "the store can't be reached", storeRetry)
-			return
+			return unavailable("the store can't be reached")
 		}
 	}
 }
 
-func (h *Handler) answerCancel(w http.ResponseWriter, id fleet.JobID, absent bool) {
-	h.log.Info("job cancelled", "job", id, "known", !absent)
-	if absent {
-		refuse(w, http.StatusGone, "no such job", 0)
-		return
+// learn takes in a record that the book does not have yet.
+func (h *Handler) learn(r *store.Record) {
+	if b := h.follower.Book(); b != nil && r != nil {
+		b.Follow(store.Event{Record: *r})
 	}
-	answer(w, http.StatusOK, platform.EncodeState(platform.StateCancelled))
 }
 
-func (h *Handler) pending(w http.ResponseWriter, q work.Queue) {
-	b := h.follower.Book()
-	if b == nil {
-		refuse(w, http.StatusServiceUnavailable, "the ledger was not read yet", storeRetry)
-		return
+func cancelled(absent bool) reply {
+	if absent {
+		return refuse(http.StatusGone, "no such job")
 	}
-	answer(w, http.StatusOK, platform.EncodePending(b.Pending(q.Name)))
-}
 
-func answer(w http.ResponseWriter, status int, body []byte) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	// The caller may have gone; there is nobody left to tell.
-	_, _ = w.Write(body)
+	return accept(platform.EncodeState(platform.StateCancelled))
 }
 
-// refuse answers with a reason and, unless it is zero, the seconds after which a repeat is likely to be taken.
-func refuse(w http.ResponseWriter, status int, reason string, retryAfter int) {
-	if retryAfter > 0 {
-		w.Header().Set("Retry-After", strconv.Itoa(retryAfter))
+func (h *Handler) pending(q work.Queue) reply {
+	b := h.follower.Book()
+	if b == nil {
+		return unavailable("the ledger was not read yet")
 	}
-	answer(w, status, platform.EncodeError(reason))
+
+	return accept(platform.EncodePending(b.Pending(q.Name)))
 }
--- a/ledger/book.go
+++ b/ledger/book.go
@@ -43,7 +43,7 @@
 	maintained map[int64][]fleet.HostName
 	// ordered has when each host was last ordered, by the clock of the owner of that time.
 	ordered map[fleet.HostName]time.Time
-	skipped    int
+	skipped int
 }
 
 // NewBook returns an empty book.
--- a/manager/manager.go
+++ b/manager/manager.go
@@ -26,6 +26,7 @@
 	"lycheehook.example/lycheehook/schedule"
 	"lycheehook.example/lycheehook/settings"
 	"lycheehook.example/lycheehook/store"
+	"lycheehook.example/lycheehook/telemetry"
 )
 
 const (
@@ -53,6 +54,8 @@
 	candidate *owner.Candidate
 	dispatch  *dispatch.Dispatcher
 	handler   *intake.Handler
+	metrics   *telemetry.Metrics
+	limiter   *telemetry.Limiter
 	stopping  atomic.Bool
 }
 
@@ -63,20 +66,20 @@
 		return nil, merry.Prepend(err, "name of the process")
 	}
 	transport := platform.NewTransport()
-	m := &Manager{settings: s, log: l}
+	m := &Manager{settings: s, log: l, metrics: telemetry.NewMetrics(), limiter: telemetry.NewLimiter(l)}
 	m.route = relay.New(
 		transport.To(s.StoreAddress.String()), relay.Via(transport), m.peers,
 		platform.Request{Method: http.MethodGet, Path: platform.ProbePath}, l,
 	)
-	client := platform.NewStore(m.route.Exchange, storeTimeout)
+	client := m.metrics.Store(platform.NewStore(m.route.Exchange, storeTimeout))
 	m.follower = ledger.NewFollower(client, l)
-	m.handler = intake.NewHandler(client, m.follower, l)
-	m.config = NewConfiguration(client, l, m.handler.SetConfig)
+	m.handler = intake.NewHandler(client, m.follower, l, m.answered)
+	m.config = NewConfiguration(client, l, m.adopt)
 	self := ledger.Owner{Host: s.Name, Process: process.String()}
 	m.seat = owner.NewSeat(client, ledger.Host{Name: s.Name, Zone: s.Zone, PeerAddress: s.PeerAddress.String()}, l)
 	m.candidate = owner.NewCandidate(client, m.seat, m.follower, self.Process, l)
 	m.dispatch = dispatch.New(
-		client, m.follower, platform.NewWorkers(transport, orderTimeout), bounds(s), self, l,
+		client, m.follower, m.metrics.Workers(platform.NewWorkers(transport, orderTimeout)), bounds(s), self, l,
 		m.config.Current, followRoster(client, l), dispatch.WithObserver(m.observe), m.withHosts(transport, client),
 	)
 
@@ -136,11 +139,6 @@
 	}
 }
 
-// observe logs a decision of the scheduler.
-func (m *Manager) observe(d schedule.Decision) {
-	m.log.Info(d.What, "task", d.Attempt.Task, "attempt", d.Attempt.Number, "worker", d.Worker, "outcome", d.Outcome, "reason", d.Reason)
-}
-
 // Run serves until the context ends, and then finishes what has begun.
 func (m *Manager) Run(ctx context.Context, hangup <-chan os.Signal) error {
 	m.log.Info("starting", "host", m.settings.Name, "zone", m.settings.Zone)
@@ -158,13 +156,19 @@
 		return err
 	}
 
+	metrics := http.NewServeMux()
+	metrics.Handle("GET /metrics", m.metrics.Handler())
+	if _, err := serve(ctx, m.settings.MetricsAddress, metrics); err != nil {
+		return err
+	}
+
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	var all sync.WaitGroup
 	all.Go(func() { m.config.Run(background) })
 	all.Go(func() { m.follower.Run(background) })
 	all.Go(func() { m.seat.Run(background) })
-	all.Go(func() { m.candidate.Run(ctx, m.dispatch.Serve) })
+	all.Go(func() { m.candidate.Run(ctx, m.own) })
 
 	m.awaitStop(ctx, hangup)
 	m.log.Info("stopping")
@@ -178,6 +182,13 @@
 	return nil
 }
 
+// own owns the workers for a term.
+func (m *Manager) own(ctx context.Context, t *owner.Term) {
+	m.metrics.Term.Set(float64(t.Revision))
+	defer m.metrics.Term.Set(0)
+	m.dispatch.Serve(ctx, t)
+}
+
 // awaitStop returns when the context ends. The settings that may change while the process runs have no effect before
 // its next start, so a hang-up is only noted.
 func (m *Manager) awaitStop(ctx context.Context, hangup <-chan os.Signal) {
--- a/schedule/host.go
+++ b/schedule/host.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"time"
 
 	"lycheehook.example/lycheehook/fleet"
@@ -44,6 +45,15 @@
 	pool fleet.PoolName
 }
 
+// String returns the plan for logs.
+func (p hostPlan) String() string {
+	if p.wave != 0 {
+		return "upkeep of wave " + strconv.FormatInt(p.wave, 10)
+	}
+
+	return "move to " + string(p.pool)
+}
+
 // HostOrder is an order to the cloud.
 type HostOrder struct {
 	Host fleet.HostName
@@ -75,7 +85,8 @@
 			h = &host{refused: map[fleet.PoolName]bool{}}
 			s.hosts[st.Host] = h
 		}
-		if before := h.Worker; before != "" && st.Worker != "" && before != st.Worker {
+		before := h.Worker
+		if before != "" && st.Worker != "" && before != st.Worker {
 			s.gone(before, now)
 		}
 		h.HostStatus = st
@@ -86,7 +97,7 @@
 		if st.State == work.HostUp {
 			s.returned(h, now)
 		} else {
-			s.gone(h.Worker, now)
+			s.gone(before, now)
 		}
 	}
 	for name := range s.hosts {
@@ -122,7 +133,7 @@
 // empty begins to empty a host for a plan.
 func (s *Scheduler) empty(h *host, p hostPlan, now time.Time) {
 	h.phase, h.plan, h.since = emptying, p, now
-	s.observe(Decision{What: "HostEmptying", Worker: h.Worker, Reason: string(h.Host) + " " + string(p.pool)})
+	s.observe(Decision{What: DecidedHostEmptying, Worker: h.Worker, Host: h.Host, Reason: p.String()})
 }
 
 // keepServing gives up what was planned for a host that nothing was ordered of.
@@ -250,7 +261,7 @@
 	if s.hosts[h.Host] != h || h.phase != ordering {
 		return
 	}
-	s.observe(Decision{What: "HostOrdered", Worker: h.Worker, Reason: string(h.Host) + " " + reasonOf(err)})
+	s.observe(Decision{What: DecidedHostOrdered, Worker: h.Worker, Host: h.Host, Reason: h.plan.String() + ": " + reasonOf(err)})
 	switch hostOutcome(err) {
 	case carriedOut:
 		// The answer is the same if the order was carried out long ago, so only the list shows what has ended there.
@@ -279,7 +290,7 @@
 	if !ok {
 		return
 	}
-	w.present = false
+	w.present, w.over = false, true
 	for _, r := range w.runs {
 		s.end(r, work.OutcomeLapsed, "", "host was ordered away")
 	}
--- a/schedule/host_test.go
+++ b/schedule/host_test.go
@@ -10,11 +10,11 @@
 )
 
 // cloud returns a list in which worker i is the life of host i.
-func cloud(state work.HostState, hosts int) []work.HostStatus {
+func cloud(hosts int) []work.HostStatus {
 	var list []work.HostStatus
 	for i := range hosts {
 		list = append(list, work.HostStatus{
-			Host: fleet.HostName(fmt.Sprint("h", i)), Pool: testPool, State: state, Worker: work.WorkerID(fmt.Sprint("w", i)),
+			Host: fleet.HostName(fmt.Sprint("h", i)), Pool: testPool, State: work.HostUp, Worker: work.WorkerID(fmt.Sprint("w", i)),
 			Capacity: fleet.Resources{Cores: 16000, Memory: 32768},
 		})
 	}
@@ -36,7 +36,7 @@
 	var all []HostOrder
 	for range 10 {
 		all = append(all, b.s.HostOrders(b.now)...)
-		b.step(100 * time.Millisecond)
+		b.step()
 	}
 
 	return all
@@ -50,13 +50,13 @@
 func TestWaveBoundAfterTakeOver(t *testing.T) {
 	b := newBench(t, 6)
 	b.settle()
-	l := cloud(work.HostUp, 6)
+	l := cloud(6)
 	l[0].State, l[1].State = work.HostUpkeep, work.HostUpkeep
 	b.list(l)
 	b.s.SetWave(work.WaveOrder{Number: 1, Hosts: names(l), Duration: 8 * time.Second, MaxDown: 2}, b.now)
 	check(t, "orders while two hosts are down", 0, len(b.orders()))
 
-	b.list(cloud(work.HostUp, 6))
+	b.list(cloud(6))
 	check(t, "orders once they are back", 2, len(b.orders()))
 }
 
@@ -66,7 +66,7 @@
 	b.settle()
 	b.submit("j", work.Step{Count: 2, Size: size(1000)})
 	b.settle()
-	l := cloud(work.HostUp, 2)
+	l := cloud(2)
 	b.list(l)
 	b.s.SetWave(work.WaveOrder{Number: 1, Hosts: names(l)[:1], Duration: time.Second, MaxDown: 1}, b.now)
 	var orders []HostOrder
@@ -77,7 +77,7 @@
 		t.Fatalf("%d orders", len(orders))
 	}
 	b.s.HostAnswered(orders[0], nil, b.now)
-	b.step(100 * time.Millisecond)
+	b.step()
 	b.list(l)
 	b.settle()
 
@@ -91,7 +91,7 @@
 	b.settle()
 	b.submit("j", work.Step{Count: 4, Size: size(1000), Lasting: true, MaxAway: 1})
 	b.settle()
-	l := cloud(work.HostUp, 4)
+	l := cloud(4)
 	b.list(l)
 	b.s.SetWave(work.WaveOrder{Number: 1, Hosts: names(l)[:1], Duration: 5 * time.Second, MaxDown: 1}, b.now)
 	for range 60 {
@@ -103,7 +103,27 @@
 			check(t, "tasks on a host that is ordered down", 0, len(b.runs[work.WorkerID("w"+string(o.Host[1:]))]))
 			return
 		}
-		b.step(100 * time.Millisecond)
+		b.step()
 	}
 	t.Error("the host was never ordered down")
 }
+
+// The registration of a worker whose host was moved away stays for a while; no task is placed there any more.
+func TestNoTaskOnMovedHost(t *testing.T) {
+	b := newBench(t, 2)
+	b.settle()
+	l := cloud(2)
+	b.list(l)
+	b.s.SetWave(work.WaveOrder{Number: 1, Hosts: names(l)[:1], Duration: time.Second, MaxDown: 1}, b.now)
+	for _, o := range b.orders() {
+		b.s.HostAnswered(o, nil, b.now)
+	}
+	b.step()
+	l[0].State, l[0].Worker = work.HostUpkeep, ""
+	b.list(l)
+	b.s.Register(b.regs["w0"], b.now)
+	b.submit("j", work.Step{Count: 20, Size: size(1000)})
+	b.orders()
+	check(t, "running tasks on the host that is away", 0, len(b.runs["w0"]))
+	check(t, "running tasks", 16, b.running())
+}
--- a/schedule/look.go
+++ b/schedule/look.go
@@ -44,7 +44,7 @@
 
 // lookDue reports whether a worker is to be looked at now, and how long it may hold back its answer.
 func (s *Scheduler) lookDue(w *worker, now time.Time) (time.Duration, bool) {
-	if w.looking == s.token(w) || w.reg.Address == "" || now.Before(w.nextTry) {
+	if w.looking == s.token(w) || w.reg.Address == "" || now.Before(w.nextTry) || len(w.runs) == 0 && (w.cordoned || w.over) {
 		return 0, false
 	}
 	switch {
@@ -118,12 +118,12 @@
 
 func (s *Scheduler) unseen(w *worker, err error, now time.Time) {
 	w.unheard++
-	w.nextTry = now.Add(retryWait)
+	w.nextTry = now.Add(min(maxRetryWait, retryWait*time.Duration(w.unheard)))
 	if errors.Is(err, work.ErrFenced) {
 		w.raise()
 	}
 	if w.unheard == silentAfter {
-		s.observe(Decision{What: "WorkerSilent", Worker: w.id, Reason: err.Error()})
+		s.observe(Decision{What: DecidedWorkerSilent, Worker: w.id, Reason: err.Error()})
 		s.dirty = true
 	}
 }
@@ -151,7 +151,7 @@
 	if !ok || !e.Has(end.Attempt.Task) || end.Outcome != work.OutcomeDone || e.Task(end.Attempt.Task).Done {
 		return
 	}
-	s.observe(Decision{What: "StrayEnd", Attempt: end.Attempt, Worker: w.id, Outcome: end.Outcome})
+	s.observe(Decision{What: DecidedStrayEnd, Attempt: end.Attempt, Worker: w.id, Outcome: end.Outcome})
 	s.record(e, ledger.Change{Kind: ledger.Ended, Attempt: end.Attempt, Worker: w.id, Life: w.life, Outcome: end.Outcome})
 	s.stopOthers(e, end.Attempt)
 	s.finish(e)
@@ -187,7 +187,7 @@
 
 // stray holds room for a run that nobody should have started, until it is stopped.
 func (s *Scheduler) stray(w *worker, a work.Attempt) *run {
-	s.observe(Decision{What: "StrayRun", Attempt: a, Worker: w.id})
+	s.observe(Decision{What: DecidedStrayRun, Attempt: a, Worker: w.id})
 	r := &run{attempt: a, worker: w, life: w.life, phase: confirmed, stop: true}
 	if e, ok := s.entries[a.Job]; ok && e.Has(a.Task) {
 		r.reserved = e.Job.Steps[a.Step].Reserved()
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -39,7 +39,7 @@
 
 	s.waiting = s.waiting[:0]
 	for _, r := range s.ready(now) {
-		s.placeStep(r, byPool[r.queue.Pool])
+		s.placeStep(r, byPool[r.queue.Pool], now)
 	}
 }
 
@@ -118,11 +118,11 @@
 }
 
 // placeStep assigns as many of a step's tasks as find room; those of a gang all or none.
-func (s *Scheduler) placeStep(r *ready, workers []*worker) {
+func (s *Scheduler) placeStep(r *ready, workers []*worker, now time.Time) {
 	e := r.job.entry
 	step := e.Job.Steps[r.step.Step]
 	if step.Gang {
-		s.placeGang(r, step, workers)
+		s.placeGang(r, step, workers, now)
 		return
 	}
 	for i, n := range r.tasks {
@@ -138,7 +138,7 @@
 
 			return
 		}
-		s.assign(r, n, e.Step(r.step).Tasks[n].Attempts+1, w)
+		s.assign(r, n, e.Step(r.step).Tasks[n].Attempts+1, w, now)
 	}
 }
 
@@ -151,7 +151,7 @@
 }
 
 // placeGang assigns all tasks of a gang under one attempt number, or none of them.
-func (s *Scheduler) placeGang(r *ready, step work.Step, workers []*worker) {
+func (s *Scheduler) placeGang(r *ready, step work.Step, workers []*worker, now time.Time) {
 	e := r.job.entry
 	tasks := e.Step(r.step).Tasks
 	if len(r.tasks) < len(tasks) {
@@ -171,7 +171,7 @@
 			s.wait(r, len(r.tasks))
 			return
 		}
-		s.assign(r, n, attempt+1, w)
+		s.assign(r, n, attempt+1, w, now)
 	}
 }
 
@@ -185,7 +185,7 @@
 }
 
 // assign puts a task on a worker; its order goes out once that is stored.
-func (s *Scheduler) assign(r *ready, index, number int, w *worker) {
+func (s *Scheduler) assign(r *ready, index, number int, w *worker, now time.Time) {
 	e := r.job.entry
 	a := work.Attempt{
 		Task:   work.Task{Job: e.Job.ID, Occurrence: r.step.Occurrence, Step: r.step.Step, Index: index},
@@ -199,7 +199,9 @@
 	r.spread[w.id]++
 	s.starting = append(s.starting, run)
 	s.record(e, ledger.Change{Kind: ledger.Assigned, Attempt: a, Worker: w.id, Life: w.life})
-	s.observe(Decision{What: "Assigned", Attempt: a, Worker: w.id})
+	s.observe(Decision{
+		What: DecidedAssigned, Attempt: a, Worker: w.id, Standing: r.rank.standing.String(), Age: now.Sub(r.job.seen), Token: s.token(w),
+	})
 }
 
 // withinLimit reports whether the workspace may have one more task of that size running.
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -127,15 +127,15 @@
 
 // hostSize returns the capacity of a typical host of a pool.
 func (s *Scheduler) hostSize(p fleet.PoolName) fleet.Resources {
-	var any fleet.Resources
+	var other fleet.Resources
 	for _, h := range s.sortedHosts() {
 		if h.Pool == p {
 			return h.Capacity
 		}
-		any = h.Capacity
+		other = h.Capacity
 	}
 
-	return any
+	return other
 }
 
 // least returns how many hosts the lasting tasks of a pool need for their spread.
--- a/schedule/rank.go
+++ b/schedule/rank.go
@@ -26,6 +26,11 @@
 	overdue
 )
 
+// String returns the standing's name for logs.
+func (s standing) String() string {
+	return [...]string{"Lasting", "InTime", "Late", "Overdue"}[s]
+}
+
 // rank orders the jobs of a pool.
 type rank struct {
 	standing standing
--- a/schedule/run.go
+++ b/schedule/run.go
@@ -105,7 +105,7 @@
 	case errors.Is(err, work.ErrNoAnswer), errors.Is(err, work.ErrAnotherLife):
 		r.phase = unanswered
 		w.raise()
-		s.observe(Decision{What: "Unanswered", Attempt: r.attempt, Worker: w.id, Reason: err.Error()})
+		s.observe(Decision{What: DecidedUnanswered, Attempt: r.attempt, Worker: w.id, Reason: err.Error()})
 	default:
 		s.refused(r, err, now)
 	}
@@ -134,7 +134,7 @@
 	}
 	pause := min(maxQuarantine, quarantineTime<<(w.failures-failuresToQuarantine))
 	w.quarantine = now.Add(pause)
-	s.observe(Decision{What: "WorkerSuspected", Worker: w.id, Reason: pause.String()})
+	s.observe(Decision{What: DecidedWorkerSuspected, Worker: w.id, Reason: pause.String()})
 }
 
 // judge learns from an end how sound a worker is.
@@ -150,7 +150,11 @@
 // end takes in that a run is over and what follows from it.
 func (s *Scheduler) end(r *run, o work.Outcome, checkpoint, reason string) {
 	e := s.release(r)
-	s.observe(Decision{What: "Ended", Attempt: r.attempt, Worker: r.worker.id, Outcome: o, Reason: reason})
+	d := Decision{What: DecidedEnded, Attempt: r.attempt, Worker: r.worker.id, Outcome: o, Reason: reason, Token: s.token(r.worker)}
+	if !r.since.IsZero() {
+		d.Age = r.worker.heard.Sub(r.since)
+	}
+	s.observe(d)
 	if e == nil {
 		return
 	}
@@ -171,14 +175,14 @@
 	if !known || e.Over() || st.Done || e.Job.Steps[a.Step].Lasting || q.MaxAttempts <= 0 || st.Failures < q.MaxAttempts {
 		return
 	}
-	s.observe(Decision{What: "JobFailed", Attempt: a, Reason: "attempts used up"})
+	s.observe(Decision{What: DecidedJobFailed, Attempt: a, Reason: "attempts used up"})
 	s.record(e, ledger.Change{Kind: ledger.JobFailed, Attempt: a})
 }
 
 // finish closes a job that is over.
 func (s *Scheduler) finish(e *ledger.Entry) {
 	if e.Over() && s.jobs[e.Job.ID] != nil {
-		s.observe(Decision{What: "JobOver", Attempt: work.Attempt{Task: work.Task{Job: e.Job.ID}}, Reason: e.State().String()})
+		s.observe(Decision{What: DecidedJobOver, Attempt: work.Attempt{Task: work.Task{Job: e.Job.ID}}, Reason: e.State().String()})
 		s.close(e)
 	}
 }
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -54,20 +54,6 @@
 	DutyQuiet time.Duration
 }
 
-// Observer is told of each decision about a run, for logs and metrics.
-type Observer func(Decision)
-
-// Decision is one thing that was decided or learnt about a run or a worker.
-type Decision struct {
-	// What is the kind of the decision, such as Assigned or Ended.
-	What    string
-	Attempt work.Attempt
-	Worker  work.WorkerID
-	Outcome work.Outcome
-	// Reason says what decided it.
-	Reason string
-}
-
 // job is an accepted job that is not over.
 type job struct {
 	entry *ledger.Entry
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -68,7 +68,7 @@
 }
 
 // step lets the scheduler decide, answers its calls, and lets time pass.
-func (b *bench) step(d time.Duration) {
+func (b *bench) step() {
 	b.s.Tick()
 	b.s.Lapse(b.now)
 	b.s.Place(b.now)
@@ -82,7 +82,7 @@
 	for _, l := range b.s.Looks(b.now) {
 		b.look(l)
 	}
-	b.now = b.now.Add(d)
+	b.now = b.now.Add(100 * time.Millisecond)
 }
 
 func (b *bench) order(o Order) {
@@ -154,7 +154,7 @@
 
 func (b *bench) settle() {
 	for range 8 {
-		b.step(100 * time.Millisecond)
+		b.step()
 	}
 }
 
@@ -213,12 +213,12 @@
 	}
 	b.dark[first] = true
 	for range 50 {
-		b.step(100 * time.Millisecond)
+		b.step()
 	}
 	check(t, "running while the lease may hold", 1, b.running())
 
 	for range 30 {
-		b.step(100 * time.Millisecond)
+		b.step()
 	}
 	check(t, "running after the lease has ended, with the one on the dark worker", 2, b.running())
 }
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -21,8 +21,9 @@
 	lookWait = 1500 * time.Millisecond
 	// ackWait is how long an idle worker's stored ends may wait for a look that tells it so.
 	ackWait = 400 * time.Millisecond
-	// retryWait is the pause before a worker that did not answer is asked again.
-	retryWait = 150 * time.Millisecond
+	// retryWait is the pause before a worker that did not answer is asked again; it grows with each time.
+	retryWait    = 150 * time.Millisecond
+	maxRetryWait = 600 * time.Millisecond
 	// fullPace is the percentage of a run that is at work.
 	fullPace = 100
 	// warmUpWait is how long a worker may hold back its answer while a lasting task is not yet at work there.
@@ -71,8 +72,10 @@
 	id      work.WorkerID
 	reg     work.Registration
 	present bool
-	life    work.Life
-	bumps   uint64
+	// over says that the worker has surely ended, though its registration may be there for a while.
+	over  bool
+	life  work.Life
+	bumps uint64
 	// met says that the worker has answered a look with its present token.
 	met  bool
 	runs map[work.Attempt]*run
@@ -168,7 +171,7 @@
 // Register takes in what a worker says of itself in the store.
 func (s *Scheduler) Register(r work.Registration, now time.Time) {
 	w := s.worker(r.ID)
-	if r.Life < w.life {
+	if r.Life < w.life || w.over && r.Life == w.life {
 		return
 	}
 	if r.Life != w.life && w.life != 0 {
@@ -208,7 +211,7 @@
 			s.end(r, work.OutcomeLapsed, "", "worker started anew")
 		}
 	}
-	w.life = life
+	w.life, w.over = life, false
 	w.seen, w.stored, w.acked = 0, 0, 0
 	w.clock, w.asked, w.heard = 0, time.Time{}, time.Time{}
 	w.unheard, w.nextTry = 0, time.Time{}
--- /dev/null
+++ b/telemetry/metrics.go
@@ -0,0 +1,138 @@
+package telemetry
+
+import (
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"lycheehook.example/lycheehook/store"
+	"lycheehook.example/lycheehook/work"
+)
+
+const namespace = "lycheehook"
+
+// latencies are the upper bounds of the buckets of a latency, in seconds, from a call within a zone to a caller's deadline.
+var latencies = []float64{0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10}
+
+// Metrics has the process's counters, gauges and histograms.
+type Metrics struct {
+	registry   *prometheus.Registry
+	requests   *prometheus.CounterVec
+	answerTime *prometheus.HistogramVec
+	decisions  *prometheus.CounterVec
+	ends       *prometheus.CounterVec
+	calls      *prometheus.CounterVec
+	callTime   *prometheus.HistogramVec
+	firstStart prometheus.Histogram
+	// Version is the version of the configuration in force.
+	Version prometheus.Gauge
+	// Term is the store revision of the term in which this process owns the workers; zero while it does not.
+	Term prometheus.Gauge
+	// OpenJobs and Runs are what the owner has; zero at other hosts.
+	OpenJobs prometheus.Gauge
+	Runs     prometheus.Gauge
+}
+
+// NewMetrics returns metrics that are all zero.
+func NewMetrics() *Metrics {
+	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
+		return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+	}
+	histogram := func(name, help string, labels ...string) *prometheus.HistogramVec {
+		return prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: name, Help: help, Buckets: latencies}, labels)
+	}
+	gauge := func(name, help string) prometheus.Gauge {
+		return prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help})
+	}
+	m := &Metrics{
+		registry:   prometheus.NewRegistry(),
+		requests:   counter("requests_total", "Callers' requests, by method and status.", "method", "status"),
+		answerTime: histogram("request_seconds", "Time to the answer of a caller's request.", "method"),
+		decisions:  counter("decisions_total", "Decisions of the owner, by kind.", "kind"),
+		ends:       counter("run_ends_total", "Ends of runs, by outcome.", "outcome"),
+		calls:      counter("calls_total", "Calls to others, by whom, call and result.", "to", "call", "result"),
+		callTime:   histogram("call_seconds", "Time to the answer of a call to others.", "to", "call"),
+		firstStart: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "first_start_seconds", Help: "Time from a job's arrival at the owner to its first assignment.", Buckets: latencies,
+		}),
+		Version:  gauge("config_version", "Version of the configuration in force."),
+		Term:     gauge("owner_term", "Store revision of the term in which this process owns the workers, or 0."),
+		OpenJobs: gauge("open_jobs", "Jobs that are not over, at the owner."),
+		Runs:     gauge("runs", "Runs that are held on workers, at the owner."),
+	}
+	m.registry.MustRegister(
+		m.requests, m.answerTime, m.decisions, m.ends, m.calls, m.callTime, m.firstStart, m.Version, m.Term, m.OpenJobs, m.Runs,
+	)
+
+	return m
+}
+
+// Handler serves the metrics as text.
+func (m *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+// Request counts a caller's request.
+func (m *Metrics) Request(method string, status int, took time.Duration) {
+	m.requests.WithLabelValues(method, statusText(status)).Inc()
+	m.answerTime.WithLabelValues(method).Observe(took.Seconds())
+}
+
+// statusText returns the status as a label, with a fixed set of values.
+func statusText(status int) string {
+	switch status {
+	case http.StatusOK, http.StatusBadRequest, http.StatusUnauthorized, http.StatusNotFound, http.StatusConflict, http.StatusGone,
+		http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		return http.StatusText(status)
+	default:
+		return "other"
+	}
+}
+
+// Decision counts a decision of the owner.
+func (m *Metrics) Decision(kind string) {
+	m.decisions.WithLabelValues(kind).Inc()
+}
+
+// End counts the end of a run.
+func (m *Metrics) End(o work.Outcome) {
+	m.ends.WithLabelValues(o.String()).Inc()
+}
+
+// FirstStart notes how long a job waited for its first assignment.
+func (m *Metrics) FirstStart(waited time.Duration) {
+	m.firstStart.Observe(waited.Seconds())
+}
+
+func (m *Metrics) call(to, call string, began time.Time, err error) {
+	m.calls.WithLabelValues(to, call, resultOf(err)).Inc()
+	m.callTime.WithLabelValues(to, call).Observe(time.Since(began).Seconds())
+}
+
+// results names what can come of a call, the first that fits.
+var results = []struct {
+	err  error
+	name string
+}{
+	{store.ErrNotFound, "NotFound"}, {store.ErrConflict, "Conflict"}, {store.ErrLeaseLapsed, "LeaseLapsed"},
+	{store.ErrCompacted, "Compacted"}, {store.ErrUnavailable, "Unavailable"}, {store.ErrOutcomeUnknown, "OutcomeUnknown"},
+	{work.ErrNoAnswer, "NoAnswer"}, {work.ErrNotSent, "NotSent"}, {work.ErrFenced, "Fenced"}, {work.ErrOldAttempt, "OldAttempt"},
+	{work.ErrLate, "Late"}, {work.ErrNoRoom, "NoRoom"}, {work.ErrTicket, "Ticket"}, {work.ErrUnhealthy, "Unhealthy"},
+	{work.ErrAnotherLife, "AnotherLife"},
+}
+
+func resultOf(err error) string {
+	if err == nil {
+		return "OK"
+	}
+	for _, r := range results {
+		if errors.Is(err, r.err) {
+			return r.name
+		}
+	}
+
+	return "Other"
+}
