--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -33,8 +33,11 @@
 	log      *log.Logger
 	roster   func(ctx context.Context, tell func(Roster))
 	hosts    Hosts
-	observe  schedule.Observer
-	host     ledger.Owner
+	advise   work.Advise
+	// keep is how long jobs that are over are kept.
+	keep    time.Duration
+	observe schedule.Observer
+	host    ledger.Owner
 }
 
 // Hosts is what a dispatcher needs to order hosts; a dispatcher without it orders none.
@@ -48,6 +51,16 @@
 	TellWave func(ctx context.Context, term uint64, st schedule.WaveStatus) error
 }
 
+// WithAdvice lets the dispatcher ask which workers may run the steps of advised queues.
+func WithAdvice(a work.Advise) Option {
+	return func(d *Dispatcher) { d.advise = a }
+}
+
+// WithKeep sets how long jobs that are over are kept.
+func WithKeep(keep time.Duration) Option {
+	return func(d *Dispatcher) { d.keep = keep }
+}
+
 // WithHosts lets the dispatcher order hosts.
 func WithHosts(h Hosts) Option {
 	return func(d *Dispatcher) { d.hosts = h }
@@ -119,7 +132,8 @@
 		return
 	}
 	t.sched = schedule.New(owned.Revision, d.bounds, book.Entries(), time.Now(), schedule.WithObserver(d.observe))
-	t.log = newLogWriter(d.client, d.host, owned.Revision, book.NextBatch(), d.log)
+	firstBatch, nextBatch := book.Batches()
+	t.log = newLogWriter(d.client, d.host, owned.Revision, firstBatch, nextBatch, d.log)
 	jobs.deliver(t.addJob)
 
 	var all sync.WaitGroup
@@ -128,6 +142,7 @@
 	if d.hosts.Waves != nil {
 		all.Go(func() { t.orderHosts(ctx) })
 	}
+	all.Go(func() { t.forget(ctx) })
 	all.Go(func() { d.roster(ctx, t.setRoster) })
 	t.run(ctx)
 	cancel()
@@ -167,6 +182,14 @@
 		for _, l := range t.sched.Looks(now) {
 			go t.look(l)
 		}
+		if t.advise != nil {
+			if q, ok := t.sched.Question(now); ok {
+				go t.ask(ctx, q)
+			}
+		}
+		for _, o := range t.sched.Paces(now) {
+			go t.order(o)
+		}
 		for _, o := range t.sched.Stops(now) {
 			go t.order(o)
 		}
@@ -179,17 +202,26 @@
 	if t.writing || now.Sub(t.wrote) < storeInterval {
 		return
 	}
+	if t.log.next-t.log.first >= maxBatches {
+		if changes, ok := t.sched.Restate(now); ok {
+			t.writing = true
+			go t.write(ctx, func() error { return t.compact(ctx, changes) }, nil)
+
+			return
+		}
+	}
 	changes, starts := t.sched.Take()
 	if len(changes) == 0 {
 		t.sched.Stored(nil, now)
 		return
 	}
 	t.writing, t.wrote = true, now
-	go t.write(ctx, changes, starts)
+	go t.write(ctx, func() error { return t.log.append(ctx, changes) }, starts)
 }
 
-func (t *term) write(ctx context.Context, changes []ledger.Change, starts []schedule.Start) {
-	if err := t.log.append(ctx, changes); err != nil {
+// write writes to the log, and sends out the orders that waited for it.
+func (t *term) write(ctx context.Context, put func() error, starts []schedule.Start) {
+	if err := put(); err != nil {
 		t.Dispatcher.log.Warn("term ends, its log can't be written", "term", t.owned.Revision, "error", err)
 		t.lost()
 
@@ -210,6 +242,14 @@
 	t.signal()
 }
 
+func (t *term) ask(ctx context.Context, q schedule.Question) {
+	tickets, err := t.advise(ctx, q.Step, q.Workers, q.Timeout)
+	t.mu.Lock()
+	t.sched.Advised(q, tickets, err, time.Now())
+	t.mu.Unlock()
+	t.signal()
+}
+
 func (t *term) look(l schedule.Look) {
 	sight, err := t.workers.Look(l.Worker, l.Order)
 	t.mu.Lock()
@@ -226,6 +266,8 @@
 		err = work.ErrNotSent
 	case o.Start != nil:
 		a, err = t.workers.Start(o.Worker, *o.Start)
+	case o.Pace != nil:
+		a, err = t.workers.Pace(o.Worker, *o.Pace)
 	default:
 		a, err = t.workers.Stop(o.Worker, *o.Stop)
 	}
--- a/dispatch/logwriter.go
+++ b/dispatch/logwriter.go
@@ -28,14 +28,15 @@
 	client *store.Client
 	host   ledger.Owner
 	term   uint64
-	next   uint64
-	log    *log.Logger
+	// first is the oldest batch that is kept, next the one to be written.
+	first, next uint64
+	log         *log.Logger
 	// wait is how long the store gets to answer.
 	wait time.Duration
 }
 
-func newLogWriter(c *store.Client, host ledger.Owner, term, next uint64, l *log.Logger) *logWriter {
-	return &logWriter{client: c, host: host, term: term, next: next, log: l, wait: minStoreWait}
+func newLogWriter(c *store.Client, host ledger.Owner, term, first, next uint64, l *log.Logger) *logWriter {
+	return &logWriter{client: c, host: host, term: term, first: first, next: next, log: l, wait: minStoreWait}
 }
 
 // append stores a batch. It tries until the outcome is known: the batch's key makes each try the same write.
--- a/ledger/book.go
+++ b/ledger/book.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"lycheehook.example/lycheehook/fleet"
 	"lycheehook.example/lycheehook/store"
 	"lycheehook.example/lycheehook/work"
@@ -37,8 +39,9 @@
 	hosts    map[fleet.EntryName]Host
 	owner    Owner
 	ownerRev uint64
-	next     uint64
-	early    map[uint64]Batch
+	// first is the number of the oldest batch that was kept when the book was read, next that of the next one.
+	first, next uint64
+	early       map[uint64]Batch
 	// maintained has the hosts that had their upkeep, by wave.
 	maintained map[int64][]fleet.HostName
 	// ordered has when each host was last ordered, by the clock of the owner of that time.
@@ -67,12 +70,16 @@
 	for _, r := range l.Records {
 		if first && strings.HasPrefix(r.Key, LogPrefix) {
 			if n, err := batchNumber(r.Key); err == nil {
-				b.next = n
+				b.first, b.next = n, n
 				first = false
 			}
 		}
 		b.Follow(store.Event{Record: r})
 	}
+	if len(b.early) > 0 {
+		// The list is not a snapshot: batches between its pages were removed meanwhile.
+		return nil, 0, merry.Prependf(ErrGap, "after batch %d", b.next)
+	}
 
 	return b, l.Revision, nil
 }
@@ -255,12 +262,12 @@
 	return b.owner, b.ownerRev
 }
 
-// NextBatch returns the number that the log's next batch gets.
-func (b *Book) NextBatch() uint64 {
+// Batches returns the numbers of the log's first batch that is kept and of the next one.
+func (b *Book) Batches() (first, next uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
-	return b.next
+	return b.first, b.next
 }
 
 // Maintained returns the hosts that had their upkeep, by wave; the caller must be the only user of the book.
--- a/ledger/change.go
+++ b/ledger/change.go
@@ -30,6 +30,9 @@
 // ErrMalformed says that a record of the ledger can't be read.
 var ErrMalformed = merry.Sentinel("ledger: malformed record")
 
+// ErrGap says that batches are missing in what was read of the log; another read has them, or what replaced them.
+var ErrGap = merry.Sentinel("ledger: batches are missing")
+
 // Kind says what a change is about.
 type Kind uint8
 
@@ -45,6 +48,8 @@
 	Maintained
 	// HostOrdered is a host that is about to be ordered away: Worker has the host's name.
 	HostOrdered
+	// Restated is the whole state of a task, in place of all changes before; Number is its last attempt.
+	Restated
 )
 
 // Change is one entry of the log.
@@ -57,6 +62,10 @@
 	Outcome work.Outcome
 	// Checkpoint is where the next attempt resumes.
 	Checkpoint string
+	// Failures, Done and Live are set where a task is restated.
+	Failures int
+	Done     bool
+	Live     []Live
 }
 
 // Batch is one record of the log.
--- a/ledger/entry.go
+++ b/ledger/entry.go
@@ -20,6 +20,7 @@
 
 // Live is an attempt that may be running.
 type Live struct {
+	_      struct{} `cbor:",toarray"`
 	Number int
 	Worker work.WorkerID
 	Life   work.Life
@@ -104,16 +105,58 @@
 		return
 	}
 	s := e.Task(c.Attempt.Task)
-	s.Attempts = max(s.Attempts, c.Attempt.Number)
+	if c.Kind == Restated {
+		e.restate(s, c)
+		return
+	}
 	switch c.Kind {
 	case Assigned:
+		if c.Attempt.Number <= s.Attempts {
+			// The attempt was taken in before, as part of a state that was restated.
+			return
+		}
+		s.Attempts = c.Attempt.Number
 		e.started = true
-		s.Live = append(s.Live, Live{c.Attempt.Number, c.Worker, c.Life})
+		s.Live = append(s.Live, Live{Number: c.Attempt.Number, Worker: c.Worker, Life: c.Life})
 	case Ended:
 		e.end(s, c)
 	}
 }
 
+// restate sets a task to the state that a change gives in whole.
+func (e *Entry) restate(s *TaskState, c Change) {
+	if c.Done && !s.Done {
+		e.done++
+		e.Step(StepOf{c.Attempt.Occurrence, c.Attempt.Step}).Done++
+	}
+	e.started = true
+	*s = TaskState{
+		Attempts: c.Attempt.Number, Failures: c.Failures, Done: c.Done, Live: slices.Clone(c.Live), Checkpoint: c.Checkpoint,
+	}
+}
+
+// Restate returns the changes that stand for all that was logged of the job.
+func (e *Entry) Restate() []Change {
+	var changes []Change
+	for at, st := range e.steps {
+		for i := range st.Tasks {
+			t := &st.Tasks[i]
+			if t.Attempts == 0 {
+				continue
+			}
+			a := work.Attempt{Task: work.Task{Job: e.Job.ID, Occurrence: at.Occurrence, Step: at.Step, Index: i}, Number: t.Attempts}
+			changes = append(changes, Change{
+				Kind: Restated, Attempt: a, Failures: t.Failures, Done: t.Done, Live: slices.Clone(t.Live), Checkpoint: t.Checkpoint,
+			})
+		}
+	}
+	if e.Failed {
+		changes = append(changes, Change{Kind: JobFailed, Attempt: work.Attempt{Task: work.Task{Job: e.Job.ID}}})
+	}
+
+	return changes
+}
+
 // Withdraw takes back an assignment that was applied and will not be stored.
 func (e *Entry) Withdraw(a work.Attempt) {
 	s := e.Task(a.Task)
@@ -122,7 +165,9 @@
 }
 
 func (e *Entry) end(s *TaskState, c Change) {
+	live := len(s.Live)
 	s.Live = slices.DeleteFunc(s.Live, func(l Live) bool { return l.Number == c.Attempt.Number })
+	ended := len(s.Live) < live
 	if c.Checkpoint != "" {
 		s.Checkpoint = c.Checkpoint
 	}
@@ -134,7 +179,9 @@
 			e.Step(StepOf{c.Attempt.Occurrence, c.Attempt.Step}).Done++
 		}
 	case work.OutcomeFailed:
-		s.Failures++
+		if ended {
+			s.Failures++
+		}
 	}
 }
 
--- /dev/null
+++ b/ledger/ledger_test.go
@@ -0,0 +1,187 @@
+package ledger_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"lycheehook.example/lycheehook/fleet"
+	"lycheehook.example/lycheehook/ledger"
+	"lycheehook.example/lycheehook/standin"
+	"lycheehook.example/lycheehook/store"
+	"lycheehook.example/lycheehook/work"
+)
+
+var ctx = context.Background()
+
+func check(t *testing.T, what string, want, got any) {
+	t.Helper()
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("%s (-want +got):\n%s", what, diff)
+	}
+}
+
+func put(t *testing.T, c *store.Client, key string, v any) {
+	t.Helper()
+	value, err := ledger.Encode(v)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Commit(ctx, store.Txn{Puts: []store.Put{{Key: key, Value: value}}}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func sampleJob(id fleet.JobID) work.Job {
+	return work.Job{ID: id, Queue: "q", Steps: []work.Step{{Count: 3}, {Count: 2, After: []int{0}}}}
+}
+
+// randomChange returns a change that may come next for a job, as the owner would log it.
+func randomChange(rng *rand.Rand, e *ledger.Entry) ledger.Change {
+	task := work.Task{Job: e.Job.ID, Step: rng.IntN(2)}
+	task.Index = rng.IntN(e.Job.Steps[task.Step].Count)
+	s := e.Task(task)
+	if len(s.Live) == 0 {
+		return ledger.Change{Kind: ledger.Assigned, Attempt: work.Attempt{Task: task, Number: s.Attempts + 1}, Worker: "w", Life: 7}
+	}
+
+	return ledger.Change{
+		Kind: ledger.Ended, Attempt: work.Attempt{Task: task, Number: s.Live[0].Number}, Outcome: work.Outcome(1 + rng.IntN(7)), Checkpoint: "c",
+	}
+}
+
+// states returns all that a book says of its tasks.
+func states(b *ledger.Book) map[work.Task]ledger.TaskState {
+	all := map[work.Task]ledger.TaskState{}
+	for _, e := range b.Entries() {
+		for step, st := range e.Job.Steps {
+			for i := range st.Count {
+				task := work.Task{Job: e.Job.ID, Step: step, Index: i}
+				s := *e.Task(task)
+				if len(s.Live) == 0 {
+					s.Live = nil
+				}
+				all[task] = s
+			}
+		}
+	}
+
+	return all
+}
+
+// A log that is restated at any moment tells a reader, and a follower that saw what was before, the same.
+func TestRestatedLog(t *testing.T) {
+	for seed := range uint64(20) {
+		rng := rand.New(rand.NewPCG(seed, 2))
+		s := standin.NewStore()
+		c := s.Client()
+		follower := ledger.NewBook()
+		for i := range 4 {
+			j := sampleJob(fleet.JobID(fmt.Sprint("j", i)))
+			put(t, c, ledger.JobKey(j.ID), j)
+		}
+		owner, _, err := ledger.Read(ctx, c)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var at uint64
+		for n := range uint64(60) {
+			var changes []ledger.Change
+			if rng.IntN(10) == 0 {
+				for _, e := range owner.Entries() {
+					changes = append(changes, e.Restate()...)
+				}
+				for old := range n {
+					if _, err := c.Commit(ctx, store.Txn{Removes: []string{ledger.LogKey(old)}}); err != nil {
+						t.Fatal(err)
+					}
+				}
+			} else {
+				for _, e := range owner.Entries() {
+					change := randomChange(rng, e)
+					e.Apply(change)
+					changes = append(changes, change)
+				}
+			}
+			put(t, c, ledger.LogKey(n), ledger.Batch{Number: n, Changes: changes})
+			at = follow(t, c, follower, at)
+		}
+		reader, _, err := ledger.Read(ctx, c)
+		if err != nil {
+			t.Fatal(err)
+		}
+		check(t, fmt.Sprintf("reader, seed %d", seed), states(owner), states(reader))
+		check(t, fmt.Sprintf("follower, seed %d", seed), states(owner), states(follower))
+	}
+}
+
+// follow lets a book take in what has changed since.
+func follow(t *testing.T, c *store.Client, b *ledger.Book, after uint64) uint64 {
+	t.Helper()
+	ev, err := c.Watch(ctx, ledger.Prefix, after, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, e := range ev.Events {
+		b.Follow(e)
+	}
+
+	return ev.Revision
+}
+
+// Batches that were removed between two pages of a list leave a gap, which is not read over.
+func TestGapIsNoticed(t *testing.T) {
+	c := standin.NewStore().Client()
+	put(t, c, ledger.LogKey(3), ledger.Batch{Number: 3})
+	put(t, c, ledger.LogKey(5), ledger.Batch{Number: 5})
+	if _, _, err := ledger.Read(ctx, c); !errors.Is(err, ledger.ErrGap) {
+		t.Errorf("got %v", err)
+	}
+}
+
+// The state of a job as callers see it.
+func TestStates(t *testing.T) {
+	task := work.Task{Job: "j"}
+	assigned := ledger.Change{Kind: ledger.Assigned, Attempt: work.Attempt{Task: task, Number: 1}}
+	done := ledger.Change{Kind: ledger.Ended, Attempt: work.Attempt{Task: task, Number: 1}, Outcome: work.OutcomeDone}
+	tests := []struct {
+		name    string
+		job     work.Job
+		changes []ledger.Change
+		want    ledger.State
+	}{
+		{"submitted", work.Job{Steps: []work.Step{{Count: 1}}}, nil, ledger.Queued},
+		{"assigned", work.Job{Steps: []work.Step{{Count: 1}}}, []ledger.Change{assigned}, ledger.InProgress},
+		{"done", work.Job{Steps: []work.Step{{Count: 1}}}, []ledger.Change{assigned, done}, ledger.Completed},
+		{"done once of two repeats", work.Job{Steps: []work.Step{{Count: 1}}, Repeats: 2}, []ledger.Change{assigned, done}, ledger.InProgress},
+		{"failed", work.Job{Steps: []work.Step{{Count: 1}}}, []ledger.Change{{Kind: ledger.JobFailed}}, ledger.Failed},
+		{"cancelled", work.Job{Steps: []work.Step{{Count: 1}}, Cancelled: true}, []ledger.Change{assigned}, ledger.Cancelled},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			e := ledger.NewEntry(tt.job, 1)
+			for _, c := range tt.changes {
+				e.Apply(c)
+			}
+			check(t, "state", tt.want, e.State())
+		})
+	}
+}
+
+func FuzzDecodeBatch(f *testing.F) {
+	value, err := ledger.Encode(ledger.Batch{Number: 1, Changes: []ledger.Change{{Kind: ledger.Assigned, Worker: "w"}}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(value)
+	f.Fuzz(func(_ *testing.T, value []byte) {
+		b := ledger.NewBook()
+		b.Follow(store.Event{Record: store.Record{Key: ledger.JobKey("j"), Value: value, Revision: 1}})
+		b.Follow(store.Event{Record: store.Record{Key: ledger.LogKey(0), Value: value, Revision: 2}})
+		b.Status("j")
+	})
+}
--- a/manager/manager.go
+++ b/manager/manager.go
@@ -36,6 +36,8 @@
 	orderTimeout = 400 * time.Millisecond
 	// cloudTimeout bounds a call to the cloud.
 	cloudTimeout = time.Second
+	// statusMargin is added to the time for which callers may ask for a job that is over.
+	statusMargin = 30 * time.Second
 	// readHeaderTimeout bounds the time from the first byte of a request to the end of its header.
 	readHeaderTimeout = 3 * time.Second
 	idleTimeout       = time.Minute
@@ -81,11 +83,21 @@
 	m.dispatch = dispatch.New(
 		client, m.follower, m.metrics.Workers(platform.NewWorkers(transport, orderTimeout)), bounds(s), self, l,
 		m.config.Current, followRoster(client, l), dispatch.WithObserver(m.observe), m.withHosts(transport, client),
+		m.withAdvice(transport), dispatch.WithKeep(s.Bounds.StatusTime.Std()+statusMargin),
 	)
 
 	return m, nil
 }
 
+// withAdvice lets the owner ask for advice, where the platform has a service for it.
+func (m *Manager) withAdvice(t *platform.Transport) dispatch.Option {
+	if m.settings.AdviceAddress == "" {
+		return dispatch.WithAdvice(nil)
+	}
+
+	return dispatch.WithAdvice(platform.NewAdvisor(t.To(m.settings.AdviceAddress)))
+}
+
 // withHosts lets the owner order hosts, where the platform has a cloud.
 func (m *Manager) withHosts(t *platform.Transport, c *store.Client) dispatch.Option {
 	if m.settings.CloudAddress == "" {
--- /dev/null
+++ b/schedule/advice_test.go
@@ -0,0 +1,47 @@
+package schedule
+
+import (
+	"testing"
+	"time"
+
+	"lycheehook.example/lycheehook/work"
+)
+
+// Tasks of an advised queue start only where the advice allows, and carry the ticket; an expired one is asked for again.
+func TestAdvice(t *testing.T) {
+	b := newBench(t, 3)
+	c := testConfig
+	c.Queues = []work.Queue{testConfig.Queues[0]}
+	c.Queues[0].Advice = &work.Advice{Decision: 10 * time.Millisecond, PerWorker: time.Millisecond, Validity: time.Second}
+	b.s.SetConfig(c)
+	b.settle()
+	b.submit("j", work.Step{Count: 2, Size: size(1000)})
+	b.settle()
+	check(t, "running before advice", 0, b.running())
+
+	q, ok := b.s.Question(b.now)
+	if !ok {
+		t.Fatal("no question")
+	}
+	check(t, "workers asked about", 3, len(q.Workers))
+	if _, again := b.s.Question(b.now); again {
+		t.Error("two questions at a time")
+	}
+	b.s.Advised(q, map[work.WorkerID]string{"w1": "ticket"}, nil, b.now)
+	b.s.Place(b.now)
+	_, starts := b.s.Take()
+	for _, o := range b.s.Stored(starts, b.now) {
+		check(t, "worker", work.WorkerID("w1"), o.Worker.ID)
+		check(t, "ticket", "ticket", o.Start.Ticket)
+		b.order(o)
+	}
+	check(t, "running", 2, b.running())
+
+	b.finish(work.OutcomeLapsed)
+	b.now = b.now.Add(2 * time.Second)
+	b.settle()
+	check(t, "running with an expired ticket", 0, b.running())
+	q, ok = b.s.Question(b.now)
+	check(t, "asked again", true, ok)
+	check(t, "workers asked about again: the refusal of the others stands", []work.WorkerID{"w1"}, q.Workers)
+}
--- /dev/null
+++ b/schedule/compact.go
@@ -0,0 +1,71 @@
+package schedule
+
+import (
+	"maps"
+	"strings"
+	"time"
+
+	"lycheehook.example/lycheehook/fleet"
+	"lycheehook.example/lycheehook/ledger"
+	"lycheehook.example/lycheehook/work"
+)
+
+// Restate returns the changes that stand for all that is in the ledger's log, or false while changes wait to be stored.
+func (s *Scheduler) Restate(now time.Time) ([]ledger.Change, bool) {
+	if len(s.changes) > 0 {
+		return nil, false
+	}
+	var changes []ledger.Change
+	for _, e := range s.entries {
+		changes = append(changes, e.Restate()...)
+	}
+	for n, w := range s.waves {
+		for h := range w.done {
+			changes = append(changes, ledger.Change{Kind: ledger.Maintained, Worker: work.WorkerID(h), Life: work.Life(n)})
+		}
+	}
+	for name, h := range s.hosts {
+		if h.phase != serving || now.Sub(h.ordered) < s.bounds.DutyQuiet+clockSkew {
+			changes = append(changes, ledger.Change{Kind: ledger.HostOrdered, Worker: work.WorkerID(name)})
+		}
+	}
+
+	return changes, true
+}
+
+// Expired returns the jobs that were over for at least keep and have nothing running.
+func (s *Scheduler) Expired(keep time.Duration, now time.Time) []fleet.JobID {
+	var ids []fleet.JobID
+	for id, e := range s.entries {
+		if !e.Over() {
+			continue
+		}
+		at, known := s.over[id]
+		if !known {
+			s.over[id] = now
+			continue
+		}
+		if now.Sub(at) >= keep && !live(e) {
+			ids = append(ids, id)
+		}
+	}
+
+	return ids
+}
+
+func live(e *ledger.Entry) bool {
+	for range e.LiveAttempts {
+		return true
+	}
+
+	return false
+}
+
+// Forget drops jobs whose records were removed from the store.
+func (s *Scheduler) Forget(ids []fleet.JobID) {
+	for _, id := range ids {
+		delete(s.entries, id)
+		delete(s.over, id)
+		maps.DeleteFunc(s.advice, func(step string, _ *advice) bool { return strings.HasPrefix(step, string(id)+".") })
+	}
+}
--- a/schedule/decision.go
+++ b/schedule/decision.go
@@ -30,6 +30,8 @@
 	DecidedWorkerSilent Kind = "WorkerSilent"
 	// DecidedWorkerSuspected is a worker that is left alone for a time since runs failed there.
 	DecidedWorkerSuspected Kind = "WorkerSuspected"
+	// DecidedNoAdvice is a question about workers that was not answered.
+	DecidedNoAdvice Kind = "NoAdvice"
 	// DecidedHostEmptying is a host that gets no new tasks, for an upkeep or a move.
 	DecidedHostEmptying Kind = "HostEmptying"
 	// DecidedHostOrdered is the answer to an order to a host.
--- a/schedule/host.go
+++ b/schedule/host.go
@@ -35,6 +35,8 @@
 	since time.Time
 	// refused has the pools that the host can't be part of.
 	refused map[fleet.PoolName]bool
+	// ordered is when the last order was announced.
+	ordered time.Time
 	// retry is when an order may be given again.
 	retry time.Time
 }
@@ -186,7 +188,7 @@
 
 // announce has an order to a host stored before it goes out, so that the next owner knows of it.
 func (s *Scheduler) announce(h *host, now time.Time) {
-	h.phase, h.since, h.retry = ordering, now, time.Time{}
+	h.phase, h.since, h.retry, h.ordered = ordering, now, time.Time{}, now
 	s.changes = append(s.changes, ledger.Change{Kind: ledger.HostOrdered, Worker: work.WorkerID(h.Host)})
 	s.announced = append(s.announced, h)
 }
--- a/schedule/look.go
+++ b/schedule/look.go
@@ -58,6 +58,10 @@
 	case s.warmingUp(w):
 		return warmUpWait, true
 	case len(w.runs) > 0:
+		if _, both := s.shares(w); both {
+			return paceLookWait, true
+		}
+
 		return lookWait, true
 	default:
 		return 0, w.acked < w.stored && now.Sub(w.heard) > ackWait
@@ -70,7 +74,7 @@
 		if r.phase != confirmed || r.percent >= fullPace {
 			continue
 		}
-		if e, ok := s.entries[r.attempt.Job]; ok && e.Has(r.attempt.Task) && e.Job.Steps[r.attempt.Step].Lasting {
+		if step, ok := s.stepOf(r); ok && step.Lasting {
 			return true
 		}
 	}
@@ -169,7 +173,7 @@
 		if r.phase != confirmed && r.phase != assigned {
 			r.phase, r.since = confirmed, now
 		}
-		r.percent = act.Percent
+		r.percent, r.tail = act.Percent, act.Tail
 	}
 	for a, r := range w.runs {
 		if listed[a] {
@@ -188,7 +192,7 @@
 // stray holds room for a run that nobody should have started, until it is stopped.
 func (s *Scheduler) stray(w *worker, a work.Attempt) *run {
 	s.observe(Decision{What: DecidedStrayRun, Attempt: a, Worker: w.id})
-	r := &run{attempt: a, worker: w, life: w.life, phase: confirmed, stop: true}
+	r := &run{attempt: a, worker: w, life: w.life, phase: confirmed, stop: true, pace: fullPace}
 	if e, ok := s.entries[a.Job]; ok && e.Has(a.Task) {
 		r.reserved = e.Job.Steps[a.Step].Reserved()
 		s.hold(e, r)
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -46,10 +46,10 @@
 // countLasting counts the lasting tasks on each worker.
 func (s *Scheduler) countLasting() {
 	for _, w := range s.workers {
-		w.kept, w.lasting = fleet.Resources{}, 0
+		w.kept, w.lasting, w.serving, w.filling = fleet.Resources{}, 0, 0, 0
 		for _, r := range w.runs {
-			if e, ok := s.entries[r.attempt.Job]; ok && e.Has(r.attempt.Task) && e.Job.Steps[r.attempt.Step].Lasting {
-				w.lasting++
+			if step, ok := s.stepOf(r); ok {
+				w.count(step)
 			}
 		}
 	}
@@ -74,6 +74,18 @@
 	return next
 }
 
+// count takes a task of a step into the worker's counts.
+func (w *worker) count(step work.Step) {
+	if step.Lasting {
+		w.lasting++
+	}
+	if step.Filling {
+		w.filling++
+	} else if step.MaxTail > 0 {
+		w.serving++
+	}
+}
+
 // ready returns the steps with tasks that may start, in the order in which they are placed.
 func (s *Scheduler) ready(now time.Time) []*ready {
 	var list []*ready
@@ -126,7 +138,7 @@
 		return
 	}
 	for i, n := range r.tasks {
-		w := s.choose(r, step, workers)
+		w := s.choose(r, step, workers, now)
 		if w == nil {
 			if step.Lasting && s.withinLimit(e.Job.Workspace, step.Size) {
 				keepRoom(r, step, workers)
@@ -165,7 +177,7 @@
 	first := len(s.starting)
 	firstChange := len(s.changes)
 	for _, n := range r.tasks {
-		w := s.choose(r, step, workers)
+		w := s.choose(r, step, workers, now)
 		if w == nil {
 			s.withdraw(first, firstChange)
 			s.wait(r, len(r.tasks))
@@ -191,11 +203,10 @@
 		Task:   work.Task{Job: e.Job.ID, Occurrence: r.step.Occurrence, Step: r.step.Step, Index: index},
 		Number: number,
 	}
-	run := &run{attempt: a, worker: w, life: w.life, reserved: e.Job.Steps[a.Step].Reserved()}
+	ticket, _ := s.ticketFor(r, w, now)
+	run := &run{pace: fullPace, ticket: ticket, attempt: a, worker: w, life: w.life, reserved: e.Job.Steps[a.Step].Reserved()}
 	s.hold(e, run)
-	if e.Job.Steps[a.Step].Lasting {
-		w.lasting++
-	}
+	w.count(e.Job.Steps[a.Step])
 	r.spread[w.id]++
 	s.starting = append(s.starting, run)
 	s.record(e, ledger.Change{Kind: ledger.Assigned, Attempt: a, Worker: w.id, Life: w.life})
@@ -218,7 +229,7 @@
 }
 
 // choose returns the worker for the next task of a step, or nil if there is none with room.
-func (s *Scheduler) choose(r *ready, step work.Step, workers []*worker) *worker {
+func (s *Scheduler) choose(r *ready, step work.Step, workers []*worker, now time.Time) *worker {
 	if !s.withinLimit(r.job.entry.Job.Workspace, step.Size) {
 		return nil
 	}
@@ -237,6 +248,9 @@
 			step.MaxPerWorker > 0 && r.spread[w.id] >= step.MaxPerWorker {
 			continue
 		}
+		if _, ok := s.ticketFor(r, w, now); !ok {
+			continue
+		}
 		if score := score(r, step, w); best == nil || score < bestScore {
 			best, bestScore = w, score
 		}
@@ -267,6 +281,9 @@
 // sharePreference draws lasting tasks to workers that have such already.
 const sharePreference = 0.6
 
+// sharingPenalty puts a worker behind others where tasks that fill and tasks that serve would share it.
+const sharingPenalty = 2
+
 // duePenalty puts a worker that is due for upkeep behind all others, for a task that lasts.
 const duePenalty = 3
 
@@ -292,6 +309,10 @@
 			score += duePenalty
 		}
 	}
+	// Tasks that fill and tasks that serve under a bound stay apart where they can.
+	if step.Filling && w.serving > 0 || step.MaxTail > 0 && w.filling > 0 {
+		score += sharingPenalty
+	}
 	if step.Rack != "" && step.Rack != w.reg.Rack {
 		score += farPenalty
 	}
--- a/schedule/run.go
+++ b/schedule/run.go
@@ -28,6 +28,7 @@
 	Worker work.Registration
 	Start  *work.Start
 	Stop   *work.Stop
+	Pace   *work.Pace
 	run    *run
 }
 
@@ -80,7 +81,7 @@
 	r.phase, r.token = ordered, s.token(w)
 
 	return Order{Worker: w.reg, run: r, Start: &work.Start{
-		Attempt: r.attempt, Spec: e.Job.Spec, Checkpoint: e.Task(r.attempt.Task).Checkpoint, Token: r.token, Until: s.lease(w, now),
+		Attempt: r.attempt, Spec: e.Job.Spec, Checkpoint: e.Task(r.attempt.Task).Checkpoint, Token: r.token, Ticket: r.ticket, Until: s.lease(w, now),
 	}}, true
 }
 
@@ -90,6 +91,13 @@
 	if w.runs[r.attempt] != r {
 		return
 	}
+	if o.Pace != nil {
+		if err != nil {
+			// What the run's pace is now is unknown, so the next change sets it anew.
+			r.pace = o.Pace.Percent + 1
+		}
+		return
+	}
 	if o.Stop != nil {
 		// Only the list of ends frees the room of a run that was stopped.
 		w.wake = w.wake || err == nil
@@ -122,6 +130,11 @@
 		w.wake = true
 	case errors.Is(err, work.ErrFenced), errors.Is(err, work.ErrLate):
 		w.raise()
+	case errors.Is(err, work.ErrTicket):
+		if a, ok := s.advice[r.attempt.StepName()]; ok {
+			delete(a.tickets, w.id)
+			delete(a.asked, w.id)
+		}
 	}
 	s.end(r, work.OutcomeNotStarted, "", err.Error())
 }
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -28,6 +28,11 @@
 	dueHosts map[fleet.HostName]bool
 	// quiet has the hosts that an earlier owner ordered, until when this one must leave them alone.
 	quiet map[fleet.HostName]time.Time
+	// advice has what is known of advised steps, by name; asking says that a question is out.
+	advice map[string]*advice
+	asking bool
+	// over has since when jobs are known to be over.
+	over map[fleet.JobID]time.Time
 	// announced has the hosts whose orders wait for the ledger.
 	announced        []*host
 	maintainedBefore map[int64][]fleet.HostName
@@ -76,7 +81,8 @@
 		term: term, bounds: b, observe: func(Decision) {}, entries: entries,
 		queues: map[fleet.QueueName]work.Queue{}, pools: map[fleet.PoolName]work.Pool{}, limits: map[fleet.WorkspaceName]work.Workspace{},
 		jobs: map[fleet.JobID]*job{}, workers: map[work.WorkerID]*worker{}, running: map[fleet.WorkspaceName]fleet.Resources{}, dirty: true,
-		hosts: map[fleet.HostName]*host{}, waves: map[int64]*wave{}, quiet: map[fleet.HostName]time.Time{}, dueHosts: map[fleet.HostName]bool{},
+		hosts: map[fleet.HostName]*host{}, waves: map[int64]*wave{}, quiet: map[fleet.HostName]time.Time{}, over: map[fleet.JobID]time.Time{},
+		advice: map[string]*advice{}, dueHosts: map[fleet.HostName]bool{},
 		balancer: balance.New(b.MoveTime + planLead),
 	}
 	for _, o := range options {
@@ -100,7 +106,7 @@
 			w.life = l.Life
 		}
 		w.lapse = now.Add(leaseBound(s.bounds.MaxLease))
-		r := &run{attempt: a, worker: w, life: l.Life, phase: inherited, reserved: e.Job.Steps[a.Step].Reserved()}
+		r := &run{attempt: a, worker: w, life: l.Life, phase: inherited, pace: fullPace, reserved: e.Job.Steps[a.Step].Reserved()}
 		r.stop = l.Life < w.life || e.Over() || e.Task(a.Task).Done
 		s.hold(e, r)
 	}
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -55,11 +55,17 @@
 	reserved fleet.Resources
 	// charged is what the run counts against its workspace's limit.
 	charged fleet.Resources
+	ticket  string
 	// token is the one that the start carried.
 	token uint64
 	// since is when the worker confirmed the run.
 	since   time.Time
 	percent int
+	// tail is the tail of the response times of a task that serves.
+	tail time.Duration
+	// pace is the percentage that was last ordered, paced when.
+	pace  int
+	paced time.Time
 	// moved says that the run is stopped so that its task goes on elsewhere.
 	moved bool
 	// stop says that the run is to be ended, stopSent when that was last ordered.
@@ -84,6 +90,8 @@
 	kept fleet.Resources
 	// lasting counts the lasting tasks that run there.
 	lasting int
+	// serving and filling count the tasks that serve under a bound and those that fill.
+	serving, filling int
 	// clock is the worker's clock at its newest answer, which was asked for at asked and came at heard.
 	clock        time.Duration
 	asked, heard time.Time
