--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -205,7 +205,7 @@
 	if t.log.next-t.log.first >= maxBatches {
 		if changes, ok := t.sched.Restate(now); ok {
 			t.writing = true
-			go t.write(ctx, func() error { return t.compact(ctx, changes) }, nil)
+			go t.write(func() error { return t.compact(ctx, changes) }, nil)
 
 			return
 		}
@@ -216,11 +216,11 @@
 		return
 	}
 	t.writing, t.wrote = true, now
-	go t.write(ctx, func() error { return t.log.append(ctx, changes) }, starts)
+	go t.write(func() error { return t.log.append(ctx, changes) }, starts)
 }
 
 // write writes to the log, and sends out the orders that waited for it.
-func (t *term) write(ctx context.Context, put func() error, starts []schedule.Start) {
+func (t *term) write(put func() error, starts []schedule.Start) {
 	if err := put(); err != nil {
 		t.Dispatcher.log.Warn("term ends, its log can't be written", "term", t.owned.Revision, "error", err)
 		t.lost()
--- a/manager/manager.go
+++ b/manager/manager.go
@@ -58,17 +58,33 @@
 	handler   *intake.Handler
 	metrics   *telemetry.Metrics
 	limiter   *telemetry.Limiter
+	listen    func(ctx context.Context, at netip.AddrPort) (net.Listener, error)
 	stopping  atomic.Bool
 }
 
+// Option changes a new manager.
+type Option func(*Manager)
+
+// WithListen replaces how the manager listens at an address of its settings.
+func WithListen(listen func(ctx context.Context, at netip.AddrPort) (net.Listener, error)) Option {
+	return func(m *Manager) { m.listen = listen }
+}
+
+// listenTCP listens at an address.
+func listenTCP(ctx context.Context, at netip.AddrPort) (net.Listener, error) {
+	var lc net.ListenConfig
+
+	return lc.Listen(ctx, "tcp", at.String())
+}
+
 // New returns a manager with the given settings and logger.
-func New(s settings.Manager, l *log.Logger) (*Manager, error) {
+func New(s settings.Manager, l *log.Logger, options ...Option) (*Manager, error) {
 	process, err := uuid.NewRandom()
 	if err != nil {
 		return nil, merry.Prepend(err, "name of the process")
 	}
 	transport := platform.NewTransport()
-	m := &Manager{settings: s, log: l, metrics: telemetry.NewMetrics(), limiter: telemetry.NewLimiter(l)}
+	m := &Manager{settings: s, log: l, listen: listenTCP, metrics: telemetry.NewMetrics(), limiter: telemetry.NewLimiter(l)}
 	m.route = relay.New(
 		transport.To(s.StoreAddress.String()), relay.Via(transport), m.peers,
 		platform.Request{Method: http.MethodGet, Path: platform.ProbePath}, l,
@@ -86,6 +102,10 @@
 		m.withAdvice(transport), dispatch.WithKeep(s.Bounds.StatusTime.Std()+statusMargin),
 	)
 
+	for _, o := range options {
+		o(m)
+	}
+
 	return m, nil
 }
 
@@ -154,23 +174,23 @@
 // Run serves until the context ends, and then finishes what has begun.
 func (m *Manager) Run(ctx context.Context, hangup <-chan os.Signal) error {
 	m.log.Info("starting", "host", m.settings.Name, "zone", m.settings.Zone)
-	callers, err := serve(ctx, m.settings.CallerAddress, m.handler)
+	callers, err := m.serve(ctx, m.settings.CallerAddress, m.handler)
 	if err != nil {
 		return err
 	}
 	peers := restful.NewContainer()
 	peers.Add(relay.NewServer(m.route).Service())
-	if _, err := serve(ctx, m.settings.PeerAddress, peers); err != nil {
+	if _, err := m.serve(ctx, m.settings.PeerAddress, peers); err != nil {
 		return err
 	}
-	ready, err := serve(ctx, m.settings.ReadyAddress, m.readiness())
+	ready, err := m.serve(ctx, m.settings.ReadyAddress, m.readiness())
 	if err != nil {
 		return err
 	}
 
 	metrics := http.NewServeMux()
 	metrics.Handle("GET /metrics", m.metrics.Handler())
-	if _, err := serve(ctx, m.settings.MetricsAddress, metrics); err != nil {
+	if _, err := m.serve(ctx, m.settings.MetricsAddress, metrics); err != nil {
 		return err
 	}
 
@@ -240,9 +260,9 @@
 	return mux
 }
 
-func serve(ctx context.Context, at netip.AddrPort, h http.Handler) (*http.Server, error) {
-	var lc net.ListenConfig
-	l, err := lc.Listen(ctx, "tcp", at.String())
+// serve serves requests at an address until the server that it returns is shut down.
+func (m *Manager) serve(ctx context.Context, at netip.AddrPort, h http.Handler) (*http.Server, error) {
+	l, err := m.listen(ctx, at)
 	if err != nil {
 		return nil, merry.Prependf(err, "listen at %s", at)
 	}
--- /dev/null
+++ b/manager/manager_test.go
@@ -0,0 +1,313 @@
+package manager_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"lycheehook.example/lycheehook/fleet"
+	"lycheehook.example/lycheehook/manager"
+	"lycheehook.example/lycheehook/settings"
+	"lycheehook.example/lycheehook/standin"
+	"lycheehook.example/lycheehook/store"
+)
+
+const config = `{"version":3,"routes":[
+{"name":"r-post","host":"a.example","pathPrefix":"/post/","service":"s-post","maxAttempts":2,"slackFactor":1.6,"targetLatencyMs":600},
+{"name":"r-open","host":"a.example","pathPrefix":"/open/","service":"s-post","maxAttempts":2,"slackFactor":2,"public":true}],
+"services":[{"name":"s-post"}],"limits":{"maxBodyBytes":10000},
+"tenants":[{"name":"t","apiKeys":["key-1"],"weight":1,"maxCount":{"cpu":0,"memMb":0}}]}`
+
+// site is a platform of stand-ins with some managers, all on loopback.
+type site struct {
+	t        *testing.T
+	store    *standin.Store
+	workers  []*standin.TaskWorker
+	managers []*process
+	// listeners are open from the start; they are not changed once managers run.
+	listeners map[netip.AddrPort]net.Listener
+}
+
+// process is one manager that runs in this process.
+type process struct {
+	settings settings.Manager
+	stop     context.CancelFunc
+	done     chan struct{}
+}
+
+func newSite(t *testing.T, managers, workers int, taskTime time.Duration) *site {
+	t.Helper()
+	s := &site{t: t, store: standin.NewStore(), listeners: map[netip.AddrPort]net.Listener{}}
+	server := httptest.NewServer(s.store.PlatformHandler())
+	t.Cleanup(server.Close)
+	s.put("op/config", []byte(config))
+	for i := range workers {
+		w := standin.NewTaskWorker(taskTime)
+		ws := httptest.NewServer(w)
+		t.Cleanup(ws.Close)
+		s.workers = append(s.workers, w)
+		s.put(fmt.Sprintf("servers/i-%d", i), w.Registration("s-post", ws.Listener.Addr().String(), fmt.Sprint("r", i)))
+	}
+	all := make([]settings.Manager, managers)
+	for i := range all {
+		m := settings.DefaultManager()
+		m.Name, m.Zone = fleet.EntryName(fmt.Sprint("entry-", i)), "z"
+		m.StoreAddress = netip.MustParseAddrPort(server.Listener.Addr().String())
+		m.CallerAddress, m.ReadyAddress, m.PeerAddress, m.MetricsAddress = s.open(), s.open(), s.open(), s.open()
+		all[i] = m
+	}
+	for _, m := range all {
+		s.managers = append(s.managers, s.start(m))
+	}
+	for i := range s.managers {
+		s.await(fmt.Sprint("entry host ", i, " is ready"), func() bool { return s.status("GET", i, "/api/readyz", "") == http.StatusOK })
+	}
+
+	return s
+}
+
+func (s *site) start(m settings.Manager) *process {
+	s.t.Helper()
+	proc, err := manager.New(m, log.New(io.Discard), manager.WithListen(s.listen))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &process{settings: m, stop: cancel, done: make(chan struct{})}
+	go func() {
+		defer close(p.done)
+		if err := proc.Run(ctx, make(chan os.Signal)); err != nil {
+			s.t.Error(err)
+		}
+	}()
+	s.t.Cleanup(func() {
+		cancel()
+		<-p.done
+	})
+
+	return p
+}
+
+func (s *site) put(key string, value []byte) {
+	s.t.Helper()
+	if _, err := s.store.Client().Commit(context.Background(), store.Txn{Puts: []store.Put{{Key: key, Value: value}}}); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// open opens a listener for a manager, so that nobody else can take its port before the manager does.
+func (s *site) open() netip.AddrPort {
+	s.t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	at := netip.MustParseAddrPort(l.Addr().String())
+	s.listeners[at] = l
+
+	return at
+}
+
+// listen hands over the listener that was opened at an address.
+func (s *site) listen(_ context.Context, at netip.AddrPort) (net.Listener, error) {
+	return s.listeners[at], nil
+}
+
+// call sends a request to an entry host and returns the answer's status and body; zero means that there was none.
+func (s *site) call(method string, host int, path, body string) (int, string) {
+	s.t.Helper()
+	at := s.managers[host].settings.CallerAddress
+	if path == "/api/readyz" {
+		at = s.managers[host].settings.ReadyAddress
+	}
+	req, err := http.NewRequestWithContext(context.Background(), method, "http://"+at.String()+path, bytes.NewReader([]byte(body)))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	req.Host = "a.example"
+	req.Header.Set("Api-Key", "key-1")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+
+	return resp.StatusCode, string(data)
+}
+
+func (s *site) status(method string, host int, path, body string) int {
+	s.t.Helper()
+	status, _ := s.call(method, host, path, body)
+
+	return status
+}
+
+func (s *site) await(what string, holds func() bool) {
+	s.t.Helper()
+	deadline := time.Now().Add(15 * time.Second)
+	for !holds() {
+		if time.Now().After(deadline) {
+			s.t.Fatalf("waited in vain until %s", what)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// awaitState waits until an entry host tells a state of a job.
+func (s *site) awaitState(host int, path, state string) {
+	s.t.Helper()
+	s.await(path+" is "+state+" at entry host "+fmt.Sprint(host), func() bool {
+		_, body := s.call("GET", host, path, "")
+		return strings.Contains(body, `"`+state+`"`)
+	})
+}
+
+// startedOnce fails the test if a task began more than once.
+func (s *site) startedOnce() {
+	s.t.Helper()
+	total := map[string]int{}
+	for _, w := range s.workers {
+		for task, n := range w.Starts() {
+			total[task] += n
+		}
+	}
+	for task, n := range total {
+		if n != 1 {
+			s.t.Errorf("task %s began %d times", task, n)
+		}
+	}
+}
+
+const twoSteps = `{"spec":"x","phases":[{"count":3,"cpu":500,"memMb":64,"estimateMs":50},{"count":2,"cpu":500,"memMb":64,"after":[0]}]}`
+
+// A job that one entry host accepted runs in order, once, and any entry host tells its end.
+func TestJob(t *testing.T) {
+	s := newSite(t, 3, 4, 50*time.Millisecond)
+	const path = "/post/00000000000000a1"
+	if status, body := s.call("POST", 0, path, twoSteps); status != http.StatusOK {
+		t.Fatalf("submission: %d %s", status, body)
+	}
+	for i := range s.managers {
+		s.awaitState(i, path, "completed")
+	}
+	if status := s.status("POST", 1, path, twoSteps); status != http.StatusOK {
+		t.Errorf("the same submission again: %d", status)
+	}
+	s.startedOnce()
+}
+
+// A cancelled job ends, and one that was cancelled before it came never runs.
+func TestCancel(t *testing.T) {
+	s := newSite(t, 2, 2, 0)
+	const path, never = "/open/00000000000000b1", "/open/00000000000000b2"
+	lasting := `{"phases":[{"count":2,"cpu":500,"memMb":64,"longRunning":true}]}`
+	s.call("POST", 0, path, lasting)
+	s.awaitState(1, path, "in_progress")
+	if status := s.status("DELETE", 1, path, ""); status != http.StatusOK {
+		t.Errorf("cancel: %d", status)
+	}
+	s.awaitState(0, path, "cancelled")
+
+	if status := s.status("DELETE", 0, never, ""); status != http.StatusGone {
+		t.Errorf("cancel of an unknown job: %d", status)
+	}
+	if status := s.status("POST", 1, never, lasting); status == http.StatusOK {
+		t.Error("a job was accepted after its cancel")
+	}
+}
+
+// What a request is refused for.
+func TestRefusals(t *testing.T) {
+	s := newSite(t, 1, 1, 50*time.Millisecond)
+	tests := []struct {
+		name, method, path, body string
+		status                   int
+		says                     string
+	}{
+		{"no such queue", "POST", "/none/00000000000000c1", twoSteps, http.StatusNotFound, "no such queue"},
+		{"bad ID", "POST", "/post/xyz", twoSteps, http.StatusBadRequest, "16 hexadecimal digits"},
+		{"bad body", "POST", "/post/00000000000000c2", `{"phases":[{"count":0}]}`, http.StatusBadRequest, "phases[0].count is 0"},
+		{"too large", "POST", "/post/00000000000000c3", strings.Repeat(" ", 10001), http.StatusBadRequest, "too large"},
+		{"unknown job", "GET", "/post/00000000000000c4", "", http.StatusGone, "no such job"},
+		{"a queue", "GET", "/post/", "", http.StatusOK, `{"pending":0}`},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			status, body := s.call(tt.method, 0, tt.path, tt.body)
+			if status != tt.status || !strings.Contains(body, tt.says) {
+				t.Errorf("got %d %s, want %d and %q", status, body, tt.status, tt.says)
+			}
+		})
+	}
+}
+
+// When the owner stops, another takes over what runs, and nothing runs twice.
+func TestOwnerStops(t *testing.T) {
+	s := newSite(t, 3, 4, 700*time.Millisecond)
+	const path = "/post/00000000000000d1"
+	s.call("POST", 0, path, twoSteps)
+	s.awaitState(0, path, "in_progress")
+	owner := s.owner()
+	s.managers[owner].stop()
+	<-s.managers[owner].done
+
+	s.awaitState((owner+1)%3, path, "completed")
+	s.startedOnce()
+}
+
+// owner returns the entry host that the ledger names as owner.
+func (s *site) owner() int {
+	s.t.Helper()
+	r, err := s.store.Client().Get(context.Background(), "lycheehook/owner")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	for i, m := range s.managers {
+		if bytes.Contains(r.Value, []byte(m.settings.Name)) {
+			return i
+		}
+	}
+	s.t.Fatal("an unknown owner")
+
+	return 0
+}
+
+// Orders that are carried out without an answer lead to no second run of a task.
+func TestAnswersLost(t *testing.T) {
+	s := newSite(t, 1, 2, 300*time.Millisecond)
+	for _, w := range s.workers {
+		w.SetLoseAnswers(true)
+	}
+	const path = "/post/00000000000000e1"
+	s.call("POST", 0, path, twoSteps)
+	s.awaitState(0, path, "completed")
+	s.startedOnce()
+}
+
+// While the store is down nothing is accepted; the caller learns that the job has not run, and when to come back.
+func TestStoreDown(t *testing.T) {
+	s := newSite(t, 1, 1, 50*time.Millisecond)
+	s.store.SetFault(standin.FaultDown)
+	const path = "/post/00000000000000f1"
+	if status := s.status("POST", 0, path, twoSteps); status != http.StatusServiceUnavailable {
+		t.Errorf("submission while the store is down: %d", status)
+	}
+	s.store.SetFault(standin.FaultNone)
+	s.await("the job is accepted", func() bool { return s.status("POST", 0, path, twoSteps) == http.StatusOK })
+	s.awaitState(0, path, "completed")
+}
--- /dev/null
+++ b/standin/taskworker.go
@@ -0,0 +1,211 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+)
+
+// TaskWorker is a stand-in for a worker that speaks the protocol which the users' platform has published.
+type TaskWorker struct {
+	mu    sync.Mutex
+	born  time.Time
+	token uint64
+	// taskTime is how long a task runs; zero means until it is stopped.
+	taskTime time.Duration
+	until    time.Duration
+	runs     map[runName]time.Time
+	highest  map[string]int
+	ends     []taskEnd
+	number   uint64
+	changed  chan struct{}
+	starts   map[runName]int
+	// loseAnswers makes the worker carry out orders without answering.
+	loseAnswers bool
+}
+
+type runName struct {
+	Task    string
+	Attempt int
+}
+
+type taskEnd struct {
+	number uint64
+	run    runName
+	how    string
+}
+
+type runOrder struct {
+	Task         string `json:"task"`
+	Attempt      int    `json:"attempt"`
+	Token        uint64 `json:"fencingToken"`
+	DeadlineMs   int64  `json:"deadlineMs"`
+	AckedThrough uint64 `json:"ackedThrough"`
+	WaitMs       int64  `json:"waitMs"`
+}
+
+// NewTaskWorker returns a worker whose tasks are done after taskTime, or never if that is zero.
+func NewTaskWorker(taskTime time.Duration) *TaskWorker {
+	return &TaskWorker{
+		born: time.Now(), taskTime: taskTime, runs: map[runName]time.Time{}, highest: map[string]int{}, changed: make(chan struct{}),
+		starts: map[runName]int{},
+	}
+}
+
+// Registration returns what the worker says of itself in the store.
+func (w *TaskWorker) Registration(service, address, rack string) []byte {
+	data, err := json.Marshal(map[string]any{
+		"service": service, "address": address, "zone": "z", "state": "ready", "born": w.born.UnixMilli(), "labels": []string{"a", rack},
+		"capacity": map[string]int{"cpu": 16000, "memMb": 32768, "gpu": 0},
+	})
+	if err != nil {
+		// A map of texts and numbers always encodes.
+		panic(err)
+	}
+
+	return data
+}
+
+// SetLoseAnswers makes the worker carry out orders without answering, or answer again.
+func (w *TaskWorker) SetLoseAnswers(lose bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.loseAnswers = lose
+}
+
+// Starts returns how often each task began.
+func (w *TaskWorker) Starts() map[string]int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	counts := map[string]int{}
+	for run, n := range w.starts {
+		counts[run.Task] += n
+	}
+
+	return counts
+}
+
+// pathHold is where a worker's leases are renewed, and its runs and ends are asked for.
+const pathHold = "/api/hold"
+
+// ServeHTTP implements http.Handler.
+func (w *TaskWorker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	var o runOrder
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		rw.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	w.mu.Lock()
+	status, answer := w.carryOut(r.URL.Path, o)
+	lose := w.loseAnswers && r.URL.Path != pathHold
+	w.mu.Unlock()
+	if lose {
+		panic(http.ErrAbortHandler)
+	}
+	if r.URL.Path == pathHold && status == http.StatusOK {
+		answer = w.hold(r, o)
+	}
+	kvWrite(rw, status, answer)
+}
+
+// carryOut checks the token and does what an order asks for; the worker is locked.
+func (w *TaskWorker) carryOut(path string, o runOrder) (int, any) {
+	w.expire()
+	if o.Token < w.token {
+		return http.StatusConflict, w.answer("fence")
+	}
+	w.token = o.Token
+	run := runName{o.Task, o.Attempt}
+	switch path {
+	case "/api/run-start":
+		if _, there := w.runs[run]; there {
+			return http.StatusOK, w.answer("")
+		}
+		if o.Attempt <= w.highest[o.Task] {
+			return http.StatusConflict, w.answer("old")
+		}
+		if time.Duration(o.DeadlineMs)*time.Millisecond <= w.clock() {
+			return http.StatusConflict, w.answer("late")
+		}
+		w.runs[run] = time.Now()
+		w.starts[run]++
+		w.extend(o)
+	case "/api/run-stop":
+		w.highest[o.Task] = max(w.highest[o.Task], o.Attempt)
+		if _, there := w.runs[run]; there {
+			w.end(run, "stopped")
+		}
+	case pathHold:
+		w.extend(o)
+		w.ends = slices.DeleteFunc(w.ends, func(e taskEnd) bool { return e.number <= o.AckedThrough })
+	}
+
+	return http.StatusOK, w.answer("")
+}
+
+func (w *TaskWorker) clock() time.Duration {
+	return time.Since(w.born)
+}
+
+func (w *TaskWorker) extend(o runOrder) {
+	w.until = max(w.until, time.Duration(o.DeadlineMs)*time.Millisecond)
+}
+
+func (w *TaskWorker) end(run runName, how string) {
+	delete(w.runs, run)
+	w.highest[run.Task] = max(w.highest[run.Task], run.Attempt)
+	w.number++
+	w.ends = append(w.ends, taskEnd{w.number, run, how})
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+// expire ends the runs that are done, or whose lease has ended.
+func (w *TaskWorker) expire() {
+	for run, began := range w.runs {
+		switch {
+		case w.taskTime > 0 && time.Since(began) >= w.taskTime:
+			w.end(run, "done")
+		case w.clock() > w.until:
+			w.end(run, "lapsed")
+		}
+	}
+}
+
+// hold waits for an end and returns both lists.
+func (w *TaskWorker) hold(r *http.Request, o runOrder) any {
+	const look = 10 * time.Millisecond
+	deadline := time.Now().Add(time.Duration(o.WaitMs) * time.Millisecond)
+	for {
+		w.mu.Lock()
+		w.expire()
+		ended := len(w.ends) > 0
+		w.mu.Unlock()
+		if ended || time.Now().After(deadline) || r.Context().Err() != nil {
+			break
+		}
+		time.Sleep(look)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	active, finished := [][]any{}, [][]any{}
+	for run := range w.runs {
+		active = append(active, []any{run.Task, run.Attempt, "", 100, 0})
+	}
+	for _, e := range w.ends {
+		finished = append(finished, []any{e.number, e.run.Task, e.run.Attempt, e.how, ""})
+	}
+
+	return map[string]any{"clockMs": w.clock().Milliseconds(), "born": w.born.UnixMilli(), "active": active, "finished": finished}
+}
+
+func (w *TaskWorker) answer(reason string) any {
+	a := map[string]any{"clockMs": w.clock().Milliseconds(), "born": w.born.UnixMilli()}
+	if reason != "" {
+		a["reason"] = reason
+	}
+
+	return a
+}
