--- /dev/null
+++ b/cmd/lycheehook/explain.go
@@ -0,0 +1,43 @@
+package main
+
+import (
+	"os"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/spf13/cobra"
+
+	"lycheehook.example/lycheehook/platform"
+	"lycheehook.example/lycheehook/telemetry"
+)
+
+func newExplain() *cobra.Command {
+	return &cobra.Command{
+		Use:   "explain JOB LOGFILE...",
+		Short: "Tell what the logs of several entry hosts say of a job",
+		Args:  cobra.MinimumNArgs(2),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if !platform.ValidJobID(args[0]) {
+				return merry.Prependf(errUsage, "%q is not the ID of a job: 16 hexadecimal digits", args[0])
+			}
+			story := telemetry.Story{Job: args[0]}
+			for _, path := range args[1:] {
+				if err := readLog(&story, path); err != nil {
+					return err
+				}
+			}
+
+			return story.Write(cmd.OutOrStdout())
+		},
+	}
+}
+
+func readLog(s *telemetry.Story, path string) error {
+	f, err := os.Open(path)
+	if err != nil {
+		return merry.Prepend(err, "log")
+	}
+	// A file that was only read loses nothing when its close fails.
+	defer func() { _ = f.Close() }()
+
+	return s.Read(path, f)
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -34,6 +34,7 @@
 	roster   func(ctx context.Context, tell func(Roster))
 	hosts    Hosts
 	advise   work.Advise
+	report   func(jobs, runs int)
 	// keep is how long jobs that are over are kept.
 	keep    time.Duration
 	observe schedule.Observer
@@ -51,6 +52,11 @@
 	TellWave func(ctx context.Context, term uint64, st schedule.WaveStatus) error
 }
 
+// WithReport makes f be told from time to time how many jobs are open and how many runs are held; zeros end a term.
+func WithReport(f func(jobs, runs int)) Option {
+	return func(d *Dispatcher) { d.report = f }
+}
+
 // WithAdvice lets the dispatcher ask which workers may run the steps of advised queues.
 func WithAdvice(a work.Advise) Option {
 	return func(d *Dispatcher) { d.advise = a }
@@ -89,6 +95,7 @@
 ) *Dispatcher {
 	d := &Dispatcher{
 		client: c, follower: f, workers: w, bounds: b, host: host, log: l, config: config, roster: roster, observe: func(schedule.Decision) {},
+		report: func(int, int) {},
 	}
 	for _, o := range options {
 		o(d)
@@ -145,6 +152,7 @@
 	all.Go(func() { t.forget(ctx) })
 	all.Go(func() { d.roster(ctx, t.setRoster) })
 	t.run(ctx)
+	t.report(0, 0)
 	cancel()
 	all.Wait()
 }
@@ -161,6 +169,7 @@
 		case <-tick.C:
 			t.mu.Lock()
 			t.sched.Tick()
+			t.report(t.sched.Jobs(), t.sched.Running())
 			t.mu.Unlock()
 		}
 	}
--- a/manager/manager.go
+++ b/manager/manager.go
@@ -99,7 +99,7 @@
 	m.dispatch = dispatch.New(
 		client, m.follower, m.metrics.Workers(platform.NewWorkers(transport, orderTimeout)), bounds(s), self, l,
 		m.config.Current, followRoster(client, l), dispatch.WithObserver(m.observe), m.withHosts(transport, client),
-		m.withAdvice(transport), dispatch.WithKeep(s.Bounds.StatusTime.Std()+statusMargin),
+		dispatch.WithReport(m.report), m.withAdvice(transport), dispatch.WithKeep(s.Bounds.StatusTime.Std()+statusMargin),
 	)
 
 	for _, o := range options {
--- a/manager/observe.go
+++ b/manager/observe.go
@@ -31,6 +31,12 @@
 	)
 }
 
+// report takes in what the owner has.
+func (m *Manager) report(jobs, runs int) {
+	m.metrics.OpenJobs.Set(float64(jobs))
+	m.metrics.Runs.Set(float64(runs))
+}
+
 // observe logs and counts a decision of the scheduler.
 func (m *Manager) observe(d schedule.Decision) {
 	m.metrics.Decision(d.What)
--- a/telemetry/telemetry_test.go
+++ b/telemetry/telemetry_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -90,3 +91,25 @@
 		}
 	}
 }
+
+// The operators' page lists every metric.
+func TestMetricsOnThePage(t *testing.T) {
+	page, err := os.ReadFile("../docs/OPERATIONS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := NewMetrics()
+	m.Request(http.MethodGet, http.StatusOK, 0)
+	m.Decision("Assigned")
+	m.End(work.OutcomeDone)
+	m.call("store", "Get", time.Now(), nil)
+	families, err := m.registry.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range families {
+		if !bytes.Contains(page, []byte("`"+f.GetName()+"`")) {
+			t.Errorf("docs/OPERATIONS.md does not list %s", f.GetName())
+		}
+	}
+}
