--- a/balance/balance.go
+++ b/balance/balance.go
@@ -43,7 +43,9 @@
 
 // Balancer keeps what was seen of each pool.
 type Balancer struct {
-	lead  time.Duration
+	lead time.Duration
+	// began is when the first plan was made.
+	began time.Time
 	pools map[fleet.PoolName]*history
 }
 
@@ -137,6 +139,9 @@
 
 // Plan returns the moves that bring pools to their sizes: hosts from standby first, then those that others don't need.
 func (b *Balancer) Plan(pools []Pool, standby fleet.PoolName, spares []fleet.HostName, now time.Time) []Move {
+	if b.began.IsZero() {
+		b.began = now
+	}
 	var moves []Move
 	var lacking []lack
 	var offers []offer
@@ -165,7 +170,8 @@
 			}
 		}
 	}
-	if standby == "" {
+	if standby == "" || now.Sub(b.began) < trendTime {
+		// A new owner has not seen yet what arrives.
 		return moves
 	}
 	for _, o := range offers {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -299,3 +299,18 @@
 		t.Errorf("an inflow of %.2f hosts, want 5", in)
 	}
 }
+
+// A new owner, which has not seen yet what arrives, sends no host to standby.
+func TestNewOwnerKeepsHosts(t *testing.T) {
+	b := balance.New(moveTime)
+	now := time.Date(2026, 4, 15, 0, 0, 0, 0, time.UTC)
+	pools := []balance.Pool{{Name: "post", Hosts: 8, Least: 3, Idle: []fleet.HostName{"h1", "h2", "h3", "h4", "h5"}}}
+	if moves := b.Plan(pools, standby, nil, now); len(moves) > 0 {
+		t.Errorf("moves at once: %v", moves)
+	}
+	now = now.Add(5 * time.Second)
+	b.Plan(pools, standby, nil, now)
+	if moves := b.Plan(pools, standby, nil, now.Add(time.Second)); len(moves) != 5 {
+		t.Errorf("moves later: %v", moves)
+	}
+}
--- a/ledger/book.go
+++ b/ledger/book.go
@@ -44,8 +44,8 @@
 	early       map[uint64]Batch
 	// maintained has the hosts that had their upkeep, by wave.
 	maintained map[int64][]fleet.HostName
-	// ordered has when each host was last ordered, by the clock of the owner of that time.
-	ordered map[fleet.HostName]time.Time
+	// ordered has the last order to each host.
+	ordered map[fleet.HostName]HostOrder
 	skipped int
 }
 
@@ -53,7 +53,7 @@
 func NewBook() *Book {
 	return &Book{
 		entries: map[fleet.JobID]*Entry{}, orphans: map[fleet.JobID][]Change{}, hosts: map[fleet.EntryName]Host{}, early: map[uint64]Batch{},
-		maintained: map[int64][]fleet.HostName{}, ordered: map[fleet.HostName]time.Time{},
+		maintained: map[int64][]fleet.HostName{}, ordered: map[fleet.HostName]HostOrder{},
 	}
 }
 
@@ -182,18 +182,18 @@
 		delete(b.early, b.next)
 		b.next++
 		for _, c := range batch.Changes {
-			b.apply(c, batch.At)
+			b.apply(c, batch)
 		}
 	}
 }
 
-func (b *Book) apply(c Change, at time.Time) {
+func (b *Book) apply(c Change, from Batch) {
 	switch c.Kind {
 	case Maintained:
 		b.maintained[int64(c.Life)] = append(b.maintained[int64(c.Life)], fleet.HostName(c.Worker))
 		return
 	case HostOrdered:
-		b.ordered[fleet.HostName(c.Worker)] = at
+		b.ordered[fleet.HostName(c.Worker)] = HostOrder{By: from.Owner, At: from.At}
 		return
 	}
 	if e, ok := b.entries[c.Attempt.Job]; ok {
@@ -275,8 +275,15 @@
 	return b.maintained
 }
 
-// Ordered returns when each host was last ordered away; the caller must be the only user of the book.
-func (b *Book) Ordered() map[fleet.HostName]time.Time {
+// HostOrder is an order to a host that was announced.
+type HostOrder struct {
+	By fleet.EntryName
+	// At is the time by the clock of the owner that gave the order.
+	At time.Time
+}
+
+// Ordered returns the last order to each host; the caller must be the only user of the book.
+func (b *Book) Ordered() map[fleet.HostName]HostOrder {
 	return b.ordered
 }
 
--- a/schedule/host.go
+++ b/schedule/host.go
@@ -193,10 +193,11 @@
 	s.announced = append(s.announced, h)
 }
 
-// SetOrdered takes in when earlier owners ordered hosts; those of late are left alone for a time.
-func (s *Scheduler) SetOrdered(ordered map[fleet.HostName]time.Time, now time.Time) {
-	for name, at := range ordered {
-		if now.Sub(at) < s.bounds.DutyQuiet+clockSkew {
+// SetOrdered takes in the orders of earlier owners; hosts that another entry host than self ordered of late are left alone
+// for a time.
+func (s *Scheduler) SetOrdered(ordered map[fleet.HostName]ledger.HostOrder, self fleet.EntryName, now time.Time) {
+	for name, o := range ordered {
+		if o.By != self && now.Sub(o.At) < s.bounds.DutyQuiet+clockSkew {
 			s.quiet[name] = now.Add(s.bounds.DutyQuiet + quietMargin)
 		}
 	}
--- a/schedule/host_test.go
+++ b/schedule/host_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lycheehook.example/lycheehook/fleet"
+	"lycheehook.example/lycheehook/ledger"
 	"lycheehook.example/lycheehook/work"
 )
 
@@ -127,3 +128,25 @@
 	check(t, "running tasks on the host that is away", 0, len(b.runs["w0"]))
 	check(t, "running tasks", 16, b.running())
 }
+
+// Harambee, trouble-2: after a power loss the same host owned the workers again, and moved no host for 3.5 s although the
+// orders before were its own.
+func TestQuietOnlyAfterAnotherHost(t *testing.T) {
+	for _, tt := range []struct {
+		by     fleet.EntryName
+		orders int
+	}{{"self", 2}, {"other", 0}} {
+		b := newBench(t, 2)
+		b.settle()
+		l := cloud(2)
+		b.s.bounds.DutyQuiet = 3 * time.Second
+		ordered := map[fleet.HostName]ledger.HostOrder{}
+		for _, h := range names(l) {
+			ordered[h] = ledger.HostOrder{By: tt.by, At: b.now.Add(-time.Second)}
+		}
+		b.s.SetOrdered(ordered, "self", b.now)
+		b.list(l)
+		b.s.SetWave(work.WaveOrder{Number: 1, Hosts: names(l), Duration: time.Second, MaxDown: 2}, b.now)
+		check(t, "orders within a second after "+string(tt.by), tt.orders, len(b.orders()))
+	}
+}
