Count quiet by the owners' steady clocks, and let the desk learn how slow the store is

Change: batches carry the owner's steady clock, from which the least age of an order follows; an order that is given again is announced again. The desk keeps what it learnt of the store's time.

--- a/dispatch/logwriter.go
+++ b/dispatch/logwriter.go
@@ -31,17 +31,18 @@
 	// first is the oldest batch that is kept, next the one to be written.
 	first, next uint64
 	log         *log.Logger
+	began       time.Time
 	// wait is how long the store gets to answer.
 	wait time.Duration
 }
 
 func newLogWriter(c *store.Client, host ledger.Owner, term, first, next uint64, l *log.Logger) *logWriter {
-	return &logWriter{client: c, host: host, term: term, first: first, next: next, log: l, wait: minStoreWait}
+	return &logWriter{client: c, host: host, term: term, first: first, next: next, log: l, began: time.Now(), wait: minStoreWait}
 }
 
 // append stores a batch. It tries until the outcome is known: the batch's key makes each try the same write.
 func (w *logWriter) append(ctx context.Context, changes []ledger.Change) error {
-	value, err := ledger.Encode(ledger.Batch{Number: w.next, Owner: w.host.Host, Term: w.term, At: time.Now(), Changes: changes})
+	value, err := ledger.Encode(ledger.Batch{Number: w.next, Owner: w.host.Host, Term: w.term, At: time.Now(), Uptime: time.Since(w.began), Changes: changes})
 	if err != nil {
 		return err
 	}
--- a/intake/desk.go
+++ b/intake/desk.go
@@ -37,6 +37,8 @@
 	mu     sync.Mutex
 	queue  []*filing
 	busy   bool
+	// wait is how long the store gets to answer.
+	wait time.Duration
 }
 
 // filing is one record that is to be written if the key still has a revision.
@@ -59,7 +61,7 @@
 
 // NewDesk returns a desk without work.
 func NewDesk(c *store.Client, l *log.Logger) *Desk {
-	return &Desk{client: c, log: l}
+	return &Desk{client: c, log: l, wait: minStoreWait}
 }
 
 // File writes a value if the key still has revision base, and returns the new revision. Another state of the key is
@@ -100,23 +102,33 @@
 
 // work writes batches until nothing waits.
 func (d *Desk) work(ctx context.Context) {
-	wait := minStoreWait
 	for {
-		batch := d.take()
+		batch, wait := d.take()
 		if len(batch) == 0 {
 			return
 		}
-		if !d.write(ctx, batch, wait) {
-			wait = min(maxStoreWait, 2*wait)
+		asked := time.Now()
+		answered := d.write(ctx, batch, wait)
+		d.learn(answered, time.Since(asked))
+		if !answered {
 			time.Sleep(retryPause)
-			continue
 		}
-		wait = minStoreWait
 	}
 }
 
-// take returns the next batch, without those whose callers have gone; an empty one ends the work.
-func (d *Desk) take() []*filing {
+// learn sets how long the store gets to answer: four times what it took, and longer after a try without an answer.
+func (d *Desk) learn(answered bool, took time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if answered {
+		d.wait = max(minStoreWait, min(maxStoreWait, (d.wait+4*took)/2))
+		return
+	}
+	d.wait = min(maxStoreWait, 2*d.wait)
+}
+
+// take returns the next batch and how long the store gets for it, without those whose callers have gone; an empty one ends the work.
+func (d *Desk) take() ([]*filing, time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var batch []*filing
@@ -136,7 +148,7 @@
 	d.queue = rest
 	d.busy = len(batch) > 0
 
-	return batch
+	return batch, d.wait
 }
 
 // write writes a batch and reports whether the store answered; what is not settled goes back into the queue.
--- a/intake/desk_test.go
+++ b/intake/desk_test.go
@@ -97,3 +97,24 @@
 		t.Errorf("%d transactions for %d records", n, records)
 	}
 }
+
+// Harambee, inc-3815: while the store takes longer than the shortest wait, records are not written twice for ever.
+func TestSlowStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := standin.NewStore()
+		s.SetDelay(2 * minStoreWait)
+		d := NewDesk(s.Client(), log.New(io.Discard))
+		const records = 20
+		for i := range records {
+			ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+			if _, _, err := d.File(ctx, fmt.Sprint("k", i), []byte("v"), 0); err != nil {
+				t.Error(err)
+			}
+			cancel()
+			time.Sleep(time.Second)
+		}
+		if n := s.Calls()["Commit"]; n > records+3 {
+			t.Errorf("%d transactions for %d records", n, records)
+		}
+	})
+}
--- a/ledger/book.go
+++ b/ledger/book.go
@@ -45,7 +45,8 @@
 	// maintained has the hosts that had their upkeep, by wave.
 	maintained map[int64][]fleet.HostName
 	// ordered has the last order to each host.
-	ordered map[fleet.HostName]HostOrder
+	ordered map[fleet.HostName]announced
+	newest  span
 	skipped int
 }
 
@@ -53,7 +54,7 @@
 func NewBook() *Book {
 	return &Book{
 		entries: map[fleet.JobID]*Entry{}, orphans: map[fleet.JobID][]Change{}, hosts: map[fleet.EntryName]Host{}, early: map[uint64]Batch{},
-		maintained: map[int64][]fleet.HostName{}, ordered: map[fleet.HostName]HostOrder{},
+		maintained: map[int64][]fleet.HostName{}, ordered: map[fleet.HostName]announced{},
 	}
 }
 
@@ -181,6 +182,7 @@
 		}
 		delete(b.early, b.next)
 		b.next++
+		b.newest.pass(batch)
 		for _, c := range batch.Changes {
 			b.apply(c, batch)
 		}
@@ -193,7 +195,7 @@
 		b.maintained[int64(c.Life)] = append(b.maintained[int64(c.Life)], fleet.HostName(c.Worker))
 		return
 	case HostOrdered:
-		b.ordered[fleet.HostName(c.Worker)] = HostOrder{By: from.Owner, At: from.At}
+		b.ordered[fleet.HostName(c.Worker)] = announced{by: from.Owner, term: from.Term, uptime: from.Uptime}
 		return
 	}
 	if e, ok := b.entries[c.Attempt.Job]; ok {
@@ -278,13 +280,43 @@
 // HostOrder is an order to a host that was announced.
 type HostOrder struct {
 	By fleet.EntryName
-	// At is the time by the clock of the owner that gave the order.
-	At time.Time
+	// Age is how long ago it was announced at least, by the steady clocks of the owners since.
+	Age time.Duration
+}
+
+// announced is when an order to a host was announced, by the steady clock of a term.
+type announced struct {
+	by     fleet.EntryName
+	term   uint64
+	uptime time.Duration
+}
+
+// span is what was logged in the newest term, by its steady clock.
+type span struct {
+	term        uint64
+	first, last time.Duration
+}
+
+// pass takes in the time of a batch.
+func (s *span) pass(b Batch) {
+	if b.Term != s.term {
+		*s = span{term: b.Term, first: b.Uptime}
+	}
+	s.last = max(s.last, b.Uptime)
 }
 
 // Ordered returns the last order to each host; the caller must be the only user of the book.
 func (b *Book) Ordered() map[fleet.HostName]HostOrder {
-	return b.ordered
+	orders := make(map[fleet.HostName]HostOrder, len(b.ordered))
+	for name, o := range b.ordered {
+		age := b.newest.last - o.uptime
+		if o.term != b.newest.term {
+			age = b.newest.last - b.newest.first
+		}
+		orders[name] = HostOrder{By: o.by, Age: age}
+	}
+
+	return orders
 }
 
 // Entries returns the jobs; the caller must be the only user of the book.
--- a/ledger/change.go
+++ b/ledger/change.go
@@ -72,10 +72,12 @@
 type Batch struct {
 	Number uint64 `cbor:"1,keyasint"`
 	// Owner wrote the batch in the term that began at store revision Term.
-	Owner   fleet.EntryName `cbor:"2,keyasint"`
-	Term    uint64          `cbor:"3,keyasint"`
-	At      time.Time       `cbor:"4,keyasint"`
-	Changes []Change        `cbor:"5,keyasint"`
+	Owner fleet.EntryName `cbor:"2,keyasint"`
+	Term  uint64          `cbor:"3,keyasint"`
+	At    time.Time       `cbor:"4,keyasint"`
+	// Uptime is a steady clock of the owner in its term.
+	Uptime  time.Duration `cbor:"6,keyasint"`
+	Changes []Change      `cbor:"5,keyasint"`
 }
 
 // LogKey returns the key of a batch.
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -185,3 +186,22 @@
 		b.Status("j")
 	})
 }
+
+// How long ago a host was ordered is told by the steady clocks of the owners since, not by clocks of the day.
+func TestOrderedAge(t *testing.T) {
+	c := standin.NewStore().Client()
+	order := func(h string) []ledger.Change {
+		return []ledger.Change{{Kind: ledger.HostOrdered, Worker: work.WorkerID(h)}}
+	}
+	put(t, c, ledger.LogKey(0), ledger.Batch{Number: 0, Owner: "a", Term: 5, Uptime: 90 * time.Second, Changes: order("h1")})
+	put(t, c, ledger.LogKey(1), ledger.Batch{Number: 1, Owner: "b", Term: 9, Uptime: time.Second})
+	put(t, c, ledger.LogKey(2), ledger.Batch{Number: 2, Owner: "b", Term: 9, Uptime: 3 * time.Second, Changes: order("h2")})
+	put(t, c, ledger.LogKey(3), ledger.Batch{Number: 3, Owner: "b", Term: 9, Uptime: 4 * time.Second})
+	b, _, err := ledger.Read(ctx, c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	check(t, "orders", map[fleet.HostName]ledger.HostOrder{
+		"h1": {By: "a", Age: 3 * time.Second}, "h2": {By: "b", Age: time.Second},
+	}, b.Ordered())
+}
--- a/schedule/compact.go
+++ b/schedule/compact.go
@@ -25,7 +25,7 @@
 		}
 	}
 	for name, h := range s.hosts {
-		if h.phase != serving || now.Sub(h.ordered) < s.bounds.DutyQuiet+clockSkew {
+		if h.phase != serving || now.Sub(h.ordered) < s.bounds.DutyQuiet+quietMargin {
 			changes = append(changes, ledger.Change{Kind: ledger.HostOrdered, Worker: work.WorkerID(name)})
 		}
 	}
--- a/schedule/host.go
+++ b/schedule/host.go
@@ -71,8 +71,6 @@
 	orderRetry = 400 * time.Millisecond
 	// batchPatience is how long a host that is being emptied waits for tasks that end by themselves.
 	batchPatience = 4 * time.Second
-	// clockSkew is how far the clocks of two entry hosts may differ.
-	clockSkew = 6 * time.Second
 	// quietMargin is added to the time in which a host is left alone, for delays.
 	quietMargin = 500 * time.Millisecond
 )
@@ -176,8 +174,8 @@
 			}
 		case ordering:
 			if !h.retry.IsZero() && !now.Before(h.retry) {
-				h.retry = time.Time{}
 				orders = append(orders, s.hostOrder(h))
+				h.retry = time.Time{}
 			}
 		case serving, away:
 		}
@@ -197,8 +195,8 @@
 // for a time.
 func (s *Scheduler) SetOrdered(ordered map[fleet.HostName]ledger.HostOrder, self fleet.EntryName, now time.Time) {
 	for name, o := range ordered {
-		if o.By != self && now.Sub(o.At) < s.bounds.DutyQuiet+clockSkew {
-			s.quiet[name] = now.Add(s.bounds.DutyQuiet + quietMargin)
+		if left := s.bounds.DutyQuiet + quietMargin - o.Age; o.By != self && left > 0 {
+			s.quiet[name] = now.Add(left)
 		}
 	}
 }
@@ -283,7 +281,8 @@
 		h.phase = emptying
 		h.since = now
 	case unknown:
-		h.retry = now.Add(orderRetry)
+		// The order is given again, which the next owner has to know of as well.
+		s.announce(h, now)
 	}
 }
 
--- a/telemetry/limiter.go
+++ b/telemetry/limiter.go
@@ -7,9 +7,9 @@
 	"github.com/charmbracelet/log"
 )
 
-// maxPerSecond bounds the lines of one kind in a second. The heaviest day known writes some 200 starts and as many ends
-// a second, all by the owner.
-const maxPerSecond = 400
+// maxPerSecond bounds the lines of one kind in a second. The heaviest day known has some 200 starts and as many ends a
+// second, all at the owner, and several times that in the second after a take-over.
+const maxPerSecond = 800
 
 // Limiter bounds the log lines of each kind, and logs once a second how many were left out.
 type Limiter struct {
