--- a/allotment/run.go
+++ b/allotment/run.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"lycheehook.example/lycheehook/fleet"
+	"lycheehook.example/lycheehook/pause"
 )
 
 // Run takes, gives, moves and reclaims parts until ctx ends.
@@ -21,7 +22,7 @@
 			return
 		case <-timer.C:
 		case <-h.wake:
-			if !sleep(ctx, h.timing.Tick/8) {
+			if !pause.For(ctx, h.timing.Tick/8) {
 				return
 			}
 		}
@@ -30,16 +31,6 @@
 	}
 }
 
-// sleep reports false if ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
-
 // Close gives back all that does not run; call it when the process no longer admits work.
 func (h *Holder) Close(ctx context.Context) error {
 	var last error
--- a/audit/trail.go
+++ b/audit/trail.go
@@ -11,6 +11,7 @@
 	"github.com/google/uuid"
 
 	"lycheehook.example/lycheehook/fleet"
+	"lycheehook.example/lycheehook/pause"
 	"lycheehook.example/lycheehook/store"
 )
 
@@ -156,14 +157,14 @@
 		case <-t.added:
 		}
 
-		pause(ctx, t.interval)
+		pause.For(ctx, t.interval)
 		for ctx.Err() == nil {
 			err := t.flush(ctx)
 			if err == nil {
 				break
 			}
 			t.log.Warn("audit entries wait", "waiting", t.Counts().Waiting, "err", err)
-			pause(ctx, retryWait)
+			pause.For(ctx, retryWait)
 		}
 	}
 }
@@ -236,10 +237,3 @@
 	t.buffer = append([]Entry(nil), t.buffer[n:]...)
 	t.counts.Written += uint64(n)
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/dispatch/compact.go
+++ b/dispatch/compact.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lycheehook.example/lycheehook/ledger"
+	"lycheehook.example/lycheehook/pause"
 	"lycheehook.example/lycheehook/store"
 )
 
@@ -65,7 +66,7 @@
 // forget removes the jobs that ended long ago until the term is over.
 func (t *term) forget(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, forgetInterval)
+		pause.For(ctx, forgetInterval)
 		t.mu.Lock()
 		ids := t.sched.Expired(t.keep, time.Now())
 		t.mu.Unlock()
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -9,6 +9,7 @@
 
 	"lycheehook.example/lycheehook/ledger"
 	"lycheehook.example/lycheehook/owner"
+	"lycheehook.example/lycheehook/pause"
 	"lycheehook.example/lycheehook/schedule"
 	"lycheehook.example/lycheehook/store"
 	"lycheehook.example/lycheehook/work"
@@ -132,7 +133,7 @@
 	book, _, err := ledger.Read(ctx, d.client)
 	for err != nil && ctx.Err() == nil && !owned.Over() {
 		d.log.Warn("read of the ledger at the start of a term failed", "error", err)
-		pause(ctx, retryPause)
+		pause.For(ctx, retryPause)
 		book, _, err = ledger.Read(ctx, d.client)
 	}
 	if err != nil {
@@ -162,7 +163,7 @@
 	defer tick.Stop()
 	for ctx.Err() == nil && !t.owned.Over() {
 		t.pass(ctx)
-		pause(ctx, passInterval)
+		pause.For(ctx, passInterval)
 		select {
 		case <-ctx.Done():
 		case <-t.wake:
@@ -354,12 +355,3 @@
 	}
 	i.waiting, i.tell = nil, tell
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/dispatch/hosts.go
+++ b/dispatch/hosts.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"lycheehook.example/lycheehook/pause"
 	"lycheehook.example/lycheehook/schedule"
 	"lycheehook.example/lycheehook/work"
 )
@@ -19,7 +20,7 @@
 // orderHosts keeps hosts up until the term is over.
 func (t *term) orderHosts(ctx context.Context) {
 	for ctx.Err() == nil && !t.owned.Over() {
-		pause(ctx, hostInterval)
+		pause.For(ctx, hostInterval)
 		now := time.Now()
 		t.mu.Lock()
 		for _, o := range t.hosts.Waves() {
@@ -48,7 +49,7 @@
 	list, err := t.hosts.Cloud.Hosts(ctx)
 	if err != nil {
 		t.Dispatcher.log.Warn("list of hosts not read", "error", err)
-		pause(ctx, retryPause)
+		pause.For(ctx, retryPause)
 
 		return
 	}
--- a/dispatch/logwriter.go
+++ b/dispatch/logwriter.go
@@ -10,6 +10,7 @@
 	"github.com/charmbracelet/log"
 
 	"lycheehook.example/lycheehook/ledger"
+	"lycheehook.example/lycheehook/pause"
 	"lycheehook.example/lycheehook/store"
 )
 
@@ -61,7 +62,7 @@
 		}
 		w.log.Warn("write of the log failed, trying again", "batch", w.next, "wait", w.wait, "error", err)
 		w.wait = min(maxStoreWait, 2*w.wait)
-		pause(ctx, retryPause)
+		pause.For(ctx, retryPause)
 	}
 }
 
--- a/entry/limits.go
+++ b/entry/limits.go
@@ -14,6 +14,7 @@
 	"lycheehook.example/lycheehook/claim"
 	"lycheehook.example/lycheehook/fleet"
 	"lycheehook.example/lycheehook/member"
+	"lycheehook.example/lycheehook/pause"
 	"lycheehook.example/lycheehook/peer"
 	"lycheehook.example/lycheehook/revision"
 	"lycheehook.example/lycheehook/settings"
@@ -160,7 +161,7 @@
 			}
 			l.membership.Store(&m)
 		}
-		pause(ctx, membersInterval)
+		pause.For(ctx, membersInterval)
 	}
 }
 
@@ -172,7 +173,7 @@
 			seen = cur.Number
 			l.adopt(cur)
 		}
-		pause(ctx, limitsInterval)
+		pause.For(ctx, limitsInterval)
 	}
 }
 
@@ -269,10 +270,3 @@
 func slotsKey(e fleet.Endpoint) allotment.Key {
 	return allotment.Key{Set: allotment.Slots(e.Pool), Name: string(e.Name)}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/experiment/experiment.go
+++ b/experiment/experiment.go
@@ -12,6 +12,7 @@
 	"lycheehook.example/lycheehook/estate"
 	"lycheehook.example/lycheehook/fleet"
 	"lycheehook.example/lycheehook/load"
+	"lycheehook.example/lycheehook/pause"
 	"lycheehook.example/lycheehook/standin"
 )
 
@@ -201,7 +202,7 @@
 
 // replaceEntry stops an entry host gracefully in the middle of the run and starts another in its place.
 func replaceEntry(ctx context.Context, e *estate.Estate, d time.Duration) error {
-	pause(ctx, d/2)
+	pause.For(ctx, d/2)
 	_, err := e.AddEntry(ctx)
 	e.StopEntry()
 
@@ -210,28 +211,21 @@
 
 // storeDown takes the store away for the middle third of the run.
 func storeDown(ctx context.Context, e *estate.Estate, d time.Duration) error {
-	pause(ctx, d/3)
+	pause.For(ctx, d/3)
 	e.Store.SetFault(standin.FaultDown)
 	defer e.Store.SetFault(standin.FaultNone)
-	pause(ctx, d/3)
+	pause.For(ctx, d/3)
 
 	return nil
 }
 
 // drainEndpoint lists an endpoint as leaving for the middle third of the run.
 func drainEndpoint(ctx context.Context, e *estate.Estate, d time.Duration) error {
-	pause(ctx, d/3)
+	pause.For(ctx, d/3)
 	ep := e.Sample.Endpoints[0]
 	e.Platform.PutEndpoint(ep.WithLeaving(true))
 	defer e.Platform.PutEndpoint(ep)
-	pause(ctx, d/3)
+	pause.For(ctx, d/3)
 
 	return nil
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/ledger/follower.go
+++ b/ledger/follower.go
@@ -10,6 +10,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"lycheehook.example/lycheehook/pause"
 	"lycheehook.example/lycheehook/store"
 	"lycheehook.example/lycheehook/work"
 )
@@ -67,7 +68,7 @@
 			at, err := f.read(ctx)
 			if err != nil {
 				f.log.Warn("read of the ledger failed", "error", err)
-				sleep(ctx, retryPause)
+				pause.For(ctx, retryPause)
 
 				continue
 			}
@@ -80,11 +81,11 @@
 			after = 0
 		case err != nil:
 			f.log.Warn("watch of the ledger failed", "error", err)
-			sleep(ctx, retryPause)
+			pause.For(ctx, retryPause)
 		case len(ev.Events) > 0:
 			f.follow(ev.Events)
 			after = ev.Revision
-			sleep(ctx, watchPause)
+			pause.For(ctx, watchPause)
 		case time.Since(read) > readInterval:
 			after = 0
 		}
@@ -137,12 +138,3 @@
 	default:
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/manager/config.go
+++ b/manager/config.go
@@ -10,6 +10,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"lycheehook.example/lycheehook/pause"
 	"lycheehook.example/lycheehook/platform"
 	"lycheehook.example/lycheehook/store"
 	"lycheehook.example/lycheehook/work"
@@ -66,7 +67,7 @@
 			at, err := c.read(ctx)
 			if err != nil {
 				c.log.Warn("read of the configuration failed", "error", err)
-				sleep(ctx, retryPause)
+				pause.For(ctx, retryPause)
 
 				continue
 			}
@@ -78,7 +79,7 @@
 			after = 0
 		case err != nil:
 			c.log.Warn("watch of the configuration failed", "error", err)
-			sleep(ctx, retryPause)
+			pause.For(ctx, retryPause)
 			after = 0
 		case len(ev.Events) == 0:
 			c.check(ctx)
@@ -148,12 +149,3 @@
 	c.adopt(next)
 	c.log.Info("configuration in force", "version", next.Version, "queues", len(next.Queues), "workspaces", len(next.Workspaces))
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/manager/roster.go
+++ b/manager/roster.go
@@ -9,6 +9,7 @@
 	"github.com/charmbracelet/log"
 
 	"lycheehook.example/lycheehook/dispatch"
+	"lycheehook.example/lycheehook/pause"
 	"lycheehook.example/lycheehook/platform"
 	"lycheehook.example/lycheehook/store"
 	"lycheehook.example/lycheehook/work"
@@ -36,11 +37,11 @@
 				after = 0
 			case err != nil:
 				l.Warn("watch of the workers failed", "error", err)
-				sleep(ctx, retryPause)
+				pause.For(ctx, retryPause)
 			case len(ev.Events) > 0:
 				tell(rosterOf(ev.Events, l))
 				after = ev.Revision
-				sleep(ctx, rosterPause)
+				pause.For(ctx, rosterPause)
 			}
 		}
 	}
@@ -51,7 +52,7 @@
 	list, err := c.List(ctx, platform.RegistrationPrefix)
 	if err != nil {
 		l.Warn("read of the workers failed", "error", err)
-		sleep(ctx, retryPause)
+		pause.For(ctx, retryPause)
 
 		return 0
 	}
--- a/member/lease.go
+++ b/member/lease.go
@@ -10,6 +10,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"lycheehook.example/lycheehook/fleet"
+	"lycheehook.example/lycheehook/pause"
 	"lycheehook.example/lycheehook/peer"
 	"lycheehook.example/lycheehook/store"
 )
@@ -40,7 +41,7 @@
 func (r *Registry) keepLease(ctx context.Context) {
 	for ctx.Err() == nil && !r.leaving.Load() {
 		if err := r.join(ctx); err != nil {
-			pause(ctx, retryWait)
+			pause.For(ctx, retryWait)
 			continue
 		}
 		r.renewUntilLapsed(ctx)
@@ -125,7 +126,7 @@
 	lease, seat := r.lease, r.self.Seat
 	r.mu.Unlock()
 	for ctx.Err() == nil {
-		pause(ctx, r.ttl/renewals)
+		pause.For(ctx, r.ttl/renewals)
 		asked := time.Now()
 		err := r.client.KeepAlive(ctx, lease)
 		if ctx.Err() != nil {
@@ -187,7 +188,7 @@
 				}
 			}
 		}
-		pause(ctx, meetInterval)
+		pause.For(ctx, meetInterval)
 	}
 }
 
--- a/member/registry.go
+++ b/member/registry.go
@@ -16,6 +16,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"lycheehook.example/lycheehook/fleet"
+	"lycheehook.example/lycheehook/pause"
 	"lycheehook.example/lycheehook/peer"
 	"lycheehook.example/lycheehook/store"
 )
@@ -201,7 +202,7 @@
 		l, err := r.client.List(ctx, Prefix)
 		r.setReachable(err == nil)
 		if err != nil {
-			pause(ctx, retryWait)
+			pause.For(ctx, retryWait)
 			continue
 		}
 		r.replace(l, asked)
@@ -215,7 +216,7 @@
 		ev, err := r.client.Watch(ctx, Prefix, after, watchWait)
 		r.setReachable(err == nil)
 		if err != nil {
-			pause(ctx, retryWait)
+			pause.For(ctx, retryWait)
 			return
 		}
 		after = ev.Revision
@@ -349,13 +350,6 @@
 	return Seat(fmt.Sprintf("%s.%s.%d", p.Name, p.Incarnation, epoch))
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // answered reports whether the store answered a call, whatever it said.
 func answered(err error) bool {
 	return !errors.Is(err, store.ErrUnavailable) && !errors.Is(err, store.ErrOutcomeUnknown)
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -8,6 +8,7 @@
 	"github.com/charmbracelet/log"
 
 	"lycheehook.example/lycheehook/ledger"
+	"lycheehook.example/lycheehook/pause"
 	"lycheehook.example/lycheehook/store"
 )
 
@@ -54,7 +55,7 @@
 	for ctx.Err() == nil {
 		b := c.follower.Book()
 		if b == nil {
-			sleep(ctx, contestPause)
+			pause.For(ctx, contestPause)
 			continue
 		}
 		o, revision := b.Owner()
@@ -72,7 +73,7 @@
 			t = c.seek(ctx, 0)
 		}
 		if t == nil {
-			sleep(ctx, contestPause)
+			pause.For(ctx, contestPause)
 			continue
 		}
 		c.log.Info("owns the workers", "term", t.Revision)
--- a/owner/seat.go
+++ b/owner/seat.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sys/unix"
 
 	"lycheehook.example/lycheehook/ledger"
+	"lycheehook.example/lycheehook/pause"
 	"lycheehook.example/lycheehook/store"
 )
 
@@ -84,13 +85,13 @@
 		if id == 0 {
 			if err := s.open(ctx); err != nil {
 				s.log.Warn("no lease in the store", "error", err)
-				sleep(ctx, retryPause)
+				pause.For(ctx, retryPause)
 			}
 
 			continue
 		}
 		go s.renew(ctx, id)
-		sleep(ctx, renewInterval)
+		pause.For(ctx, renewInterval)
 	}
 }
 
@@ -159,12 +160,3 @@
 		s.log.Debug("renewal failed", "error", err)
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/revision/book.go
+++ b/revision/book.go
@@ -12,6 +12,7 @@
 
 	"lycheehook.example/lycheehook/fleet"
 	"lycheehook.example/lycheehook/member"
+	"lycheehook.example/lycheehook/pause"
 	"lycheehook.example/lycheehook/peer"
 	"lycheehook.example/lycheehook/store"
 )
@@ -181,7 +182,7 @@
 // every calls f in intervals until ctx ends.
 func (b *Book) every(ctx context.Context, d time.Duration, f func(context.Context)) {
 	for ctx.Err() == nil {
-		pause(ctx, jitter(d))
+		pause.For(ctx, jitter(d))
 		f(ctx)
 	}
 }
@@ -191,11 +192,11 @@
 func (b *Book) confirm(ctx context.Context) {
 	for ctx.Err() == nil {
 		if !b.readDue(time.Now()) {
-			pause(ctx, jitter(confirmTick))
+			pause.For(ctx, jitter(confirmTick))
 			continue
 		}
 		if err := b.refresh(ctx); err != nil {
-			pause(ctx, jitter(retryWait))
+			pause.For(ctx, jitter(retryWait))
 		}
 	}
 }
@@ -222,7 +223,7 @@
 		if err != nil {
 			// The events may be compacted or the store away; the next head read shows where to go on.
 			after = 0
-			pause(ctx, jitter(retryWait))
+			pause.For(ctx, jitter(retryWait))
 			continue
 		}
 		after = max(after, ev.Revision)
@@ -335,13 +336,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // jitter returns d less up to a quarter, so that many processes do not act together.
 func jitter(d time.Duration) time.Duration {
 	return d - time.Duration(rand.Int64N(int64(d)/4+1))
--- a/revision/edit.go
+++ b/revision/edit.go
@@ -11,6 +11,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/google/uuid"
 
+	"lycheehook.example/lycheehook/pause"
 	"lycheehook.example/lycheehook/plan"
 	"lycheehook.example/lycheehook/store"
 )
@@ -281,7 +282,7 @@
 		}
 		w.Base = r.Revision
 		if errors.Is(err, store.ErrOutcomeUnknown) {
-			pause(ctx, jitter(retryWait))
+			pause.For(ctx, jitter(retryWait))
 		}
 	}
 
@@ -324,7 +325,7 @@
 
 // retryHead finds out whether a head was written whose answer was lost, and writes it again if the base is still there.
 func (b *Book) retryHead(ctx context.Context, token uuid.UUID, raw []byte, base uint64) (uint64, error) {
-	pause(ctx, jitter(retryWait/4))
+	pause.For(ctx, jitter(retryWait/4))
 	r, err := b.client.Get(ctx, headKey)
 	if err != nil && !isNotFound(err) {
 		// The write stays in doubt: it may be on its way still.
--- a/schedule/host.go
+++ b/schedule/host.go
@@ -37,8 +37,9 @@
 	refused map[fleet.PoolName]bool
 	// ordered is when the last order was announced.
 	ordered time.Time
-	// retry is when an order may be given again.
-	retry time.Time
+	// announced says that the order is stored and may go out; again is when one that was not answered is repeated.
+	announced bool
+	again     time.Time
 }
 
 // hostPlan is an upkeep for a wave, or a move to a pool.
@@ -173,9 +174,13 @@
 				s.announce(h, now)
 			}
 		case ordering:
-			if !h.retry.IsZero() && !now.Before(h.retry) {
+			switch {
+			case h.announced:
 				orders = append(orders, s.hostOrder(h))
-				h.retry = time.Time{}
+				h.announced = false
+			case !h.again.IsZero() && !now.Before(h.again):
+				// The order is given again, which the next owner has to know of as well.
+				s.announce(h, now)
 			}
 		case serving, away:
 		}
@@ -186,7 +191,7 @@
 
 // announce has an order to a host stored before it goes out, so that the next owner knows of it.
 func (s *Scheduler) announce(h *host, now time.Time) {
-	h.phase, h.since, h.retry, h.ordered = ordering, now, time.Time{}, now
+	h.phase, h.since, h.ordered, h.again = ordering, now, now, time.Time{}
 	s.changes = append(s.changes, ledger.Change{Kind: ledger.HostOrdered, Worker: work.WorkerID(h.Host)})
 	s.announced = append(s.announced, h)
 }
@@ -281,8 +286,7 @@
 		h.phase = emptying
 		h.since = now
 	case unknown:
-		// The order is given again, which the next owner has to know of as well.
-		s.announce(h, now)
+		h.again = now.Add(orderRetry)
 	}
 }
 
--- a/schedule/host_test.go
+++ b/schedule/host_test.go
@@ -151,3 +151,23 @@
 		check(t, "orders within a second after "+string(tt.by), tt.orders, len(b.orders()))
 	}
 }
+
+// An order that was not answered is announced and given again, at a bounded rate, until its answer comes.
+func TestUnansweredHostOrder(t *testing.T) {
+	b := newBench(t, 1)
+	b.settle()
+	l := cloud(1)
+	b.list(l)
+	b.s.SetWave(work.WaveOrder{Number: 1, Hosts: names(l), Duration: time.Second, MaxDown: 1}, b.now)
+	orders := 0
+	for range 50 {
+		for _, o := range b.s.HostOrders(b.now) {
+			orders++
+			b.s.HostAnswered(o, work.ErrNoAnswer, b.now)
+		}
+		b.step()
+	}
+	if orders < 3 || orders > int(5*time.Second/orderRetry) {
+		t.Errorf("%d orders in five seconds", orders)
+	}
+}
--- a/schedule/run.go
+++ b/schedule/run.go
@@ -43,7 +43,7 @@
 	orders := make([]Order, 0, len(starts))
 	for _, st := range starts {
 		if st.host != nil {
-			st.host.retry = now
+			st.host.announced = true
 			continue
 		}
 		if o, ok := s.order(st.run, now); ok {
--- a/standin/view.go
+++ b/standin/view.go
@@ -7,6 +7,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"lycheehook.example/lycheehook/pause"
 	"lycheehook.example/lycheehook/store"
 )
 
@@ -113,7 +114,7 @@
 	fault, delay := v.fault, v.delay
 	v.mu.Unlock()
 
-	if !sleep(ctx, delay) {
+	if !pause.For(ctx, delay) {
 		return fault, merry.Prepend(store.ErrOutcomeUnknown, call)
 	}
 	switch fault {
@@ -135,7 +136,7 @@
 		return none, readError(err)
 	}
 	got, err := do(ctx)
-	if fault == FaultReadLate && !sleep(ctx, LateBy) {
+	if fault == FaultReadLate && !pause.For(ctx, LateBy) {
 		var none T
 		return none, merry.Prepend(store.ErrUnavailable, call)
 	}
@@ -175,7 +176,7 @@
 	changed := v.changed
 	v.mu.Unlock()
 	if fault == FaultWatchSilent {
-		sleep(ctx, wait)
+		pause.For(ctx, wait)
 		return store.Events{Revision: after}, nil
 	}
 
@@ -191,17 +192,3 @@
 
 	return v.inner.Watch(ctx, prefix, after, wait)
 }
-
-// sleep waits for d and reports whether ctx still runs.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
