--- a/schedule/place.go
+++ b/schedule/place.go
@@ -32,7 +32,7 @@
 			byPool[w.reg.Pool] = append(byPool[w.reg.Pool], w)
 		}
 	}
-	s.countLasting()
+	s.countTasks()
 	for _, ws := range byPool {
 		slices.SortFunc(ws, func(a, b *worker) int { return cmp.Compare(a.id, b.id) })
 	}
@@ -43,8 +43,8 @@
 	}
 }
 
-// countLasting counts the lasting tasks on each worker.
-func (s *Scheduler) countLasting() {
+// countTasks counts the tasks of each kind on each worker.
+func (s *Scheduler) countTasks() {
 	for _, w := range s.workers {
 		w.kept, w.lasting, w.serving, w.filling = fleet.Resources{}, 0, 0, 0
 		for _, r := range w.runs {
@@ -55,25 +55,6 @@
 	}
 }
 
-// NextDue returns when the next occurrence of a job may start; the zero time means that none waits for its time.
-func (s *Scheduler) NextDue(now time.Time) time.Time {
-	var next time.Time
-	for _, j := range s.jobs {
-		for k := range j.entry.Job.Occurrences() {
-			due := j.entry.Job.Due(k)
-			if due.After(now) {
-				if next.IsZero() || due.Before(next) {
-					next = due
-				}
-
-				break
-			}
-		}
-	}
-
-	return next
-}
-
 // count takes a task of a step into the worker's counts.
 func (w *worker) count(step work.Step) {
 	if step.Lasting {
--- /dev/null
+++ b/schedule/place_test.go
@@ -0,0 +1,89 @@
+package schedule
+
+import (
+	"testing"
+	"time"
+
+	"lycheehook.example/lycheehook/fleet"
+	"lycheehook.example/lycheehook/work"
+)
+
+// perWorker returns how many tasks run on each worker that has any.
+func (b *bench) perWorker() map[work.WorkerID]int {
+	counts := map[work.WorkerID]int{}
+	for id, runs := range b.runs {
+		if len(runs) > 0 {
+			counts[id] = len(runs)
+		}
+	}
+
+	return counts
+}
+
+// Where the tasks of a step may run, and where they run best.
+func TestPlaces(t *testing.T) {
+	tests := []struct {
+		name string
+		step work.Step
+		want map[work.WorkerID]int
+	}{
+		{"packed", work.Step{Count: 3, Size: size(1000)}, map[work.WorkerID]int{"w0": 3}},
+		{"at most one on a worker", work.Step{Count: 3, Size: size(1000), MaxPerWorker: 1}, map[work.WorkerID]int{"w0": 1, "w1": 1, "w2": 1}},
+		{"near the data", work.Step{Count: 3, Size: size(1000), Rack: "r-w2"}, map[work.WorkerID]int{"w2": 3}},
+		{"with a label", work.Step{Count: 2, Size: size(1000), Label: "fast"}, map[work.WorkerID]int{"w1": 2}},
+		{"no such label", work.Step{Count: 2, Size: size(1000), Label: "none"}, map[work.WorkerID]int{}},
+		{"larger than any worker", work.Step{Count: 1, Size: size(17000)}, map[work.WorkerID]int{}},
+		{"by memory", work.Step{Count: 3, Size: fleet.Resources{Cores: 100, Memory: 30000}}, map[work.WorkerID]int{"w0": 1, "w1": 1, "w2": 1}},
+		{"two of a lasting step on a worker", work.Step{Count: 4, Size: size(1000), Lasting: true}, map[work.WorkerID]int{"w0": 2, "w1": 2}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBench(t, 3)
+			r := b.regs["w1"]
+			r.Labels = []string{"fast"}
+			b.regs["w1"] = r
+			b.s.Register(r, b.now)
+			b.settle()
+			b.submit("j", tt.step)
+			b.settle()
+			check(t, "tasks on workers", tt.want, b.perWorker())
+		})
+	}
+}
+
+// Each occurrence of a repeated job starts when it is due, whether the one before is over or not.
+func TestOccurrences(t *testing.T) {
+	b := newBench(t, 1)
+	b.settle()
+	b.s.AddJob(work.Job{
+		ID: "j", Queue: "q", Steps: []work.Step{{Count: 1, Size: size(1000)}}, Submitted: b.now, Repeats: 3,
+		FirstStart: b.now.Add(2 * time.Second), Interval: 2 * time.Second,
+	}, 1, b.now)
+	for want := range 4 {
+		b.step()
+		check(t, "running occurrences", want, b.running())
+		for range 19 {
+			b.step()
+		}
+	}
+}
+
+// What a job may still bring decides its turn: lasting tasks first, then jobs that can still be in time, then late ones.
+func TestTurns(t *testing.T) {
+	b := newBench(t, 0)
+	step := work.Step{Count: 1, Size: size(16000), Estimate: time.Second}
+	b.submit("overdue", step)
+	b.now = b.now.Add(20 * time.Second)
+	b.submit("late", step)
+	b.now = b.now.Add(3 * time.Second)
+	b.submit("intime", step)
+	lasting := step
+	lasting.Lasting = true
+	b.submit("lasting", lasting)
+
+	var order []fleet.JobID
+	for _, r := range b.s.ready(b.now) {
+		order = append(order, r.job.entry.Job.ID)
+	}
+	check(t, "order", []fleet.JobID{"lasting", "intime", "late", "overdue"}, order)
+}
