--- a/cmd/lycheehook/settings.go
+++ b/cmd/lycheehook/settings.go
@@ -5,25 +5,28 @@
 
 	"github.com/spf13/cobra"
 
+	"lycheehook.example/lycheehook/fleet"
 	"lycheehook.example/lycheehook/key"
 	"lycheehook.example/lycheehook/settings"
 )
 
 func newSettings() *cobra.Command {
+	var ofManager bool
 	check := &cobra.Command{
 		Use:   "check FILE",
-		Short: "Check the settings of an entry host and name every fault",
+		Short: "Check the settings of an entry host, or of a manager, and name every fault",
 		Args:  cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			s, err := settings.Read(args[0])
+			name, err := checkSettings(args[0], ofManager)
 			if err != nil {
 				return err
 			}
-			_, _ = fmt.Fprintf(cmd.OutOrStdout(), "settings of %s hold together\n", s.Name)
+			_, _ = fmt.Fprintf(cmd.OutOrStdout(), "settings of %s hold together\n", name)
 
 			return nil
 		},
 	}
+	check.Flags().BoolVar(&ofManager, "manager", false, "the file is for lycheehook manager")
 	token := &cobra.Command{
 		Use:   "token NAME",
 		Short: "Make a token for an operator and print the entry for Operators in the settings",
@@ -38,3 +41,14 @@
 
 	return newGroup("settings", "Check settings and make operators' tokens", check, token)
 }
+
+// checkSettings returns the name of the host that sound settings are for.
+func checkSettings(path string, ofManager bool) (fleet.EntryName, error) {
+	if ofManager {
+		m, err := settings.ReadManager(path)
+		return m.Name, err
+	}
+	s, err := settings.Read(path)
+
+	return s.Name, err
+}
