--- a/entry/wire_gen.go
+++ b/entry/wire_gen.go
@@ -18,7 +18,7 @@
 // New returns an entry host with the given settings and logger; its error names a certificate that can't be read.
 func New(s settings.Settings, l *log.Logger) (*Host, error) {
 	client := newStore(s)
-	platformClient := newPlatform(s)
+	hostapiClient := newPlatform(s)
 	entryCluster, err := newCluster(s, client, l)
 	if err != nil {
 		return nil, err
@@ -28,7 +28,7 @@
 	sender := newSender()
 	gate := admission.New(book, set)
 	trail := newTrail(client, s, l)
-	entryControl := newControl(client, platformClient, book, entryCluster, trail, s, l)
+	entryControl := newControl(client, hostapiClient, book, entryCluster, trail, s, l)
 	entryLimits := newLimits(s, client, entryCluster, book, l)
 	claimBook := newClaims(s, client, entryLimits)
 	registry := newRegistry()
@@ -36,7 +36,7 @@
 	entryParts := parts{
 		Settings: s,
 		Store:    client,
-		Platform: platformClient,
+		Platform: hostapiClient,
 		Book:     book,
 		Set:      set,
 		Sender:   sender,
