Let the owner see new jobs sooner

Cause: every job waited up to 100 ms for the owner's next watch of the ledger. Change: the owner pauses 25 ms between watches; the other hosts keep 100 ms.

--- a/ledger/follower.go
+++ b/ledger/follower.go
@@ -23,6 +23,8 @@
 	readInterval = 1500 * time.Millisecond
 	// watchPause between watches lets changes gather, since the store counts each call.
 	watchPause = 100 * time.Millisecond
+	// ownerPause is that of the owner, for which every new job waits.
+	ownerPause = 25 * time.Millisecond
 	// retryPause is the pause after a failed call to the store.
 	retryPause = 200 * time.Millisecond
 )
@@ -85,7 +87,7 @@
 		case len(ev.Events) > 0:
 			f.follow(ev.Events)
 			after = ev.Revision
-			pause.For(ctx, watchPause)
+			pause.For(ctx, f.pause())
 		case time.Since(read) > readInterval:
 			after = 0
 		}
@@ -132,6 +134,17 @@
 	}
 }
 
+// pause returns how long to wait until the next watch.
+func (f *Follower) pause() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.onJob != nil {
+		return ownerPause
+	}
+
+	return watchPause
+}
+
 func (f *Follower) signal() {
 	select {
 	case f.changed <- struct{}{}:
