Hold the ports of sample entry hosts, and stop one only when its requests are in progress

A stack dump from 48 runs of cmd/lycheehook, 8 at a time, shows it in estate.Start: the ports were freed before the entry host took them, another process had one, and the wait for it had no bound. estate.TestCheck/sleeves failed beside load since the requests, whose claims take a write, were not in progress yet when the stop came 300 ms later; a store that takes 400 ms brings that about each time (0 of 6). Change: sockets are opened once and handed over; entry.New takes them. The check waits until six requests run on endpoints, and then stops: what it asserts is as before.

--- a/cmd/lycheehook/entry.go
+++ b/cmd/lycheehook/entry.go
@@ -26,7 +26,7 @@
 				return err
 			}
 
-			h, err := entry.New(s, newLogger(cmd.ErrOrStderr(), s))
+			h, err := entry.New(s, newLogger(cmd.ErrOrStderr(), s), entry.KernelSockets())
 			if err != nil {
 				return err
 			}
--- a/cmd/lycheehook/entry_test.go
+++ b/cmd/lycheehook/entry_test.go
@@ -80,6 +80,12 @@
 
 // An entry host that is started from a settings file serves operators over TLS, logs JSON without secrets, and stops when it is told.
 func TestEntryFromSettingsFile(t *testing.T) {
+	entryFromSettingsFile(t, 3)
+}
+
+// entryFromSettingsFile makes that many attempts at free addresses.
+func entryFromSettingsFile(t *testing.T, attempts int) {
+	t.Helper()
 	store, platform := httptest.NewServer(standin.NewStore()), httptest.NewServer(standin.NewPlatform())
 	defer store.Close()
 	defer platform.Close()
@@ -103,6 +109,7 @@
 	}
 
 	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
 	var logs lockedBuffer
 	ended := make(chan exitCode, 1)
 	go func() {
@@ -119,6 +126,14 @@
 		if operate(files.CA, "status") == exitOK && strings.Contains(out.String(), "in force") {
 			break
 		}
+		if len(ended) > 0 {
+			if strings.Contains(logs.String(), "address already in use") && attempts > 1 {
+				// Another process took a port between the choice of the address and the start.
+				entryFromSettingsFile(t, attempts-1)
+				return
+			}
+			t.Fatalf("the entry host ended with %d:\n%s", <-ended, logs.String())
+		}
 		<-time.After(10 * time.Millisecond)
 	}
 	if !strings.Contains(out.String(), "entry-1") || !strings.Contains(out.String(), "in force") {
--- a/entry/cluster.go
+++ b/entry/cluster.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 	"time"
 
@@ -29,12 +28,13 @@
 	registry *member.Registry
 	source   *cert.Source
 	settings settings.Settings
+	sockets  Sockets
 }
 
 // newCluster returns the entry host's place among the others; without a peer address it talks to none.
-func newCluster(s settings.Settings, c *store.Client, l *log.Logger) (*cluster, error) {
+func newCluster(s settings.Settings, c *store.Client, l *log.Logger, sockets Sockets) (*cluster, error) {
 	self := peer.Peer{Name: s.Name, Incarnation: fleet.NewIncarnation(s.Name), Address: s.PeerAddress}
-	cl := &cluster{settings: s}
+	cl := &cluster{settings: s, sockets: sockets}
 	opts := []peer.Option{peer.WithReportInterval(reportInterval)}
 	if s.PeerAddress.IsValid() {
 		source, err := newPeerSource(s.TLS.Peers, l)
@@ -59,12 +59,12 @@
 }
 
 // listen takes the address at which peers reach this entry host.
-func (c *cluster) listen() error {
+func (c *cluster) listen(ctx context.Context) error {
 	if !c.settings.PeerAddress.IsValid() {
 		return nil
 	}
 
-	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(c.settings.PeerAddress))
+	conn, err := c.sockets.ListenPacket(ctx, "udp", c.settings.PeerAddress.String())
 	if err != nil {
 		return merry.Prepend(err, "listen for peers")
 	}
--- a/entry/cluster_test.go
+++ b/entry/cluster_test.go
@@ -29,14 +29,15 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	at, sockets := openUDP(t)
 	c, err := newCluster(settings.Settings{
-		Name: name, PeerAddress: freeUDP(t),
+		Name: name, PeerAddress: at,
 		TLS: settings.TLS{Peers: settings.TLSFiles{CertificateFile: f.Certificate, KeyFile: f.Key, CAFile: f.CA}},
-	}, s.Client(), log.New(io.Discard))
+	}, s.Client(), log.New(io.Discard), sockets)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := c.listen(); err != nil {
+	if err := c.listen(t.Context()); err != nil {
 		t.Fatal(err)
 	}
 
@@ -51,15 +52,17 @@
 	return c
 }
 
-func freeUDP(t *testing.T) netip.AddrPort {
+// openUDP opens a socket and returns its address, with sockets that hand it over.
+func openUDP(t *testing.T) (netip.AddrPort, Sockets) {
 	t.Helper()
 	c, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = c.Close() }()
 
-	return netip.MustParseAddrPort(c.LocalAddr().String())
+	return netip.MustParseAddrPort(c.LocalAddr().String()), Sockets{
+		ListenPacket: func(context.Context, string, string) (net.PacketConn, error) { return c, nil },
+	}
 }
 
 // heard waits until c has an answer of a peer to a heartbeat, or the test's deadline comes near.
--- a/entry/host.go
+++ b/entry/host.go
@@ -45,6 +45,7 @@
 	Trail    *audit.Trail
 	Metrics  *operatorMetrics
 	Log      *log.Logger
+	Sockets  Sockets
 }
 
 // Host is one entry host.
@@ -53,15 +54,13 @@
 	caller   *callerAPI
 	operator *operatorAPI
 	stopping atomic.Bool
-	listen   func(ctx context.Context, network, address string) (net.Listener, error)
 }
 
 // newHost puts the parts together; wire calls it.
 func newHost(p parts) *Host {
-	var lc net.ListenConfig
 	p.Settings = p.Settings.WithDefaults()
 	h := &Host{
-		parts: p, listen: lc.Listen,
+		parts:    p,
 		caller:   &callerAPI{gate: p.Gate, sender: p.Sender, log: p.Log, longest: p.Settings.MaxRequestTime.Std()},
 		operator: &operatorAPI{settings: p.Settings, book: p.Book, trail: p.Trail, store: p.Store, metrics: p.Metrics, log: p.Log},
 	}
@@ -84,16 +83,16 @@
 
 // Run serves until ctx ends, then finishes what is in progress and returns.
 func (h *Host) Run(ctx context.Context) error {
-	callers, err := h.listen(ctx, "tcp", h.Settings.CallerAddress.String())
+	callers, err := h.Sockets.Listen(ctx, "tcp", h.Settings.CallerAddress.String())
 	if err != nil {
 		return merry.Prepend(err, "listen for callers")
 	}
-	operators, err := h.listen(ctx, "tcp", h.Settings.OperatorAddress.String())
+	operators, err := h.Sockets.Listen(ctx, "tcp", h.Settings.OperatorAddress.String())
 	if err != nil {
 		return merry.Prepend(err, "listen for operators")
 	}
 
-	if err := h.Cluster.listen(); err != nil {
+	if err := h.Cluster.listen(ctx); err != nil {
 		return err
 	}
 
--- a/entry/wire_gen.go
+++ b/entry/wire_gen.go
@@ -15,11 +15,11 @@
 
 // Injectors from wire.go:
 
-// New returns an entry host with the given settings and logger; its error names a certificate that can't be read.
-func New(s settings.Settings, l *log.Logger) (*Host, error) {
+// New returns an entry host with the given settings, logger and sockets; its error names a certificate that can't be read.
+func New(s settings.Settings, l *log.Logger, sockets Sockets) (*Host, error) {
 	client := newStore(s)
 	hostapiClient := newPlatform(s)
-	entryCluster, err := newCluster(s, client, l)
+	entryCluster, err := newCluster(s, client, l, sockets)
 	if err != nil {
 		return nil, err
 	}
@@ -48,6 +48,7 @@
 		Trail:    trail,
 		Metrics:  entryOperatorMetrics,
 		Log:      l,
+		Sockets:  sockets,
 	}
 	host := newHost(entryParts)
 	return host, nil
--- a/estate/entry.go
+++ b/estate/entry.go
@@ -11,13 +11,14 @@
 
 	"lycheehook.example/lycheehook/entry"
 	"lycheehook.example/lycheehook/key"
+	"lycheehook.example/lycheehook/pause"
 	"lycheehook.example/lycheehook/settings"
 )
 
 const (
 	// DevOperatorToken is the operators' token of every sample estate.
 	DevOperatorToken = "dev-operator"
-	listenPoll       = time.Millisecond
+	listenPoll       = 10 * time.Millisecond
 )
 
 // entryHost is a running entry host of the estate.
@@ -52,7 +53,7 @@
 	return addrs
 }
 
-// AddEntry starts one more entry host and returns its settings when it listens.
+// AddEntry starts one more entry host and returns its settings; its addresses take connections from then on.
 func (e *Estate) AddEntry(ctx context.Context) (settings.Settings, error) {
 	e.mu.Lock()
 	n := len(e.entries)
@@ -63,18 +64,15 @@
 		StoreAddress: e.storeAddress, PlatformAddress: e.platformAddress,
 		Operators: []settings.Operator{{Name: "dev", TokenHash: key.NewHashed(DevOperatorToken)}},
 	}
-	for _, addr := range []*netip.AddrPort{&s.CallerAddress, &s.OperatorAddress, &s.PeerAddress} {
-		var err error
-		if *addr, err = freeAddress(ctx); err != nil {
-			return s, err
-		}
+	err := e.open(ctx, &s)
+	if err != nil {
+		return s, err
 	}
-
-	var err error
 	if s.TLS.Peers, err = e.issue(s); err != nil {
 		return s, err
 	}
 	if e.separate != "" {
+		e.sockets.close()
 		e.append(&entryHost{settings: s, stop: func() {}})
 		return s, e.writeEntry(s)
 	}
@@ -82,7 +80,7 @@
 	h := &entryHost{settings: s}
 	hostCtx, stop := context.WithCancel(ctx)
 	h.stop = stop
-	process, err := entry.New(s, e.log.With("entry", s.Name))
+	process, err := entry.New(s, e.log.With("entry", s.Name), e.sockets.handOver())
 	if err != nil {
 		stop()
 		return s, err
@@ -95,7 +93,21 @@
 
 	e.append(h)
 
-	return s, awaitListening(ctx, s.CallerAddress, s.OperatorAddress)
+	return s, nil
+}
+
+// open opens what an entry host will listen on, and sets its addresses.
+func (e *Estate) open(ctx context.Context, s *settings.Settings) error {
+	var err error
+	if s.CallerAddress, err = e.sockets.openTCP(ctx); err != nil {
+		return err
+	}
+	if s.OperatorAddress, err = e.sockets.openTCP(ctx); err != nil {
+		return err
+	}
+	s.PeerAddress, err = e.sockets.openUDP(ctx)
+
+	return err
 }
 
 func (e *Estate) append(h *entryHost) {
@@ -132,18 +144,7 @@
 	return live
 }
 
-// freeAddress returns a loopback address whose port was free a moment ago.
-func freeAddress(ctx context.Context) (netip.AddrPort, error) {
-	var lc net.ListenConfig
-	l, err := lc.Listen(ctx, "tcp", "127.0.0.1:0")
-	if err != nil {
-		return netip.AddrPort{}, merry.Prepend(err, "listen")
-	}
-	defer func() { _ = l.Close() }()
-
-	return netip.ParseAddrPort(l.Addr().String())
-}
-
+// awaitListening returns when all addresses take connections, or the context has ended.
 func awaitListening(ctx context.Context, addrs ...netip.AddrPort) error {
 	var d net.Dialer
 	for _, a := range addrs {
@@ -156,7 +157,7 @@
 			if ctx.Err() != nil {
 				return merry.Prependf(ctx.Err(), "%s does not listen", a)
 			}
-			time.Sleep(listenPoll)
+			pause.For(ctx, listenPoll)
 		}
 	}
 
--- a/estate/estate.go
+++ b/estate/estate.go
@@ -43,6 +43,7 @@
 	service                 time.Duration
 	servers                 []*http.Server
 
+	sockets         *sockets
 	storeAddress    netip.AddrPort
 	platformAddress netip.AddrPort
 
@@ -72,7 +73,7 @@
 func New(l *log.Logger, opts ...Option) *Estate {
 	e := &Estate{
 		Sample: Ledger(), Store: standin.NewStore(), Platform: standin.NewPlatform(), Keys: map[fleet.TeamName]string{},
-		log: l, entryCount: defaultEntries, service: defaultService,
+		sockets: newSockets(), log: l, entryCount: defaultEntries, service: defaultService,
 	}
 	for _, opt := range opts {
 		opt(e)
@@ -120,6 +121,7 @@
 	for _, s := range e.servers {
 		_ = s.Close()
 	}
+	e.sockets.close()
 	if e.temporary != "" {
 		_ = os.RemoveAll(e.temporary)
 	}
@@ -154,7 +156,7 @@
 // serve serves h on a loopback port that the kernel chooses.
 func (e *Estate) serve(ctx context.Context, h http.Handler) (netip.AddrPort, error) {
 	var lc net.ListenConfig
-	l, err := lc.Listen(ctx, "tcp", "127.0.0.1:0")
+	l, err := lc.Listen(ctx, "tcp", loopback)
 	if err != nil {
 		return netip.AddrPort{}, merry.Prepend(err, "listen")
 	}
--- a/estate/steps.go
+++ b/estate/steps.go
@@ -13,16 +13,19 @@
 
 	"lycheehook.example/lycheehook/fleet"
 	"lycheehook.example/lycheehook/load"
+	"lycheehook.example/lycheehook/pause"
 	"lycheehook.example/lycheehook/standin"
 )
 
 const (
-	loadDuration   = 3 * time.Second
-	loadTimeout    = 8 * time.Second
-	outage         = 5 * time.Second
-	leavingSettle  = 3 * time.Second
-	slowRequest    = 1500 * time.Millisecond
-	stopHeadStart  = 300 * time.Millisecond
+	loadDuration  = 3 * time.Second
+	loadTimeout   = 8 * time.Second
+	outage        = 5 * time.Second
+	leavingSettle = 3 * time.Second
+	slowRequest   = 1500 * time.Millisecond
+	// startLimit is how long requests may take to be in progress on endpoints.
+	startLimit     = 10 * time.Second
+	startPoll      = 5 * time.Millisecond
 	inProgressWork = 6
 )
 
@@ -182,6 +185,23 @@
 	return tally(report)
 }
 
+// awaitRunning returns when that many requests are in progress on the endpoints.
+func (e *Estate) awaitRunning(ctx context.Context, requests int) error {
+	deadline := time.Now().Add(startLimit)
+	for {
+		running := 0
+		for _, ep := range e.Endpoints {
+			running += ep.Running()
+		}
+		if running >= requests {
+			return nil
+		}
+		if time.Now().After(deadline) || !pause.For(ctx, startPoll) {
+			return merry.Prependf(ErrPromiseBroken, "%d of %d requests are in progress after %s", running, requests, startLimit)
+		}
+	}
+}
+
 // checkGracefulStop stops an entry host with slow requests in progress through it.
 func (e *Estate) checkGracefulStop(ctx context.Context) (string, error) {
 	s := e.Entries()[0]
@@ -199,7 +219,9 @@
 			}
 		})
 	}
-	time.Sleep(stopHeadStart)
+	if err := e.awaitRunning(ctx, inProgressWork); err != nil {
+		return "", err
+	}
 	e.StopEntry()
 	wg.Wait()
 	if whole.Load() != inProgressWork {
--- a/standin/endpoint.go
+++ b/standin/endpoint.go
@@ -75,6 +75,14 @@
 	return e.total
 }
 
+// Running returns how many requests are running.
+func (e *Endpoint) Running() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	return e.running
+}
+
 // MostRunning returns the largest number of requests that ran at once.
 func (e *Endpoint) MostRunning() int {
 	e.mu.Lock()
