--- /dev/null
+++ b/admission/bench_test.go
@@ -0,0 +1,56 @@
+package admission_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	"lycheehook.example/lycheehook/admission"
+	"lycheehook.example/lycheehook/fleet"
+	"lycheehook.example/lycheehook/refusal"
+)
+
+// BenchmarkAdmit measures an uncontended admission with its release.
+func BenchmarkAdmit(b *testing.B) {
+	r := newRig(8)
+	ctx, req := b.Context(), r.work("a")
+	b.ReportAllocs()
+	for b.Loop() {
+		g, err := r.Admit(ctx, req)
+		if err != nil {
+			b.Fatal(err)
+		}
+		g.Release()
+	}
+}
+
+// BenchmarkAdmitOpen is the same without a key.
+func BenchmarkAdmitOpen(b *testing.B) {
+	r := newRig(8)
+	ctx, req := b.Context(), admission.Request{Queue: "open", Size: slots(1)}
+	b.ReportAllocs()
+	for b.Loop() {
+		g, err := r.Admit(ctx, req)
+		if err != nil {
+			b.Fatal(err)
+		}
+		g.Release()
+	}
+}
+
+// BenchmarkAdmitContended measures admissions of which most have to wait.
+func BenchmarkAdmitContended(b *testing.B) {
+	r := newRig(4)
+	b.ReportAllocs()
+	b.SetParallelism(4)
+	b.RunParallel(func(p *testing.PB) {
+		for i := 0; p.Next(); i++ {
+			g, err := r.Admit(b.Context(), r.work([]fleet.TeamName{"a", "b", "c"}[i%3]))
+			if err == nil {
+				g.Release()
+			} else if !errors.Is(err, refusal.Refuse(refusal.QueueFull, "")) {
+				b.Error(fmt.Errorf("admit: %w", err))
+			}
+		}
+	})
+}
--- /dev/null
+++ b/pause/doc.go
@@ -0,0 +1,2 @@
+// Package pause waits without outliving the context of its caller.
+package pause
--- a/pause/pause.go
+++ b/pause/pause.go
@@ -1,4 +1,3 @@
-// Package pause waits without outliving the context of its caller.
 package pause
 
 import (
