--- a/manager/manager.go
+++ b/manager/manager.go
@@ -166,7 +166,7 @@
 
 func bounds(s settings.Manager) schedule.Bounds {
 	return schedule.Bounds{
-		MaxLease: s.Bounds.MaxLease.Std(), EarlyStart: s.Bounds.EarlyStart.Std(), MoveTime: s.Bounds.MoveTime.Std(),
+		MaxLease: s.Bounds.MaxLease.Std(), MoveTime: s.Bounds.MoveTime.Std(),
 		DutyQuiet: s.Bounds.DutyQuiet.Std(),
 	}
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -41,8 +41,7 @@
 	left     bool
 	probed   time.Time
 	// good is the peer through which the last call went.
-	good    string
-	reached time.Time
+	good string
 }
 
 // New returns a route; via returns the exchange with a peer, peers the addresses of those that are known, and probe is
@@ -55,14 +54,6 @@
 	return &Route{direct: direct, via: via, peers: peers, probe: probe, log: l}
 }
 
-// Reached returns when a call last got an answer of the store.
-func (r *Route) Reached() time.Time {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-
-	return r.reached
-}
-
 // Exchange carries out a call. One that was surely not carried out is tried through peers; one whose outcome is
 // unknown is tried again only if it can't change anything.
 func (r *Route) Exchange(ctx context.Context, req platform.Request) (platform.Response, error) {
@@ -132,7 +123,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if ok {
-		r.failures, r.reached = 0, time.Now()
+		r.failures = 0
 		if r.left {
 			r.left = false
 			r.log.Info("the store answers this host again")
@@ -161,7 +152,7 @@
 func (r *Route) setGood(peer string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.good, r.reached = peer, time.Now()
+	r.good = peer
 }
 
 // order returns the peers to ask: the one that helped last, and then others at random.
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -53,8 +53,6 @@
 type Bounds struct {
 	// MaxLease bounds the lease of what runs on a worker.
 	MaxLease time.Duration
-	// EarlyStart is how long before its time an occurrence may start.
-	EarlyStart time.Duration
 	// MoveTime is how long a host is away when it changes its pool.
 	MoveTime time.Duration
 	// DutyQuiet is how long nobody may order a host after another owner did.
--- a/settings/manager.go
+++ b/settings/manager.go
@@ -36,23 +36,12 @@
 	Grace fleet.Duration `json:",omitzero"`
 	// MaxLease bounds the lease of what runs on a worker.
 	MaxLease fleet.Duration `json:",omitzero"`
-	// StopTime bounds how long a worker takes to stop a run.
-	StopTime fleet.Duration `json:",omitzero"`
-	// EarlyStart is how long before its time an occurrence may start.
-	EarlyStart fleet.Duration `json:",omitzero"`
 	// StatusTime is how long callers may ask for the state of a job that ended.
 	StatusTime fleet.Duration `json:",omitzero"`
 	// DutyQuiet is how long nobody may order a host after its holder has changed.
 	DutyQuiet fleet.Duration `json:",omitzero"`
-	// NoticeTime is after how long a task that is not at work counts as away.
-	NoticeTime fleet.Duration `json:",omitzero"`
-	// MoveTime and UpkeepTime are how long a host is away.
-	MoveTime   fleet.Duration `json:",omitzero"`
-	UpkeepTime fleet.Duration `json:",omitzero"`
-	// PaceTime is how long a change of pace takes.
-	PaceTime fleet.Duration `json:",omitzero"`
-	// HarmTime is how long a task may be over its bound because of others.
-	HarmTime fleet.Duration `json:",omitzero"`
+	// MoveTime is how long a host is away when it changes its pool.
+	MoveTime fleet.Duration `json:",omitzero"`
 }
 
 // DefaultManager returns the values of the fields that a file may leave out.
@@ -60,15 +49,9 @@
 	return Manager{Bounds: Bounds{
 		Grace:      fleet.Duration(6 * time.Second),
 		MaxLease:   fleet.Duration(6 * time.Second),
-		StopTime:   fleet.Duration(200 * time.Millisecond),
-		EarlyStart: fleet.Duration(250 * time.Millisecond),
 		StatusTime: fleet.Duration(2 * time.Minute),
 		DutyQuiet:  fleet.Duration(3 * time.Second),
-		NoticeTime: fleet.Duration(4500 * time.Millisecond),
 		MoveTime:   fleet.Duration(1500 * time.Millisecond),
-		UpkeepTime: fleet.Duration(2 * time.Second),
-		PaceTime:   fleet.Duration(100 * time.Millisecond),
-		HarmTime:   fleet.Duration(4 * time.Second),
 	}}
 }
 
@@ -98,8 +81,7 @@
 	c.address("MetricsAddress", m.MetricsAddress)
 	c.address("StoreAddress", m.StoreAddress)
 	for path, d := range map[string]fleet.Duration{
-		"Bounds.Grace": m.Bounds.Grace, "Bounds.MaxLease": m.Bounds.MaxLease, "Bounds.StopTime": m.Bounds.StopTime,
-		"Bounds.StatusTime": m.Bounds.StatusTime, "Bounds.MoveTime": m.Bounds.MoveTime, "Bounds.UpkeepTime": m.Bounds.UpkeepTime,
+		"Bounds.Grace": m.Bounds.Grace, "Bounds.MaxLease": m.Bounds.MaxLease, "Bounds.StatusTime": m.Bounds.StatusTime, "Bounds.MoveTime": m.Bounds.MoveTime,
 	} {
 		if d <= 0 {
 			c.add(path, "is %s, must be above 0s", d)
--- a/work/config.go
+++ b/work/config.go
@@ -48,12 +48,8 @@
 // Pool is a set of workers that run the jobs of some queues.
 type Pool struct {
 	Name fleet.PoolName
-	// GuardsRoom says that the workers reject tasks that don't fit.
-	GuardsRoom bool
 	// Standby workers are off and cost nothing.
 	Standby bool
-	// HealthPath is where the workers answer probes.
-	HealthPath string
 }
 
 // Workspace is a group of callers with keys, a share and an upper limit.
@@ -63,7 +59,6 @@
 	Weight float64
 	// UpperLimit is the most that may run; zero in a component means no limit.
 	UpperLimit fleet.Resources
-	Priority   int
 }
 
 // WaveOrder is the operators' request that hosts have their upkeep in time.
--- a/work/task.go
+++ b/work/task.go
@@ -107,6 +107,4 @@
 	Percent int
 	// Tail is the tail of the response times of a task that serves users.
 	Tail time.Duration
-	// Used is the cores in use by any other task.
-	Used fleet.MilliCores
 }
--- a/work/worker.go
+++ b/work/worker.go
@@ -49,9 +49,8 @@
 	// Labels are the worker's kind and its rack.
 	Labels []string
 	Rack   fleet.RackName
-	// Draining workers take no new tasks; TimeLeft is the least time until they leave.
+	// Draining workers take no new tasks and will leave.
 	Draining bool
-	TimeLeft time.Duration
 }
 
 // Start orders a worker to run a task.
