--- a/dispatch/compact.go
+++ b/dispatch/compact.go
@@ -16,7 +16,7 @@
 	restatedChanges = 4000
 	// removals is how many keys go in one transaction beside the expectation of the owner's record.
 	removals = store.MaxTxnEntries - 1
-	// forgetInterval is the time between two looks for jobs that need not be kept any more.
+	// forgetInterval is the time between two searches for jobs that need not be kept any more.
 	forgetInterval = 10 * time.Second
 )
 
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -47,7 +47,7 @@
 	Cloud work.Cloud
 	// Holder names the entry host in orders to the cloud.
 	Holder string
-	// Waves returns the operators' requests for upkeep.
+	// Waves returns the operators' requests for maintenance.
 	Waves func() []work.WaveOrder
 	// TellWave writes what the operators read of a wave, if the owner's record still has the revision of the term.
 	TellWave func(ctx context.Context, term uint64, st schedule.WaveStatus) error
@@ -190,8 +190,8 @@
 	t.sched.Lapse(now)
 	if t.owned.Valid() {
 		t.sched.Place(now)
-		for _, l := range t.sched.Looks(now) {
-			go t.look(l)
+		for _, l := range t.sched.Polls(now) {
+			go t.poll(l)
 		}
 		if t.advise != nil {
 			if q, ok := t.sched.Question(now); ok {
@@ -260,10 +260,10 @@
 	t.signal()
 }
 
-func (t *term) look(l schedule.Look) {
-	sight, err := t.workers.Look(l.Worker, l.Order)
+func (t *term) poll(l schedule.Poll) {
+	reply, err := t.workers.Poll(l.Worker, l.Order)
 	t.mu.Lock()
-	t.sched.Seen(l, sight, err, time.Now())
+	t.sched.Polled(l, reply, err, time.Now())
 	t.mu.Unlock()
 	t.signal()
 }
--- a/dispatch/hosts.go
+++ b/dispatch/hosts.go
@@ -84,10 +84,10 @@
 		t.answerHost(o, work.ErrNotSent)
 		return
 	}
-	d := work.Duty{Holder: t.hosts.Holder, Token: t.owned.Revision}
+	d := work.Fence{Holder: t.hosts.Holder, Token: t.owned.Revision}
 	var err error
 	if o.Wave != 0 {
-		err = t.hosts.Cloud.Upkeep(ctx, d, o.Host, o.Wave)
+		err = t.hosts.Cloud.Maintain(ctx, d, o.Host, o.Wave)
 	} else {
 		err = t.hosts.Cloud.Move(ctx, d, o.Host, o.Pool)
 	}
--- /dev/null
+++ b/dispatch/logwriter_test.go
@@ -0,0 +1,94 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"lycheehook.example/lycheehook/ledger"
+	"lycheehook.example/lycheehook/standin"
+	"lycheehook.example/lycheehook/store"
+)
+
+// own writes the owner's record and returns the term that begins with it.
+func own(t *testing.T, c *store.Client, host string, base uint64) uint64 {
+	t.Helper()
+	term, err := c.Commit(t.Context(), store.Txn{
+		Expect: []store.Expectation{{Key: ledger.OwnerKey, Revision: base}}, Puts: []store.Put{{Key: ledger.OwnerKey, Value: []byte(host)}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	return term
+}
+
+// A batch is stored once, whatever becomes of answers, and not at all once another term has begun.
+func TestAppend(t *testing.T) {
+	tests := []struct {
+		name string
+		// before comes to pass before the batch is written, and after while it is.
+		before, after func(t *testing.T, s *standin.Store, term uint64)
+		err           error
+	}{
+		{"calm", func(*testing.T, *standin.Store, uint64) {}, nil, nil},
+		{"its answer is lost", func(_ *testing.T, s *standin.Store, _ uint64) { s.SetFault(standin.FaultAnswerLost) }, nil, nil},
+		{
+			"the store comes back", func(_ *testing.T, s *standin.Store, _ uint64) { s.SetFault(standin.FaultDown) },
+			func(_ *testing.T, s *standin.Store, _ uint64) { s.SetFault(standin.FaultNone) }, nil,
+		},
+		{
+			"the store is slow", func(_ *testing.T, s *standin.Store, _ uint64) { s.SetDelay(3 * minStoreWait) }, nil, nil,
+		},
+		{"another owns the workers", func(t *testing.T, s *standin.Store, term uint64) {
+			t.Helper()
+			own(t, s.Client(), "other", term)
+		}, nil, errTermOver},
+		{"another took over while the answer was lost", func(_ *testing.T, s *standin.Store, _ uint64) {
+			s.SetFault(standin.FaultDown)
+		}, func(t *testing.T, s *standin.Store, term uint64) {
+			t.Helper()
+			s.SetFault(standin.FaultNone)
+			own(t, s.Client(), "other", term)
+		}, errTermOver},
+		{"another wrote the batch", func(t *testing.T, s *standin.Store, _ uint64) {
+			t.Helper()
+			if _, err := s.Client().Commit(t.Context(), store.Txn{Puts: []store.Put{{Key: ledger.LogKey(0), Value: []byte("x")}}}); err != nil {
+				t.Fatal(err)
+			}
+		}, nil, errTermOver},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := standin.NewStore()
+				term := own(t, s.Client(), "self", 0)
+				tt.before(t, s, term)
+				if tt.after != nil {
+					time.AfterFunc(time.Second, func() { tt.after(t, s, term) })
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+				defer cancel()
+				w := newLogWriter(s.Client(), ledger.Owner{Host: "self"}, term, 0, 0, log.New(io.Discard))
+				err := w.append(ctx, []ledger.Change{{Kind: ledger.JobFailed}})
+				if !errors.Is(err, tt.err) || tt.err == nil && err != nil {
+					t.Fatalf("got %v, want %v", err, tt.err)
+				}
+				if tt.err != nil {
+					return
+				}
+				s.SetFault(standin.FaultNone)
+				s.SetDelay(0)
+				l, err := s.Client().List(t.Context(), ledger.LogPrefix)
+				if err != nil || len(l.Records) != 1 || w.next != 1 {
+					t.Errorf("%d batches, next is %d, %v", len(l.Records), w.next, err)
+				}
+			})
+		})
+	}
+}
--- a/intake/desk.go
+++ b/intake/committer.go
@@ -13,7 +13,7 @@
 	"lycheehook.example/lycheehook/store"
 )
 
-// Sentinel errors of the desk.
+// Sentinel errors of the committer.
 var (
 	// ErrNotStored says that a record surely is not stored, and won't be.
 	ErrNotStored = merry.Sentinel("intake: not stored")
@@ -35,12 +35,12 @@
 	lastWait = 80 * time.Millisecond
 )
 
-// Desk writes records under conditions, many in one transaction.
-type Desk struct {
+// Committer writes records under conditions, many in one transaction.
+type Committer struct {
 	client *store.Client
 	log    *log.Logger
 	mu     sync.Mutex
-	queue  []*filing
+	queue  []*pending
 	busy   bool
 	// wait is how long the store gets to answer.
 	wait time.Duration
@@ -48,8 +48,8 @@
 	failing time.Time
 }
 
-// filing is one record that is to be written if the key still has a revision.
-type filing struct {
+// pending is one record that is to be written if the key still has a revision.
+type pending struct {
 	key   string
 	value []byte
 	base  uint64
@@ -60,7 +60,7 @@
 	// abandoned says that nobody waits any more.
 	abandoned bool
 	done      chan struct{}
-	// refused is closed when an abandoned filing is surely not written.
+	// refused is closed when an abandoned pending is surely not written.
 	refused  chan struct{}
 	revision uint64
 	err      error
@@ -68,15 +68,15 @@
 	conflict *store.Record
 }
 
-// NewDesk returns a desk without work.
-func NewDesk(c *store.Client, l *log.Logger) *Desk {
-	return &Desk{client: c, log: l, wait: minStoreWait}
+// NewCommitter returns a committer without work.
+func NewCommitter(c *store.Client, l *log.Logger) *Committer {
+	return &Committer{client: c, log: l, wait: minStoreWait}
 }
 
-// File writes a value if the key still has revision base, and returns the new revision. Another state of the key is
+// Put writes a value if the key still has revision base, and returns the new revision. Another state of the key is
 // returned as a record with store.ErrConflict; a value that is there already counts as written.
-func (d *Desk) File(ctx context.Context, key string, value []byte, base uint64) (uint64, *store.Record, error) {
-	f := &filing{key: key, value: value, base: base, done: make(chan struct{}), refused: make(chan struct{})}
+func (d *Committer) Put(ctx context.Context, key string, value []byte, base uint64) (uint64, *store.Record, error) {
+	f := &pending{key: key, value: value, base: base, done: make(chan struct{}), refused: make(chan struct{})}
 	d.mu.Lock()
 	d.queue = append(d.queue, f)
 	if !d.busy {
@@ -92,9 +92,9 @@
 	}
 }
 
-// giveUp ends the wait for a filing; one that was never sent is surely not written. One that is being written is waited
+// giveUp ends the wait for a pending; one that was never sent is surely not written. One that is being written is waited
 // for a little longer, since a refusal of the store says that it was not.
-func (d *Desk) giveUp(f *filing) (uint64, *store.Record, error) {
+func (d *Committer) giveUp(f *pending) (uint64, *store.Record, error) {
 	d.mu.Lock()
 	f.abandoned = true
 	sent := f.sent
@@ -116,7 +116,7 @@
 }
 
 // work writes batches until nothing waits.
-func (d *Desk) work(ctx context.Context) {
+func (d *Committer) work(ctx context.Context) {
 	for {
 		batch, wait := d.take()
 		if len(batch) == 0 {
@@ -132,7 +132,7 @@
 }
 
 // learn sets how long the store gets to answer: four times what it took, and longer after a try without an answer.
-func (d *Desk) learn(answered bool, took time.Duration) {
+func (d *Committer) learn(answered bool, took time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if answered {
@@ -144,10 +144,10 @@
 }
 
 // take returns the next batch and how long the store gets for it, without those whose callers have gone; an empty one ends the work.
-func (d *Desk) take() ([]*filing, time.Duration) {
+func (d *Committer) take() ([]*pending, time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var batch []*filing
+	var batch []*pending
 	keys := map[string]bool{}
 	rest := d.queue[:0]
 	for _, f := range d.queue {
@@ -168,7 +168,7 @@
 }
 
 // write writes a batch and reports whether the store answered; what is not settled goes back into the queue.
-func (d *Desk) write(ctx context.Context, batch []*filing, wait time.Duration) bool {
+func (d *Committer) write(ctx context.Context, batch []*pending, wait time.Duration) bool {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	var t store.Txn
@@ -201,12 +201,12 @@
 }
 
 // split settles the filings whose keys have another revision, and puts the others back.
-func (d *Desk) split(batch []*filing, found []store.Record) {
+func (d *Committer) split(batch []*pending, found []store.Record) {
 	byKey := make(map[string]store.Record, len(found))
 	for _, r := range found {
 		byKey[r.Key] = r
 	}
-	var again []*filing
+	var again []*pending
 	for _, f := range batch {
 		r, exists := byKey[f.key]
 		switch {
@@ -224,7 +224,7 @@
 }
 
 // doubt notes that the last write of a batch may have taken effect, or may yet.
-func (d *Desk) doubt(batch []*filing) {
+func (d *Committer) doubt(batch []*pending) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, f := range batch {
@@ -234,7 +234,7 @@
 
 // unsend notes that the last write of a batch surely had no effect; an earlier one may have had. It returns what is to be
 // tried again: once the store has refused all for a while, callers are told so at once.
-func (d *Desk) unsend(batch []*filing) []*filing {
+func (d *Committer) unsend(batch []*pending) []*pending {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.failing.IsZero() {
@@ -259,13 +259,13 @@
 	return again
 }
 
-func (d *Desk) putBack(batch []*filing) {
+func (d *Committer) putBack(batch []*pending) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.queue = append(batch, d.queue...)
 }
 
-func (f *filing) settle(revision uint64, found *store.Record, err error) {
+func (f *pending) settle(revision uint64, found *store.Record, err error) {
 	f.revision, f.conflict, f.err = revision, found, err
 	close(f.done)
 }
--- a/intake/desk_test.go
+++ b/intake/committer_test.go
@@ -25,7 +25,7 @@
 }
 
 // What a caller is told of a record is true under each fault of the store.
-func TestFile(t *testing.T) {
+func TestPut(t *testing.T) {
 	tests := []struct {
 		name   string
 		fault  standin.Fault
@@ -54,7 +54,7 @@
 				s.SetFault(tt.fault)
 				ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
 				defer cancel()
-				_, _, err := NewDesk(s.Client(), log.New(io.Discard)).File(ctx, "k", []byte("value"), tt.base)
+				_, _, err := NewCommitter(s.Client(), log.New(io.Discard)).Put(ctx, "k", []byte("value"), tt.base)
 				if !errors.Is(err, tt.err) || tt.err == nil && err != nil {
 					t.Errorf("got %v, want %v", err, tt.err)
 				}
@@ -78,14 +78,14 @@
 		t.Fatal(err)
 	}
 	s.SetDelay(20 * time.Millisecond)
-	d := NewDesk(s.Client(), log.New(io.Discard))
+	d := NewCommitter(s.Client(), log.New(io.Discard))
 	const records = 40
 	var all sync.WaitGroup
 	var mu sync.Mutex
 	outcomes := map[bool]int{}
 	for i := range records {
 		all.Go(func() {
-			_, _, err := d.File(t.Context(), fmt.Sprint("k", i), []byte("mine"), 0)
+			_, _, err := d.Put(t.Context(), fmt.Sprint("k", i), []byte("mine"), 0)
 			mu.Lock()
 			defer mu.Unlock()
 			outcomes[err == nil]++
@@ -103,11 +103,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := standin.NewStore()
 		s.SetDelay(2 * minStoreWait)
-		d := NewDesk(s.Client(), log.New(io.Discard))
+		d := NewCommitter(s.Client(), log.New(io.Discard))
 		const records = 20
 		for i := range records {
 			ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
-			if _, _, err := d.File(ctx, fmt.Sprint("k", i), []byte("v"), 0); err != nil {
+			if _, _, err := d.Put(ctx, fmt.Sprint("k", i), []byte("v"), 0); err != nil {
 				t.Error(err)
 			}
 			cancel()
@@ -124,12 +124,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := standin.NewStore()
 		s.SetFault(standin.FaultDown)
-		d := NewDesk(s.Client(), log.New(io.Discard))
+		d := NewCommitter(s.Client(), log.New(io.Discard))
 		file := func(key string) (time.Duration, error) {
 			ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
 			defer cancel()
 			began := time.Now()
-			_, _, err := d.File(ctx, key, []byte("v"), 0)
+			_, _, err := d.Put(ctx, key, []byte("v"), 0)
 
 			return time.Since(began), err
 		}
--- a/intake/handler.go
+++ b/intake/handler.go
@@ -32,12 +32,12 @@
 
 // Handler answers callers.
 type Handler struct {
-	desk     *Desk
-	client   *store.Client
-	follower *ledger.Follower
-	log      *log.Logger
-	observe  Observer
-	router   atomic.Pointer[Router]
+	committer *Committer
+	client    *store.Client
+	follower  *ledger.Follower
+	log       *log.Logger
+	observe   Observer
+	router    atomic.Pointer[Router]
 }
 
 // Observer is told of each answer, for logs and metrics.
@@ -59,7 +59,7 @@
 
 // NewHandler returns a handler that refuses all until it has a configuration.
 func NewHandler(c *store.Client, f *ledger.Follower, l *log.Logger, observe Observer) *Handler {
-	return &Handler{desk: NewDesk(c, l), client: c, follower: f, log: l, observe: observe}
+	return &Handler{committer: NewCommitter(c, l), client: c, follower: f, log: l, observe: observe}
 }
 
 // SetConfig puts a configuration in force.
@@ -192,7 +192,7 @@
 		return refuse(http.StatusInternalServerError, err.Error())
 	}
 
-	_, found, err := h.desk.File(ctx, ledger.JobKey(j.ID), value, 0)
+	_, found, err := h.committer.Put(ctx, ledger.JobKey(j.ID), value, 0)
 	switch {
 	case err == nil, found != nil && !tombstone(*found):
 		return accept(platform.EncodeState(platform.StateQueued))
@@ -287,7 +287,7 @@
 		if err != nil {
 			return refuse(http.StatusInternalServerError, err.Error())
 		}
-		_, found, err := h.desk.File(ctx, ledger.JobKey(id), value, revision)
+		_, found, err := h.committer.Put(ctx, ledger.JobKey(id), value, revision)
 		switch {
 		case err == nil:
 			return cancelled(absent)
--- a/ledger/book.go
+++ b/ledger/book.go
@@ -42,7 +42,7 @@
 	// first is the number of the oldest batch that was kept when the book was read, next that of the next one.
 	first, next uint64
 	early       map[uint64]Batch
-	// maintained has the hosts that had their upkeep, by wave.
+	// maintained has the hosts that had their maintenance, by wave.
 	maintained map[int64][]fleet.HostName
 	// ordered has the last order to each host.
 	ordered map[fleet.HostName]announced
@@ -278,7 +278,7 @@
 	return b.faults
 }
 
-// Maintained returns the hosts that had their upkeep, by wave; the caller must be the only user of the book.
+// Maintained returns the hosts that had their maintenance, by wave; the caller must be the only user of the book.
 func (b *Book) Maintained() map[int64][]fleet.HostName {
 	return b.maintained
 }
--- a/ledger/change.go
+++ b/ledger/change.go
@@ -44,7 +44,7 @@
 	Ended
 	// JobFailed is a job of which a task used up its attempts.
 	JobFailed
-	// Maintained is a host that had its upkeep: Worker has the host's name and Life the number of the wave.
+	// Maintained is a host that had its maintenance: Worker has the host's name and Life the number of the wave.
 	Maintained
 	// HostOrdered is a host that is about to be ordered away: Worker has the host's name.
 	HostOrdered
--- a/manager/config.go
+++ b/manager/config.go
@@ -47,7 +47,7 @@
 	return *p, true
 }
 
-// Waves returns the operators' requests for upkeep.
+// Waves returns the operators' requests for maintenance.
 func (c *Configuration) Waves() []work.WaveOrder {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/manager/manager.go
+++ b/manager/manager.go
@@ -167,7 +167,7 @@
 func bounds(s settings.Manager) schedule.Bounds {
 	return schedule.Bounds{
 		MaxLease: s.Bounds.MaxLease.Std(), MoveTime: s.Bounds.MoveTime.Std(),
-		DutyQuiet: s.Bounds.DutyQuiet.Std(),
+		HandoverQuiet: s.Bounds.HandoverQuiet.Std(),
 	}
 }
 
--- a/schedule/compact.go
+++ b/schedule/compact.go
@@ -23,7 +23,7 @@
 		}
 	}
 	for name, h := range s.hosts {
-		if h.phase != serving || now.Sub(h.ordered) < s.bounds.DutyQuiet+quietMargin {
+		if h.phase != serving || now.Sub(h.ordered) < s.bounds.HandoverQuiet+quietMargin {
 			changes = append(changes, ledger.Change{Kind: ledger.HostOrdered, Worker: work.WorkerID(name)})
 		}
 	}
--- a/schedule/decision.go
+++ b/schedule/decision.go
@@ -32,7 +32,7 @@
 	DecidedWorkerSuspected Kind = "WorkerSuspected"
 	// DecidedNoAdvice is a question about workers that was not answered.
 	DecidedNoAdvice Kind = "NoAdvice"
-	// DecidedHostEmptying is a host that gets no new tasks, for an upkeep or a move.
+	// DecidedHostEmptying is a host that gets no new tasks, for maintenance or a move.
 	DecidedHostEmptying Kind = "HostEmptying"
 	// DecidedHostOrdered is the answer to an order to a host.
 	DecidedHostOrdered Kind = "HostOrdered"
--- a/schedule/host.go
+++ b/schedule/host.go
@@ -42,7 +42,7 @@
 	again     time.Time
 }
 
-// hostPlan is an upkeep for a wave, or a move to a pool.
+// hostPlan is maintenance for a wave, or a move to a pool.
 type hostPlan struct {
 	wave int64
 	pool fleet.PoolName
@@ -51,7 +51,7 @@
 // String returns the plan for logs.
 func (p hostPlan) String() string {
 	if p.wave != 0 {
-		return "upkeep of wave " + strconv.FormatInt(p.wave, 10)
+		return "maintenance of wave " + strconv.FormatInt(p.wave, 10)
 	}
 
 	return "move to " + string(p.pool)
@@ -143,7 +143,7 @@
 	s.dirty = true
 }
 
-// markCordons notes on each worker whether its host is being emptied or is due for upkeep.
+// markCordons notes on each worker whether its host is being emptied or is due for maintenance.
 func (s *Scheduler) markCordons() {
 	for _, w := range s.workers {
 		w.cordoned, w.due = false, false
@@ -163,7 +163,7 @@
 	if s.listed.IsZero() {
 		return nil
 	}
-	s.planUpkeep(now)
+	s.planMaintenance(now)
 	s.planMoves(now)
 	s.markCordons()
 	var orders []HostOrder
@@ -200,7 +200,7 @@
 // for a time.
 func (s *Scheduler) SetOrdered(ordered map[fleet.HostName]ledger.HostOrder, self fleet.EntryName, now time.Time) {
 	for name, o := range ordered {
-		if left := s.bounds.DutyQuiet + quietMargin - o.Age; o.By != self && left > 0 {
+		if left := s.bounds.HandoverQuiet + quietMargin - o.Age; o.By != self && left > 0 {
 			s.quiet[name] = now.Add(left)
 		}
 	}
--- a/schedule/host_test.go
+++ b/schedule/host_test.go
@@ -52,7 +52,7 @@
 	b := newBench(t, 6)
 	b.settle()
 	l := cloud(6)
-	l[0].State, l[1].State = work.HostUpkeep, work.HostUpkeep
+	l[0].State, l[1].State = work.HostMaintenance, work.HostMaintenance
 	b.list(l)
 	b.s.SetWave(work.WaveOrder{Number: 1, Hosts: names(l), Duration: 8 * time.Second, MaxDown: 2}, b.now)
 	check(t, "orders while two hosts are down", 0, len(b.orders()))
@@ -61,8 +61,8 @@
 	check(t, "orders once they are back", 2, len(b.orders()))
 }
 
-// An upkeep that an earlier owner had carried out is answered as done and ends nothing, so what runs there is held on to.
-func TestUpkeepDoneBefore(t *testing.T) {
+// Maintenance that an earlier owner had carried out is answered as done and ends nothing, so what runs there is held on to.
+func TestMaintenanceDoneBefore(t *testing.T) {
 	b := newBench(t, 2)
 	b.settle()
 	b.submit("j", work.Step{Count: 2, Size: size(1000)})
@@ -120,7 +120,7 @@
 		b.s.HostAnswered(o, nil, b.now)
 	}
 	b.step()
-	l[0].State, l[0].Worker = work.HostUpkeep, ""
+	l[0].State, l[0].Worker = work.HostMaintenance, ""
 	b.list(l)
 	b.s.Register(b.regs["w0"], b.now)
 	b.submit("j", work.Step{Count: 20, Size: size(1000)})
@@ -140,7 +140,7 @@
 		b := newBench(t, 2)
 		b.settle()
 		l := cloud(2)
-		b.s.bounds.DutyQuiet = 3 * time.Second
+		b.s.bounds.HandoverQuiet = 3 * time.Second
 		ordered := map[fleet.HostName]ledger.HostOrder{}
 		for _, h := range names(l) {
 			ordered[h] = ledger.HostOrder{By: tt.by, Age: tt.age}
--- a/schedule/pace.go
+++ b/schedule/pace.go
@@ -17,8 +17,8 @@
 	leastPace = 15
 	// paceInterval is the time between two changes of a run's pace: the figures are those of half a second.
 	paceInterval = 600 * time.Millisecond
-	// paceLookWait is how long a worker may hold back its answer while tasks fill beside tasks that serve.
-	paceLookWait = 400 * time.Millisecond
+	// pacePollWait is how long a worker may hold back its answer while tasks fill beside tasks that serve.
+	pacePollWait = 400 * time.Millisecond
 )
 
 // stepOf returns the step of a run's task, or false if the ledger has no such task.
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -298,7 +298,7 @@
 // sharingPenalty puts a worker behind others where tasks that fill and tasks that serve would share it.
 const sharingPenalty = 2
 
-// duePenalty puts a worker that is due for upkeep behind all others, for a task that lasts.
+// duePenalty puts a worker that is due for maintenance behind all others, for a task that lasts.
 const duePenalty = 3
 
 // sortBy sorts by rising keys and keeps the order of equals.
--- a/schedule/look.go
+++ b/schedule/poll.go
@@ -10,32 +10,32 @@
 	"lycheehook.example/lycheehook/work"
 )
 
-// Look is a look at a worker that is due.
-type Look struct {
+// Poll is a poll of a worker that is due.
+type Poll struct {
 	Worker work.Registration
-	Order  work.Look
+	Order  work.Poll
 	life   work.Life
 	asked  time.Time
 	stored uint64
 }
 
-// Looks returns the looks that are due; each must be answered by Seen before the worker is looked at again.
-func (s *Scheduler) Looks(now time.Time) []Look {
-	var looks []Look
+// Polls returns the polls that are due; each must be answered by Polled before the worker is polled again.
+func (s *Scheduler) Polls(now time.Time) []Poll {
+	var polls []Poll
 	for _, w := range s.workers {
-		if wait, due := s.lookDue(w, now); due {
-			w.looking, w.wake = s.token(w), false
-			looks = append(looks, Look{
+		if wait, due := s.pollDue(w, now); due {
+			w.polling, w.wake = s.token(w), false
+			polls = append(polls, Poll{
 				Worker: w.reg, life: w.life, asked: now, stored: w.stored,
-				Order: work.Look{Token: s.token(w), Acked: w.stored, Until: s.renewal(w, now), Wait: wait},
+				Order: work.Poll{Token: s.token(w), Acked: w.stored, Until: s.renewal(w, now), Wait: wait},
 			})
 		}
 	}
 
-	return looks
+	return polls
 }
 
-// renewal returns the end of a new lease for a look. A worker that has not answered gets none, so that its leases end.
+// renewal returns the end of a new lease for a poll. A worker that has not answered gets none, so that its leases end.
 func (s *Scheduler) renewal(w *worker, now time.Time) time.Duration {
 	if w.unheard > 0 || len(w.runs) == 0 {
 		return 0
@@ -44,9 +44,9 @@
 	return s.lease(w, now)
 }
 
-// lookDue reports whether a worker is to be looked at now, and how long it may hold back its answer.
-func (s *Scheduler) lookDue(w *worker, now time.Time) (time.Duration, bool) {
-	if w.looking == s.token(w) || w.reg.Address == "" || now.Before(w.nextTry) || len(w.runs) == 0 && (w.cordoned || w.over) {
+// pollDue reports whether a worker is to be polled now, and how long it may hold back its answer.
+func (s *Scheduler) pollDue(w *worker, now time.Time) (time.Duration, bool) {
+	if w.polling == s.token(w) || w.reg.Address == "" || now.Before(w.nextTry) || len(w.runs) == 0 && (w.cordoned || w.over) {
 		return 0, false
 	}
 	switch {
@@ -61,10 +61,10 @@
 		return warmUpWait, true
 	case len(w.runs) > 0:
 		if _, both := s.shares(w); both {
-			return paceLookWait, true
+			return pacePollWait, true
 		}
 
-		return lookWait, true
+		return pollWait, true
 	default:
 		return 0, w.acked < w.stored && now.Sub(w.heard) > ackWait
 	}
@@ -84,14 +84,14 @@
 	return false
 }
 
-// Seen takes in the answer to a look.
-func (s *Scheduler) Seen(l Look, sight work.Sight, err error, now time.Time) {
+// Polled takes in the answer to a poll.
+func (s *Scheduler) Polled(l Poll, reply work.PollReply, err error, now time.Time) {
 	w, ok := s.workers[l.Worker.ID]
 	if !ok {
 		return
 	}
-	if w.looking == l.Order.Token {
-		w.looking = 0
+	if w.polling == l.Order.Token {
+		w.polling = 0
 	}
 	if l.life != w.life || l.Order.Token != s.token(w) {
 		// The answer is about an earlier life, or to an earlier token, and proves nothing any more.
@@ -99,30 +99,30 @@
 		return
 	}
 	if err != nil {
-		s.unseen(w, err, now)
+		s.unpolled(w, err, now)
 		return
 	}
-	if sight.Life != 0 && sight.Life != w.life {
-		if sight.Life > w.life {
-			s.reborn(w, sight.Life)
+	if reply.Life != 0 && reply.Life != w.life {
+		if reply.Life > w.life {
+			s.reborn(w, reply.Life)
 		}
 
 		return
 	}
 	w.unheard, w.acked = 0, max(w.acked, l.stored)
-	w.clock, w.asked, w.heard = sight.Clock, l.asked, now
+	w.clock, w.asked, w.heard = reply.Clock, l.asked, now
 	if !w.met {
 		w.met, s.dirty = true, true
 	}
 	if l.Order.Until == 0 && len(w.runs) > 0 {
-		// The first look at a worker only teaches its clock; the next one renews the leases.
+		// The first poll of a worker only teaches its clock; the next one renews the leases.
 		w.wake = true
 	}
-	s.takeEnds(w, sight.Ended, now)
-	s.takeActive(w, l, sight.Active, len(sight.Ended) >= work.MaxListedEnds, now)
+	s.takeEnds(w, reply.Ended, now)
+	s.takeActive(w, l, reply.Active, len(reply.Ended) >= work.MaxListedEnds, now)
 }
 
-func (s *Scheduler) unseen(w *worker, err error, now time.Time) {
+func (s *Scheduler) unpolled(w *worker, err error, now time.Time) {
 	w.unheard++
 	w.nextTry = now.Add(min(maxRetryWait, retryWait*time.Duration(w.unheard)))
 	if errors.Is(err, work.ErrFenced) {
@@ -165,7 +165,7 @@
 }
 
 // takeActive takes in what runs, and settles the runs that are not listed.
-func (s *Scheduler) takeActive(w *worker, l Look, active []work.Activity, full bool, now time.Time) {
+func (s *Scheduler) takeActive(w *worker, l Poll, active []work.Activity, full bool, now time.Time) {
 	listed := make(map[work.Attempt]bool, len(active))
 	for _, act := range active {
 		listed[act.Attempt] = true
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -46,7 +46,7 @@
 			spares = append(spares, h.Host)
 		}
 	}
-	// Hosts that had their upkeep, or are due for none, go first.
+	// Hosts that had their maintenance, or are due for none, go first.
 	sortBy(spares, func(h fleet.HostName) float64 {
 		if s.dueHosts[h] {
 			return 1
--- a/schedule/promise_test.go
+++ b/schedule/promise_test.go
@@ -168,16 +168,16 @@
 	b.submit("j", work.Step{Count: 1, Size: size(1000)})
 	b.settle()
 	w := b.s.workers["w0"]
-	look := Look{Worker: w.reg, life: w.life, asked: b.now, Order: work.Look{Token: b.s.token(w)}}
-	sight := work.Sight{Answer: work.Answer{Clock: b.clock(), Life: w.life}}
+	poll := Poll{Worker: w.reg, life: w.life, asked: b.now, Order: work.Poll{Token: b.s.token(w)}}
+	reply := work.PollReply{Answer: work.Answer{Clock: b.clock(), Life: w.life}}
 	for i := range 500 {
-		sight.Ended = append(sight.Ended, work.End{
+		reply.Ended = append(reply.Ended, work.End{
 			Number: uint64(500 - i), Attempt: work.Attempt{Task: work.Task{Job: "other", Index: i}, Number: 1}, Outcome: work.OutcomeStopped,
 		})
 	}
 	b.now = b.now.Add(time.Second)
-	look.asked = b.now
-	b.s.Seen(look, sight, nil, b.now)
+	poll.asked = b.now
+	b.s.Polled(poll, reply, nil, b.now)
 	check(t, "runs held", 1, len(w.runs))
 	check(t, "last end taken in", uint64(500), w.seen)
 }
--- a/schedule/run.go
+++ b/schedule/run.go
@@ -285,7 +285,7 @@
 				}
 			}
 		}
-		if !w.present && len(w.runs) == 0 && now.After(w.lapse) && w.looking == 0 {
+		if !w.present && len(w.runs) == 0 && now.After(w.lapse) && w.polling == 0 {
 			delete(s.workers, id)
 		}
 	}
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -55,8 +55,8 @@
 	MaxLease time.Duration
 	// MoveTime is how long a host is away when it changes its pool.
 	MoveTime time.Duration
-	// DutyQuiet is how long nobody may order a host after another owner did.
-	DutyQuiet time.Duration
+	// HandoverQuiet is how long nobody may order a host after another owner did.
+	HandoverQuiet time.Duration
 }
 
 // job is an accepted job that is not over.
@@ -199,7 +199,7 @@
 	return n
 }
 
-// Tick makes the next placement look at what only time has changed.
+// Tick makes the next placement consider what only time has changed.
 func (s *Scheduler) Tick() {
 	s.dirty = true
 }
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -82,8 +82,8 @@
 	for _, o := range b.s.Stops(b.now) {
 		b.order(o)
 	}
-	for _, l := range b.s.Looks(b.now) {
-		b.look(l)
+	for _, l := range b.s.Polls(b.now) {
+		b.poll(l)
 	}
 	b.now = b.now.Add(100 * time.Millisecond)
 }
@@ -108,23 +108,23 @@
 	b.s.Answered(o, work.Answer{Clock: b.clock(), Life: b.regs[id].Life}, nil, b.now)
 }
 
-func (b *bench) look(l Look) {
+func (b *bench) poll(l Poll) {
 	id := l.Worker.ID
 	if b.dark[id] {
-		b.s.Seen(l, work.Sight{}, work.ErrNoAnswer, b.now)
+		b.s.Polled(l, work.PollReply{}, work.ErrNoAnswer, b.now)
 		return
 	}
 	b.token[id] = max(b.token[id], l.Order.Token)
-	sight := work.Sight{Answer: work.Answer{Clock: b.clock(), Life: b.regs[id].Life}}
+	reply := work.PollReply{Answer: work.Answer{Clock: b.clock(), Life: b.regs[id].Life}}
 	for a := range b.runs[id] {
-		sight.Active = append(sight.Active, work.Activity{Attempt: a, Percent: 100, Checkpoint: b.saved[a]})
+		reply.Active = append(reply.Active, work.Activity{Attempt: a, Percent: 100, Checkpoint: b.saved[a]})
 	}
 	for _, e := range b.ends[id] {
 		if e.Number > l.Order.Acked {
-			sight.Ended = append(sight.Ended, e)
+			reply.Ended = append(reply.Ended, e)
 		}
 	}
-	b.s.Seen(l, sight, nil, b.now)
+	b.s.Polled(l, reply, nil, b.now)
 }
 
 func (b *bench) end(id work.WorkerID, a work.Attempt, o work.Outcome) {
@@ -206,7 +206,7 @@
 	check(t, "running after the second failure", 0, b.running())
 }
 
-// Kowhai, scale-1: racks went dark, each look planned a new lease, and lasting tasks were never restarted.
+// Kowhai, scale-1: racks went dark, each poll planned a new lease, and lasting tasks were never restarted.
 func TestLeasesEndOnSilentWorkers(t *testing.T) {
 	b := newBench(t, 2)
 	b.submit("j", work.Step{Count: 1, Size: size(1000), Lasting: true})
@@ -241,7 +241,7 @@
 	check(t, "running after the take-over", 0, b.running())
 }
 
-// An order that was not answered is settled by a look under a higher token, which keeps it from beginning later.
+// An order that was not answered is settled by a poll under a higher token, which keeps it from beginning later.
 func TestUnansweredStart(t *testing.T) {
 	b := newBench(t, 1)
 	b.settle()
--- a/schedule/upkeep.go
+++ b/schedule/wave.go
@@ -9,7 +9,7 @@
 	"lycheehook.example/lycheehook/work"
 )
 
-// wave is a request for upkeep with what has become of it.
+// wave is a request for maintenance with what has become of it.
 type wave struct {
 	order work.WaveOrder
 	// seen is when this owner learnt of the wave.
@@ -66,7 +66,7 @@
 	return err.Error()
 }
 
-// SetWave takes in a request for upkeep.
+// SetWave takes in a request for maintenance.
 func (s *Scheduler) SetWave(o work.WaveOrder, now time.Time) {
 	if s.waves[o.Number] != nil {
 		return
@@ -94,7 +94,7 @@
 	return false
 }
 
-// maintained notes that a host had its upkeep.
+// maintained notes that a host had its maintenance.
 func (s *Scheduler) maintained(number int64, h fleet.HostName) {
 	w, ok := s.waves[number]
 	if !ok || w.done[h] {
@@ -136,8 +136,8 @@
 	return WaveCompleted
 }
 
-// planUpkeep begins to empty hosts, as many as each wave allows and as the time that is left asks for.
-func (s *Scheduler) planUpkeep(now time.Time) {
+// planMaintenance begins to empty hosts, as many as each wave allows and as the time that is left asks for.
+func (s *Scheduler) planMaintenance(now time.Time) {
 	clear(s.dueHosts)
 	for _, w := range s.waves {
 		if w.told == WaveCompleted {
@@ -176,7 +176,7 @@
 	switch {
 	case h.phase != serving:
 		return h.plan.wave == w.order.Number
-	case h.State == work.HostUpkeep, h.State == work.HostDown:
+	case h.State == work.HostMaintenance, h.State == work.HostDown:
 		return true
 	default:
 		return !w.done[h.Host] && now.Before(s.quiet[h.Host])
@@ -210,7 +210,7 @@
 	return float64(gone+1) <= max(1, maxEmptied*float64(all))
 }
 
-// quietest returns the hosts in the order in which their upkeep disturbs least.
+// quietest returns the hosts in the order in which their maintenance disturbs least.
 func (s *Scheduler) quietest(hosts []*host) []*host {
 	load := func(h *host) float64 {
 		w, ok := s.workers[h.Worker]
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -17,11 +17,11 @@
 	gangPatience = time.Second
 	// tokenBumps is how many times a term can raise the token of one worker.
 	tokenBumps = 1 << 12
-	// silentAfter is how many looks in a row may go unanswered before no task is placed on a worker.
+	// silentAfter is how many polls in a row may go unanswered before no task is placed on a worker.
 	silentAfter = 2
-	// lookWait is how long a worker may hold back its answer until a run ends.
-	lookWait = 1500 * time.Millisecond
-	// ackWait is how long an idle worker's stored ends may wait for a look that tells it so.
+	// pollWait is how long a worker may hold back its answer until a run ends.
+	pollWait = 1500 * time.Millisecond
+	// ackWait is how long an idle worker's stored ends may wait for a poll that tells it so.
 	ackWait = 400 * time.Millisecond
 	// retryWait is the pause before a worker that did not answer is asked again; it grows with each time.
 	retryWait    = 150 * time.Millisecond
@@ -86,7 +86,7 @@
 	over  bool
 	life  work.Life
 	bumps uint64
-	// met says that the worker has answered a look with its present token.
+	// met says that the worker has answered a poll with its present token.
 	met  bool
 	runs map[work.Attempt]*run
 	used fleet.Resources
@@ -101,19 +101,19 @@
 	asked, heard time.Time
 	// lapse is when every lease given there has surely ended.
 	lapse time.Time
-	// unheard counts the looks in a row without an answer.
+	// unheard counts the polls in a row without an answer.
 	unheard int
 	nextTry time.Time
 	// seen is the number of the last end that was taken in, stored the last of those whose change is stored, acked the
 	// last that the worker was told.
 	seen, stored, acked uint64
-	// looking is the token of the look that is out; zero means none.
-	looking uint64
-	// wake asks for a look at once.
+	// polling is the token of the poll that is out; zero means none.
+	polling uint64
+	// wake asks for a poll at once.
 	wake bool
 	// failures counts the runs in a row that failed there.
 	failures int
-	// cordoned workers get no new tasks; due ones are to have their upkeep.
+	// cordoned workers get no new tasks; due ones are to have their maintenance.
 	cordoned, due bool
 	quarantine    time.Time
 }
--- a/settings/manager.go
+++ b/settings/manager.go
@@ -38,8 +38,8 @@
 	MaxLease fleet.Duration `json:",omitzero"`
 	// StatusTime is how long callers may ask for the state of a job that ended.
 	StatusTime fleet.Duration `json:",omitzero"`
-	// DutyQuiet is how long nobody may order a host after its holder has changed.
-	DutyQuiet fleet.Duration `json:",omitzero"`
+	// HandoverQuiet is how long nobody may order a host after its holder has changed.
+	HandoverQuiet fleet.Duration `json:",omitzero"`
 	// MoveTime is how long a host is away when it changes its pool.
 	MoveTime fleet.Duration `json:",omitzero"`
 }
@@ -47,11 +47,11 @@
 // DefaultManager returns the values of the fields that a file may leave out.
 func DefaultManager() Manager {
 	return Manager{Bounds: Bounds{
-		Grace:      fleet.Duration(6 * time.Second),
-		MaxLease:   fleet.Duration(6 * time.Second),
-		StatusTime: fleet.Duration(2 * time.Minute),
-		DutyQuiet:  fleet.Duration(3 * time.Second),
-		MoveTime:   fleet.Duration(1500 * time.Millisecond),
+		Grace:         fleet.Duration(6 * time.Second),
+		MaxLease:      fleet.Duration(6 * time.Second),
+		StatusTime:    fleet.Duration(2 * time.Minute),
+		HandoverQuiet: fleet.Duration(3 * time.Second),
+		MoveTime:      fleet.Duration(1500 * time.Millisecond),
 	}}
 }
 
--- a/telemetry/client.go
+++ b/telemetry/client.go
@@ -65,9 +65,9 @@
 			defer func(began time.Time) { m.call(to, "Pace", began, err) }(time.Now())
 			return w.Pace(r, p)
 		},
-		Look: func(r work.Registration, l work.Look) (s work.Sight, err error) {
-			defer func(began time.Time) { m.call(to, "Look", began, err) }(time.Now())
-			return w.Look(r, l)
+		Poll: func(r work.Registration, l work.Poll) (s work.PollReply, err error) {
+			defer func(began time.Time) { m.call(to, "Poll", began, err) }(time.Now())
+			return w.Poll(r, l)
 		},
 	}
 }
--- a/work/cloud.go
+++ b/work/cloud.go
@@ -17,8 +17,8 @@
 	ErrNotOfWave = merry.Sentinel("work: host is not of the wave")
 )
 
-// Duty names who orders hosts, fenced for each host.
-type Duty struct {
+// Fence names who orders hosts, fenced for each host.
+type Fence struct {
 	Holder string
 	Token  uint64
 }
@@ -28,10 +28,10 @@
 
 // The states of hosts.
 const (
-	HostUp     HostState = "Up"
-	HostMoving HostState = "Moving"
-	HostUpkeep HostState = "Upkeep"
-	HostDown   HostState = "Down"
+	HostUp          HostState = "Up"
+	HostMoving      HostState = "Moving"
+	HostMaintenance HostState = "Maintenance"
+	HostDown        HostState = "Down"
 )
 
 // HostStatus is what the cloud says of a host.
@@ -49,9 +49,9 @@
 
 // Cloud is the set of calls about hosts; its fields are seams for tests.
 type Cloud struct {
-	Hosts  func(ctx context.Context) ([]HostStatus, error)
-	Move   func(ctx context.Context, d Duty, h fleet.HostName, to fleet.PoolName) error
-	Upkeep func(ctx context.Context, d Duty, h fleet.HostName, wave int64) error
+	Hosts    func(ctx context.Context) ([]HostStatus, error)
+	Move     func(ctx context.Context, f Fence, h fleet.HostName, to fleet.PoolName) error
+	Maintain func(ctx context.Context, f Fence, h fleet.HostName, wave int64) error
 }
 
 // Advise returns the tickets of those of the named workers that may run a step.
--- a/work/config.go
+++ b/work/config.go
@@ -61,7 +61,7 @@
 	UpperLimit fleet.Resources
 }
 
-// WaveOrder is the operators' request that hosts have their upkeep in time.
+// WaveOrder is the operators' request that hosts have their maintenance in time.
 type WaveOrder struct {
 	Number int64
 	Hosts  []fleet.HostName
--- a/work/worker.go
+++ b/work/worker.go
@@ -77,8 +77,8 @@
 	Token   uint64
 }
 
-// Look renews the leases of all that runs on a worker and asks what runs and what has ended.
-type Look struct {
+// Poll renews the leases of all that runs on a worker and asks what runs and what has ended.
+type Poll struct {
 	Token uint64
 	// Acked is the number of the last end that is stored; the worker forgets it and all before.
 	Acked uint64
@@ -96,8 +96,8 @@
 	Life Life
 }
 
-// Sight is a worker's answer to a look.
-type Sight struct {
+// PollReply is a worker's answer to a poll.
+type PollReply struct {
 	Answer
 	Active []Activity
 	Ended  []End
@@ -108,5 +108,5 @@
 	Start func(r Registration, s Start) (Answer, error)
 	Stop  func(r Registration, s Stop) (Answer, error)
 	Pace  func(r Registration, p Pace) (Answer, error)
-	Look  func(r Registration, l Look) (Sight, error)
+	Poll  func(r Registration, l Poll) (PollReply, error)
 }
