Tell the owner of stored jobs directly

Cause: the owner learnt of jobs only by its watch of the ledger. Change: the host that stored a job sends it to the owner (package notice), many jobs in one message, in the owner's term only and within a second of the write. What is lost the watch brings. A cancel of a job whose record was removed meanwhile answers 410 instead of trying until its time is over. Test: manager.TestSilentWatch, which fails without the message; notice has the patterns of bursts and hold-ups.

--- a/intake/handler.go
+++ b/intake/handler.go
@@ -37,9 +37,18 @@
 	follower  *ledger.Follower
 	log       *log.Logger
 	observe   Observer
+	stored    func(r store.Record)
 	router    atomic.Pointer[Router]
 }
 
+// Option changes a new handler.
+type Option func(*Handler)
+
+// WithStored makes f be told of each record that the handler has stored.
+func WithStored(f func(r store.Record)) Option {
+	return func(h *Handler) { h.stored = f }
+}
+
 // Observer is told of each answer, for logs and metrics.
 type Observer func(Answered)
 
@@ -58,8 +67,13 @@
 }
 
 // NewHandler returns a handler that refuses all until it has a configuration.
-func NewHandler(c *store.Client, f *ledger.Follower, l *log.Logger, observe Observer) *Handler {
-	return &Handler{committer: NewCommitter(c, l), client: c, follower: f, log: l, observe: observe}
+func NewHandler(c *store.Client, f *ledger.Follower, l *log.Logger, observe Observer, options ...Option) *Handler {
+	h := &Handler{committer: NewCommitter(c, l), client: c, follower: f, log: l, observe: observe, stored: func(store.Record) {}}
+	for _, o := range options {
+		o(h)
+	}
+
+	return h
 }
 
 // SetConfig puts a configuration in force.
@@ -192,7 +206,7 @@
 		return refuse(http.StatusInternalServerError, err.Error())
 	}
 
-	_, found, err := h.committer.Put(ctx, ledger.JobKey(j.ID), value, 0)
+	found, err := h.put(ctx, ledger.JobKey(j.ID), value, 0)
 	switch {
 	case err == nil, found != nil && !tombstone(*found):
 		return accept(platform.EncodeState(platform.StateQueued))
@@ -205,6 +219,19 @@
 	}
 }
 
+// put stores a record if its key still has revision base, and tells of it; another state of the key is returned as a
+// record with store.ErrConflict.
+func (h *Handler) put(ctx context.Context, key string, value []byte, base uint64) (*store.Record, error) {
+	revision, found, err := h.committer.Put(ctx, key, value, base)
+	if err == nil {
+		r := store.Record{Key: key, Value: value, Revision: revision}
+		h.follower.Learn(r)
+		h.stored(r)
+	}
+
+	return found, err
+}
+
 // job returns the job that a request submits.
 func (r *request) job(w http.ResponseWriter) (work.Job, error) {
 	limit := r.router.Config().MaxBodyBytes
@@ -287,12 +314,15 @@
 		if err != nil {
 			return refuse(http.StatusInternalServerError, err.Error())
 		}
-		_, found, err := h.committer.Put(ctx, ledger.JobKey(id), value, revision)
+		found, err := h.put(ctx, ledger.JobKey(id), value, revision)
 		switch {
 		case err == nil:
 			return cancelled(absent)
+		case errors.Is(err, store.ErrConflict) && found == nil:
+			// The job was over long ago, and its record has been removed meanwhile.
+			return cancelled(true)
 		case errors.Is(err, store.ErrConflict) && ctx.Err() == nil:
-			h.learn(found)
+			h.follower.Learn(*found)
 		case errors.Is(err, ErrUnknown):
 			return refuse(http.StatusGatewayTimeout, "the store did not answer in time")
 		default:
@@ -301,17 +331,6 @@
 	}
 }
 
-// learn takes in a record that the book does not have yet.
-func (h *Handler) learn(r *store.Record) {
-	b := h.follower.Book()
-	if b == nil || r == nil {
-		return
-	}
-	if err := b.Follow(store.Event{Record: *r}); err != nil {
-		h.log.Error("record of the ledger passed over", "error", err)
-	}
-}
-
 func cancelled(absent bool) reply {
 	if absent {
 		return refuse(http.StatusGone, "no such job")
--- a/ledger/follower.go
+++ b/ledger/follower.go
@@ -112,6 +112,13 @@
 	return at, nil
 }
 
+// Learn takes in the record of a job that is known to be stored, before the store's watch brings it.
+func (f *Follower) Learn(r store.Record) {
+	if f.Book() != nil {
+		f.follow([]store.Event{{Record: r}})
+	}
+}
+
 func (f *Follower) follow(events []store.Event) {
 	b := f.Book()
 	for _, ev := range events {
--- a/manager/manager.go
+++ b/manager/manager.go
@@ -20,6 +20,7 @@
 	"lycheehook.example/lycheehook/dispatch"
 	"lycheehook.example/lycheehook/intake"
 	"lycheehook.example/lycheehook/ledger"
+	"lycheehook.example/lycheehook/notice"
 	"lycheehook.example/lycheehook/owner"
 	"lycheehook.example/lycheehook/platform"
 	"lycheehook.example/lycheehook/relay"
@@ -56,10 +57,13 @@
 	candidate *owner.Candidate
 	dispatch  *dispatch.Dispatcher
 	handler   *intake.Handler
-	metrics   *telemetry.Metrics
-	limiter   *telemetry.Limiter
-	listen    func(ctx context.Context, at netip.AddrPort) (net.Listener, error)
-	stopping  atomic.Bool
+	notices   *notice.Sender
+	// term is the term in which this process owns the workers, or nil.
+	term     atomic.Pointer[owner.Term]
+	metrics  *telemetry.Metrics
+	limiter  *telemetry.Limiter
+	listen   func(ctx context.Context, at netip.AddrPort) (net.Listener, error)
+	stopping atomic.Bool
 }
 
 // Option changes a new manager.
@@ -91,7 +95,8 @@
 	)
 	client := m.metrics.Store(platform.NewStore(m.route.Exchange, storeTimeout))
 	m.follower = ledger.NewFollower(client, l)
-	m.handler = intake.NewHandler(client, m.follower, l, m.answered)
+	m.notices = notice.NewSender(transport.To, m.ownerAddress, owner.Uptime, l)
+	m.handler = intake.NewHandler(client, m.follower, l, m.answered, intake.WithStored(m.tellOwner))
 	m.config = NewConfiguration(client, l, m.adopt)
 	self := ledger.Owner{Host: s.Name, Process: process.String()}
 	m.seat = owner.NewSeat(client, ledger.Host{Name: s.Name, Zone: s.Zone, PeerAddress: s.PeerAddress.String()}, l)
@@ -180,6 +185,7 @@
 	}
 	peers := restful.NewContainer()
 	peers.Add(relay.NewServer(m.route).Service())
+	peers.Add(notice.NewServer(m.owns, m.follower.Learn, m.log).Service())
 	if _, err := m.serve(ctx, m.settings.PeerAddress, peers); err != nil {
 		return err
 	}
@@ -214,8 +220,35 @@
 	return nil
 }
 
+// ownerAddress returns where the owner of the workers is reached, as far as this host knows.
+func (m *Manager) ownerAddress() notice.Owner {
+	b := m.follower.Book()
+	if b == nil {
+		return notice.Owner{}
+	}
+	o, term := b.Owner()
+
+	return notice.Owner{Address: o.PeerAddress, Term: term}
+}
+
+// tellOwner tells the owner of a record that this host has stored, unless that is this process.
+func (m *Manager) tellOwner(r store.Record) {
+	if m.term.Load() == nil {
+		m.notices.Tell(r)
+	}
+}
+
+// owns reports whether this process owns the workers in a term right now.
+func (m *Manager) owns(term uint64) bool {
+	t := m.term.Load()
+
+	return t != nil && t.Revision == term && t.Valid()
+}
+
 // own owns the workers for a term.
 func (m *Manager) own(ctx context.Context, t *owner.Term) {
+	m.term.Store(t)
+	defer m.term.Store(nil)
 	m.metrics.Term.Set(float64(t.Revision))
 	defer m.metrics.Term.Set(0)
 	m.dispatch.Serve(ctx, t)
--- a/manager/manager_test.go
+++ b/manager/manager_test.go
@@ -11,12 +11,14 @@
 	"net/netip"
 	"os"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/charmbracelet/log"
 
 	"lycheehook.example/lycheehook/fleet"
+	"lycheehook.example/lycheehook/ledger"
 	"lycheehook.example/lycheehook/manager"
 	"lycheehook.example/lycheehook/settings"
 	"lycheehook.example/lycheehook/standin"
@@ -37,6 +39,19 @@
 	managers []*process
 	// listeners are open from the start; they are not changed once managers run.
 	listeners map[netip.AddrPort]net.Listener
+	// hidden makes the store tell nothing of the ledger's changes.
+	hidden atomic.Bool
+}
+
+// hide lets watches and lists of the ledger go without an answer while the site's ledger is hidden.
+func (s *site) hide(store http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.hidden.Load() && r.Method == http.MethodGet && strings.HasPrefix(r.URL.Query().Get("pathPrefix"), ledger.Prefix) {
+			<-r.Context().Done()
+			return
+		}
+		store.ServeHTTP(w, r)
+	})
 }
 
 // process is one manager that runs in this process.
@@ -49,7 +64,7 @@
 func newSite(t *testing.T, managers, workers int, taskTime time.Duration) *site {
 	t.Helper()
 	s := &site{t: t, store: standin.NewStore(), listeners: map[netip.AddrPort]net.Listener{}}
-	server := httptest.NewServer(s.store.PlatformHandler())
+	server := httptest.NewServer(s.hide(s.store.PlatformHandler()))
 	t.Cleanup(server.Close)
 	s.put("op/config", []byte(config))
 	for i := range workers {
@@ -287,6 +302,42 @@
 	return 0
 }
 
+// A job that any entry host accepted begins although the store tells nobody of it: the owner hears of it from that host.
+func TestSilentWatch(t *testing.T) {
+	s := newSite(t, 3, 2, 50*time.Millisecond)
+	const before = "/post/0000000000000100"
+	s.call("POST", 0, before, twoSteps)
+	for i := range s.managers {
+		s.awaitState(i, before, "completed")
+	}
+	owner, ran := s.owner(), s.starts()
+	s.hidden.Store(true)
+	for i := range s.managers {
+		path := fmt.Sprintf("/post/00000000000001%02x", i+1)
+		if status, body := s.call("POST", i, path, twoSteps); status != http.StatusOK {
+			t.Fatalf("submission at entry host %d: %d %s", i, status, body)
+		}
+	}
+	s.await("all tasks of the first steps have begun", func() bool { return s.starts() >= ran+3*len(s.managers) })
+	s.hidden.Store(false)
+	for i := range s.managers {
+		s.awaitState(owner, fmt.Sprintf("/post/00000000000001%02x", i+1), "completed")
+	}
+	s.startedOnce()
+}
+
+// starts returns how many tasks began.
+func (s *site) starts() int {
+	n := 0
+	for _, w := range s.workers {
+		for range w.Starts() {
+			n++
+		}
+	}
+
+	return n
+}
+
 // Orders that are carried out without an answer lead to no second run of a task.
 func TestAnswersLost(t *testing.T) {
 	s := newSite(t, 1, 2, 300*time.Millisecond)
--- /dev/null
+++ b/notice/notice_test.go
@@ -0,0 +1,160 @@
+package notice
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/emicklei/go-restful/v3"
+	"github.com/google/go-cmp/cmp"
+
+	"lycheehook.example/lycheehook/ledger"
+	"lycheehook.example/lycheehook/platform"
+	"lycheehook.example/lycheehook/store"
+)
+
+var record = store.Record{Key: ledger.JobPrefix + "00000000000000a1", Value: []byte("job"), Revision: 7}
+
+// inbox is an owner that notes what it is told, after a delay.
+type inbox struct {
+	delay    time.Duration
+	messages []wireMessage
+	paths    []string
+}
+
+func (i *inbox) to(address string) platform.Exchange {
+	return func(_ context.Context, r platform.Request) (platform.Response, error) {
+		time.Sleep(i.delay)
+		m, err := decode(r.Body)
+		if err != nil {
+			return platform.Response{}, err
+		}
+		i.messages, i.paths = append(i.messages, m), append(i.paths, address+r.Path)
+
+		return platform.Response{Status: http.StatusOK}, nil
+	}
+}
+
+// Many callers at once (a turn of demand at the newest entry host): what is stored while a message is on its way goes into
+// one message after it.
+func TestBurst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		in := &inbox{delay: 5 * time.Millisecond}
+		began := time.Now()
+		s := NewSender(in.to, func() Owner { return Owner{"owner:1", 3} }, func() time.Duration { return time.Since(began) }, log.New(io.Discard))
+		s.Tell(record)
+		time.Sleep(time.Millisecond)
+		for range 20 {
+			s.Tell(record)
+		}
+		synctest.Wait()
+		time.Sleep(time.Second)
+
+		var sizes []int
+		for _, m := range in.messages {
+			sizes = append(sizes, len(m.Records))
+		}
+		if diff := cmp.Diff([]int{1, 20}, sizes); diff != "" {
+			t.Errorf("records of each message (-want +got):\n%s", diff)
+		}
+		if diff := cmp.Diff([]string{"owner:1" + Path, "owner:1" + Path}, in.paths); diff != "" {
+			t.Errorf("messages went to (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// What a sender passes on after it was held up: nothing that is so old that the job's record may have been removed.
+func TestHeldUp(t *testing.T) {
+	tests := []struct {
+		name  string
+		owner Owner
+		held  time.Duration
+		want  int
+	}{
+		{"at once", Owner{"owner:1", 3}, 0, 1},
+		{"after the longest time", Owner{"owner:1", 3}, maxAge, 1},
+		{"after a suspension", Owner{"owner:1", 3}, maxAge + time.Millisecond, 0},
+		{"no owner", Owner{}, 0, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			in := &inbox{}
+			uptime := time.Hour
+			s := NewSender(in.to, func() Owner { return tt.owner }, func() time.Duration { return uptime }, log.New(io.Discard))
+			batch := []dated{{record, uptime}}
+			uptime += tt.held
+			if err := s.send(batch); err != nil && tt.owner.Term != 0 {
+				t.Fatal(err)
+			}
+			got := 0
+			for _, m := range in.messages {
+				got += len(m.Records)
+			}
+			if got != tt.want {
+				t.Errorf("told of %d records, want %d", got, tt.want)
+			}
+		})
+	}
+}
+
+// What an entry host takes: records of jobs, and only in the term in which it owns the workers.
+func TestReceive(t *testing.T) {
+	message := func(m wireMessage) []byte {
+		body, err := ledger.Encode(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+
+		return body
+	}
+	tests := []struct {
+		name   string
+		body   []byte
+		status int
+		took   int
+	}{
+		{"a job", message(wireMessage{3, []wireRecord{wireRecord(record)}}), http.StatusOK, 1},
+		{"nothing", message(wireMessage{Term: 3}), http.StatusOK, 0},
+		{"an earlier term", message(wireMessage{2, []wireRecord{wireRecord(record)}}), http.StatusConflict, 0},
+		{"another record", message(wireMessage{3, []wireRecord{{Key: ledger.OwnerKey, Revision: 1}}}), http.StatusBadRequest, 0},
+		{"no revision", message(wireMessage{3, []wireRecord{{Key: record.Key}}}), http.StatusBadRequest, 0},
+		{"not a message", []byte("{"), http.StatusBadRequest, 0},
+		{"too large", bytes.Repeat([]byte{1}, maxBody+1), http.StatusBadRequest, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			took := 0
+			c := restful.NewContainer()
+			c.Add(NewServer(func(term uint64) bool { return term == 3 }, func(store.Record) { took++ }, log.New(io.Discard)).Service())
+			r := httptest.NewRequest(http.MethodPost, Path, bytes.NewReader(tt.body))
+			r.Header.Set("Content-Type", contentType)
+			w := httptest.NewRecorder()
+			c.ServeHTTP(w, r)
+			if w.Code != tt.status || took != tt.took {
+				t.Errorf("status %d and %d records taken, want %d and %d", w.Code, took, tt.status, tt.took)
+			}
+		})
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte("{"))
+	f.Add([]byte{0xa2, 1, 3, 2, 0x80})
+	f.Fuzz(func(t *testing.T, body []byte) {
+		m, err := decode(body)
+		if err != nil {
+			return
+		}
+		for _, r := range m.Records {
+			if r.Revision == 0 {
+				t.Errorf("a record without a revision was taken: %+v", r)
+			}
+		}
+	})
+}
