Ask the owner for the states of jobs, and watch the ledger less often

Cause: a caller learns of its job's end from the host that it asks, whose watch of the ledger is up to 100 ms behind, and up to 2.5 s while watches are silent. Watches of the ledger pause 300 ms, the owner's 100 ms.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -142,7 +142,7 @@
 	}
 	t.sched = schedule.New(owned.Revision, d.bounds, book.Entries(), time.Now(), schedule.WithObserver(d.observe))
 	firstBatch, nextBatch := book.Batches()
-	t.writer = newLogWriter(d.client, d.host, owned.Revision, firstBatch, nextBatch, d.log)
+	t.writer = newLogWriter(d.client, d.host, owned.Revision, firstBatch, nextBatch, d.log, d.follower.Learn)
 	jobs.deliver(t.addJob)
 
 	var all sync.WaitGroup
--- a/dispatch/logwriter.go
+++ b/dispatch/logwriter.go
@@ -35,10 +35,14 @@
 	began       time.Time
 	// wait is how long the store gets to answer.
 	wait time.Duration
+	// stored is told of each batch that is stored.
+	stored func(r store.Record)
 }
 
-func newLogWriter(c *store.Client, host ledger.Owner, term, first, next uint64, l *log.Logger) *logWriter {
-	return &logWriter{client: c, host: host, term: term, first: first, next: next, log: l, began: time.Now(), wait: minStoreWait}
+func newLogWriter(c *store.Client, host ledger.Owner, term, first, next uint64, l *log.Logger, stored func(r store.Record)) *logWriter {
+	return &logWriter{
+		client: c, host: host, term: term, first: first, next: next, log: l, began: time.Now(), wait: minStoreWait, stored: stored,
+	}
 }
 
 // append stores a batch. It tries until the outcome is known: the batch's key makes each try the same write.
@@ -54,6 +58,7 @@
 		switch {
 		case err == nil:
 			w.next++
+			w.stored(store.Record{Key: key, Value: value})
 			w.wait = max(minStoreWait, min(maxStoreWait, (w.wait+4*time.Since(asked))/2))
 
 			return nil
--- a/dispatch/logwriter_test.go
+++ b/dispatch/logwriter_test.go
@@ -74,8 +74,12 @@
 				}
 				ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 				defer cancel()
-				w := newLogWriter(s.Client(), ledger.Owner{Host: "self"}, term, 0, 0, log.New(io.Discard))
+				told := 0
+				w := newLogWriter(s.Client(), ledger.Owner{Host: "self"}, term, 0, 0, log.New(io.Discard), func(store.Record) { told++ })
 				err := w.append(ctx, []ledger.Change{{Kind: ledger.JobFailed}})
+				if stored := err == nil; stored != (told == 1) {
+					t.Errorf("told of %d stored batches, error %v", told, err)
+				}
 				if !errors.Is(err, tt.err) || tt.err == nil && err != nil {
 					t.Fatalf("got %v, want %v", err, tt.err)
 				}
--- a/intake/handler.go
+++ b/intake/handler.go
@@ -38,6 +38,7 @@
 	log       *log.Logger
 	observe   Observer
 	stored    func(r store.Record)
+	inquire   func(ctx context.Context, id fleet.JobID) (ledger.State, bool)
 	router    atomic.Pointer[Router]
 }
 
@@ -66,9 +67,17 @@
 	Took    time.Duration
 }
 
+// WithInquiry makes f be asked for the state of a job that is not known to be over; it reports whether it knows.
+func WithInquiry(f func(ctx context.Context, id fleet.JobID) (ledger.State, bool)) Option {
+	return func(h *Handler) { h.inquire = f }
+}
+
 // NewHandler returns a handler that refuses all until it has a configuration.
 func NewHandler(c *store.Client, f *ledger.Follower, l *log.Logger, observe Observer, options ...Option) *Handler {
-	h := &Handler{committer: NewCommitter(c, l), client: c, follower: f, log: l, observe: observe, stored: func(store.Record) {}}
+	h := &Handler{
+		committer: NewCommitter(c, l), client: c, follower: f, log: l, observe: observe, stored: func(store.Record) {},
+		inquire: func(context.Context, fleet.JobID) (ledger.State, bool) { return ledger.Queued, false },
+	}
 	for _, o := range options {
 		o(h)
 	}
@@ -263,7 +272,13 @@
 	ledger.Failed: platform.StateFailed, ledger.Cancelled: platform.StateCancelled,
 }
 
+// state tells a job's state: the end of a job as this host knows it, and otherwise what the owner knows.
 func (h *Handler) state(ctx context.Context, id fleet.JobID) reply {
+	if !h.over(id) {
+		if s, ok := h.inquire(ctx, id); ok {
+			return accept(platform.EncodeState(states[s]))
+		}
+	}
 	j, _, state, err := h.find(ctx, id)
 	switch {
 	case err == nil && len(j.Steps) > 0:
@@ -275,6 +290,17 @@
 	}
 }
 
+// over reports whether this host knows that a job is over.
+func (h *Handler) over(id fleet.JobID) bool {
+	b := h.follower.Book()
+	if b == nil {
+		return false
+	}
+	s, ok := b.Status(id)
+
+	return ok && s > ledger.InProgress
+}
+
 // find returns a job from the book or, where that has it not, from the store.
 func (h *Handler) find(ctx context.Context, id fleet.JobID) (work.Job, uint64, ledger.State, error) {
 	if b := h.follower.Book(); b != nil {
--- a/ledger/change.go
+++ b/ledger/change.go
@@ -115,11 +115,18 @@
 // Decode reads a stored record.
 func Decode[T any](key string, value []byte) (T, error) {
 	var v T
-	if err := cbor.Unmarshal(value, &v); err != nil {
-		return v, merry.Prependf(ErrMalformed, "%s: %v", key, err)
+	err := DecodeInto(key, value, &v)
+
+	return v, err
+}
+
+// DecodeInto reads a stored record into what v points to.
+func DecodeInto(key string, value []byte, v any) error {
+	if err := cbor.Unmarshal(value, v); err != nil {
+		return merry.Prependf(ErrMalformed, "%s: %v", key, err)
 	}
 
-	return v, nil
+	return nil
 }
 
 // batchNumber returns the number in the key of a batch.
--- a/ledger/follower.go
+++ b/ledger/follower.go
@@ -22,10 +22,10 @@
 	// readInterval is the least time between two reads of the whole ledger after watches without changes, since a watch
 	// may go silent while changes are made.
 	readInterval = 1500 * time.Millisecond
-	// watchPause between watches lets changes gather, since the store counts each call.
-	watchPause = 100 * time.Millisecond
-	// ownerPause is that of the owner, for which every new job waits.
-	ownerPause = 25 * time.Millisecond
+	// watchPause between watches lets changes gather, since the store counts each call; who can't wait is told by peers.
+	watchPause = 300 * time.Millisecond
+	// ownerPause is that of the owner, which starts what a peer failed to tell it of.
+	ownerPause = 100 * time.Millisecond
 	// retryPause is the pause after a failed call to the store.
 	retryPause = 200 * time.Millisecond
 )
@@ -112,7 +112,7 @@
 	return at, nil
 }
 
-// Learn takes in the record of a job that is known to be stored, before the store's watch brings it.
+// Learn takes in a record that is known to be stored, before the store's watch brings it.
 func (f *Follower) Learn(r store.Record) {
 	if f.Book() != nil {
 		f.follow([]store.Event{{Record: r}})
--- a/manager/manager.go
+++ b/manager/manager.go
@@ -18,6 +18,8 @@
 	"github.com/google/uuid"
 
 	"lycheehook.example/lycheehook/dispatch"
+	"lycheehook.example/lycheehook/fleet"
+	"lycheehook.example/lycheehook/inquiry"
 	"lycheehook.example/lycheehook/intake"
 	"lycheehook.example/lycheehook/ledger"
 	"lycheehook.example/lycheehook/notice"
@@ -58,6 +60,7 @@
 	dispatch  *dispatch.Dispatcher
 	handler   *intake.Handler
 	notices   *notice.Sender
+	asker     *inquiry.Asker
 	// term is the term in which this process owns the workers, or nil.
 	term     atomic.Pointer[owner.Term]
 	metrics  *telemetry.Metrics
@@ -95,8 +98,9 @@
 	)
 	client := m.metrics.Store(platform.NewStore(m.route.Exchange, storeTimeout))
 	m.follower = ledger.NewFollower(client, l)
-	m.notices = notice.NewSender(transport.To, m.ownerAddress, owner.Uptime, l)
-	m.handler = intake.NewHandler(client, m.follower, l, m.answered, intake.WithStored(m.tellOwner))
+	m.notices = notice.NewSender(transport.To, m.owner, owner.Uptime, l)
+	m.asker = inquiry.NewAsker(transport.To, m.owner, l)
+	m.handler = intake.NewHandler(client, m.follower, l, m.answered, intake.WithStored(m.tellOwner), intake.WithInquiry(m.inquire))
 	m.config = NewConfiguration(client, l, m.adopt)
 	self := ledger.Owner{Host: s.Name, Process: process.String()}
 	m.seat = owner.NewSeat(client, ledger.Host{Name: s.Name, Zone: s.Zone, PeerAddress: s.PeerAddress.String()}, l)
@@ -186,6 +190,7 @@
 	peers := restful.NewContainer()
 	peers.Add(relay.NewServer(m.route).Service())
 	peers.Add(notice.NewServer(m.owns, m.follower.Learn, m.log).Service())
+	peers.Add(inquiry.NewServer(m.owns, m.stateOf, m.log).Service())
 	if _, err := m.serve(ctx, m.settings.PeerAddress, peers); err != nil {
 		return err
 	}
@@ -220,15 +225,14 @@
 	return nil
 }
 
-// ownerAddress returns where the owner of the workers is reached, as far as this host knows.
-func (m *Manager) ownerAddress() notice.Owner {
+// owner returns the owner of the workers as far as this host knows, and its term; zero if there is none.
+func (m *Manager) owner() (ledger.Owner, uint64) {
 	b := m.follower.Book()
 	if b == nil {
-		return notice.Owner{}
+		return ledger.Owner{}, 0
 	}
-	o, term := b.Owner()
 
-	return notice.Owner{Address: o.PeerAddress, Term: term}
+	return b.Owner()
 }
 
 // tellOwner tells the owner of a record that this host has stored, unless that is this process.
@@ -238,6 +242,28 @@
 	}
 }
 
+// inquire returns the state of a job as the owner knows it, unless that is this process, which has it in its book.
+func (m *Manager) inquire(ctx context.Context, id fleet.JobID) (ledger.State, bool) {
+	if m.term.Load() != nil {
+		return ledger.Queued, false
+	}
+
+	return m.asker.State(ctx, id)
+}
+
+// stateOf returns what is stored of a job, and whether callers may ask for it.
+func (m *Manager) stateOf(id fleet.JobID) (ledger.State, bool) {
+	b := m.follower.Book()
+	if b == nil {
+		return ledger.Queued, false
+	}
+	if j, _, ok := b.Job(id); !ok || len(j.Steps) == 0 {
+		return ledger.Queued, false
+	}
+
+	return b.Status(id)
+}
+
 // owns reports whether this process owns the workers in a term right now.
 func (m *Manager) owns(term uint64) bool {
 	t := m.term.Load()
--- a/manager/manager_test.go
+++ b/manager/manager_test.go
@@ -302,7 +302,8 @@
 	return 0
 }
 
-// A job that any entry host accepted begins although the store tells nobody of it: the owner hears of it from that host.
+// A job that any entry host accepted runs, and any tells of its end, although the store tells nobody of changes: the owner
+// hears of the job from the host that accepted it, and the others ask the owner.
 func TestSilentWatch(t *testing.T) {
 	s := newSite(t, 3, 2, 50*time.Millisecond)
 	const before = "/post/0000000000000100"
@@ -310,7 +311,7 @@
 	for i := range s.managers {
 		s.awaitState(i, before, "completed")
 	}
-	owner, ran := s.owner(), s.starts()
+	ran := s.starts()
 	s.hidden.Store(true)
 	for i := range s.managers {
 		path := fmt.Sprintf("/post/00000000000001%02x", i+1)
@@ -319,9 +320,8 @@
 		}
 	}
 	s.await("all tasks of the first steps have begun", func() bool { return s.starts() >= ran+3*len(s.managers) })
-	s.hidden.Store(false)
 	for i := range s.managers {
-		s.awaitState(owner, fmt.Sprintf("/post/00000000000001%02x", i+1), "completed")
+		s.awaitState((i+1)%len(s.managers), fmt.Sprintf("/post/00000000000001%02x", i+1), "completed")
 	}
 	s.startedOnce()
 }
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -12,6 +11,7 @@
 
 	"lycheehook.example/lycheehook/ledger"
 	"lycheehook.example/lycheehook/platform"
+	"lycheehook.example/lycheehook/relay"
 	"lycheehook.example/lycheehook/store"
 )
 
@@ -27,20 +27,14 @@
 	maxWaiting = 1024
 )
 
-// ErrNoOwner says that no host that owns the workers could be told.
+// ErrNoOwner says that this host knows of no owner.
 var ErrNoOwner = merry.Sentinel("notice: no owner")
 
-// Owner is where the owner of the workers is reached, and the term in which it owns them; zero if nobody does.
-type Owner struct {
-	Address string
-	Term    uint64
-}
-
 // Sender tells the owner of records that this host has stored.
 type Sender struct {
 	to func(address string) platform.Exchange
-	// owner returns the owner as far as this host knows.
-	owner func() Owner
+	// owner returns the owner as far as this host knows, and its term; zero if there is none.
+	owner func() (ledger.Owner, uint64)
 	// uptime is a clock that goes on while the machine is suspended.
 	uptime func() time.Duration
 	log    *log.Logger
@@ -67,9 +61,11 @@
 	Revision uint64 `cbor:"3,keyasint"`
 }
 
-// NewSender returns a sender; to returns the exchange with a peer, owner the owner as far as this host knows, and uptime
-// is a clock that goes on while the machine is suspended.
-func NewSender(to func(address string) platform.Exchange, owner func() Owner, uptime func() time.Duration, l *log.Logger) *Sender {
+// NewSender returns a sender; to returns the exchange with a peer, owner the owner as far as this host knows and its term,
+// and uptime is a clock that goes on while the machine is suspended.
+func NewSender(
+	to func(address string) platform.Exchange, owner func() (ledger.Owner, uint64), uptime func() time.Duration, l *log.Logger,
+) *Sender {
 	return &Sender{to: to, owner: owner, uptime: uptime, log: l}
 }
 
@@ -115,30 +111,17 @@
 
 // send tells the owner of the records that are not too old by now.
 func (s *Sender) send(batch []dated) error {
-	owner := s.owner()
-	if owner.Term == 0 {
+	owner, term := s.owner()
+	if term == 0 {
 		return ErrNoOwner
 	}
-	m := wireMessage{Term: owner.Term}
+	m := wireMessage{Term: term}
 	now := s.uptime()
 	for _, d := range batch {
 		if now-d.at <= maxAge {
 			m.Records = append(m.Records, wireRecord(d.record))
 		}
 	}
-	body, err := ledger.Encode(m)
-	if err != nil {
-		return err
-	}
-	resp, err := s.to(owner.Address)(context.Background(), platform.Request{
-		Method: http.MethodPost, Path: Path, Body: body, Timeout: sendTimeout, Header: http.Header{"Content-Type": {contentType}},
-	})
-	if err != nil {
-		return err
-	}
-	if resp.Status != http.StatusOK {
-		return merry.Prependf(ErrNoOwner, "%s answers %d", owner.Address, resp.Status)
-	}
 
-	return nil
+	return relay.Send(context.Background(), s.to(owner.PeerAddress), Path, sendTimeout, m, nil)
 }
--- a/notice/notice_test.go
+++ b/notice/notice_test.go
@@ -21,6 +21,8 @@
 
 var record = store.Record{Key: ledger.JobPrefix + "00000000000000a1", Value: []byte("job"), Revision: 7}
 
+var owner = ledger.Owner{PeerAddress: "owner:1"}
+
 // inbox is an owner that notes what it is told, after a delay.
 type inbox struct {
 	delay    time.Duration
@@ -31,7 +33,7 @@
 func (i *inbox) to(address string) platform.Exchange {
 	return func(_ context.Context, r platform.Request) (platform.Response, error) {
 		time.Sleep(i.delay)
-		m, err := decode(r.Body)
+		m, err := ledger.Decode[wireMessage](address, r.Body)
 		if err != nil {
 			return platform.Response{}, err
 		}
@@ -47,7 +49,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		in := &inbox{delay: 5 * time.Millisecond}
 		began := time.Now()
-		s := NewSender(in.to, func() Owner { return Owner{"owner:1", 3} }, func() time.Duration { return time.Since(began) }, log.New(io.Discard))
+		s := NewSender(in.to, func() (ledger.Owner, uint64) { return owner, 3 }, func() time.Duration { return time.Since(began) }, log.New(io.Discard))
 		s.Tell(record)
 		time.Sleep(time.Millisecond)
 		for range 20 {
@@ -72,24 +74,24 @@
 // What a sender passes on after it was held up: nothing that is so old that the job's record may have been removed.
 func TestHeldUp(t *testing.T) {
 	tests := []struct {
-		name  string
-		owner Owner
-		held  time.Duration
-		want  int
+		name string
+		term uint64
+		held time.Duration
+		want int
 	}{
-		{"at once", Owner{"owner:1", 3}, 0, 1},
-		{"after the longest time", Owner{"owner:1", 3}, maxAge, 1},
-		{"after a suspension", Owner{"owner:1", 3}, maxAge + time.Millisecond, 0},
-		{"no owner", Owner{}, 0, 0},
+		{"at once", 3, 0, 1},
+		{"after the longest time", 3, maxAge, 1},
+		{"after a suspension", 3, maxAge + time.Millisecond, 0},
+		{"no owner", 0, 0, 0},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			in := &inbox{}
 			uptime := time.Hour
-			s := NewSender(in.to, func() Owner { return tt.owner }, func() time.Duration { return uptime }, log.New(io.Discard))
+			s := NewSender(in.to, func() (ledger.Owner, uint64) { return owner, tt.term }, func() time.Duration { return uptime }, log.New(io.Discard))
 			batch := []dated{{record, uptime}}
 			uptime += tt.held
-			if err := s.send(batch); err != nil && tt.owner.Term != 0 {
+			if err := s.send(batch); err != nil && tt.term != 0 {
 				t.Fatal(err)
 			}
 			got := 0
@@ -125,7 +127,7 @@
 		{"another record", message(wireMessage{3, []wireRecord{{Key: ledger.OwnerKey, Revision: 1}}}), http.StatusBadRequest, 0},
 		{"no revision", message(wireMessage{3, []wireRecord{{Key: record.Key}}}), http.StatusBadRequest, 0},
 		{"not a message", []byte("{"), http.StatusBadRequest, 0},
-		{"too large", bytes.Repeat([]byte{1}, maxBody+1), http.StatusBadRequest, 0},
+		{"too large", bytes.Repeat([]byte{1}, 2<<20), http.StatusBadRequest, 0},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -133,7 +135,6 @@
 			c := restful.NewContainer()
 			c.Add(NewServer(func(term uint64) bool { return term == 3 }, func(store.Record) { took++ }, log.New(io.Discard)).Service())
 			r := httptest.NewRequest(http.MethodPost, Path, bytes.NewReader(tt.body))
-			r.Header.Set("Content-Type", contentType)
 			w := httptest.NewRecorder()
 			c.ServeHTTP(w, r)
 			if w.Code != tt.status || took != tt.took {
@@ -143,12 +144,12 @@
 	}
 }
 
-func FuzzDecode(f *testing.F) {
+func FuzzMessage(f *testing.F) {
 	f.Add([]byte("{"))
 	f.Add([]byte{0xa2, 1, 3, 2, 0x80})
 	f.Fuzz(func(t *testing.T, body []byte) {
-		m, err := decode(body)
-		if err != nil {
+		m, err := ledger.Decode[wireMessage]("message", body)
+		if err != nil || m.check() != nil {
 			return
 		}
 		for _, r := range m.Records {
--- a/notice/server.go
+++ b/notice/server.go
@@ -1,26 +1,23 @@
 package notice
 
 import (
-	"errors"
-	"io"
 	"net/http"
 	"strings"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/charmbracelet/log"
 	"github.com/emicklei/go-restful/v3"
 
 	"lycheehook.example/lycheehook/ledger"
+	"lycheehook.example/lycheehook/relay"
 	"lycheehook.example/lycheehook/store"
 )
 
-const (
-	// Path is where an entry host takes notices.
-	Path = "/v1/notices"
+// Path is where an entry host takes notices.
+const Path = "/v1/notices"
 
-	contentType = "application/cbor"
-	// maxBody bounds a message, in bytes: records of jobs are under 5 kB.
-	maxBody = 1 << 20
-)
+// ErrNotAJob says that a notice is about another record than a job's.
+var ErrNotAJob = merry.Sentinel("notice: not the record of a job")
 
 // Server takes the notices of other entry hosts.
 type Server struct {
@@ -44,43 +41,30 @@
 }
 
 func (s *Server) receive(req *restful.Request, resp *restful.Response) {
-	body, err := io.ReadAll(http.MaxBytesReader(resp, req.Request.Body, maxBody))
-	if err != nil {
-		s.log.Debug("notice not read to its end", "error", err)
-		resp.WriteHeader(http.StatusBadRequest)
-
-		return
+	m, err := relay.Receive[wireMessage](req, resp)
+	if err == nil {
+		err = m.check()
 	}
-	m, err := decode(body)
-	if err != nil {
+	switch {
+	case err != nil:
 		s.log.Warn("notice passed over", "error", err)
 		resp.WriteHeader(http.StatusBadRequest)
-
-		return
-	}
-	if !s.owns(m.Term) {
+	case !s.owns(m.Term):
 		resp.WriteHeader(http.StatusConflict)
-		return
-	}
-	for _, r := range m.Records {
-		s.take(store.Record(r))
+	default:
+		for _, r := range m.Records {
+			s.take(store.Record(r))
+		}
 	}
 }
 
-// errNotAJob says that a notice is about another record than a job's.
-var errNotAJob = errors.New("record is not a job's")
-
-// decode reads a message, all of whose records must be of jobs.
-func decode(body []byte) (wireMessage, error) {
-	m, err := ledger.Decode[wireMessage]("notice", body)
-	if err != nil {
-		return m, err
-	}
+// check returns an error unless all records are of jobs.
+func (m wireMessage) check() error {
 	for _, r := range m.Records {
 		if !strings.HasPrefix(r.Key, ledger.JobPrefix) || r.Revision == 0 {
-			return m, errNotAJob
+			return merry.Prepend(ErrNotAJob, r.Key)
 		}
 	}
 
-	return m, nil
+	return nil
 }
