Write small batches, and let wide links and strong hosts help

An assignment took 85 bytes, most of it names, before base64. Hosts tell in their records how much of a core and of a link they have: calls go through the widest links first, and a host waits 400 ms for one with 1.5 times its processor time to seek the term.

--- a/dispatch/logwriter.go
+++ b/dispatch/logwriter.go
@@ -47,7 +47,9 @@
 
 // append stores a batch. It tries until the outcome is known: the batch's key makes each try the same write.
 func (w *logWriter) append(ctx context.Context, changes []ledger.Change) error {
-	value, err := ledger.Encode(ledger.Batch{Number: w.next, Owner: w.host.Host, Term: w.term, At: time.Now(), Uptime: time.Since(w.began), Changes: changes})
+	value, err := ledger.EncodeBatch(ledger.Batch{
+		Number: w.next, Owner: w.host.Host, Term: w.term, At: time.Now(), Uptime: time.Since(w.began), Changes: changes,
+	})
 	if err != nil {
 		return err
 	}
--- a/ledger/book.go
+++ b/ledger/book.go
@@ -29,6 +29,9 @@
 	Zone fleet.ZoneName  `cbor:"2,keyasint"`
 	// PeerAddress is where other entry hosts reach it.
 	PeerAddress string `cbor:"3,keyasint"`
+	// Cores is the part of a core that it has, LinkMegabits what its link carries in a second; zero means unknown.
+	Cores        float64 `cbor:"4,keyasint,omitempty"`
+	LinkMegabits float64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Book is a copy of the ledger that follows the store's changes; its methods may be called by any goroutine.
@@ -171,7 +174,7 @@
 	if err != nil || n < b.next {
 		return err
 	}
-	batch, err := Decode[Batch](ev.Record.Key, ev.Record.Value)
+	batch, err := DecodeBatch(ev.Record.Key, ev.Record.Value)
 	if err != nil {
 		return err
 	}
--- a/ledger/change.go
+++ b/ledger/change.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/fxamacker/cbor/v2"
@@ -68,18 +67,6 @@
 	Live     []Live
 }
 
-// Batch is one record of the log.
-type Batch struct {
-	Number uint64 `cbor:"1,keyasint"`
-	// Owner wrote the batch in the term that began at store revision Term.
-	Owner fleet.EntryName `cbor:"2,keyasint"`
-	Term  uint64          `cbor:"3,keyasint"`
-	At    time.Time       `cbor:"4,keyasint"`
-	// Uptime is a steady clock of the owner in its term.
-	Uptime  time.Duration `cbor:"6,keyasint"`
-	Changes []Change      `cbor:"5,keyasint"`
-}
-
 // LogKey returns the key of a batch.
 func LogKey(number uint64) string {
 	return fmt.Sprintf("%s%016x", LogPrefix, number)
@@ -90,7 +77,7 @@
 	return JobPrefix + string(id)
 }
 
-// timesAsNumbers keeps fractions of a second and needs little room.
+// encoding writes times as numbers, which keep fractions of a second and need little room.
 var encoding = mustMode()
 
 func mustMode() cbor.EncMode {
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -37,6 +37,17 @@
 	}
 }
 
+func putBatch(t *testing.T, c *store.Client, b ledger.Batch) {
+	t.Helper()
+	value, err := ledger.EncodeBatch(b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Commit(ctx, store.Txn{Puts: []store.Put{{Key: ledger.LogKey(b.Number), Value: value}}}); err != nil {
+		t.Fatal(err)
+	}
+}
+
 func sampleJob(id fleet.JobID) work.Job {
 	return work.Job{ID: id, Queue: "q", Steps: []work.Step{{Count: 3}, {Count: 2, After: []int{0}}}}
 }
@@ -116,7 +127,7 @@
 					changes = append(changes, change)
 				}
 			}
-			put(t, c, ledger.LogKey(n), ledger.Batch{Number: n, Changes: changes})
+			putBatch(t, c, ledger.Batch{Number: n, Changes: changes})
 			at = follow(t, c, follower, at)
 		}
 		reader, _, err := ledger.Read(ctx, c)
@@ -147,8 +158,8 @@
 // Batches that were removed between two pages of a list leave a gap, which is not read over.
 func TestGapIsNoticed(t *testing.T) {
 	c := standin.NewStore().Client()
-	put(t, c, ledger.LogKey(3), ledger.Batch{Number: 3})
-	put(t, c, ledger.LogKey(5), ledger.Batch{Number: 5})
+	putBatch(t, c, ledger.Batch{Number: 3})
+	putBatch(t, c, ledger.Batch{Number: 5})
 	if _, _, err := ledger.Read(ctx, c); !errors.Is(err, ledger.ErrGap) {
 		t.Errorf("got %v", err)
 	}
@@ -183,8 +194,8 @@
 	}
 }
 
-func FuzzDecodeBatch(f *testing.F) {
-	value, err := ledger.Encode(ledger.Batch{Number: 1, Changes: []ledger.Change{{Kind: ledger.Assigned, Worker: "w"}}})
+func FuzzFollow(f *testing.F) {
+	value, err := ledger.EncodeBatch(ledger.Batch{Number: 1, Changes: []ledger.Change{{Kind: ledger.Assigned, Worker: "w"}}})
 	if err != nil {
 		f.Fatal(err)
 	}
@@ -207,10 +218,10 @@
 	order := func(h string) []ledger.Change {
 		return []ledger.Change{{Kind: ledger.HostOrdered, Worker: work.WorkerID(h)}}
 	}
-	put(t, c, ledger.LogKey(0), ledger.Batch{Number: 0, Owner: "a", Term: 5, Uptime: 90 * time.Second, Changes: order("h1")})
-	put(t, c, ledger.LogKey(1), ledger.Batch{Number: 1, Owner: "b", Term: 9, Uptime: time.Second})
-	put(t, c, ledger.LogKey(2), ledger.Batch{Number: 2, Owner: "b", Term: 9, Uptime: 3 * time.Second, Changes: order("h2")})
-	put(t, c, ledger.LogKey(3), ledger.Batch{Number: 3, Owner: "b", Term: 9, Uptime: 4 * time.Second})
+	putBatch(t, c, ledger.Batch{Number: 0, Owner: "a", Term: 5, Uptime: 90 * time.Second, Changes: order("h1")})
+	putBatch(t, c, ledger.Batch{Number: 1, Owner: "b", Term: 9, Uptime: time.Second})
+	putBatch(t, c, ledger.Batch{Number: 2, Owner: "b", Term: 9, Uptime: 3 * time.Second, Changes: order("h2")})
+	putBatch(t, c, ledger.Batch{Number: 3, Owner: "b", Term: 9, Uptime: 4 * time.Second})
 	b, _, err := ledger.Read(ctx, c)
 	if err != nil {
 		t.Fatal(err)
--- a/manager/manager.go
+++ b/manager/manager.go
@@ -103,7 +103,9 @@
 	m.handler = intake.NewHandler(client, m.follower, l, m.answered, intake.WithStored(m.tellOwner), intake.WithInquiry(m.inquire))
 	m.config = NewConfiguration(client, l, m.adopt)
 	self := ledger.Owner{Host: s.Name, Process: process.String()}
-	m.seat = owner.NewSeat(client, ledger.Host{Name: s.Name, Zone: s.Zone, PeerAddress: s.PeerAddress.String()}, l)
+	m.seat = owner.NewSeat(client, ledger.Host{
+		Name: s.Name, Zone: s.Zone, PeerAddress: s.PeerAddress.String(), Cores: s.Cores, LinkMegabits: s.LinkMegabits,
+	}, l)
 	m.candidate = owner.NewCandidate(client, m.seat, m.follower, self.Process, l)
 	m.dispatch = dispatch.New(
 		client, m.follower, m.metrics.Workers(platform.NewWorkers(transport, orderTimeout)), bounds(s), self, l,
@@ -150,29 +152,6 @@
 	})
 }
 
-// peers returns where the other entry hosts can be reached.
-func (m *Manager) peers() []string {
-	self := m.settings.PeerAddress.String()
-	known := map[string]bool{}
-	var list []string
-	add := func(address string) {
-		if address != self && !known[address] {
-			known[address] = true
-			list = append(list, address)
-		}
-	}
-	if b := m.follower.Book(); b != nil {
-		for _, h := range b.Hosts() {
-			add(h.PeerAddress)
-		}
-	}
-	for _, a := range m.settings.SeedAddresses {
-		add(a.String())
-	}
-
-	return list
-}
-
 func bounds(s settings.Manager) schedule.Bounds {
 	return schedule.Bounds{
 		MaxLease: s.Bounds.MaxLease.Std(), MoveTime: s.Bounds.MoveTime.Std(),
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -12,6 +12,13 @@
 	"lycheehook.example/lycheehook/store"
 )
 
+const (
+	// strongerBy is how many times the processor time of this host another one must have to own the workers in its place.
+	strongerBy = 1.5
+	// weakPause is how long a host waits for a stronger one to seek the term, which learns of its end within a watch's pause.
+	weakPause = 400 * time.Millisecond
+)
+
 // Term is a time in which this process owns the workers.
 type Term struct {
 	// Revision is the store revision at which the term began; it fences all that is written and ordered.
@@ -70,6 +77,7 @@
 		case revision != 0:
 			t = c.adopt(revision)
 		default:
+			c.giveWay(ctx, b.Hosts())
 			t = c.seek(ctx, 0)
 		}
 		if t == nil {
@@ -84,6 +92,16 @@
 	}
 }
 
+// giveWay lets a stronger entry host seek the term first, since the owner does most of the work.
+func (c *Candidate) giveWay(ctx context.Context, hosts []ledger.Host) {
+	for _, h := range hosts {
+		if h.Cores > strongerBy*c.seat.host.Cores {
+			pause.For(ctx, weakPause)
+			return
+		}
+	}
+}
+
 // adopt returns the term of a record that this process wrote without learning so.
 func (c *Candidate) adopt(revision uint64) *Term {
 	lease, vouched := c.seat.Lease()
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -33,11 +33,15 @@
 }
 
 func contend(ctx context.Context, s *standin.Store, host fleet.EntryName, process string) *contender {
+	return contendWith(ctx, s, ledger.Host{Name: host, PeerAddress: "at-" + string(host)}, process)
+}
+
+func contendWith(ctx context.Context, s *standin.Store, host ledger.Host, process string) *contender {
 	c := &contender{}
 	l := log.New(io.Discard)
 	began := time.Now()
 	uptime := func() time.Duration { return time.Since(began) + time.Duration(c.ahead.Load()) + time.Second }
-	c.seat = NewSeat(s.Client(), ledger.Host{Name: host, PeerAddress: "at-" + string(host)}, l, WithUptime(uptime))
+	c.seat = NewSeat(s.Client(), host, l, WithUptime(uptime))
 	f := ledger.NewFollower(s.Client(), l)
 	go f.Run(ctx)
 	go c.seat.Run(ctx)
@@ -93,6 +97,30 @@
 	})
 }
 
+// Grown sites: eight entry hosts have four times the processor time of the others. When the owner dies, one of them follows.
+func TestStrongerHostOwns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := standin.NewStore()
+		ctx, cancel := context.WithCancel(t.Context())
+		first, kill := context.WithCancel(ctx)
+		contendWith(first, s, ledger.Host{Name: "a", PeerAddress: "a", Cores: 0.8}, "p-a")
+		time.Sleep(time.Second)
+		for _, name := range []fleet.EntryName{"b", "c", "d", "e"} {
+			contendWith(ctx, s, ledger.Host{Name: name, PeerAddress: string(name), Cores: 0.192}, "p-"+string(name))
+		}
+		strong := contendWith(ctx, s, ledger.Host{Name: "f", PeerAddress: "f", Cores: 0.8}, "p-f")
+		time.Sleep(2 * time.Second)
+		kill()
+		time.Sleep(2*leaseTime + weakPause)
+		if !strong.valid() {
+			t.Error("a weak host owns the workers while a strong one is there")
+		}
+		cancel()
+		synctest.Wait()
+		time.Sleep(5 * time.Second)
+	})
+}
+
 // A suspended owner's runtime clock stands still; its term is over all the same when the machine wakes.
 func TestSuspendedOwner(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -44,8 +43,8 @@
 	good string
 }
 
-// New returns a route; via returns the exchange with a peer, peers the addresses of those that are known, and probe is
-// a cheap call that shows whether the direct way works again.
+// New returns a route; via returns the exchange with a peer, peers the addresses of those that are known, the best
+// first, and probe is a cheap call that shows whether the direct way works again.
 func New(
 	direct platform.Exchange, via func(address string) platform.Exchange, peers func() []string, probe platform.Request, l *log.Logger,
 ) *Route {
@@ -155,13 +154,12 @@
 	r.good = peer
 }
 
-// order returns the peers to ask: the one that helped last, and then others at random.
+// order returns the peers to ask: the one that helped last, and then the others in their order.
 func (r *Route) order() []string {
 	r.mu.Lock()
 	good := r.good
 	r.mu.Unlock()
 	all := r.peers()
-	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
 	list := make([]string, 0, maxPeers)
 	for _, p := range all {
 		if p == good {
--- a/settings/manager.go
+++ b/settings/manager.go
@@ -27,7 +27,10 @@
 	// CloudAddress and AdviceAddress are empty where the platform has no such service.
 	CloudAddress  string `json:",omitempty"`
 	AdviceAddress string `json:",omitempty"`
-	Bounds        Bounds
+	// Cores is the part of a core that the host has, LinkMegabits what its link carries in a second; zero means unknown.
+	Cores        float64 `json:",omitzero"`
+	LinkMegabits float64 `json:",omitzero"`
+	Bounds       Bounds
 }
 
 // Bounds is what the platform promises and asks for.
@@ -80,6 +83,11 @@
 	c.address("PeerAddress", m.PeerAddress)
 	c.address("MetricsAddress", m.MetricsAddress)
 	c.address("StoreAddress", m.StoreAddress)
+	for path, n := range map[string]float64{"Cores": m.Cores, "LinkMegabits": m.LinkMegabits} {
+		if n < 0 {
+			c.add(path, "is %g, must be 0 or more", n)
+		}
+	}
 	for path, d := range map[string]fleet.Duration{
 		"Bounds.Grace": m.Bounds.Grace, "Bounds.MaxLease": m.Bounds.MaxLease, "Bounds.StatusTime": m.Bounds.StatusTime, "Bounds.MoveTime": m.Bounds.MoveTime,
 	} {
--- a/work/task.go
+++ b/work/task.go
@@ -16,6 +16,7 @@
 
 // Task names one task of a job.
 type Task struct {
+	_          struct{} `cbor:",toarray"`
 	Job        fleet.JobID
 	Occurrence int
 	Step       int
@@ -48,11 +49,12 @@
 		numbers[i] = n
 	}
 
-	return Task{fleet.JobID(parts[0]), numbers[0], numbers[1], numbers[2]}, nil
+	return Task{Job: fleet.JobID(parts[0]), Occurrence: numbers[0], Step: numbers[1], Index: numbers[2]}, nil
 }
 
 // Attempt names one run of a task; attempts of a task are numbered from 1 and never reused.
 type Attempt struct {
+	_ struct{} `cbor:",toarray"`
 	Task
 	Number int
 }
