Make a pass of the owner cheap, and know a job's queue after it was removed

Each task that found no room searched all workers, each pass looked up every run's step in two maps, and counted all anew. While at it, two faults were seen: a job whose queue was removed before a new owner's term stood still for good, and an owner without a configuration would have started tasks without the workspaces' limits. Change: needs that found no room are remembered within a placement; runs keep their step, and counts are kept up when runs come and go; a pass is followed by a pause of four times its length. A job keeps its queue's pool and attempts; nothing starts before a configuration. Tests: schedule.TestQueueRemovedBeforeTheTerm and TestNothingStartsWithoutLimits, which failed before; BenchmarkPass.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -18,6 +18,9 @@
 const (
 	// passInterval is the least time between two passes, so that events gather.
 	passInterval = 4 * time.Millisecond
+	// restFactor times what a pass took is the least time until the next one, so that passes over a large fleet leave the
+	// processor to the calls.
+	restFactor = 4
 	// tickInterval is the most time between two passes, for what only time brings about.
 	tickInterval = 100 * time.Millisecond
 	// storeInterval is the least time between two batches of the log, since the store counts each call.
@@ -163,8 +166,9 @@
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
 	for ctx.Err() == nil && !t.owned.Over() {
+		began := time.Now()
 		t.pass(ctx)
-		pause.For(ctx, passInterval)
+		pause.For(ctx, max(passInterval, restFactor*time.Since(began)))
 		select {
 		case <-ctx.Done():
 		case <-t.wake:
--- a/intake/handler.go
+++ b/intake/handler.go
@@ -255,7 +255,8 @@
 	if err != nil {
 		return work.Job{}, err
 	}
-	j.ID, j.Queue, j.Pool, j.Workspace, j.Submitted = r.id, r.queue.Name, r.queue.Pool, r.workspace, time.Now().UTC()
+	j.ID, j.Workspace, j.Submitted = r.id, r.workspace, time.Now().UTC()
+	j.Queue, j.Pool, j.MaxAttempts = r.queue.Name, r.queue.Pool, r.queue.MaxAttempts
 
 	return j, nil
 }
--- a/ledger/entry.go
+++ b/ledger/entry.go
@@ -57,14 +57,15 @@
 	Revision uint64
 	Failed   bool
 	started  bool
-	steps    map[StepOf]*StepState
-	total    int
-	done     int
+	// steps has the states by occurrence and step, as far as there were changes; one that is nil has none.
+	steps []*StepState
+	total int
+	done  int
 }
 
 // NewEntry returns a job of which nothing has started.
 func NewEntry(j work.Job, revision uint64) *Entry {
-	e := &Entry{Job: j, Revision: revision, steps: map[StepOf]*StepState{}}
+	e := &Entry{Job: j, Revision: revision}
 	for _, s := range j.Steps {
 		e.total += s.Count
 	}
@@ -75,13 +76,28 @@
 
 // Step returns the state of a step, which the job must have.
 func (e *Entry) Step(s StepOf) *StepState {
-	st, ok := e.steps[s]
-	if !ok {
-		st = &StepState{Tasks: make([]TaskState, e.Job.Steps[s.Step].Count)}
-		e.steps[s] = st
+	at := e.index(s)
+	for len(e.steps) <= at {
+		e.steps = append(e.steps, nil)
 	}
+	if e.steps[at] == nil {
+		e.steps[at] = &StepState{Tasks: make([]TaskState, e.Job.Steps[s.Step].Count)}
+	}
+
+	return e.steps[at]
+}
 
-	return st
+func (e *Entry) index(s StepOf) int {
+	return s.Occurrence*len(e.Job.Steps) + s.Step
+}
+
+// known calls yield for each step of an occurrence of which something is known.
+func (e *Entry) known(yield func(StepOf, *StepState) bool) {
+	for i, st := range e.steps {
+		if st != nil && !yield(StepOf{Occurrence: i / len(e.Job.Steps), Step: i % len(e.Job.Steps)}, st) {
+			return
+		}
+	}
 }
 
 // Has reports whether the job has such a task.
@@ -138,7 +154,7 @@
 // Restate returns the changes that stand for all that was logged of the job.
 func (e *Entry) Restate() []Change {
 	var changes []Change
-	for at, st := range e.steps {
+	for at, st := range e.known {
 		for i := range st.Tasks {
 			t := &st.Tasks[i]
 			if t.Attempts == 0 {
@@ -208,14 +224,25 @@
 
 // StepDone reports whether all tasks of a step of an occurrence are done.
 func (e *Entry) StepDone(s StepOf) bool {
-	st, ok := e.steps[s]
+	at := e.index(s)
+
+	return at < len(e.steps) && e.steps[at] != nil && e.steps[at].Done >= len(e.steps[at].Tasks)
+}
+
+// OccurrenceDone reports whether all steps of an occurrence are done.
+func (e *Entry) OccurrenceDone(occurrence int) bool {
+	for i := range e.Job.Steps {
+		if !e.StepDone(StepOf{Occurrence: occurrence, Step: i}) {
+			return false
+		}
+	}
 
-	return ok && st.Done >= len(st.Tasks)
+	return true
 }
 
 // LiveAttempts calls yield for each attempt that may be running.
 func (e *Entry) LiveAttempts(yield func(work.Attempt, Live) bool) {
-	for s, st := range e.steps {
+	for s, st := range e.known {
 		for i := range st.Tasks {
 			for _, l := range st.Tasks[i].Live {
 				a := work.Attempt{Task: work.Task{Job: e.Job.ID, Occurrence: s.Occurrence, Step: s.Step, Index: i}, Number: l.Number}
--- /dev/null
+++ b/schedule/bench_test.go
@@ -0,0 +1,81 @@
+package schedule
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"lycheehook.example/lycheehook/fleet"
+	"lycheehook.example/lycheehook/ledger"
+	"lycheehook.example/lycheehook/work"
+)
+
+// benchFleet returns a scheduler with some workers in each of five pools, lasting tasks on them, and three times as many
+// jobs of eight tasks as there is room for, all that fit running.
+func benchFleet(tb testing.TB, perPool int) (*Scheduler, time.Time) {
+	tb.Helper()
+	now := time.Date(2026, 9, 10, 16, 0, 0, 0, time.UTC)
+	s := New(1, Bounds{MaxLease: 6 * time.Second, MoveTime: 1500 * time.Millisecond}, map[fleet.JobID]*ledger.Entry{}, now)
+	var c work.Config
+	for p := range 5 {
+		pool := fleet.PoolName(fmt.Sprint("pool-", p))
+		c.Pools = append(c.Pools, work.Pool{Name: pool})
+		c.Queues = append(c.Queues, work.Queue{Name: fleet.QueueName(pool), Pool: pool, MaxAttempts: 2, SlackFactor: 1.6, Slack: 600 * time.Millisecond})
+	}
+	for w := range 20 {
+		c.Workspaces = append(c.Workspaces, work.Workspace{Name: fleet.WorkspaceName(fmt.Sprint("ws-", w)), Weight: float64(1 + w%3)})
+	}
+	s.SetConfig(c)
+	for p := range 5 {
+		for i := range perPool {
+			id := work.WorkerID(fmt.Sprintf("i-%d-%04d", p, i))
+			s.Register(work.Registration{
+				ID: id, Life: 7, Address: "w:1", Pool: fleet.PoolName(fmt.Sprint("pool-", p)), Capacity: fleet.Resources{Cores: 16000, Memory: 32768},
+				Rack: fleet.RackName(fmt.Sprint("r-", i/12)),
+			}, now)
+			s.workers[id].met = true
+		}
+	}
+	add := func(n, pool int, step work.Step) {
+		j := work.Job{
+			ID: fleet.JobID(fmt.Sprintf("%016x", n)), Queue: fleet.QueueName(fmt.Sprint("pool-", pool)), Pool: fleet.PoolName(fmt.Sprint("pool-", pool)),
+			Workspace: fleet.WorkspaceName(fmt.Sprint("ws-", n%20)), Submitted: now, Steps: []work.Step{step, step},
+		}
+		j.Steps[1].After = []int{0}
+		s.AddJob(j, uint64(n+1), now)
+	}
+	n := 0
+	for pool := range 5 {
+		n++
+		add(n, pool, work.Step{Count: perPool, Lasting: true, Size: fleet.Resources{Cores: 2000, Memory: 4096}, MaxPerWorker: 2})
+		for range 3 * perPool * 14000 / (8 * 1500) {
+			n++
+			add(n, pool, work.Step{Count: 8, Size: fleet.Resources{Cores: fleet.MilliCores(1200 + 100*(n%7)), Memory: 2048}, Estimate: time.Second})
+		}
+	}
+	s.Place(now)
+	_, starts := s.Take()
+	for _, o := range s.Stored(starts, now) {
+		s.Answered(o, work.Answer{Life: 7}, nil, now)
+	}
+
+	return s, now
+}
+
+// BenchmarkPass plays a pass of the owner over a fleet that is full, at today's size, at that of the grown sites and at
+// the target size.
+func BenchmarkPass(b *testing.B) {
+	for _, workers := range []int{12, 70, 178} {
+		b.Run(fmt.Sprint(5*workers), func(b *testing.B) {
+			s, now := benchFleet(b, workers)
+			for b.Loop() {
+				s.Tick()
+				s.Lapse(now)
+				s.Place(now)
+				s.Polls(now)
+				s.Paces(now)
+				s.Stops(now)
+			}
+		})
+	}
+}
--- a/schedule/host.go
+++ b/schedule/host.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -106,6 +107,7 @@
 			delete(s.hosts, name)
 		}
 	}
+	s.hostList = slices.SortedFunc(maps.Values(s.hosts), func(a, b *host) int { return cmp.Compare(a.Host, b.Host) })
 	s.listed = now
 	s.dirty = true
 }
@@ -167,7 +169,7 @@
 	s.planMoves(now)
 	s.markCordons()
 	var orders []HostOrder
-	for _, h := range s.sortedHosts() {
+	for _, h := range s.hostList {
 		switch h.phase {
 		case emptying:
 			if s.emptied(h, now) {
@@ -215,16 +217,6 @@
 	return HostOrder{Host: h.Host, Wave: h.plan.wave, Pool: h.plan.pool, host: h}
 }
 
-func (s *Scheduler) sortedHosts() []*host {
-	list := make([]*host, 0, len(s.hosts))
-	for _, h := range s.hosts {
-		list = append(list, h)
-	}
-	slices.SortFunc(list, func(a, b *host) int { return cmp.Compare(a.Host, b.Host) })
-
-	return list
-}
-
 // emptied moves away what lasts on a host, and reports whether the host can be ordered away.
 func (s *Scheduler) emptied(h *host, now time.Time) bool {
 	w, ok := s.workers[h.Worker]
@@ -239,15 +231,17 @@
 // moveLasting stops what lasts on a worker, as far as its steps allow, so that it goes on elsewhere, and reports whether
 // something lasts there still.
 func (s *Scheduler) moveLasting(w *worker) bool {
+	if w.lasting == 0 {
+		return false
+	}
 	lasts := false
 	for _, r := range w.runs {
-		step, known := s.stepOf(r)
-		if !known || !step.Lasting {
+		if r.step == nil || !r.step.Lasting {
 			continue
 		}
 		lasts = true
-		if !r.stop && s.mayStop(s.entries[r.attempt.Job], r) {
-			r.stop = true
+		if !r.stop && s.mayStop(r.entry, r) {
+			r.halt()
 			w.wake = true
 		}
 	}
--- a/schedule/pace.go
+++ b/schedule/pace.go
@@ -21,46 +21,31 @@
 	pacePollWait = 400 * time.Millisecond
 )
 
-// stepOf returns the step of a run's task, or false if the ledger has no such task.
-func (s *Scheduler) stepOf(r *run) (work.Step, bool) {
-	e, ok := s.entries[r.attempt.Job]
-	if !ok || !e.Has(r.attempt.Task) {
-		return work.Step{}, false
-	}
-
-	return e.Job.Steps[r.attempt.Step], true
-}
-
 // shares reports whether tasks fill on the worker beside tasks that serve under a bound, and how near the worst of
 // those is to its bound; above one it is over.
-func (s *Scheduler) shares(w *worker) (nearness float64, both bool) {
-	serving, filling := false, false
+func (w *worker) shares() (nearness float64, both bool) {
+	if w.serving == 0 || w.filling == 0 {
+		return 0, false
+	}
 	for _, r := range w.runs {
-		step, ok := s.stepOf(r)
-		switch {
-		case !ok:
-		case step.Filling:
-			filling = true
-		case step.MaxTail > 0:
-			serving = true
-			nearness = max(nearness, float64(r.tail)/float64(step.MaxTail))
+		if r.step != nil && !r.step.Filling && r.step.MaxTail > 0 {
+			nearness = max(nearness, float64(r.tail)/float64(r.step.MaxTail))
 		}
 	}
 
-	return nearness, serving && filling
+	return nearness, true
 }
 
 // Paces returns the orders that slow what fills where it harms what serves, and let it go on where it does not.
 func (s *Scheduler) Paces(now time.Time) []Order {
 	var orders []Order
 	for _, w := range s.workers {
-		nearness, both := s.shares(w)
-		if !w.met {
+		if !w.met || w.filling == 0 {
 			continue
 		}
+		nearness, both := w.shares()
 		for _, r := range w.runs {
-			step, ok := s.stepOf(r)
-			if !ok || !step.Filling || r.phase != confirmed || r.stop || now.Sub(r.paced) < paceInterval {
+			if r.step == nil || !r.step.Filling || r.phase != confirmed || r.stop || now.Sub(r.paced) < paceInterval {
 				continue
 			}
 			pace := nextPace(r.pace, nearness, both)
--- a/schedule/part.go
+++ b/schedule/part.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"slices"
 	"time"
 
 	"lycheehook.example/lycheehook/fleet"
@@ -12,18 +13,6 @@
 	workspace fleet.WorkspaceName
 }
 
-// countParts counts what each workspace has running in each pool.
-func (s *Scheduler) countParts() {
-	clear(s.parts)
-	for _, w := range s.workers {
-		for _, r := range w.runs {
-			if e, ok := s.entries[r.attempt.Job]; ok {
-				s.addPart(w.reg.Pool, e.Job.Workspace, r.reserved)
-			}
-		}
-	}
-}
-
 func (s *Scheduler) addPart(p fleet.PoolName, ws fleet.WorkspaceName, size fleet.Resources) {
 	k := partKey{p, ws}
 	s.parts[k] = s.parts[k].Plus(size)
@@ -44,36 +33,55 @@
 
 // placeByPart places steps that stand alike: the next is always the first one of the workspace that has least of the pool
 // for its weight.
-func (s *Scheduler) placeByPart(class []*ready, workers []*worker, now time.Time) {
-	pool := class[0].queue.Pool
-	var size fleet.Resources
-	for _, w := range workers {
-		size = size.Plus(w.reg.Capacity)
+func (s *Scheduler) placeByPart(class []*ready, p *room, now time.Time) {
+	lines := s.lines(class, p)
+	for len(lines) > 0 {
+		best := 0
+		for i, l := range lines {
+			if l.part < lines[best].part {
+				best = i
+			}
+		}
+		l := lines[best]
+		s.placeStep(l.steps[0], p, now)
+		l.steps = l.steps[1:]
+		l.part = s.part(l, p)
+		if len(l.steps) == 0 {
+			lines = slices.Delete(lines, best, best+1)
+		}
 	}
-	var order []fleet.WorkspaceName
-	waiting := map[fleet.WorkspaceName][]*ready{}
+}
+
+// line is what waits of a workspace in a pool.
+type line struct {
+	key    partKey
+	weight float64
+	steps  []*ready
+	// part is what the workspace has of the pool for its weight.
+	part float64
+}
+
+// lines divides steps that stand alike by workspace, in the order of the first of each.
+func (s *Scheduler) lines(class []*ready, p *room) []*line {
+	var lines []*line
+	byName := map[fleet.WorkspaceName]*line{}
 	for _, r := range class {
 		ws := r.job.entry.Job.Workspace
-		if waiting[ws] == nil {
-			order = append(order, ws)
+		l, ok := byName[ws]
+		if !ok {
+			l = &line{key: partKey{class[0].queue.Pool, ws}, weight: s.weight(ws)}
+			l.part = s.part(l, p)
+			byName[ws] = l
+			lines = append(lines, l)
 		}
-		waiting[ws] = append(waiting[ws], r)
-	}
-	for range class {
-		best := -1
-		var least float64
-		for i, ws := range order {
-			if len(waiting[ws]) == 0 {
-				continue
-			}
-			if part := s.parts[partKey{pool, ws}].DominantShare(size) / s.weight(ws); best < 0 || part < least {
-				best, least = i, part
-			}
-		}
-		next := waiting[order[best]]
-		waiting[order[best]] = next[1:]
-		s.placeStep(next[0], workers, now)
+		l.steps = append(l.steps, r)
 	}
+
+	return lines
+}
+
+func (s *Scheduler) part(l *line, p *room) float64 {
+	return s.parts[l.key].DominantShare(p.size) / l.weight
 }
 
 // weight returns what a workspace's part is divided by; one without a weight of its own counts like the mean of the others.
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -15,72 +15,79 @@
 type ready struct {
 	job    *job
 	step   ledger.StepOf
-	queue  work.Queue
+	queue  *work.Queue
 	tasks  []int
 	rank   rank
 	spread map[work.WorkerID]int
 }
 
-// Place assigns tasks that may start to workers with room.
+// Place assigns tasks that may start to workers with room, once there is a configuration with the workspaces' limits.
 func (s *Scheduler) Place(now time.Time) {
-	if !s.dirty {
+	if !s.dirty || !s.configured {
 		return
 	}
 	s.dirty = false
-	byPool := map[fleet.PoolName][]*worker{}
-	for _, w := range s.workers {
-		if w.usable(now) {
-			byPool[w.reg.Pool] = append(byPool[w.reg.Pool], w)
-		}
-	}
-	s.countTasks()
-	s.countParts()
-	for _, ws := range byPool {
-		slices.SortFunc(ws, func(a, b *worker) int { return cmp.Compare(a.id, b.id) })
-	}
-
+	rooms := s.rooms(now)
 	s.waiting = s.waiting[:0]
 	for _, class := range classes(s.ready(now)) {
-		s.placeByPart(class, byPool[class[0].queue.Pool], now)
+		pool := class[0].queue.Pool
+		if rooms[pool] == nil {
+			rooms[pool] = &room{}
+		}
+		s.placeByPart(class, rooms[pool], now)
 	}
 }
 
-// countTasks counts the tasks of each kind on each worker.
-func (s *Scheduler) countTasks() {
+// room is a set of workers on which tasks may be placed.
+type room struct {
+	workers []*worker
+	// size is the capacity of all.
+	size fleet.Resources
+	// full has needs that no worker had room for in this placement, in which room only shrinks.
+	full []fleet.Resources
+}
+
+// rooms returns the usable workers of each pool, by name, with no room kept.
+func (s *Scheduler) rooms(now time.Time) map[fleet.PoolName]*room {
+	rooms := map[fleet.PoolName]*room{}
 	for _, w := range s.workers {
-		w.kept, w.lasting, w.serving, w.filling = fleet.Resources{}, 0, 0, 0
-		for _, r := range w.runs {
-			if step, ok := s.stepOf(r); ok {
-				w.count(step)
-			}
+		w.kept = fleet.Resources{}
+		if !w.usable(now) {
+			continue
 		}
+		p, ok := rooms[w.reg.Pool]
+		if !ok {
+			p = &room{}
+			rooms[w.reg.Pool] = p
+		}
+		p.workers = append(p.workers, w)
+		p.size = p.size.Plus(w.reg.Capacity)
+	}
+	for _, p := range rooms {
+		slices.SortFunc(p.workers, func(a, b *worker) int { return cmp.Compare(a.id, b.id) })
 	}
+
+	return rooms
 }
 
-// count takes a task of a step into the worker's counts.
-func (w *worker) count(step work.Step) {
-	if step.Lasting {
-		w.lasting++
-	}
-	if step.Filling {
-		w.filling++
-	} else if step.MaxTail > 0 {
-		w.serving++
-	}
+// lacks reports whether no worker has room for a need, as far as earlier searches show.
+func (p *room) lacks(need fleet.Resources) bool {
+	return slices.ContainsFunc(p.full, func(f fleet.Resources) bool { return f.FitsIn(need) })
 }
 
 // ready returns the steps with tasks that may start, in the order in which they are placed.
 func (s *Scheduler) ready(now time.Time) []*ready {
 	var list []*ready
 	for _, j := range s.jobs {
-		q, ok := s.queues[j.entry.Job.Queue]
-		if !ok {
-			continue
-		}
-		for k := range j.entry.Job.Occurrences() {
+		q := s.queueOf(&j.entry.Job)
+		for k := j.open; k < j.entry.Job.Occurrences(); k++ {
 			if j.entry.Job.Due(k).After(now) {
 				break
 			}
+			if k == j.open && j.entry.OccurrenceDone(k) {
+				j.open++
+				continue
+			}
 			list = s.readySteps(list, j, q, k, now)
 		}
 	}
@@ -91,42 +98,58 @@
 	return list
 }
 
-func (s *Scheduler) readySteps(list []*ready, j *job, q work.Queue, occurrence int, now time.Time) []*ready {
+func (s *Scheduler) readySteps(list []*ready, j *job, q *work.Queue, occurrence int, now time.Time) []*ready {
 	e := j.entry
-	for i, step := range e.Job.Steps {
+	var standing *rank
+	for i := range e.Job.Steps {
 		at := ledger.StepOf{Occurrence: occurrence, Step: i}
-		if e.StepDone(at) || slices.ContainsFunc(step.After, func(a int) bool {
+		if e.StepDone(at) || slices.ContainsFunc(e.Job.Steps[i].After, func(a int) bool {
 			return !e.StepDone(ledger.StepOf{Occurrence: occurrence, Step: a})
 		}) {
 			continue
 		}
-		var tasks []int
-		for n := range e.Step(at).Tasks {
-			if t := &e.Step(at).Tasks[n]; !t.Done && len(t.Live) == 0 {
-				tasks = append(tasks, n)
-			}
+		tasks := waitingTasks(e.Step(at))
+		if len(tasks) == 0 {
+			continue
 		}
-		if len(tasks) > 0 {
-			list = append(list, &ready{job: j, step: at, queue: q, tasks: tasks, rank: s.rank(j, q, occurrence, now)})
+		if standing == nil {
+			r := s.rank(j, q, occurrence, now)
+			standing = &r
 		}
+		list = append(list, &ready{job: j, step: at, queue: q, tasks: tasks, rank: *standing})
 	}
 
 	return list
 }
 
+// waitingTasks returns the tasks that are neither done nor running.
+func waitingTasks(st *ledger.StepState) []int {
+	var tasks []int
+	for n := range st.Tasks {
+		if t := &st.Tasks[n]; !t.Done && len(t.Live) == 0 {
+			if tasks == nil {
+				tasks = make([]int, 0, len(st.Tasks)-n)
+			}
+			tasks = append(tasks, n)
+		}
+	}
+
+	return tasks
+}
+
 // placeStep assigns as many of a step's tasks as find room; those of a gang all or none.
-func (s *Scheduler) placeStep(r *ready, workers []*worker, now time.Time) {
+func (s *Scheduler) placeStep(r *ready, p *room, now time.Time) {
 	e := r.job.entry
-	step := e.Job.Steps[r.step.Step]
+	step := &e.Job.Steps[r.step.Step]
 	if step.Gang {
-		s.placeGang(r, step, workers, now)
+		s.placeGang(r, step, p, now)
 		return
 	}
 	for i, n := range r.tasks {
-		w := s.choose(r, step, workers, now)
+		w := s.choose(r, step, p, now)
 		if w == nil {
 			if step.Lasting && s.withinLimit(e.Job.Workspace, step.Size) {
-				keepRoom(r, step, workers)
+				keepRoom(r, step, p.workers)
 				s.wait(r, 1)
 
 				continue
@@ -148,7 +171,7 @@
 }
 
 // placeGang assigns all tasks of a gang under one attempt number, or none of them.
-func (s *Scheduler) placeGang(r *ready, step work.Step, workers []*worker, now time.Time) {
+func (s *Scheduler) placeGang(r *ready, step *work.Step, p *room, now time.Time) {
 	e := r.job.entry
 	tasks := e.Step(r.step).Tasks
 	if len(r.tasks) < len(tasks) {
@@ -159,8 +182,8 @@
 	for i := range tasks {
 		attempt = max(attempt, tasks[i].Attempts)
 	}
-	for _, near := range racks(step, workers) {
-		if s.placeMembers(r, step, attempt+1, near, now) {
+	for _, near := range racks(step, p.workers) {
+		if s.placeMembers(r, step, attempt+1, &room{workers: near}, now) {
 			return
 		}
 	}
@@ -168,11 +191,11 @@
 }
 
 // placeMembers assigns all tasks of a gang to some of the workers, or none, and reports whether they found room.
-func (s *Scheduler) placeMembers(r *ready, step work.Step, attempt int, workers []*worker, now time.Time) bool {
+func (s *Scheduler) placeMembers(r *ready, step *work.Step, attempt int, p *room, now time.Time) bool {
 	first, firstChange := len(s.starting), len(s.changes)
 	r.spread = nil
 	for _, n := range r.tasks {
-		w := s.choose(r, step, workers, now)
+		w := s.choose(r, step, p, now)
 		if w == nil {
 			s.withdraw(first, firstChange)
 			return false
@@ -185,7 +208,7 @@
 
 // racks returns the workers that a gang is tried on, the best first: those of one rack where it is slow across racks, and
 // then all.
-func racks(step work.Step, workers []*worker) [][]*worker {
+func racks(step *work.Step, workers []*worker) [][]*worker {
 	var list [][]*worker
 	if step.SameRack {
 		byRack := map[fleet.RackName][]*worker{}
@@ -217,11 +240,11 @@
 		Number: number,
 	}
 	ticket, _ := s.ticketFor(r, w, now)
-	run := &run{pace: fullPace, ticket: ticket, attempt: a, worker: w, life: w.life, reserved: e.Job.Steps[a.Step].Reserved()}
+	run := &run{pace: fullPace, ticket: ticket, attempt: a, worker: w, life: w.life}
 	s.hold(e, run)
-	w.count(e.Job.Steps[a.Step])
-	s.addPart(r.queue.Pool, e.Job.Workspace, run.reserved)
-	r.spread[w.id]++
+	if r.spread != nil {
+		r.spread[w.id]++
+	}
 	s.starting = append(s.starting, run)
 	s.record(e, ledger.Change{Kind: ledger.Assigned, Attempt: a, Worker: w.id, Life: w.life})
 	s.observe(Decision{
@@ -243,17 +266,20 @@
 }
 
 // choose returns the worker for the next task of a step, or nil if there is none with room.
-func (s *Scheduler) choose(r *ready, step work.Step, workers []*worker, now time.Time) *worker {
+func (s *Scheduler) choose(r *ready, step *work.Step, p *room, now time.Time) *worker {
 	if !s.withinLimit(r.job.entry.Job.Workspace, step.Size) {
 		return nil
 	}
-	if r.spread == nil {
+	need := step.Reserved()
+	if !step.Lasting && p.lacks(need) {
+		return nil
+	}
+	if r.spread == nil && (step.Lasting || step.MaxPerWorker > 0) {
 		r.spread = spreadOf(r)
 	}
-	need := step.Reserved()
 	var best *worker
 	var bestScore float64
-	for _, w := range workers {
+	for _, w := range p.workers {
 		free := w.reg.Capacity.Minus(w.used)
 		if !step.Lasting {
 			free = free.Minus(w.kept)
@@ -269,12 +295,20 @@
 			best, bestScore = w, score
 		}
 	}
+	if best == nil && anywhere(step, r.queue) {
+		p.full = append(p.full, need)
+	}
 
 	return best
 }
 
+// anywhere reports whether only room decides on which worker a task of a step may run.
+func anywhere(step *work.Step, q *work.Queue) bool {
+	return !step.Lasting && step.Label == "" && step.MaxPerWorker == 0 && q.Advice == nil
+}
+
 // keepRoom keeps the room that becomes free on one worker for a task that lasts and finds none.
-func keepRoom(r *ready, step work.Step, workers []*worker) {
+func keepRoom(r *ready, step *work.Step, workers []*worker) {
 	need := step.Reserved()
 	var best *worker
 	for _, w := range workers {
@@ -310,7 +344,7 @@
 const farPenalty = 10
 
 // score is lower for the better worker: tasks that last are spread, all others packed.
-func score(r *ready, step work.Step, w *worker) float64 {
+func score(r *ready, step *work.Step, w *worker) float64 {
 	after := w.used.Plus(step.Reserved()).DominantShare(w.reg.Capacity)
 	score := 1 - after
 	if step.Lasting {
--- a/schedule/poll.go
+++ b/schedule/poll.go
@@ -57,10 +57,10 @@
 		return 0, false
 	case w.wake:
 		return 0, true
-	case s.warmingUp(w):
+	case w.warmingUp():
 		return warmUpWait, true
 	case len(w.runs) > 0:
-		if _, both := s.shares(w); both {
+		if _, both := w.shares(); both {
 			return pacePollWait, true
 		}
 
@@ -71,12 +71,12 @@
 }
 
 // warmingUp reports whether a lasting task on the worker is not at work yet.
-func (s *Scheduler) warmingUp(w *worker) bool {
+func (w *worker) warmingUp() bool {
+	if w.lasting == 0 {
+		return false
+	}
 	for _, r := range w.runs {
-		if r.phase != confirmed || r.percent >= fullPace {
-			continue
-		}
-		if step, ok := s.stepOf(r); ok && step.Lasting {
+		if r.phase == confirmed && r.percent < fullPace && r.step != nil && r.step.Lasting {
 			return true
 		}
 	}
@@ -202,8 +202,7 @@
 // waitsForGang reports whether a member that is not listed any more is still given time, since one end that another
 // worker lists stands for the whole gang.
 func (s *Scheduler) waitsForGang(r *run, now time.Time) bool {
-	step, ok := s.stepOf(r)
-	if !ok || !step.Gang {
+	if r.step == nil || !r.step.Gang {
 		return false
 	}
 	if r.missing.IsZero() {
@@ -216,11 +215,10 @@
 // stray holds room for a run that nobody should have started, until it is stopped.
 func (s *Scheduler) stray(w *worker, a work.Attempt) *run {
 	s.observe(Decision{What: DecidedStrayRun, Attempt: a, Worker: w.id})
-	r := &run{attempt: a, worker: w, life: w.life, phase: confirmed, stop: true, pace: fullPace}
-	if e, ok := s.entries[a.Job]; ok && e.Has(a.Task) {
-		r.reserved = e.Job.Steps[a.Step].Reserved()
+	r := &run{attempt: a, worker: w, life: w.life, phase: confirmed, pace: fullPace}
+	r.halt()
+	if e := s.entryOf(a.Task); e != nil {
 		s.hold(e, r)
-
 		return r
 	}
 	w.runs[a] = r
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -41,7 +41,7 @@
 		}
 	}
 	var spares []fleet.HostName
-	for _, h := range s.sortedHosts() {
+	for _, h := range s.hostList {
 		if name != "" && h.Pool == name && s.free(h, now) {
 			spares = append(spares, h.Host)
 		}
@@ -67,7 +67,7 @@
 			continue
 		}
 		st := balance.Pool{Name: p.Name, Demand: demand[p.Name], Least: s.least(p.Name)}
-		for _, h := range s.sortedHosts() {
+		for _, h := range s.hostList {
 			switch {
 			case h.phase != serving && h.plan.pool == p.Name:
 				st.Hosts++
@@ -128,7 +128,7 @@
 // hostSize returns the capacity of a typical host of a pool.
 func (s *Scheduler) hostSize(p fleet.PoolName) fleet.Resources {
 	var other fleet.Resources
-	for _, h := range s.sortedHosts() {
+	for _, h := range s.hostList {
 		if h.Pool == p {
 			return h.Capacity
 		}
@@ -142,7 +142,7 @@
 func (s *Scheduler) least(p fleet.PoolName) int {
 	least := 1
 	for _, j := range s.jobs {
-		if s.queues[j.entry.Job.Queue].Pool != p {
+		if s.queueOf(&j.entry.Job).Pool != p {
 			continue
 		}
 		for _, step := range j.entry.Job.Steps {
@@ -158,10 +158,7 @@
 
 // arrive tells the balancer of a new job's work.
 func (s *Scheduler) arrive(j *job, now time.Time) {
-	q, ok := s.queues[j.entry.Job.Queue]
-	if !ok || s.balancer == nil {
-		return
-	}
+	q := s.queueOf(&j.entry.Job)
 	size := s.hostSize(q.Pool)
 	var hostSeconds float64
 	for _, step := range j.entry.Job.Steps {
--- a/schedule/promise_test.go
+++ b/schedule/promise_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lycheehook.example/lycheehook/fleet"
+	"lycheehook.example/lycheehook/ledger"
 	"lycheehook.example/lycheehook/work"
 )
 
@@ -181,3 +182,37 @@
 	check(t, "runs held", 1, len(w.runs))
 	check(t, "last end taken in", uint64(500), w.seen)
 }
+
+// A job whose queue was removed before this owner's term runs on in the pool that it was accepted for, and its attempts
+// are bounded as they were.
+func TestQueueRemovedBeforeTheTerm(t *testing.T) {
+	b := newBench(t, 2)
+	c := testConfig
+	c.Queues = nil
+	b.s = New(2, Bounds{MaxLease: 6 * time.Second}, b.book, b.now)
+	b.s.SetConfig(c)
+	for _, r := range b.regs {
+		b.s.Register(r, b.now)
+	}
+	b.s.AddJob(work.Job{ID: "j", Queue: "removed", Pool: testPool, MaxAttempts: 1, Steps: []work.Step{{Count: 1, Size: size(1000)}}}, 1, b.now)
+	b.settle()
+	check(t, "tasks at work", 1, b.running())
+	b.finish(work.OutcomeFailed)
+	b.settle()
+	check(t, "state", ledger.Failed, b.s.entries["j"].State())
+}
+
+// Before a configuration tells the workspaces' limits, an owner starts nothing.
+func TestNothingStartsWithoutLimits(t *testing.T) {
+	b := newBench(t, 2)
+	b.s = New(2, Bounds{MaxLease: 6 * time.Second}, b.book, b.now)
+	for _, r := range b.regs {
+		b.s.Register(r, b.now)
+	}
+	b.submit("j", work.Step{Count: 1, Size: size(1000)})
+	b.settle()
+	check(t, "tasks at work without a configuration", 0, b.running())
+	b.s.SetConfig(testConfig)
+	b.settle()
+	check(t, "tasks at work with one", 1, b.running())
+}
--- a/schedule/rank.go
+++ b/schedule/rank.go
@@ -52,7 +52,7 @@
 }
 
 // rank returns where an occurrence of a job stands.
-func (s *Scheduler) rank(j *job, q work.Queue, occurrence int, now time.Time) rank {
+func (s *Scheduler) rank(j *job, q *work.Queue, occurrence int, now time.Time) rank {
 	r := rank{standing: lasting, priority: q.Priority, id: j.entry.Job.ID}
 	if j.entry.Job.Lasting() {
 		return r
--- a/schedule/run.go
+++ b/schedule/run.go
@@ -216,7 +216,7 @@
 				s.end(w.runs[member], o, "", "another member of its gang is done")
 				continue
 			}
-			w.runs[member].stop = true
+			w.runs[member].halt()
 			w.wake = true
 		}
 	}
@@ -224,9 +224,9 @@
 
 // exhaust fails the job of a task that used up its attempts.
 func (s *Scheduler) exhaust(e *ledger.Entry, a work.Attempt) {
-	q, known := s.queues[e.Job.Queue]
+	q := s.queueOf(&e.Job)
 	st := e.Task(a.Task)
-	if !known || e.Over() || st.Done || e.Job.Steps[a.Step].Lasting || q.MaxAttempts <= 0 || st.Failures < q.MaxAttempts {
+	if e.Over() || st.Done || e.Job.Steps[a.Step].Lasting || q.MaxAttempts <= 0 || st.Failures < q.MaxAttempts {
 		return
 	}
 	s.observe(Decision{What: DecidedJobFailed, Attempt: a, Reason: "attempts used up"})
@@ -249,7 +249,7 @@
 			continue
 		}
 		if r, ok := w.runs[work.Attempt{Task: a.Task, Number: l.Number}]; ok {
-			r.stop = true
+			r.halt()
 		}
 	}
 }
@@ -264,6 +264,9 @@
 		if w.reg.Draining && w.present {
 			s.moveLasting(w)
 		}
+		if w.stopping == 0 {
+			continue
+		}
 		for _, r := range w.runs {
 			if r.stop && r.phase != assigned && now.Sub(r.stopSent) >= stopRetry {
 				r.stopSent = now
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -14,16 +14,18 @@
 	term    uint64
 	bounds  Bounds
 	observe Observer
-	queues  map[fleet.QueueName]work.Queue
+	queues  map[fleet.QueueName]*work.Queue
 	pools   map[fleet.PoolName]work.Pool
 	limits  map[fleet.WorkspaceName]work.Workspace
 	entries map[fleet.JobID]*ledger.Entry
 	jobs    map[fleet.JobID]*job
 	workers map[work.WorkerID]*worker
 	running map[fleet.WorkspaceName]fleet.Resources
-	// parts has what each workspace has running in each pool, as of the placement that is being made.
+	// parts has what each workspace has running in each pool.
 	parts map[partKey]fleet.Resources
 	hosts map[fleet.HostName]*host
+	// hostList has the hosts by name.
+	hostList []*host
 	// listed is when the cloud's list was last taken in.
 	listed   time.Time
 	waves    map[int64]*wave
@@ -45,6 +47,8 @@
 	waiting  []*ready
 	changes  []ledger.Change
 	starting []*run
+	// configured says that a configuration is in force.
+	configured bool
 	// dirty says that something has changed since tasks were last placed.
 	dirty bool
 }
@@ -64,6 +68,8 @@
 	entry *ledger.Entry
 	// seen is when this host learnt of the job, which the time of its submission bounds from below.
 	seen time.Time
+	// open is the first occurrence that may not be done.
+	open int
 }
 
 // Option changes a new scheduler.
@@ -79,7 +85,7 @@
 func New(term uint64, b Bounds, entries map[fleet.JobID]*ledger.Entry, now time.Time, options ...Option) *Scheduler {
 	s := &Scheduler{
 		term: term, bounds: b, observe: func(Decision) {}, entries: entries,
-		queues: map[fleet.QueueName]work.Queue{}, pools: map[fleet.PoolName]work.Pool{}, limits: map[fleet.WorkspaceName]work.Workspace{},
+		queues: map[fleet.QueueName]*work.Queue{}, pools: map[fleet.PoolName]work.Pool{}, limits: map[fleet.WorkspaceName]work.Workspace{},
 		jobs: map[fleet.JobID]*job{}, workers: map[work.WorkerID]*worker{}, running: map[fleet.WorkspaceName]fleet.Resources{}, parts: map[partKey]fleet.Resources{}, dirty: true,
 		hosts: map[fleet.HostName]*host{}, waves: map[int64]*wave{}, quiet: map[fleet.HostName]time.Time{}, over: map[fleet.JobID]time.Time{},
 		advice: map[string]*advice{}, dueHosts: map[fleet.HostName]bool{},
@@ -106,18 +112,21 @@
 			w.life = l.Life
 		}
 		w.lapse = now.Add(leaseBound(s.bounds.MaxLease))
-		r := &run{attempt: a, worker: w, life: l.Life, phase: inherited, pace: fullPace, reserved: e.Job.Steps[a.Step].Reserved()}
-		r.stop = l.Life < w.life || e.Over() || e.Task(a.Task).Done
+		r := &run{attempt: a, worker: w, life: l.Life, phase: inherited, pace: fullPace}
 		s.hold(e, r)
+		if l.Life < w.life || e.Over() || e.Task(a.Task).Done {
+			r.halt()
+		}
 	}
 }
 
 // SetConfig puts a configuration in force.
 func (s *Scheduler) SetConfig(c work.Config) {
+	s.configured = true
 	clear(s.pools)
 	clear(s.limits)
 	for _, q := range c.Queues {
-		s.queues[q.Name] = q
+		s.queues[q.Name] = &q
 	}
 	for _, p := range c.Pools {
 		s.pools[p.Name] = p
@@ -128,6 +137,16 @@
 	s.dirty = true
 }
 
+// queueOf returns a job's queue: as a configuration of this term has it or, where the queue was removed before, as it was
+// when the job was accepted.
+func (s *Scheduler) queueOf(j *work.Job) *work.Queue {
+	if q, ok := s.queues[j.Queue]; ok {
+		return q
+	}
+
+	return &work.Queue{Name: j.Queue, Pool: j.Pool, MaxAttempts: j.MaxAttempts}
+}
+
 // AddJob takes in an accepted job, or a job that is cancelled now.
 func (s *Scheduler) AddJob(j work.Job, revision uint64, now time.Time) {
 	e, ok := s.entries[j.ID]
@@ -155,7 +174,7 @@
 	for a, l := range e.LiveAttempts {
 		if w, ok := s.workers[l.Worker]; ok {
 			if r, ok := w.runs[a]; ok {
-				r.stop = true
+				r.halt()
 				w.wake = true
 			}
 		}
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"cmp"
 	"time"
 
 	"lycheehook.example/lycheehook/fleet"
@@ -50,8 +51,11 @@
 
 // run is an attempt that takes room on a worker.
 type run struct {
-	attempt  work.Attempt
-	worker   *worker
+	attempt work.Attempt
+	worker  *worker
+	// entry and step are the run's job and its step; nil if the ledger has no such task.
+	entry    *ledger.Entry
+	step     *work.Step
 	life     work.Life
 	phase    phase
 	reserved fleet.Resources
@@ -72,9 +76,11 @@
 	// pace is the percentage that was last ordered, paced when.
 	pace  int
 	paced time.Time
-	// stop says that the run is to be ended, stopSent when that was last ordered.
+	// stop says that the run is to be ended, stopSent when that was last ordered. It is set by halt.
 	stop     bool
 	stopSent time.Time
+	// pool is where the run counts for its workspace's part.
+	pool fleet.PoolName
 }
 
 // worker is one incarnation of a worker with what runs there.
@@ -92,8 +98,8 @@
 	used fleet.Resources
 	// kept is room that only tasks that last may take.
 	kept fleet.Resources
-	// lasting counts the lasting tasks that run there.
-	lasting int
+	// lasting counts the lasting tasks that run there, stopping the runs that are to be ended.
+	lasting, stopping int
 	// serving and filling count the tasks that serve under a bound and those that fill.
 	serving, filling int
 	// clock is the worker's clock at its newest answer, which was asked for at asked and came at heard.
@@ -160,26 +166,64 @@
 
 // hold makes a run take its room and count against its workspace.
 func (s *Scheduler) hold(e *ledger.Entry, r *run) {
-	r.charged = e.Job.Steps[r.attempt.Step].Size
+	r.entry, r.step, r.pool = e, &e.Job.Steps[r.attempt.Step], cmp.Or(r.worker.reg.Pool, e.Job.Pool)
+	r.reserved, r.charged = r.step.Reserved(), r.step.Size
 	r.worker.runs[r.attempt] = r
 	r.worker.used = r.worker.used.Plus(r.reserved)
+	r.worker.count(r.step, 1)
 	s.running[e.Job.Workspace] = s.running[e.Job.Workspace].Plus(r.charged)
+	s.addPart(r.pool, e.Job.Workspace, r.reserved)
 }
 
 // release gives a run's room back and returns its job, or nil if the ledger has no such task.
 func (s *Scheduler) release(r *run) *ledger.Entry {
-	delete(r.worker.runs, r.attempt)
-	r.worker.used = r.worker.used.Minus(r.reserved)
+	w := r.worker
+	delete(w.runs, r.attempt)
+	if r.stop {
+		w.stopping--
+	}
 	s.dirty = true
-	e, ok := s.entries[r.attempt.Job]
-	if !ok || !e.Has(r.attempt.Task) {
-		return nil
+	e := r.entry
+	if e == nil {
+		return s.entryOf(r.attempt.Task)
 	}
+	w.used = w.used.Minus(r.reserved)
+	w.count(r.step, -1)
 	s.running[e.Job.Workspace] = s.running[e.Job.Workspace].Minus(r.charged)
+	s.addPart(r.pool, e.Job.Workspace, fleet.Resources{}.Minus(r.reserved))
 
 	return e
 }
 
+// entryOf returns the job of a task, or nil if the ledger has no such task.
+func (s *Scheduler) entryOf(t work.Task) *ledger.Entry {
+	if e, ok := s.entries[t.Job]; ok && e.Has(t) {
+		return e
+	}
+
+	return nil
+}
+
+// count adds n tasks of a step to the worker's counts.
+func (w *worker) count(step *work.Step, n int) {
+	if step.Lasting {
+		w.lasting += n
+	}
+	if step.Filling {
+		w.filling += n
+	} else if step.MaxTail > 0 {
+		w.serving += n
+	}
+}
+
+// halt has a run ended.
+func (r *run) halt() {
+	if !r.stop {
+		r.stop = true
+		r.worker.stopping++
+	}
+}
+
 // Register takes in what a worker says of itself in the store.
 func (s *Scheduler) Register(r work.Registration, now time.Time) {
 	w := s.worker(r.ID)
--- a/work/job.go
+++ b/work/job.go
@@ -23,6 +23,8 @@
 	FirstStart time.Time     `cbor:"8,keyasint,omitzero"`
 	Interval   time.Duration `cbor:"9,keyasint,omitempty"`
 	Submitted  time.Time     `cbor:"10,keyasint"`
+	// MaxAttempts is the queue's when the job was accepted; it holds while no configuration names the queue.
+	MaxAttempts int `cbor:"12,keyasint,omitempty"`
 	// Cancelled marks a job that must not run any more, also one that was never submitted.
 	Cancelled bool `cbor:"11,keyasint,omitempty"`
 }
