Let failures follow the job or the worker that causes them

Cause: two failed runs in a row put a worker into quarantine, also when a job that can never be done had failed there, so a wave of such jobs took sound workers away; and the second attempt of a task (most queues allow two) could go to the worker that had failed the first, as packing prefers it. Change: a task is tried on a worker where it has not failed; a worker is left alone after failures of two jobs in a row, and a job that fails on a second worker clears the first. Workers with a failure come behind others.

--- a/schedule/place.go
+++ b/schedule/place.go
@@ -146,7 +146,7 @@
 		return
 	}
 	for i, n := range r.tasks {
-		w := s.choose(r, step, p, now)
+		w := s.choose(r, n, p, now)
 		if w == nil {
 			if step.Lasting && s.withinLimit(e.Job.Workspace, step.Size) {
 				keepRoom(r, step, p.workers)
@@ -183,7 +183,7 @@
 		attempt = max(attempt, tasks[i].Attempts)
 	}
 	for _, near := range racks(step, p.workers) {
-		if s.placeMembers(r, step, attempt+1, &room{workers: near}, now) {
+		if s.placeMembers(r, attempt+1, &room{workers: near}, now) {
 			return
 		}
 	}
@@ -191,11 +191,11 @@
 }
 
 // placeMembers assigns all tasks of a gang to some of the workers, or none, and reports whether they found room.
-func (s *Scheduler) placeMembers(r *ready, step *work.Step, attempt int, p *room, now time.Time) bool {
+func (s *Scheduler) placeMembers(r *ready, attempt int, p *room, now time.Time) bool {
 	first, firstChange := len(s.starting), len(s.changes)
 	r.spread = nil
 	for _, n := range r.tasks {
-		w := s.choose(r, step, p, now)
+		w := s.choose(r, n, p, now)
 		if w == nil {
 			s.withdraw(first, firstChange)
 			return false
@@ -265,8 +265,9 @@
 		within(ws.UpperLimit.Accelerators, after.Accelerators)
 }
 
-// choose returns the worker for the next task of a step, or nil if there is none with room.
-func (s *Scheduler) choose(r *ready, step *work.Step, p *room, now time.Time) *worker {
+// choose returns the worker for a task of a step, or nil if there is none with room.
+func (s *Scheduler) choose(r *ready, index int, p *room, now time.Time) *worker {
+	step := &r.job.entry.Job.Steps[r.step.Step]
 	if !s.withinLimit(r.job.entry.Job.Workspace, step.Size) {
 		return nil
 	}
@@ -277,6 +278,7 @@
 	if r.spread == nil && (step.Lasting || step.MaxPerWorker > 0) {
 		r.spread = spreadOf(r)
 	}
+	task := work.Task{Job: r.job.entry.Job.ID, Occurrence: r.step.Occurrence, Step: r.step.Step, Index: index}
 	var best *worker
 	var bestScore float64
 	for _, w := range p.workers {
@@ -285,7 +287,7 @@
 			free = free.Minus(w.kept)
 		}
 		if !need.FitsIn(free) || !hasLabel(w.reg, step.Label) ||
-			step.MaxPerWorker > 0 && r.spread[w.id] >= step.MaxPerWorker {
+			step.MaxPerWorker > 0 && r.spread[w.id] >= step.MaxPerWorker || len(p.workers) > 1 && r.job.failedOn(task, w.id) {
 			continue
 		}
 		if _, ok := s.ticketFor(r, w, now); !ok {
@@ -295,7 +297,7 @@
 			best, bestScore = w, score
 		}
 	}
-	if best == nil && anywhere(step, r.queue) {
+	if best == nil && anywhere(step, r.queue) && len(r.job.failed) == 0 {
 		p.full = append(p.full, need)
 	}
 
@@ -357,6 +359,9 @@
 			score += duePenalty
 		}
 	}
+	if w.failures > 0 {
+		score += suspectPenalty
+	}
 	// Tasks that fill and tasks that serve under a bound stay apart where they can.
 	if step.Filling && w.serving > 0 || step.MaxTail > 0 && w.filling > 0 {
 		score += sharingPenalty
--- a/schedule/poll.go
+++ b/schedule/poll.go
@@ -144,7 +144,7 @@
 		w.seen = end.Number
 		r, ok := w.runs[end.Attempt]
 		if ok {
-			s.judge(w, end.Outcome, now)
+			s.judge(w, end.Attempt, end.Outcome, now)
 			s.end(r, end.Outcome, end.Checkpoint, "listed by the worker")
 			continue
 		}
--- a/schedule/run.go
+++ b/schedule/run.go
@@ -13,10 +13,6 @@
 const (
 	// stopRetry is the pause before an unfulfilled stop is ordered again.
 	stopRetry = 400 * time.Millisecond
-	// failuresToQuarantine is how many runs in a row may fail on a worker before it is left alone for a time.
-	failuresToQuarantine = 2
-	quarantineTime       = 2 * time.Second
-	maxQuarantine        = 16 * time.Second
 )
 
 // Start is a run, or an order to a host, that is to be stored before its order goes out.
@@ -141,7 +137,7 @@
 	w := r.worker
 	switch {
 	case errors.Is(err, work.ErrUnhealthy), errors.Is(err, work.ErrNoRoom):
-		s.suspect(w, now)
+		s.suspect(w, r.attempt.Job, now)
 	case errors.Is(err, work.ErrNotSent):
 		w.unheard = max(w.unheard, silentAfter)
 		w.wake = true
@@ -156,27 +152,6 @@
 	s.end(r, work.OutcomeNotStarted, "", err.Error())
 }
 
-// suspect leaves a worker alone for a time that doubles with each failure in a row.
-func (s *Scheduler) suspect(w *worker, now time.Time) {
-	w.failures++
-	if w.failures < failuresToQuarantine {
-		return
-	}
-	pause := min(maxQuarantine, quarantineTime<<(w.failures-failuresToQuarantine))
-	w.quarantine = now.Add(pause)
-	s.observe(Decision{What: DecidedWorkerSuspected, Worker: w.id, Reason: pause.String()})
-}
-
-// judge learns from an end how sound a worker is.
-func (s *Scheduler) judge(w *worker, o work.Outcome, now time.Time) {
-	switch o {
-	case work.OutcomeDone:
-		w.failures = 0
-	case work.OutcomeFailed:
-		s.suspect(w, now)
-	}
-}
-
 // end takes in that a run is over and what follows from it.
 func (s *Scheduler) end(r *run, o work.Outcome, checkpoint, reason string) {
 	checkpoint = cmp.Or(checkpoint, r.saved)
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -68,6 +68,8 @@
 	entry *ledger.Entry
 	// seen is when this host learnt of the job, which the time of its submission bounds from below.
 	seen time.Time
+	// failed has the workers on which each task failed.
+	failed map[work.Task][]work.WorkerID
 	// open is the first occurrence that may not be done.
 	open int
 }
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -117,8 +117,9 @@
 	polling uint64
 	// wake asks for a poll at once.
 	wake bool
-	// failures counts the runs in a row that failed there.
-	failures int
+	// failures counts the jobs in a row that failed there; failedJob is the last of them.
+	failures  int
+	failedJob fleet.JobID
 	// cordoned workers get no new tasks; due ones are to have their maintenance.
 	cordoned, due bool
 	quarantine    time.Time
