Remove old batches without holding up writes, and notice silence sooner

A write whose own patience ended was no evidence of silence, so the way through peers was taken only after 0.7 s. Change: old batches are removed beside the writes; what is left of them goes with the next removal. A call that the store has not answered for 200 ms counts as silence when its caller's time is over.

--- a/dispatch/compact.go
+++ b/dispatch/compact.go
@@ -20,9 +20,9 @@
 	forgetInterval = 10 * time.Second
 )
 
-// compact restates the log in few batches and removes those before. The caller must have set writing.
+// compact restates the log in few batches, and has those before removed meanwhile. The caller must have set writing.
 func (t *term) compact(ctx context.Context, changes []ledger.Change) error {
-	restated, old := t.writer.next, t.writer.first
+	restated := t.writer.next
 	for {
 		// An empty log would let numbers begin anew, so at least one batch is written.
 		n := min(len(changes), restatedChanges)
@@ -34,25 +34,38 @@
 			break
 		}
 	}
-	var keys []string
-	for n := old; n < restated; n++ {
-		keys = append(keys, ledger.LogKey(n))
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	first := t.oldest
+	t.restated = restated
+	if !t.removing {
+		t.removing = true
+		go t.removeBatches(ctx, first, restated)
 	}
-	t.log.Info("log restated", "from", old, "to", restated, "next", t.writer.next)
-	t.writer.first = old + uint64(t.remove(ctx, keys))
 
 	return nil
 }
 
+// removeBatches removes the batches from first to before end. Nothing waits for it: a reader takes in what is left of them
+// to no effect, and the next removal begins with it.
+func (t *term) removeBatches(ctx context.Context, first, end uint64) {
+	var keys []string
+	for n := first; n < end; n++ {
+		keys = append(keys, ledger.LogKey(n))
+	}
+	removed := t.remove(ctx, keys)
+	t.log.Info("log restated", "from", first, "to", end, "removed", removed)
+	t.mu.Lock()
+	t.oldest, t.removing = first+uint64(removed), false
+	t.mu.Unlock()
+}
+
 // remove removes keys in their order, and returns how many are surely gone.
 func (t *term) remove(ctx context.Context, keys []string) int {
 	removed := 0
 	for len(keys) > 0 {
 		n := min(len(keys), removals)
-		_, err := t.client.Commit(ctx, store.Txn{
-			Expect: []store.Expectation{{Key: ledger.OwnerKey, Revision: t.owned.Revision}}, Removes: keys[:n],
-		})
-		if err != nil {
+		if err := t.removeSome(ctx, keys[:n]); err != nil {
 			t.log.Warn("old records not removed", "keys", len(keys), "error", err)
 			break
 		}
@@ -63,6 +76,16 @@
 	return removed
 }
 
+func (t *term) removeSome(ctx context.Context, keys []string) error {
+	ctx, cancel := context.WithTimeout(ctx, maxStoreWait)
+	defer cancel()
+	_, err := t.client.Commit(ctx, store.Txn{
+		Expect: []store.Expectation{{Key: ledger.OwnerKey, Revision: t.owned.Revision}}, Removes: keys,
+	})
+
+	return err
+}
+
 // forget removes the jobs that ended long ago until the term is over.
 func (t *term) forget(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -120,8 +120,12 @@
 	version int64
 	writing bool
 	wrote   time.Time
-	wake    chan struct{}
-	lost    context.CancelFunc
+	// oldest is the oldest batch that may be kept, restated the one from which the log tells all.
+	oldest, restated uint64
+	// removing says that batches before restated are being removed.
+	removing bool
+	wake     chan struct{}
+	lost     context.CancelFunc
 }
 
 // Serve owns the workers until the term or the context is over.
@@ -145,7 +149,8 @@
 	}
 	t.sched = schedule.New(owned.Revision, d.bounds, book.Entries(), time.Now(), schedule.WithObserver(d.observe))
 	firstBatch, nextBatch := book.Batches()
-	t.writer = newLogWriter(d.client, d.host, owned.Revision, firstBatch, nextBatch, d.log, d.follower.Learn)
+	t.oldest, t.restated = firstBatch, firstBatch
+	t.writer = newLogWriter(d.client, d.host, owned.Revision, nextBatch, d.log, d.follower.Learn)
 	jobs.deliver(t.addJob)
 
 	var all sync.WaitGroup
@@ -217,7 +222,7 @@
 	if t.writing || now.Sub(t.wrote) < storeInterval {
 		return
 	}
-	if t.writer.next-t.writer.first >= maxBatches {
+	if t.writer.next-t.restated >= maxBatches {
 		changes := t.sched.Restate(now)
 		t.writing = true
 		go t.write(func() error { return t.compact(ctx, changes) }, nil)
--- a/dispatch/logwriter.go
+++ b/dispatch/logwriter.go
@@ -29,19 +29,19 @@
 	client *store.Client
 	host   ledger.Owner
 	term   uint64
-	// first is the oldest batch that is kept, next the one to be written.
-	first, next uint64
-	log         *log.Logger
-	began       time.Time
+	// next is the batch to be written.
+	next  uint64
+	log   *log.Logger
+	began time.Time
 	// wait is how long the store gets to answer.
 	wait time.Duration
 	// stored is told of each batch that is stored.
 	stored func(r store.Record)
 }
 
-func newLogWriter(c *store.Client, host ledger.Owner, term, first, next uint64, l *log.Logger, stored func(r store.Record)) *logWriter {
+func newLogWriter(c *store.Client, host ledger.Owner, term, next uint64, l *log.Logger, stored func(r store.Record)) *logWriter {
 	return &logWriter{
-		client: c, host: host, term: term, first: first, next: next, log: l, began: time.Now(), wait: minStoreWait, stored: stored,
+		client: c, host: host, term: term, next: next, log: l, began: time.Now(), wait: minStoreWait, stored: stored,
 	}
 }
 
--- a/dispatch/logwriter_test.go
+++ b/dispatch/logwriter_test.go
@@ -75,7 +75,7 @@
 				ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 				defer cancel()
 				told := 0
-				w := newLogWriter(s.Client(), ledger.Owner{Host: "self"}, term, 0, 0, log.New(io.Discard), func(store.Record) { told++ })
+				w := newLogWriter(s.Client(), ledger.Owner{Host: "self"}, term, 0, log.New(io.Discard), func(store.Record) { told++ })
 				err := w.append(ctx, []ledger.Change{{Kind: ledger.JobFailed}})
 				if stored := err == nil; stored != (told == 1) {
 					t.Errorf("told of %d stored batches, error %v", told, err)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -17,6 +17,8 @@
 	probeInterval = 700 * time.Millisecond
 	// probeTimeout bounds such a try; a slow store answers within it.
 	probeTimeout = 500 * time.Millisecond
+	// silenceTime is how long the store answers nothing before that counts as silence, some fifty times what it takes.
+	silenceTime = 200 * time.Millisecond
 	// maxPeers bounds how many peers are asked for one call.
 	maxPeers = 3
 	// leaveAt is the weight of failures in a row that makes calls go through peers. A refusal weighs one, since it may
@@ -57,11 +59,7 @@
 // unknown is tried again only if it can't change anything.
 func (r *Route) Exchange(ctx context.Context, req platform.Request) (platform.Response, error) {
 	if !r.leaves(ctx) {
-		resp, err := r.direct(ctx, req)
-		if ctx.Err() == nil {
-			// A caller that gives up early proves nothing about the store.
-			r.note(resp, err)
-		}
+		resp, err := r.tryDirect(ctx, req)
 		if served(resp, err) || ctx.Err() != nil || unsettled(err) && req.Method != http.MethodGet {
 			return resp, err
 		}
@@ -82,8 +80,16 @@
 			return resp, err
 		}
 	}
+
+	return r.tryDirect(ctx, req)
+}
+
+// tryDirect makes a call to the store itself, and learns from what comes of it. A caller that gives up early proves
+// nothing about the store.
+func (r *Route) tryDirect(ctx context.Context, req platform.Request) (platform.Response, error) {
+	began := time.Now()
 	resp, err := r.direct(ctx, req)
-	if ctx.Err() == nil {
+	if ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) && time.Since(began) >= silenceTime {
 		r.note(resp, err)
 	}
 
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -105,6 +105,42 @@
 	})
 }
 
+// A caller that waits a fifth of a second in vain has learnt enough; one that leaves sooner, or for another reason, has not.
+func TestSilenceSeenByCallers(t *testing.T) {
+	tests := []struct {
+		name   string
+		wait   time.Duration
+		cancel bool
+		leaves bool
+	}{
+		{"a long wait", silenceTime, false, true},
+		{"a short wait", silenceTime - time.Millisecond, false, false},
+		{"a caller that goes away", 2 * silenceTime, true, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var peer int
+				r := newRoute(func(ctx context.Context, _ platform.Request) (platform.Response, error) {
+					<-ctx.Done()
+					return platform.Response{}, merry.Wrap(platform.ErrNoAnswer, merry.WithCause(ctx.Err()))
+				}, works.exchange(&peer))
+				ctx, cancel := context.WithTimeout(t.Context(), tt.wait)
+				defer cancel()
+				if tt.cancel {
+					time.AfterFunc(tt.wait-time.Millisecond, cancel)
+				}
+				if _, err := r.Exchange(ctx, writeCall); err == nil {
+					t.Error("an answer from a silent store")
+				}
+				if r.Direct() == tt.leaves {
+					t.Errorf("calls go to the store itself: %t", r.Direct())
+				}
+			})
+		})
+	}
+}
+
 func newRoute(direct, peer platform.Exchange) *Route {
 	return New(
 		direct, func(string) platform.Exchange { return peer }, func() []string { return []string{"p1", "p2"} },
