--- a/schedule/place.go
+++ b/schedule/place.go
@@ -282,12 +282,7 @@
 	var best *worker
 	var bestScore float64
 	for _, w := range p.workers {
-		free := w.reg.Capacity.Minus(w.used)
-		if !step.Lasting {
-			free = free.Minus(w.kept)
-		}
-		if !need.FitsIn(free) || !hasLabel(w.reg, step.Label) ||
-			step.MaxPerWorker > 0 && r.spread[w.id] >= step.MaxPerWorker || len(p.workers) > 1 && r.job.failedOn(task, w.id) {
+		if !need.FitsIn(w.free(step)) || !r.allows(step, w) || len(p.workers) > 1 && r.job.failedOn(task, w.id) {
 			continue
 		}
 		if _, ok := s.ticketFor(r, w, now); !ok {
@@ -304,6 +299,21 @@
 	return best
 }
 
+// free returns the room that a task of a step may take: what is kept is for tasks that last.
+func (w *worker) free(step *work.Step) fleet.Resources {
+	free := w.reg.Capacity.Minus(w.used)
+	if !step.Lasting {
+		free = free.Minus(w.kept)
+	}
+
+	return free
+}
+
+// allows reports whether the step's label and spread let one more task of it run on a worker.
+func (r *ready) allows(step *work.Step, w *worker) bool {
+	return hasLabel(w.reg, step.Label) && (step.MaxPerWorker == 0 || r.spread[w.id] < step.MaxPerWorker)
+}
+
 // anywhere reports whether only room decides on which worker a task of a step may run.
 func anywhere(step *work.Step, q *work.Queue) bool {
 	return !step.Lasting && step.Label == "" && step.MaxPerWorker == 0 && q.Advice == nil
@@ -314,8 +324,7 @@
 	need := step.Reserved()
 	var best *worker
 	for _, w := range workers {
-		if !need.FitsIn(w.reg.Capacity.Minus(w.kept)) || !hasLabel(w.reg, step.Label) ||
-			step.MaxPerWorker > 0 && r.spread[w.id] >= step.MaxPerWorker {
+		if !need.FitsIn(w.reg.Capacity.Minus(w.kept)) || !r.allows(step, w) {
 			continue
 		}
 		if best == nil || w.used.Plus(w.kept).DominantShare(w.reg.Capacity) < best.used.Plus(best.kept).DominantShare(best.reg.Capacity) {
