Let pools grow by the trend of their work

A job that is late costs some fourteen seconds of a host. Change: a pool is sized for the work that runs and waits after a move, if it grows on as in the last second; a rise counts beyond what one large job brings.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -14,6 +14,10 @@
 	trendTime = 3 * time.Second
 	// sampleTime is the width of a bucket of arrivals.
 	sampleTime = 500 * time.Millisecond
+	// growthTime is the time over which the growth of a pool's work is measured.
+	growthTime = time.Second
+	// largeJob is what one large job may bring at once, in hosts.
+	largeJob = 1.0
 	// spareHosts is by how much a pool is larger than its work, so that a new job need not wait for a move.
 	spareHosts = 1.6
 	// keepTime is how long a host must have been needless before it leaves for standby; a move there and back costs
@@ -52,6 +56,8 @@
 // history is what was seen of a pool.
 type history struct {
 	arrivals map[int64]arrivals
+	// demands has the work that ran and waited, in hosts, in each bucket.
+	demands map[int64]float64
 	// wants has the largest size that was wanted in each bucket.
 	wants map[int64]int
 }
@@ -69,7 +75,7 @@
 func (b *Balancer) history(p fleet.PoolName) *history {
 	h, ok := b.pools[p]
 	if !ok {
-		h = &history{arrivals: map[int64]arrivals{}, wants: map[int64]int{}}
+		h = &history{arrivals: map[int64]arrivals{}, demands: map[int64]float64{}, wants: map[int64]int{}}
 		b.pools[p] = h
 	}
 
@@ -114,13 +120,32 @@
 	return mean + slope*(span+b.lead.Seconds())
 }
 
-// Want returns how many hosts a pool should have.
+// Want returns how many hosts a pool should have: for the work that is expected once a move that begins now is over.
 func (b *Balancer) Want(p Pool, now time.Time) int {
-	work := max(p.Demand, b.Inflow(p.Name, now))
+	work := max(p.Demand+b.growth(p, now), b.Inflow(p.Name, now))
 
 	return max(p.Least, int(math.Ceil(work+spareHosts)))
 }
 
+// growth returns by how many hosts the work that runs and waits will have grown when a move that begins now is over, if
+// it grows on as it did of late. A rise counts only beyond what one large job brings about.
+func (b *Balancer) growth(p Pool, now time.Time) float64 {
+	h := b.history(p.Name)
+	k := bucket(now)
+	h.demands[k] = p.Demand
+	before, ok := h.demands[k-int64(growthTime/sampleTime)]
+	for at := range h.demands {
+		if at < k-int64(growthTime/sampleTime) {
+			delete(h.demands, at)
+		}
+	}
+	if !ok {
+		return 0
+	}
+
+	return max(0, p.Demand-before-largeJob) * b.lead.Seconds() / growthTime.Seconds()
+}
+
 // keep returns the largest size that was wanted within the time for which a host is kept.
 func (h *history) keep(want int, now time.Time) int {
 	k := bucket(now)
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -18,7 +18,9 @@
 	// The users' prices of a second of a host in a pool and of a move.
 	hostPrice = 0.064
 	movePrice = 0.073
-	standby   = fleet.PoolName("standby")
+	// jobPrice is what a job in time is worth, in the mean over the users' four queues.
+	jobPrice = 0.9
+	standby  = fleet.PoolName("standby")
 )
 
 // task is one task of a job; all tasks of a job arrive together.
@@ -31,6 +33,9 @@
 
 // site plays four queues whose demand rises and falls by turns, as the users describe it.
 type site struct {
+	// scale is how many times as many hosts and jobs it has as the smallest site; zero stands for the smallest one with at
+	// most one job of each queue in a tick.
+	scale   int
 	now     time.Time
 	rng     *rand.Rand
 	hosts   map[fleet.HostName]fleet.PoolName
@@ -56,9 +61,10 @@
 	{"statements", 12, 1.3, 1.9, 1.7, 16},
 }
 
-func newSite(seed uint64) *site {
+func newSite(seed uint64, scale int) *site {
 	s := &site{
-		now: time.Date(2026, 4, 15, 0, 0, 0, 0, time.UTC), rng: rand.New(rand.NewPCG(seed, 1)),
+		scale: scale,
+		now:   time.Date(2026, 4, 15, 0, 0, 0, 0, time.UTC), rng: rand.New(rand.NewPCG(seed, 1)),
 		hosts: map[fleet.HostName]fleet.PoolName{}, arrives: map[fleet.HostName]time.Time{}, running: map[fleet.HostName][]*task{},
 		waiting: map[fleet.PoolName][]*task{}, late: map[int]bool{},
 	}
@@ -68,9 +74,9 @@
 		}
 	}
 	for _, p := range sitePools {
-		add(p.name, p.hosts)
+		add(p.name, p.hosts*max(1, scale))
 	}
-	add(standby, 8)
+	add(standby, 8*max(1, scale))
 
 	return s
 }
@@ -89,17 +95,35 @@
 
 func (s *site) arrive(at time.Duration, tell func(p fleet.PoolName, hostSeconds float64)) {
 	for i, p := range sitePools {
-		if s.rng.Float64() > rate(i, at)*tick.Seconds() {
-			continue
+		for range s.arrivals(rate(i, at) * tick.Seconds()) {
+			s.jobs++
+			work := time.Duration(p.seconds * (0.5 + s.rng.Float64()) * float64(time.Second))
+			deadline := s.now.Add(time.Duration(1.6*float64(work)) + 600*time.Millisecond)
+			for range p.tasks {
+				s.waiting[p.name] = append(s.waiting[p.name], &task{p.cores, work, deadline, s.jobs})
+			}
+			tell(p.name, float64(p.tasks)*p.cores*work.Seconds()/hostCores)
 		}
-		s.jobs++
-		work := time.Duration(p.seconds * (0.5 + s.rng.Float64()) * float64(time.Second))
-		deadline := s.now.Add(time.Duration(1.6*float64(work)) + 600*time.Millisecond)
-		for range p.tasks {
-			s.waiting[p.name] = append(s.waiting[p.name], &task{p.cores, work, deadline, s.jobs})
+	}
+}
+
+// arrivals returns how many jobs come in a tick in which the smallest site expects mean.
+func (s *site) arrivals(mean float64) int {
+	if s.scale == 0 {
+		if s.rng.Float64() > mean {
+			return 0
 		}
-		tell(p.name, float64(p.tasks)*p.cores*work.Seconds()/hostCores)
+
+		return 1
+	}
+	mean *= float64(s.scale)
+	n, p := 0, math.Exp(-mean)
+	for left := s.rng.Float64() - p; left > 0 && p > 0; left -= p {
+		n++
+		p *= mean / float64(n)
 	}
+
+	return n
 }
 
 // run lets tasks run for a tick, and places those that wait first come first served.
@@ -184,7 +208,7 @@
 func (s *site) sorted() []fleet.HostName {
 	var names []fleet.HostName
 	for _, p := range append([]string{string(standby)}, "post", "receipts", "recon", "statements") {
-		for i := range 12 {
+		for i := range 12 * max(1, s.scale) {
 			h := fleet.HostName(fmt.Sprintf("%s-%d", p, i))
 			if _, ok := s.hosts[h]; ok {
 				names = append(names, h)
@@ -240,10 +264,27 @@
 	inTime float64
 	cost   float64
 	moves  int
+	jobs   int
+}
+
+// worth is what the jobs in time are worth less what the hosts cost.
+func (r result) worth() float64 {
+	return r.inTime*float64(r.jobs)*jobPrice - r.cost
+}
+
+// mean returns the mean of a planner's days.
+func mean(p func() planner, days, scale int) result {
+	var sum result
+	for seed := range uint64(days) {
+		r := play(p(), seed, scale)
+		sum = result{sum.inTime + r.inTime/float64(days), sum.cost + r.cost/float64(days), sum.moves + r.moves/days, sum.jobs + r.jobs/days}
+	}
+
+	return sum
 }
 
-func play(p planner, seed uint64) result {
-	s := newSite(seed)
+func play(p planner, seed uint64, scale int) result {
+	s := newSite(seed, scale)
 	for at := time.Duration(0); at < 36*time.Second; at += tick {
 		s.arrive(at, func(pool fleet.PoolName, hostSeconds float64) { p.arrive(pool, hostSeconds, s.now) })
 		s.run()
@@ -251,7 +292,7 @@
 		s.move(p.plan(pools, spares, s.now))
 	}
 
-	return result{1 - float64(len(s.late))/float64(s.jobs), s.hostSec*hostPrice + float64(s.moves)*movePrice, s.moves}
+	return result{1 - float64(len(s.late))/float64(s.jobs), s.hostSec*hostPrice + float64(s.moves)*movePrice, s.moves, s.jobs}
 }
 
 // The queues' turns of four times the mean (harambee-ledgers, quiet-1): moved hosts serve more in time than hosts that
@@ -261,9 +302,9 @@
 	sum := map[string]result{}
 	for seed := range uint64(days) {
 		for _, p := range []planner{static(), reactive(), forecasting()} {
-			r := play(p, seed)
+			r := play(p, seed, 0)
 			old := sum[p.name]
-			sum[p.name] = result{old.inTime + r.inTime/days, old.cost + r.cost/days, old.moves + r.moves/days}
+			sum[p.name] = result{old.inTime + r.inTime/days, old.cost + r.cost/days, old.moves + r.moves/days, old.jobs + r.jobs/days}
 		}
 	}
 	for name, r := range sum {
@@ -277,6 +318,45 @@
 	}
 }
 
+// following sizes pools by what runs and waits now, with the same spare room.
+func following() planner {
+	return planner{"following", func(fleet.PoolName, float64, time.Time) {}, func(pools []balance.Pool, spares []fleet.HostName, _ time.Time) []balance.Move {
+		var moves []balance.Move
+		for _, p := range pools {
+			want := max(p.Least, int(math.Ceil(p.Demand+1.6)))
+			for _, h := range p.Idle[:max(0, min(len(p.Idle), p.Hosts-want))] {
+				moves = append(moves, balance.Move{Host: h, From: p.Name, To: standby})
+			}
+			n := max(0, min(len(spares), want-p.Hosts))
+			for _, h := range spares[:n] {
+				moves = append(moves, balance.Move{Host: h, From: standby, To: p.Name})
+			}
+			spares = spares[n:]
+		}
+
+		return moves
+	}}
+}
+
+// The queues' turns as they come, also many jobs at once (both sites, scale-1 and scale-2, and the grown sites with seven
+// times the hosts): what the forecast costs is less than what it serves more.
+func TestHeavyTurns(t *testing.T) {
+	for _, scale := range []int{1, 7} {
+		t.Run(fmt.Sprint(48*scale, " hosts"), func(t *testing.T) {
+			const days = 3
+			forecast := mean(forecasting, days, scale)
+			for _, p := range []func() planner{static, following} {
+				other := mean(p, days, scale)
+				t.Logf("%-12s %.3f in time, cost %.1f, %d moves, worth %.0f", p().name, other.inTime, other.cost, other.moves, other.worth())
+				if forecast.worth() < other.worth() || forecast.inTime < other.inTime {
+					t.Errorf("the forecast %+v is worth less than %s pools %+v", forecast, p().name, other)
+				}
+			}
+			t.Logf("%-12s %.3f in time, cost %.1f, %d moves, worth %.0f", "forecasting", forecast.inTime, forecast.cost, forecast.moves, forecast.worth())
+		})
+	}
+}
+
 // A single large job is no rise of work: it does not bring in hosts for more like it.
 func TestOneLargeJobIsNoRise(t *testing.T) {
 	b := balance.New(moveTime)
