Find workers on which tasks stand still or crawl, and move the tasks

Tasks were waited for until the worker went on. Change: workers tell progress in percent; where all runs make none for half a second, or those of several jobs less than 0.35 of what their estimates promise, the worker gets nothing for 2 s and the runs go on elsewhere. A task that makes progress moves once at most, since it may be slow wherever it runs. A worker with such runs answers polls after 0.7 s in place of 1.5 s.

--- a/schedule/decision.go
+++ b/schedule/decision.go
@@ -30,6 +30,8 @@
 	DecidedWorkerSilent Kind = "WorkerSilent"
 	// DecidedWorkerSuspected is a worker that is left alone for a time since runs failed there.
 	DecidedWorkerSuspected Kind = "WorkerSuspected"
+	// DecidedWorkerSlow is a worker on which nothing makes progress as its estimate promises; no task is placed there for a time.
+	DecidedWorkerSlow Kind = "WorkerSlow"
 	// DecidedNoAdvice is a question about workers that was not answered.
 	DecidedNoAdvice Kind = "NoAdvice"
 	// DecidedHostEmptying is a host that gets no new tasks, for maintenance or a move.
--- a/schedule/poll.go
+++ b/schedule/poll.go
@@ -60,16 +60,25 @@
 	case w.warmingUp():
 		return warmUpWait, true
 	case len(w.runs) > 0:
-		if _, both := w.shares(); both {
-			return pacePollWait, true
-		}
-
-		return pollWait, true
+		return w.patience(), true
 	default:
 		return 0, w.acked < w.stored && now.Sub(w.heard) > ackWait
 	}
 }
 
+// patience returns how long a worker that runs something may hold back its answer.
+func (w *worker) patience() time.Duration {
+	_, both := w.shares()
+	switch {
+	case both:
+		return pacePollWait
+	case len(w.runs) > w.lasting:
+		return progressPollWait
+	default:
+		return pollWait
+	}
+}
+
 // warmingUp reports whether a lasting task on the worker is not at work yet.
 func (w *worker) warmingUp() bool {
 	if w.lasting == 0 {
@@ -120,6 +129,7 @@
 	}
 	s.takeEnds(w, reply.Ended, now)
 	s.takeActive(w, l, reply.Active, len(reply.Ended) >= work.MaxListedEnds, now)
+	s.gauge(w, now)
 }
 
 func (s *Scheduler) unpolled(w *worker, err error, now time.Time) {
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -70,6 +70,8 @@
 	seen time.Time
 	// failed has the workers on which each task failed.
 	failed map[work.Task][]work.WorkerID
+	// moved counts how often each task was taken from a slow worker.
+	moved map[work.Task]int
 	// open is the first occurrence that may not be done.
 	open int
 }
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -25,7 +25,9 @@
 	token map[work.WorkerID]uint64
 	seen  []Decision
 	// saved is what running tasks show as their checkpoint, and resumed the checkpoint of the last start that had one.
-	saved   map[work.Attempt]string
+	saved map[work.Attempt]string
+	// percent is how far a run says it is; one that is not there is at work or about to end.
+	percent map[work.Attempt]int
 	resumed string
 }
 
@@ -117,7 +119,11 @@
 	b.token[id] = max(b.token[id], l.Order.Token)
 	reply := work.PollReply{Answer: work.Answer{Clock: b.clock(), Life: b.regs[id].Life}}
 	for a := range b.runs[id] {
-		reply.Active = append(reply.Active, work.Activity{Attempt: a, Percent: 100, Checkpoint: b.saved[a]})
+		percent, ok := b.percent[a]
+		if !ok {
+			percent = 100
+		}
+		reply.Active = append(reply.Active, work.Activity{Attempt: a, Percent: percent, Checkpoint: b.saved[a]})
 	}
 	for _, e := range b.ends[id] {
 		if e.Number > l.Order.Acked {
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -69,6 +69,8 @@
 	percent int
 	// saved is the newest checkpoint that the worker showed.
 	saved string
+	// mark is where the run was when its progress was last measured.
+	mark progress
 	// missing is since when the worker has not listed a gang's member, whose end another member may tell.
 	missing time.Time
 	// tail is the tail of the response times of a task that serves.
