--- a/standin/taskworker.go
+++ b/standin/taskworker.go
@@ -24,6 +24,16 @@
 	starts   map[runName]int
 	// loseAnswers makes the worker carry out orders without answering.
 	loseAnswers bool
+	observe     func(RunEvent)
+}
+
+// RunEvent is the begin or the end of a run on a worker.
+type RunEvent struct {
+	Task    string
+	Attempt int
+	At      time.Time
+	// How says how the run ended; empty at its begin.
+	How string
 }
 
 type runName struct {
@@ -50,10 +60,24 @@
 func NewTaskWorker(taskTime time.Duration) *TaskWorker {
 	return &TaskWorker{
 		born: time.Now(), taskTime: taskTime, runs: map[runName]time.Time{}, highest: map[string]int{}, changed: make(chan struct{}),
-		starts: map[runName]int{},
+		starts: map[runName]int{}, observe: func(RunEvent) {},
 	}
 }
 
+// Observe makes f be told of each begin and end, with the worker locked.
+func (w *TaskWorker) Observe(f func(RunEvent)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.observe = f
+}
+
+// Settle tells of the ends of runs that are over by now.
+func (w *TaskWorker) Settle() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.expire()
+}
+
 // Registration returns what the worker says of itself in the store.
 func (w *TaskWorker) Registration(service, address, rack string) []byte {
 	data, err := json.Marshal(map[string]any{
@@ -132,10 +156,11 @@
 		w.runs[run] = time.Now()
 		w.starts[run]++
 		w.extend(o)
+		w.observe(RunEvent{Task: o.Task, Attempt: o.Attempt, At: time.Now()})
 	case "/api/run-stop":
 		w.highest[o.Task] = max(w.highest[o.Task], o.Attempt)
 		if _, there := w.runs[run]; there {
-			w.end(run, "stopped")
+			w.end(run, "stopped", time.Now())
 		}
 	case pathHold:
 		w.extend(o)
@@ -153,8 +178,9 @@
 	w.until = max(w.until, time.Duration(o.DeadlineMs)*time.Millisecond)
 }
 
-func (w *TaskWorker) end(run runName, how string) {
+func (w *TaskWorker) end(run runName, how string, at time.Time) {
 	delete(w.runs, run)
+	w.observe(RunEvent{Task: run.Task, Attempt: run.Attempt, At: at, How: how})
 	w.highest[run.Task] = max(w.highest[run.Task], run.Attempt)
 	w.number++
 	w.ends = append(w.ends, taskEnd{w.number, run, how})
@@ -164,12 +190,14 @@
 
 // expire ends the runs that are done, or whose lease has ended.
 func (w *TaskWorker) expire() {
+	now, lapse := time.Now(), w.born.Add(w.until)
 	for run, began := range w.runs {
+		done := began.Add(w.taskTime)
 		switch {
-		case w.taskTime > 0 && time.Since(began) >= w.taskTime:
-			w.end(run, "done")
-		case w.clock() > w.until:
-			w.end(run, "lapsed")
+		case w.taskTime > 0 && !done.After(now) && !done.After(lapse):
+			w.end(run, "done", done)
+		case now.After(lapse):
+			w.end(run, "lapsed", lapse)
 		}
 	}
 }
