Bound the pause between passes

Cause: the pause is four times what a pass took, and passes of up to 84 ms were seen on the grown sites when the processor's quota was used up: what became ready then waited a third of a second. Change: the pause is 40 ms at most.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -21,6 +21,8 @@
 	// restFactor times what a pass took is the least time until the next one, so that passes over a large fleet leave the
 	// processor to the calls.
 	restFactor = 4
+	// maxRest bounds that time, since a pass that was held up itself says nothing of the fleet's size.
+	maxRest = 40 * time.Millisecond
 	// tickInterval is the most time between two passes, for what only time brings about.
 	tickInterval = 100 * time.Millisecond
 	// storeInterval is the least time between two batches of the log, since the store counts each call.
@@ -173,7 +175,7 @@
 	for ctx.Err() == nil && !t.owned.Over() {
 		began := time.Now()
 		t.pass(ctx)
-		pause.For(ctx, max(passInterval, restFactor*time.Since(began)))
+		pause.For(ctx, rest(time.Since(began)))
 		select {
 		case <-ctx.Done():
 		case <-t.wake:
@@ -186,6 +188,11 @@
 	}
 }
 
+// rest returns the time until the next pass after one that took some time.
+func rest(took time.Duration) time.Duration {
+	return min(maxRest, max(passInterval, restFactor*took))
+}
+
 // pass lets the scheduler decide and sends out what it decided.
 func (t *term) pass(ctx context.Context) {
 	now := time.Now()
