Wait for what goroutines of tests have written, and make the play of turns cheaper

Change: both wait with synctest.Wait; the site of the turns keeps sums and names. What the tests ask for is as it was. Before: two failures of two tests under the race detector.

--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -41,6 +41,10 @@
 	hosts   map[fleet.HostName]fleet.PoolName
 	arrives map[fleet.HostName]time.Time
 	running map[fleet.HostName][]*task
+	// names has all hosts in the order in which they are offered.
+	names []fleet.HostName
+	// busy has the cores that are in use.
+	busy    map[fleet.HostName]float64
 	waiting map[fleet.PoolName][]*task
 	late    map[int]bool
 	jobs    int
@@ -65,7 +69,7 @@
 	s := &site{
 		scale: scale,
 		now:   time.Date(2026, 4, 15, 0, 0, 0, 0, time.UTC), rng: rand.New(rand.NewPCG(seed, 1)),
-		hosts: map[fleet.HostName]fleet.PoolName{}, arrives: map[fleet.HostName]time.Time{}, running: map[fleet.HostName][]*task{},
+		hosts: map[fleet.HostName]fleet.PoolName{}, arrives: map[fleet.HostName]time.Time{}, running: map[fleet.HostName][]*task{}, busy: map[fleet.HostName]float64{},
 		waiting: map[fleet.PoolName][]*task{}, late: map[int]bool{},
 	}
 	add := func(p fleet.PoolName, n int) {
@@ -133,7 +137,10 @@
 		for _, t := range tasks {
 			if t.left -= tick; t.left > 0 {
 				rest = append(rest, t)
-			} else if s.now.After(t.deadline) {
+				continue
+			}
+			s.busy[h] -= t.cores
+			if s.now.After(t.deadline) {
 				s.late[t.job] = true
 			}
 		}
@@ -164,17 +171,13 @@
 		return false
 	}
 	s.running[best] = append(s.running[best], t)
+	s.busy[best] += t.cores
 
 	return true
 }
 
 func (s *site) used(h fleet.HostName) float64 {
-	sum := 0.0
-	for _, t := range s.running[h] {
-		sum += t.cores
-	}
-
-	return sum
+	return s.busy[h]
 }
 
 // states returns what a planner is to know.
@@ -206,6 +209,9 @@
 }
 
 func (s *site) sorted() []fleet.HostName {
+	if len(s.names) > 0 {
+		return s.names
+	}
 	var names []fleet.HostName
 	for _, p := range append([]string{string(standby)}, "post", "receipts", "recon", "statements") {
 		for i := range 12 * max(1, s.scale) {
@@ -216,6 +222,8 @@
 		}
 	}
 
+	s.names = names
+
 	return names
 }
 
--- a/dispatch/compact_test.go
+++ b/dispatch/compact_test.go
@@ -56,6 +56,7 @@
 			t.Errorf("writes waited %s for the removal", waited)
 		}
 		time.Sleep(2 * maxStoreWait)
+		synctest.Wait()
 
 		silent = false
 		compact()
--- a/notice/notice_test.go
+++ b/notice/notice_test.go
@@ -55,8 +55,8 @@
 		for range 20 {
 			s.Tell(record)
 		}
-		synctest.Wait()
 		time.Sleep(time.Second)
+		synctest.Wait()
 
 		var sizes []int
 		for _, m := range in.messages {
