Hold requests in progress until a stop has begun, whenever they started

Requests last 1.5 s, and with claims of 400 ms on a busy machine their starts spread over more than that, so that the six were never in progress together. Change: the endpoints hold requests until 1.5 s after the stop has begun.

--- a/estate/steps.go
+++ b/estate/steps.go
@@ -22,7 +22,8 @@
 	loadTimeout   = 8 * time.Second
 	outage        = 5 * time.Second
 	leavingSettle = 3 * time.Second
-	slowRequest   = 1500 * time.Millisecond
+	// inProgressTime is how long requests are in progress after the stop has begun.
+	inProgressTime = 1500 * time.Millisecond
 	// startLimit is how long requests may take to be in progress on endpoints.
 	startLimit     = 10 * time.Second
 	startPoll      = 5 * time.Millisecond
@@ -206,8 +207,8 @@
 func (e *Estate) checkGracefulStop(ctx context.Context) (string, error) {
 	s := e.Entries()[0]
 	t := e.Sample.Lists.Teams()[0]
-	e.setService(slowRequest)
-	defer e.setService(e.service)
+	release := e.hold()
+	defer release()
 
 	var whole atomic.Int64
 	var wg sync.WaitGroup
@@ -222,6 +223,7 @@
 	if err := e.awaitRunning(ctx, inProgressWork); err != nil {
 		return "", err
 	}
+	time.AfterFunc(inProgressTime, release)
 	e.StopEntry()
 	wg.Wait()
 	if whole.Load() != inProgressWork {
@@ -252,8 +254,17 @@
 	return tally(report)
 }
 
-func (e *Estate) setService(d time.Duration) {
+// hold keeps requests in progress at all endpoints until the function that it returns is called.
+func (e *Estate) hold() (release func()) {
+	hold := make(chan struct{})
 	for _, ep := range e.Endpoints {
-		ep.SetService(d)
+		ep.SetHold(hold)
 	}
+
+	return sync.OnceFunc(func() {
+		for _, ep := range e.Endpoints {
+			ep.SetHold(nil)
+		}
+		close(hold)
+	})
 }
--- a/standin/endpoint.go
+++ b/standin/endpoint.go
@@ -23,8 +23,10 @@
 
 // Endpoint is a stand-in for a runner: it answers each request with its own body and counts what it ran.
 type Endpoint struct {
-	mu       sync.Mutex
-	service  time.Duration
+	mu      sync.Mutex
+	service time.Duration
+	// hold keeps requests from ending until it is closed; nil does not.
+	hold     <-chan struct{}
 	runs     map[string]int
 	total    int
 	running  int
@@ -45,6 +47,13 @@
 	e.service = d
 }
 
+// SetHold keeps the requests that begin from now on from ending until hold is closed; nil does not.
+func (e *Endpoint) SetHold(hold <-chan struct{}) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.hold = hold
+}
+
 // SetLeaving makes the endpoint say on every answer that it is leaving; it goes on serving what it gets.
 func (e *Endpoint) SetLeaving(leaving bool) {
 	e.mu.Lock()
@@ -105,9 +114,12 @@
 		return
 	}
 
-	service := e.begin(r.Header.Get(HeaderRequestID))
+	service, hold := e.begin(r.Header.Get(HeaderRequestID))
 	defer e.end()
 	time.Sleep(service)
+	if hold != nil {
+		<-hold
+	}
 
 	digest := sha256.Sum256(body)
 	w.Header().Set(HeaderRequestID, r.Header.Get(HeaderRequestID))
@@ -133,7 +145,7 @@
 	}
 }
 
-func (e *Endpoint) begin(requestID string) time.Duration {
+func (e *Endpoint) begin(requestID string) (service time.Duration, hold <-chan struct{}) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.total++
@@ -143,7 +155,7 @@
 		e.runs[requestID]++
 	}
 
-	return e.service
+	return e.service, e.hold
 }
 
 func (e *Endpoint) end() {
