Let a workspace see and cancel only its own jobs

Change: intake compares the job's workspace with that of the key that came, and the owner is asked on behalf of a workspace. A job of an open queue is nobody's.

--- a/inquiry/inquiry.go
+++ b/inquiry/inquiry.go
@@ -39,19 +39,32 @@
 
 // question is one caller's wait for a state.
 type question struct {
-	id fleet.JobID
+	job Job
 	// answer gets one value, or is closed if there is none.
 	answer chan ledger.State
 }
 
+// Job names a job for the workspace that asks for it; one of another workspace is not told of.
+type Job struct {
+	_         struct{} `cbor:",toarray"`
+	ID        fleet.JobID
+	Workspace fleet.WorkspaceName
+}
+
 type wireQuestion struct {
-	Term uint64        `cbor:"1,keyasint"`
-	Jobs []fleet.JobID `cbor:"2,keyasint"`
+	Term uint64 `cbor:"1,keyasint"`
+	Jobs []Job  `cbor:"2,keyasint"`
 }
 
 type wireAnswer struct {
-	// States has the states of the jobs that the owner knows.
-	States map[fleet.JobID]ledger.State `cbor:"1,keyasint"`
+	// States has what the owner tells of each job, in the order of the question.
+	States []wireState `cbor:"1,keyasint"`
+}
+
+type wireState struct {
+	_     struct{} `cbor:",toarray"`
+	Known bool
+	State ledger.State
 }
 
 // NewAsker returns an asker; to returns the exchange with a peer, owner the owner as far as this host knows and its term.
@@ -60,8 +73,8 @@
 }
 
 // State returns the state of a job as the owner knows it, and whether the owner has told.
-func (a *Asker) State(ctx context.Context, id fleet.JobID) (ledger.State, bool) {
-	q := a.ask(ctx, id)
+func (a *Asker) State(ctx context.Context, j Job) (ledger.State, bool) {
+	q := a.ask(ctx, j)
 	if q == nil {
 		return ledger.Queued, false
 	}
@@ -74,13 +87,13 @@
 }
 
 // ask puts a question, or returns nil while the owner does not answer.
-func (a *Asker) ask(ctx context.Context, id fleet.JobID) *question {
+func (a *Asker) ask(ctx context.Context, j Job) *question {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if !a.failed.IsZero() && time.Since(a.failed) < failurePause {
 		return nil
 	}
-	q := &question{id: id, answer: make(chan ledger.State, 1)}
+	q := &question{job: j, answer: make(chan ledger.State, 1)}
 	a.waiting = append(a.waiting, q)
 	if !a.busy {
 		a.busy = true
@@ -101,9 +114,9 @@
 		if err != nil {
 			a.fail(err)
 		}
-		for _, q := range batch {
-			if s, ok := states[q.id]; ok {
-				q.answer <- s
+		for i, q := range batch {
+			if i < len(states) && states[i].Known {
+				q.answer <- states[i].State
 			}
 			close(q.answer)
 		}
@@ -123,14 +136,14 @@
 }
 
 // send asks the owner; without one there are no states.
-func (a *Asker) send(ctx context.Context, batch []*question) (map[fleet.JobID]ledger.State, error) {
+func (a *Asker) send(ctx context.Context, batch []*question) ([]wireState, error) {
 	owner, term := a.owner()
 	if term == 0 {
 		return nil, nil
 	}
 	m := wireQuestion{Term: term}
 	for _, q := range batch {
-		m.Jobs = append(m.Jobs, q.id)
+		m.Jobs = append(m.Jobs, q.job)
 	}
 	var reply wireAnswer
 	err := relay.Send(ctx, a.to(owner.PeerAddress), Path, askTimeout, m, &reply)
--- a/inquiry/inquiry_test.go
+++ b/inquiry/inquiry_test.go
@@ -41,9 +41,9 @@
 		return platform.Response{}, errSilent
 	}
 	c := restful.NewContainer()
-	state := func(id fleet.JobID) (ledger.State, bool) {
-		s, ok := h.states[id]
-		return s, ok
+	state := func(j Job) (ledger.State, bool) {
+		s, ok := h.states[j.ID]
+		return s, ok && j.Workspace == "w"
 	}
 	c.Add(NewServer(func(t uint64) bool { return t == term }, state, log.New(io.Discard)).Service())
 	w := httptest.NewRecorder()
@@ -65,19 +65,20 @@
 		name string
 		host host
 		term uint64
-		id   fleet.JobID
+		job  Job
 		want ledger.State
 		ok   bool
 	}{
-		{"a job that the owner knows", host{states: known}, term, "a", ledger.Completed, true},
-		{"a job that it does not know", host{states: known}, term, "b", ledger.Queued, false},
-		{"no longer the owner", host{states: known}, term - 1, "a", ledger.Queued, false},
-		{"no owner", host{states: known}, 0, "a", ledger.Queued, false},
-		{"a silent owner", host{states: known, silent: true}, term, "a", ledger.Queued, false},
+		{"a job that the owner knows", host{states: known}, term, Job{ID: "a", Workspace: "w"}, ledger.Completed, true},
+		{"a job that it does not know", host{states: known}, term, Job{ID: "b", Workspace: "w"}, ledger.Queued, false},
+		{"a job of another workspace", host{states: known}, term, Job{ID: "a", Workspace: "v"}, ledger.Queued, false},
+		{"no longer the owner", host{states: known}, term - 1, Job{ID: "a", Workspace: "w"}, ledger.Queued, false},
+		{"no owner", host{states: known}, 0, Job{ID: "a", Workspace: "w"}, ledger.Queued, false},
+		{"a silent owner", host{states: known, silent: true}, term, Job{ID: "a", Workspace: "w"}, ledger.Queued, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			if got, ok := tt.host.asker(tt.term).State(t.Context(), tt.id); got != tt.want || ok != tt.ok {
+			if got, ok := tt.host.asker(tt.term).State(t.Context(), tt.job); got != tt.want || ok != tt.ok {
 				t.Errorf("State: %v, %t, want %v, %t", got, ok, tt.want, tt.ok)
 			}
 		})
@@ -92,7 +93,7 @@
 		var all sync.WaitGroup
 		for range 100 {
 			all.Go(func() {
-				if s, ok := a.State(t.Context(), "a"); !ok || s != ledger.InProgress {
+				if s, ok := a.State(t.Context(), Job{ID: "a", Workspace: "w"}); !ok || s != ledger.InProgress {
 					t.Errorf("State: %v, %t", s, ok)
 				}
 			})
@@ -112,11 +113,11 @@
 		var waited []time.Duration
 		for range 3 {
 			began := time.Now()
-			a.State(t.Context(), "a")
+			a.State(t.Context(), Job{ID: "a", Workspace: "w"})
 			waited = append(waited, time.Since(began))
 		}
 		time.Sleep(failurePause)
-		a.State(t.Context(), "a")
+		a.State(t.Context(), Job{ID: "a", Workspace: "w"})
 		if diff := cmp.Diff([]time.Duration{askTimeout, 0, 0}, waited); diff != "" {
 			t.Errorf("waits (-want +got):\n%s", diff)
 		}
--- a/inquiry/server.go
+++ b/inquiry/server.go
@@ -6,7 +6,6 @@
 	"github.com/charmbracelet/log"
 	"github.com/emicklei/go-restful/v3"
 
-	"lycheehook.example/lycheehook/fleet"
 	"lycheehook.example/lycheehook/ledger"
 	"lycheehook.example/lycheehook/relay"
 )
@@ -18,13 +17,13 @@
 type Server struct {
 	// owns reports whether this process owns the workers in a term right now.
 	owns  func(term uint64) bool
-	state func(id fleet.JobID) (ledger.State, bool)
+	state func(j Job) (ledger.State, bool)
 	log   *log.Logger
 }
 
-// NewServer returns a server; state returns what is stored of a job, and whether there is such a job, and owns reports
+// NewServer returns a server; state returns what is stored of a job, and whether its workspace has such a job, and owns reports
 // whether this process owns the workers in a term right now.
-func NewServer(owns func(term uint64) bool, state func(id fleet.JobID) (ledger.State, bool), l *log.Logger) *Server {
+func NewServer(owns func(term uint64) bool, state func(j Job) (ledger.State, bool), l *log.Logger) *Server {
 	return &Server{owns: owns, state: state, log: l}
 }
 
@@ -48,11 +47,10 @@
 		resp.WriteHeader(http.StatusConflict)
 		return
 	}
-	a := wireAnswer{States: map[fleet.JobID]ledger.State{}}
-	for _, id := range q.Jobs {
-		if state, ok := s.state(id); ok {
-			a.States[id] = state
-		}
+	a := wireAnswer{States: make([]wireState, 0, len(q.Jobs))}
+	for _, j := range q.Jobs {
+		state, known := s.state(j)
+		a.States = append(a.States, wireState{Known: known, State: state})
 	}
 	if err := relay.Answer(resp, a); err != nil {
 		s.log.Debug("inquiry not answered", "error", err)
--- a/intake/handler.go
+++ b/intake/handler.go
@@ -13,6 +13,7 @@
 	"github.com/charmbracelet/log"
 
 	"lycheehook.example/lycheehook/fleet"
+	"lycheehook.example/lycheehook/inquiry"
 	"lycheehook.example/lycheehook/ledger"
 	"lycheehook.example/lycheehook/platform"
 	"lycheehook.example/lycheehook/store"
@@ -38,7 +39,7 @@
 	log       *log.Logger
 	observe   Observer
 	stored    func(r store.Record)
-	inquire   func(ctx context.Context, id fleet.JobID) (ledger.State, bool)
+	inquire   func(ctx context.Context, j inquiry.Job) (ledger.State, bool)
 	router    atomic.Pointer[Router]
 }
 
@@ -68,7 +69,7 @@
 }
 
 // WithInquiry makes f be asked for the state of a job that is not known to be over; it reports whether it knows.
-func WithInquiry(f func(ctx context.Context, id fleet.JobID) (ledger.State, bool)) Option {
+func WithInquiry(f func(ctx context.Context, j inquiry.Job) (ledger.State, bool)) Option {
 	return func(h *Handler) { h.inquire = f }
 }
 
@@ -76,7 +77,7 @@
 func NewHandler(c *store.Client, f *ledger.Follower, l *log.Logger, observe Observer, options ...Option) *Handler {
 	h := &Handler{
 		committer: NewCommitter(c, l), client: c, follower: f, log: l, observe: observe, stored: func(store.Record) {},
-		inquire: func(context.Context, fleet.JobID) (ledger.State, bool) { return ledger.Queued, false },
+		inquire: func(context.Context, inquiry.Job) (ledger.State, bool) { return ledger.Queued, false },
 	}
 	for _, o := range options {
 		o(h)
@@ -133,10 +134,19 @@
 // request is a request with what the configuration says of it.
 type request struct {
 	*http.Request
-	router    *Router
-	queue     work.Queue
+	router *Router
+	queue  work.Queue
+	// workspace is charged for what the request submits; empty on an open queue.
 	workspace fleet.WorkspaceName
-	id        fleet.JobID
+	// caller is the workspace whose key came with the request, on open queues too.
+	caller fleet.WorkspaceName
+	id     fleet.JobID
+}
+
+// sees reports whether the caller may know of a job of a workspace; a job that was submitted to an open queue is
+// nobody's.
+func (r *request) sees(j work.Job) bool {
+	return j.Workspace == "" || j.Workspace == r.caller
 }
 
 // ServeHTTP implements http.Handler.
@@ -168,6 +178,7 @@
 	}
 	r.queue = queue
 	workspace, known := r.router.Workspace(r.Header.Get(platform.HeaderKey))
+	r.caller = workspace
 	if !queue.Open {
 		if !known {
 			return refuse(http.StatusUnauthorized, "unknown key")
@@ -186,9 +197,9 @@
 	case http.MethodPost:
 		return h.submit(ctx, w, r)
 	case http.MethodGet:
-		return h.state(ctx, r.id)
+		return h.state(ctx, r)
 	case http.MethodDelete:
-		return h.cancel(ctx, r.id)
+		return h.cancel(ctx, r)
 	default:
 		return refuse(http.StatusMethodNotAllowed, "use GET, POST or DELETE")
 	}
@@ -217,10 +228,10 @@
 
 	found, err := h.put(ctx, ledger.JobKey(j.ID), value, 0)
 	switch {
-	case err == nil, found != nil && !tombstone(*found):
+	case err == nil:
 		return accept(platform.EncodeState(platform.StateQueued))
 	case found != nil:
-		return refuse(http.StatusConflict, "the job was cancelled before it came")
+		return r.resubmitted(*found)
 	case errors.Is(err, ErrNotStored):
 		return unavailable("the store can't be reached")
 	default:
@@ -261,11 +272,19 @@
 	return j, nil
 }
 
-// tombstone reports whether a record stands for a job that was cancelled before it came.
-func tombstone(r store.Record) bool {
-	j, err := ledger.Decode[work.Job](r.Key, r.Value)
-
-	return err == nil && len(j.Steps) == 0
+// resubmitted answers a submission whose ID has a record already: it is the same job if the same workspace submitted it.
+func (r *request) resubmitted(found store.Record) reply {
+	j, err := ledger.Decode[work.Job](found.Key, found.Value)
+	switch {
+	case err != nil:
+		return refuse(http.StatusInternalServerError, err.Error())
+	case !r.sees(j):
+		return refuse(http.StatusConflict, "the ID is in use")
+	case len(j.Steps) == 0:
+		return refuse(http.StatusConflict, "the job was cancelled before it came")
+	default:
+		return accept(platform.EncodeState(platform.StateQueued))
+	}
 }
 
 var states = map[ledger.State]platform.JobState{
@@ -274,15 +293,15 @@
 }
 
 // state tells a job's state: the end of a job as this host knows it, and otherwise what the owner knows.
-func (h *Handler) state(ctx context.Context, id fleet.JobID) reply {
-	if !h.over(id) {
-		if s, ok := h.inquire(ctx, id); ok {
+func (h *Handler) state(ctx context.Context, r *request) reply {
+	if !h.over(r.id) {
+		if s, ok := h.inquire(ctx, inquiry.Job{ID: r.id, Workspace: r.caller}); ok {
 			return accept(platform.EncodeState(states[s]))
 		}
 	}
-	j, _, state, err := h.find(ctx, id)
+	j, _, state, err := h.find(ctx, r.id)
 	switch {
-	case err == nil && len(j.Steps) > 0:
+	case err == nil && len(j.Steps) > 0 && r.sees(j):
 		return accept(platform.EncodeState(states[state]))
 	case err == nil, errors.Is(err, store.ErrNotFound):
 		return refuse(http.StatusGone, "no such job")
@@ -324,15 +343,18 @@
 }
 
 // cancel marks a job as cancelled, or keeps it from being accepted later if nobody has submitted it.
-func (h *Handler) cancel(ctx context.Context, id fleet.JobID) reply {
+func (h *Handler) cancel(ctx context.Context, r *request) reply {
 	for {
-		j, revision, _, err := h.find(ctx, id)
+		j, revision, _, err := h.find(ctx, r.id)
 		if err != nil && !errors.Is(err, store.ErrNotFound) {
 			return unavailable("the store can't be reached")
 		}
 		absent := err != nil
 		if absent {
-			j = work.Job{ID: id, Submitted: time.Now().UTC()}
+			j = work.Job{ID: r.id, Workspace: r.workspace, Submitted: time.Now().UTC()}
+		}
+		if !r.sees(j) {
+			return refuse(http.StatusGone, "no such job")
 		}
 		if j.Cancelled {
 			return cancelled(len(j.Steps) == 0)
@@ -341,7 +363,7 @@
 		if err != nil {
 			return refuse(http.StatusInternalServerError, err.Error())
 		}
-		found, err := h.put(ctx, ledger.JobKey(id), value, revision)
+		found, err := h.put(ctx, ledger.JobKey(r.id), value, revision)
 		switch {
 		case err == nil:
 			return cancelled(absent)
--- a/manager/manager.go
+++ b/manager/manager.go
@@ -18,7 +18,6 @@
 	"github.com/google/uuid"
 
 	"lycheehook.example/lycheehook/dispatch"
-	"lycheehook.example/lycheehook/fleet"
 	"lycheehook.example/lycheehook/inquiry"
 	"lycheehook.example/lycheehook/intake"
 	"lycheehook.example/lycheehook/ledger"
@@ -222,25 +221,25 @@
 }
 
 // inquire returns the state of a job as the owner knows it, unless that is this process, which has it in its book.
-func (m *Manager) inquire(ctx context.Context, id fleet.JobID) (ledger.State, bool) {
+func (m *Manager) inquire(ctx context.Context, j inquiry.Job) (ledger.State, bool) {
 	if m.term.Load() != nil {
 		return ledger.Queued, false
 	}
 
-	return m.asker.State(ctx, id)
+	return m.asker.State(ctx, j)
 }
 
-// stateOf returns what is stored of a job, and whether callers may ask for it.
-func (m *Manager) stateOf(id fleet.JobID) (ledger.State, bool) {
+// stateOf returns what is stored of a job, and whether callers of its workspace may ask for it.
+func (m *Manager) stateOf(of inquiry.Job) (ledger.State, bool) {
 	b := m.follower.Book()
 	if b == nil {
 		return ledger.Queued, false
 	}
-	if j, _, ok := b.Job(id); !ok || len(j.Steps) == 0 {
+	if j, _, ok := b.Job(of.ID); !ok || len(j.Steps) == 0 || j.Workspace != "" && j.Workspace != of.Workspace {
 		return ledger.Queued, false
 	}
 
-	return b.Status(id)
+	return b.Status(of.ID)
 }
 
 // owns reports whether this process owns the workers in a term right now.
--- a/manager/manager_test.go
+++ b/manager/manager_test.go
@@ -29,7 +29,7 @@
 {"name":"r-post","host":"a.example","pathPrefix":"/post/","service":"s-post","maxAttempts":2,"slackFactor":1.6,"targetLatencyMs":600},
 {"name":"r-open","host":"a.example","pathPrefix":"/open/","service":"s-post","maxAttempts":2,"slackFactor":2,"public":true}],
 "services":[{"name":"s-post"}],"limits":{"maxBodyBytes":10000},
-"tenants":[{"name":"t","apiKeys":["key-1"],"weight":1,"maxCount":{"cpu":0,"memMb":0}}]}`
+"tenants":[{"name":"t","apiKeys":["key-1"],"weight":1,"maxCount":{"cpu":0,"memMb":0}},{"name":"u","apiKeys":["key-2"],"weight":1}]}`
 
 // site is a platform of stand-ins with some managers, all on loopback.
 type site struct {
@@ -139,9 +139,16 @@
 	return s.listeners[at], nil
 }
 
-// call sends a request to an entry host and returns the answer's status and body; zero means that there was none.
+// call sends a request of the first workspace to an entry host and returns the answer's status and body; zero means that
+// there was none.
 func (s *site) call(method string, host int, path, body string) (int, string) {
 	s.t.Helper()
+
+	return s.callWith("key-1", method, host, path, body)
+}
+
+func (s *site) callWith(key, method string, host int, path, body string) (int, string) {
+	s.t.Helper()
 	at := s.managers[host].settings.CallerAddress
 	if path == "/api/readyz" {
 		at = s.managers[host].settings.ReadyAddress
@@ -151,7 +158,7 @@
 		s.t.Fatal(err)
 	}
 	req.Host = "a.example"
-	req.Header.Set("Api-Key", "key-1")
+	req.Header.Set("Api-Key", key)
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return 0, err.Error()
@@ -246,6 +253,58 @@
 	}
 }
 
+// A workspace can neither see nor cancel what another one submitted, nor take its ID, at any entry host and by any queue,
+// also while only the owner knows of the job.
+func TestOtherWorkspace(t *testing.T) {
+	s := newSite(t, 2, 2, 0)
+	lasting := `{"phases":[{"count":2,"cpu":500,"memMb":64,"longRunning":true}]}`
+	for round, hidden := range []bool{false, true} {
+		id := fmt.Sprintf("00000000000002%02x", round+1)
+		s.hidden.Store(hidden)
+		if status, body := s.call("POST", 0, "/post/"+id, lasting); status != http.StatusOK {
+			t.Fatalf("submission: %d %s", status, body)
+		}
+		s.await("tasks run", func() bool { return s.starts() == 2*(round+1) })
+		// A host that does not know yet who owns the workers can ask nobody, and tells what it has itself.
+		s.await("every entry host knows that the job runs", func() bool {
+			for host := range s.managers {
+				if _, body := s.call("GET", host, "/post/"+id, ""); !strings.Contains(body, "in_progress") {
+					return false
+				}
+			}
+
+			return true
+		})
+		tests := []struct {
+			method, path, key string
+			status            int
+		}{
+			{"GET", "/post/", "key-2", http.StatusGone},
+			{"GET", "/open/", "", http.StatusGone},
+			{"DELETE", "/post/", "key-2", http.StatusGone},
+			{"DELETE", "/open/", "", http.StatusGone},
+			{"POST", "/post/", "key-2", http.StatusConflict},
+			{"GET", "/post/", "key-1", http.StatusOK},
+			{"POST", "/post/", "key-1", http.StatusOK},
+		}
+		for _, tt := range tests {
+			for host := range s.managers {
+				body := ""
+				if tt.method == "POST" {
+					body = lasting
+				}
+				if status, answer := s.callWith(tt.key, tt.method, host, tt.path+id, body); status != tt.status {
+					t.Errorf("hidden %t: %s %s with %q at host %d: %d %s, want %d", hidden, tt.method, tt.path, tt.key, host, status, answer, tt.status)
+				}
+			}
+		}
+		if _, body := s.call("GET", 0, "/post/"+id, ""); !strings.Contains(body, "in_progress") {
+			t.Errorf("hidden %t: the job is %s", hidden, body)
+		}
+	}
+	s.hidden.Store(false)
+}
+
 // What a request is refused for.
 func TestRefusals(t *testing.T) {
 	s := newSite(t, 1, 1, 50*time.Millisecond)
