Let other hosts make an owner's calls to workers

Cause: one host calls all workers. Change: package agent. An owner that can't carry the calls opens streams to hosts in the workers' zones, which make them while the owner's permission lasts; it is told on the agent's clock and bounded by the owner's lease. Small fleets stay as they are.

--- a/manager/manager.go
+++ b/manager/manager.go
@@ -17,6 +17,7 @@
 	"github.com/emicklei/go-restful/v3"
 	"github.com/google/uuid"
 
+	"lycheehook.example/lycheehook/agent"
 	"lycheehook.example/lycheehook/dispatch"
 	"lycheehook.example/lycheehook/inquiry"
 	"lycheehook.example/lycheehook/intake"
@@ -60,6 +61,9 @@
 	handler   *intake.Handler
 	notices   *notice.Sender
 	asker     *inquiry.Asker
+	// callers makes the calls to workers, calls those that other hosts ask this one for.
+	callers *agent.Pool
+	calls   *agent.Server
 	// term is the term in which this process owns the workers, or nil.
 	term     atomic.Pointer[owner.Term]
 	metrics  *telemetry.Metrics
@@ -102,12 +106,14 @@
 	m.handler = intake.NewHandler(client, m.follower, l, m.answered, intake.WithStored(m.tellOwner), intake.WithInquiry(m.inquire))
 	m.config = NewConfiguration(client, l, m.adopt)
 	self := ledger.Owner{Host: s.Name, Process: process.String()}
-	m.seat = owner.NewSeat(client, ledger.Host{
-		Name: s.Name, Zone: s.Zone, PeerAddress: s.PeerAddress.String(), Cores: s.Cores, LinkMegabits: s.LinkMegabits,
-	}, l)
+	host := ledger.Host{Name: s.Name, Zone: s.Zone, PeerAddress: s.PeerAddress.String(), Cores: s.Cores, LinkMegabits: s.LinkMegabits}
+	m.seat = owner.NewSeat(client, host, l)
 	m.candidate = owner.NewCandidate(client, m.seat, m.follower, self.Process, l)
+	direct := m.metrics.Workers("worker", platform.NewWorkers(transport, orderTimeout))
+	m.callers = agent.NewPool(direct, host, m.hosts, agent.Dial(transport), m.seat.Remaining, owner.Uptime, l)
+	m.calls = agent.NewServer(direct, owner.Uptime, l)
 	m.dispatch = dispatch.New(
-		client, m.follower, m.metrics.Workers(platform.NewWorkers(transport, orderTimeout)), bounds(s), self, l,
+		client, m.follower, m.metrics.Workers("pool", m.callers.Workers(orderTimeout)), bounds(s), self, l,
 		m.config.Current, followRoster(client, l), dispatch.WithObserver(m.observe), m.withHosts(transport, client),
 		dispatch.WithReport(m.report), m.withAdvice(transport), dispatch.WithKeep(s.Bounds.StatusTime.Std()+statusMargin),
 	)
@@ -169,6 +175,7 @@
 	peers.Add(relay.NewServer(m.route).Service())
 	peers.Add(notice.NewServer(m.owns, m.follower.Learn, m.log).Service())
 	peers.Add(inquiry.NewServer(m.owns, m.stateOf, m.log).Service())
+	peers.Add(m.calls.Service())
 	if _, err := m.serve(ctx, m.settings.PeerAddress, peers); err != nil {
 		return err
 	}
@@ -189,11 +196,13 @@
 	all.Go(func() { m.config.Run(background) })
 	all.Go(func() { m.follower.Run(background) })
 	all.Go(func() { m.seat.Run(background) })
+	all.Go(func() { m.callers.Run(background) })
 	all.Go(func() { m.candidate.Run(ctx, m.own) })
 
 	m.awaitStop(ctx, hangup)
 	m.log.Info("stopping")
 	m.stopping.Store(true)
+	m.calls.Leave()
 	m.stop(background, callers, ready)
 	m.seat.Leave(background)
 	cancel()
--- a/manager/peers.go
+++ b/manager/peers.go
@@ -10,10 +10,7 @@
 
 // peers returns where the other entry hosts can be reached, those that should be asked first before the others.
 func (m *Manager) peers() []string {
-	var hosts []ledger.Host
-	if b := m.follower.Book(); b != nil {
-		hosts = b.Hosts()
-	}
+	hosts := m.hosts()
 	for _, a := range m.settings.SeedAddresses {
 		hosts = append(hosts, ledger.Host{PeerAddress: a.String()})
 	}
@@ -21,6 +18,16 @@
 	return helpers(hosts, m.settings.PeerAddress.String())
 }
 
+// hosts returns the entry hosts that are known to live.
+func (m *Manager) hosts() []ledger.Host {
+	b := m.follower.Book()
+	if b == nil {
+		return nil
+	}
+
+	return b.Hosts()
+}
+
 // helpers returns the addresses of hosts but self, each once: the widest links first, since what is passed on crosses a
 // helper's link twice, and those alike in random order, so that none helps all.
 func helpers(hosts []ledger.Host, self string) []string {
--- a/owner/seat.go
+++ b/owner/seat.go
@@ -78,6 +78,17 @@
 	return s.id, s.id != 0 && s.uptime() < s.until
 }
 
+// Remaining returns how long the store vouches for the lease from now on.
+func (s *Seat) Remaining() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.id == 0 {
+		return 0
+	}
+
+	return max(0, s.until-s.uptime())
+}
+
 // Run keeps a lease until the context ends.
 func (s *Seat) Run(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/telemetry/client.go
+++ b/telemetry/client.go
@@ -48,10 +48,8 @@
 	}
 }
 
-// Workers returns calls to workers that are counted and timed.
-func (m *Metrics) Workers(w work.Workers) work.Workers {
-	const to = "worker"
-
+// Workers returns calls to workers that are counted and timed under the label to.
+func (m *Metrics) Workers(to string, w work.Workers) work.Workers {
 	return work.Workers{
 		Start: func(r work.Registration, s work.Start) (a work.Answer, err error) {
 			defer func(began time.Time) { m.call(to, "Start", began, err) }(time.Now())
--- a/work/task.go
+++ b/work/task.go
@@ -95,6 +95,7 @@
 
 // End is the end of a run, in the order in which its worker lists them.
 type End struct {
+	_          struct{} `cbor:",toarray"`
 	Number     uint64
 	Attempt    Attempt
 	Outcome    Outcome
@@ -103,6 +104,7 @@
 
 // Activity is a run in progress on a worker.
 type Activity struct {
+	_          struct{} `cbor:",toarray"`
 	Attempt    Attempt
 	Checkpoint string
 	// Percent is how much of its pace the run works at; 100 once it is at work.
--- a/work/worker.go
+++ b/work/worker.go
@@ -55,6 +55,7 @@
 
 // Start orders a worker to run a task.
 type Start struct {
+	_          struct{} `cbor:",toarray"`
 	Attempt    Attempt
 	Spec       string
 	Checkpoint string
@@ -66,12 +67,14 @@
 
 // Stop orders a worker to end a run.
 type Stop struct {
+	_       struct{} `cbor:",toarray"`
 	Attempt Attempt
 	Token   uint64
 }
 
 // Pace sets how much of its speed a run may work at.
 type Pace struct {
+	_       struct{} `cbor:",toarray"`
 	Attempt Attempt
 	Percent int
 	Token   uint64
@@ -79,6 +82,7 @@
 
 // Poll renews the leases of all that runs on a worker and asks what runs and what has ended.
 type Poll struct {
+	_     struct{} `cbor:",toarray"`
 	Token uint64
 	// Acked is the number of the last end that is stored; the worker forgets it and all before.
 	Acked uint64
@@ -90,6 +94,7 @@
 
 // Answer is what every answer of a worker has.
 type Answer struct {
+	_ struct{} `cbor:",toarray"`
 	// Clock is the worker's own steady clock.
 	Clock time.Duration
 	// Life is the incarnation that answered; zero where the answer does not say.
