Give pools like parts of too few hosts, and overdue work what is left

Change: sizes of pools are max-min parts of what there is, overdue work comes after all other, and pools beyond their part let hosts go whose tasks end soon.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -23,6 +23,8 @@
 	// keepTime is how long a host must have been needless before it leaves for standby; a move there and back costs
 	// about as much as two seconds in a pool.
 	keepTime = time.Second
+	// surplusFrom is the part of its size by which a pool must be too large before busy hosts leave it.
+	surplusFrom = 0.1
 )
 
 // Pool is what is known of a pool.
@@ -30,12 +32,16 @@
 	Name fleet.PoolName
 	// Hosts counts those that serve or are on their way into the pool.
 	Hosts int
-	// Demand is the work that runs and waits, in hosts.
+	// Demand is the work that runs, and that waits while its callers do, in hosts.
 	Demand float64
+	// Overdue is the work that waits and is worth nothing any more, in hosts; it gets what the others leave.
+	Overdue float64
 	// Least is how many hosts the pool's lasting tasks need.
 	Least int
 	// Idle hosts may leave at once; those that should go first come first.
 	Idle []fleet.HostName
+	// Busy hosts run only what ends by itself soon, and may leave then; those that should go first come first.
+	Busy []fleet.HostName
 }
 
 // Move takes a host from one pool to another.
@@ -127,6 +133,57 @@
 	return max(p.Least, int(math.Ceil(work+spareHosts)))
 }
 
+// targets returns what pools want, and the sizes that they get: first for work that is worth something and then for what is
+// overdue, or equal parts of that beyond their least sizes where there are too few hosts.
+func (b *Balancer) targets(pools []Pool, spares int, now time.Time) (wants, targets []int) {
+	total := spares
+	var least, all []int
+	for _, p := range pools {
+		total += p.Hosts
+		want := b.Want(p, now)
+		least, wants = append(least, p.Least), append(wants, want)
+		all = append(all, max(want, int(math.Ceil(p.Demand+p.Overdue+spareHosts))))
+	}
+	switch {
+	case sum(all) <= total:
+		return all, all
+	case sum(wants) <= total:
+		return wants, between(wants, all, total)
+	default:
+		return wants, between(least, wants, total)
+	}
+}
+
+// between returns sizes from low to high that use up total, so that the lesser needs are met first and the others get the
+// same beyond low; low, if that is too much already.
+func between(low, high []int, total int) []int {
+	sizes := slices.Clone(low)
+	left := total - sum(low)
+	open := make([]int, 0, len(low))
+	for i := range low {
+		if high[i] > low[i] {
+			open = append(open, i)
+		}
+	}
+	slices.SortFunc(open, func(i, j int) int { return cmp.Compare(high[i]-low[i], high[j]-low[j]) })
+	for n, i := range open {
+		part := min(high[i]-low[i], max(0, left)/(len(open)-n))
+		sizes[i] += part
+		left -= part
+	}
+
+	return sizes
+}
+
+func sum(list []int) int {
+	n := 0
+	for _, v := range list {
+		n += v
+	}
+
+	return n
+}
+
 // growth returns by how many hosts the work that runs and waits will have grown when a move that begins now is over, if
 // it grows on as it did of late. A rise counts only beyond what one large job brings about.
 func (b *Balancer) growth(p Pool, now time.Time) float64 {
@@ -162,27 +219,53 @@
 	return most
 }
 
-// Plan returns the moves that bring pools to their sizes: hosts from standby first, then those that others don't need.
+// Plan returns the moves that bring pools to their sizes: hosts from standby first, then those that others don't need, and
+// where there are too few for all, those that a pool has beyond its part.
 func (b *Balancer) Plan(pools []Pool, standby fleet.PoolName, spares []fleet.HostName, now time.Time) []Move {
 	if b.began.IsZero() {
 		b.began = now
 	}
-	var moves []Move
+	wants, targets := b.targets(pools, len(spares), now)
 	var lacking []lack
 	var offers []offer
-	for _, p := range pools {
-		want := b.Want(p, now)
-		keep := b.history(p.Name).keep(want, now)
-		if p.Hosts < want {
-			lacking = append(lacking, lack{p.Name, want - p.Hosts})
+	var surplus []Move
+	for i, p := range pools {
+		target := targets[i]
+		keep := b.history(p.Name).keep(wants[i], now)
+		if p.Hosts < target {
+			lacking = append(lacking, lack{p.Name, target - p.Hosts})
 			continue
 		}
-		for i, host := range p.Idle[:min(len(p.Idle), p.Hosts-want)] {
-			offers = append(offers, offer{Move{Host: host, From: p.Name, To: standby}, p.Hosts-i > keep})
+		idle := p.Idle[:max(0, min(len(p.Idle), p.Hosts-wants[i]))]
+		for n, host := range idle {
+			offers = append(offers, offer{Move{Host: host, From: p.Name, To: standby}, p.Hosts-n > keep})
+		}
+		if over := p.Hosts - target - len(idle); float64(over) > surplusFrom*float64(target) {
+			rest := slices.Concat(p.Idle[len(idle):], p.Busy)
+			for _, host := range rest[:min(len(rest), over)] {
+				surplus = append(surplus, Move{Host: host, From: p.Name})
+			}
 		}
 	}
 	slices.SortFunc(lacking, func(x, y lack) int { return cmp.Or(cmp.Compare(y.hosts, x.hosts), cmp.Compare(x.pool, y.pool)) })
 
+	moves, rest := fill(lacking, standby, spares, offers, surplus)
+	if standby == "" || now.Sub(b.began) < trendTime {
+		// A new owner has not seen yet what arrives.
+		return moves
+	}
+	for _, o := range rest {
+		if o.needless {
+			moves = append(moves, o.Move)
+		}
+	}
+
+	return moves
+}
+
+// fill returns the moves into pools that lack hosts, and the offers that are left.
+func fill(lacking []lack, standby fleet.PoolName, spares []fleet.HostName, offers []offer, surplus []Move) ([]Move, []offer) {
+	var moves []Move
 	for _, l := range lacking {
 		for range l.hosts {
 			switch {
@@ -192,20 +275,14 @@
 			case len(offers) > 0:
 				moves = append(moves, Move{Host: offers[0].Host, From: offers[0].From, To: l.pool})
 				offers = offers[1:]
+			case len(surplus) > 0:
+				moves = append(moves, Move{Host: surplus[0].Host, From: surplus[0].From, To: l.pool})
+				surplus = surplus[1:]
 			}
 		}
 	}
-	if standby == "" || now.Sub(b.began) < trendTime {
-		// A new owner has not seen yet what arrives.
-		return moves
-	}
-	for _, o := range offers {
-		if o.needless {
-			moves = append(moves, o.Move)
-		}
-	}
 
-	return moves
+	return moves, offers
 }
 
 // offer is a host that its pool does not need now; a needless one was not needed for a time.
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"lycheehook.example/lycheehook/balance"
 	"lycheehook.example/lycheehook/fleet"
 )
@@ -402,3 +404,46 @@
 		t.Errorf("moves later: %v", moves)
 	}
 }
+
+// crowded returns a pool in which all hosts run tasks that end by themselves.
+func crowded(name fleet.PoolName, hosts int, demand, overdue float64) balance.Pool {
+	p := balance.Pool{Name: name, Hosts: hosts, Demand: demand, Overdue: overdue, Least: 1}
+	for i := range hosts {
+		p.Busy = append(p.Busy, fleet.HostName(fmt.Sprint(name, "-", i)))
+	}
+
+	return p
+}
+
+// More work than all hosts carry (harambee-ledgers-large, small twin, quiet-1: the pool whose turn came first kept two
+// thirds of the fleet for twenty seconds): pools get like parts, and what nobody waits for any more comes last.
+func TestOverload(t *testing.T) {
+	tests := []struct {
+		name  string
+		pools []balance.Pool
+		spare int
+		want  map[fleet.PoolName]int
+	}{
+		{"like parts", []balance.Pool{crowded("a", 40, 80, 0), crowded("b", 10, 80, 0)}, 0, map[fleet.PoolName]int{"b": 15}},
+		{"small needs first", []balance.Pool{crowded("a", 40, 80, 0), crowded("b", 4, 8, 0), crowded("c", 6, 80, 0)}, 0, map[fleet.PoolName]int{"b": 6, "c": 14}},
+		{"overdue work waits", []balance.Pool{crowded("a", 40, 20, 200), crowded("b", 10, 25, 0)}, 0, map[fleet.PoolName]int{"b": 17}},
+		{"overdue work takes what is left", []balance.Pool{crowded("a", 10, 8, 200), crowded("b", 10, 8, 0)}, 12, map[fleet.PoolName]int{"a": 12}},
+		{"a small surplus stays", []balance.Pool{crowded("a", 26, 80, 0), crowded("b", 24, 80, 0)}, 0, map[fleet.PoolName]int{}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var spares []fleet.HostName
+			for i := range tt.spare {
+				spares = append(spares, fleet.HostName(fmt.Sprint("spare-", i)))
+			}
+			got := map[fleet.PoolName]int{}
+			now := time.Date(2026, 4, 15, 0, 0, 0, 0, time.UTC)
+			for _, m := range balance.New(moveTime).Plan(tt.pools, standby, spares, now) {
+				got[m.To]++
+			}
+			if diff := cmp.Diff(tt.want, got); diff != "" {
+				t.Errorf("hosts moved to each pool (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -167,7 +167,7 @@
 	if !s.withinLimit(r.job.entry.Job.Workspace, r.job.entry.Job.Steps[r.step.Step].Size) {
 		return
 	}
-	s.waiting = append(s.waiting, &ready{job: r.job, step: r.step, queue: r.queue, tasks: r.tasks[:tasks]})
+	s.waiting = append(s.waiting, &ready{job: r.job, step: r.step, queue: r.queue, tasks: r.tasks[:tasks], rank: r.rank})
 }
 
 // placeGang assigns all tasks of a gang under one attempt number, or none of them.
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -60,13 +60,13 @@
 
 // poolStates returns what the balancer is to know of each pool that is on.
 func (s *Scheduler) poolStates(now time.Time) []balance.Pool {
-	demand := s.demand()
+	demand, overdue := s.demand()
 	var list []balance.Pool
 	for _, p := range s.pools {
 		if p.Standby {
 			continue
 		}
-		st := balance.Pool{Name: p.Name, Demand: demand[p.Name], Least: s.least(p.Name)}
+		st := balance.Pool{Name: p.Name, Demand: demand[p.Name], Overdue: overdue[p.Name], Least: s.least(p.Name)}
 		for _, h := range s.hostList {
 			switch {
 			case h.phase != serving && h.plan.pool == p.Name:
@@ -77,13 +77,18 @@
 					continue
 				}
 				st.Hosts++
-				if s.idle(h) && s.free(h, now) {
+				switch {
+				case !s.free(h, now):
+				case s.idle(h):
 					st.Idle = append(st.Idle, h.Host)
+				case s.passing(h):
+					st.Busy = append(st.Busy, h.Host)
 				}
 			case h.plan.wave != 0:
 				// A host that is maintained comes back to its pool.
 			}
 		}
+		sortBy(st.Busy, s.load)
 		list = append(list, st)
 	}
 	slices.SortFunc(list, func(a, b balance.Pool) int { return cmp.Compare(a.Name, b.Name) })
@@ -105,9 +110,30 @@
 	return ok && w.present && w.met && w.unheard == 0 && len(w.runs) == 0 && !w.reg.Draining
 }
 
-// demand returns the work of each pool that runs or may start now, in hosts.
-func (s *Scheduler) demand() map[fleet.PoolName]float64 {
-	sum := map[fleet.PoolName]fleet.Resources{}
+// passing reports whether all that runs on a host that is up ends by itself soon.
+func (s *Scheduler) passing(h *host) bool {
+	w, ok := s.workers[h.Worker]
+
+	return ok && w.present && w.met && w.unheard == 0 && w.lasting == 0 && !w.reg.Draining
+}
+
+// load returns the part of a host that is in use.
+func (s *Scheduler) load(name fleet.HostName) float64 {
+	h, ok := s.hosts[name]
+	if !ok {
+		return 0
+	}
+	w, ok := s.workers[h.Worker]
+	if !ok {
+		return 0
+	}
+
+	return w.used.DominantShare(w.reg.Capacity)
+}
+
+// demand returns the work of each pool that runs or may start now, and apart from it what waits and is overdue, in hosts.
+func (s *Scheduler) demand() (all, overdueOnly map[fleet.PoolName]float64) {
+	sum, old := map[fleet.PoolName]fleet.Resources{}, map[fleet.PoolName]fleet.Resources{}
 	for _, w := range s.workers {
 		if len(w.runs) > 0 {
 			sum[w.reg.Pool] = sum[w.reg.Pool].Plus(w.used)
@@ -115,9 +141,19 @@
 	}
 	for _, r := range s.waiting {
 		step := r.job.entry.Job.Steps[r.step.Step]
-		sum[r.queue.Pool] = sum[r.queue.Pool].Plus(step.Reserved().Times(int64(len(r.tasks))))
+		to := sum
+		if r.rank.standing == overdue {
+			to = old
+		}
+		to[r.queue.Pool] = to[r.queue.Pool].Plus(step.Reserved().Times(int64(len(r.tasks))))
 	}
-	hosts := map[fleet.PoolName]float64{}
+
+	return s.inHosts(sum), s.inHosts(old)
+}
+
+// inHosts returns resources of pools in hosts.
+func (s *Scheduler) inHosts(sum map[fleet.PoolName]fleet.Resources) map[fleet.PoolName]float64 {
+	hosts := make(map[fleet.PoolName]float64, len(sum))
 	for p, r := range sum {
 		hosts[p] = r.DominantShare(s.hostSize(p))
 	}
