Count the hosts of a pool once in each round over a wave

Cause: for each host that waits for its maintenance, all hosts were counted, and for each lasting task all tasks of its step, twenty times a second. Change: one count in a round, and the look at a step ends with its answer.

--- a/schedule/bench_test.go
+++ b/schedule/bench_test.go
@@ -79,3 +79,32 @@
 		})
 	}
 }
+
+// BenchmarkMaintenance plays a round over the hosts while a wave over half of them has time and their pools may lose no more.
+func BenchmarkMaintenance(b *testing.B) {
+	for _, workers := range []int{12, 70, 220} {
+		b.Run(fmt.Sprint(5*workers), func(b *testing.B) {
+			s, now := benchFleet(b, workers)
+			var hosts []work.HostStatus
+			var order work.WaveOrder
+			for p := range 5 {
+				for i := range workers {
+					h := work.HostStatus{
+						Host: fleet.HostName(fmt.Sprintf("h-%d-%04d", p, i)), Pool: fleet.PoolName(fmt.Sprint("pool-", p)), State: work.HostUp,
+						Worker: work.WorkerID(fmt.Sprintf("i-%d-%04d", p, i)), Capacity: fleet.Resources{Cores: 16000, Memory: 32768},
+					}
+					hosts = append(hosts, h)
+					if i%2 == 0 {
+						order.Hosts = append(order.Hosts, h.Host)
+					}
+				}
+			}
+			order.Number, order.Duration, order.MaxDown = 1, time.Minute, len(order.Hosts)
+			s.SetHosts(hosts, now, now)
+			s.SetWave(order, now)
+			for b.Loop() {
+				s.HostOrders(now)
+			}
+		})
+	}
+}
--- a/schedule/wave.go
+++ b/schedule/wave.go
@@ -139,6 +139,10 @@
 // planMaintenance begins to empty hosts, as many as each wave allows and as the time that is left asks for.
 func (s *Scheduler) planMaintenance(now time.Time) {
 	clear(s.dueHosts)
+	if !s.OpenWaves() {
+		return
+	}
+	away := s.awayHosts()
 	for _, w := range s.waves {
 		if w.told == WaveCompleted {
 			continue
@@ -158,14 +162,16 @@
 				}
 			}
 		}
+		hurry := w.inHurry(len(waiting), now)
 		for _, h := range s.quietest(waiting) {
 			if busy >= w.order.MaxDown {
 				break
 			}
-			if !s.mayEmpty(h, w, len(waiting), now) {
+			if !hurry && !away.allows(h.Pool) {
 				continue
 			}
 			s.empty(h, hostPlan{wave: w.order.Number}, now)
+			away.add(h.Pool)
 			busy++
 		}
 	}
@@ -190,24 +196,37 @@
 	maxEmptied = 0.25
 )
 
-// mayEmpty reports whether a host may be emptied now: while there is time, only as long as its pool keeps most of its hosts.
-func (s *Scheduler) mayEmpty(h *host, w *wave, waiting int, now time.Time) bool {
-	rounds := (waiting + w.order.MaxDown - 1) / w.order.MaxDown
-	if left := w.order.Duration - now.Sub(w.seen); left < time.Duration(rounds+1)*turnaround {
-		return true
-	}
-	all, gone := 0, 0
-	for _, o := range s.hosts {
-		if o.Pool != h.Pool {
-			continue
-		}
-		all++
-		if o.phase != serving {
-			gone++
+// inHurry reports whether so little time is left for a wave that pools must do without more of their hosts.
+func (w *wave) inHurry(waiting int, now time.Time) bool {
+	rounds := (waiting + w.order.MaxDown - 1) / max(1, w.order.MaxDown)
+
+	return w.order.Duration-now.Sub(w.seen) < time.Duration(rounds+1)*turnaround
+}
+
+// awayHosts counts the hosts of each pool, and those of them that are away or about to be.
+type awayHosts struct {
+	all, away map[fleet.PoolName]int
+}
+
+func (s *Scheduler) awayHosts() awayHosts {
+	c := awayHosts{all: map[fleet.PoolName]int{}, away: map[fleet.PoolName]int{}}
+	for _, h := range s.hostList {
+		c.all[h.Pool]++
+		if h.phase != serving {
+			c.add(h.Pool)
 		}
 	}
 
-	return float64(gone+1) <= max(1, maxEmptied*float64(all))
+	return c
+}
+
+func (c awayHosts) add(p fleet.PoolName) {
+	c.away[p]++
+}
+
+// allows reports whether one more host of a pool may be away while there is time, so that the pool keeps most of them.
+func (c awayHosts) allows(p fleet.PoolName) bool {
+	return float64(c.away[p]+1) <= max(1, maxEmptied*float64(c.all[p]))
 }
 
 // quietest returns the hosts in the order in which their maintenance disturbs least.
@@ -232,12 +251,15 @@
 	gone := 0
 	st := e.Step(ledger.StepOf{Occurrence: r.attempt.Occurrence, Step: r.attempt.Step})
 	for i := range st.Tasks {
-		if i != r.attempt.Index && !s.atWork(e.Job.ID, r.attempt, i, &st.Tasks[i]) {
-			gone++
+		if i == r.attempt.Index || s.atWork(e.Job.ID, r.attempt, i, &st.Tasks[i]) {
+			continue
+		}
+		if gone++; gone >= allowed {
+			return false
 		}
 	}
 
-	return gone < allowed
+	return true
 }
 
 // atWork reports whether another task of the same step as a works at its full pace.
