Begin a term with what the host has followed, and restate the log in parts

Restating the log held up all starts while thousands of changes were written at once. Change: a host that has followed the ledger up to the term's revision takes a copy (ledger.Follower.Copy), agents are opened before workers are called, and a part of what restates the log goes with each batch. Tasks are placed only when a batch may be written, since they would wait for it anyway. First starts in an orderly change of owner: not measured yet. Tests: ledger.TestCopy, TestCopyOfSilentWatch, dispatch.TestRestatedInParts.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -232,7 +232,7 @@
 // A permission ends at the same moment at both, however old what the owner knows of the agent's clock.
 func TestPermissionOnAgentsClock(t *testing.T) {
 	now := 40 * time.Second
-	k := &link{uptime: func() time.Duration { return now }, out: make(chan wireCall, 1), waiting: map[uint64]chan wireReply{}}
+	k := &link{uptime: func() time.Duration { return now }, out: make(chan wireCall, 1), ready: make(chan struct{}), waiting: map[uint64]chan wireReply{}}
 	k.take(wireReplies{Clock: 7 * time.Second})
 	now += 300 * time.Millisecond
 	if _, _, err := k.send(wireCall{}, orderWindow); err != nil {
@@ -247,8 +247,14 @@
 // carried out; a poll is.
 func TestSilentAgent(t *testing.T) {
 	run(t, weak, func(t *testing.T, f *fleetOf, w work.Workers) {
-		f.agent.Start = func(work.Registration, work.Start) (work.Answer, error) { time.Sleep(time.Minute); return work.Answer{}, nil }
-		f.agent.Poll = func(work.Registration, work.Poll) (work.PollReply, error) { time.Sleep(time.Minute); return work.PollReply{}, nil }
+		f.agent.Start = func(work.Registration, work.Start) (work.Answer, error) {
+			time.Sleep(time.Minute)
+			return work.Answer{}, nil
+		}
+		f.agent.Poll = func(work.Registration, work.Poll) (work.PollReply, error) {
+			time.Sleep(time.Minute)
+			return work.PollReply{}, nil
+		}
 		go func() {
 			time.Sleep(50 * time.Millisecond)
 			f.mu.Lock()
--- a/agent/link.go
+++ b/agent/link.go
@@ -24,8 +24,8 @@
 	uptime func() time.Duration
 	log    *log.Logger
 	out    chan wireCall
-	// over is closed when the stream has ended.
-	over chan struct{}
+	// ready is closed when the agent has told its clock, over when the stream has ended.
+	ready, over chan struct{}
 
 	mu      sync.Mutex
 	last    uint64
@@ -39,8 +39,8 @@
 // newLink returns a link over an open stream.
 func newLink(address string, stream io.ReadWriteCloser, uptime func() time.Duration, l *log.Logger) *link {
 	k := &link{
-		address: address, stream: stream, uptime: uptime, log: l, out: make(chan wireCall, maxCalls), over: make(chan struct{}),
-		waiting: map[uint64]chan wireReply{}, heard: uptime(),
+		address: address, stream: stream, uptime: uptime, log: l, out: make(chan wireCall, maxCalls),
+		ready: make(chan struct{}), over: make(chan struct{}), waiting: map[uint64]chan wireReply{}, heard: uptime(),
 	}
 	go k.write()
 	go k.read()
@@ -177,6 +177,9 @@
 func (k *link) take(m wireReplies) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if !k.met {
+		close(k.ready)
+	}
 	k.clock, k.heard, k.met = m.Clock, k.uptime(), true
 	k.leaving = m.Leaving
 	for _, r := range m.Replies {
--- a/agent/pool.go
+++ b/agent/pool.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/charmbracelet/log"
 
 	"lycheehook.example/lycheehook/fleet"
@@ -40,6 +41,8 @@
 	failurePause = 3 * time.Second
 	// orderWindow bounds the permission for a call, so that one that was held up is not made late.
 	orderWindow = 400 * time.Millisecond
+	// openWait is how long a call waits for a stream that is being opened.
+	openWait = 500 * time.Millisecond
 	// replyMargin is added to the time that a call may take at an agent.
 	replyMargin = 600 * time.Millisecond
 )
@@ -66,6 +69,8 @@
 	links  map[string]*link
 	// opening has the agents to which a stream is being opened.
 	opening map[string]bool
+	// opened is closed, and replaced, when such a stream is open or has failed.
+	opened chan struct{}
 	// failed has when the stream of an agent last ended by itself.
 	failed map[string]time.Time
 }
@@ -80,7 +85,7 @@
 	return &Pool{
 		direct: direct, self: self, hosts: hosts, open: open, vouched: vouched, uptime: uptime, log: l,
 		called: map[work.WorkerID]fleet.ZoneName{}, counted: time.Now(), agents: map[fleet.ZoneName][]string{},
-		links: map[string]*link{}, opening: map[string]bool{}, failed: map[string]time.Time{},
+		links: map[string]*link{}, opening: map[string]bool{}, opened: make(chan struct{}), failed: map[string]time.Time{},
 	}
 }
 
@@ -135,15 +140,49 @@
 	return k.call(c, min(orderWindow, p.vouched()), timeout+replyMargin)
 }
 
-// linkTo returns the stream to the agent of a worker, or nil if this host calls the worker itself. A worker keeps its
-// agent while the agents of its availability zone stay the same, and so do the connections to it.
+// Expect tells of workers that are about to be called, so that agents are at hand.
+func (p *Pool) Expect(ctx context.Context, workers []work.Registration) {
+	p.mu.Lock()
+	for _, r := range workers {
+		p.called[r.ID] = r.Zone
+	}
+	p.mu.Unlock()
+	p.refresh(ctx)
+}
+
+// linkTo returns the stream to the agent of a worker, or nil if this host calls the worker itself. It waits a moment for a
+// stream that is being opened.
 func (p *Pool) linkTo(r work.Registration) *link {
+	k, opened := p.pick(r)
+	if k != nil || opened == nil {
+		return k
+	}
+	t := time.NewTimer(openWait)
+	defer t.Stop()
+	for k == nil && opened != nil {
+		select {
+		case <-opened:
+			k, opened = p.pick(r)
+		case <-t.C:
+			return nil
+		}
+	}
+
+	return k
+}
+
+// pick returns the stream to the agent of a worker; without one, opened is closed when another is open or has failed, or nil
+// if none is being opened. A worker keeps its agent while the agents of its availability zone stay the same, and so do the
+// connections to it.
+func (p *Pool) pick(r work.Registration) (best *link, opened <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.called[r.ID] = r.Zone
-	var best *link
 	var bestWeight uint64
 	for _, address := range p.agents[r.Zone] {
+		if p.opening[address] {
+			opened = p.opened
+		}
 		k := p.links[address]
 		if k == nil || !k.usable() {
 			continue
@@ -153,7 +192,7 @@
 		}
 	}
 
-	return best
+	return best, opened
 }
 
 // weight orders the agents of a worker, for each worker in another way.
@@ -227,7 +266,7 @@
 	for address := range wanted {
 		if p.links[address] == nil && !p.opening[address] {
 			p.opening[address] = true
-			go p.connect(ctx, address)
+			go p.connect(context.WithoutCancel(ctx), address)
 		}
 	}
 	for address, k := range p.links {
@@ -265,10 +304,12 @@
 
 // connect opens the stream to an agent.
 func (p *Pool) connect(ctx context.Context, address string) {
-	stream, err := p.open(ctx, address)
+	k, err := p.dial(ctx, address)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.opening, address)
+	close(p.opened)
+	p.opened = make(chan struct{})
 	if err != nil {
 		p.log.Warn("agent can't be reached", "agent", address, "error", err)
 		p.failed[address] = time.Now()
@@ -276,7 +317,27 @@
 		return
 	}
 	p.log.Info("agent joins", "agent", address)
-	p.links[address] = newLink(address, stream, p.uptime, p.log)
+	p.links[address] = k
+}
+
+// dial returns the stream to an agent that has told its clock.
+func (p *Pool) dial(ctx context.Context, address string) (*link, error) {
+	stream, err := p.open(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	k := newLink(address, stream, p.uptime, p.log)
+	t := time.NewTimer(silenceTime)
+	defer t.Stop()
+	select {
+	case <-k.ready:
+		return k, nil
+	case <-k.over:
+	case <-t.C:
+		k.close()
+	}
+
+	return nil, merry.Prependf(errNotMade, "agent %s tells nothing", address)
 }
 
 func (p *Pool) closeAll() {
--- a/dispatch/compact.go
+++ b/dispatch/compact.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"lycheehook.example/lycheehook/fleet"
 	"lycheehook.example/lycheehook/ledger"
 	"lycheehook.example/lycheehook/pause"
 	"lycheehook.example/lycheehook/store"
@@ -12,38 +13,52 @@
 const (
 	// maxBatches is how many batches the log may have before it is restated; a reader takes in some thousand in a second.
 	maxBatches = 512
-	// restatedChanges bounds a restating batch; at some 60 bytes a change it stays far under the store's bound.
-	restatedChanges = 4000
+	// restatedChanges is how many restating changes go with a batch, so that they hold up neither it nor a narrow link.
+	restatedChanges = 500
 	// removals is how many keys go in one transaction beside the expectation of the owner's record.
 	removals = store.MaxTxnEntries - 1
 	// forgetInterval is the time between two searches for jobs that need not be kept any more.
 	forgetInterval = 10 * time.Second
 )
 
-// compact restates the log in few batches, and has those before removed meanwhile. The caller must have set writing.
-func (t *term) compact(ctx context.Context, changes []ledger.Change) error {
-	restated := t.writer.next
-	for {
-		// An empty log would let numbers begin anew, so at least one batch is written.
-		n := min(len(changes), restatedChanges)
-		if err := t.writer.append(ctx, changes[:n]); err != nil {
-			return err
-		}
-		changes = changes[n:]
-		if len(changes) == 0 {
-			break
+// restatement is the restating of the log under way: a part of it goes with each batch.
+type restatement struct {
+	// from is the batch from which on the log will tell all.
+	from uint64
+	// jobs have not been restated yet.
+	jobs []fleet.JobID
+}
+
+// restate returns the next part of the changes that restate the log, and whether it is the last; none while the log is
+// short.
+func (t *term) restate(now time.Time) (changes []ledger.Change, last bool) {
+	if t.restating == nil {
+		if t.writer.next-t.restated < maxBatches {
+			return nil, false
 		}
+		t.restating = &restatement{from: t.writer.next, jobs: t.sched.Entries()}
+	}
+	for len(changes) < restatedChanges && len(t.restating.jobs) > 0 {
+		changes = append(changes, t.sched.Restate(t.restating.jobs[0])...)
+		t.restating.jobs = t.restating.jobs[1:]
 	}
+	if len(t.restating.jobs) > 0 {
+		return changes, false
+	}
+
+	return append(changes, t.sched.RestateHosts(now)...), true
+}
+
+// finishRestating has the batches removed that are needless once the last part is stored.
+func (t *term) finishRestating(ctx context.Context) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	first := t.oldest
-	t.restated = restated
+	t.restated, t.restating = t.restating.from, nil
 	if !t.removing {
 		t.removing = true
-		go t.removeBatches(ctx, first, restated)
+		go t.removeBatches(ctx, first, t.restated)
 	}
-
-	return nil
 }
 
 // removeBatches removes the batches from first to before end. Nothing waits for it: a reader takes in what is left of them
--- a/dispatch/compact_test.go
+++ b/dispatch/compact_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"testing"
 	"testing/synctest"
@@ -10,10 +11,13 @@
 	"github.com/charmbracelet/log"
 	"github.com/google/go-cmp/cmp"
 
+	"lycheehook.example/lycheehook/fleet"
 	"lycheehook.example/lycheehook/ledger"
 	"lycheehook.example/lycheehook/owner"
+	"lycheehook.example/lycheehook/schedule"
 	"lycheehook.example/lycheehook/standin"
 	"lycheehook.example/lycheehook/store"
+	"lycheehook.example/lycheehook/work"
 )
 
 // Harambee, trouble-1: the store goes silent for the owner just when the log was restated. Writes do not wait until the
@@ -42,9 +46,9 @@
 			}
 		}
 		compact := func() {
-			if err := tm.compact(t.Context(), nil); err != nil {
-				t.Fatal(err)
-			}
+			tm.restating = &restatement{from: tm.writer.next}
+			write()
+			tm.finishRestating(t.Context())
 		}
 		for range 5 {
 			write()
@@ -74,3 +78,71 @@
 		}
 	})
 }
+
+func appendBatch(t *testing.T, tm *term, changes []ledger.Change) {
+	t.Helper()
+	if err := tm.writer.append(t.Context(), changes); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// A long log of many jobs (harambee-ledgers-large: 55,000 tasks): it is restated in parts beside the batches that come
+// anyway, and what is left of it tells the same as before.
+func TestRestatedInParts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := standin.NewStore().Client()
+		l := log.New(io.Discard)
+		revision := own(t, c, "self", 0)
+		entries := map[fleet.JobID]*ledger.Entry{}
+		for n := range 1200 {
+			j := work.Job{ID: fleet.JobID(fmt.Sprintf("%016x", n)), Steps: []work.Step{{Count: 8}}}
+			value, err := ledger.Encode(j)
+			if err != nil {
+				t.Fatal(err)
+			}
+			r, err := c.Commit(t.Context(), store.Txn{Puts: []store.Put{{Key: ledger.JobKey(j.ID), Value: value}}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			entries[j.ID] = ledger.NewEntry(j, r)
+		}
+		now := time.Now()
+		tm := &term{Dispatcher: &Dispatcher{client: c, log: l}, owned: &owner.Term{Revision: revision}}
+		tm.sched = schedule.New(revision, schedule.Bounds{}, entries, now)
+		tm.writer = newLogWriter(c, ledger.Owner{Host: "self"}, revision, 0, l, func(store.Record) {})
+		var changes []ledger.Change
+		for id, e := range entries {
+			change := ledger.Change{Kind: ledger.Assigned, Attempt: work.Attempt{Task: work.Task{Job: id, Index: 3}, Number: 1}, Worker: "w", Life: 7}
+			e.Apply(change)
+			if changes = append(changes, change); len(changes) == 3 {
+				appendBatch(t, tm, changes)
+				changes = nil
+			}
+		}
+		for tm.writer.next < maxBatches {
+			appendBatch(t, tm, []ledger.Change{{Kind: ledger.HostOrdered, Worker: "h"}})
+		}
+		parts := 0
+		for last := false; !last; parts++ {
+			changes, last = tm.restate(now)
+			appendBatch(t, tm, changes)
+			if len(changes) > restatedChanges {
+				t.Errorf("%d changes in part %d", len(changes), parts)
+			}
+		}
+		tm.finishRestating(t.Context())
+		synctest.Wait()
+		book, _, err := ledger.Read(t.Context(), c)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if first, next := book.Batches(); first != maxBatches || next != first+uint64(parts) || parts != 3 {
+			t.Errorf("the log has batches %d to %d after %d parts", first, next-1, parts)
+		}
+		for id, e := range entries {
+			if diff := cmp.Diff(e.Restate(), book.Entries()[id].Restate()); diff != "" {
+				t.Fatalf("job %s after restating (-want +got):\n%s", id, diff)
+			}
+		}
+	})
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -27,6 +27,8 @@
 	tickInterval = 100 * time.Millisecond
 	// storeInterval is the least time between two batches of the log, since the store counts each call.
 	storeInterval = 20 * time.Millisecond
+	// followTimeout bounds the wait for what this host follows of the ledger at the start of a term.
+	followTimeout = time.Second
 )
 
 // Dispatcher serves terms of ownership.
@@ -124,6 +126,8 @@
 	wrote   time.Time
 	// oldest is the oldest batch that may be kept, restated the one from which the log tells all.
 	oldest, restated uint64
+	// restating is nil while the log is not restated.
+	restating *restatement
 	// removing says that batches before restated are being removed.
 	removing bool
 	wake     chan struct{}
@@ -140,12 +144,7 @@
 	d.follower.OnJob(jobs.put)
 	defer d.follower.OnJob(nil)
 
-	book, _, err := ledger.Read(ctx, d.client)
-	for err != nil && ctx.Err() == nil && !owned.Over() {
-		d.log.Warn("read of the ledger at the start of a term failed", "error", err)
-		pause.For(ctx, retryPause)
-		book, _, err = ledger.Read(ctx, d.client)
-	}
+	book, err := t.book(ctx)
 	if err != nil {
 		return
 	}
@@ -169,6 +168,26 @@
 	all.Wait()
 }
 
+// book returns the ledger as the term begins, after which nobody else changes the log: from what this host has followed or,
+// where that is not far enough, from the store.
+func (t *term) book(ctx context.Context) (*ledger.Book, error) {
+	following, cancel := context.WithTimeout(ctx, followTimeout)
+	defer cancel()
+	book, err := t.follower.Copy(following, t.owned.Revision)
+	if err == nil {
+		return book, nil
+	}
+	t.log.Warn("ledger not followed to the start of the term, reading it whole", "error", err)
+	for {
+		book, _, err = ledger.Read(ctx, t.client)
+		if err == nil || ctx.Err() != nil || t.owned.Over() {
+			return book, err
+		}
+		t.log.Warn("read of the ledger at the start of a term failed", "error", err)
+		pause.For(ctx, retryPause)
+	}
+}
+
 func (t *term) run(ctx context.Context) {
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
@@ -205,7 +224,10 @@
 	}
 	t.sched.Lapse(now)
 	if t.owned.Valid() {
-		t.sched.Place(now)
+		if t.mayStore(now) {
+			// What is assigned later has to wait for the next batch anyway, and then knows more.
+			t.sched.Place(now)
+		}
 		for _, l := range t.sched.Polls(now) {
 			go t.poll(l)
 		}
@@ -224,25 +246,32 @@
 	t.store(ctx, now)
 }
 
+// mayStore reports whether a batch may be written now.
+func (t *term) mayStore(now time.Time) bool {
+	return !t.writing && now.Sub(t.wrote) >= storeInterval
+}
+
 // store begins to write the changes that have gathered, unless others are being written.
 func (t *term) store(ctx context.Context, now time.Time) {
-	if t.writing || now.Sub(t.wrote) < storeInterval {
-		return
-	}
-	if t.writer.next-t.restated >= maxBatches {
-		changes := t.sched.Restate(now)
-		t.writing = true
-		go t.write(func() error { return t.compact(ctx, changes) }, nil)
-
+	if !t.mayStore(now) {
 		return
 	}
 	changes, starts := t.sched.Take()
-	if len(changes) == 0 {
+	restated, last := t.restate(now)
+	changes = append(changes, restated...)
+	if len(changes) == 0 && !last {
 		t.sched.Stored(nil, now)
 		return
 	}
 	t.writing, t.wrote = true, now
-	go t.write(func() error { return t.writer.append(ctx, changes) }, starts)
+	go t.write(func() error {
+		err := t.writer.append(ctx, changes)
+		if err == nil && last {
+			t.finishRestating(ctx)
+		}
+
+		return err
+	}, starts)
 }
 
 // write writes to the log, and sends out the orders that waited for it.
--- a/ledger/book.go
+++ b/ledger/book.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -91,6 +92,29 @@
 	return b, l.Revision, nil
 }
 
+// Clone returns a copy for a user of its own; an error of kind ErrGap says that batches of the log are missing.
+func (b *Book) Clone() (*Book, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.early) > 0 {
+		return nil, merry.Prependf(ErrGap, "after batch %d", b.next)
+	}
+	c := NewBook()
+	c.hosts, c.owner, c.ownerRev, c.first, c.next, c.newest = maps.Clone(b.hosts), b.owner, b.ownerRev, b.first, b.next, b.newest
+	c.ordered = maps.Clone(b.ordered)
+	for id, e := range b.entries {
+		c.entries[id] = e.Clone()
+	}
+	for id, changes := range b.orphans {
+		c.orphans[id] = slices.Clone(changes)
+	}
+	for wave, hosts := range b.maintained {
+		c.maintained[wave] = slices.Clone(hosts)
+	}
+
+	return c, nil
+}
+
 // Follow carries over one change of the store; its error is of kind ErrMalformed and names a record that was passed over.
 func (b *Book) Follow(ev store.Event) error {
 	b.mu.Lock()
@@ -167,10 +191,11 @@
 
 // followLog applies batches in the order of their numbers, each once.
 func (b *Book) followLog(ev store.Event) error {
-	if ev.Deleted {
+	n, err := batchNumber(ev.Record.Key)
+	if ev.Deleted && err == nil {
+		b.first = max(b.first, min(n+1, b.next))
 		return nil
 	}
-	n, err := batchNumber(ev.Record.Key)
 	if err != nil || n < b.next {
 		return err
 	}
--- /dev/null
+++ b/ledger/copy_test.go
@@ -0,0 +1,104 @@
+package ledger_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/google/go-cmp/cmp"
+
+	"lycheehook.example/lycheehook/fleet"
+	"lycheehook.example/lycheehook/ledger"
+	"lycheehook.example/lycheehook/standin"
+	"lycheehook.example/lycheehook/store"
+	"lycheehook.example/lycheehook/work"
+)
+
+// putJob stores a job and returns its store revision.
+func putJob(t *testing.T, c *store.Client, id fleet.JobID) uint64 {
+	t.Helper()
+	value, err := ledger.Encode(work.Job{ID: id, Steps: []work.Step{{Count: 2}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	revision, err := c.Commit(t.Context(), store.Txn{Puts: []store.Put{{Key: ledger.JobKey(id), Value: value}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	return revision
+}
+
+// The owner is lost on a large site (harambee-ledgers-large, small twin, scale-1: reading the ledger over a narrow link took
+// the next one four seconds): a host that has followed the ledger has it whole at once, in a copy of its own.
+func TestCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := standin.NewStore().Client()
+		putJob(t, c, "a")
+		f := ledger.NewFollower(c, log.New(io.Discard))
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { defer close(done); f.Run(ctx) }()
+		time.Sleep(100 * time.Millisecond)
+
+		began := time.Now()
+		b, err := f.Copy(ctx, putJob(t, c, "b"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if took := time.Since(began); took > 50*time.Millisecond {
+			t.Errorf("the copy took %s", took)
+		}
+		b.Entries()["b"].Apply(ledger.Change{Kind: ledger.Assigned, Attempt: work.Attempt{Task: work.Task{Job: "b"}, Number: 1}, Worker: "w"})
+		got := map[fleet.JobID]ledger.State{}
+		for _, id := range []fleet.JobID{"a", "b"} {
+			got[id], _ = f.Book().Status(id)
+		}
+		if diff := cmp.Diff(map[fleet.JobID]ledger.State{"a": ledger.Queued, "b": ledger.Queued}, got); diff != "" {
+			t.Errorf("states that the follower tells (-want +got):\n%s", diff)
+		}
+		if s := b.Entries()["b"].State(); s != ledger.InProgress {
+			t.Errorf("the copy has the job as %v", s)
+		}
+		cancel()
+		<-done
+	})
+}
+
+// A watch that tells nothing gives no copy that lacks changes.
+func TestCopyOfSilentWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := standin.NewStore().Client()
+		putJob(t, c, "a")
+		quiet := *c
+		var silent atomic.Bool
+		quiet.Watch = func(ctx context.Context, prefix string, after uint64, wait time.Duration) (store.Events, error) {
+			if silent.Load() {
+				<-ctx.Done()
+				return store.Events{}, ctx.Err()
+			}
+
+			return c.Watch(ctx, prefix, after, wait)
+		}
+		f := ledger.NewFollower(&quiet, log.New(io.Discard))
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { defer close(done); f.Run(ctx) }()
+		time.Sleep(2 * time.Second)
+		silent.Store(true)
+		time.Sleep(2 * time.Second)
+
+		patience, end := context.WithTimeout(ctx, time.Second)
+		defer end()
+		if _, err := f.Copy(patience, putJob(t, c, "b")); !errors.Is(err, store.ErrUnavailable) {
+			t.Errorf("error %v, want unavailable", err)
+		}
+		cancel()
+		<-done
+	})
+}
--- a/ledger/entry.go
+++ b/ledger/entry.go
@@ -74,6 +74,24 @@
 	return e
 }
 
+// Clone returns a copy that shares only the job, which nobody changes.
+func (e *Entry) Clone() *Entry {
+	c := *e
+	c.steps = slices.Clone(e.steps)
+	for i, st := range c.steps {
+		if st == nil {
+			continue
+		}
+		tasks := slices.Clone(st.Tasks)
+		for n := range tasks {
+			tasks[n].Live = slices.Clone(tasks[n].Live)
+		}
+		c.steps[i] = &StepState{Tasks: tasks, Done: st.Done}
+	}
+
+	return &c
+}
+
 // Step returns the state of a step, which the job must have.
 func (e *Entry) Step(s StepOf) *StepState {
 	at := e.index(s)
--- a/ledger/follower.go
+++ b/ledger/follower.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/charmbracelet/log"
 
 	"lycheehook.example/lycheehook/fleet"
@@ -28,6 +29,8 @@
 	ownerPause = 100 * time.Millisecond
 	// retryPause is the pause after a failed call to the store.
 	retryPause = 200 * time.Millisecond
+	// copyPause is the time between two looks whether the book is far enough for a copy.
+	copyPause = 5 * time.Millisecond
 )
 
 // Follower keeps a book up to date with the store.
@@ -38,11 +41,15 @@
 	mu      sync.Mutex
 	onJob   func(j work.Job, revision uint64)
 	changed chan struct{}
+	// followed is the store revision up to which the book has every change.
+	followed uint64
+	// hurry ends the pause between two watches.
+	hurry chan struct{}
 }
 
 // NewFollower returns a follower that has read nothing yet.
 func NewFollower(c *store.Client, l *log.Logger) *Follower {
-	return &Follower{client: c, log: l, changed: make(chan struct{}, 1)}
+	return &Follower{client: c, log: l, changed: make(chan struct{}, 1), hurry: make(chan struct{}, 1)}
 }
 
 // Book returns the newest book, or nil before the first was read.
@@ -76,6 +83,7 @@
 				continue
 			}
 			after, read = at, time.Now()
+			f.setFollowed(after)
 		}
 		ev, err := f.client.Watch(ctx, Prefix, after, watchWait)
 		switch {
@@ -88,7 +96,8 @@
 		case len(ev.Events) > 0:
 			f.follow(ev.Events)
 			after = ev.Revision
-			pause.For(ctx, f.pause())
+			f.setFollowed(after)
+			f.rest(ctx)
 		case time.Since(read) > readInterval:
 			after = 0
 		}
@@ -112,6 +121,45 @@
 	return at, nil
 }
 
+// Copy returns a copy of the book once it has every change up to a store revision.
+func (f *Follower) Copy(ctx context.Context, revision uint64) (*Book, error) {
+	for f.upTo() < revision {
+		select {
+		case f.hurry <- struct{}{}:
+		default:
+		}
+		if pause.For(ctx, copyPause); ctx.Err() != nil {
+			return nil, merry.Prependf(store.ErrUnavailable, "ledger not followed to revision %d: %v", revision, ctx.Err())
+		}
+	}
+
+	return f.Book().Clone()
+}
+
+func (f *Follower) upTo() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return f.followed
+}
+
+func (f *Follower) setFollowed(revision uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.followed = revision
+}
+
+// rest pauses between two watches, unless somebody waits for the next one.
+func (f *Follower) rest(ctx context.Context) {
+	t := time.NewTimer(f.pause())
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-f.hurry:
+	case <-t.C:
+	}
+}
+
 // Learn takes in a record that is known to be stored, before the store's watch brings it.
 func (f *Follower) Learn(r store.Record) {
 	if f.Book() != nil {
--- a/manager/manager.go
+++ b/manager/manager.go
@@ -114,7 +114,7 @@
 	m.calls = agent.NewServer(direct, owner.Uptime, l)
 	m.dispatch = dispatch.New(
 		client, m.follower, m.metrics.Workers("pool", m.callers.Workers(orderTimeout)), bounds(s), self, l,
-		m.config.Current, followRoster(client, l), dispatch.WithObserver(m.observe), m.withHosts(transport, client),
+		m.config.Current, m.expecting(followRoster(client, l)), dispatch.WithObserver(m.observe), m.withHosts(transport, client),
 		dispatch.WithReport(m.report), m.withAdvice(transport), dispatch.WithKeep(s.Bounds.StatusTime.Std()+statusMargin),
 	)
 
@@ -125,6 +125,16 @@
 	return m, nil
 }
 
+// expecting returns a roster that lets agents be at hand before workers are called.
+func (m *Manager) expecting(roster func(context.Context, func(dispatch.Roster))) func(context.Context, func(dispatch.Roster)) {
+	return func(ctx context.Context, tell func(dispatch.Roster)) {
+		roster(ctx, func(r dispatch.Roster) {
+			m.callers.Expect(ctx, r.Present)
+			tell(r)
+		})
+	}
+}
+
 // withAdvice lets the owner ask for advice, where the platform has a service for it.
 func (m *Manager) withAdvice(t *platform.Transport) dispatch.Option {
 	if m.settings.AdviceAddress == "" {
--- a/schedule/compact.go
+++ b/schedule/compact.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -10,13 +11,25 @@
 	"lycheehook.example/lycheehook/work"
 )
 
-// Restate returns the changes that stand for all that is in the ledger's log, and for those that wait to be stored: when
-// these follow, they change nothing.
-func (s *Scheduler) Restate(now time.Time) []ledger.Change {
-	var changes []ledger.Change
-	for _, e := range s.entries {
-		changes = append(changes, e.Restate()...)
+// Entries returns the jobs that are in the ledger.
+func (s *Scheduler) Entries() []fleet.JobID {
+	return slices.Collect(maps.Keys(s.entries))
+}
+
+// Restate returns the changes that stand for all that is in the ledger's log of a job; the caller must have taken the changes
+// that wait to be stored, and store these with them.
+func (s *Scheduler) Restate(id fleet.JobID) []ledger.Change {
+	e, ok := s.entries[id]
+	if !ok {
+		return nil
 	}
+
+	return e.Restate()
+}
+
+// RestateHosts returns the changes that stand for all that is in the ledger's log of hosts.
+func (s *Scheduler) RestateHosts(now time.Time) []ledger.Change {
+	var changes []ledger.Change
 	for n, w := range s.waves {
 		for h := range w.done {
 			changes = append(changes, ledger.Change{Kind: ledger.Maintained, Worker: work.WorkerID(h), Life: work.Life(n)})
