--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -134,7 +134,7 @@
 }
 
 // run plays f in a bubble in which the pool runs.
-func run(t *testing.T, cores float64, play func(t *testing.T, f *fleetOf, w work.Workers)) {
+func run(t *testing.T, cores float64, play func(f *fleetOf, w work.Workers)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, cores)
@@ -149,7 +149,7 @@
 		f.mu.Lock()
 		clear(f.made)
 		f.mu.Unlock()
-		play(t, f, w)
+		play(f, w)
 		cancel()
 		<-done
 		// What is under way at agents ends by itself.
@@ -163,7 +163,8 @@
 // An owner on a small host (harambee-ledgers-large: 129 of 147 hosts have 0.192 cores): an agent makes its calls, and what
 // the worker answers comes back whole.
 func TestDelegated(t *testing.T) {
-	run(t, weak, func(t *testing.T, f *fleetOf, w work.Workers) {
+	run(t, weak, func(f *fleetOf, w work.Workers) {
+		t := f.t
 		start, err := w.Start(there, work.Start{Attempt: task, Spec: "s", Until: time.Minute, Token: 4})
 		if diff := cmp.Diff(work.Answer{Clock: 5 * time.Second, Life: 7}, start); diff != "" || err != nil {
 			t.Errorf("answer to a start, error %v (-want +got):\n%s", err, diff)
@@ -187,7 +188,8 @@
 
 // A host that can carry the calls itself makes them (all small sites).
 func TestCarriedByOwner(t *testing.T) {
-	run(t, 1, func(t *testing.T, f *fleetOf, w work.Workers) {
+	run(t, 1, func(f *fleetOf, w work.Workers) {
+		t := f.t
 		if _, err := w.Start(there, work.Start{Attempt: task}); err != nil {
 			t.Error(err)
 		}
@@ -200,7 +202,8 @@
 // The errors of a worker keep their meaning, and only "not sent" is a promise that nothing happened.
 func TestErrors(t *testing.T) {
 	for _, want := range append(failures[1:len(failures)-1:len(failures)-1], io.ErrUnexpectedEOF) {
-		run(t, weak, func(t *testing.T, f *fleetOf, w work.Workers) {
+		run(t, weak, func(f *fleetOf, w work.Workers) {
+			t := f.t
 			f.agent.Start = func(work.Registration, work.Start) (work.Answer, error) {
 				return work.Answer{}, merry.Prepend(want, "worker")
 			}
@@ -218,7 +221,8 @@
 // A permission that ran out (an agent that was paused, an owner whose lease is ending): the agent makes no call, and the
 // owner makes it itself, which asks its own lease again.
 func TestPermissionRanOut(t *testing.T) {
-	run(t, weak, func(t *testing.T, f *fleetOf, w work.Workers) {
+	run(t, weak, func(f *fleetOf, w work.Workers) {
+		t := f.t
 		f.vouched = 0
 		if _, err := w.Start(there, work.Start{Attempt: task}); err != nil {
 			t.Error(err)
@@ -246,7 +250,8 @@
 // An agent that falls silent while a start is under way: the start is not given again from here, since it may have been
 // carried out; a poll is.
 func TestSilentAgent(t *testing.T) {
-	run(t, weak, func(t *testing.T, f *fleetOf, w work.Workers) {
+	run(t, weak, func(f *fleetOf, w work.Workers) {
+		t := f.t
 		f.agent.Start = func(work.Registration, work.Start) (work.Answer, error) {
 			time.Sleep(time.Minute)
 			return work.Answer{}, nil
@@ -280,7 +285,8 @@
 // Streams that go silent without an end (open connections that something between the two ends has lost track of) are
 // noticed, and calls go out from here meanwhile.
 func TestStreamStandsStill(t *testing.T) {
-	run(t, weak, func(t *testing.T, f *fleetOf, w work.Workers) {
+	run(t, weak, func(f *fleetOf, w work.Workers) {
+		t := f.t
 		f.silent.Store(true)
 		began := time.Now()
 		if _, err := w.Start(there, work.Start{Attempt: task}); !errors.Is(err, work.ErrNoAnswer) {
@@ -301,7 +307,8 @@
 
 // An agent that is about to stop is given no more calls, and finishes those that it has.
 func TestLeavingAgent(t *testing.T) {
-	run(t, weak, func(t *testing.T, f *fleetOf, w work.Workers) {
+	run(t, weak, func(f *fleetOf, w work.Workers) {
+		t := f.t
 		polled := make(chan error)
 		go func() { _, err := w.Poll(there, work.Poll{Wait: time.Second}); polled <- err }()
 		time.Sleep(10 * time.Millisecond)
