--- a/cmd/lycheehook/manager.go
+++ b/cmd/lycheehook/manager.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/ansel1/merry/v2"
@@ -17,6 +18,17 @@
 // settingsVariable names the settings file where no flag does.
 const settingsVariable = "LYCHEEHOOK_SETTINGS"
 
+// memoryShare is the part of its memory from which on a process collects garbage harder; the rest is for what the runtime does
+// not count and for bytes that have arrived and were not read yet.
+const memoryShare = 0.75
+
+// limitMemory keeps the process from being ended for its memory, as far as collecting garbage can; zero leaves it as it is.
+func limitMemory(megabytes int64) {
+	if megabytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(megabytes<<20)))
+	}
+}
+
 func newManager() *cobra.Command {
 	var path string
 	cmd := &cobra.Command{
@@ -34,6 +46,7 @@
 			if err != nil {
 				return err
 			}
+			limitMemory(s.MemoryMegabytes)
 			out := telemetry.NewWriter(cmd.OutOrStdout())
 			defer out.Close()
 			l := log.NewWithOptions(out, log.Options{
--- a/settings/manager.go
+++ b/settings/manager.go
@@ -30,6 +30,8 @@
 	// Cores is the part of a core that the host has, LinkMegabits what its link carries in a second; zero means unknown.
 	Cores        float64 `json:",omitzero"`
 	LinkMegabits float64 `json:",omitzero"`
+	// MemoryMegabytes is the memory at which the platform ends the process; zero means unknown.
+	MemoryMegabytes int64 `json:",omitzero"`
 	Bounds       Bounds
 }
 
@@ -83,7 +85,9 @@
 	c.address("PeerAddress", m.PeerAddress)
 	c.address("MetricsAddress", m.MetricsAddress)
 	c.address("StoreAddress", m.StoreAddress)
-	for path, n := range map[string]float64{"Cores": m.Cores, "LinkMegabits": m.LinkMegabits} {
+	for path, n := range map[string]float64{
+		"Cores": m.Cores, "LinkMegabits": m.LinkMegabits, "MemoryMegabytes": float64(m.MemoryMegabytes),
+	} {
 		if n < 0 {
 			c.add(path, "is %g, must be 0 or more", n)
 		}
