Let hosts with narrow links read the ledger after the others

Cause: after a power loss of all hosts, and when the store drops its history, 147 hosts read the whole ledger at once: some eight megabytes each over a store's link of 1,000 Mbit/s and their own of 20, before any could answer or own the workers. Change: a host with less than 100 Mbit/s reads owner and entry hosts at once, and jobs and log 2 to 10 s later, or when it owns the workers; till then it asks the owner for states, and refuses to count pending jobs. Test: ledger.TestPatience.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -29,6 +29,8 @@
 	storeInterval = 20 * time.Millisecond
 	// followTimeout bounds the wait for what this host follows of the ledger at the start of a term.
 	followTimeout = time.Second
+	// readTimeout bounds it where this host has only begun to read the ledger, which a narrow link takes seconds for.
+	readTimeout = 5 * time.Second
 )
 
 // Dispatcher serves terms of ownership.
@@ -171,7 +173,11 @@
 // book returns the ledger as the term begins, after which nobody else changes the log: from what this host has followed or,
 // where that is not far enough, from the store.
 func (t *term) book(ctx context.Context) (*ledger.Book, error) {
-	following, cancel := context.WithTimeout(ctx, followTimeout)
+	timeout := followTimeout
+	if b := t.follower.Book(); b != nil && !b.HasJobs() {
+		timeout = readTimeout
+	}
+	following, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	book, err := t.follower.Copy(following, t.owned.Revision)
 	if err == nil {
--- a/intake/handler.go
+++ b/intake/handler.go
@@ -390,7 +390,7 @@
 
 func (h *Handler) pending(q work.Queue) reply {
 	b := h.follower.Book()
-	if b == nil {
+	if b == nil || !b.HasJobs() {
 		return unavailable("the ledger was not read yet")
 	}
 
--- a/ledger/book.go
+++ b/ledger/book.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"slices"
 	"strings"
@@ -51,6 +52,8 @@
 	// ordered has the last order to each host.
 	ordered map[fleet.HostName]announced
 	newest  span
+	// hostsOnly says that the book has neither jobs nor log.
+	hostsOnly bool
 	// faults names the records that were passed over when the book was read.
 	faults []error
 }
@@ -92,11 +95,40 @@
 	return b, l.Revision, nil
 }
 
+// ReadHosts returns a book that has only the owner and the entry hosts.
+func ReadHosts(ctx context.Context, c *store.Client) (*Book, error) {
+	l, err := c.List(ctx, HostPrefix)
+	if err != nil {
+		return nil, err
+	}
+	o, err := c.Get(ctx, OwnerKey)
+	switch {
+	case err == nil:
+		l.Records = append(l.Records, o)
+	case !errors.Is(err, store.ErrNotFound):
+		return nil, err
+	}
+	b := NewBook()
+	b.hostsOnly = true
+	for _, r := range l.Records {
+		if err := b.Follow(store.Event{Record: r}); err != nil {
+			b.faults = append(b.faults, err)
+		}
+	}
+
+	return b, nil
+}
+
+// HasJobs reports whether the book has jobs and log, and not only the owner and the entry hosts.
+func (b *Book) HasJobs() bool {
+	return !b.hostsOnly
+}
+
 // Clone returns a copy for a user of its own; an error of kind ErrGap says that batches of the log are missing.
 func (b *Book) Clone() (*Book, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if len(b.early) > 0 {
+	if b.hostsOnly || len(b.early) > 0 {
 		return nil, merry.Prependf(ErrGap, "after batch %d", b.next)
 	}
 	c := NewBook()
--- a/ledger/copy_test.go
+++ b/ledger/copy_test.go
@@ -102,3 +102,57 @@
 		<-done
 	})
 }
+
+// All hosts of a large site start at once, or the store drops its history for all (harambee-ledgers-large, trouble-1: 147
+// readers of eight megabytes): a host with a narrow link learns at once who is there, and reads jobs and log later, unless
+// it owns the workers.
+func TestPatience(t *testing.T) {
+	tests := []struct {
+		name   string
+		owns   bool
+		before time.Duration
+		want   time.Duration
+	}{
+		{"a host with a narrow link", false, 0, 3 * time.Second},
+		{"it owns the workers", true, 0, 0},
+		{"it comes to own the workers", true, time.Second, 1200 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := standin.NewStore().Client()
+				putJob(t, c, "a")
+				put(t, c, ledger.HostPrefix+"e1", ledger.Host{Name: "e1", PeerAddress: "e1:1"})
+				put(t, c, ledger.OwnerKey, ledger.Owner{Host: "e1"})
+				f := ledger.NewFollower(c, log.New(io.Discard), ledger.WithPatience(func() time.Duration { return 3 * time.Second }))
+				ctx, cancel := context.WithCancel(t.Context())
+				done := make(chan struct{})
+				began := time.Now()
+				own := func() { f.OnJob(func(work.Job, uint64) {}) }
+				if tt.owns && tt.before == 0 {
+					own()
+				}
+				go func() { defer close(done); f.Run(ctx) }()
+				time.Sleep(10 * time.Millisecond)
+				if o, _ := f.Book().Owner(); o.Host != "e1" || len(f.Book().Hosts()) != 1 {
+					t.Errorf("owner %v and hosts %v are told", o, f.Book().Hosts())
+				}
+				if tt.before > 0 {
+					time.Sleep(tt.before - time.Since(began))
+					own()
+				}
+				for !f.Book().HasJobs() {
+					time.Sleep(10 * time.Millisecond)
+				}
+				if took := time.Since(began); took > tt.want+50*time.Millisecond || took < tt.want-50*time.Millisecond {
+					t.Errorf("the jobs were read after %s, want %s", took, tt.want)
+				}
+				if _, _, ok := f.Book().Job("a"); !ok {
+					t.Error("the job is not told")
+				}
+				cancel()
+				<-done
+			})
+		})
+	}
+}
--- a/ledger/follower.go
+++ b/ledger/follower.go
@@ -45,11 +45,30 @@
 	followed uint64
 	// hurry ends the pause between two watches.
 	hurry chan struct{}
+	// patience is how long the jobs and the log may wait to be read after the start, or after the store has dropped its
+	// history, while only the owner and the entry hosts are read.
+	patience func() time.Duration
+}
+
+// FollowerOption changes a new follower.
+type FollowerOption func(*Follower)
+
+// WithPatience lets the jobs and the log wait for a time that f returns, so that a large site's hosts don't read all of
+// them at once; a host that owns the workers does not wait.
+func WithPatience(f func() time.Duration) FollowerOption {
+	return func(w *Follower) { w.patience = f }
 }
 
 // NewFollower returns a follower that has read nothing yet.
-func NewFollower(c *store.Client, l *log.Logger) *Follower {
-	return &Follower{client: c, log: l, changed: make(chan struct{}, 1), hurry: make(chan struct{}, 1)}
+func NewFollower(c *store.Client, l *log.Logger, options ...FollowerOption) *Follower {
+	f := &Follower{
+		client: c, log: l, changed: make(chan struct{}, 1), hurry: make(chan struct{}, 1), patience: func() time.Duration { return 0 },
+	}
+	for _, o := range options {
+		o(f)
+	}
+
+	return f
 }
 
 // Book returns the newest book, or nil before the first was read.
@@ -73,8 +92,11 @@
 func (f *Follower) Run(ctx context.Context) {
 	var after uint64
 	var read time.Time
+	wait := f.patience()
 	for ctx.Err() == nil {
-		if f.Book() == nil || after == 0 {
+		if after == 0 {
+			f.awaitTurn(ctx, wait)
+			wait = 0
 			at, err := f.read(ctx)
 			if err != nil {
 				f.log.Warn("read of the ledger failed", "error", err)
@@ -89,7 +111,7 @@
 		switch {
 		case errors.Is(err, store.ErrCompacted):
 			f.log.Warn("the store dropped its history, reading the ledger anew", "after", after)
-			after = 0
+			after, wait = 0, f.patience()
 		case err != nil:
 			f.log.Warn("watch of the ledger failed", "error", err)
 			pause.For(ctx, retryPause)
@@ -104,6 +126,32 @@
 	}
 }
 
+// awaitTurn waits until it is time to read the jobs and the log, and keeps the owner and the entry hosts up to date
+// meanwhile.
+func (f *Follower) awaitTurn(ctx context.Context, wait time.Duration) {
+	if wait > 0 {
+		f.setFollowed(0)
+	}
+	for began := time.Now(); ctx.Err() == nil && !f.owning() && time.Since(began) < wait; {
+		b, err := ReadHosts(ctx, f.client)
+		if err != nil {
+			f.log.Warn("read of the entry hosts failed", "error", err)
+		} else {
+			f.current.Store(b)
+			f.signal()
+		}
+		f.rest(ctx)
+	}
+}
+
+// owning reports whether this process owns the workers.
+func (f *Follower) owning() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return f.onJob != nil
+}
+
 func (f *Follower) read(ctx context.Context) (uint64, error) {
 	b, at, err := Read(ctx, f.client)
 	if err != nil {
@@ -194,9 +242,7 @@
 
 // pause returns how long to wait until the next watch.
 func (f *Follower) pause() time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.onJob != nil {
+	if f.owning() {
 		return ownerPause
 	}
 
--- a/manager/manager.go
+++ b/manager/manager.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -44,6 +45,11 @@
 	// readHeaderTimeout bounds the time from the first byte of a request to the end of its header.
 	readHeaderTimeout = 3 * time.Second
 	idleTimeout       = time.Minute
+	// wideLink is the megabits a second from which on a host reads the whole ledger at its start; narrowPatience and
+	// narrowSpread are how long the others leave it to those.
+	wideLink       = 100
+	narrowPatience = 2 * time.Second
+	narrowSpread   = 8 * time.Second
 	// stopMargin is kept of the platform's grace for the end of the process.
 	stopMargin = time.Second
 )
@@ -100,7 +106,7 @@
 		platform.Request{Method: http.MethodGet, Path: platform.ProbePath}, l,
 	)
 	client := m.metrics.Store(platform.NewStore(m.route.Exchange, storeTimeout))
-	m.follower = ledger.NewFollower(client, l)
+	m.follower = ledger.NewFollower(client, l, ledger.WithPatience(func() time.Duration { return patience(s.LinkMegabits) }))
 	m.notices = notice.NewSender(transport.To, m.owner, owner.Uptime, l)
 	m.asker = inquiry.NewAsker(transport.To, m.owner, l)
 	m.handler = intake.NewHandler(client, m.follower, l, m.answered, intake.WithStored(m.tellOwner), intake.WithInquiry(m.inquire))
@@ -135,6 +141,16 @@
 	}
 }
 
+// patience returns how long a host leaves the ledger to others after its start: those with wide links, which own the workers
+// if they can, read it first, and the others in random order.
+func patience(megabits float64) time.Duration {
+	if megabits == 0 || megabits >= wideLink {
+		return 0
+	}
+
+	return narrowPatience + rand.N(narrowSpread)
+}
+
 // withAdvice lets the owner ask for advice, where the platform has a service for it.
 func (m *Manager) withAdvice(t *platform.Transport) dispatch.Option {
 	if m.settings.AdviceAddress == "" {
