--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -27,8 +27,8 @@
 	there = work.Registration{ID: "i-1", Zone: "z1", Address: "10.0.0.1:80"}
 )
 
-// fleetOf is an owner, the agents beside it and the worker that both can call, over pipes.
-type fleetOf struct {
+// site is an owner, the agents beside it and the worker that both can call, over pipes.
+type site struct {
 	t       *testing.T
 	began   time.Time
 	hosts   []ledger.Host
@@ -36,7 +36,7 @@
 	// owner and agent are what the worker answers to calls of each, made the calls that it got from each.
 	owner, agent work.Workers
 	server       *Server
-	pool         *Pool
+	delegator    *Delegator
 
 	// silent holds back all that agents write.
 	silent atomic.Bool
@@ -47,29 +47,29 @@
 	streams []net.Conn
 }
 
-func newFleet(t *testing.T, cores float64) *fleetOf {
+func newSite(t *testing.T, cores float64) *site {
 	t.Helper()
-	f := &fleetOf{t: t, began: time.Now(), vouched: time.Second, made: map[string]int{}}
+	f := &site{t: t, began: time.Now(), vouched: time.Second, made: map[string]int{}}
 	f.owner, f.agent = f.worker("owner"), f.worker("agent")
 	self := ledger.Host{Name: "e0", Zone: "z1", PeerAddress: "owner:1", Cores: cores}
 	f.hosts = []ledger.Host{self, {Name: "e1", Zone: "z1", PeerAddress: "agent:1", Cores: 1}}
 	f.server = NewServer(f.lazily(&f.agent), f.uptime, log.New(io.Discard))
-	f.pool = NewPool(f.lazily(&f.owner), self, func() []ledger.Host { return f.hosts }, f.open, func() time.Duration { return f.vouched }, f.uptime, log.New(io.Discard))
+	f.delegator = NewDelegator(f.lazily(&f.owner), self, func() []ledger.Host { return f.hosts }, f.open, func() time.Duration { return f.vouched }, f.uptime, log.New(io.Discard))
 
 	return f
 }
 
-func (f *fleetOf) uptime() time.Duration { return time.Since(f.began) }
+func (f *site) uptime() time.Duration { return time.Since(f.began) }
 
 // note counts a call that the worker got.
-func (f *fleetOf) note(caller string) {
+func (f *site) note(caller string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.made[caller]++
 }
 
 // counts returns how many calls the worker got from each.
-func (f *fleetOf) counts() map[string]int {
+func (f *site) counts() map[string]int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
@@ -77,7 +77,7 @@
 }
 
 // open opens a stream over a pipe.
-func (f *fleetOf) open(ctx context.Context, _ string) (io.ReadWriteCloser, error) {
+func (f *site) open(ctx context.Context, _ string) (io.ReadWriteCloser, error) {
 	near, far := net.Pipe()
 	f.mu.Lock()
 	f.streams = append(f.streams, near)
@@ -105,7 +105,7 @@
 }
 
 // worker returns the calls of a worker that does what it is told.
-func (f *fleetOf) worker(caller string) work.Workers {
+func (f *site) worker(caller string) work.Workers {
 	answer := work.Answer{Clock: 5 * time.Second, Life: 7}
 
 	return work.Workers{
@@ -124,7 +124,7 @@
 }
 
 // lazily returns calls that are looked up when they are made.
-func (f *fleetOf) lazily(w *work.Workers) work.Workers {
+func (f *site) lazily(w *work.Workers) work.Workers {
 	return work.Workers{
 		Start: func(r work.Registration, s work.Start) (work.Answer, error) { return w.Start(r, s) },
 		Stop:  func(r work.Registration, s work.Stop) (work.Answer, error) { return w.Stop(r, s) },
@@ -133,15 +133,15 @@
 	}
 }
 
-// run plays f in a bubble in which the pool runs.
-func run(t *testing.T, cores float64, play func(f *fleetOf, w work.Workers)) {
+// run plays f in a bubble in which the delegator runs.
+func run(t *testing.T, cores float64, play func(f *site, w work.Workers)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, cores)
+		f := newSite(t, cores)
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
-		go func() { defer close(done); f.pool.Run(ctx) }()
-		w := f.pool.Workers(orderWindow)
+		go func() { defer close(done); f.delegator.Run(ctx) }()
+		w := f.delegator.Workers(orderWindow)
 		if _, err := w.Poll(there, work.Poll{}); err != nil {
 			t.Fatal(err)
 		}
@@ -163,7 +163,7 @@
 // An owner on a small host (harambee-ledgers-large: 129 of 147 hosts have 0.192 cores): an agent makes its calls, and what
 // the worker answers comes back whole.
 func TestDelegated(t *testing.T) {
-	run(t, weak, func(f *fleetOf, w work.Workers) {
+	run(t, weak, func(f *site, w work.Workers) {
 		t := f.t
 		start, err := w.Start(there, work.Start{Attempt: task, Spec: "s", Until: time.Minute, Token: 4})
 		if diff := cmp.Diff(work.Answer{Clock: 5 * time.Second, Life: 7}, start); diff != "" || err != nil {
@@ -188,7 +188,7 @@
 
 // A host that can carry the calls itself makes them (all small sites).
 func TestCarriedByOwner(t *testing.T) {
-	run(t, 1, func(f *fleetOf, w work.Workers) {
+	run(t, 1, func(f *site, w work.Workers) {
 		t := f.t
 		if _, err := w.Start(there, work.Start{Attempt: task}); err != nil {
 			t.Error(err)
@@ -202,7 +202,7 @@
 // The errors of a worker keep their meaning, and only "not sent" is a promise that nothing happened.
 func TestErrors(t *testing.T) {
 	for _, want := range append(failures[1:len(failures)-1:len(failures)-1], io.ErrUnexpectedEOF) {
-		run(t, weak, func(f *fleetOf, w work.Workers) {
+		run(t, weak, func(f *site, w work.Workers) {
 			t := f.t
 			f.agent.Start = func(work.Registration, work.Start) (work.Answer, error) {
 				return work.Answer{}, merry.Prepend(want, "worker")
@@ -221,7 +221,7 @@
 // A permission that ran out (an agent that was paused, an owner whose lease is ending): the agent makes no call, and the
 // owner makes it itself, which asks its own lease again.
 func TestPermissionRanOut(t *testing.T) {
-	run(t, weak, func(f *fleetOf, w work.Workers) {
+	run(t, weak, func(f *site, w work.Workers) {
 		t := f.t
 		f.vouched = 0
 		if _, err := w.Start(there, work.Start{Attempt: task}); err != nil {
@@ -250,7 +250,7 @@
 // An agent that falls silent while a start is under way: the start is not given again from here, since it may have been
 // carried out; a poll is.
 func TestSilentAgent(t *testing.T) {
-	run(t, weak, func(f *fleetOf, w work.Workers) {
+	run(t, weak, func(f *site, w work.Workers) {
 		t := f.t
 		f.agent.Start = func(work.Registration, work.Start) (work.Answer, error) {
 			time.Sleep(time.Minute)
@@ -285,7 +285,7 @@
 // Streams that go silent without an end (open connections that something between the two ends has lost track of) are
 // noticed, and calls go out from here meanwhile.
 func TestStreamStandsStill(t *testing.T) {
-	run(t, weak, func(f *fleetOf, w work.Workers) {
+	run(t, weak, func(f *site, w work.Workers) {
 		t := f.t
 		f.silent.Store(true)
 		began := time.Now()
@@ -307,7 +307,7 @@
 
 // An agent that is about to stop is given no more calls, and finishes those that it has.
 func TestLeavingAgent(t *testing.T) {
-	run(t, weak, func(f *fleetOf, w work.Workers) {
+	run(t, weak, func(f *site, w work.Workers) {
 		t := f.t
 		polled := make(chan error)
 		go func() { _, err := w.Poll(there, work.Poll{Wait: time.Second}); polled <- err }()
--- a/agent/pool.go
+++ b/agent/delegator.go
@@ -47,8 +47,8 @@
 	replyMargin = 600 * time.Millisecond
 )
 
-// Pool makes an owner's calls to workers: by itself while it can carry them, and through agents beyond that.
-type Pool struct {
+// Delegator makes an owner's calls to workers: by itself while it can carry them, and through agents beyond that.
+type Delegator struct {
 	direct work.Workers
 	// self is this host, hosts returns those that may be agents.
 	self  ledger.Host
@@ -75,14 +75,14 @@
 	failed map[string]time.Time
 }
 
-// NewPool returns a pool without agents; direct makes calls from this host, hosts returns those that may be agents, open
+// NewDelegator returns a delegator without agents; direct makes calls from this host, hosts returns those that may be agents, open
 // opens a stream to one, vouched returns how long this process surely owns the workers from now on, and uptime is a steady
 // clock that goes on while the machine is suspended.
-func NewPool(
+func NewDelegator(
 	direct work.Workers, self ledger.Host, hosts func() []ledger.Host,
 	open func(ctx context.Context, address string) (io.ReadWriteCloser, error), vouched, uptime func() time.Duration, l *log.Logger,
-) *Pool {
-	return &Pool{
+) *Delegator {
+	return &Delegator{
 		direct: direct, self: self, hosts: hosts, open: open, vouched: vouched, uptime: uptime, log: l,
 		called: map[work.WorkerID]fleet.ZoneName{}, counted: time.Now(), agents: map[fleet.ZoneName][]string{},
 		links: map[string]*link{}, opening: map[string]bool{}, opened: make(chan struct{}), failed: map[string]time.Time{},
@@ -90,28 +90,28 @@
 }
 
 // Workers returns the calls to workers.
-func (p *Pool) Workers(timeout time.Duration) work.Workers {
+func (d *Delegator) Workers(timeout time.Duration) work.Workers {
 	return work.Workers{
 		Start: func(r work.Registration, s work.Start) (work.Answer, error) {
-			return p.order(r, wireCall{Start: &s}, timeout, func() (work.Answer, error) { return p.direct.Start(r, s) })
+			return d.order(r, wireCall{Start: &s}, timeout, func() (work.Answer, error) { return d.direct.Start(r, s) })
 		},
 		Stop: func(r work.Registration, s work.Stop) (work.Answer, error) {
-			return p.order(r, wireCall{Stop: &s}, timeout, func() (work.Answer, error) { return p.direct.Stop(r, s) })
+			return d.order(r, wireCall{Stop: &s}, timeout, func() (work.Answer, error) { return d.direct.Stop(r, s) })
 		},
 		Pace: func(r work.Registration, c work.Pace) (work.Answer, error) {
-			return p.order(r, wireCall{Pace: &c}, timeout, func() (work.Answer, error) { return p.direct.Pace(r, c) })
+			return d.order(r, wireCall{Pace: &c}, timeout, func() (work.Answer, error) { return d.direct.Pace(r, c) })
 		},
-		Poll: p.poll,
+		Poll: d.poll,
 	}
 }
 
 // order has an agent give an order, or gives it from here where none surely has given it nor will.
-func (p *Pool) order(r work.Registration, c wireCall, timeout time.Duration, direct func() (work.Answer, error)) (work.Answer, error) {
-	k := p.linkTo(r)
+func (d *Delegator) order(r work.Registration, c wireCall, timeout time.Duration, direct func() (work.Answer, error)) (work.Answer, error) {
+	k := d.linkTo(r)
 	if k == nil {
 		return direct()
 	}
-	reply, err := p.call(k, r, c, timeout)
+	reply, err := d.call(k, r, c, timeout)
 	if errors.Is(err, errNotMade) {
 		return direct()
 	}
@@ -121,39 +121,39 @@
 
 // poll has an agent poll a worker, or polls it from here where the agent can't tell what came of it: a poll may be made
 // twice.
-func (p *Pool) poll(r work.Registration, l work.Poll) (work.PollReply, error) {
-	k := p.linkTo(r)
+func (d *Delegator) poll(r work.Registration, l work.Poll) (work.PollReply, error) {
+	k := d.linkTo(r)
 	if k == nil {
-		return p.direct.Poll(r, l)
+		return d.direct.Poll(r, l)
 	}
-	reply, err := p.call(k, r, wireCall{Poll: &l}, l.Wait)
+	reply, err := d.call(k, r, wireCall{Poll: &l}, l.Wait)
 	if reply.ID == 0 || errors.Is(err, errNotMade) {
-		return p.direct.Poll(r, l)
+		return d.direct.Poll(r, l)
 	}
 
 	return work.PollReply{Answer: reply.Answer, Active: reply.Active, Ended: reply.Ended}, err
 }
 
-func (p *Pool) call(k *link, r work.Registration, c wireCall, timeout time.Duration) (wireReply, error) {
+func (d *Delegator) call(k *link, r work.Registration, c wireCall, timeout time.Duration) (wireReply, error) {
 	c.Worker, c.Address = r.ID, r.Address
 
-	return k.call(c, min(orderWindow, p.vouched()), timeout+replyMargin)
+	return k.call(c, min(orderWindow, d.vouched()), timeout+replyMargin)
 }
 
 // Expect tells of workers that are about to be called, so that agents are at hand.
-func (p *Pool) Expect(ctx context.Context, workers []work.Registration) {
-	p.mu.Lock()
+func (d *Delegator) Expect(ctx context.Context, workers []work.Registration) {
+	d.mu.Lock()
 	for _, r := range workers {
-		p.called[r.ID] = r.Zone
+		d.called[r.ID] = r.Zone
 	}
-	p.mu.Unlock()
-	p.refresh(ctx)
+	d.mu.Unlock()
+	d.refresh(ctx)
 }
 
 // linkTo returns the stream to the agent of a worker, or nil if this host calls the worker itself. It waits a moment for a
 // stream that is being opened.
-func (p *Pool) linkTo(r work.Registration) *link {
-	k, opened := p.pick(r)
+func (d *Delegator) linkTo(r work.Registration) *link {
+	k, opened := d.pick(r)
 	if k != nil || opened == nil {
 		return k
 	}
@@ -162,7 +162,7 @@
 	for k == nil && opened != nil {
 		select {
 		case <-opened:
-			k, opened = p.pick(r)
+			k, opened = d.pick(r)
 		case <-t.C:
 			return nil
 		}
@@ -174,16 +174,16 @@
 // pick returns the stream to the agent of a worker; without one, opened is closed when another is open or has failed, or nil
 // if none is being opened. A worker keeps its agent while the agents of its availability zone stay the same, and so do the
 // connections to it.
-func (p *Pool) pick(r work.Registration) (best *link, opened <-chan struct{}) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.called[r.ID] = r.Zone
+func (d *Delegator) pick(r work.Registration) (best *link, opened <-chan struct{}) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.called[r.ID] = r.Zone
 	var bestWeight uint64
-	for _, address := range p.agents[r.Zone] {
-		if p.opening[address] {
-			opened = p.opened
+	for _, address := range d.agents[r.Zone] {
+		if d.opening[address] {
+			opened = d.opened
 		}
-		k := p.links[address]
+		k := d.links[address]
 		if k == nil || !k.usable() {
 			continue
 		}
@@ -214,87 +214,87 @@
 }
 
 // Run keeps streams to agents until the context ends.
-func (p *Pool) Run(ctx context.Context) {
+func (d *Delegator) Run(ctx context.Context) {
 	check := time.NewTicker(checkInterval)
 	defer check.Stop()
 	var refreshed time.Time
 	for {
 		select {
 		case <-ctx.Done():
-			p.closeAll()
+			d.closeAll()
 			return
 		case <-check.C:
 		}
-		p.endSilent()
+		d.endSilent()
 		if time.Since(refreshed) >= refreshInterval {
 			refreshed = time.Now()
-			p.refresh(ctx)
+			d.refresh(ctx)
 		}
 	}
 }
 
 // endSilent ends the streams of agents that tell nothing, and forgets streams that have ended.
-func (p *Pool) endSilent() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for address, k := range p.links {
+func (d *Delegator) endSilent() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for address, k := range d.links {
 		if k.silent() > silenceTime {
 			k.close()
 		}
 		select {
 		case <-k.over:
-			p.log.Warn("agent lost", "agent", address)
-			delete(p.links, address)
-			p.failed[address] = time.Now()
+			d.log.Warn("agent lost", "agent", address)
+			delete(d.links, address)
+			d.failed[address] = time.Now()
 		default:
 		}
 	}
 }
 
 // refresh chooses the agents anew, and opens and closes streams accordingly.
-func (p *Pool) refresh(ctx context.Context) {
-	hosts := p.hosts()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.agents = choose(p.count(), hosts, p.self, p.rests)
+func (d *Delegator) refresh(ctx context.Context) {
+	hosts := d.hosts()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.agents = choose(d.count(), hosts, d.self, d.rests)
 	wanted := map[string]bool{}
-	for _, list := range p.agents {
+	for _, list := range d.agents {
 		for _, address := range list {
 			wanted[address] = true
 		}
 	}
 	for address := range wanted {
-		if p.links[address] == nil && !p.opening[address] {
-			p.opening[address] = true
-			go p.connect(context.WithoutCancel(ctx), address)
+		if d.links[address] == nil && !d.opening[address] {
+			d.opening[address] = true
+			go d.connect(context.WithoutCancel(ctx), address)
 		}
 	}
-	for address, k := range p.links {
+	for address, k := range d.links {
 		if !wanted[address] && k.idle() {
 			k.close()
-			delete(p.links, address)
+			delete(d.links, address)
 		}
 	}
 }
 
 // rests reports whether an agent is given no calls because its stream ended a short time ago.
-func (p *Pool) rests(address string) bool {
-	at, ok := p.failed[address]
+func (d *Delegator) rests(address string) bool {
+	at, ok := d.failed[address]
 
 	return ok && time.Since(at) < failurePause
 }
 
 // count returns how many workers of each availability zone are in use.
-func (p *Pool) count() map[fleet.ZoneName]int {
-	if time.Since(p.counted) >= countTime {
-		p.before, p.called, p.counted = p.called, map[work.WorkerID]fleet.ZoneName{}, time.Now()
+func (d *Delegator) count() map[fleet.ZoneName]int {
+	if time.Since(d.counted) >= countTime {
+		d.before, d.called, d.counted = d.called, map[work.WorkerID]fleet.ZoneName{}, time.Now()
 	}
 	n := map[fleet.ZoneName]int{}
-	for _, zone := range p.called {
+	for _, zone := range d.called {
 		n[zone]++
 	}
-	for id, zone := range p.before {
-		if _, again := p.called[id]; !again {
+	for id, zone := range d.before {
+		if _, again := d.called[id]; !again {
 			n[zone]++
 		}
 	}
@@ -303,30 +303,30 @@
 }
 
 // connect opens the stream to an agent.
-func (p *Pool) connect(ctx context.Context, address string) {
-	k, err := p.dial(ctx, address)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	delete(p.opening, address)
-	close(p.opened)
-	p.opened = make(chan struct{})
+func (d *Delegator) connect(ctx context.Context, address string) {
+	k, err := d.dial(ctx, address)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.opening, address)
+	close(d.opened)
+	d.opened = make(chan struct{})
 	if err != nil {
-		p.log.Warn("agent can't be reached", "agent", address, "error", err)
-		p.failed[address] = time.Now()
+		d.log.Warn("agent can't be reached", "agent", address, "error", err)
+		d.failed[address] = time.Now()
 
 		return
 	}
-	p.log.Info("agent joins", "agent", address)
-	p.links[address] = k
+	d.log.Info("agent joins", "agent", address)
+	d.links[address] = k
 }
 
 // dial returns the stream to an agent that has told its clock.
-func (p *Pool) dial(ctx context.Context, address string) (*link, error) {
-	stream, err := p.open(ctx, address)
+func (d *Delegator) dial(ctx context.Context, address string) (*link, error) {
+	stream, err := d.open(ctx, address)
 	if err != nil {
 		return nil, err
 	}
-	k := newLink(address, stream, p.uptime, p.log)
+	k := newLink(address, stream, d.uptime, d.log)
 	t := time.NewTimer(silenceTime)
 	defer t.Stop()
 	select {
@@ -340,10 +340,10 @@
 	return nil, merry.Prependf(errNotMade, "agent %s tells nothing", address)
 }
 
-func (p *Pool) closeAll() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, k := range p.links {
+func (d *Delegator) closeAll() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, k := range d.links {
 		k.close()
 	}
 }
--- a/agent/message_test.go
+++ b/agent/message_test.go
@@ -56,7 +56,7 @@
 		if readFrame(bytes.NewReader(data), &calls) == nil {
 			for _, c := range calls.Calls {
 				if c.Start == nil && c.Stop == nil && c.Pace == nil && c.Poll == nil {
-					server.make(c)
+					server.carryOut(c)
 				}
 			}
 		}
--- a/agent/server.go
+++ b/agent/server.go
@@ -116,7 +116,7 @@
 	}
 	go func() {
 		defer st.calls.Add(-1)
-		st.reply(st.make(c))
+		st.reply(st.carryOut(c))
 	}()
 }
 
@@ -127,8 +127,8 @@
 	}
 }
 
-// make makes a call if it may still be made, and returns what came of it.
-func (s *Server) make(c wireCall) wireReply {
+// carryOut makes a call if it may still be made, and returns what came of it.
+func (s *Server) carryOut(c wireCall) wireReply {
 	r := work.Registration{ID: c.Worker, Address: c.Address}
 	switch {
 	case s.uptime() >= c.Until:
--- a/manager/manager.go
+++ b/manager/manager.go
@@ -67,9 +67,9 @@
 	handler   *intake.Handler
 	notices   *notice.Sender
 	asker     *inquiry.Asker
-	// callers makes the calls to workers, calls those that other hosts ask this one for.
-	callers *agent.Pool
-	calls   *agent.Server
+	// delegator makes the calls to workers, agent those that an owner at another host asks for.
+	delegator *agent.Delegator
+	agent     *agent.Server
 	// term is the term in which this process owns the workers, or nil.
 	term     atomic.Pointer[owner.Term]
 	metrics  *telemetry.Metrics
@@ -116,10 +116,10 @@
 	m.seat = owner.NewSeat(client, host, l)
 	m.candidate = owner.NewCandidate(client, m.seat, m.follower, self.Process, l)
 	direct := m.metrics.Workers("worker", platform.NewWorkers(transport, orderTimeout))
-	m.callers = agent.NewPool(direct, host, m.hosts, agent.Dial(transport), m.seat.Remaining, owner.Uptime, l)
-	m.calls = agent.NewServer(direct, owner.Uptime, l)
+	m.delegator = agent.NewDelegator(direct, host, m.hosts, agent.Dial(transport), m.seat.Remaining, owner.Uptime, l)
+	m.agent = agent.NewServer(direct, owner.Uptime, l)
 	m.dispatch = dispatch.New(
-		client, m.follower, m.metrics.Workers("pool", m.callers.Workers(orderTimeout)), bounds(s), self, l,
+		client, m.follower, m.metrics.Workers("fleet", m.delegator.Workers(orderTimeout)), bounds(s), self, l,
 		m.config.Current, m.expecting(followRoster(client, l)), dispatch.WithObserver(m.observe), m.withHosts(transport, client),
 		dispatch.WithReport(m.report), m.withAdvice(transport), dispatch.WithKeep(s.Bounds.StatusTime.Std()+statusMargin),
 	)
@@ -135,7 +135,7 @@
 func (m *Manager) expecting(roster func(context.Context, func(dispatch.Roster))) func(context.Context, func(dispatch.Roster)) {
 	return func(ctx context.Context, tell func(dispatch.Roster)) {
 		roster(ctx, func(r dispatch.Roster) {
-			m.callers.Expect(ctx, r.Present)
+			m.delegator.Expect(ctx, r.Present)
 			tell(r)
 		})
 	}
@@ -201,7 +201,7 @@
 	peers.Add(relay.NewServer(m.route).Service())
 	peers.Add(notice.NewServer(m.owns, m.follower.Learn, m.log).Service())
 	peers.Add(inquiry.NewServer(m.owns, m.stateOf, m.log).Service())
-	peers.Add(m.calls.Service())
+	peers.Add(m.agent.Service())
 	if _, err := m.serve(ctx, m.settings.PeerAddress, peers); err != nil {
 		return err
 	}
@@ -222,13 +222,13 @@
 	all.Go(func() { m.config.Run(background) })
 	all.Go(func() { m.follower.Run(background) })
 	all.Go(func() { m.seat.Run(background) })
-	all.Go(func() { m.callers.Run(background) })
+	all.Go(func() { m.delegator.Run(background) })
 	all.Go(func() { m.candidate.Run(ctx, m.own) })
 
 	m.awaitStop(ctx, hangup)
 	m.log.Info("stopping")
 	m.stopping.Store(true)
-	m.calls.Leave()
+	m.agent.Leave()
 	m.stop(background, callers, ready)
 	m.seat.Leave(background)
 	cancel()
