--- a/settings/manager.go
+++ b/settings/manager.go
@@ -32,7 +32,7 @@
 	LinkMegabits float64 `json:",omitzero"`
 	// MemoryMegabytes is the memory at which the platform ends the process; zero means unknown.
 	MemoryMegabytes int64 `json:",omitzero"`
-	Bounds       Bounds
+	Bounds          Bounds
 }
 
 // Bounds is what the platform promises and asks for.
