--- a/peer/quic.go
+++ b/peer/quic.go
@@ -156,9 +156,10 @@
 func (t *transport) dial(ctx context.Context, to Peer, d *dialling) {
 	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
 	defer cancel()
-	d.conn, d.err = t.dialOnce(ctx, to.Address)
+	conn, err := t.dialOnce(ctx, to.Address)
 
 	t.mu.Lock()
+	d.conn, d.err = conn, err
 	if d.err != nil || t.closed || t.open[to] != d {
 		if t.open[to] == d {
 			delete(t.open, to)
