Ask the owner's lease again before a call that no agent has made

Cause: an order that an agent declined, since its permission had run out, or that had waited for a stream, was given from the owner without a look at its lease. An owner that was suspended meanwhile would have acted on a lease that had ended. The comment of TestPermissionRanOut said that the lease was asked again, and its check wanted the call to be made. Tests: TestPermissionRanOut, replaced by a stricter one of three cases, and TestLeaseEndsWhileStreamOpens; all four failed before.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -29,10 +29,11 @@
 
 // site is an owner, the agents beside it and the worker that both can call, over pipes.
 type site struct {
-	t       *testing.T
-	began   time.Time
-	hosts   []ledger.Host
-	vouched time.Duration
+	t     *testing.T
+	began time.Time
+	hosts []ledger.Host
+	// vouched is how long the owner's lease lasts, ahead how far the agent's clock is before its own.
+	vouched, ahead atomic.Int64
 	// owner and agent are what the worker answers to calls of each, made the calls that it got from each.
 	owner, agent work.Workers
 	server       *Server
@@ -49,18 +50,21 @@
 
 func newSite(t *testing.T, cores float64) *site {
 	t.Helper()
-	f := &site{t: t, began: time.Now(), vouched: time.Second, made: map[string]int{}}
+	f := &site{t: t, began: time.Now(), made: map[string]int{}}
+	f.vouched.Store(int64(time.Second))
 	f.owner, f.agent = f.worker("owner"), f.worker("agent")
 	self := ledger.Host{Name: "e0", Zone: "z1", PeerAddress: "owner:1", Cores: cores}
 	f.hosts = []ledger.Host{self, {Name: "e1", Zone: "z1", PeerAddress: "agent:1", Cores: 1}}
-	f.server = NewServer(f.lazily(&f.agent), f.uptime, log.New(io.Discard))
-	f.delegator = NewDelegator(f.lazily(&f.owner), self, func() []ledger.Host { return f.hosts }, f.open, func() time.Duration { return f.vouched }, f.uptime, log.New(io.Discard))
+	f.server = NewServer(f.lazily(&f.agent), f.agentUptime, log.New(io.Discard))
+	f.delegator = NewDelegator(f.lazily(&f.owner), self, func() []ledger.Host { return f.hosts }, f.open, func() time.Duration { return time.Duration(f.vouched.Load()) }, f.uptime, log.New(io.Discard))
 
 	return f
 }
 
 func (f *site) uptime() time.Duration { return time.Since(f.began) }
 
+func (f *site) agentUptime() time.Duration { return f.uptime() + time.Duration(f.ahead.Load()) }
+
 // note counts a call that the worker got.
 func (f *site) note(caller string) {
 	f.mu.Lock()
@@ -218,17 +222,57 @@
 	}
 }
 
-// A permission that ran out (an agent that was paused, an owner whose lease is ending): the agent makes no call, and the
-// owner makes it itself, which asks its own lease again.
+// A permission that ran out (an agent that was paused, an owner whose lease has ended meanwhile): the agent makes no call,
+// and neither does the owner unless its own lease still lasts.
 func TestPermissionRanOut(t *testing.T) {
+	tests := []struct {
+		name string
+		// agentAhead is how far the agent's clock has gone on unnoticed until its first refusal, vouched how long the owner's lease lasts.
+		agentAhead, vouched time.Duration
+		want                map[string]int
+		err                 error
+	}{
+		{"the agent was paused", time.Minute, time.Second, map[string]int{"owner": 1, "agent": 1}, nil},
+		{"the owner's lease has ended", 0, 0, map[string]int{}, work.ErrNotSent},
+		{"both", time.Minute, 0, map[string]int{}, work.ErrNotSent},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			run(t, weak, func(f *site, w work.Workers) {
+				f.ahead.Store(int64(tt.agentAhead))
+				f.vouched.Store(int64(tt.vouched))
+				_, err := w.Start(there, work.Start{Attempt: task})
+				if diff := cmp.Diff(tt.err, err, cmpopts.EquateErrors()); diff != "" {
+					f.t.Errorf("error of the start (-want +got):\n%s", diff)
+				}
+				_, err = w.Poll(there, work.Poll{})
+				if diff := cmp.Diff(tt.err, err, cmpopts.EquateErrors()); diff != "" {
+					f.t.Errorf("error of the poll (-want +got):\n%s", diff)
+				}
+				if diff := cmp.Diff(tt.want, f.counts()); diff != "" {
+					f.t.Errorf("calls made (-want +got):\n%s", diff)
+				}
+			})
+		})
+	}
+}
+
+// A lease that ends while a call waits for a stream that is being opened: the call is not made.
+func TestLeaseEndsWhileStreamOpens(t *testing.T) {
 	run(t, weak, func(f *site, w work.Workers) {
-		t := f.t
-		f.vouched = 0
-		if _, err := w.Start(there, work.Start{Attempt: task}); err != nil {
-			t.Error(err)
+		f.delegator.mu.Lock()
+		for address, k := range f.delegator.links {
+			k.close()
+			delete(f.delegator.links, address)
+			f.delegator.opening[address] = true
 		}
-		if diff := cmp.Diff(map[string]int{"owner": 1}, f.counts()); diff != "" {
-			t.Errorf("calls made (-want +got):\n%s", diff)
+		f.delegator.mu.Unlock()
+		time.AfterFunc(openWait/2, func() { f.vouched.Store(0) })
+		if _, err := w.Start(there, work.Start{Attempt: task}); !errors.Is(err, work.ErrNotSent) {
+			f.t.Errorf("error %v, want not sent", err)
+		}
+		if diff := cmp.Diff(map[string]int{}, f.counts()); diff != "" {
+			f.t.Errorf("calls made (-want +got):\n%s", diff)
 		}
 	})
 }
--- a/agent/delegator.go
+++ b/agent/delegator.go
@@ -107,31 +107,43 @@
 
 // order has an agent give an order, or gives it from here where none surely has given it nor will.
 func (d *Delegator) order(r work.Registration, c wireCall, timeout time.Duration, direct func() (work.Answer, error)) (work.Answer, error) {
-	k := d.linkTo(r)
-	if k == nil {
-		return direct()
+	if k := d.linkTo(r); k != nil {
+		reply, err := d.call(k, r, c, timeout)
+		if !errors.Is(err, errNotMade) {
+			return reply.Answer, err
+		}
 	}
-	reply, err := d.call(k, r, c, timeout)
-	if errors.Is(err, errNotMade) {
-		return direct()
+	if err := d.permitted(); err != nil {
+		return work.Answer{}, err
 	}
 
-	return reply.Answer, err
+	return direct()
 }
 
 // poll has an agent poll a worker, or polls it from here where the agent can't tell what came of it: a poll may be made
 // twice.
 func (d *Delegator) poll(r work.Registration, l work.Poll) (work.PollReply, error) {
-	k := d.linkTo(r)
-	if k == nil {
-		return d.direct.Poll(r, l)
+	if k := d.linkTo(r); k != nil {
+		reply, err := d.call(k, r, wireCall{Poll: &l}, l.Wait)
+		if reply.ID != 0 && !errors.Is(err, errNotMade) {
+			return work.PollReply{Answer: reply.Answer, Active: reply.Active, Ended: reply.Ended}, err
+		}
+	}
+	if err := d.permitted(); err != nil {
+		return work.PollReply{}, err
 	}
-	reply, err := d.call(k, r, wireCall{Poll: &l}, l.Wait)
-	if reply.ID == 0 || errors.Is(err, errNotMade) {
-		return d.direct.Poll(r, l)
+
+	return d.direct.Poll(r, l)
+}
+
+// permitted returns an error of kind work.ErrNotSent if the store does not vouch for the owner's lease any more, which may
+// have ended while an agent was waited for.
+func (d *Delegator) permitted() error {
+	if d.vouched() <= 0 {
+		return merry.Prepend(work.ErrNotSent, "the owner's lease is not vouched for")
 	}
 
-	return work.PollReply{Answer: reply.Answer, Active: reply.Active, Ended: reply.Ended}, err
+	return nil
 }
 
 func (d *Delegator) call(k *link, r work.Registration, c wireCall, timeout time.Duration) (wireReply, error) {
