Restate a job of many tasks in parts too

Cause: restating the log took jobs whole, so one job of thousands of tasks made a batch of any size (3,297 changes where 500 are meant), which the store refuses above a megabyte; the term could then write nothing any more. Change: a part ends within a job, at a position that holds while the job goes on. Test: dispatch.TestRestatedInParts with a job of 3,000 tasks, which failed before.

--- a/dispatch/compact.go
+++ b/dispatch/compact.go
@@ -25,8 +25,9 @@
 type restatement struct {
 	// from is the batch from which on the log will tell all.
 	from uint64
-	// jobs have not been restated yet.
-	jobs []fleet.JobID
+	// jobs have not been restated yet, the first of them only up to position.
+	jobs     []fleet.JobID
+	position int
 }
 
 // restate returns the next part of the changes that restate the log, and whether it is the last; none while the log is
@@ -39,8 +40,11 @@
 		t.restating = &restatement{from: t.writer.next, jobs: t.sched.Entries()}
 	}
 	for len(changes) < restatedChanges && len(t.restating.jobs) > 0 {
-		changes = append(changes, t.sched.Restate(t.restating.jobs[0])...)
-		t.restating.jobs = t.restating.jobs[1:]
+		some, next := t.sched.RestateFrom(t.restating.jobs[0], t.restating.position, restatedChanges-len(changes))
+		changes = append(changes, some...)
+		if t.restating.position = next; next == 0 {
+			t.restating.jobs = t.restating.jobs[1:]
+		}
 	}
 	if len(t.restating.jobs) > 0 {
 		return changes, false
--- a/dispatch/compact_test.go
+++ b/dispatch/compact_test.go
@@ -86,7 +86,7 @@
 	}
 }
 
-// A long log of many jobs (harambee-ledgers-large: 55,000 tasks): it is restated in parts beside the batches that come
+// A long log of many jobs, and of one with thousands of tasks (harambee-ledgers-large: 55,000 tasks): it is restated in parts beside the batches that come
 // anyway, and what is left of it tells the same as before.
 func TestRestatedInParts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -96,6 +96,9 @@
 		entries := map[fleet.JobID]*ledger.Entry{}
 		for n := range 1200 {
 			j := work.Job{ID: fleet.JobID(fmt.Sprintf("%016x", n)), Steps: []work.Step{{Count: 8}}}
+			if n == 0 {
+				j.Steps = []work.Step{{Count: 1000}, {Count: 2000}}
+			}
 			value, err := ledger.Encode(j)
 			if err != nil {
 				t.Fatal(err)
@@ -111,7 +114,21 @@
 		tm.sched = schedule.New(revision, schedule.Bounds{}, entries, now)
 		tm.writer = newLogWriter(c, ledger.Owner{Host: "self"}, revision, 0, l, func(store.Record) {})
 		var changes []ledger.Change
+		large := entries[fleet.JobID(fmt.Sprintf("%016x", 0))]
+		for step, st := range large.Job.Steps {
+			for i := range st.Count {
+				task := work.Task{Job: large.Job.ID, Step: step, Index: i}
+				change := ledger.Change{Kind: ledger.Assigned, Attempt: work.Attempt{Task: task, Number: 1}, Worker: "w", Life: 7}
+				large.Apply(change)
+				changes = append(changes, change)
+			}
+		}
+		appendBatch(t, tm, changes)
+		changes = nil
 		for id, e := range entries {
+			if e == large {
+				continue
+			}
 			change := ledger.Change{Kind: ledger.Assigned, Attempt: work.Attempt{Task: work.Task{Job: id, Index: 3}, Number: 1}, Worker: "w", Life: 7}
 			e.Apply(change)
 			if changes = append(changes, change); len(changes) == 3 {
@@ -136,7 +153,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if first, next := book.Batches(); first != maxBatches || next != first+uint64(parts) || parts != 3 {
+		if first, next := book.Batches(); first != maxBatches || next != first+uint64(parts) || parts != 9 {
 			t.Errorf("the log has batches %d to %d after %d parts", first, next-1, parts)
 		}
 		for id, e := range entries {
--- a/ledger/entry.go
+++ b/ledger/entry.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"math"
 	"slices"
 
 	"lycheehook.example/lycheehook/work"
@@ -171,24 +172,48 @@
 
 // Restate returns the changes that stand for all that was logged of the job.
 func (e *Entry) Restate() []Change {
-	var changes []Change
+	changes, _ := e.RestateFrom(0, math.MaxInt)
+
+	return changes
+}
+
+// RestateFrom returns at most a number of the changes that stand for what was logged of the job, from a position on, and the
+// position of the next one; zero means that there is none. Positions stay valid while the job goes on.
+func (e *Entry) RestateFrom(position, most int) (changes []Change, next int) {
 	for at, st := range e.known {
-		for i := range st.Tasks {
+		first := e.position(at)
+		for i := max(0, position-first); i < len(st.Tasks); i++ {
 			t := &st.Tasks[i]
 			if t.Attempts == 0 {
 				continue
 			}
+			if len(changes) == most {
+				return changes, first + i
+			}
 			a := work.Attempt{Task: work.Task{Job: e.Job.ID, Occurrence: at.Occurrence, Step: at.Step, Index: i}, Number: t.Attempts}
 			changes = append(changes, Change{
 				Kind: Restated, Attempt: a, Failures: t.Failures, Done: t.Done, Live: slices.Clone(t.Live), Checkpoint: t.Checkpoint,
 			})
 		}
 	}
+	if e.Failed && len(changes) == most {
+		return changes, max(1, e.total)
+	}
 	if e.Failed {
 		changes = append(changes, Change{Kind: JobFailed, Attempt: work.Attempt{Task: work.Task{Job: e.Job.ID}}})
 	}
 
-	return changes
+	return changes, 0
+}
+
+// position returns how many tasks the job has before a step of an occurrence.
+func (e *Entry) position(at StepOf) int {
+	n := at.Occurrence * (e.total / e.Job.Occurrences())
+	for _, s := range e.Job.Steps[:at.Step] {
+		n += s.Count
+	}
+
+	return n
 }
 
 // Withdraw takes back an assignment that was applied and will not be stored.
--- a/schedule/compact.go
+++ b/schedule/compact.go
@@ -16,15 +16,16 @@
 	return slices.Collect(maps.Keys(s.entries))
 }
 
-// Restate returns the changes that stand for all that is in the ledger's log of a job; the caller must have taken the changes
-// that wait to be stored, and store these with them.
-func (s *Scheduler) Restate(id fleet.JobID) []ledger.Change {
+// RestateFrom returns at most a number of the changes that stand for all that is in the ledger's log of a job, from a position
+// on, and the position of the next one; zero means that there is none. The caller must have taken the changes that wait to be
+// stored, and store these with them.
+func (s *Scheduler) RestateFrom(id fleet.JobID, position, most int) (changes []ledger.Change, next int) {
 	e, ok := s.entries[id]
 	if !ok {
-		return nil
+		return nil, 0
 	}
 
-	return e.Restate()
+	return e.RestateFrom(position, most)
 }
 
 // RestateHosts returns the changes that stand for all that is in the ledger's log of hosts.
