Let a task start again where it failed if no other worker may take it

Cause: a worker on which a task had failed was left out as long as its pool had any other, also where the others may not take the task. A task with a label that one worker has would have waited for ever. Change: a task that lasts starts again there if no other has room now, any other if no other could ever take it.

--- a/schedule/place.go
+++ b/schedule/place.go
@@ -279,24 +279,48 @@
 		r.spread = spreadOf(r)
 	}
 	task := work.Task{Job: r.job.entry.Job.ID, Occurrence: r.step.Occurrence, Step: r.step.Step, Index: index}
-	var best *worker
-	var bestScore float64
+	best, again := s.best(r, task, p, now)
+	if best == nil && again != nil && (step.Lasting || !r.elsewhere(task, p)) {
+		best = again
+	}
+	if best == nil && anywhere(step, r.queue) && len(r.job.failed) == 0 {
+		p.full = append(p.full, need)
+	}
+
+	return best
+}
+
+// best returns the best worker with room on which a task has not failed, and the best of those on which it has.
+func (s *Scheduler) best(r *ready, task work.Task, p *room, now time.Time) (best, again *worker) {
+	step := &r.job.entry.Job.Steps[task.Step]
+	need := step.Reserved()
+	var bestScore, againScore float64
 	for _, w := range p.workers {
-		if !need.FitsIn(w.free(step)) || !r.allows(step, w) || len(p.workers) > 1 && r.job.failedOn(task, w.id) {
+		if !need.FitsIn(w.free(step)) || !r.allows(step, w) {
 			continue
 		}
 		if _, ok := s.ticketFor(r, w, now); !ok {
 			continue
 		}
-		if score := score(r, step, w); best == nil || score < bestScore {
+		failed := r.job.failedOn(task, w.id)
+		switch score := score(r, step, w); {
+		case failed && (again == nil || score < againScore):
+			again, againScore = w, score
+		case !failed && (best == nil || score < bestScore):
 			best, bestScore = w, score
 		}
 	}
-	if best == nil && anywhere(step, r.queue) && len(r.job.failed) == 0 {
-		p.full = append(p.full, need)
-	}
 
-	return best
+	return best, again
+}
+
+// elsewhere reports whether a worker on which a task has not failed may take it once there is room.
+func (r *ready) elsewhere(task work.Task, p *room) bool {
+	step := &r.job.entry.Job.Steps[task.Step]
+
+	return slices.ContainsFunc(p.workers, func(w *worker) bool {
+		return r.allows(step, w) && !r.job.failedOn(task, w.id) && step.Reserved().FitsIn(w.reg.Capacity)
+	})
 }
 
 // free returns the room that a task of a step may take: what is kept is for tasks that last.
--- a/schedule/suspicion_test.go
+++ b/schedule/suspicion_test.go
@@ -87,3 +87,47 @@
 	b.settle()
 	check(t, "running after a failure", 1, b.running())
 }
+
+// A task failed on the only worker that may take it (harambee-ledgers, mix of seed 545837265845: two tasks of a step may
+// share a worker, five of them had three workers, and one stood still for twelve seconds): it starts there again, and
+// elsewhere where it can.
+func TestFailedWhereItMustRun(t *testing.T) {
+	spread := work.Step{Count: 5, Size: size(2000), Lasting: true, MaxPerWorker: 2}
+	tests := []struct {
+		name     string
+		workers  int
+		step     work.Step
+		labelled work.WorkerID
+		again    bool
+	}{
+		{"lasting, no other may take it", 3, spread, "", true},
+		{"lasting, another may take it", 4, spread, "", false},
+		{"one worker has the label", 3, work.Step{Count: 1, Size: size(2000), Label: "l"}, "w1", true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBench(t, tt.workers)
+			if tt.labelled != "" {
+				r := b.regs[tt.labelled]
+				r.Labels = []string{"l"}
+				b.regs[tt.labelled] = r
+				b.s.Register(r, b.now)
+			}
+			b.submit("j", tt.step)
+			b.settle()
+			check(t, "running at first", tt.step.Count, b.running())
+			var failedOn work.WorkerID
+			for id, runs := range b.runs {
+				for a := range runs {
+					if len(runs) == 1 && failedOn == "" {
+						failedOn = id
+						b.end(id, a, work.OutcomeFailed)
+					}
+				}
+			}
+			b.settle()
+			check(t, "running after a failure", tt.step.Count, b.running())
+			check(t, "it runs where it failed", tt.again, len(b.runs[failedOn]) > 0)
+		})
+	}
+}
