Don't call a job queued before the log is read

Change: it answers 503 with Retry-After then. A cancelled job is told from its record. Test: intake.TestStateBeforeTheLogIsRead, of whose cases that one failed before.

--- a/intake/handler.go
+++ b/intake/handler.go
@@ -301,6 +301,9 @@
 	}
 	j, _, state, err := h.find(ctx, r.id)
 	switch {
+	case err == nil && len(j.Steps) > 0 && r.sees(j) && state <= ledger.InProgress && !hasJobs(h.follower.Book()):
+		// What is stored of the job itself does not say how far it has come.
+		return unavailable("the ledger was not read yet")
 	case err == nil && len(j.Steps) > 0 && r.sees(j):
 		return accept(platform.EncodeState(states[state]))
 	case err == nil, errors.Is(err, store.ErrNotFound):
@@ -310,6 +313,11 @@
 	}
 }
 
+// hasJobs reports whether a book, which may be nil, has the jobs and the log.
+func hasJobs(b *ledger.Book) bool {
+	return b != nil && b.HasJobs()
+}
+
 // over reports whether this host knows that a job is over.
 func (h *Handler) over(id fleet.JobID) bool {
 	b := h.follower.Book()
@@ -390,7 +398,7 @@
 
 func (h *Handler) pending(q work.Queue) reply {
 	b := h.follower.Book()
-	if b == nil || !b.HasJobs() {
+	if !hasJobs(b) {
 		return unavailable("the ledger was not read yet")
 	}
 
