Add a rehearsal of load patterns in virtual time

Change: package rehearsal plays eleven named patterns (steady, turns, shifting turns, peaks together, ramp, lull and burst, large jobs, flood, rack loss, wave, owner change) to the real scheduler and balancer with modelled workers and cloud, and reports work in time, waits, host-seconds, moves and cost beside a planner that knows the future. The command rehearse prints a table or JSON and draws a plot.

--- a/cmd/lycheehook/root.go
+++ b/cmd/lycheehook/root.go
@@ -13,7 +13,7 @@
 		SilenceErrors: true,
 	}
 	root.AddCommand(
-		newEntry(), newManager(), newExplain(), newDev(), newLoad(), newExperiment(), newCapacity(),
+		newEntry(), newManager(), newExplain(), newDev(), newLoad(), newExperiment(), newRehearse(), newCapacity(),
 		newCheck(), newList(customersList, p), newList(plansList, p), newKeys(p), newRevisions(p), newStatus(p), newAudit(p), newSettings(),
 	)
 
--- /dev/null
+++ b/rehearsal/demand.go
@@ -0,0 +1,186 @@
+package rehearsal
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"lycheehook.example/lycheehook/fleet"
+	"lycheehook.example/lycheehook/work"
+)
+
+const (
+	// loadTime is how long jobs arrive, settleTime how long the fleet runs before, and finishTime how long after.
+	loadTime   = 34 * time.Second
+	settleTime = 8 * time.Second
+	finishTime = 8 * time.Second
+
+	poolCount      = 4
+	workspaceCount = 6
+	hostCores      = 32000
+	hostMemory     = 65536
+	rackHosts      = 4
+	slackFactor    = 1.6
+	slack          = 600 * time.Millisecond
+	lastingPerPool = 2
+	lastingTasks   = 5
+)
+
+// jobKind describes the jobs of a pool.
+type jobKind struct {
+	hosts     int
+	perSecond float64
+	steps     float64
+	tasks     float64
+	cores     float64
+	seconds   float64
+}
+
+// kinds are the pools' jobs, which use about a third of the fleet on average.
+var kinds = [poolCount]jobKind{
+	{hosts: 8, perSecond: 5.5, steps: 1.6, tasks: 6, cores: 1800, seconds: 1},
+	{hosts: 9, perSecond: 1.4, steps: 2, tasks: 8, cores: 3800, seconds: 1.3},
+	{hosts: 11, perSecond: 7, steps: 1.6, tasks: 6, cores: 1800, seconds: 1},
+	{hosts: 12, perSecond: 1.7, steps: 2, tasks: 8, cores: 3800, seconds: 1.3},
+}
+
+const standbyHosts = 8
+
+// arrival is a job with what is not known in advance: how long its tasks really take.
+type arrival struct {
+	at  time.Duration
+	job work.Job
+	// trueTimes has the duration of each task by step.
+	trueTimes [][]time.Duration
+}
+
+// demandOf draws the jobs of a play, in the order of their arrival.
+func demandOf(p Pattern, rng *rand.Rand, start time.Time) []arrival {
+	var list []arrival
+	for pool := range poolCount {
+		for range lastingPerPool {
+			list = append(list, lastingJob(pool, len(list), start))
+		}
+	}
+	large := float64(max(1, p.largeJobs))
+	const grain = 20 * time.Millisecond
+	for at := time.Duration(0); at < loadTime; at += grain {
+		for pool, k := range kinds {
+			mean := k.perSecond / large * p.rate(pool, at) * grain.Seconds()
+			for ws := range workspaceCount {
+				n := mean * workspaceShare(ws)
+				if ws == 0 && p.floodFactor > 0 && at >= p.floodFrom && at < p.floodUntil {
+					n *= p.floodFactor
+				}
+				for range poisson(rng, n) {
+					list = append(list, batchJob(pool, ws, len(list), large, settleTime+at, rng, start))
+				}
+			}
+		}
+	}
+
+	return list
+}
+
+// workspaceShare returns the fraction of the jobs that a workspace sends; the first ones send the most.
+func workspaceShare(ws int) float64 {
+	return float64(workspaceCount-ws) / (workspaceCount * (workspaceCount + 1) / 2)
+}
+
+func poolName(i int) fleet.PoolName {
+	return fleet.PoolName(fmt.Sprint("pool-", i))
+}
+
+func workspaceName(i int) fleet.WorkspaceName {
+	return fleet.WorkspaceName(fmt.Sprint("workspace-", i))
+}
+
+// lastingJob returns a job whose tasks run for the whole play, submitted while the fleet settles.
+func lastingJob(pool, number int, start time.Time) arrival {
+	at := settleTime / 2
+	j := work.Job{
+		ID: fleet.JobID(fmt.Sprintf("%016x", number+1)), Queue: fleet.QueueName(poolName(pool)), Pool: poolName(pool),
+		Workspace: workspaceName(number % workspaceCount), Submitted: start.Add(at),
+		Steps: []work.Step{{
+			Count: lastingTasks, Lasting: true, MaxPerWorker: 2, Size: fleet.Resources{Cores: 2800, Memory: 4096},
+		}},
+	}
+
+	return arrival{at: at, job: j, trueTimes: [][]time.Duration{slices.Repeat([]time.Duration{time.Hour}, lastingTasks)}}
+}
+
+// batchJob draws a job of a pool whose steps follow one another.
+func batchJob(pool, ws, number int, large float64, at time.Duration, rng *rand.Rand, start time.Time) arrival {
+	k := kinds[pool]
+	steps := max(1, int(math.Round(k.steps+0.8*rng.NormFloat64())))
+	j := work.Job{
+		ID: fleet.JobID(fmt.Sprintf("%016x", number+1)), Queue: fleet.QueueName(poolName(pool)), Pool: poolName(pool),
+		Workspace: workspaceName(ws), Submitted: start.Add(at),
+	}
+	cores := spread(rng, k.cores, 0.45, 3)
+	a := arrival{at: at}
+	for i := range steps {
+		mean := spread(rng, k.seconds, 0.5, 2.5)
+		estimate := time.Duration(spread(rng, mean, 0.2, 2) * float64(time.Second))
+		step := work.Step{
+			Count: max(1, int(large*spread(rng, k.tasks, 0.6, 4))), Estimate: estimate,
+			Size: fleet.Resources{Cores: fleet.MilliCores(cores), Memory: fleet.Mebibytes(cores)},
+		}
+		if i > 0 {
+			step.After = []int{i - 1}
+		}
+		j.Steps = append(j.Steps, step)
+		var times []time.Duration
+		for range step.Count {
+			times = append(times, time.Duration(spread(rng, mean, 0.15, 2)*float64(time.Second)))
+		}
+		a.trueTimes = append(a.trueTimes, times)
+	}
+	a.job = j
+
+	return a
+}
+
+// spread draws from a log-normal distribution with the given mean and relative deviation, at most limit times the mean.
+func spread(rng *rand.Rand, mean, deviation, limit float64) float64 {
+	sigma := math.Sqrt(math.Log(1 + deviation*deviation))
+
+	return min(limit*mean, mean*math.Exp(sigma*rng.NormFloat64()-sigma*sigma/2))
+}
+
+// poisson draws a number of arrivals.
+func poisson(rng *rand.Rand, mean float64) int {
+	n, limit, product := 0, math.Exp(-mean), rng.Float64()
+	for product > limit {
+		product *= rng.Float64()
+		n++
+	}
+
+	return n
+}
+
+// objective returns the target duration of a job by the true length of its longest chain.
+func (a arrival) objective() time.Duration {
+	var chain time.Duration
+	for _, times := range a.trueTimes {
+		chain += slices.Max(times)
+	}
+
+	return time.Duration(slackFactor*float64(chain)) + slack
+}
+
+// hostSeconds returns the work of a job as a time of whole hosts.
+func (a arrival) hostSeconds() float64 {
+	sum := 0.0
+	for i, times := range a.trueTimes {
+		for _, t := range times {
+			sum += a.job.Steps[i].Reserved().DominantShare(hostCapacity) * t.Seconds()
+		}
+	}
+
+	return sum
+}
+
+var hostCapacity = fleet.Resources{Cores: hostCores, Memory: hostMemory}
