--- a/balance/balance.go
+++ b/balance/balance.go
@@ -269,10 +269,15 @@
 
 // coverShortages returns the moves into pools that are short of hosts, and the unneeded hosts that are left.
 func coverShortages(shortages []shortage, standby fleet.PoolName, spares []fleet.HostName, unneeded []unneededHost, surplus []Move) ([]Move, []unneededHost) {
+	// A host that leaves its pool anyway costs one move instead of two, so it goes first.
+	slices.SortStableFunc(unneeded, func(a, b unneededHost) int { return cmp.Compare(releasableFirst(a), releasableFirst(b)) })
 	var moves []Move
 	for _, l := range shortages {
 		for range l.hosts {
 			switch {
+			case len(unneeded) > 0 && unneeded[0].releasable:
+				moves = append(moves, Move{Host: unneeded[0].Host, From: unneeded[0].From, To: l.pool})
+				unneeded = unneeded[1:]
 			case len(spares) > 0:
 				moves = append(moves, Move{Host: spares[0], From: standby, To: l.pool})
 				spares = spares[1:]
@@ -296,6 +301,14 @@
 	releasable bool
 }
 
+func releasableFirst(u unneededHost) int {
+	if u.releasable {
+		return 0
+	}
+
+	return 1
+}
+
 // shortage is the number of hosts that a pool is short of.
 type shortage struct {
 	pool  fleet.PoolName
