ledger: read the log when a removed batch was written again

Cause: a write of a batch that gets no answer is sent again under the same key. If the first try is stuck in a cut link and arrives after the batch was compacted away, the store accepts it, because the key is free and the owner still the same.

Ruled out: holes by removal, which goes in ascending order and stops at the first failure.

Change: the last batch of a compaction says from which batch on the log reproduces the whole state. A reader that finds a gap starts after it if a later batch says so; otherwise it reports the gap as before.

--- a/dispatch/compact.go
+++ b/dispatch/compact.go
@@ -8,6 +8,7 @@
 	"lycheehook.example/lycheehook/ledger"
 	"lycheehook.example/lycheehook/pause"
 	"lycheehook.example/lycheehook/store"
+	"lycheehook.example/lycheehook/work"
 )
 
 const (
@@ -51,7 +52,9 @@
 		return changes, false
 	}
 
-	return append(changes, t.sched.RestateHosts(now)...), true
+	changes = append(changes, t.sched.RestateHosts(now)...)
+
+	return append(changes, ledger.Change{Kind: ledger.Compacted, Life: work.Life(t.compaction.from)}), true
 }
 
 // finishCompaction starts the removal of obsolete batches, once the last snapshot changes are stored.
--- a/dispatch/compact_test.go
+++ b/dispatch/compact_test.go
@@ -79,6 +79,26 @@
 	})
 }
 
+// checkSame compares the entries of a book with the expected ones.
+func checkSame(t *testing.T, want map[fleet.JobID]*ledger.Entry, book *ledger.Book) {
+	t.Helper()
+	for id, e := range want {
+		if diff := cmp.Diff(e.Snapshot(), book.Entries()[id].Snapshot()); diff != "" {
+			t.Fatalf("job %s after the compaction (-want +got):\n%s", id, diff)
+		}
+	}
+}
+
+func encodeBatch(t *testing.T, b ledger.Batch) []byte {
+	t.Helper()
+	value, err := ledger.EncodeBatch(b)
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	return value
+}
+
 func appendBatch(t *testing.T, tm *term, changes []ledger.Change) {
 	t.Helper()
 	if err := tm.writer.append(t.Context(), changes); err != nil {
@@ -156,10 +176,17 @@
 		if first, next := book.Batches(); first != maxBatches || next != first+uint64(parts) || parts != 9 {
 			t.Errorf("the log has batches %d to %d after %d parts", first, next-1, parts)
 		}
-		for id, e := range entries {
-			if diff := cmp.Diff(e.Snapshot(), book.Entries()[id].Snapshot()); diff != "" {
-				t.Fatalf("job %s after the compaction (-want +got):\n%s", id, diff)
-			}
+		checkSame(t, entries, book)
+
+		// A write of a removed batch that is carried out late doesn't make the log unreadable.
+		late := store.Put{Key: ledger.LogKey(7), Value: encodeBatch(t, ledger.Batch{Number: 7})}
+		if _, err := c.Commit(t.Context(), store.Txn{Puts: []store.Put{late}}); err != nil {
+			t.Fatal(err)
+		}
+		book, _, err = ledger.Read(t.Context(), c)
+		if err != nil {
+			t.Fatal(err)
 		}
+		checkSame(t, entries, book)
 	})
 }
--- a/ledger/book.go
+++ b/ledger/book.go
@@ -77,14 +77,8 @@
 	b := NewBook()
 	// Keys sort as host, job, log, owner, so each job precedes its changes.
 	slices.SortFunc(l.Records, func(x, y store.Record) int { return strings.Compare(x.Key, y.Key) })
-	first := true
+	b.first, b.next = logRange(l.Records)
 	for _, r := range l.Records {
-		if first && strings.HasPrefix(r.Key, LogPrefix) {
-			if n, err := batchNumber(r.Key); err == nil {
-				b.first, b.next = n, n
-				first = false
-			}
-		}
 		if err := b.ApplyEvent(store.Event{Record: r}); err != nil {
 			b.readErrors = append(b.readErrors, err)
 		}
@@ -257,6 +251,8 @@
 	case Maintained:
 		b.maintained[int64(c.Life)] = append(b.maintained[int64(c.Life)], fleet.HostName(c.Worker))
 		return
+	case Compacted:
+		return
 	case HostOrdered:
 		b.orders[fleet.HostName(c.Worker)] = announcement{by: from.Owner, term: from.Term, uptime: from.Uptime}
 		return
--- a/ledger/change.go
+++ b/ledger/change.go
@@ -49,6 +49,8 @@
 	HostOrdered
 	// TaskSnapshot holds the whole state of a task and replaces all earlier changes; Number is its last attempt.
 	TaskSnapshot
+	// Compacted records that the log reproduces the whole state from the batch with the number in Life on.
+	Compacted
 )
 
 // Change is one change in a batch of the log.
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -166,6 +166,49 @@
 	}
 }
 
+// A write of a batch that was retried may be carried out a second time after the batch was removed, when a cut link heals
+// (Tuul, scale-2); the log is read from the batch on that reproduces the whole state.
+func TestReadRestoredBatch(t *testing.T) {
+	task := work.Task{Job: "j"}
+	assigned := ledger.Change{Kind: ledger.Assigned, Attempt: work.Attempt{Task: task, Number: 1}, Worker: "w"}
+	snapshots := []ledger.Change{
+		{Kind: ledger.TaskSnapshot, Attempt: work.Attempt{Task: task, Number: 1}, Done: true},
+		{Kind: ledger.TaskSnapshot, Attempt: work.Attempt{Task: work.Task{Job: "j", Index: 1}, Number: 1}, Done: true},
+	}
+	tests := []struct {
+		name string
+		mark uint64
+		want error
+	}{
+		{"compacted from the first batch after the gap", 5, nil},
+		{"compacted from a later batch", 6, nil},
+		{"the gap is not that of a compaction", 4, ledger.ErrGap},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := standin.NewStore().Client()
+			putJob(t, c, "j")
+			putBatch(t, c, ledger.Batch{Number: 2, Changes: []ledger.Change{assigned}})
+			putBatch(t, c, ledger.Batch{Number: 5, Changes: snapshots})
+			putBatch(t, c, ledger.Batch{Number: 6, Changes: []ledger.Change{{Kind: ledger.Compacted, Life: work.Life(tt.mark)}}})
+			b, _, err := ledger.Read(ctx, c)
+			if !errors.Is(err, tt.want) {
+				t.Fatalf("got %v, want %v", err, tt.want)
+			}
+			if err != nil {
+				return
+			}
+			if state, _ := b.Status("j"); state != ledger.Completed {
+				t.Errorf("state %v", state)
+			}
+			oldest, next := b.Batches()
+			if diff := cmp.Diff([]uint64{2, 7}, []uint64{oldest, next}); diff != "" {
+				t.Errorf("oldest and next batch (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // The state of a job that is reported to callers.
 func TestStates(t *testing.T) {
 	task := work.Task{Job: "j"}
