--- a/balance/balance.go
+++ b/balance/balance.go
@@ -97,9 +97,9 @@
 // WantedHosts returns the size that a pool needs for the work expected at the end of a move that begins now, if an equal
 // part of all hosts is part.
 func (b *Balancer) WantedHosts(p Pool, part float64, now time.Time) int {
-	o := newOutlook(p, b.expectedWork(p.Name, now), b.leadTime)
-	late := o.relax()
-	size := float64(o.need()) + headroomHosts + headroomShare*part
+	f := newForecast(p, b.expectedWork(p.Name, now), b.leadTime)
+	late := f.relax()
+	size := float64(f.need()) + headroomHosts + headroomShare*part
 	if growth := max(0, b.growth(p, now)); growth > 0 || late {
 		size = max(size, p.demand()+growth*b.leadTime.Seconds()+headroomHosts)
 	}
--- a/balance/need.go
+++ b/balance/need.go
@@ -44,8 +44,8 @@
 	return min(slots-1, max(0, int(t/slotWidth)))
 }
 
-// outlook is the known and the expected work of a pool over the slots to come.
-type outlook struct {
+// forecast is the known and the expected work of a pool over the slots to come.
+type forecast struct {
 	// used is what the present runs occupy in each slot, in hosts.
 	used [slots]float64
 	// present is the number of hosts in service in each slot if no move is ordered.
@@ -55,49 +55,49 @@
 	lead int
 }
 
-// newOutlook returns the outlook of a pool with work that is expected beside what is known.
-func newOutlook(p Pool, expected []Work, lead time.Duration) *outlook {
-	o := &outlook{work: slices.Concat(p.Waiting, expected), lead: slotOf(lead)}
+// newForecast returns the forecast of a pool with work that is expected beside what is known.
+func newForecast(p Pool, expected []Work, lead time.Duration) *forecast {
+	f := &forecast{work: slices.Concat(p.Waiting, expected), lead: slotOf(lead)}
 	for _, r := range p.Running {
 		last := int(math.Ceil(r.Left.Seconds() / slotWidth.Seconds()))
 		for i := range min(slots, max(1, last)) {
-			o.used[i] += r.Hosts
+			f.used[i] += r.Hosts
 		}
 	}
 	arriving := len(p.Arrivals)
 	for i := range slots {
-		o.present[i] = float64(p.Hosts - arriving)
+		f.present[i] = float64(p.Hosts - arriving)
 	}
 	for _, at := range p.Arrivals {
 		for i := slotOf(at); i < slots; i++ {
-			o.present[i]++
+			f.present[i]++
 		}
 	}
-	slices.SortStableFunc(o.work, func(a, b Work) int { return cmp.Compare(a.Latest, b.Latest) })
+	slices.SortStableFunc(f.work, func(a, b Work) int { return cmp.Compare(a.Latest, b.Latest) })
 
-	return o
+	return f
 }
 
 // relax replaces the objectives that no number of hosts can meet by the expiry of the work, and reports whether there were
 // any.
-func (o *outlook) relax() bool {
-	missed := o.missed(maxNeed)
+func (f *forecast) relax() bool {
+	missed := f.missed(maxNeed)
 	for _, i := range missed {
-		w := &o.work[i]
-		w.Latest = max(w.Expiry, w.Ready, time.Duration(o.lead)*slotWidth)
+		w := &f.work[i]
+		w.Latest = max(w.Expiry, w.Ready, time.Duration(f.lead)*slotWidth)
 	}
-	slices.SortStableFunc(o.work, func(a, b Work) int { return cmp.Compare(a.Latest, b.Latest) })
+	slices.SortStableFunc(f.work, func(a, b Work) int { return cmp.Compare(a.Latest, b.Latest) })
 
 	return len(missed) > 0
 }
 
 // need returns the least number of hosts for the runs that go on until a move is done, with which all work starts in
 // time; the objectives must be possible.
-func (o *outlook) need() int {
-	low, high := int(math.Ceil(o.used[o.lead]/packing)), maxNeed
+func (f *forecast) need() int {
+	low, high := int(math.Ceil(f.used[f.lead]/packing)), maxNeed
 	for low < high {
 		mid := (low + high) / 2
-		if len(o.missed(mid)) == 0 {
+		if len(f.missed(mid)) == 0 {
 			high = mid
 		} else {
 			low = mid + 1
@@ -109,17 +109,17 @@
 
 // missed returns the indexes of the work that does not start in time if the pool has the given number of hosts as soon as
 // moves allow. It starts the work in the order of its latest start, each part as early as there is room.
-func (o *outlook) missed(hosts int) []int {
+func (f *forecast) missed(hosts int) []int {
 	var free [slots]float64
 	for i := range slots {
 		n := float64(hosts)
-		if i < o.lead {
-			n = min(n, o.present[i])
+		if i < f.lead {
+			n = min(n, f.present[i])
 		}
-		free[i] = n*packing - o.used[i]
+		free[i] = n*packing - f.used[i]
 	}
 	var late []int
-	for i, w := range o.work {
+	for i, w := range f.work {
 		if !start(w, &free) {
 			late = append(late, i)
 		}
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -62,13 +62,13 @@
 
 // poolStates returns the balancer's input for each pool other than standby.
 func (s *Scheduler) poolStates(now time.Time) []balance.Pool {
-	o := s.outlook(now)
+	l := s.workload(now)
 	var list []balance.Pool
 	for _, p := range s.pools {
 		if p.Standby {
 			continue
 		}
-		st := balance.Pool{Name: p.Name, MinHosts: s.minHosts(p.Name), Running: o.running[p.Name], Waiting: o.waiting[p.Name], Overdue: o.overdue[p.Name]}
+		st := balance.Pool{Name: p.Name, MinHosts: s.minHosts(p.Name), Running: l.running[p.Name], Waiting: l.waiting[p.Name], Overdue: l.overdue[p.Name]}
 		for _, h := range s.hostList {
 			switch {
 			case h.phase != inService && h.plan.pool == p.Name:
--- a/schedule/outlook.go
+++ b/schedule/workload.go
@@ -20,8 +20,8 @@
 	startupTime = 400 * time.Millisecond
 )
 
-// outlook is the work of each pool that runs, waits or will become ready.
-type outlook struct {
+// workload is the work of each pool that runs, waits or will become ready.
+type workload struct {
 	running map[fleet.PoolName][]balance.Run
 	waiting map[fleet.PoolName][]balance.Work
 	// overdue is the work that waits and has no more value, in hosts.
@@ -30,19 +30,19 @@
 	sizes, needs map[fleet.PoolName]fleet.Resources
 }
 
-// outlook returns the known work of all pools.
-func (s *Scheduler) outlook(now time.Time) *outlook {
-	o := &outlook{
+// workload returns the known work of all pools.
+func (s *Scheduler) workload(now time.Time) *workload {
+	l := &workload{
 		running: map[fleet.PoolName][]balance.Run{}, waiting: map[fleet.PoolName][]balance.Work{}, overdue: map[fleet.PoolName]float64{},
 		sizes: map[fleet.PoolName]fleet.Resources{}, needs: map[fleet.PoolName]fleet.Resources{},
 	}
 	for p := range s.pools {
-		o.sizes[p] = s.hostSize(p)
+		l.sizes[p] = s.hostSize(p)
 	}
 	for _, w := range s.workers {
 		p := w.reg.Pool
 		for _, r := range w.runs {
-			o.running[p] = append(o.running[p], balance.Run{Hosts: o.hosts(p, r.reserved), Left: r.timeLeft(now)})
+			l.running[p] = append(l.running[p], balance.Run{Hosts: l.hosts(p, r.reserved), Left: r.timeLeft(now)})
 		}
 	}
 	for _, r := range s.unplaced {
@@ -51,9 +51,9 @@
 		need := step.Reserved().Times(int64(len(r.tasks)))
 		switch {
 		case r.rank.urgency == overdue:
-			o.overdue[p] += need.DominantShare(o.sizes[p])
+			l.overdue[p] += need.DominantShare(l.sizes[p])
 		case step.Lasting:
-			o.waiting[p] = append(o.waiting[p], balance.Work{Hosts: o.hosts(p, need), Length: endless})
+			l.waiting[p] = append(l.waiting[p], balance.Work{Hosts: l.hosts(p, need), Length: endless})
 		}
 	}
 	for _, j := range s.jobs {
@@ -62,44 +62,44 @@
 		}
 		q := s.queueOf(&j.entry.Job)
 		for k := j.firstOpen; k < j.entry.Job.Occurrences() && !j.entry.Job.Due(k).After(now); k++ {
-			s.addWork(o, j, q, k, now)
+			s.addWork(l, j, q, k, now)
 		}
 	}
-	o.share()
+	l.share()
 
-	return o
+	return l
 }
 
 // hosts returns the size of a need in hosts of a pool, and adds it to the pool's needs.
-func (o *outlook) hosts(p fleet.PoolName, need fleet.Resources) float64 {
-	o.needs[p] = o.needs[p].Plus(need)
+func (l *workload) hosts(p fleet.PoolName, need fleet.Resources) float64 {
+	l.needs[p] = l.needs[p].Plus(need)
 
-	return need.DominantShare(o.sizes[p])
+	return need.DominantShare(l.sizes[p])
 }
 
 // share scales the sizes of a pool's work so that their sum is what all of it needs together: tasks that need many cores
 // share hosts with tasks that need much memory.
-func (o *outlook) share() {
-	for p, need := range o.needs {
+func (l *workload) share() {
+	for p, need := range l.needs {
 		// Sorted, so that the sums don't depend on the order of the maps that the lists come from.
-		slices.SortFunc(o.running[p], func(a, b balance.Run) int { return cmp.Or(cmp.Compare(a.Left, b.Left), cmp.Compare(a.Hosts, b.Hosts)) })
-		slices.SortFunc(o.waiting[p], compareWork)
+		slices.SortFunc(l.running[p], func(a, b balance.Run) int { return cmp.Or(cmp.Compare(a.Left, b.Left), cmp.Compare(a.Hosts, b.Hosts)) })
+		slices.SortFunc(l.waiting[p], compareWork)
 		sum := 0.0
-		for _, r := range o.running[p] {
+		for _, r := range l.running[p] {
 			sum += r.Hosts
 		}
-		for _, w := range o.waiting[p] {
+		for _, w := range l.waiting[p] {
 			sum += w.Hosts
 		}
 		if sum == 0 {
 			continue
 		}
-		factor := need.DominantShare(o.sizes[p]) / sum
-		for i := range o.running[p] {
-			o.running[p][i].Hosts *= factor
+		factor := need.DominantShare(l.sizes[p]) / sum
+		for i := range l.running[p] {
+			l.running[p][i].Hosts *= factor
 		}
-		for i := range o.waiting[p] {
-			o.waiting[p][i].Hosts *= factor
+		for i := range l.waiting[p] {
+			l.waiting[p][i].Hosts *= factor
 		}
 	}
 }
@@ -129,7 +129,7 @@
 }
 
 // addWork adds the work of one occurrence of a job that waits or that will become ready, unless it is overdue.
-func (s *Scheduler) addWork(o *outlook, j *job, q *work.Queue, occurrence int, now time.Time) {
+func (s *Scheduler) addWork(l *workload, j *job, q *work.Queue, occurrence int, now time.Time) {
 	e := j.entry
 	steps := e.Job.Steps
 	from := j.knownSince
@@ -157,8 +157,8 @@
 			continue
 		}
 		ends[i] = max(left, ready+steps[i].Estimate)
-		o.waiting[q.Pool] = append(o.waiting[q.Pool], balance.Work{
-			Hosts: o.hosts(q.Pool, steps[i].Reserved().Times(int64(waiting))), Ready: ready, Length: steps[i].Estimate,
+		l.waiting[q.Pool] = append(l.waiting[q.Pool], balance.Work{
+			Hosts: l.hosts(q.Pool, steps[i].Reserved().Times(int64(waiting))), Ready: ready, Length: steps[i].Estimate,
 			Latest: from.Add(aim - tails[i]).Sub(now), Expiry: from.Add(overdueFactor*aim - tails[i]).Sub(now),
 		})
 	}
--- a/schedule/outlook_test.go
+++ b/schedule/workload_test.go
@@ -12,8 +12,8 @@
 	"lycheehook.example/lycheehook/work"
 )
 
-// outlookFleet returns a scheduler with one pool of hosts of 10 cores and 10,000 MiB.
-func outlookFleet(entries map[fleet.JobID]*ledger.Entry, now time.Time, state work.HostState) *Scheduler {
+// workloadFleet returns a scheduler with one pool of hosts of 10 cores and 10,000 MiB.
+func workloadFleet(entries map[fleet.JobID]*ledger.Entry, now time.Time, state work.HostState) *Scheduler {
 	s := New(1, Bounds{MaxLease: 6 * time.Second, MoveTime: 1500 * time.Millisecond}, entries, now)
 	s.SetConfig(work.Config{
 		Pools:      []work.Pool{{Name: "p"}, {Name: "off", Standby: true}},
@@ -40,9 +40,9 @@
 }
 
 // The known work of a pool includes the steps that will become ready, without jobs that wait for the limit of their workspace.
-func TestOutlookOfSteps(t *testing.T) {
+func TestWorkloadOfSteps(t *testing.T) {
 	now := time.Date(2026, 9, 10, 16, 0, 0, 0, time.UTC)
-	s := outlookFleet(map[fleet.JobID]*ledger.Entry{}, now, work.HostUp)
+	s := workloadFleet(map[fleet.JobID]*ledger.Entry{}, now, work.HostUp)
 	s.AddJob(twoSteps("j1", "", now), 1, now)
 	limited := twoSteps("j2", "limited", now)
 	limited.Steps = limited.Steps[1:]
@@ -52,21 +52,21 @@
 		{Hosts: 0.5, Latest: 2 * time.Second, Expiry: 10 * time.Second, Length: time.Second},
 		{Hosts: 0.8, Ready: time.Second, Latest: 3 * time.Second, Expiry: 11 * time.Second, Length: time.Second},
 	}
-	if diff := cmp.Diff(want, s.outlook(now).waiting["p"]); diff != "" {
+	if diff := cmp.Diff(want, s.workload(now).waiting["p"]); diff != "" {
 		t.Errorf("waiting work (-want +got):\n%s", diff)
 	}
 }
 
 // Tasks that need many cores share hosts with tasks that need much memory, so that together they need fewer hosts than the sum
 // of what each kind needs.
-func TestOutlookOfMixedNeeds(t *testing.T) {
+func TestWorkloadOfMixedNeeds(t *testing.T) {
 	now := time.Date(2026, 9, 10, 16, 0, 0, 0, time.UTC)
-	s := outlookFleet(map[fleet.JobID]*ledger.Entry{}, now, work.HostUp)
+	s := workloadFleet(map[fleet.JobID]*ledger.Entry{}, now, work.HostUp)
 	for id, size := range map[fleet.JobID]fleet.Resources{"cores": {Cores: 10000, Memory: 2000}, "memory": {Cores: 2000, Memory: 10000}} {
 		s.AddJob(work.Job{ID: id, Queue: "q", Pool: "p", Submitted: now, Steps: []work.Step{{Count: 1, Size: size, Estimate: time.Second}}}, 1, now)
 	}
 	sum := 0.0
-	for _, w := range s.outlook(now).waiting["p"] {
+	for _, w := range s.workload(now).waiting["p"] {
 		sum += w.Hosts
 	}
 	if diff := cmp.Diff(1.2, sum); diff != "" {
@@ -81,7 +81,7 @@
 	for _, id := range []fleet.JobID{"j1", "j2", "j3"} {
 		entries[id] = ledger.NewEntry(twoSteps(id, "", now.Add(-time.Second)), 1)
 	}
-	s := outlookFleet(entries, now, work.HostUp)
+	s := workloadFleet(entries, now, work.HostUp)
 	s.planMoves(now)
 	if in := s.balancer.ExpectedInflow("p", now); in <= 0 {
 		t.Errorf("an inflow of %.2f hosts although jobs arrived a second ago", in)
@@ -92,7 +92,7 @@
 // (Tuul, each day: eight moves at the start of the fleet, and back).
 func TestStartingHostsCount(t *testing.T) {
 	now := time.Date(2026, 9, 10, 16, 0, 0, 0, time.UTC)
-	s := outlookFleet(map[fleet.JobID]*ledger.Entry{}, now, work.HostDown)
+	s := workloadFleet(map[fleet.JobID]*ledger.Entry{}, now, work.HostDown)
 	s.planMoves(now)
 	if s.hosts["s"].phase != inService {
 		t.Error("a host leaves standby while those of the pool are starting")
