--- a/rehearsal/demand.go
+++ b/rehearsal/demand.go
@@ -22,7 +22,7 @@
 	hostCores      = 32000
 	hostMemory     = 65536
 	rackHosts      = 4
-	slackFactor    = 1.6
+	objectiveFactor    = 1.6
 	slack          = 600 * time.Millisecond
 	lastingPerPool = 2
 	lastingTasks   = 5
@@ -168,7 +168,7 @@
 		chain += slices.Max(times)
 	}
 
-	return time.Duration(slackFactor*float64(chain)) + slack
+	return time.Duration(objectiveFactor*float64(chain)) + slack
 }
 
 // hostSeconds returns the work of a job as a time of whole hosts.
--- a/rehearsal/rehearsal.go
+++ b/rehearsal/rehearsal.go
@@ -145,7 +145,7 @@
 	for i := range poolCount {
 		c.Pools = append(c.Pools, work.Pool{Name: poolName(i)})
 		c.Queues = append(c.Queues, work.Queue{
-			Name: fleet.QueueName(poolName(i)), Pool: poolName(i), MaxAttempts: 4, SlackFactor: slackFactor, Slack: slack,
+			Name: fleet.QueueName(poolName(i)), Pool: poolName(i), MaxAttempts: 4, SlackFactor: objectiveFactor, Slack: slack,
 		})
 	}
 	for i := range workspaceCount {
