--- a/rehearsal/demand.go
+++ b/rehearsal/demand.go
@@ -17,15 +17,15 @@
 	settleTime = 8 * time.Second
 	finishTime = 8 * time.Second
 
-	poolCount      = 4
-	workspaceCount = 6
-	hostCores      = 32000
-	hostMemory     = 65536
-	rackHosts      = 4
-	objectiveFactor    = 1.6
-	slack          = 600 * time.Millisecond
-	lastingPerPool = 2
-	lastingTasks   = 5
+	poolCount       = 4
+	workspaceCount  = 6
+	hostCores       = 32000
+	hostMemory      = 65536
+	rackHosts       = 4
+	objectiveFactor = 1.6
+	slack           = 600 * time.Millisecond
+	lastingPerPool  = 2
+	lastingTasks    = 5
 )
 
 // jobKind describes the jobs of a pool.
