balance: twice the headroom for pools of many hosts

Hypothesis: on grown sites headroom of a tenth of an equal part is used up within one move by a pool's rise.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -13,7 +13,7 @@
 	// headroomHosts and headroomShare are what a pool gets beyond the need of its work, so that new jobs need not wait for
 	// a move: a number of hosts, and a fraction of an equal part of all hosts.
 	headroomHosts = 2.0
-	headroomShare = 0.1
+	headroomShare = 0.2
 	// growthWindow is the period over which the growth of a pool's demand is measured.
 	growthWindow = time.Second
 	// largeJobHosts is the demand, in hosts, that a single large job may add at once.
