schedule: work out the deadlines of a job in one place

Cause: rank and addWork both computed a job's start, objective and expiry.

Change: deadlinesOf has them. No behaviour changes; the tests of ranks and of the workload pass unchanged.

--- a/schedule/rank.go
+++ b/schedule/rank.go
@@ -59,17 +59,12 @@
 	if j.entry.Job.Lasting() {
 		return r
 	}
-	from := j.knownSince
-	if due := j.entry.Job.Due(occurrence); due.After(from) {
-		from = due
-	}
-	total, remaining := criticalPath(j, occurrence)
-	aim := objective(q, total)
-	r.latestStart = from.Add(aim - remaining)
+	d := deadlinesOf(j, q, occurrence)
+	r.latestStart = d.due.Add(-d.remaining)
 	switch {
 	case !now.After(r.latestStart):
 		r.urgency = inTime
-	case !now.After(from.Add(overdueFactor*aim - remaining)):
+	case !now.After(d.expiry.Add(-d.remaining)):
 		r.urgency = late
 	default:
 		r.urgency = overdue
@@ -78,6 +73,26 @@
 	return r
 }
 
+// deadlines are the times by which an occurrence of a job must end.
+type deadlines struct {
+	// due is the end of the objective, expiry the time after which the end has no more value.
+	due, expiry time.Time
+	// remaining is the estimated duration of the longest chain of steps that are not done.
+	remaining time.Duration
+}
+
+// deadlinesOf returns the deadlines of an occurrence of a job that is not lasting.
+func deadlinesOf(j *job, q *work.Queue, occurrence int) deadlines {
+	from := j.knownSince
+	if due := j.entry.Job.Due(occurrence); due.After(from) {
+		from = due
+	}
+	total, remaining := criticalPath(j, occurrence)
+	aim := objective(q, total)
+
+	return deadlines{due: from.Add(aim), expiry: from.Add(overdueFactor * aim), remaining: remaining}
+}
+
 // objective returns the target duration of a job whose longest chain of steps takes total.
 func objective(q *work.Queue, total time.Duration) time.Duration {
 	return time.Duration(float64(total)*q.SlackFactor) + q.Slack
--- a/schedule/workload.go
+++ b/schedule/workload.go
@@ -132,13 +132,8 @@
 func (s *Scheduler) addWork(l *workload, j *job, q *work.Queue, occurrence int, now time.Time) {
 	e := j.entry
 	steps := e.Job.Steps
-	from := j.knownSince
-	if due := e.Job.Due(occurrence); due.After(from) {
-		from = due
-	}
-	total, remaining := criticalPath(j, occurrence)
-	aim := objective(q, total)
-	if now.After(from.Add(overdueFactor*aim - remaining)) {
+	d := deadlinesOf(j, q, occurrence)
+	if now.After(d.expiry.Add(-d.remaining)) {
 		return
 	}
 	tails, ends := tailLengths(steps), make([]time.Duration, len(steps))
@@ -159,7 +154,7 @@
 		ends[i] = max(left, ready+steps[i].Estimate)
 		l.waiting[q.Pool] = append(l.waiting[q.Pool], balance.Work{
 			Hosts: l.hosts(q.Pool, steps[i].Reserved().Times(int64(waiting))), Ready: ready, Length: steps[i].Estimate,
-			Latest: from.Add(aim - tails[i]).Sub(now), Expiry: from.Add(overdueFactor*aim - tails[i]).Sub(now),
+			Latest: d.due.Add(-tails[i]).Sub(now), Expiry: d.expiry.Add(-tails[i]).Sub(now),
 		})
 	}
 }
