balance: plan in slots of a move's length, and test each term of a size

Cause: the slots of a plan were 250 ms, over ten seconds, whatever a move took. With moves of a minute all that waits had to start within ten seconds, so pools grew for work that had time, and runs that end long before a move counted.

Change: a move has eight slots and a plan forty. With the moves of the users' sites that is 250 ms as before.

A comment said that a trip to standby costs two seconds of a host. It is 3.8 on Tuul, and it doesn't belong beside a constant.

--- a/balance/arrivals.go
+++ b/balance/arrivals.go
@@ -96,9 +96,10 @@
 	if h.length <= 0 {
 		return nil
 	}
-	hosts := urgentShare * b.ExpectedInflow(p, now) * slotWidth.Seconds() / h.length.Seconds()
+	width := b.slotWidth()
+	hosts := urgentShare * b.ExpectedInflow(p, now) * width.Seconds() / h.length.Seconds()
 	var list []Work
-	for at := time.Duration(0); at < b.leadTime; at += slotWidth {
+	for at := time.Duration(0); at < b.leadTime; at += width {
 		list = append(list, Work{Hosts: hosts, Ready: at, Latest: at + h.slack, Expiry: at + expiryFactor*h.slack, Length: h.length})
 	}
 
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -18,8 +18,7 @@
 	growthWindow = time.Second
 	// largeJobHosts is the demand, in hosts, that a single large job may add at once.
 	largeJobHosts = 1.0
-	// releaseDelay is how long a host must have been unneeded before it moves to standby; a move there and back costs
-	// about as much as two seconds of a host in a pool.
+	// releaseDelay is how long a host must have been unneeded before it moves to standby.
 	releaseDelay = time.Second
 	// tolerance is the number of hosts by which a pool may be smaller or larger than it wants, so that the end of one
 	// task and the start of the next cause no move.
@@ -83,6 +82,11 @@
 	return &Balancer{leadTime: leadTime, pools: map[fleet.PoolName]*history{}}
 }
 
+// slotWidth returns the grain of time of the plans.
+func (b *Balancer) slotWidth() time.Duration {
+	return max(1, b.leadTime/leadSlots)
+}
+
 // history returns the history of a pool, which it adds if there is none.
 func (b *Balancer) history(p fleet.PoolName) *history {
 	h, ok := b.pools[p]
@@ -97,7 +101,7 @@
 // WantedHosts returns the size that a pool needs for the work expected at the end of a move that begins now, if an equal
 // part of all hosts is part.
 func (b *Balancer) WantedHosts(p Pool, part float64, now time.Time) int {
-	f := newForecast(p, b.expectedWork(p.Name, now), b.leadTime)
+	f := newForecast(p, b.expectedWork(p.Name, now), b.slotWidth())
 	late := f.relax()
 	size := float64(f.need()) + headroomHosts + headroomShare*part
 	if growth := max(0, b.growth(p, now)); growth > 0 || late {
--- a/balance/need.go
+++ b/balance/need.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// slotWidth is the grain of time in which the future of a pool is planned, over slots of it.
-	slotWidth = 250 * time.Millisecond
-	slots     = 40
+	// leadSlots is the number of slots of time in a move with the time to decide on it, and slots that in a plan.
+	leadSlots = 8
+	slots     = 5 * leadSlots
 	// packing is the fraction of a host that tasks fill when enough of them wait.
 	packing = 0.95
 	// maxNeed is more than any pool needs.
@@ -39,11 +39,6 @@
 	Length time.Duration
 }
 
-// slotOf returns the slot that contains a time from now, within the plan.
-func slotOf(t time.Duration) int {
-	return min(slots-1, max(0, int(t/slotWidth)))
-}
-
 // forecast is the known and the expected work of a pool over the slots to come.
 type forecast struct {
 	// used is what the present runs occupy in each slot, in hosts.
@@ -51,16 +46,25 @@
 	// present is the number of hosts in service in each slot if no move is ordered.
 	present [slots]float64
 	work    []Work
-	// lead is the first slot in which hosts serve whose moves begin now.
-	lead int
+	// width is the length of a slot. Hosts whose moves begin now serve from slot leadSlots on.
+	width time.Duration
+}
+
+// slotOf returns the slot that contains a time from now, within the plan.
+func (f *forecast) slotOf(t time.Duration) int {
+	return min(slots-1, max(0, int(t/f.width)))
+}
+
+// slotsIn returns the number of slots that a duration touches, at least one.
+func (f *forecast) slotsIn(d time.Duration) int {
+	return max(1, int(math.Ceil(float64(d)/float64(f.width))))
 }
 
 // newForecast returns the forecast of a pool with work that is expected beside what is known.
-func newForecast(p Pool, expected []Work, lead time.Duration) *forecast {
-	f := &forecast{work: slices.Concat(p.Waiting, expected), lead: slotOf(lead)}
+func newForecast(p Pool, expected []Work, width time.Duration) *forecast {
+	f := &forecast{work: slices.Concat(p.Waiting, expected), width: width}
 	for _, r := range p.Running {
-		last := int(math.Ceil(r.Left.Seconds() / slotWidth.Seconds()))
-		for i := range min(slots, max(1, last)) {
+		for i := range min(slots, f.slotsIn(r.Left)) {
 			f.used[i] += r.Hosts
 		}
 	}
@@ -69,7 +73,7 @@
 		f.present[i] = float64(p.Hosts - arriving)
 	}
 	for _, at := range p.Arrivals {
-		for i := slotOf(at); i < slots; i++ {
+		for i := f.slotOf(at); i < slots; i++ {
 			f.present[i]++
 		}
 	}
@@ -84,7 +88,7 @@
 	missed := f.missed(maxNeed)
 	for _, i := range missed {
 		w := &f.work[i]
-		w.Latest = max(w.Expiry, w.Ready, time.Duration(f.lead)*slotWidth)
+		w.Latest = max(w.Expiry, w.Ready, leadSlots*f.width)
 	}
 	slices.SortStableFunc(f.work, func(a, b Work) int { return cmp.Compare(a.Latest, b.Latest) })
 
@@ -94,7 +98,7 @@
 // need returns the least number of hosts for the runs that go on until a move is done, with which all work starts in
 // time; the objectives must be possible.
 func (f *forecast) need() int {
-	low, high := int(math.Ceil(f.used[f.lead]/packing)), maxNeed
+	low, high := int(math.Ceil(f.used[leadSlots]/packing)), maxNeed
 	for low < high {
 		mid := (low + high) / 2
 		if len(f.missed(mid)) == 0 {
@@ -113,14 +117,14 @@
 	var free [slots]float64
 	for i := range slots {
 		n := float64(hosts)
-		if i < f.lead {
+		if i < leadSlots {
 			n = min(n, f.present[i])
 		}
 		free[i] = n*packing - f.used[i]
 	}
 	var late []int
 	for i, w := range f.work {
-		if !start(w, &free) {
+		if !f.start(w, &free) {
 			late = append(late, i)
 		}
 	}
@@ -129,10 +133,10 @@
 }
 
 // start takes the room of a piece of work, and reports whether all of it starts in time.
-func start(w Work, free *[slots]float64) bool {
+func (f *forecast) start(w Work, free *[slots]float64) bool {
 	left := w.Hosts
-	length := max(1, int(math.Ceil(w.Length.Seconds()/slotWidth.Seconds())))
-	for at := slotOf(w.Ready); at <= slotOf(w.Latest) && left > negligible; at++ {
+	length := f.slotsIn(w.Length)
+	for at := f.slotOf(w.Ready); at <= f.slotOf(w.Latest) && left > negligible; at++ {
 		end := min(slots, at+length)
 		part := max(0, min(left, slices.Min(free[at:end])))
 		for i := at; i < end; i++ {
