Log the sizes that decided a move

Cause: the log said of a move which pool it is for, but not why.

Change: the reason of HostEmptying and HostOrdered has the size of the pool that gets or gives up the host, beside the size that was decided for it. No decision changes.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math"
 	"slices"
 	"time"
@@ -52,6 +53,8 @@
 	Host fleet.HostName
 	From fleet.PoolName
 	To   fleet.PoolName
+	// Reason is the size of the pool that gets or gives up the host, beside the size that was decided, for logs.
+	Reason string
 }
 
 // demand returns the work that runs and the work that could run now, in hosts.
@@ -198,12 +201,14 @@
 		target := targets[i]
 		recent := b.history(p.Name).recentMax(wants[i], now)
 		if p.Hosts < p.MinHosts || p.Hosts+tolerance < target {
-			shortages = append(shortages, shortage{p.Name, target - p.Hosts})
+			shortages = append(shortages, shortage{p.Name, target - p.Hosts, sizeReason(p, target)})
 			continue
 		}
 		idle := p.Idle[:max(0, min(len(p.Idle), p.Hosts-wants[i]))]
 		for n, host := range idle {
-			unneeded = append(unneeded, unneededHost{Move{Host: host, From: p.Name, To: standby}, p.Hosts-n > recent+tolerance})
+			unneeded = append(unneeded, unneededHost{
+				Move{Host: host, From: p.Name, To: standby, Reason: sizeReason(p, wants[i])}, p.Hosts-n > recent+tolerance,
+			})
 		}
 		if over := p.Hosts - target - len(idle); float64(over) > minSurplus*float64(target) {
 			rest := slices.Concat(p.Idle[len(idle):], p.Busy)
@@ -237,16 +242,16 @@
 		for range l.hosts {
 			switch {
 			case len(unneeded) > 0 && unneeded[0].releasable:
-				moves = append(moves, Move{Host: unneeded[0].Host, From: unneeded[0].From, To: l.pool})
+				moves = append(moves, l.move(unneeded[0].Host, unneeded[0].From))
 				unneeded = unneeded[1:]
 			case len(spares) > 0:
-				moves = append(moves, Move{Host: spares[0], From: standby, To: l.pool})
+				moves = append(moves, l.move(spares[0], standby))
 				spares = spares[1:]
 			case len(unneeded) > 0:
-				moves = append(moves, Move{Host: unneeded[0].Host, From: unneeded[0].From, To: l.pool})
+				moves = append(moves, l.move(unneeded[0].Host, unneeded[0].From))
 				unneeded = unneeded[1:]
 			case len(surplus) > 0:
-				moves = append(moves, Move{Host: surplus[0].Host, From: surplus[0].From, To: l.pool})
+				moves = append(moves, l.move(surplus[0].Host, surplus[0].From))
 				surplus = surplus[1:]
 			}
 		}
@@ -273,6 +278,17 @@
 
 // shortage is the number of hosts that a pool is short of.
 type shortage struct {
-	pool  fleet.PoolName
-	hosts int
+	pool   fleet.PoolName
+	hosts  int
+	reason string
+}
+
+// move returns the move of a host into the pool.
+func (s shortage) move(h fleet.HostName, from fleet.PoolName) Move {
+	return Move{Host: h, From: from, To: s.pool, Reason: s.reason}
+}
+
+// sizeReason returns the size of a pool beside the size that was decided for it.
+func sizeReason(p Pool, size int) string {
+	return fmt.Sprintf("%s has %d hosts of %d", p.Name, p.Hosts, size)
 }
--- a/balance/need_test.go
+++ b/balance/need_test.go
@@ -113,7 +113,7 @@
 func TestMinimumSizeWithoutTolerance(t *testing.T) {
 	now := time.Date(2026, 4, 15, 0, 0, 0, 0, time.UTC)
 	p := balance.Pool{Name: "a", Hosts: 19, MinHosts: 20}
-	want := []balance.Move{{Host: "spare", From: standby, To: "a"}}
+	want := []balance.Move{{Host: "spare", From: standby, To: "a", Reason: "a has 19 hosts of 20"}}
 	if diff := cmp.Diff(want, balance.New(moveTime).Plan([]balance.Pool{p}, standby, []fleet.HostName{"spare"}, now)); diff != "" {
 		t.Errorf("moves (-want +got):\n%s", diff)
 	}
--- a/schedule/host.go
+++ b/schedule/host.go
@@ -47,6 +47,8 @@
 type hostPlan struct {
 	wave int64
 	pool fleet.PoolName
+	// reason is why the host moves.
+	reason string
 }
 
 // String returns the plan as it appears in logs.
@@ -55,7 +57,7 @@
 		return "maintenance of wave " + strconv.FormatInt(p.wave, 10)
 	}
 
-	return "move to " + string(p.pool)
+	return "move to " + string(p.pool) + ", " + p.reason
 }
 
 // HostOrder is a request to the cloud to maintain or move a host.
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -30,7 +30,7 @@
 		if h.refusedPools[m.To] {
 			continue
 		}
-		s.drain(h, hostPlan{pool: m.To}, now)
+		s.drain(h, hostPlan{pool: m.To, reason: m.Reason}, now)
 	}
 }
 
