schedule: drop the arrivals of earlier terms

Cause: ablation. A new owner told the balancer of the jobs that had arrived before its term. An owner sends no host to standby in its first three seconds, which is as long as the record reaches, and the work of those jobs that is not done counts as waiting work anyway.

--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -7,7 +7,6 @@
 
 	"lycheehook.example/lycheehook/balance"
 	"lycheehook.example/lycheehook/fleet"
-	"lycheehook.example/lycheehook/ledger"
 	"lycheehook.example/lycheehook/work"
 )
 
@@ -23,7 +22,6 @@
 		return
 	}
 	s.plannedAt = now
-	s.recordEarlierArrivals()
 	standby, spares := s.standby(now)
 	for _, m := range s.balancer.Plan(s.poolStates(now), standby, spares, now) {
 		h := s.hosts[m.Host]
@@ -188,15 +186,3 @@
 	a.Slack = objective(q, total) - total
 	s.balancer.RecordArrival(q.Pool, a, at)
 }
-
-// recordEarlierArrivals reports the jobs in the ledger that arrived before this term to the balancer, once the hosts are
-// known.
-func (s *Scheduler) recordEarlierArrivals() {
-	slices.SortFunc(s.earlier, func(a, b *ledger.Entry) int {
-		return cmp.Or(a.Job.Submitted.Compare(b.Job.Submitted), cmp.Compare(a.Job.ID, b.Job.ID))
-	})
-	for _, e := range s.earlier {
-		s.recordArrival(&job{entry: e}, e.Job.Submitted)
-	}
-	s.earlier = nil
-}
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -46,8 +46,6 @@
 	// maintainedBefore has the hosts that previous owners maintained for each wave.
 	maintainedBefore map[int64][]fleet.HostName
 	balancer         *balance.Balancer
-	// earlier has the jobs of the ledger that arrived before the term, until the balancer was told of them.
-	earlier []*ledger.Entry
 	// plannedAt is when moves between pools were last planned.
 	plannedAt time.Time
 	// unplaced has the steps whose tasks found no room in the last placement.
@@ -109,7 +107,6 @@
 	}
 	for _, e := range entries {
 		s.adopt(e, now)
-		s.earlier = append(s.earlier, e)
 	}
 
 	return s
