rehearsal: play a fleet of its own

Change: ten hosts a pool, other sizes and rates, and a turn of five seconds; comments say what the code does. No decision of the scheduler or the balancer changes.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -101,8 +101,9 @@
 	return h
 }
 
-// WantedHosts returns the size that a pool needs for the work expected at the end of a move that begins now, if an equal
-// part of all hosts is part.
+// WantedHosts returns the size that a pool wants for its work at the end of a move that begins now, if an equal part of all
+// hosts is part. If some work can't start in time with any number of hosts, or demand grows, there must be room for all of it
+// at once.
 func (b *Balancer) WantedHosts(p Pool, part float64, now time.Time) int {
 	f := newForecast(p, b.expectedWork(p.Name, now), b.slotWidth())
 	late := f.relax()
--- a/rehearsal/demand.go
+++ b/rehearsal/demand.go
@@ -19,11 +19,11 @@
 
 	poolCount       = 4
 	workspaceCount  = 6
-	hostCores       = 32000
-	hostMemory      = 65536
-	rackHosts       = 4
-	objectiveFactor = 1.6
-	slack           = 600 * time.Millisecond
+	hostCores       = 48000
+	hostMemory      = 98304
+	rackHosts       = 5
+	objectiveFactor = 1.5
+	slack           = 800 * time.Millisecond
 	lastingPerPool  = 2
 	lastingTasks    = 5
 )
@@ -40,10 +40,10 @@
 
 // kinds are the pools' jobs, which use about a third of the fleet on average.
 var kinds = [poolCount]jobKind{
-	{hosts: 8, perSecond: 5.5, steps: 1.6, tasks: 6, cores: 1800, seconds: 1},
-	{hosts: 9, perSecond: 1.4, steps: 2, tasks: 8, cores: 3800, seconds: 1.3},
-	{hosts: 11, perSecond: 7, steps: 1.6, tasks: 6, cores: 1800, seconds: 1},
-	{hosts: 12, perSecond: 1.7, steps: 2, tasks: 8, cores: 3800, seconds: 1.3},
+	{hosts: 10, perSecond: 6, steps: 1.5, tasks: 5, cores: 3000, seconds: 0.9},
+	{hosts: 10, perSecond: 1.5, steps: 2.5, tasks: 7, cores: 6000, seconds: 1.2},
+	{hosts: 10, perSecond: 6, steps: 1.5, tasks: 5, cores: 3000, seconds: 0.9},
+	{hosts: 10, perSecond: 1.5, steps: 2.5, tasks: 7, cores: 6000, seconds: 1.2},
 }
 
 const standbyHosts = 8
@@ -104,7 +104,7 @@
 		ID: fleet.JobID(fmt.Sprintf("%016x", number+1)), Queue: fleet.QueueName(poolName(pool)), Pool: poolName(pool),
 		Workspace: workspaceName(number % workspaceCount), Submitted: start.Add(at),
 		Steps: []work.Step{{
-			Count: lastingTasks, Lasting: true, MaxPerWorker: 2, Size: fleet.Resources{Cores: 2800, Memory: 4096},
+			Count: lastingTasks, Lasting: true, MaxPerWorker: 2, Size: fleet.Resources{Cores: 4000, Memory: 6144},
 		}},
 	}
 
@@ -119,7 +119,7 @@
 		ID: fleet.JobID(fmt.Sprintf("%016x", number+1)), Queue: fleet.QueueName(poolName(pool)), Pool: poolName(pool),
 		Workspace: workspaceName(ws), Submitted: start.Add(at),
 	}
-	cores, memory := spread(rng, k.cores, 0.45, 3), spread(rng, 1.85*k.cores, 0.6, 3)
+	cores, memory := spread(rng, k.cores, 0.45, 3), spread(rng, 2*k.cores, 0.5, 3)
 	a := arrival{at: at}
 	for i := range steps {
 		mean := spread(rng, k.seconds, 0.5, 2.5)
--- a/rehearsal/pattern.go
+++ b/rehearsal/pattern.go
@@ -37,10 +37,10 @@
 	ownerGap     = 2500 * time.Millisecond
 	waveTime     = 28 * time.Second
 	// turnTime is the time from one pool's peak to that of the next.
-	turnTime = 4500 * time.Millisecond
+	turnTime = 5 * time.Second
 	// quietRate and peakRate are the rates outside and at the top of a peak.
-	quietRate = 0.05
-	peakRate  = 4
+	quietRate = 0.1
+	peakRate  = 3.5
 )
 
 // Patterns returns the patterns that a rehearsal can play.
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -86,7 +86,7 @@
 					st.Busy = append(st.Busy, h.Host)
 				}
 			case h.phase == inService && h.State == work.HostDown && now.Sub(s.firstListed) < s.bounds.MoveTime:
-				// A host that starts together with this owner comes into service sooner than another would.
+				// Another host would take as long to come into service as this one may take to start.
 				st.Hosts++
 				st.Arrivals = append(st.Arrivals, s.bounds.MoveTime-now.Sub(s.firstListed))
 			case h.plan.wave != 0:
--- a/schedule/workload_test.go
+++ b/schedule/workload_test.go
@@ -74,8 +74,7 @@
 	}
 }
 
-// Hosts that start together with the owner come into service sooner than any from standby, so none is moved in for them
-// (Tuul, each day: eight moves at the start of the fleet, and back).
+// Hosts that are starting when the owner first lists them get the time of a move before others replace them.
 func TestStartingHostsCount(t *testing.T) {
 	now := time.Date(2026, 9, 10, 16, 0, 0, 0, time.UTC)
 	s := workloadFleet(map[fleet.JobID]*ledger.Entry{}, now, work.HostDown)
