owner: show that a weak host owns the workers after a restart

Cause: a host leaves a new term to stronger ones for 400 ms from when it could bid itself. Hosts with narrow links know the owner and the hosts at once; those with wide links, the strong ones, bid only after they have read the whole ledger, which takes longer when all hosts start at once. And nothing takes the ownership from a weak host later.

--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -14,6 +14,7 @@
 	"lycheehook.example/lycheehook/fleet"
 	"lycheehook.example/lycheehook/ledger"
 	"lycheehook.example/lycheehook/standin"
+	"lycheehook.example/lycheehook/store"
 )
 
 // contender is a process that competes for terms and records the last one.
@@ -37,15 +38,21 @@
 }
 
 func startContenderOn(ctx context.Context, s *standin.Store, host ledger.Host, process string) *contender {
+	return startContenderWith(ctx, s.Client(), host, process)
+}
+
+func startContenderWith(
+	ctx context.Context, client *store.Client, host ledger.Host, process string, options ...ledger.FollowerOption,
+) *contender {
 	c := &contender{}
 	l := log.New(io.Discard)
 	began := time.Now()
 	uptime := func() time.Duration { return time.Since(began) + time.Duration(c.ahead.Load()) + time.Second }
-	c.seat = NewSeat(s.Client(), host, l, WithUptime(uptime))
-	f := ledger.NewFollower(s.Client(), l)
+	c.seat = NewSeat(client, host, l, WithUptime(uptime))
+	f := ledger.NewFollower(client, l, options...)
 	go f.Run(ctx)
 	go c.seat.Run(ctx)
-	go NewCandidate(s.Client(), c.seat, f, process, l).Run(ctx, func(ctx context.Context, t *Term) {
+	go NewCandidate(client, c.seat, f, process, l).Run(ctx, func(ctx context.Context, t *Term) {
 		c.mu.Lock()
 		c.term = t
 		c.mu.Unlock()
@@ -122,6 +129,71 @@
 	})
 }
 
+// Accepted jobs did not start for the rest of the day: after a restart of all hosts a weak one became the owner, since the
+// strong ones could not bid before they had read the whole ledger.
+func TestStrongerHostSucceedsAfterRestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := standin.NewStore()
+		ctx, cancel := context.WithCancel(t.Context())
+		for _, name := range []fleet.EntryName{"a", "b", "c", "d"} {
+			startContenderWith(
+				ctx, s.Client(), ledger.Host{Name: name, PeerAddress: string(name), Cores: 0.192}, "p-"+string(name),
+				ledger.WithPatience(func() time.Duration { return 5 * time.Second }),
+			)
+		}
+		strong := startContenderWith(
+			ctx, withLongLedger(s.Client(), 1500*time.Millisecond), ledger.Host{Name: "f", PeerAddress: "f", Cores: 0.8}, "p-f",
+		)
+		time.Sleep(leaseTime)
+		if !strong.valid() {
+			t.Error("a weak host became the owner although a strong one started at the same time")
+		}
+		cancel()
+		synctest.Wait()
+		time.Sleep(10 * time.Second)
+	})
+}
+
+// withLongLedger returns a client that takes some time to read the whole ledger.
+func withLongLedger(c *store.Client, took time.Duration) *store.Client {
+	slow := *c
+	slow.List = func(ctx context.Context, prefix string) (store.Listing, error) {
+		if prefix == ledger.Prefix {
+			time.Sleep(took)
+		}
+
+		return c.List(ctx, prefix)
+	}
+
+	return &slow
+}
+
+// Accepted jobs did not start for the rest of the day: a weak owner kept its term although strong hosts were back.
+func TestWeakOwnerHandsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := standin.NewStore()
+		ctx, cancel := context.WithCancel(t.Context())
+		weak := startContenderOn(ctx, s, ledger.Host{Name: "a", PeerAddress: "a", Cores: 0.192}, "p-a")
+		time.Sleep(time.Second)
+		if !weak.valid() {
+			t.Error("the only host is not the owner")
+		}
+		strong := startContenderOn(ctx, s, ledger.Host{Name: "f", PeerAddress: "f", Cores: 0.8}, "p-f")
+		for range 80 {
+			time.Sleep(100 * time.Millisecond)
+			if weak.valid() && strong.valid() {
+				t.Fatal("two owners at a time")
+			}
+		}
+		if !strong.valid() {
+			t.Error("a weak host remains the owner although a strong one has been there for eight seconds")
+		}
+		cancel()
+		synctest.Wait()
+		time.Sleep(5 * time.Second)
+	})
+}
+
 // A term expires during a suspend, although the Go runtime's clock stops.
 func TestSuspendedOwner(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
