owner: leave a new term to stronger hosts for as long as they are there

What callers saw: after a restart of all hosts accepted jobs did not start, though most workers were free. A host with a quarter of the cores of the strongest ones owned the workers and was at the limit of its processor.

A host left a new term to stronger ones for 400 ms from when it could bid itself, and the strong hosts could not bid before they had read the whole ledger, which lasts for seconds when all hosts read it at once.

Change: each host first reads the owner and the entry hosts, which are small, so that it can bid within milliseconds of its lease, whatever the length of the ledger; and a weaker host defers while a stronger one holds a lease, up to twice a lease, in place of a fixed pause. A host that fails loses its record within a lease and is no longer waited for.

Why this works: the head start no longer depends on how long the ledger is, and its end is an event, the loss of the lease, in place of a time.

--- a/ledger/follower.go
+++ b/ledger/follower.go
@@ -126,20 +126,26 @@
 	}
 }
 
-// followHosts keeps the owner and the entry hosts up to date until the full read of the ledger is due.
+// followHosts keeps the owner and the entry hosts up to date until the full read of the ledger is due. It reads them at least
+// once before the first full read, which takes long if the ledger is large.
 func (f *Follower) followHosts(ctx context.Context, wait time.Duration) {
 	if wait > 0 {
 		f.setFollowed(0)
 	}
-	for began := time.Now(); ctx.Err() == nil && !f.ownsWorkers() && time.Since(began) < wait; {
+	due := time.Now().Add(wait)
+	for ctx.Err() == nil && !f.ownsWorkers() && (f.Book() == nil || time.Now().Before(due)) {
 		b, err := ReadHosts(ctx, f.client)
 		if err != nil {
 			f.log.Warn("can't read the entry hosts; retrying", "error", err)
-		} else {
-			f.current.Store(b)
-			f.signal()
+			f.waitBetweenWatches(ctx)
+
+			continue
+		}
+		f.current.Store(b)
+		f.signal()
+		if time.Now().Before(due) {
+			f.waitBetweenWatches(ctx)
 		}
-		f.waitBetweenWatches(ctx)
 	}
 }
 
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -15,9 +16,9 @@
 const (
 	// strongerRatio is how many times the cores of this host another host must have for this one to defer to it.
 	strongerRatio = 1.5
-	// deferPause is how long a host leaves a new term to stronger hosts; they learn of the end of the last one within the
-	// pause between two watches of the ledger.
-	deferPause = 400 * time.Millisecond
+	// deferLimit is the longest time for which a host leaves a new term to stronger hosts. The record of a host that has
+	// failed is gone within leaseTime; the limit is for those that live and can't bid.
+	deferLimit = 2 * leaseTime
 )
 
 // Term is a period in which this process owns the workers.
@@ -78,7 +79,9 @@
 		case revision != 0:
 			t = c.recoverTerm(revision)
 		default:
-			c.deferToStronger(ctx, b.Hosts())
+			if !c.deferToStronger(ctx) {
+				continue
+			}
 			t = c.acquire(ctx, 0)
 		}
 		if t == nil {
@@ -93,14 +96,25 @@
 	}
 }
 
-// deferToStronger gives hosts with more cores a head start, since the owner does most of the work.
-func (c *Candidate) deferToStronger(ctx context.Context, hosts []ledger.Host) {
-	for _, h := range hosts {
-		if h.Cores > strongerRatio*c.seat.host.Cores {
-			pause.For(ctx, deferPause)
-			return
+// deferToStronger leaves a new term to stronger hosts, since the owner does most of the work. It returns once there are none or
+// deferLimit has passed, or once there is an owner, and reports whether there is still none.
+func (c *Candidate) deferToStronger(ctx context.Context) bool {
+	for limit := time.Now().Add(deferLimit); ctx.Err() == nil; pause.For(ctx, contentionPause) {
+		b := c.follower.Book()
+		if _, revision := b.Owner(); revision != 0 {
+			return false
+		}
+		if !c.hasStronger(b.Hosts()) || !time.Now().Before(limit) {
+			return true
 		}
 	}
+
+	return false
+}
+
+// hasStronger reports whether any of the hosts is stronger than this one.
+func (c *Candidate) hasStronger(hosts []ledger.Host) bool {
+	return slices.ContainsFunc(hosts, func(h ledger.Host) bool { return h.Cores > strongerRatio*c.seat.host.Cores })
 }
 
 // recoverTerm returns the term of a record that this process wrote without receiving the store's answer.
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -119,7 +119,7 @@
 		strong := startContenderOn(ctx, s, ledger.Host{Name: "f", PeerAddress: "f", Cores: 0.8}, "p-f")
 		time.Sleep(2 * time.Second)
 		kill()
-		time.Sleep(2*leaseTime + deferPause)
+		time.Sleep(2*leaseTime + 400*time.Millisecond)
 		if !strong.valid() {
 			t.Error("a weak host became the owner although a strong one is available")
 		}
@@ -135,15 +135,16 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := standin.NewStore()
 		ctx, cancel := context.WithCancel(t.Context())
+		strong := startContenderWith(
+			ctx, withLongLedger(s.Client(), 1500*time.Millisecond), ledger.Host{Name: "f", PeerAddress: "f", Cores: 0.8}, "p-f",
+		)
+		time.Sleep(30 * time.Millisecond)
 		for _, name := range []fleet.EntryName{"a", "b", "c", "d"} {
 			startContenderWith(
 				ctx, s.Client(), ledger.Host{Name: name, PeerAddress: string(name), Cores: 0.192}, "p-"+string(name),
 				ledger.WithPatience(func() time.Duration { return 5 * time.Second }),
 			)
 		}
-		strong := startContenderWith(
-			ctx, withLongLedger(s.Client(), 1500*time.Millisecond), ledger.Host{Name: "f", PeerAddress: "f", Cores: 0.8}, "p-f",
-		)
 		time.Sleep(leaseTime)
 		if !strong.valid() {
 			t.Error("a weak host became the owner although a strong one started at the same time")
@@ -154,6 +155,24 @@
 	})
 }
 
+// A strong host that holds a lease and never bids keeps the workers without an owner for a bounded time only.
+func TestStrongerHostThatNeverBids(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := standin.NewStore()
+		ctx, cancel := context.WithCancel(t.Context())
+		go NewSeat(s.Client(), ledger.Host{Name: "f", PeerAddress: "f", Cores: 0.8}, log.New(io.Discard)).Run(ctx)
+		time.Sleep(30 * time.Millisecond)
+		weak := startContenderOn(ctx, s, ledger.Host{Name: "a", PeerAddress: "a", Cores: 0.192}, "p-a")
+		time.Sleep(deferLimit + time.Second)
+		if !weak.valid() {
+			t.Error("there is no owner although a host bids")
+		}
+		cancel()
+		synctest.Wait()
+		time.Sleep(5 * time.Second)
+	})
+}
+
 // withLongLedger returns a client that takes some time to read the whole ledger.
 func withLongLedger(c *store.Client, took time.Duration) *store.Client {
 	slow := *c
