--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -213,6 +213,29 @@
 	})
 }
 
+// An owner that stronger hosts don't relieve keeps the workers, but for one try in handoverInterval.
+func TestHandoverThatFails(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := standin.NewStore()
+		ctx, cancel := context.WithCancel(t.Context())
+		go NewSeat(s.Client(), ledger.Host{Name: "f", PeerAddress: "f", Cores: 0.8}, log.New(io.Discard)).Run(ctx)
+		weak := startContenderOn(ctx, s, ledger.Host{Name: "a", PeerAddress: "a", Cores: 0.192}, "p-a")
+		without := 0
+		for range 600 {
+			time.Sleep(100 * time.Millisecond)
+			if !weak.valid() {
+				without++
+			}
+		}
+		if limit := int(2 * (deferLimit + leaseTime) / (100 * time.Millisecond)); without > limit {
+			t.Errorf("no owner in %d of 600 steps, want at most %d", without, limit)
+		}
+		cancel()
+		synctest.Wait()
+		time.Sleep(5 * time.Second)
+	})
+}
+
 // A term expires during a suspend, although the Go runtime's clock stops.
 func TestSuspendedOwner(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
