owner: remove the record of a term that was given up until it is gone

What callers would see: no accepted job starts for as long as one process lives, though every host is well.

Cause: of the class of a claim that outlives its holder. If the store did not carry it out, the record lasted, since its lease goes on being renewed for the host; the process did not own the workers, and no other host could bid.

Change: the removal is repeated until it succeeds, conflicts, or the lease has ended. A process that stops tries once, and then revokes its lease.

Test: TestGivenUpTermIsRemoved fails before, with a store that is down and one that is silent for half a lease: 1 terms in ten seconds, want 2.

--- a/owner/owner.go
+++ b/owner/owner.go
@@ -107,7 +107,7 @@
 		c.serve(ctx, t, serve)
 		c.ended = t.Revision
 		c.log.Info("no longer owns the workers", "term", t.Revision)
-		c.resign(context.WithoutCancel(ctx), t)
+		c.resign(ctx, t)
 	}
 }
 
@@ -187,16 +187,29 @@
 	return &Term{Revision: revision, lease: lease, seat: c.seat}
 }
 
-// resign removes the Owner record, so that the next term can begin at once.
+// resign removes the Owner record, so that the next term can begin at once. It tries until the record is gone, since otherwise
+// the record lasts as long as the lease, which the process keeps. Once the context has ended, it tries once.
 func (c *Candidate) resign(ctx context.Context, t *Term) {
+	for {
+		err := c.removeRecord(context.WithoutCancel(ctx), t)
+		if id, _ := c.seat.Lease(); err == nil || errors.Is(err, store.ErrConflict) || id != t.lease {
+			return
+		}
+		c.log.Warn("can't remove the owner record", "term", t.Revision, "error", err)
+		if !pause.For(ctx, retryPause) {
+			return
+		}
+	}
+}
+
+func (c *Candidate) removeRecord(ctx context.Context, t *Term) error {
 	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
 	_, err := c.client.Commit(ctx, store.Txn{
 		Expect: []store.Expectation{{Key: ledger.OwnerKey, Revision: t.Revision}}, Removes: []string{ledger.OwnerKey},
 	})
-	if err != nil && !errors.Is(err, store.ErrConflict) {
-		c.log.Warn("can't remove the owner record; it expires with its lease", "error", err)
-	}
+
+	return err
 }
 
 func (c *Candidate) waitForChange(ctx context.Context) {
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -213,6 +213,69 @@
 	})
 }
 
+// A term that its process has given up, and whose record could not be removed at once, kept every host from owning the workers
+// for as long as the process lived.
+func TestGivenUpTermIsRemoved(t *testing.T) {
+	for _, fault := range []standin.Fault{standin.FaultDown, standin.FaultSilent, standin.FaultAnswerLost} {
+		t.Run(string(fault), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := standin.NewStore()
+				ctx, cancel := context.WithCancel(t.Context())
+				client := withReadTimeout(s.Client(), 3*time.Second)
+				l := log.New(io.Discard)
+				seat := NewSeat(client, ledger.Host{Name: "a", PeerAddress: "a"}, l, WithUptime(steadyUptime()))
+				f := ledger.NewFollower(client, l)
+				go f.Run(ctx)
+				go seat.Run(ctx)
+				var terms atomic.Int64
+				go NewCandidate(client, seat, f, "p-a", l).Run(ctx, func(ctx context.Context, _ *Term) {
+					if terms.Add(1) > 1 {
+						<-ctx.Done()
+						return
+					}
+					time.Sleep(time.Second)
+					s.SetFault(fault)
+					// The store is well again before the lease of the process ends.
+					time.AfterFunc(leaseTime/2, func() { s.SetFault(standin.FaultNone) })
+				})
+				time.Sleep(10 * time.Second)
+				if n := terms.Load(); n != 2 {
+					t.Errorf("%d terms in ten seconds, want 2", n)
+				}
+				cancel()
+				synctest.Wait()
+				time.Sleep(5 * time.Second)
+			})
+		})
+	}
+}
+
+// withReadTimeout returns a client whose reads end in time, as those of the platform's client do.
+func withReadTimeout(c *store.Client, timeout time.Duration) *store.Client {
+	bounded := *c
+	bounded.Watch = func(ctx context.Context, prefix string, after uint64, wait time.Duration) (store.Events, error) {
+		ctx, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+
+		return c.Watch(ctx, prefix, after, wait)
+	}
+	bounded.List = func(ctx context.Context, prefix string) (store.Listing, error) {
+		ctx, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+
+		return c.List(ctx, prefix)
+	}
+
+	return &bounded
+}
+
+// steadyUptime returns a clock for leases that starts above zero.
+func steadyUptime() func() time.Duration {
+	began := time.Now()
+
+	return func() time.Duration { return time.Since(began) + time.Second }
+}
+
 // An owner that stronger hosts don't relieve keeps the workers, but for one try in handoverInterval.
 func TestHandoverThatFails(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
