dispatch: end a term whose owner can't read the ledger

What callers would see: no accepted job starts although other hosts are well.

Cause: of the class of an owner that keeps its term without doing its work. A new owner read the ledger again and again for as long as its lease lasted. Now that hosts bid before they have read the ledger, one that can't read it may win.

Change: after twelve seconds without the ledger the term ends, and a process that gave up its term leaves the next one to others for a second.

Test: dispatch.TestOwnerThatCannotReadTheLedger fails before: the host that can read the ledger does not own the workers

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -31,6 +31,8 @@
 	followTimeout = time.Second
 	// readTimeout replaces followTimeout while the follower's first full read is running, which takes seconds on a slow link.
 	readTimeout = 5 * time.Second
+	// maxReadTime limits the whole time in which a new term must have read the ledger; another host may be able to.
+	maxReadTime = 12 * time.Second
 )
 
 // Dispatcher runs the scheduler while this process owns the workers.
@@ -152,6 +154,7 @@
 
 	book, err := t.readLedger(ctx)
 	if err != nil {
+		d.log.Error("can't read the ledger; the term ends", "term", ownership.Revision, "error", err)
 		return
 	}
 	t.sched = schedule.New(ownership.Revision, d.bounds, book.Entries(), time.Now(), schedule.WithObserver(d.observe))
@@ -188,13 +191,15 @@
 		return book, nil
 	}
 	t.log.Warn("ledger follower is behind the start of the term; reading the whole ledger", "error", err)
+	reading, stop := context.WithTimeout(ctx, maxReadTime-timeout)
+	defer stop()
 	for {
-		book, _, err = ledger.Read(ctx, t.client)
-		if err == nil || ctx.Err() != nil || t.ownership.Ended() {
+		book, _, err = ledger.Read(reading, t.client)
+		if err == nil || reading.Err() != nil || t.ownership.Ended() {
 			return book, err
 		}
 		t.log.Warn("can't read the ledger at the start of the term; retrying", "error", err)
-		pause.For(ctx, retryPause)
+		pause.For(reading, retryPause)
 	}
 }
 
--- /dev/null
+++ b/dispatch/term_test.go
@@ -0,0 +1,73 @@
+package dispatch
+
+import (
+	"context"
+	"io"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"lycheehook.example/lycheehook/fleet"
+	"lycheehook.example/lycheehook/ledger"
+	"lycheehook.example/lycheehook/owner"
+	"lycheehook.example/lycheehook/schedule"
+	"lycheehook.example/lycheehook/standin"
+	"lycheehook.example/lycheehook/store"
+	"lycheehook.example/lycheehook/work"
+)
+
+// An owner that could not read the ledger kept its term, so that no accepted job started although another host could read it.
+func TestOwnerThatCannotReadTheLedger(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := standin.NewStore()
+		ctx, cancel := context.WithCancel(t.Context())
+		blind := *s.Client()
+		blind.List = func(ctx context.Context, prefix string) (store.Listing, error) {
+			if prefix == ledger.Prefix {
+				return store.Listing{}, store.ErrUnavailable
+			}
+
+			return s.Client().List(ctx, prefix)
+		}
+		var terms, othersTerms atomic.Int64
+		runCandidate(ctx, &blind, "a", func(ctx context.Context, d *Dispatcher, tm *owner.Term) {
+			terms.Add(1)
+			d.Serve(ctx, tm)
+		})
+		time.Sleep(time.Second)
+		if terms.Load() != 1 {
+			t.Fatal("the only host is not the owner")
+		}
+		runCandidate(ctx, s.Client(), "b", func(ctx context.Context, d *Dispatcher, tm *owner.Term) {
+			othersTerms.Add(1)
+			d.Serve(ctx, tm)
+		})
+		time.Sleep(maxReadTime + 2*time.Second)
+		if othersTerms.Load() != 1 {
+			t.Error("the host that can read the ledger does not own the workers")
+		}
+		cancel()
+		synctest.Wait()
+		time.Sleep(10 * time.Second)
+	})
+}
+
+// runCandidate starts a process that competes for terms and calls serve in each with its dispatcher.
+func runCandidate(ctx context.Context, c *store.Client, name string, serve func(context.Context, *Dispatcher, *owner.Term)) {
+	l := log.New(io.Discard)
+	host := ledger.Host{Name: fleet.EntryName(name), PeerAddress: name}
+	began := time.Now()
+	seat := owner.NewSeat(c, host, l, owner.WithUptime(func() time.Duration { return time.Since(began) + time.Second }))
+	f := ledger.NewFollower(c, l)
+	go f.Run(ctx)
+	go seat.Run(ctx)
+	d := New(
+		c, f, work.Workers{}, schedule.Bounds{MaxLease: time.Second}, ledger.Owner{Host: host.Name, Process: name}, l,
+		func() (work.Config, bool) { return work.Config{}, false },
+		func(ctx context.Context, _ func(Roster)) { <-ctx.Done() },
+	)
+	go owner.NewCandidate(c, seat, f, name, l).Run(ctx, func(ctx context.Context, tm *owner.Term) { serve(ctx, d, tm) })
+}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -30,6 +30,8 @@
 	// handoverInterval is the minimum time between two handovers of a process, in case that the stronger hosts don't take
 	// the workers and they come back to it.
 	handoverInterval = time.Minute
+	// yieldTime is how long a process that gave up its term leaves the next one to others.
+	yieldTime = time.Second
 )
 
 // Term is a period in which this process owns the workers.
@@ -108,6 +110,9 @@
 		c.ended = t.Revision
 		c.log.Info("no longer owns the workers", "term", t.Revision)
 		c.resign(ctx, t)
+		if id, _ := c.seat.Lease(); id == t.lease {
+			pause.For(ctx, yieldTime)
+		}
 	}
 }
 
