schedule: check the room again before a start is sent

What callers would see: a worker that shrinks while an assignment is being stored gets the start nevertheless. A worker that guards its capacity refuses it; one that doesn't runs more than it has.

Cause: room was checked when a task was assigned, and not when its start was sent, up to a store's round trip later.

Change: before the starts of a batch are sent, runs that no longer fit beside what may have begun on their worker end as not started, which counts as no failure, and their tasks are placed again. This goes before all starts of the batch, so that no member of a gang starts whose gang has lost another.

--- /dev/null
+++ b/schedule/capacity_test.go
@@ -0,0 +1,174 @@
+package schedule
+
+import (
+	"testing"
+
+	"lycheehook.example/lycheehook/fleet"
+	"lycheehook.example/lycheehook/ledger"
+	"lycheehook.example/lycheehook/work"
+)
+
+// resize registers a worker again with another number of cores and the same incarnation.
+func (b *testbed) resize(id work.WorkerID, cores fleet.MilliCores) {
+	r := b.regs[id]
+	r.Capacity.Cores = cores
+	b.regs[id] = r
+	b.s.Register(r, b.now)
+}
+
+// endSome ends some of a worker's runs as done.
+func (b *testbed) endSome(id work.WorkerID, n int) {
+	for a := range b.runs[id] {
+		if n == 0 {
+			return
+		}
+		b.end(id, a, work.OutcomeDone)
+		n--
+	}
+}
+
+// Guards against starts beyond a capacity that has shrunk below what runs, and against room that stays unused once it has
+// grown again.
+func TestStartsFollowCapacity(t *testing.T) {
+	tests := []struct {
+		name  string
+		cores fleet.MilliCores
+		// ended is how many of the eight runs end once the capacity is cores.
+		ended, running int
+	}{
+		{"what runs stays", 10000, 0, 8},
+		{"nothing starts while the rest exceeds the capacity", 10000, 2, 6},
+		{"nothing starts while the rest fills the capacity", 10000, 3, 5},
+		{"starts refill the capacity", 10000, 5, 5},
+		{"nothing starts without capacity", 0, 8, 0},
+		{"more starts on a larger capacity", 24000, 0, 12},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newTestbed(t, 1)
+			b.submit("j", work.Step{Count: 40, Size: size(2000)})
+			b.settle()
+			check(t, "running before", 8, b.running())
+
+			b.resize("w0", tt.cores)
+			b.settle()
+			b.endSome("w0", tt.ended)
+			b.settle()
+			check(t, "running", tt.running, b.running())
+
+			b.resize("w0", 32000)
+			b.step()
+			check(t, "running once the capacity has grown", 16, b.running())
+		})
+	}
+}
+
+// Guards against room of a stopped run that is used again before the worker lists its end.
+func TestStoppedRunsCountOnShrunkWorker(t *testing.T) {
+	b := newTestbed(t, 1)
+	b.submit("j", work.Step{Count: 4, Size: size(4000)})
+	b.settle()
+	b.submit("k", work.Step{Count: 4, Size: size(4000)})
+	for _, r := range b.s.workers["w0"].runs {
+		r.requestStop()
+	}
+	b.resize("w0", 12000)
+	b.s.Place(b.now)
+	_, starts := b.s.Take()
+	check(t, "starts beside runs that are being stopped", 0, len(starts))
+
+	b.settle()
+	check(t, "running once they have ended", 3, b.running())
+}
+
+// Starts of runs that were assigned before their worker shrank once went out nevertheless and exceeded the capacity.
+func TestShrinkBetweenAssignmentAndStart(t *testing.T) {
+	tests := []struct {
+		name string
+		step work.Step
+		// busy is the number of cores that run on the first worker already.
+		busy, cores fleet.MilliCores
+		// orders is the number of starts that are sent to it of what was assigned.
+		orders int
+	}{
+		{"single task", work.Step{Count: 1, Size: size(4000)}, 0, 3000, 0},
+		{"some still fit", work.Step{Count: 3, Size: size(4000)}, 0, 9000, 2},
+		{"all still fit", work.Step{Count: 3, Size: size(4000)}, 0, 12000, 3},
+		{"beside running tasks", work.Step{Count: 2, Size: size(4000)}, 6000, 10000, 1},
+		{"below what runs", work.Step{Count: 2, Size: size(4000)}, 6000, 2000, 0},
+		{"gang", work.Step{Count: 2, Size: size(4000), Gang: true}, 0, 7000, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newTestbed(t, 1)
+			if tt.busy > 0 {
+				b.submit("busy", work.Step{Count: 1, Size: size(tt.busy)})
+			}
+			b.settle()
+			b.submit("j", tt.step)
+			b.s.Place(b.now)
+			_, starts := b.s.Take()
+			check(t, "assigned tasks", tt.step.Count, len(starts))
+			b.resize("w0", tt.cores)
+			orders := b.s.Stored(starts, b.now)
+			check(t, "starts sent", tt.orders, len(orders))
+			for _, o := range orders {
+				b.order(o)
+			}
+
+			b.register("w1", 1)
+			b.settle()
+			for i := range tt.step.Count {
+				state := b.entries["j"].Task(work.Task{Job: "j", Index: i})
+				check(t, "failures", 0, state.Failures)
+				check(t, "live attempts", 1, len(state.Live))
+			}
+			if w := b.s.workers["w0"]; tt.busy <= tt.cores && !w.used.FitsIn(w.reg.Capacity) {
+				t.Errorf("the worker runs %v of %v", w.used, w.reg.Capacity)
+			}
+			check(t, "state", ledger.InProgress, b.entries["j"].State())
+		})
+	}
+}
+
+// Guards against a start that is cancelled although its worker, which had shrunk meanwhile, has room again.
+func TestShrinkAndGrowBeforeStart(t *testing.T) {
+	b := newTestbed(t, 1)
+	b.settle()
+	b.submit("j", work.Step{Count: 4, Size: size(4000)})
+	b.s.Place(b.now)
+	_, starts := b.s.Take()
+	b.resize("w0", 1000)
+	b.resize("w0", 16000)
+	check(t, "starts sent", 4, len(b.s.Stored(starts, b.now)))
+}
+
+// Guards against reserves for a lasting task on workers that are too small for it now, which would keep other tasks out.
+func TestNoReserveForLastingTaskThatFitsNowhere(t *testing.T) {
+	b := newTestbed(t, 2)
+	b.settle()
+	b.resize("w0", 10000)
+	b.resize("w1", 10000)
+	b.submit("lasting", work.Step{Count: 1, Size: size(12000), Lasting: true})
+	b.submit("batch", work.Step{Count: 10, Size: size(2000)})
+	b.settle()
+	check(t, "running beside the lasting task that waits", 10, b.running())
+	check(t, "state of the lasting job", ledger.Queued, b.entries["lasting"].State())
+
+	b.resize("w1", 16000)
+	b.endAll(work.OutcomeDone)
+	b.settle()
+	check(t, "running once a worker has grown", 1, b.running())
+}
+
+// Guards against a task that waits for a worker on which it has not failed but into whose present capacity it doesn't fit.
+func TestRetryWhereOtherWorkersHaveShrunk(t *testing.T) {
+	b := newTestbed(t, 2)
+	b.settle()
+	b.resize("w1", 1000)
+	b.submit("j", work.Step{Count: 1, Size: size(4000)})
+	b.settle()
+	b.endAll(work.OutcomeFailed)
+	b.settle()
+	check(t, "running on the worker on which it failed", 1, len(b.runs["w0"]))
+}
--- a/schedule/run.go
+++ b/schedule/run.go
@@ -38,6 +38,7 @@
 // Stored notes that the ledger has stored all changes taken so far, and returns the orders that waited for it.
 func (s *Scheduler) Stored(starts []Start, now time.Time) []Order {
 	s.ackStoredEnds()
+	s.cancelOversized(starts)
 	orders := make([]Order, 0, len(starts))
 	for _, st := range starts {
 		if st.host != nil {
