--- a/schedule/capacity_test.go
+++ b/schedule/capacity_test.go
@@ -172,3 +172,22 @@
 	b.settle()
 	check(t, "running on the worker on which it failed", 1, len(b.runs["w0"]))
 }
+
+// Tasks were once placed by the capacity of the previous incarnation when a poll was answered by a new one before its
+// registration arrived.
+func TestNewIncarnationBeforeItsRegistration(t *testing.T) {
+	b := newTestbed(t, 1)
+	b.settle()
+	r := b.regs["w0"]
+	r.Life, r.Capacity.Cores = 2, 4000
+	b.regs["w0"] = r
+	b.s.workers["w0"].pollNow = true
+	b.settle()
+	b.submit("j", work.Step{Count: 4, Size: size(4000)})
+	b.settle()
+	check(t, "running before the registration", 0, b.running())
+
+	b.s.Register(r, b.now)
+	b.settle()
+	check(t, "running after the registration", 1, b.running())
+}
