schedule: size pools by the present capacity of their hosts

Cause: the size of a pool's hosts was the capacity that the cloud's list gives for the first of them.

Change: it is the mean of what the workers of the pool's hosts say of themselves now, so that hosts times size is what the pool has; a host without a worker counts with the cloud's figure. A resource of which the pool has none now is taken from the list, so that its work isn't counted as nothing. The mean of accelerators is over the hosts that have any. A pool without hosts gets the mean of the fleet.

--- a/schedule/capacity.go
+++ b/schedule/capacity.go
@@ -1,6 +1,8 @@
 package schedule
 
 import (
+	"cmp"
+
 	"lycheehook.example/lycheehook/fleet"
 	"lycheehook.example/lycheehook/work"
 )
@@ -39,3 +41,60 @@
 
 	return free
 }
+
+// capacityOf returns what a host's worker says of its capacity now, or else the cloud's figure.
+func (s *Scheduler) capacityOf(h *host) fleet.Resources {
+	if w, ok := s.workers[h.Worker]; ok && w.present {
+		return w.reg.Capacity
+	}
+
+	return h.Capacity
+}
+
+// hostSize returns the mean present capacity of a pool's hosts, so that their number times their size is what the pool has.
+// Resources of which they have none now are taken from the cloud's list, and without hosts all from the whole fleet there.
+func (s *Scheduler) hostSize(p fleet.PoolName) fleet.Resources {
+	var present, listed capacitySum
+	for _, h := range s.hostList {
+		if h.Pool == p {
+			present.add(s.capacityOf(h))
+			listed.add(h.Capacity)
+		}
+	}
+	if listed.hosts == 0 {
+		for _, h := range s.hostList {
+			listed.add(h.Capacity)
+		}
+	}
+	now, full := present.mean(), listed.mean()
+
+	return fleet.Resources{
+		Cores: cmp.Or(now.Cores, full.Cores), Memory: cmp.Or(now.Memory, full.Memory), Accelerators: cmp.Or(now.Accelerators, full.Accelerators),
+	}
+}
+
+// capacitySum adds up the capacity of hosts.
+type capacitySum struct {
+	total fleet.Resources
+	hosts int64
+	// accelerated counts the hosts with accelerators.
+	accelerated int64
+}
+
+func (c *capacitySum) add(r fleet.Resources) {
+	c.total = c.total.Plus(r)
+	c.hosts++
+	if r.Accelerators > 0 {
+		c.accelerated++
+	}
+}
+
+// mean returns the mean capacity; that of accelerators is over the hosts that have any, since only those run such tasks.
+func (c *capacitySum) mean() fleet.Resources {
+	hosts := max(1, c.hosts)
+
+	return fleet.Resources{
+		Cores: c.total.Cores / fleet.MilliCores(hosts), Memory: c.total.Memory / fleet.Mebibytes(hosts),
+		Accelerators: c.total.Accelerators / max(1, c.accelerated),
+	}
+}
--- a/schedule/capacity_test.go
+++ b/schedule/capacity_test.go
@@ -1,8 +1,14 @@
 package schedule
 
 import (
+	"fmt"
 	"testing"
+	"time"
 
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+
+	"lycheehook.example/lycheehook/balance"
 	"lycheehook.example/lycheehook/fleet"
 	"lycheehook.example/lycheehook/ledger"
 	"lycheehook.example/lycheehook/work"
@@ -191,3 +197,80 @@
 	b.settle()
 	check(t, "running after the registration", 1, b.running())
 }
+
+// capacityFleet returns a workloadFleet whose pool has the given hosts, by the cores in the cloud's list and in the
+// registrations of their workers; none means a host without a worker. A host of ten cores stands by.
+func capacityFleet(listed, registered []fleet.MilliCores) (*Scheduler, time.Time) {
+	now := time.Date(2026, 9, 10, 16, 0, 0, 0, time.UTC)
+	s := workloadFleet(map[fleet.JobID]*ledger.Entry{}, now, work.HostUp)
+	hosts := []work.HostStatus{{Host: "s", Pool: "off", State: work.HostUp, Capacity: fleet.Resources{Cores: 10000, Memory: 10000}}}
+	for i, cores := range listed {
+		id := work.WorkerID(fmt.Sprint("w", i))
+		hosts = append(hosts, work.HostStatus{
+			Host: fleet.HostName(fmt.Sprint("h", i)), Pool: "p", State: work.HostUp, Worker: id, Capacity: fleet.Resources{Cores: cores, Memory: 10000},
+		})
+		if registered[i] != none {
+			s.Register(work.Registration{
+				ID: id, Life: 1, Address: string(id), Pool: "p", Capacity: fleet.Resources{Cores: registered[i], Memory: 10000},
+			}, now)
+		}
+	}
+	s.SetHosts(hosts, now, now)
+
+	return s, now
+}
+
+const none fleet.MilliCores = -1
+
+// The size of a pool's hosts was once that of the first one in the cloud's list, so that pools and their headroom neither
+// followed a capacity that shrinks or grows nor hosts of different sizes.
+func TestWorkloadFollowsCapacity(t *testing.T) {
+	tests := []struct {
+		name               string
+		listed, registered []fleet.MilliCores
+		// hosts is how many hosts twelve tasks of a core need.
+		hosts float64
+	}{
+		{"no workers", []fleet.MilliCores{10000, 10000}, []fleet.MilliCores{none, none}, 1.2},
+		{"no workers, several sizes", []fleet.MilliCores{4000, 8000, 12000}, []fleet.MilliCores{none, none, none}, 1.5},
+		{"as listed", []fleet.MilliCores{10000, 10000}, []fleet.MilliCores{10000, 10000}, 1.2},
+		{"all have shrunk", []fleet.MilliCores{10000, 10000}, []fleet.MilliCores{5000, 5000}, 2.4},
+		{"the first has shrunk", []fleet.MilliCores{10000, 10000}, []fleet.MilliCores{2000, 10000}, 2},
+		{"the last has shrunk", []fleet.MilliCores{10000, 10000}, []fleet.MilliCores{10000, 2000}, 2},
+		{"one has no capacity", []fleet.MilliCores{10000, 10000}, []fleet.MilliCores{0, 10000}, 2.4},
+		{"none has capacity", []fleet.MilliCores{10000, 10000}, []fleet.MilliCores{0, 0}, 1.2},
+		{"larger than listed", []fleet.MilliCores{10000, 10000}, []fleet.MilliCores{20000, 20000}, 0.6},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s, now := capacityFleet(tt.listed, tt.registered)
+			s.AddJob(work.Job{ID: "j", Queue: "q", Pool: "p", Submitted: now, Steps: []work.Step{
+				{Count: 12, Size: fleet.Resources{Cores: 1000}, Estimate: time.Second},
+			}}, 1, now)
+			waiting := s.workload(now).waiting["p"]
+			if diff := cmp.Diff([]balance.Work{{Hosts: tt.hosts}}, waiting,
+				cmpopts.IgnoreFields(balance.Work{}, "Ready", "Latest", "Expiry", "Length"), cmpopts.EquateApprox(0, 1e-9)); diff != "" {
+				t.Errorf("waiting work (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// A pool once kept its number of hosts when all of them shrank, although its work no longer fitted.
+func TestPoolGrowsWhenItsHostsShrink(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		cores fleet.MilliCores
+		// want is 40 cores in hosts that are packed up to 95%, and two hosts of headroom.
+		want int
+	}{{"full", 10000, 7}, {"half", 5000, 11}, {"grown", 20000, 5}} {
+		t.Run(tt.name, func(t *testing.T) {
+			s, now := capacityFleet([]fleet.MilliCores{10000, 10000}, []fleet.MilliCores{tt.cores, tt.cores})
+			s.AddJob(work.Job{ID: "j", Queue: "q", Pool: "p", Submitted: now, Steps: []work.Step{
+				{Count: 40, Size: fleet.Resources{Cores: 1000}, Estimate: time.Minute},
+			}}, 1, now)
+			s.balancer = balance.New(time.Second)
+			check(t, "wanted hosts", tt.want, s.balancer.WantedHosts(s.poolStates(now)[0], 0, now))
+		})
+	}
+}
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -136,20 +136,6 @@
 	return w.used.DominantShare(w.reg.Capacity)
 }
 
-// hostSize returns the capacity of a pool's hosts, taken from its first host, or from some other pool's host if it has
-// none.
-func (s *Scheduler) hostSize(p fleet.PoolName) fleet.Resources {
-	var other fleet.Resources
-	for _, h := range s.hostList {
-		if h.Pool == p {
-			return h.Capacity
-		}
-		other = h.Capacity
-	}
-
-	return other
-}
-
 // minHosts returns how many hosts the lasting tasks of a pool need, given how many of a step may share a worker.
 func (s *Scheduler) minHosts(p fleet.PoolName) int {
 	hosts := 1
