schedule: ask for no hosts for tasks that fit on none

What callers would see: after the hosts of a fleet have shrunk, a job with tasks larger than any of them makes its pool ask for hosts, which leave other pools or standby, cost moves and don't run the tasks either.

Cause: the known work of a pool, its work without value, and the least size for its lasting tasks counted every step that waits, whatever its tasks' size.

Change: steps whose tasks fit into the present capacity of no host of the fleet, and steps that depend on them, are left out of all three. The job waits as before, and counts again as soon as the capacity of some host allows it; a host without a worker, such as one that stands by, counts with the cloud's figure, and one that was refused to the pool doesn't count.

Measured: on the old code TestNoHostsForTasksThatFitNowhere finds 2 pieces of waiting work in place of 0 for a step that fits nowhere and the one after it, 8 in place of 0 for lasting tasks, and a least pool size of 4 in place of 1. It passes now.

--- a/schedule/capacity.go
+++ b/schedule/capacity.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 
 	"lycheehook.example/lycheehook/fleet"
 	"lycheehook.example/lycheehook/work"
@@ -51,6 +52,16 @@
 	return h.Capacity
 }
 
+// fitsSomeHost reports whether a task of a step fits into the present capacity of a host that is in a pool or that may be
+// moved there, as far as hosts are known.
+func (s *Scheduler) fitsSomeHost(p fleet.PoolName, step *work.Step) bool {
+	need := step.Reserved()
+
+	return len(s.hostList) == 0 || slices.ContainsFunc(s.hostList, func(h *host) bool {
+		return need.FitsIn(s.capacityOf(h)) && (h.Pool == p || !h.refusedPools[p])
+	})
+}
+
 // hostSize returns the mean present capacity of a pool's hosts, so that their number times their size is what the pool has.
 // Resources of which they have none now are taken from the cloud's list, and without hosts all from the whole fleet there.
 func (s *Scheduler) hostSize(p fleet.PoolName) fleet.Resources {
--- a/schedule/capacity_test.go
+++ b/schedule/capacity_test.go
@@ -274,3 +274,47 @@
 		})
 	}
 }
+
+// Pools once asked for hosts for tasks that fit on no host of the fleet at present, and for the steps that depend on them.
+func TestNoHostsForTasksThatFitNowhere(t *testing.T) {
+	tests := []struct {
+		name  string
+		step  work.Step
+		cores []fleet.MilliCores
+		// waiting and overdue count the pieces of waiting work now and once the job has no more value, where each lasting
+		// task is one; hosts is the least size of the pool.
+		waiting, overdue, hosts int
+	}{
+		{"fits", work.Step{Count: 5, Size: fleet.Resources{Cores: 8000}}, []fleet.MilliCores{8000, 4000}, 2, 1, 1},
+		{"fits only the host that stands by", work.Step{Count: 5, Size: fleet.Resources{Cores: 10000}}, []fleet.MilliCores{5000, 5000}, 2, 1, 1},
+		{"fits no host", work.Step{Count: 5, Size: fleet.Resources{Cores: 12000}}, []fleet.MilliCores{5000, 5000}, 0, 0, 1},
+		{"fits a host that has grown", work.Step{Count: 5, Size: fleet.Resources{Cores: 12000}}, []fleet.MilliCores{5000, 12000}, 2, 1, 1},
+		{"lasting", work.Step{Count: 8, Size: fleet.Resources{Cores: 10000}, Lasting: true}, []fleet.MilliCores{5000, 5000}, 8, 8, 4},
+		{"lasting, fits no host", work.Step{Count: 8, Size: fleet.Resources{Cores: 12000}, Lasting: true}, []fleet.MilliCores{5000, 5000}, 0, 0, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s, now := capacityFleet([]fleet.MilliCores{10000, 10000}, tt.cores)
+			tt.step.Estimate = time.Second
+			job := work.Job{ID: "j", Queue: "q", Pool: "p", Submitted: now, Steps: []work.Step{tt.step}}
+			if !tt.step.Lasting {
+				job.Steps = append(job.Steps, work.Step{Count: 50, Size: fleet.Resources{Cores: 1000}, Estimate: time.Second, After: []int{0}})
+			}
+			s.AddJob(job, 1, now)
+			s.Place(now)
+			check(t, "pieces of waiting work", tt.waiting, len(s.workload(now).waiting["p"]))
+			check(t, "least size of the pool", tt.hosts, s.minHosts("p"))
+
+			later := now.Add(time.Hour)
+			s.Tick()
+			s.Place(later)
+			l := s.workload(later)
+			overdue := len(l.waiting["p"])
+			if l.overdue["p"] > 0 {
+				overdue++
+			}
+			check(t, "pieces of waiting work without value", tt.overdue, overdue)
+			check(t, "state", ledger.Queued, s.entries["j"].State())
+		})
+	}
+}
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -136,7 +136,8 @@
 	return w.used.DominantShare(w.reg.Capacity)
 }
 
-// minHosts returns how many hosts the lasting tasks of a pool need, given how many of a step may share a worker.
+// minHosts returns how many hosts the lasting tasks of a pool need that fit on some host now, given how many of a step may
+// share a worker.
 func (s *Scheduler) minHosts(p fleet.PoolName) int {
 	hosts := 1
 	for _, j := range s.jobs {
@@ -144,7 +145,7 @@
 			continue
 		}
 		for _, step := range j.entry.Job.Steps {
-			if step.Lasting {
+			if step.Lasting && s.fitsSomeHost(p, &step) {
 				per := cmp.Or(step.MaxPerWorker, 2)
 				hosts = max(hosts, (step.Count+per-1)/per)
 			}
--- a/schedule/workload.go
+++ b/schedule/workload.go
@@ -48,6 +48,10 @@
 	for _, r := range s.unplaced {
 		step := &r.job.entry.Job.Steps[r.step.Step]
 		p := r.queue.Pool
+		if !s.fitsSomeHost(p, step) {
+			// More hosts would not help; the tasks wait until some host's capacity grows.
+			continue
+		}
 		need := step.Reserved().Times(int64(len(r.tasks)))
 		switch {
 		case r.rank.urgency == overdue:
@@ -128,7 +132,8 @@
 	return max(minTimeLeft, left-now.Sub(since))
 }
 
-// addWork adds the work of one occurrence of a job that waits or that will become ready, unless it is overdue.
+// addWork adds the work of one occurrence of a job that waits or that will become ready, unless it is overdue. Steps whose
+// tasks fit on no host now, and those that depend on them, are left out, since more hosts would not help.
 func (s *Scheduler) addWork(l *workload, j *job, q *work.Queue, occurrence int, now time.Time) {
 	e := j.entry
 	steps := e.Job.Steps
@@ -136,7 +141,7 @@
 	if now.After(d.expiry.Add(-d.remaining)) {
 		return
 	}
-	tails, ends := tailLengths(steps), make([]time.Duration, len(steps))
+	tails, ends, blocked := tailLengths(steps), make([]time.Duration, len(steps)), make([]bool, len(steps))
 	for i := range steps {
 		at := ledger.StepOf{Occurrence: occurrence, Step: i}
 		if e.StepDone(at) {
@@ -145,10 +150,12 @@
 		var ready time.Duration
 		for _, a := range steps[i].After {
 			ready = max(ready, ends[a])
+			blocked[i] = blocked[i] || blocked[a]
 		}
 		waiting, left := s.progressOf(e, at, now)
 		ends[i] = left
-		if waiting == 0 || !s.withinLimit(e.Job.Workspace, steps[i].Size) {
+		blocked[i] = blocked[i] || waiting > 0 && !s.fitsSomeHost(q.Pool, &steps[i])
+		if waiting == 0 || blocked[i] || !s.withinLimit(e.Job.Workspace, steps[i].Size) {
 			continue
 		}
 		ends[i] = max(left, ready+steps[i].Estimate)
