manager: guard that a change of capacity alone is followed

Nothing was wrong here: the watch of the registrations passes on each one, and a manager uses a capacity that grows again. Two tests guard it: TestRosterFollowsCapacity reads the watch, and TestCapacityChanges plays a worker over sockets that shrinks below what it runs and grows. The stand-in of a worker has a capacity that can be set, and still refuses nothing.

--- a/manager/manager_test.go
+++ b/manager/manager_test.go
@@ -33,10 +33,12 @@
 
 // cluster is a simulated platform with managers that run in this process, all on loopback.
 type cluster struct {
-	t        *testing.T
-	store    *standin.Store
-	workers  []*standin.TaskWorker
-	managers []*process
+	t       *testing.T
+	store   *standin.Store
+	workers []*standin.TaskWorker
+	// addresses has the addresses of the workers.
+	addresses []string
+	managers  []*process
 	// listeners are opened before the managers start and are not changed afterwards.
 	listeners map[netip.AddrPort]net.Listener
 	// ledgerBlocked makes watches and lists of the ledger hang.
@@ -72,7 +74,8 @@
 		ws := httptest.NewServer(w)
 		t.Cleanup(ws.Close)
 		s.workers = append(s.workers, w)
-		s.put(fmt.Sprintf("servers/i-%d", i), w.Registration("s-post", ws.Listener.Addr().String(), fmt.Sprint("r", i)))
+		s.addresses = append(s.addresses, ws.Listener.Addr().String())
+		s.register(i)
 	}
 	configs := make([]settings.Manager, managers)
 	for i := range configs {
@@ -114,6 +117,12 @@
 	return p
 }
 
+// register writes the registration of a worker.
+func (s *cluster) register(worker int) {
+	s.t.Helper()
+	s.put(fmt.Sprintf("servers/i-%d", worker), s.workers[worker].Registration("s-post", s.addresses[worker], fmt.Sprint("r", worker)))
+}
+
 func (s *cluster) put(key string, value []byte) {
 	s.t.Helper()
 	if _, err := s.store.Client().Commit(context.Background(), store.Txn{Puts: []store.Put{{Key: key, Value: value}}}); err != nil {
@@ -254,6 +263,25 @@
 	}
 }
 
+// TestCapacityChanges guards against runs that end when their worker shrinks, and against capacity that stays unused once it
+// has grown again.
+func TestCapacityChanges(t *testing.T) {
+	s := newCluster(t, 2, 1, 0)
+	const first, second = "/post/00000000000000d1", "/post/00000000000000d2"
+	s.call("POST", 0, first, `{"phases":[{"count":2,"cpu":8000,"memMb":64}]}`)
+	s.await("both tasks run", func() bool { return s.starts() == 2 })
+	s.workers[0].SetCores(4000)
+	s.register(0)
+	s.call("POST", 1, second, `{"phases":[{"count":3,"cpu":6000,"memMb":64}]}`)
+	s.awaitState(0, second, "queued")
+
+	s.workers[0].SetCores(30000)
+	s.register(0)
+	s.await("two of three more tasks run", func() bool { return s.starts() == 4 })
+	s.awaitState(1, first, "in_progress")
+	s.checkStartedOnce()
+}
+
 // TestOtherWorkspace checks that a workspace can neither see nor cancel a job of another workspace, nor reuse its ID, on any
 // entry host and queue, even while only the owner knows of the job.
 func TestOtherWorkspace(t *testing.T) {
--- /dev/null
+++ b/manager/roster_test.go
@@ -0,0 +1,64 @@
+package manager
+
+import (
+	"context"
+	"io"
+	"testing"
+
+	"github.com/charmbracelet/log"
+	"github.com/google/go-cmp/cmp"
+
+	"lycheehook.example/lycheehook/dispatch"
+	"lycheehook.example/lycheehook/fleet"
+	"lycheehook.example/lycheehook/standin"
+	"lycheehook.example/lycheehook/store"
+)
+
+// Guards against a watch of the registrations that drops those in which only the capacity differs.
+func TestRosterFollowsCapacity(t *testing.T) {
+	s, w := standin.NewStore(), standin.NewTaskWorker(0)
+	register := func(cores int) {
+		w.SetCores(cores)
+		if _, err := s.Client().Commit(t.Context(), store.Txn{
+			Puts: []store.Put{{Key: "servers/i-0", Value: w.Registration("s-post", "10.0.0.9:80", "r0")}},
+		}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	register(16000)
+
+	ctx, cancel := context.WithCancel(t.Context())
+	rosters, done := make(chan dispatch.Roster), make(chan struct{})
+	go func() {
+		defer close(done)
+		watchRoster(s.Client(), log.New(io.Discard))(ctx, func(r dispatch.Roster) {
+			select {
+			case rosters <- r:
+			case <-ctx.Done():
+			}
+		})
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	var got []fleet.MilliCores
+	for _, next := range []int{6000, 9000, 0} {
+		got = append(got, coresOf(t, <-rosters))
+		register(next)
+	}
+	got = append(got, coresOf(t, <-rosters))
+	if diff := cmp.Diff([]fleet.MilliCores{16000, 6000, 9000, 0}, got); diff != "" {
+		t.Errorf("cores (-want +got):\n%s", diff)
+	}
+}
+
+// coresOf returns the capacity of the only worker of a roster.
+func coresOf(t *testing.T, r dispatch.Roster) fleet.MilliCores {
+	t.Helper()
+	if len(r.Present) != 1 || len(r.Gone) != 0 {
+		t.Fatalf("roster %+v", r)
+	}
+
+	return r.Present[0].Capacity.Cores
+}
--- a/standin/taskworker.go
+++ b/standin/taskworker.go
@@ -22,6 +22,8 @@
 	number   uint64
 	changed  chan struct{}
 	starts   map[runName]int
+	// cores is the capacity that the worker reports; it does not refuse what exceeds it.
+	cores int
 	// loseAnswers makes the worker carry out orders without answering.
 	loseAnswers bool
 	observe     func(RunEvent)
@@ -56,11 +58,14 @@
 	WaitMs       int64  `json:"waitMs"`
 }
 
+// defaultCores is the capacity of a worker until SetCores is called, in thousandths of a core.
+const defaultCores = 16000
+
 // NewTaskWorker returns a worker whose tasks are done after taskTime, or never if that is zero.
 func NewTaskWorker(taskTime time.Duration) *TaskWorker {
 	return &TaskWorker{
 		born: time.Now(), taskTime: taskTime, runs: map[runName]time.Time{}, highest: map[string]int{}, changed: make(chan struct{}),
-		starts: map[runName]int{}, observe: func(RunEvent) {},
+		starts: map[runName]int{}, observe: func(RunEvent) {}, cores: defaultCores,
 	}
 }
 
@@ -78,11 +83,20 @@
 	w.expire()
 }
 
+// SetCores changes the capacity that the next Registration reports, in thousandths of a core.
+func (w *TaskWorker) SetCores(n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cores = n
+}
+
 // Registration returns what the worker says of itself in the store.
 func (w *TaskWorker) Registration(service, address, rack string) []byte {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	data, err := json.Marshal(map[string]any{
 		"service": service, "address": address, "zone": "z", "state": "ready", "born": w.born.UnixMilli(), "labels": []string{"a", rack},
-		"capacity": map[string]int{"cpu": 16000, "memMb": 32768, "gpu": 0},
+		"capacity": map[string]int{"cpu": w.cores, "memMb": 32768, "gpu": 0},
 	})
 	if err != nil {
 		// A map of texts and numbers always encodes.
