schedule: ask for tickets only where a task fits

What callers would see: a task of an advised queue waits longer, as the service answers later for each worker asked about, among them ones that have shrunk below the task's size. Those without capacity were asked about first, as the share in use of no capacity is zero.

Cause: the question took all usable workers with the step's label, whatever their capacity.

Change: it leaves out workers whose present capacity is too small for the step's tasks; they are asked about once they have grown.

Measured: on the old code TestAdviceFollowsCapacity finds w0, w1 and w2 asked about in place of w1 alone; it passes now.

--- a/schedule/advice.go
+++ b/schedule/advice.go
@@ -78,12 +78,13 @@
 	return Question{}, false
 }
 
-// question returns a question about the workers without an answer and those whose tickets have expired.
+// question returns a question about the workers without an answer and those whose tickets have expired. It leaves out
+// workers whose capacity is too small for the step's tasks now.
 func (s *Scheduler) question(name string, a *advice, r *readyStep, now time.Time) (Question, bool) {
 	q := Question{Step: name, validity: r.queue.Advice.Validity, lives: map[work.WorkerID]work.Life{}}
 	step := r.job.entry.Job.Steps[r.step.Step]
 	for _, w := range s.workers {
-		if w.reg.Pool != r.queue.Pool || !w.usable(now) || !hasLabel(w.reg, step.Label) {
+		if w.reg.Pool != r.queue.Pool || !w.usable(now) || !hasLabel(w.reg, step.Label) || !step.Reserved().FitsIn(w.reg.Capacity) {
 			continue
 		}
 		t, granted := a.tickets[w.id]
--- a/schedule/advice_test.go
+++ b/schedule/advice_test.go
@@ -46,3 +46,29 @@
 	check(t, "asked again", true, ok)
 	check(t, "workers asked about again, without those that were refused", []work.WorkerID{"w1"}, q.Workers)
 }
+
+// Workers that had shrunk below the size of a task were once asked about, and first, as nothing ran there.
+func TestAdviceFollowsCapacity(t *testing.T) {
+	b := newTestbed(t, 3)
+	c := testConfig
+	c.Queues = []work.Queue{testConfig.Queues[0]}
+	c.Queues[0].Advice = &work.Advice{Decision: 10 * time.Millisecond, PerWorker: time.Millisecond, Validity: time.Minute}
+	b.s.SetConfig(c)
+	b.settle()
+	b.resize("w0", 0)
+	b.resize("w2", 3000)
+	b.submit("j", work.Step{Count: 8, Size: size(4000)})
+	b.settle()
+	q, ok := b.s.Question(b.now)
+	check(t, "asked", true, ok)
+	check(t, "workers asked about", []work.WorkerID{"w1"}, q.Workers)
+	b.s.Advised(q, nil, nil, b.now)
+	_, ok = b.s.Question(b.now)
+	check(t, "asked while nothing has changed", false, ok)
+
+	b.resize("w2", 16000)
+	b.settle()
+	q, ok = b.s.Question(b.now)
+	check(t, "asked once a worker has grown", true, ok)
+	check(t, "workers asked about then", []work.WorkerID{"w2"}, q.Workers)
+}
