schedule: end a quarantine that a new capacity explains

What callers would see: a worker that guards its capacity and shrinks refuses the starts sent before its registration is read. From the second job on it gets no tasks for 2 to 16 s, although it has room and is sound.

Cause: a start refused for want of room counts as a job that failed on the worker, and the quarantine that follows outlasts what caused it.

Change: such refusals are counted apart. When the worker registers another capacity, they are forgotten, and with them the quarantine, if the rest don't reach its bound. Refusals while the capacity stays as it is count as before.

Measured: on the old code two of the four cases of TestRefusalsExplainedByCapacity fail: 0 running in place of 1 after a shrink and 0 in place of 3 after growth. All pass now.

--- a/schedule/capacity.go
+++ b/schedule/capacity.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"lycheehook.example/lycheehook/fleet"
 	"lycheehook.example/lycheehook/work"
@@ -43,6 +44,24 @@
 	return free
 }
 
+// recordNoRoom counts a job whose start was refused for want of room like one that failed on the worker.
+func (s *Scheduler) recordNoRoom(w *worker, job fleet.JobID, now time.Time) {
+	before := w.failedJobs
+	s.recordFailure(w, job, now)
+	w.noRoomJobs += w.failedJobs - before
+}
+
+// applyCapacity ends a quarantine for starts refused for want of room once a new capacity explains them.
+func (w *worker) applyCapacity(r fleet.Resources) {
+	if w.noRoomJobs == 0 || r == w.reg.Capacity {
+		return
+	}
+	w.failedJobs, w.lastFailedJob, w.noRoomJobs = max(0, w.failedJobs-w.noRoomJobs), "", 0
+	if w.failedJobs < failuresToQuarantine {
+		w.quarantinedUntil = time.Time{}
+	}
+}
+
 // capacityOf returns what a host's worker says of its capacity now, or else the cloud's figure.
 func (s *Scheduler) capacityOf(h *host) fleet.Resources {
 	if w, ok := s.workers[h.Worker]; ok && w.present {
--- a/schedule/capacity_test.go
+++ b/schedule/capacity_test.go
@@ -318,3 +318,38 @@
 		})
 	}
 }
+
+// A worker that refused starts because it had shrunk was once quarantined for seconds, also after its registration had told
+// the scheduler of the capacity that is left.
+func TestRefusalsExplainedByCapacity(t *testing.T) {
+	tests := []struct {
+		name    string
+		refusal error
+		// cores is the capacity that the worker registers after it refused two jobs.
+		cores   fleet.MilliCores
+		running int
+	}{
+		{"no room, less capacity", work.ErrNoRoom, 4000, 1},
+		{"no room, more capacity", work.ErrNoRoom, 20000, 3},
+		{"no room, same capacity", work.ErrNoRoom, 16000, 0},
+		{"unhealthy, less capacity", work.ErrUnhealthy, 4000, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newTestbed(t, 1)
+			b.settle()
+			for _, id := range []fleet.JobID{"j", "k"} {
+				b.submit(id, work.Step{Count: 1, Size: size(8000)})
+			}
+			b.s.Place(b.now)
+			_, starts := b.s.Take()
+			for _, o := range b.s.Stored(starts, b.now) {
+				b.s.Answered(o, work.Answer{}, tt.refusal, b.now)
+			}
+			b.submit("small", work.Step{Count: 1, Size: size(3000)})
+			b.resize("w0", tt.cores)
+			b.step()
+			check(t, "running", tt.running, b.running())
+		})
+	}
+}
--- a/schedule/run.go
+++ b/schedule/run.go
@@ -137,7 +137,9 @@
 func (s *Scheduler) startRefused(r *run, err error, now time.Time) {
 	w := r.worker
 	switch {
-	case errors.Is(err, work.ErrUnhealthy), errors.Is(err, work.ErrNoRoom):
+	case errors.Is(err, work.ErrNoRoom):
+		s.recordNoRoom(w, r.attempt.Job, now)
+	case errors.Is(err, work.ErrUnhealthy):
 		s.recordFailure(w, r.attempt.Job, now)
 	case errors.Is(err, work.ErrNotSent):
 		w.missedPolls = max(w.missedPolls, maxMissedPolls)
--- a/schedule/suspicion.go
+++ b/schedule/suspicion.go
@@ -21,7 +21,7 @@
 func (s *Scheduler) recordOutcome(w *worker, a work.Attempt, o work.Outcome, now time.Time) {
 	switch o {
 	case work.OutcomeDone:
-		w.failedJobs, w.lastFailedJob = 0, ""
+		w.failedJobs, w.lastFailedJob, w.noRoomJobs = 0, "", 0
 	case work.OutcomeFailed:
 		j, ok := s.jobs[a.Job]
 		if !ok {
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -125,6 +125,8 @@
 	// failedJobs counts the jobs in a row that failed on the worker; lastFailedJob is the last of them.
 	failedJobs    int
 	lastFailedJob fleet.JobID
+	// noRoomJobs counts those of failedJobs whose starts were refused for want of room.
+	noRoomJobs int
 	// cordoned workers get no new tasks; maintenanceDue marks workers whose hosts need maintenance.
 	cordoned, maintenanceDue bool
 	quarantinedUntil         time.Time
@@ -245,6 +247,7 @@
 	if !w.present {
 		w.pollNow = true
 	}
+	w.applyCapacity(r.Capacity)
 	w.reg, w.life, w.present = r, r.Life, true
 	s.dirty = true
 }
