--- a/schedule/run.go
+++ b/schedule/run.go
@@ -38,6 +38,7 @@
 // Stored notes that the ledger has stored all changes taken so far, and returns the orders that waited for it.
 func (s *Scheduler) Stored(starts []Start, now time.Time) []Order {
 	s.ackStoredEnds()
+	s.cancelOversized(starts)
 	orders := make([]Order, 0, len(starts))
 	for _, st := range starts {
 		if st.host != nil {
@@ -136,7 +137,9 @@
 func (s *Scheduler) startRefused(r *run, err error, now time.Time) {
 	w := r.worker
 	switch {
-	case errors.Is(err, work.ErrUnhealthy), errors.Is(err, work.ErrNoRoom):
+	case errors.Is(err, work.ErrNoRoom):
+		s.recordNoRoom(w, r.attempt.Job, now)
+	case errors.Is(err, work.ErrUnhealthy):
 		s.recordFailure(w, r.attempt.Job, now)
 	case errors.Is(err, work.ErrNotSent):
 		w.missedPolls = max(w.missedPolls, maxMissedPolls)
