ledger: keep which workers crashed under a task

Cause: a task that takes down each worker that starts it is started again without end, since nothing of a crash outlives its runs: the end of a lost run is stored like that of a lapsed lease, and counts as no failure.

Change: two kinds of changes, TaskCrashed and CrashCleared, and the crashes in the state of a task. The numbers of the kinds are new, so an older reader passes over them.

Nothing writes them yet; the scheduler's part follows.

--- a/ledger/change.go
+++ b/ledger/change.go
@@ -51,6 +51,10 @@
 	TaskSnapshot
 	// Compacted records that the log reproduces the whole state from the batch with the number in Life on.
 	Compacted
+	// TaskCrashed records that a worker crashed while an attempt may have been running there.
+	TaskCrashed
+	// CrashCleared withdraws the TaskCrashed of a task that names the same incarnation of a worker.
+	CrashCleared
 )
 
 // Change is one change in a batch of the log.
--- a/ledger/entry.go
+++ b/ledger/entry.go
@@ -36,6 +36,16 @@
 	Live     []LiveAttempt
 	// Checkpoint is the latest checkpoint reported by an ended attempt.
 	Checkpoint string
+	// Crashes has the workers that crashed under attempts of the task, without those that another cause explains.
+	Crashes []Crash
+}
+
+// Crash is the unexpected end of a worker under an attempt.
+type Crash struct {
+	// Number is the number of the attempt.
+	Number int
+	Worker work.WorkerID
+	Life   work.Life
 }
 
 // StepOf identifies a step within an occurrence of a job.
@@ -87,6 +97,7 @@
 		tasks := slices.Clone(st.Tasks)
 		for n := range tasks {
 			tasks[n].Live = slices.Clone(tasks[n].Live)
+			tasks[n].Crashes = slices.Clone(tasks[n].Crashes)
 		}
 		c.steps[i] = &StepState{Tasks: tasks, Done: st.Done}
 	}
@@ -156,6 +167,17 @@
 		s.Live = append(s.Live, LiveAttempt{Number: c.Attempt.Number, Worker: c.Worker, Life: c.Life})
 	case Ended:
 		e.applyEnd(s, c)
+	case TaskCrashed:
+		s.addCrash(Crash{Number: c.Attempt.Number, Worker: c.Worker, Life: c.Life})
+	case CrashCleared:
+		s.Crashes = slices.DeleteFunc(s.Crashes, func(k Crash) bool { return k.Worker == c.Worker && k.Life == c.Life })
+	}
+}
+
+// addCrash adds a crash, unless a snapshot that was applied before already includes it.
+func (t *TaskState) addCrash(k Crash) {
+	if !slices.Contains(t.Crashes, k) {
+		t.Crashes = append(t.Crashes, k)
 	}
 }
 
@@ -178,8 +200,8 @@
 	return changes
 }
 
-// RestateFrom returns at most limit of the snapshot changes of the job, starting at position, and the position of the next
-// change, or zero after the last one. A position stays valid when the job changes.
+// RestateFrom returns about limit of the snapshot changes of the job, starting at position, and the position of the next
+// change, or zero after the last one; the changes of one task stay together. A position stays valid when the job changes.
 func (e *Entry) RestateFrom(position, limit int) (changes []Change, next int) {
 	for at, st := range e.recordedSteps {
 		first := e.position(at)
@@ -188,16 +210,13 @@
 			if t.Attempts == 0 {
 				continue
 			}
-			if len(changes) == limit {
+			if len(changes) >= limit {
 				return changes, first + i
 			}
-			a := work.Attempt{Task: work.Task{Job: e.Job.ID, Occurrence: at.Occurrence, Step: at.Step, Index: i}, Number: t.Attempts}
-			changes = append(changes, Change{
-				Kind: TaskSnapshot, Attempt: a, Failures: t.Failures, Done: t.Done, Live: slices.Clone(t.Live), Checkpoint: t.Checkpoint,
-			})
+			changes = appendSnapshot(changes, work.Task{Job: e.Job.ID, Occurrence: at.Occurrence, Step: at.Step, Index: i}, t)
 		}
 	}
-	if e.Failed && len(changes) == limit {
+	if e.Failed && len(changes) >= limit {
 		return changes, max(1, e.total)
 	}
 	if e.Failed {
@@ -207,6 +226,19 @@
 	return changes, 0
 }
 
+// appendSnapshot appends the changes that reproduce the state of a task.
+func appendSnapshot(changes []Change, task work.Task, t *TaskState) []Change {
+	changes = append(changes, Change{
+		Kind: TaskSnapshot, Attempt: work.Attempt{Task: task, Number: t.Attempts}, Failures: t.Failures, Done: t.Done, Live: slices.Clone(t.Live),
+		Checkpoint: t.Checkpoint,
+	})
+	for _, k := range t.Crashes {
+		changes = append(changes, Change{Kind: TaskCrashed, Attempt: work.Attempt{Task: task, Number: k.Number}, Worker: k.Worker, Life: k.Life})
+	}
+
+	return changes
+}
+
 // position returns the number of tasks that precede a step of an occurrence.
 func (e *Entry) position(at StepOf) int {
 	n := at.Occurrence * (e.total / e.Job.Occurrences())
