schedule: place sound tasks beside the crashing ones in their tests

In the tests of tasks that crash their workers, the sound jobs filled whole workers, so the crashing task often ran alone.

Sound tasks are smaller now and run before the crashing job arrives, or arrive with the crashing ones in a shuffled order, for three seeds; TestCrashingTaskIsGivenUp checks that the first crash ends at least twenty runs.

--- a/schedule/crash_test.go
+++ b/schedule/crash_test.go
@@ -19,25 +19,18 @@
 	maxCrashesOverOwners = 4
 )
 
-// soundTime is how long the task of a sound job takes.
-const soundTime = 4 * time.Second
-
 // taskSize is the size of which twenty tasks fill a worker.
 var taskSize = size(800)
 
-// submitSound submits jobs of one task that ends done after soundTime, and returns their IDs.
-func (b *crashbed) submitSound(n int) []fleet.JobID {
+// soundSize leaves room for a crashing job beside twenty sound ones on one worker.
+var soundSize = size(600)
+
+// submitSound submits jobs of one task that ends done after soundTime, numbered from first on, and returns their IDs.
+func (b *crashbed) submitSound(first, n int) []fleet.JobID {
 	var ids []fleet.JobID
 	for i := range n {
-		ids = append(ids, fleet.JobID(fmt.Sprintf("sound%02d", i)))
-		b.submit(ids[i], work.Step{Count: 1, Size: taskSize, Estimate: soundTime})
-	}
-	b.lasts = func(a work.Attempt) time.Duration {
-		if strings.HasPrefix(string(a.Job), "sound") {
-			return soundTime
-		}
-
-		return never
+		ids = append(ids, fleet.JobID(fmt.Sprintf("sound%02d", first+i)))
+		b.submit(ids[i], work.Step{Count: 1, Size: soundSize, Estimate: soundTime})
 	}
 
 	return ids
@@ -65,9 +58,11 @@
 				b := newCrashbed(t)
 				b.sameID = sameID
 				b.poisonFirst(delay)
-				sound := b.submitSound(20)
+				sound := b.submitSound(0, 20)
+				b.step()
 				b.submit("poison", work.Step{Count: 3, Size: taskSize})
 				b.until(30*time.Second, func() bool { return b.state("poison") == ledger.Failed && b.allIn(ledger.Completed, sound) })
+				check(t, "runs lost in the first crash", true, b.crashes[0].lost >= 20)
 				check(t, "state of the job", ledger.Failed, b.state("poison"))
 				check(t, "sound jobs completed", true, b.allIn(ledger.Completed, sound))
 				if got := b.crashesBy("poison"); got > maxCrashes {
@@ -83,27 +78,36 @@
 // Guards against the giving up of sound jobs, and of too few or too late of the others, when several jobs crash workers at
 // the same time.
 func TestSeveralCrashingJobs(t *testing.T) {
-	for _, delay := range crashDelays {
-		t.Run(delay.String(), func(t *testing.T) {
-			b := newCrashbed(t)
-			b.poisonFirst(delay)
-			sound := b.submitSound(40)
-			rng := rand.New(rand.NewPCG(8, 40))
-			var poison []fleet.JobID
-			for i := range 8 {
-				b.pass(time.Duration(rng.IntN(4)) * stepTime)
-				poison = append(poison, fleet.JobID(fmt.Sprint("poison", i)))
-				b.submit(poison[i], work.Step{Count: 1, Size: taskSize})
-			}
-			b.until(30*time.Second, func() bool { return b.allIn(ledger.Failed, poison) && b.allIn(ledger.Completed, sound) })
-			check(t, "crashing jobs failed", true, b.allIn(ledger.Failed, poison))
-			check(t, "sound jobs completed", true, b.allIn(ledger.Completed, sound))
-			for _, id := range poison {
-				if got := b.crashesBy(id); got > maxCrashes {
-					t.Errorf("%d crashes by %s, at most %d are allowed", got, id, maxCrashes)
+	const soundJobs, poisonJobs, arrivalSteps = 40, 8, 30
+	for _, seed := range []uint64{1, 2, 3} {
+		for _, delay := range crashDelays {
+			t.Run(fmt.Sprintf("seed %d, %s", seed, delay), func(t *testing.T) {
+				b := newCrashbed(t)
+				b.poisonFirst(delay)
+				arrivals := rand.New(rand.NewPCG(seed, 0)).Perm(soundJobs + poisonJobs)
+				var sound, poison []fleet.JobID
+				for i, n := range arrivals {
+					if i*arrivalSteps/len(arrivals) > (i-1)*arrivalSteps/len(arrivals) {
+						b.step()
+					}
+					if n < soundJobs {
+						sound = append(sound, b.submitSound(n, 1)...)
+						continue
+					}
+					id := fleet.JobID(fmt.Sprint("poison", n-soundJobs))
+					poison = append(poison, id)
+					b.submit(id, work.Step{Count: 1, Size: taskSize})
 				}
-			}
-		})
+				b.until(30*time.Second, func() bool { return b.allIn(ledger.Failed, poison) && b.allIn(ledger.Completed, sound) })
+				check(t, "crashing jobs failed", true, b.allIn(ledger.Failed, poison))
+				check(t, "sound jobs completed", true, b.allIn(ledger.Completed, sound))
+				for _, id := range poison {
+					if got := b.crashesBy(id); got > maxCrashes {
+						t.Errorf("%d crashes by %s, at most %d are allowed", got, id, maxCrashes)
+					}
+				}
+			})
+		}
 	}
 }
 
@@ -131,7 +135,8 @@
 			t.Run(fmt.Sprint(tt.name, ", ", delay), func(t *testing.T) {
 				b := newCrashbed(t)
 				b.poisonFirst(delay)
-				sound := b.submitSound(20)
+				sound := b.submitSound(0, 20)
+				b.step()
 				b.submit("poison", work.Step{Count: 3, Size: taskSize})
 				seen := 0
 				b.until(40*time.Second, func() bool {
@@ -320,8 +325,9 @@
 
 				return 300*time.Millisecond + time.Duration(a.Index)*tt.between
 			}
-			sound := b.submitSound(20)
-			b.submit("poison", work.Step{Count: tasks, Size: taskSize, MaxPerWorker: tt.maxPerWorker})
+			sound := b.submitSound(0, 20)
+			b.step()
+			b.submit("poison", work.Step{Count: tasks, Size: size(500), MaxPerWorker: tt.maxPerWorker})
 			b.until(40*time.Second, func() bool { return b.state("poison") == ledger.Failed && b.allIn(ledger.Completed, sound) })
 			check(t, "state of the job", ledger.Failed, b.state("poison"))
 			check(t, "sound jobs completed", true, b.allIn(ledger.Completed, sound))
@@ -377,7 +383,8 @@
 			t.Run(fmt.Sprintf("after %s, members of %d", delay, cores), func(t *testing.T) {
 				b := newCrashbed(t)
 				b.poisonFirst(delay)
-				sound := b.submitSound(10)
+				sound := b.submitSound(0, 10)
+				b.step()
 				b.submit("poison", work.Step{Count: 3, Size: size(cores), Gang: true})
 				b.until(40*time.Second, func() bool { return b.state("poison") == ledger.Failed && b.allIn(ledger.Completed, sound) })
 				check(t, "state of the job", ledger.Failed, b.state("poison"))
@@ -398,7 +405,6 @@
 		t.Run(fmt.Sprintf("members of %d", cores), func(t *testing.T) {
 			b := newCrashbed(t)
 			b.submit("sound", work.Step{Count: 3, Size: size(cores), Gang: true})
-			b.lasts = func(work.Attempt) time.Duration { return 4 * time.Second }
 			b.pass(2 * time.Second)
 			id := b.workerOf("sound")
 			b.crash(id)
--- a/schedule/crash_testbed_test.go
+++ b/schedule/crash_testbed_test.go
@@ -6,6 +6,7 @@
 	"maps"
 	"math"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -27,6 +28,8 @@
 	returnTime = 3 * time.Second
 	// testLease is the lease of the runs on a worker, as takeOver sets it.
 	testLease = 6 * time.Second
+	// soundTime is how long the task of a sound job takes.
+	soundTime = 4 * time.Second
 	// never is a delay that no test reaches.
 	never = time.Duration(math.MaxInt64)
 )
@@ -72,19 +75,20 @@
 	at      time.Time
 }
 
-// bedCrash is the crash of a worker, with the runs that caused it.
+// bedCrash is the crash of a worker, with the runs that caused it and the number of all that it ended.
 type bedCrash struct {
 	worker work.WorkerID
 	at     time.Time
 	causes []work.Attempt
+	lost   int
 }
 
-// newCrashbed returns a crashbed of crashWorkers hosts on two racks, in which nothing ends or crashes.
+// newCrashbed returns a crashbed of crashWorkers hosts on two racks, in which only the tasks of sound jobs end and nothing crashes.
 func newCrashbed(t *testing.T) *crashbed {
 	t.Helper()
 	b := &crashbed{
 		testbed: newTestbed(t, 0), begun: map[work.Attempt]time.Time{}, cutAt: map[work.WorkerID]time.Time{}, firstDown: map[work.WorkerID]time.Time{},
-		lasts: func(work.Attempt) time.Duration { return never }, poison: func(work.Attempt) time.Duration { return never }, term: 1,
+		lasts: soundLasts, poison: func(work.Attempt) time.Duration { return never }, term: 1,
 	}
 	for i := range crashWorkers {
 		h := &bedHost{HostStatus: work.HostStatus{
@@ -99,6 +103,15 @@
 	return b
 }
 
+// soundLasts is how long the runs of jobs take whose names begin with sound; others never end.
+func soundLasts(a work.Attempt) time.Duration {
+	if strings.HasPrefix(string(a.Job), "sound") {
+		return soundTime
+	}
+
+	return never
+}
+
 // boot starts and registers the next worker of a host.
 func (b *crashbed) boot(h *bedHost) {
 	h.lives++
@@ -134,7 +147,7 @@
 
 // crash ends a worker and everything on it without a word; its host is down for returnTime.
 func (b *crashbed) crash(id work.WorkerID, causes ...work.Attempt) {
-	b.crashes = append(b.crashes, bedCrash{worker: id, at: b.now, causes: causes})
+	b.crashes = append(b.crashes, bedCrash{worker: id, at: b.now, causes: causes, lost: len(b.runs[id])})
 	b.terminate(id, work.HostDown, returnTime)
 	b.hosts[b.hostIndex(id)].expiresAt = b.now.Add(expiryTime)
 }
