schedule: end the runs of a worker whose host the cloud lists as down

What callers saw: the tasks that were on a worker that crashed waited for the end of its lease, some seven seconds, though the worker was back after three, and a job of a second was long overdue.

Cause: the list of hosts was read every five seconds, and of what it shows only another worker in the place of the first ended the first one's runs. A host that is down has none.

Change: while a worker with runs does not answer, the list is read twice a second. Runs end as lost if the worker has been silent since before the list was requested and the list no longer has it, or, for a worker that this owner never heard of, once neither the list nor the registrations have it. A worker that the list no longer has gets no tasks; one that it shows again is used again. A worker whose link is cut stays in the list and keeps its runs until their lease ends.

Why this is safe: the list and the silence are two witnesses; either alone ends nothing (TestListThatProvesNoCrash).

--- a/dispatch/hosts.go
+++ b/dispatch/hosts.go
@@ -12,7 +12,8 @@
 const (
 	// hostInterval is the pause between two rounds of host orders.
 	hostInterval = 50 * time.Millisecond
-	// The list of hosts is read often only while a host is out of service, since calls to the cloud are metered.
+	// The list of hosts is read often only while a host is out of service or its worker silent, since calls to the cloud are
+	// metered.
 	busyListInterval = 500 * time.Millisecond
 	idleListInterval = 5 * time.Second
 )
@@ -38,7 +39,7 @@
 func (t *term) listHosts(ctx context.Context, now time.Time) {
 	t.mu.Lock()
 	interval := idleListInterval
-	if t.sched.HostsAway() {
+	if t.sched.HostsAway() || t.sched.HostsSilent() {
 		interval = busyListInterval
 	}
 	due := now.Sub(t.sched.HostsListed()) >= interval
--- a/schedule/host.go
+++ b/schedule/host.go
@@ -94,6 +94,7 @@
 			s.workerGone(before, now)
 		}
 		h.HostStatus = st
+		s.setWorkerHost(h)
 		// A list that was requested before the order was answered may still show the host's earlier state.
 		if h.phase != offline || !h.phaseSince.Before(asked) {
 			continue
@@ -110,6 +111,7 @@
 		}
 	}
 	s.hostList = slices.SortedFunc(maps.Values(s.hosts), func(a, b *host) int { return cmp.Compare(a.Host, b.Host) })
+	s.endLostWorkers(asked, now)
 	s.listedAt = now
 	if s.firstListed.IsZero() {
 		s.firstListed = now
@@ -117,6 +119,19 @@
 	s.dirty = true
 }
 
+// setWorkerHost notes on which host the cloud lists a worker. One that was believed to have ended has not.
+func (s *Scheduler) setWorkerHost(h *host) {
+	w, ok := s.workers[h.Worker]
+	if !ok {
+		return
+	}
+	w.host = h.Host
+	if w.ended && h.State == work.HostUp {
+		w.ended = false
+		w.raiseToken()
+	}
+}
+
 // hostReturned puts a host back in service once it is up after an order.
 func (s *Scheduler) hostReturned(h *host, now time.Time) {
 	h.phase, h.plan, h.phaseSince = inService, hostPlan{}, now
--- /dev/null
+++ b/schedule/lost.go
@@ -0,0 +1,46 @@
+package schedule
+
+import (
+	"time"
+
+	"lycheehook.example/lycheehook/work"
+)
+
+// endLostWorkers ends the runs of silent workers that the cloud's list, requested at asked, no longer shows.
+func (s *Scheduler) endLostWorkers(asked, now time.Time) {
+	listed := make(map[work.WorkerID]bool, len(s.hostList))
+	for _, h := range s.hostList {
+		listed[h.Worker] = true
+	}
+	for _, w := range s.workers {
+		w.delisted = w.host != "" && !listed[w.id]
+		if w.ended || listed[w.id] || !w.lostBefore(asked) {
+			continue
+		}
+		s.workerGone(w.id, now)
+	}
+}
+
+// lostBefore reports whether a worker with runs has not answered since some time before t, or has never answered this owner
+// and is not registered.
+func (w *worker) lostBefore(t time.Time) bool {
+	switch {
+	case len(w.runs) == 0:
+		return false
+	case w.missedPolls > 0:
+		return w.silentSince.Before(t)
+	default:
+		return w.answeredAt.IsZero() && !w.present
+	}
+}
+
+// HostsSilent reports whether a worker with runs does not answer, so that the cloud's list should be read often.
+func (s *Scheduler) HostsSilent() bool {
+	for _, w := range s.workers {
+		if w.missedPolls > 0 && len(w.runs) > 0 && !w.ended {
+			return true
+		}
+	}
+
+	return false
+}
--- a/schedule/poll.go
+++ b/schedule/poll.go
@@ -136,6 +136,9 @@
 // pollFailed handles a poll without a valid answer.
 func (s *Scheduler) pollFailed(w *worker, err error, now time.Time) {
 	w.missedPolls++
+	if w.missedPolls == 1 {
+		w.silentSince = now
+	}
 	w.nextPollAt = now.Add(min(maxPollRetryPause, pollRetryPause*time.Duration(w.missedPolls)))
 	if errors.Is(err, work.ErrFenced) {
 		w.raiseToken()
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -112,9 +112,13 @@
 	polledAt, answeredAt time.Time
 	// leasesEndBy is when every lease given to the worker has surely ended.
 	leasesEndBy time.Time
-	// missedPolls counts the unanswered polls in a row.
+	// missedPolls counts the unanswered polls in a row, the first of which failed at silentSince.
 	missedPolls int
-	nextPollAt  time.Time
+	silentSince time.Time
+	// host is the host on which the cloud last listed the worker; delisted reports that it no longer does.
+	host       fleet.HostName
+	delisted   bool
+	nextPollAt time.Time
 	// seenEnd is the number of the last end that was handled, storedEnd the last one whose change is stored, and
 	// ackedEnd the last one that was acknowledged to the worker.
 	seenEnd, storedEnd, ackedEnd uint64
@@ -288,5 +292,5 @@
 
 // usable reports whether tasks may be placed on the worker, whose registration must be that of the present incarnation.
 func (w *worker) usable(now time.Time) bool {
-	return w.present && w.reg.Life == w.life && w.tokenAcked && !w.cordoned && !w.reg.Draining && w.missedPolls < maxMissedPolls && !now.Before(w.quarantinedUntil)
+	return w.present && !w.delisted && w.reg.Life == w.life && w.tokenAcked && !w.cordoned && !w.reg.Draining && w.missedPolls < maxMissedPolls && !now.Before(w.quarantinedUntil)
 }
