schedule: give up the job of a task that crashes its workers

What callers saw: one task took a worker down every six to seven seconds, attempt after attempt, and with it the twenty other tasks there.

Cause: of the class of retries without a limit for a failure that takes others along. A run that was lost with its worker counted as no failure, and nothing of the crash outlived the run.

Change: the crash of a worker is evidence against the tasks that may have been running there. It is kept in the ledger, so that a new owner knows it. A task under which workers crashed is isolated when it runs again: no other task starts on its worker until it has outlived the age at which the worker crashed before, and then the next crash speaks against it alone. Its job fails after three crashes, or after two if the worker ran nothing else; the log names the workers. A task that outlives twice that age is cleared. No evidence: workers that leave as announced or by an order, links that were cut, whole racks. A job under which several workers crashed runs one task first.

Why this works: each further start of such a task happens where it can be told from all others, so the number of its crashes is bounded by a constant, whoever owns the workers; and innocent tasks clear themselves by running.

--- a/ledger/entry.go
+++ b/ledger/entry.go
@@ -334,3 +334,15 @@
 func (s State) String() string {
 	return [...]string{"Queued", "InProgress", "Completed", "Failed", "Cancelled"}[s]
 }
+
+// Crashes iterates over the tasks under which workers crashed.
+func (e *Entry) Crashes(yield func(work.Task, []Crash) bool) {
+	for s, st := range e.recordedSteps {
+		for i := range st.Tasks {
+			t := work.Task{Job: e.Job.ID, Occurrence: s.Occurrence, Step: s.Step, Index: i}
+			if len(st.Tasks[i].Crashes) > 0 && !yield(t, st.Tasks[i].Crashes) {
+				return
+			}
+		}
+	}
+}
--- a/schedule/compact.go
+++ b/schedule/compact.go
@@ -79,6 +79,7 @@
 	for _, id := range ids {
 		delete(s.entries, id)
 		delete(s.overSince, id)
+		s.forgetSuspects(id)
 		maps.DeleteFunc(s.advice, func(step string, _ *advice) bool { return strings.HasPrefix(step, string(id)+".") })
 	}
 }
--- a/schedule/decision.go
+++ b/schedule/decision.go
@@ -31,6 +31,8 @@
 	DecidedWorkerSilent DecisionKind = "WorkerSilent"
 	// DecidedWorkerSuspected is a worker that gets no tasks for a time because runs failed there.
 	DecidedWorkerSuspected DecisionKind = "WorkerSuspected"
+	// DecidedWorkerCrashed is a worker that ended unexpectedly, which speaks against the tasks that ran there.
+	DecidedWorkerCrashed DecisionKind = "WorkerCrashed"
 	// DecidedWorkerSlow is a worker whose runs are far slower than estimated; it gets no tasks for a time.
 	DecidedWorkerSlow DecisionKind = "WorkerSlow"
 	// DecidedNoAdvice is a question about workers that was not answered.
--- a/schedule/host.go
+++ b/schedule/host.go
@@ -41,6 +41,8 @@
 	// orderStored reports that the order is stored and may be sent; retryAt is when an unanswered one is repeated.
 	orderStored bool
 	retryAt     time.Time
+	// downAt is when the list first showed the host as not up, after it was up; zero while it is up.
+	downAt time.Time
 }
 
 // hostPlan is maintenance for a wave, or a move to a pool.
@@ -91,9 +93,9 @@
 		}
 		before := h.Worker
 		if before != "" && st.Worker != "" && before != st.Worker {
-			s.workerGone(before, now)
+			s.replaced(before, now)
 		}
-		h.HostStatus = st
+		h.apply(st, now)
 		s.setWorkerHost(h)
 		// A list that was requested before the order was answered may still show the host's earlier state.
 		if h.phase != offline || !h.phaseSince.Before(asked) {
@@ -119,6 +121,17 @@
 	s.dirty = true
 }
 
+// apply takes a host's state from the cloud's list.
+func (h *host) apply(st work.HostStatus, now time.Time) {
+	switch {
+	case st.State == work.HostUp:
+		h.downAt = time.Time{}
+	case h.State == work.HostUp:
+		h.downAt = now
+	}
+	h.HostStatus = st
+}
+
 // setWorkerHost notes on which host the cloud lists a worker. One that was believed to have ended has not.
 func (s *Scheduler) setWorkerHost(h *host) {
 	w, ok := s.workers[h.Worker]
@@ -132,6 +145,14 @@
 	}
 }
 
+// replaced ends the runs of a worker in whose place its host has another one.
+func (s *Scheduler) replaced(id work.WorkerID, now time.Time) {
+	if w, ok := s.workers[id]; ok && !w.ended {
+		s.crashed(w, "its host has another worker", now)
+	}
+	s.workerGone(id, now)
+}
+
 // hostReturned puts a host back in service once it is up after an order.
 func (s *Scheduler) hostReturned(h *host, now time.Time) {
 	h.phase, h.plan, h.phaseSince = inService, hostPlan{}, now
--- a/schedule/lost.go
+++ b/schedule/lost.go
@@ -6,6 +6,13 @@
 	"lycheehook.example/lycheehook/work"
 )
 
+// listedUp reports whether the cloud listed a worker on a host that is up after the worker fell silent.
+func (s *Scheduler) listedUp(w *worker) bool {
+	h, ok := s.hosts[w.host]
+
+	return ok && h.State == work.HostUp && h.Worker == w.id && s.listedAt.After(w.silentSince)
+}
+
 // endLostWorkers ends the runs of silent workers that the cloud's list, requested at asked, no longer shows.
 func (s *Scheduler) endLostWorkers(asked, now time.Time) {
 	listed := make(map[work.WorkerID]bool, len(s.hostList))
@@ -17,6 +24,7 @@
 		if w.ended || listed[w.id] || !w.lostBefore(asked) {
 			continue
 		}
+		s.crashed(w, "its host is down", now)
 		s.workerGone(w.id, now)
 	}
 }
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -30,6 +30,7 @@
 		return
 	}
 	s.dirty = false
+	s.settleSuspicions(now)
 	sets := s.usableWorkers(now)
 	s.unplaced = s.unplaced[:0]
 	for _, class := range rankClasses(s.readySteps(now)) {
@@ -113,7 +114,7 @@
 		}) {
 			continue
 		}
-		tasks := waitingTasks(e.Step(at))
+		tasks := s.startable(j, at, q.Pool, waitingTasks(e.Step(at)), now)
 		if len(tasks) == 0 {
 			continue
 		}
@@ -247,6 +248,9 @@
 	ticket, _ := s.ticketFor(r, w, now)
 	run := &run{pace: fullPace, ticket: ticket, attempt: a, worker: w, life: w.life}
 	s.reserve(e, run)
+	if r.job.mustIsolate(a.Task) {
+		w.isolated = run
+	}
 	if r.tasksOnWorker != nil {
 		r.tasksOnWorker[w.id]++
 	}
@@ -284,6 +288,9 @@
 		r.tasksOnWorker = countTasksOnWorkers(r)
 	}
 	task := work.Task{Job: r.job.entry.Job.ID, Occurrence: r.step.Occurrence, Step: r.step.Step, Index: index}
+	if r.job.mustIsolate(task) {
+		return s.isolationWorker(r, task, p, now)
+	}
 	best, retry := s.bestWorkers(r, task, p, now)
 	if best == nil && retry != nil && (step.Lasting || !r.mayRunElsewhere(task, p)) {
 		best = retry
@@ -298,13 +305,9 @@
 // bestWorkers returns the best worker with room on which the task has not failed, and the best one on which it has.
 func (s *Scheduler) bestWorkers(r *readyStep, task work.Task, p *workerSet, now time.Time) (best, retry *worker) {
 	step := &r.job.entry.Job.Steps[task.Step]
-	need := step.Reserved()
 	var bestScore, retryScore float64
 	for _, w := range p.workers {
-		if !need.FitsIn(w.freeFor(step)) || !r.allows(step, w) {
-			continue
-		}
-		if _, ok := s.ticketFor(r, w, now); !ok {
+		if !w.mayStart(false, now) || !s.mayRunOn(r, step, w, now) {
 			continue
 		}
 		failed := r.job.failedOn(task, w.id)
@@ -319,6 +322,16 @@
 	return best, retry
 }
 
+// mayRunOn reports whether a worker has room for a task of a step and is allowed to run it.
+func (s *Scheduler) mayRunOn(r *readyStep, step *work.Step, w *worker, now time.Time) bool {
+	if !step.Reserved().FitsIn(w.freeFor(step)) || !r.allows(step, w) {
+		return false
+	}
+	_, ok := s.ticketFor(r, w, now)
+
+	return ok
+}
+
 // mayRunElsewhere reports whether a worker on which the task has not failed could take it once it has room.
 func (r *readyStep) mayRunElsewhere(task work.Task, p *workerSet) bool {
 	step := &r.job.entry.Job.Steps[task.Step]
--- a/schedule/poll.go
+++ b/schedule/poll.go
@@ -60,6 +60,8 @@
 		return 0, true
 	case w.warmingUp():
 		return warmUpPollWait, true
+	case w.isolated != nil || now.Before(w.isolationDue):
+		return isolationPollWait, true
 	case len(w.runs) > 0:
 		return w.pollWait(), true
 	default:
@@ -114,13 +116,14 @@
 	}
 	if reply.Life != 0 && reply.Life != w.life {
 		if reply.Life > w.life {
-			s.restarted(w, reply.Life)
+			s.restarted(w, reply.Life, now)
 		}
 
 		return
 	}
 	w.missedPolls, w.ackedEnd = 0, max(w.ackedEnd, l.stored)
 	w.clock, w.polledAt, w.answeredAt = reply.Clock, l.asked, now
+	s.withdrawCrash(w)
 	if !w.tokenAcked {
 		w.tokenAcked, s.dirty = true, true
 	}
--- a/schedule/run.go
+++ b/schedule/run.go
@@ -77,7 +77,7 @@
 		return Order{}, false
 	}
 	e := s.entries[r.attempt.Job]
-	r.phase, r.token = sent, s.token(w)
+	r.phase, r.token, r.startedAt = sent, s.token(w), now
 
 	return Order{Worker: w.reg, run: r, Start: &work.Start{
 		Attempt: r.attempt, Spec: e.Job.Spec, Checkpoint: resumeCheckpoint(e, r.attempt), Token: r.token, Ticket: r.ticket, Until: s.lease(w, now),
@@ -261,15 +261,28 @@
 // runs.
 func (s *Scheduler) Lapse(now time.Time) {
 	for id, w := range s.workers {
-		if w.missedPolls > 0 || !w.tokenAcked {
-			for _, r := range w.runs {
-				if r.phase != assigned && now.After(w.leasesEndBy) {
-					s.endRun(r, work.OutcomeLapsed, "", "lease ended on a silent worker")
-				}
-			}
+		if w.silent() && now.After(w.leasesEndBy) {
+			s.lapseRuns(w, now)
 		}
 		if !w.present && len(w.runs) == 0 && now.After(w.leasesEndBy) && w.pollToken == 0 {
 			delete(s.workers, id)
 		}
 	}
 }
+
+// silent reports whether the worker has not answered since its last poll or its last token failed.
+func (w *worker) silent() bool {
+	return w.missedPolls > 0 || !w.tokenAcked
+}
+
+// lapseRuns ends the runs on a silent worker whose leases have surely ended.
+func (s *Scheduler) lapseRuns(w *worker, now time.Time) {
+	if !w.present && !s.listedUp(w) {
+		s.crashed(w, "lease ended on a silent worker that is no longer registered", now)
+	}
+	for _, r := range w.runs {
+		if r.phase != assigned {
+			s.endRun(r, work.OutcomeLapsed, "", "lease ended on a silent worker")
+		}
+	}
+}
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -20,6 +20,8 @@
 	entries    map[fleet.JobID]*ledger.Entry
 	jobs       map[fleet.JobID]*job
 	workers    map[work.WorkerID]*worker
+	// suspects has the tasks under which each incarnation of a worker crashed.
+	suspects map[incarnation][]work.Task
 	// workspaceUsage has the resources that each workspace's runs use.
 	workspaceUsage map[fleet.WorkspaceName]fleet.Resources
 	// poolUsage has the resources that each workspace's runs reserve in each pool.
@@ -77,6 +79,11 @@
 	knownSince time.Time
 	// failedOnWorkers has the workers on which each task failed.
 	failedOnWorkers map[work.Task][]work.WorkerID
+	// suspicions has the tasks under which workers crashed.
+	suspicions map[work.Task]*suspicion
+	// lastCrash is when this owner learned of the last of these crashes, and cleared when a suspected task last outlived its
+	// isolation.
+	lastCrash, cleared time.Time
 	// moves counts how often each task was moved off a slow worker.
 	moves map[work.Task]int
 	// firstOpen is the first occurrence that may not be done.
@@ -99,7 +106,7 @@
 		queues: map[fleet.QueueName]*work.Queue{}, pools: map[fleet.PoolName]work.Pool{}, workspaces: map[fleet.WorkspaceName]work.Workspace{},
 		jobs: map[fleet.JobID]*job{}, workers: map[work.WorkerID]*worker{}, workspaceUsage: map[fleet.WorkspaceName]fleet.Resources{}, poolUsage: map[usageKey]fleet.Resources{}, dirty: true,
 		hosts: map[fleet.HostName]*host{}, waves: map[int64]*wave{}, quietUntil: map[fleet.HostName]time.Time{}, overSince: map[fleet.JobID]time.Time{},
-		advice: map[string]*advice{}, dueHosts: map[fleet.HostName]bool{},
+		suspects: map[incarnation][]work.Task{}, advice: map[string]*advice{}, dueHosts: map[fleet.HostName]bool{},
 		balancer: balance.New(b.MoveTime + moveDecisionDelay),
 	}
 	for _, o := range options {
@@ -115,7 +122,9 @@
 // adopt adds a job from the ledger, with the runs that a previous owner may have started.
 func (s *Scheduler) adopt(e *ledger.Entry, now time.Time) {
 	if !e.Over() {
-		s.jobs[e.Job.ID] = &job{entry: e, knownSince: e.Job.Submitted}
+		j := &job{entry: e, knownSince: e.Job.Submitted}
+		s.jobs[e.Job.ID] = j
+		s.adoptCrashes(j)
 	}
 	for a, l := range e.LiveAttempts {
 		w := s.ensureWorker(l.Worker)
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -63,6 +63,10 @@
 	// charged is what the run counts towards its workspace's limit.
 	charged fleet.Resources
 	ticket  string
+	// startedAt is when this owner sent the start; zero for inherited runs.
+	startedAt time.Time
+	// outlived reports that the run has lasted longer than earlier runs of its task had when their workers crashed.
+	outlived bool
 	// token is the fencing token of the start.
 	token uint64
 	// confirmedAt is when the worker confirmed the run.
@@ -116,9 +120,15 @@
 	missedPolls int
 	silentSince time.Time
 	// host is the host on which the cloud last listed the worker; delisted reports that it no longer does.
-	host       fleet.HostName
-	delisted   bool
-	nextPollAt time.Time
+	host     fleet.HostName
+	delisted bool
+	// knownSince is when this owner learned of the incarnation; zero if a previous owner knew it.
+	knownSince time.Time
+	// isolated is a suspected task's run, beside which no other task is started. Until isolationDue none is started
+	// either, so that such a run can.
+	isolated     *run
+	isolationDue time.Time
+	nextPollAt   time.Time
 	// seenEnd is the number of the last end that was handled, storedEnd the last one whose change is stored, and
 	// ackedEnd the last one that was acknowledged to the worker.
 	seenEnd, storedEnd, ackedEnd uint64
@@ -197,6 +207,9 @@
 	if r.stopRequested {
 		w.stoppingRuns--
 	}
+	if w.isolated == r {
+		w.isolated = nil
+	}
 	s.dirty = true
 	e := r.entry
 	if e == nil {
@@ -246,12 +259,15 @@
 		return
 	}
 	if r.Life != w.life && w.life != 0 {
-		s.restarted(w, r.Life)
+		s.restarted(w, r.Life, now)
 	}
 	if !w.present {
 		w.pollNow = true
 	}
 	w.applyCapacity(r.Capacity)
+	if r.Life != w.life {
+		w.knownSince = now
+	}
 	w.reg, w.life, w.present = r, r.Life, true
 	s.dirty = true
 }
@@ -277,13 +293,14 @@
 
 // restarted ends all runs of a worker's earlier incarnations. It raises the token, so that a delayed order to an earlier
 // incarnation has no effect.
-func (s *Scheduler) restarted(w *worker, life work.Life) {
+func (s *Scheduler) restarted(w *worker, life work.Life, now time.Time) {
+	s.crashed(w, "worker restarted", now)
 	for _, r := range w.runs {
 		if r.life < life {
 			s.endRun(r, work.OutcomeLapsed, "", "worker restarted")
 		}
 	}
-	w.life, w.ended = life, false
+	w.life, w.ended, w.knownSince = life, false, now
 	w.seenEnd, w.storedEnd, w.ackedEnd = 0, 0, 0
 	w.clock, w.polledAt, w.answeredAt = 0, time.Time{}, time.Time{}
 	w.missedPolls, w.nextPollAt = 0, time.Time{}
