schedule: clear a lasting task that outlives its isolation

Cause: five workers crashed under one of its tasks within ten seconds, by other tasks, and the limit for late crashes applied. A lasting task is on workers until they crash for some reason, so its age at a crash says nothing.

Change: a lasting task that outlives its isolation is cleared of the crashes before.

Test: TestLastingTaskAmongCrashingJobs fails before: 0 of 4 tasks run 4s after crash 6.

--- a/schedule/crash.go
+++ b/schedule/crash.go
@@ -25,8 +25,6 @@
 	// least number of hosts from which such a failure is told from the crashes of single hosts.
 	rackFailureSpan = 2 * time.Second
 	minRackHosts    = 3
-	// maxLastingTrial is how long a lasting task must run, at most, to be cleared of the crashes before.
-	maxLastingTrial = 5 * time.Second
 	// unknownAgeTrial is how long a task must run to be cleared of a crash that a previous owner recorded.
 	unknownAgeTrial = 10 * time.Second
 	// minTrialMargin is the least time by which a run must outlive the age at which its worker crashed before.
@@ -53,17 +51,17 @@
 	since   time.Time
 }
 
-// trial returns how long a run must last to clear the task.
+// trial returns how long a run must last to clear the task. A lasting task is on many workers that crash for other reasons
+// later, so that its isolation is enough.
 func (p *suspicion) trial(step *work.Step) time.Duration {
-	trial := max(2*p.age, p.age+minTrialMargin)
-	if p.age == 0 {
-		trial = unknownAgeTrial
-	}
-	if step.Lasting {
-		return min(trial, maxLastingTrial)
+	switch {
+	case step.Lasting:
+		return p.isolation()
+	case p.age == 0:
+		return unknownAgeTrial
+	default:
+		return max(2*p.age, p.age+minTrialMargin)
 	}
-
-	return trial
 }
 
 // adoptCrashes applies the crashes that the ledger has of a job.
