--- a/owner/owner.go
+++ b/owner/owner.go
@@ -3,15 +3,10 @@
 import (
 	"context"
 	"errors"
-	"maps"
-	"slices"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
 
-	"lycheehook.example/lycheehook/fleet"
 	"lycheehook.example/lycheehook/ledger"
 	"lycheehook.example/lycheehook/pause"
 	"lycheehook.example/lycheehook/store"
@@ -23,41 +18,10 @@
 	// deferLimit is the longest time for which a host leaves a new term to stronger hosts. The record of a host that has
 	// failed is gone within leaseTime; the limit is for those that live and can't bid.
 	deferLimit = 2 * leaseTime
-	// handoverDelay is how long a stronger host must have held its lease before the owner hands over, and handoverCheck how
-	// often the owner looks.
-	handoverDelay = 2 * leaseTime
-	handoverCheck = 500 * time.Millisecond
-	// handoverInterval is the minimum time between two handovers of a process, in case that the stronger hosts don't take
-	// the workers and they come back to it.
-	handoverInterval = time.Minute
 	// yieldTime is how long a process that gave up its term leaves the next one to others.
 	yieldTime = time.Second
 )
 
-// Term is a period in which this process owns the workers.
-type Term struct {
-	// Revision is the store revision at which the term began; it is the fencing token of all writes and orders.
-	Revision uint64
-	lease    store.LeaseID
-	seat     *Seat
-	// over is set when the process gives up the term, whose lease it keeps.
-	over atomic.Bool
-}
-
-// Valid reports whether the process still owns the workers and the lease of the term is valid now.
-func (t *Term) Valid() bool {
-	id, valid := t.seat.Lease()
-
-	return valid && id == t.lease && !t.over.Load()
-}
-
-// Ended reports whether the term has ended; unlike Valid, it stays false while renewals of the lease fail.
-func (t *Term) Ended() bool {
-	id, _ := t.seat.Lease()
-
-	return id != t.lease || t.over.Load()
-}
-
 // Candidate competes for terms on behalf of a process.
 type Candidate struct {
 	client   *store.Client
@@ -116,44 +80,6 @@
 	}
 }
 
-// serve calls f until it returns, and ends its context when a stronger host can take over.
-func (c *Candidate) serve(ctx context.Context, t *Term, f func(ctx context.Context, t *Term)) {
-	serving, cancel := context.WithCancel(ctx)
-	var watch sync.WaitGroup
-	watch.Go(func() {
-		if h, ok := c.awaitStronger(serving); ok {
-			c.log.Info("handing over to stronger hosts", "term", t.Revision, "host", h)
-			c.handedOver = time.Now()
-			t.over.Store(true)
-			cancel()
-		}
-	})
-	f(serving, t)
-	t.over.Store(true)
-	cancel()
-	watch.Wait()
-}
-
-// awaitStronger waits until a stronger host has held its lease for handoverDelay, and returns its name.
-func (c *Candidate) awaitStronger(ctx context.Context) (fleet.EntryName, bool) {
-	seen := map[fleet.EntryName]time.Time{}
-	for pause.For(ctx, handoverCheck) {
-		now := time.Now()
-		stronger := c.stronger(c.follower.Book().Hosts())
-		maps.DeleteFunc(seen, func(h fleet.EntryName, _ time.Time) bool { return !slices.Contains(stronger, h) })
-		for _, h := range stronger {
-			switch since, ok := seen[h]; {
-			case !ok:
-				seen[h] = now
-			case now.Sub(since) >= handoverDelay && (c.handedOver.IsZero() || now.Sub(c.handedOver) >= handoverInterval):
-				return h, true
-			}
-		}
-	}
-
-	return "", false
-}
-
 // deferToStronger leaves a new term to stronger hosts, since the owner does most of the work. It returns once there are none or
 // deferLimit has passed, or once there is an owner, and reports whether there is still none.
 func (c *Candidate) deferToStronger(ctx context.Context) bool {
@@ -170,18 +96,6 @@
 	return false
 }
 
-// stronger returns those of the hosts that are stronger than this one.
-func (c *Candidate) stronger(hosts []ledger.Host) []fleet.EntryName {
-	var list []fleet.EntryName
-	for _, h := range hosts {
-		if h.Cores > strongerRatio*c.seat.host.Cores {
-			list = append(list, h.Name)
-		}
-	}
-
-	return list
-}
-
 // recoverTerm returns the term of a record that this process wrote without receiving the store's answer.
 func (c *Candidate) recoverTerm(revision uint64) *Term {
 	lease, valid := c.seat.Lease()
