owner: hand over from an owner that falls behind

What callers would see: accepted jobs start late or not at all when the host that owns the workers turns slow, though hosts as strong are idle.

Cause: of the class of choices that are made once and never looked at again. An owner handed over to a stronger host only, by what hosts say of their cores.

Change: each pass notes how late it begins: against a tick after the one before, at which a pass is due without any event, so that a pass that is rare isn't late. An owner of which no pass has begun less than half a second late for three seconds gives up its term, if a host that is as strong has held its lease for four seconds. The configuration is read before the lock of the term is taken, as it doesn't need it.

Why it can't flap: a term ends so only after thirty seconds, and a process hands over once a minute at most, so where every host is too weak the workers change hands twice a minute at most. A process that was frozen for as long has lost its lease in any case.

Tests fail before: TestSlowOwnerHandsOver/slow: terms of the other host: 0, want 1 TestLateOwnerHandsOver/as_strong: handed over: false, want true TestLateOwnerHandsOver/nearly_as_strong: handed over: false, want true TestHandoverAmongLateHosts holds the bound; with a minimum of one second it says "a term ended after 4.5s". The limits are not measured on a slow host.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -206,8 +206,12 @@
 func (t *term) run(ctx context.Context) {
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
+	due := time.Now()
 	for ctx.Err() == nil && !t.ownership.Ended() {
 		began := time.Now()
+		t.ownership.Pass(began.Sub(due))
+		// Without any event, the next pass is due at the tick.
+		due = began.Add(tickInterval)
 		t.pass(ctx)
 		pause.For(ctx, passPause(time.Since(began)))
 		select {
@@ -229,11 +233,12 @@
 
 // pass runs one scheduling pass and sends the resulting polls and orders.
 func (t *term) pass(ctx context.Context) {
+	c, ok := t.config()
 	now := time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
-	if c, ok := t.config(); ok && c.Version != t.version {
+	if ok && c.Version != t.version {
 		t.sched.SetConfig(c)
 		t.version = c.Version
 	}
--- a/dispatch/term_test.go
+++ b/dispatch/term_test.go
@@ -55,6 +55,50 @@
 	})
 }
 
+// An owner whose passes were late all the time kept the workers beside a host that was well, while one whose passes are only
+// rare keeps pace.
+func TestSlowOwnerHandsOver(t *testing.T) {
+	tests := []struct {
+		name string
+		// passTime is how long each pass of the first owner takes.
+		passTime time.Duration
+		want     int64
+	}{
+		{"nothing to do", 0, 0},
+		{"somewhat slow", 300 * time.Millisecond, 0},
+		{"slow", time.Second, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := standin.NewStore()
+				ctx, cancel := context.WithCancel(t.Context())
+				var othersTerms atomic.Int64
+				runCandidate(ctx, s.Client(), "a", func(ctx context.Context, d *Dispatcher, tm *owner.Term) {
+					d.config = func() (work.Config, bool) {
+						time.Sleep(tt.passTime)
+
+						return work.Config{}, false
+					}
+					d.Serve(ctx, tm)
+				})
+				time.Sleep(time.Second)
+				runCandidate(ctx, s.Client(), "b", func(ctx context.Context, d *Dispatcher, tm *owner.Term) {
+					othersTerms.Add(1)
+					d.Serve(ctx, tm)
+				})
+				time.Sleep(time.Minute)
+				if got := othersTerms.Load(); got != tt.want {
+					t.Errorf("terms of the other host: %d, want %d", got, tt.want)
+				}
+				cancel()
+				synctest.Wait()
+				time.Sleep(10 * time.Second)
+			})
+		})
+	}
+}
+
 // runCandidate starts a process that competes for terms and calls serve in each with its dispatcher.
 func runCandidate(ctx context.Context, c *store.Client, name string, serve func(context.Context, *Dispatcher, *owner.Term)) {
 	l := log.New(io.Discard)
--- a/owner/handover.go
+++ b/owner/handover.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"sync"
 	"time"
 
@@ -13,22 +11,27 @@
 )
 
 const (
-	// handoverDelay is how long a stronger host must have held its lease before the owner hands over, and handoverCheck how
-	// often the owner looks.
-	handoverDelay = 2 * leaseTime
+	// handoverCheck is how often an owner looks whether another host should have the workers.
 	handoverCheck = 500 * time.Millisecond
-	// handoverInterval is the minimum time between two handovers of a process, in case that the stronger hosts don't take
-	// the workers and they come back to it.
+	// handoverDelay is how long a host must have held its lease before an owner hands over to it.
+	handoverDelay = 2 * leaseTime
+	// handoverInterval is the minimum time between two handovers of a process, in case that the other hosts don't take the
+	// workers and they come back to it.
 	handoverInterval = time.Minute
+	// lateLimit is how long an owner may begin all passes late before it hands over to a host that is as strong as it is.
+	lateLimit = 3 * time.Second
+	// minLateTerm is the minimum length of a term that ends because the owner is late: where every host is too weak for the
+	// work, the workers must not change hands all the time.
+	minLateTerm = 30 * time.Second
 )
 
-// serve calls f until it returns, and ends its context when a stronger host can take over.
+// serve calls f until it returns, and ends the term when another host should have the workers.
 func (c *Candidate) serve(ctx context.Context, t *Term, f func(ctx context.Context, t *Term)) {
 	serving, cancel := context.WithCancel(ctx)
 	var watch sync.WaitGroup
 	watch.Go(func() {
-		if h, ok := c.awaitStronger(serving); ok {
-			c.log.Info("handing over to stronger hosts", "term", t.Revision, "host", h)
+		if h, ok := c.awaitSuccessor(serving, t); ok {
+			c.log.Info("handing over the workers", "term", t.Revision, "to", h, "late", t.lateFor())
 			c.handedOver = time.Now()
 			t.over.Store(true)
 			cancel()
@@ -40,19 +43,19 @@
 	watch.Wait()
 }
 
-// awaitStronger waits until a stronger host has held its lease for handoverDelay, and returns its name.
-func (c *Candidate) awaitStronger(ctx context.Context) (fleet.EntryName, bool) {
-	seen := map[fleet.EntryName]time.Time{}
+// awaitSuccessor waits until a host should have the workers in place of this one, and returns its name.
+func (c *Candidate) awaitSuccessor(ctx context.Context, t *Term) (fleet.EntryName, bool) {
+	var since map[fleet.EntryName]time.Time
 	for pause.For(ctx, handoverCheck) {
 		now := time.Now()
-		stronger := c.stronger(c.follower.Book().Hosts())
-		maps.DeleteFunc(seen, func(h fleet.EntryName, _ time.Time) bool { return !slices.Contains(stronger, h) })
-		for _, h := range stronger {
-			switch since, ok := seen[h]; {
-			case !ok:
-				seen[h] = now
-			case now.Sub(since) >= handoverDelay && (c.handedOver.IsZero() || now.Sub(c.handedOver) >= handoverInterval):
-				return h, true
+		hosts := c.follower.Book().Hosts()
+		since = stillPresent(since, hosts, now)
+		if !c.handedOver.IsZero() && now.Sub(c.handedOver) < handoverInterval {
+			continue
+		}
+		for _, h := range hosts {
+			if now.Sub(since[h.Name]) >= handoverDelay && c.shouldHandOver(t, h) {
+				return h.Name, true
 			}
 		}
 	}
@@ -60,14 +63,31 @@
 	return "", false
 }
 
-// stronger returns those of the hosts that are stronger than this one.
-func (c *Candidate) stronger(hosts []ledger.Host) []fleet.EntryName {
-	var list []fleet.EntryName
+// stillPresent returns since when each of the hosts has been present, given what was known before.
+func stillPresent(before map[fleet.EntryName]time.Time, hosts []ledger.Host, now time.Time) map[fleet.EntryName]time.Time {
+	since := make(map[fleet.EntryName]time.Time, len(hosts))
 	for _, h := range hosts {
-		if h.Cores > strongerRatio*c.seat.host.Cores {
-			list = append(list, h.Name)
+		since[h.Name] = now
+		if at, ok := before[h.Name]; ok {
+			since[h.Name] = at
 		}
 	}
 
-	return list
+	return since
+}
+
+// shouldHandOver reports whether a host should have the workers: if it is stronger, or if it is as strong and this one has
+// fallen behind.
+func (c *Candidate) shouldHandOver(t *Term, h ledger.Host) bool {
+	if h.Name == c.seat.host.Name {
+		return false
+	}
+	late := t.lateFor() >= lateLimit && time.Since(t.began) >= minLateTerm
+
+	return c.isStronger(h) || late && strongerRatio*h.Cores >= c.seat.host.Cores
+}
+
+// isStronger reports whether a host is stronger than this one.
+func (c *Candidate) isStronger(h ledger.Host) bool {
+	return h.Cores > strongerRatio*c.seat.host.Cores
 }
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -88,7 +89,7 @@
 		if _, revision := b.Owner(); revision != 0 {
 			return false
 		}
-		if len(c.stronger(b.Hosts())) == 0 || !time.Now().Before(limit) {
+		if !slices.ContainsFunc(b.Hosts(), c.isStronger) || !time.Now().Before(limit) {
 			return true
 		}
 	}
@@ -103,7 +104,7 @@
 		return nil
 	}
 
-	return &Term{Revision: revision, lease: lease, seat: c.seat}
+	return newTerm(c.seat, lease, revision)
 }
 
 // resign removes the Owner record, so that the next term can begin at once. It tries until the record is gone, since otherwise
@@ -164,7 +165,7 @@
 		return nil
 	}
 
-	return &Term{Revision: revision, lease: lease, seat: c.seat}
+	return newTerm(c.seat, lease, revision)
 }
 
 // resolveWrite determines whether a write of the Owner record took effect after its outcome was lost.
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -22,6 +22,8 @@
 	seat *Seat
 	mu   sync.Mutex
 	term *Term
+	// lag is how late the passes of the process begin, in nanoseconds.
+	lag atomic.Int64
 	// ahead is the lead of the uptime over the Go runtime's clock, which doesn't include time in suspend.
 	ahead atomic.Int64
 }
@@ -57,6 +59,7 @@
 		c.term = t
 		c.mu.Unlock()
 		for !t.Ended() && ctx.Err() == nil {
+			t.Pass(time.Duration(c.lag.Load()))
 			time.Sleep(10 * time.Millisecond)
 		}
 	})
@@ -213,6 +216,97 @@
 	})
 }
 
+// An owner whose passes begin late for seconds, such as a host that has turned slow, kept the workers beside hosts that are
+// well.
+func TestLateOwnerHandsOver(t *testing.T) {
+	tests := []struct {
+		name string
+		// cores are those of the host beside the owner, which has one; zero means that there is none.
+		cores float64
+		// from is when the owner turns slow, after the start of its term.
+		from time.Duration
+		want bool
+	}{
+		{"as strong", 1, 40 * time.Second, true},
+		{"nearly as strong", 0.7, 40 * time.Second, true},
+		{"too weak", 0.6, 40 * time.Second, false},
+		{"alone", 0, 40 * time.Second, false},
+		{"in the first seconds of a term", 1, 0, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := standin.NewStore()
+				ctx, cancel := context.WithCancel(t.Context())
+				first := startContenderOn(ctx, s, ledger.Host{Name: "a", PeerAddress: "a", Cores: 1}, "p-a")
+				time.Sleep(time.Second)
+				if tt.cores > 0 {
+					startContenderOn(ctx, s, ledger.Host{Name: "b", PeerAddress: "b", Cores: tt.cores}, "p-b")
+				}
+				time.Sleep(tt.from)
+				first.lag.Store(int64(time.Second))
+				time.Sleep(lateLimit + time.Second)
+				if got := !first.valid(); got != tt.want {
+					t.Errorf("handed over: %v, want %v", got, tt.want)
+				}
+				cancel()
+				synctest.Wait()
+				time.Sleep(5 * time.Second)
+			})
+		})
+	}
+}
+
+// Where every host is too weak for the work, the workers change hands no more often than once in minLateTerm.
+func TestHandoverAmongLateHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := standin.NewStore()
+		ctx, cancel := context.WithCancel(t.Context())
+		var list []*contender
+		for _, name := range []string{"a", "b", "c"} {
+			c := startContenderOn(ctx, s, ledger.Host{Name: fleet.EntryName(name), PeerAddress: name, Cores: 1}, "p-"+name)
+			c.lag.Store(int64(time.Second))
+			list = append(list, c)
+		}
+		const step = 100 * time.Millisecond
+		began := map[*Term]time.Time{}
+		var last time.Time
+		for end := time.Now().Add(5 * time.Minute); time.Now().Before(end); time.Sleep(step) {
+			for _, c := range list {
+				c.mu.Lock()
+				if t := c.term; t != nil && began[t].IsZero() {
+					began[t] = time.Now()
+				}
+				c.mu.Unlock()
+			}
+			if now := began[newest(began)]; now != last {
+				if !last.IsZero() && now.Sub(last) < minLateTerm-step {
+					t.Errorf("a term ended after %s", now.Sub(last))
+				}
+				last = now
+			}
+		}
+		if len(began) < 2 {
+			t.Errorf("%d terms, want several", len(began))
+		}
+		cancel()
+		synctest.Wait()
+		time.Sleep(5 * time.Second)
+	})
+}
+
+// newest returns the term that began last.
+func newest(began map[*Term]time.Time) *Term {
+	var n *Term
+	for t, at := range began {
+		if n == nil || at.After(began[n]) {
+			n = t
+		}
+	}
+
+	return n
+}
+
 // A term that its process has given up, and whose record could not be removed at once, kept every host from owning the workers
 // for as long as the process lived.
 func TestGivenUpTermIsRemoved(t *testing.T) {
