schedule: complete a gang of which one member is done

What callers would see: an accepted job whose gang has done its work stays in progress for ever, and the steps after it never start, though the workers have room.

Cause: of the class of what is decided once and never looked at again. The end of one member as done ended the others only if their runs were in the table. If the worker of another member had restarted or its lease had ended before, that member's run had ended as lapsed: its task waited, and as a gang is placed whole, and the rest of it was done, nothing placed it. A new owner inherited the same state from the ledger.

Change: the waiting tasks of a gang of which a member is done are recorded as done at the next placement. By the protocol one such end represents all members. This holds for a state that an earlier owner left as well.

Test: TestGangDoneAfterMemberLost fails before, in both cases: gang done (-want +got): - true, + false running (-want +got): - 1, + 0

--- a/schedule/place.go
+++ b/schedule/place.go
@@ -179,6 +179,10 @@
 func (s *Scheduler) placeGang(r *readyStep, step *work.Step, p *workerSet, now time.Time) {
 	e := r.job.entry
 	tasks := e.Step(r.step).Tasks
+	if e.Step(r.step).Done > 0 {
+		s.completeGang(r)
+		return
+	}
 	if len(r.tasks) < len(tasks) {
 		// Members of an earlier attempt still run.
 		return
@@ -195,6 +199,19 @@
 	s.markUnplaced(r, len(r.tasks))
 }
 
+// completeGang records the waiting tasks of a gang as done, of which another member is: its members end as done together, so
+// that one such end counts for those whose runs had been lost before it was listed.
+func (s *Scheduler) completeGang(r *readyStep) {
+	e := r.job.entry
+	for _, n := range r.tasks {
+		a := work.Attempt{Task: work.Task{Job: e.Job.ID, Occurrence: r.step.Occurrence, Step: r.step.Step, Index: n}, Number: e.Step(r.step).Tasks[n].Attempts}
+		s.observe(Decision{What: DecidedEnded, Attempt: a, Outcome: work.OutcomeDone, Reason: "another gang member is done"})
+		s.record(e, ledger.Change{Kind: ledger.Ended, Attempt: a, Outcome: work.OutcomeDone})
+	}
+	s.dirty = true
+	s.closeIfOver(e)
+}
+
 // placeGangOn assigns all tasks of a gang to a set of workers, or none of them, and reports whether there was room.
 func (s *Scheduler) placeGangOn(r *readyStep, attempt int, p *workerSet, now time.Time) bool {
 	firstRun, firstChange := len(s.pendingRuns), len(s.changes)
--- a/schedule/promise_test.go
+++ b/schedule/promise_test.go
@@ -120,6 +120,51 @@
 	check(t, "over", true, b.entries["j"].Over())
 }
 
+// A gang of which one member was told as done after another one had been lost with its worker waited for ever, since its tasks
+// that were not done were too few for a gang.
+func TestGangDoneAfterMemberLost(t *testing.T) {
+	tests := []struct {
+		name string
+		// takeOver reports whether another owner follows before the next placement.
+		takeOver bool
+	}{
+		{"same owner", false},
+		{"next owner", true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newTestbed(t, 2)
+			b.submit("j", work.Step{Count: 2, Size: size(9000), Gang: true}, work.Step{Count: 1, Size: size(1000), After: []int{0}})
+			b.settle()
+			check(t, "members", 2, b.running())
+			var done work.WorkerID
+			for id, runs := range b.runs {
+				for a := range runs {
+					if a.Index == 0 {
+						done = id
+						b.end(id, a, work.OutcomeDone)
+					}
+				}
+			}
+			for id := range b.runs {
+				if id != done {
+					b.register(id, 2)
+				}
+			}
+			b.s.Lapse(b.now)
+			for _, l := range b.s.Polls(b.now) {
+				b.poll(l)
+			}
+			if tt.takeOver {
+				b.takeOver(2)
+			}
+			b.settle()
+			check(t, "gang done", true, b.entries["j"].StepDone(ledger.StepOf{Step: 0}))
+			check(t, "running", 1, b.running())
+		})
+	}
+}
+
 // A gang that is slow across racks is placed on one rack if it fits.
 func TestGangOnOneRack(t *testing.T) {
 	b := newTestbed(t, 4)
