schedule: reserve no room that lasting tasks hold

What callers would see: accepted jobs never start though most of a worker, or of each worker, is free.

Cause: of the class of a claim that outlives what it is for. Each lasting task that finds no room reserves what becomes free on one worker, and the room that other lasting tasks hold counted as such. It doesn't become free by itself, so the reserve could never be used, and kept all tasks that end by themselves from the worker for as long as the lasting tasks were there.

Change: room that lasting tasks hold is left out, unless they are being stopped.

Test: TestNoRoomKeptBesideLasting, with two workers that a lasting task fills to nine sixteenths each and two more that wait, fails before: running (-want +got): - 4, + 2

--- a/schedule/place.go
+++ b/schedule/place.go
@@ -365,12 +365,13 @@
 	return !step.Lasting && step.Label == "" && step.MaxPerWorker == 0 && q.Advice == nil
 }
 
-// reserveForLasting reserves the room that becomes free on one worker for a lasting task that found none.
+// reserveForLasting reserves the room that becomes free on one worker for a lasting task that found none. Only room that other
+// lasting tasks don't hold becomes free by itself.
 func reserveForLasting(r *readyStep, step *work.Step, workers []*worker) {
 	need := step.Reserved()
 	var best *worker
 	for _, w := range workers {
-		if !need.FitsIn(w.reg.Capacity.Minus(w.lastingReserve)) || !r.allows(step, w) {
+		if !need.FitsIn(w.reg.Capacity.Minus(w.lastingReserve).Minus(w.heldByLasting())) || !r.allows(step, w) {
 			continue
 		}
 		if best == nil || w.used.Plus(w.lastingReserve).DominantShare(w.reg.Capacity) < best.used.Plus(best.lastingReserve).DominantShare(best.reg.Capacity) {
@@ -383,6 +384,21 @@
 	}
 }
 
+// heldByLasting returns the room of the lasting tasks on the worker that are not being stopped.
+func (w *worker) heldByLasting() fleet.Resources {
+	var held fleet.Resources
+	if w.lastingTasks == 0 {
+		return held
+	}
+	for _, r := range w.runs {
+		if r.step != nil && r.step.Lasting && !r.stopRequested {
+			held = held.Plus(r.reserved)
+		}
+	}
+
+	return held
+}
+
 // lastingPackingBonus favours workers that already run lasting tasks for further ones.
 const lastingPackingBonus = 0.6
 
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -313,6 +313,19 @@
 	t.Error("the lasting task found no room")
 }
 
+// Room was reserved for a lasting task on a worker that other lasting tasks occupy, where it can't become free, and kept all
+// other tasks from it for ever.
+func TestNoRoomKeptBesideLasting(t *testing.T) {
+	b := newTestbed(t, 2)
+	b.submit("before", work.Step{Count: 2, Size: size(9000), Lasting: true, MaxPerWorker: 1})
+	b.settle()
+	b.submit("waiting", work.Step{Count: 2, Size: size(9000), Lasting: true})
+	b.submit("small", work.Step{Count: 2, Size: size(6000)})
+	b.settle()
+	b.settle()
+	check(t, "running", 4, b.running())
+}
+
 // A gang starts whole or not at all, with one attempt number for all members.
 func TestGangWholeOrNot(t *testing.T) {
 	b := newTestbed(t, 1)
