dispatch: end a term whose owner can't write the log

What callers would see: no accepted job starts although other hosts are well.

Cause: of the class of an owner that keeps its term without doing its work. No task is placed while a batch is being written, and a batch was tried again and again for as long as the term lasted, at most two seconds each time. Renewals of the lease are small; a batch on a link that carries little may never get through while they do.

Change: after twelve seconds without success, in which the lease was valid all the time, the term ends. While it isn't, the store may be down for all hosts, and the time starts anew. A late write of the batch has no effect, as the owner's record is gone.

Tests fail before: TestOwnerThatCannotWriteTheLog/lease_renewed: gave up after 36s TestHandoverOfUnwritableLog: terms of the host that can write: 0, starts: 0, want 1 of each

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -161,6 +161,7 @@
 	firstBatch, nextBatch := book.Batches()
 	t.oldest, t.compacted = firstBatch, firstBatch
 	t.writer = newLogWriter(d.client, d.self, ownership.Revision, nextBatch, d.log, d.follower.Learn)
+	t.writer.valid = ownership.Valid
 	jobs.forwardTo(t.addJob)
 
 	var background sync.WaitGroup
--- a/dispatch/logwriter.go
+++ b/dispatch/logwriter.go
@@ -17,11 +17,16 @@
 // errTermEnded is returned for writes after another term has begun.
 var errTermEnded = merry.Sentinel("dispatch: another term has begun")
 
+// errNotWritten is returned if the store takes no batch although it renews the lease of the term.
+var errNotWritten = merry.Sentinel("dispatch: can't write the log")
+
 const (
 	retryPause = 50 * time.Millisecond
 	// The timeout of a write starts low, since answers may be lost, and doubles after each failure.
 	minWriteTimeout = 120 * time.Millisecond
 	maxWriteTimeout = 2 * time.Second
+	// maxAppendTime limits the time for one batch while the lease of the term is valid; another host may be able to write it.
+	maxAppendTime = 12 * time.Second
 )
 
 // logWriter appends batches to the ledger's log, one at a time.
@@ -37,15 +42,19 @@
 	timeout time.Duration
 	// onStored is called for each stored batch.
 	onStored func(r store.Record)
+	// valid reports whether the lease of the term is valid now. While it is not, the store may be down for all hosts.
+	valid func() bool
 }
 
 func newLogWriter(c *store.Client, owner ledger.Owner, term, next uint64, l *log.Logger, onStored func(r store.Record)) *logWriter {
 	return &logWriter{
 		client: c, owner: owner, term: term, next: next, log: l, began: time.Now(), timeout: minWriteTimeout, onStored: onStored,
+		valid: func() bool { return true },
 	}
 }
 
-// append stores a batch. It retries until the outcome is known, which is safe because each try writes the same key.
+// append stores a batch. It retries until the outcome is known, which is safe because each try writes the same key, but not for
+// longer than maxAppendTime while the lease is valid.
 func (w *logWriter) append(ctx context.Context, changes []ledger.Change) error {
 	value, err := ledger.EncodeBatch(ledger.Batch{
 		Number: w.next, Owner: w.owner.Host, Term: w.term, At: time.Now(), Uptime: time.Since(w.began), Changes: changes,
@@ -54,6 +63,7 @@
 		return err
 	}
 	key := ledger.LogKey(w.next)
+	validSince := time.Now()
 	for {
 		started := time.Now()
 		err := w.tryWrite(ctx, key, value)
@@ -66,6 +76,10 @@
 			return nil
 		case errors.Is(err, errTermEnded) || ctx.Err() != nil:
 			return err
+		case !w.valid():
+			validSince = time.Now()
+		case time.Since(validSince) >= maxAppendTime:
+			return merry.Prepend(errNotWritten, err.Error())
 		}
 		w.log.Warn("can't write to the log; retrying", "batch", w.next, "wait", w.timeout, "error", err)
 		w.timeout = min(maxWriteTimeout, 2*w.timeout)
--- a/dispatch/term_test.go
+++ b/dispatch/term_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"io"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -55,6 +57,113 @@
 	})
 }
 
+// An owner whose batches the store did not take, though it renewed its lease, kept its term, so that no accepted job started
+// although another host could write. While the store is down for all, no term ends for it.
+func TestOwnerThatCannotWriteTheLog(t *testing.T) {
+	tests := []struct {
+		name string
+		// valid reports whether the lease is valid.
+		valid bool
+		want  error
+	}{
+		{"lease renewed", true, errNotWritten},
+		{"store down for all", false, context.DeadlineExceeded},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := standin.NewStore()
+				s.SetFault(standin.FaultDown)
+				w := newLogWriter(s.Client(), ledger.Owner{Host: "self"}, 1, 0, log.New(io.Discard), func(store.Record) {})
+				w.valid = func() bool { return tt.valid }
+				ctx, cancel := context.WithTimeout(t.Context(), 3*maxAppendTime)
+				defer cancel()
+				began := time.Now()
+				err := w.append(ctx, []ledger.Change{{Kind: ledger.JobFailed}})
+				if took := time.Since(began); tt.valid && took > maxAppendTime+maxWriteTimeout {
+					t.Errorf("gave up after %s", took)
+				}
+				if ended := errors.Is(err, errNotWritten); ended != tt.valid {
+					t.Errorf("got %v, want %v", err, tt.want)
+				}
+			})
+		})
+	}
+}
+
+// A term ends whose owner can't write the log, and another host owns the workers.
+func TestHandoverOfUnwritableLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := standin.NewStore()
+		ctx, cancel := context.WithCancel(t.Context())
+		value, err := ledger.Encode(work.Job{
+			ID: "00000000000000a1", Queue: "q", Pool: "p", Submitted: time.Now(), Steps: []work.Step{{Count: 1, Size: fleet.Resources{Cores: 1}}},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := s.Client().Commit(ctx, store.Txn{Puts: []store.Put{{Key: ledger.JobKey("00000000000000a1"), Value: value}}}); err != nil {
+			t.Fatal(err)
+		}
+		mute := *s.Client()
+		mute.Commit = func(ctx context.Context, x store.Txn) (uint64, error) {
+			if len(x.Puts) > 0 && strings.HasPrefix(x.Puts[0].Key, ledger.LogPrefix) {
+				return 0, store.ErrUnavailable
+			}
+
+			return s.Client().Commit(ctx, x)
+		}
+		var othersTerms, starts atomic.Int64
+		serve := func(ctx context.Context, d *Dispatcher, tm *owner.Term) {
+			addWorker(d, &starts)
+			d.Serve(ctx, tm)
+		}
+		runCandidate(ctx, &mute, "a", serve)
+		time.Sleep(time.Second)
+		runCandidate(ctx, s.Client(), "b", func(ctx context.Context, d *Dispatcher, tm *owner.Term) {
+			othersTerms.Add(1)
+			serve(ctx, d, tm)
+		})
+		time.Sleep(maxAppendTime + 4*time.Second)
+		if othersTerms.Load() != 1 || starts.Load() != 1 {
+			t.Errorf("terms of the host that can write: %d, starts: %d, want 1 of each", othersTerms.Load(), starts.Load())
+		}
+		cancel()
+		synctest.Wait()
+		time.Sleep(10 * time.Second)
+	})
+}
+
+// addWorker gives a dispatcher a configuration and one worker, which counts the starts that it gets.
+func addWorker(d *Dispatcher, starts *atomic.Int64) {
+	r := work.Registration{ID: "w", Life: 1, Address: "w", Pool: "p", Capacity: fleet.Resources{Cores: 1000}}
+	answer := work.Answer{Life: 1, Clock: time.Minute}
+	d.config = func() (work.Config, bool) {
+		return work.Config{Version: 1, Queues: []work.Queue{{Name: "q", Pool: "p"}}, Pools: []work.Pool{{Name: "p"}}}, true
+	}
+	d.watchWorkers = func(ctx context.Context, notify func(Roster)) {
+		notify(Roster{Whole: true, Present: []work.Registration{r}})
+		<-ctx.Done()
+	}
+	d.workers = work.Workers{
+		Start: func(work.Registration, work.Start) (work.Answer, error) {
+			starts.Add(1)
+			return answer, nil
+		},
+		Stop: func(work.Registration, work.Stop) (work.Answer, error) { return answer, nil },
+		Poll: func(_ work.Registration, l work.Poll) (work.PollReply, error) {
+			time.Sleep(l.Wait + 10*time.Millisecond)
+			reply := work.PollReply{Answer: answer}
+			if starts.Load() > 0 {
+				a := work.Attempt{Task: work.Task{Job: "00000000000000a1"}, Number: 1}
+				reply.Active = []work.Activity{{Attempt: a, Percent: 10}}
+			}
+
+			return reply, nil
+		},
+	}
+}
+
 // An owner whose passes were late all the time kept the workers beside a host that was well, while one whose passes are only
 // rare keeps pace.
 func TestSlowOwnerHandsOver(t *testing.T) {
