agent: call a worker another way once its agent got no answer

What callers would see: on a large site accepted jobs wait though workers are free: those workers count as silent, and their runs lapse.

Cause: of the class of a role that outlives its holder's ability to do the work. A worker keeps the agent that makes the owner's calls to it for as long as the agent is heard by the owner. If the agent can't reach the worker, or answers too late, all polls and orders fail, though the owner and other agents could make them.

Change: an agent that got no answer from a worker gets no calls to it for ten seconds. They go through the next agent, and directly if there is none.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -191,6 +191,35 @@
 	})
 }
 
+// A worker that its agent could not reach stayed silent for the owner, and got no tasks, although the owner could reach it.
+func TestAgentCutOffFromWorker(t *testing.T) {
+	run(t, weak, func(f *site, w work.Workers) {
+		t := f.t
+		f.agent.Poll = func(work.Registration, work.Poll) (work.PollReply, error) {
+			f.countCall("agent")
+			return work.PollReply{}, work.ErrNoAnswer
+		}
+		if _, err := w.Poll(worker, work.Poll{}); !errors.Is(err, work.ErrNoAnswer) {
+			t.Errorf("first poll: %v, want %v", err, work.ErrNoAnswer)
+		}
+		for range 10 {
+			if _, err := w.Poll(worker, work.Poll{}); err != nil {
+				t.Errorf("poll after a failed one: %v", err)
+			}
+		}
+		if diff := cmp.Diff(map[string]int{"agent": 1, "owner": 10}, f.counts()); diff != "" {
+			t.Errorf("calls made (-want +got):\n%s", diff)
+		}
+		for range (avoidTime + time.Second) / (500 * time.Millisecond) {
+			time.Sleep(500 * time.Millisecond)
+			_, _ = w.Poll(worker, work.Poll{})
+		}
+		if got := f.counts()["agent"]; got != 2 {
+			t.Errorf("polls through the agent after avoidTime: %d, want 2", got)
+		}
+	})
+}
+
 // A host that can handle the calls makes them directly, as on all small sites.
 func TestDirect(t *testing.T) {
 	run(t, 1, func(f *site, w work.Workers) {
--- a/agent/delegator.go
+++ b/agent/delegator.go
@@ -6,6 +6,7 @@
 	"errors"
 	"hash/fnv"
 	"io"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -41,6 +42,8 @@
 	failureBackoff = 3 * time.Second
 	// callWindow limits the time until the deadline of a call, so that a delayed call is not made late.
 	callWindow = 400 * time.Millisecond
+	// avoidTime is how long an agent gets no calls to a worker that did not answer it.
+	avoidTime = 10 * time.Second
 	// openTimeout limits the wait of a call for a stream that is being opened.
 	openTimeout = 500 * time.Millisecond
 	// replyMargin is added to the timeout of a call that an agent makes.
@@ -73,6 +76,14 @@
 	opened chan struct{}
 	// failed has the time of the last failure of an agent's stream.
 	failed map[string]time.Time
+	// avoided has the agents that got no answer from a worker lately.
+	avoided map[work.WorkerID]failedCall
+}
+
+// failedCall is a call to a worker that an agent made in vain.
+type failedCall struct {
+	agent string
+	at    time.Time
 }
 
 // NewDelegator returns a delegator without agents; direct makes calls from this host, hosts returns the hosts that may become
@@ -86,6 +97,7 @@
 		direct: direct, self: self, hosts: hosts, open: open, remaining: remaining, uptime: uptime, log: l,
 		recent: map[work.WorkerID]fleet.ZoneName{}, windowStart: time.Now(), agents: map[fleet.ZoneName][]string{},
 		links: map[string]*link{}, opening: map[string]bool{}, opened: make(chan struct{}), failed: map[string]time.Time{},
+		avoided: map[work.WorkerID]failedCall{},
 	}
 }
 
@@ -147,8 +159,27 @@
 
 func (d *Delegator) call(k *link, r work.Registration, c wireCall, timeout time.Duration) (wireReply, error) {
 	c.Worker, c.Address = r.ID, r.Address
+	reply, err := k.call(c, min(callWindow, d.remaining()), timeout+replyMargin)
+	if errors.Is(err, work.ErrNoAnswer) || errors.Is(err, work.ErrNotSent) {
+		d.avoid(r.ID, k.address)
+	}
+
+	return reply, err
+}
+
+// avoid makes the next calls to a worker go another way than through an agent that got no answer: that agent may be the only
+// host that can't reach the worker.
+func (d *Delegator) avoid(id work.WorkerID, agent string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.avoided[id] = failedCall{agent: agent, at: time.Now()}
+}
+
+// avoids reports whether an agent got no answer from a worker lately.
+func (d *Delegator) avoids(id work.WorkerID, agent string) bool {
+	f, ok := d.avoided[id]
 
-	return k.call(c, min(callWindow, d.remaining()), timeout+replyMargin)
+	return ok && f.agent == agent && time.Since(f.at) < avoidTime
 }
 
 // Expect announces workers that are about to be called, so that streams to their agents are opened ahead of the calls.
@@ -195,7 +226,7 @@
 			opened = d.opened
 		}
 		k := d.links[address]
-		if k == nil || !k.usable() {
+		if k == nil || !k.usable() || d.avoids(r.ID, address) {
 			continue
 		}
 		if w := rendezvousWeight(address, r.ID); best == nil || w > bestWeight {
@@ -299,6 +330,7 @@
 func (d *Delegator) countWorkers() map[fleet.ZoneName]int {
 	if time.Since(d.windowStart) >= countWindow {
 		d.previous, d.recent, d.windowStart = d.recent, map[work.WorkerID]fleet.ZoneName{}, time.Now()
+		maps.DeleteFunc(d.avoided, func(_ work.WorkerID, f failedCall) bool { return time.Since(f.at) >= avoidTime })
 	}
 	n := map[fleet.ZoneName]int{}
 	for _, zone := range d.recent {
