schedule: reserve no room for a lasting task where advice refuses it

What callers would see: accepted jobs never start though most of a worker is free.

Cause: of the class of a claim that outlives what it is for. A lasting task of an advised queue that found no worker reserved room also on workers that the advice had refused, which is final for their incarnation. The reserve could never be used, and kept all tasks that end by themselves from the worker for as long as the lasting task waited.

Change: workers that the advice has refused are left out. Before there is an answer the room is reserved as before.

Test: TestNoRoomKeptWithoutTicket fails before: running (-want +got): - 1, + 0

--- a/schedule/advice.go
+++ b/schedule/advice.go
@@ -55,6 +55,13 @@
 	return a
 }
 
+// refused reports whether a worker may not run the step, which is final for its incarnation.
+func (a *advice) refused(w *worker) bool {
+	_, granted := a.tickets[w.id]
+
+	return a.asked[w.id] == w.life && !granted
+}
+
 // Question returns the next question, or false while one is in flight or none is due.
 func (s *Scheduler) Question(now time.Time) (Question, bool) {
 	if s.advicePending {
@@ -88,8 +95,7 @@
 			continue
 		}
 		t, granted := a.tickets[w.id]
-		refused := a.asked[w.id] == w.life && !granted
-		if !refused && (!granted || t.life != w.life || now.After(t.expires)) {
+		if !a.refused(w) && (!granted || t.life != w.life || now.After(t.expires)) {
 			q.Workers = append(q.Workers, w.id)
 		}
 	}
@@ -128,6 +134,16 @@
 	s.dirty = true
 }
 
+// refusedFor reports whether the advice on a step has refused a worker.
+func (s *Scheduler) refusedFor(r *readyStep, w *worker) bool {
+	if r.queue.Advice == nil {
+		return false
+	}
+	a, ok := s.advice[work.Task{Job: r.job.entry.Job.ID, Occurrence: r.step.Occurrence, Step: r.step.Step}.StepName()]
+
+	return ok && a.refused(w)
+}
+
 // ticketFor returns the ticket with which a worker may run a step now; queues without advice need none.
 func (s *Scheduler) ticketFor(r *readyStep, w *worker, now time.Time) (string, bool) {
 	if r.queue.Advice == nil {
--- a/schedule/advice_test.go
+++ b/schedule/advice_test.go
@@ -72,3 +72,23 @@
 	check(t, "asked once a worker has grown", true, ok)
 	check(t, "workers asked about then", []work.WorkerID{"w2"}, q.Workers)
 }
+
+// Room was reserved for a lasting task on a worker that is not allowed to run it, and kept all
+// other tasks from it for ever.
+func TestNoRoomKeptWithoutTicket(t *testing.T) {
+	b := newTestbed(t, 1)
+	c := testConfig
+	c.Queues = append([]work.Queue{{Name: "advised", Pool: testPool, Advice: &work.Advice{Decision: time.Millisecond, PerWorker: time.Millisecond, Validity: time.Minute}}}, c.Queues...)
+	b.s.SetConfig(c)
+	b.settle()
+	b.s.AddJob(work.Job{ID: "l", Queue: "advised", Pool: testPool, Submitted: b.now, Steps: []work.Step{{Count: 1, Size: size(12000), Lasting: true}}}, 1, b.now)
+	b.settle()
+	if q, ok := b.s.Question(b.now); ok {
+		b.s.Advised(q, nil, nil, b.now)
+	} else {
+		t.Fatal("no question")
+	}
+	b.submit("small", work.Step{Count: 1, Size: size(6000)})
+	b.settle()
+	check(t, "running", 1, b.running())
+}
