schedule: ask for advice on waiting steps by turns

What callers would see: an accepted job of an advised queue never starts, though there is room for it, while several larger ones wait.

Cause: of the class of what is decided anew in the same way each time. The question went to the first unplaced step in placement order about which one was due. Steps that wait for room are due again when their tickets run out; if there are as many as questions fit into the validity of a ticket, they are asked about for ever and no other step is.

Change: the step that was asked about longest ago comes first, and so those that were never asked about, in placement order among themselves.

--- a/schedule/advice.go
+++ b/schedule/advice.go
@@ -30,8 +30,8 @@
 	tickets map[work.WorkerID]ticket
 	// asked has the workers that were asked about, by incarnation, since a refusal is final for an incarnation.
 	asked map[work.WorkerID]work.Life
-	// nextAskAt is when the next question may be asked.
-	nextAskAt time.Time
+	// nextAskAt is when the next question may be asked; askedAt is when the last one was.
+	nextAskAt, askedAt time.Time
 }
 
 // Question asks which of some workers may run a step.
@@ -67,22 +67,39 @@
 	if s.advicePending {
 		return Question{}, false
 	}
+	for _, l := range s.byLastQuestion(now) {
+		if q, ok := s.question(l.name, l.advice, l.step, now); ok {
+			s.advicePending, l.advice.askedAt = true, now
+			return q, true
+		}
+	}
+
+	return Question{}, false
+}
+
+// advisedStep is an unplaced step of an advised queue with what is known about it.
+type advisedStep struct {
+	name   string
+	advice *advice
+	step   *readyStep
+}
+
+// byLastQuestion returns the unplaced steps about which a question may be asked, those that were asked about longest ago first.
+// A step that waits for room is asked about again when its tickets run out, which must not keep others from being asked about.
+func (s *Scheduler) byLastQuestion(now time.Time) []advisedStep {
+	var list []advisedStep
 	for _, r := range s.unplaced {
 		if r.queue.Advice == nil {
 			continue
 		}
 		name := work.Task{Job: r.job.entry.Job.ID, Occurrence: r.step.Occurrence, Step: r.step.Step}.StepName()
-		a := s.adviceFor(name)
-		if now.Before(a.nextAskAt) {
-			continue
-		}
-		if q, ok := s.question(name, a, r, now); ok {
-			s.advicePending = true
-			return q, true
+		if a := s.adviceFor(name); !now.Before(a.nextAskAt) {
+			list = append(list, advisedStep{name: name, advice: a, step: r})
 		}
 	}
+	slices.SortStableFunc(list, func(x, y advisedStep) int { return x.advice.askedAt.Compare(y.advice.askedAt) })
 
-	return Question{}, false
+	return list
 }
 
 // question returns a question about the workers without an answer and those whose tickets have expired. It leaves out
--- a/schedule/advice_test.go
+++ b/schedule/advice_test.go
@@ -1,9 +1,11 @@
 package schedule
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
+	"lycheehook.example/lycheehook/fleet"
 	"lycheehook.example/lycheehook/work"
 )
 
@@ -92,3 +94,44 @@
 	b.settle()
 	check(t, "running", 1, b.running())
 }
+
+// Steps that wait for room were asked about again and again as their tickets ran out, and kept a step that fits from being asked
+// about.
+func TestAdviceByTurns(t *testing.T) {
+	b := newTestbed(t, 1)
+	c := testConfig
+	c.Queues = []work.Queue{testConfig.Queues[0]}
+	c.Queues[0].Advice = &work.Advice{Decision: 300 * time.Millisecond, PerWorker: time.Millisecond, Validity: time.Second}
+	b.s.SetConfig(c)
+	b.settle()
+	ask := func() string {
+		b.s.Tick()
+		b.s.Place(b.now)
+		q, ok := b.s.Question(b.now)
+		b.now = b.now.Add(300 * time.Millisecond)
+		if !ok {
+			return ""
+		}
+		tickets := map[work.WorkerID]string{}
+		for _, id := range q.Workers {
+			tickets[id] = "t"
+		}
+		b.s.Advised(q, tickets, nil, b.now)
+
+		return q.Step
+	}
+	b.submit("first", work.Step{Count: 1, Size: size(10000)})
+	ask()
+	b.settle()
+	check(t, "running", 1, b.running())
+	for i := range 4 {
+		b.submit(fleet.JobID(fmt.Sprint("a", i)), work.Step{Count: 1, Size: size(12000)})
+	}
+	b.submit("b", work.Step{Count: 1, Size: size(1000)})
+	for range 60 {
+		if ask() == "b.0.0" {
+			return
+		}
+	}
+	t.Error("a step that fits was not asked about in 60 questions")
+}
