--- a/schedule/place.go
+++ b/schedule/place.go
@@ -155,7 +155,7 @@
 		w := s.chooseWorker(r, n, p, now)
 		if w == nil {
 			if step.Lasting && s.withinLimit(e.Job.Workspace, step.Size) {
-				reserveForLasting(r, step, p.workers)
+				s.reserveForLasting(r, step, p.workers)
 				s.markUnplaced(r, 1)
 
 				continue
@@ -180,6 +180,10 @@
 func (s *Scheduler) placeGang(r *readyStep, step *work.Step, p *workerSet, now time.Time) {
 	e := r.job.entry
 	tasks := e.Step(r.step).Tasks
+	if e.Step(r.step).Done > 0 {
+		s.completeGang(r)
+		return
+	}
 	if len(r.tasks) < len(tasks) {
 		// Members of an earlier attempt still run.
 		return
@@ -196,6 +200,19 @@
 	s.markUnplaced(r, len(r.tasks))
 }
 
+// completeGang records the waiting tasks of a gang as done, of which another member is: its members end as done together, so
+// that one such end counts for those whose runs had been lost before it was listed.
+func (s *Scheduler) completeGang(r *readyStep) {
+	e := r.job.entry
+	for _, n := range r.tasks {
+		a := work.Attempt{Task: work.Task{Job: e.Job.ID, Occurrence: r.step.Occurrence, Step: r.step.Step, Index: n}, Number: e.Step(r.step).Tasks[n].Attempts}
+		s.observe(Decision{What: DecidedEnded, Attempt: a, Outcome: work.OutcomeDone, Reason: "another gang member is done"})
+		s.record(e, ledger.Change{Kind: ledger.Ended, Attempt: a, Outcome: work.OutcomeDone})
+	}
+	s.dirty = true
+	s.closeIfOver(e)
+}
+
 // placeGangOn assigns all tasks of a gang to a set of workers, or none of them, and reports whether there was room.
 func (s *Scheduler) placeGangOn(r *readyStep, attempt int, p *workerSet, now time.Time) bool {
 	firstRun, firstChange := len(s.pendingRuns), len(s.changes)
@@ -361,12 +378,13 @@
 	return !step.Lasting && step.Label == "" && step.MaxPerWorker == 0 && q.Advice == nil
 }
 
-// reserveForLasting reserves the room that becomes free on one worker for a lasting task that found none.
-func reserveForLasting(r *readyStep, step *work.Step, workers []*worker) {
+// reserveForLasting reserves the room that becomes free on one worker for a lasting task that found none. Only room that other
+// lasting tasks don't hold becomes free by itself.
+func (s *Scheduler) reserveForLasting(r *readyStep, step *work.Step, workers []*worker) {
 	need := step.Reserved()
 	var best *worker
 	for _, w := range workers {
-		if !need.FitsIn(w.reg.Capacity.Minus(w.lastingReserve)) || !r.allows(step, w) {
+		if !need.FitsIn(w.reg.Capacity.Minus(w.lastingReserve).Minus(w.heldByLasting())) || !r.allows(step, w) || s.refusedFor(r, w) {
 			continue
 		}
 		if best == nil || w.used.Plus(w.lastingReserve).DominantShare(w.reg.Capacity) < best.used.Plus(best.lastingReserve).DominantShare(best.reg.Capacity) {
@@ -379,6 +397,21 @@
 	}
 }
 
+// heldByLasting returns the room of the lasting tasks on the worker that are not being stopped.
+func (w *worker) heldByLasting() fleet.Resources {
+	var held fleet.Resources
+	if w.lastingTasks == 0 {
+		return held
+	}
+	for _, r := range w.runs {
+		if r.step != nil && r.step.Lasting && !r.stopRequested {
+			held = held.Plus(r.reserved)
+		}
+	}
+
+	return held
+}
+
 // lastingPackingBonus favours workers that already run lasting tasks for further ones.
 const lastingPackingBonus = 0.6
 
