ledger: follow the owner and the hosts during a full read

What callers would see: after a restart of all hosts within the old owner's lease, no owner for as long as a strong host reads the ledger, or a weak owner when that takes longer than weak hosts wait. The same when a weak owner hands over while the strong hosts are reading.

Cause: of the class of views that age with the length of the ledger. The follower read the owner and the hosts once before the first full read and then not until the end of it, so a host that had read the record of a dead owner waited for its end without learning of it. While full reads failed, it read them only once.

Change: while a full read runs, the follower reads the owner and the hosts every 300 ms into the book in use, which keeps its jobs; and once after each full read that failed. The new book takes them over, so that the view doesn't go back by the length of the read; the watch goes on from the revision of the list and brings what either lacks.

Weighed: a watch of the two prefixes costs fewer calls while nothing changes, but needs a state of its own; the reads cost what hosts with narrow links spend before their full read, and only while a full read takes longer than 300 ms.

Tests fail before: TestRestartWithinTheOldLease: no strong host owns the workers a second after the end of the old lease TestHostsDuringFullRead/long_read: got owner {e1 } and hosts [] TestHostsDuringFullRead/failing_reads: got owner {e1 } and hosts []

--- a/ledger/book.go
+++ b/ledger/book.go
@@ -115,6 +115,16 @@
 	return b, nil
 }
 
+// adoptHosts replaces the owner and the entry hosts by those of another book.
+func (b *Book) adoptHosts(from *Book) {
+	from.mu.Lock()
+	owner, revision, hosts := from.owner, from.ownerRev, maps.Clone(from.hosts)
+	from.mu.Unlock()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.owner, b.ownerRev, b.hosts = owner, revision, hosts
+}
+
 // HasJobs reports whether the book includes jobs and the log, not only the owner and the entry hosts.
 func (b *Book) HasJobs() bool {
 	return !b.hostsOnly
--- a/ledger/follower.go
+++ b/ledger/follower.go
@@ -27,6 +27,8 @@
 	watchPause = 300 * time.Millisecond
 	// ownerPause replaces watchPause at the owner, which learns of jobs this way if the notice of a peer was lost.
 	ownerPause = 100 * time.Millisecond
+	// refreshInterval is the time between two reads of the owner and the entry hosts during a full read of the ledger.
+	refreshInterval = 300 * time.Millisecond
 	// retryPause is the pause after a failed store call.
 	retryPause = 200 * time.Millisecond
 	// copyPause is the interval at which Copy checks whether the book is up to date.
@@ -100,6 +102,7 @@
 			at, err := f.read(ctx)
 			if err != nil {
 				f.log.Warn("can't read the ledger; retrying", "error", err)
+				f.refreshHosts(ctx, f.Book())
 				pause.For(ctx, retryPause)
 
 				continue
@@ -157,11 +160,61 @@
 	return f.onJob != nil
 }
 
+// refreshHosts reads the owner and the entry hosts into a book that is kept otherwise, and reports whether it could.
+func (f *Follower) refreshHosts(ctx context.Context, b *Book) bool {
+	if b == nil {
+		return false
+	}
+	h, err := ReadHosts(ctx, f.client)
+	if err != nil {
+		if ctx.Err() == nil {
+			f.log.Warn("can't read the entry hosts", "error", err)
+		}
+
+		return false
+	}
+	b.adoptHosts(h)
+	f.signal()
+
+	return true
+}
+
+// refreshDuring keeps the owner and the entry hosts of the current book up to date until the returned function is called,
+// since a full read of a long ledger takes longer than it takes to elect an owner. That function returns the book if it was
+// refreshed at least once, and nil otherwise.
+func (f *Follower) refreshDuring(ctx context.Context) func() *Book {
+	ctx, cancel := context.WithCancel(ctx)
+	b := f.Book()
+	var refreshed atomic.Bool
+	go func() {
+		for pause.For(ctx, refreshInterval) {
+			if f.refreshHosts(ctx, b) {
+				refreshed.Store(true)
+			}
+		}
+	}()
+
+	return func() *Book {
+		cancel()
+		if !refreshed.Load() {
+			return nil
+		}
+
+		return b
+	}
+}
+
 func (f *Follower) read(ctx context.Context) (uint64, error) {
+	stop := f.refreshDuring(ctx)
 	b, at, err := Read(ctx, f.client)
+	refreshed := stop()
 	if err != nil {
 		return 0, err
 	}
+	if refreshed != nil {
+		// The list may be older. If it is newer in part, the watch brings that again.
+		b.adoptHosts(refreshed)
+	}
 	for _, fault := range b.ReadErrors() {
 		f.log.Error("malformed ledger record skipped", "error", fault)
 	}
