owner: wait for and hand over to hosts by what they have done

What callers would see: beside a strong host that keeps its lease and never bids, a third of the time without an owner, for ever: each weak owner in turn handed over after four seconds, and all waited for the strong host for four more. A strong host that comes and goes cost a period without an owner each time. Accepted jobs don't start meanwhile.

Cause: of the class of bounds that hold for one process where the fleet pays. handoverInterval limited the handovers of a process, and nobody remembered that the same host had let the last term pass.

Change: each process keeps what it sees of the hosts, also while it does not bid. A host that was there for all of a period of three seconds or more without an owner, and then left the term to a weaker one, is neither waited for nor handed over to for two minutes, twice that each time it happens again, up to 32; until its record is written anew or it has owned the workers for half a minute. Of several such hosts only the strongest count, since the others had to wait themselves. An owner hands over to a host that has held its lease for four seconds, twice that each time it went away, up to 64; ten minutes of presence make good for that. A host that loses its lease just when the observer did is not blamed, since then the store was down, and a period without an owner counts only while the observer holds its lease.

Weighed: a host that says in its record that it has read the ledger before it is handed over to costs a write of each host and changes the record; it would shorten a handover, not prevent one to a host that reads and can't write. A memory in the store would outlast restarts, which this one does not; but the next process pays once, and only if it becomes the owner.

Ownership is still proved by the lease alone. If no strong host takes the term, a weak one owns within four seconds of the end of the last, as before.

The tests last two to five minutes, so that the end of a refusal, after two minutes, is seen only in part.

--- a/ledger/book.go
+++ b/ledger/book.go
@@ -41,8 +41,10 @@
 	mu      sync.Mutex
 	entries map[fleet.JobID]*Entry
 	// orphans holds changes to jobs whose records have not been read yet.
-	orphans  map[fleet.JobID][]Change
-	hosts    map[fleet.EntryName]Host
+	orphans map[fleet.JobID][]Change
+	hosts   map[fleet.EntryName]Host
+	// hostRevs holds the store revision of each host's record.
+	hostRevs map[fleet.EntryName]uint64
 	owner    Owner
 	ownerRev uint64
 	// first is the number of the oldest batch in the store, next that of the next batch to apply.
@@ -63,8 +65,8 @@
 // NewBook returns an empty book.
 func NewBook() *Book {
 	return &Book{
-		entries: map[fleet.JobID]*Entry{}, orphans: map[fleet.JobID][]Change{}, hosts: map[fleet.EntryName]Host{}, outOfOrder: map[uint64]Batch{},
-		maintained: map[int64][]fleet.HostName{}, orders: map[fleet.HostName]announcement{},
+		entries: map[fleet.JobID]*Entry{}, orphans: map[fleet.JobID][]Change{}, hosts: map[fleet.EntryName]Host{},
+		hostRevs: map[fleet.EntryName]uint64{}, outOfOrder: map[uint64]Batch{}, maintained: map[int64][]fleet.HostName{}, orders: map[fleet.HostName]announcement{},
 	}
 }
 
@@ -118,11 +120,11 @@
 // adoptHosts replaces the owner and the entry hosts by those of another book.
 func (b *Book) adoptHosts(from *Book) {
 	from.mu.Lock()
-	owner, revision, hosts := from.owner, from.ownerRev, maps.Clone(from.hosts)
+	owner, revision, hosts, hostRevs := from.owner, from.ownerRev, maps.Clone(from.hosts), maps.Clone(from.hostRevs)
 	from.mu.Unlock()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.owner, b.ownerRev, b.hosts = owner, revision, hosts
+	b.owner, b.ownerRev, b.hosts, b.hostRevs = owner, revision, hosts, hostRevs
 }
 
 // HasJobs reports whether the book includes jobs and the log, not only the owner and the entry hosts.
@@ -139,7 +141,7 @@
 	}
 	c := NewBook()
 	c.hosts, c.owner, c.ownerRev, c.first, c.next, c.newestTerm = maps.Clone(b.hosts), b.owner, b.ownerRev, b.first, b.next, b.newestTerm
-	c.orders = maps.Clone(b.orders)
+	c.hostRevs, c.orders = maps.Clone(b.hostRevs), maps.Clone(b.orders)
 	for id, e := range b.entries {
 		c.entries[id] = e.Clone()
 	}
@@ -190,11 +192,12 @@
 	name := fleet.EntryName(strings.TrimPrefix(ev.Record.Key, HostPrefix))
 	if ev.Deleted {
 		delete(b.hosts, name)
+		delete(b.hostRevs, name)
 		return nil
 	}
 	h, err := Decode[Host](ev.Record.Key, ev.Record.Value)
 	if err == nil {
-		b.hosts[name] = h
+		b.hosts[name], b.hostRevs[name] = h, ev.Record.Revision
 	}
 
 	return err
@@ -325,6 +328,14 @@
 	return hosts
 }
 
+// HostRevisions returns the store revision of the record of each entry host.
+func (b *Book) HostRevisions() map[fleet.EntryName]uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	return maps.Clone(b.hostRevs)
+}
+
 // Owner returns the owner of the workers with the store revision of its record, which is zero if there is no owner.
 func (b *Book) Owner() (Owner, uint64) {
 	b.mu.Lock()
--- a/owner/handover.go
+++ b/owner/handover.go
@@ -13,7 +13,8 @@
 const (
 	// handoverCheck is how often an owner looks whether another host should have the workers.
 	handoverCheck = 500 * time.Millisecond
-	// handoverDelay is how long a host must have held its lease before an owner hands over to it.
+	// handoverDelay is how long a host must have held its lease before an owner hands over to it; the time doubles with each
+	// time that it went away.
 	handoverDelay = 2 * leaseTime
 	// handoverInterval is the minimum time between two handovers of a process, in case that the other hosts don't take the
 	// workers and they come back to it.
@@ -45,16 +46,14 @@
 
 // awaitSuccessor waits until a host should have the workers in place of this one, and returns its name.
 func (c *Candidate) awaitSuccessor(ctx context.Context, t *Term) (fleet.EntryName, bool) {
-	var since map[fleet.EntryName]time.Time
 	for pause.For(ctx, handoverCheck) {
+		c.observe(t.Revision)
 		now := time.Now()
-		hosts := c.follower.Book().Hosts()
-		since = stillPresent(since, hosts, now)
 		if !c.handedOver.IsZero() && now.Sub(c.handedOver) < handoverInterval {
 			continue
 		}
-		for _, h := range hosts {
-			if now.Sub(since[h.Name]) >= handoverDelay && c.shouldHandOver(t, h) {
+		for _, h := range c.standings.settled(now) {
+			if c.shouldHandOver(t, h) {
 				return h.Name, true
 			}
 		}
@@ -63,19 +62,6 @@
 	return "", false
 }
 
-// stillPresent returns since when each of the hosts has been present, given what was known before.
-func stillPresent(before map[fleet.EntryName]time.Time, hosts []ledger.Host, now time.Time) map[fleet.EntryName]time.Time {
-	since := make(map[fleet.EntryName]time.Time, len(hosts))
-	for _, h := range hosts {
-		since[h.Name] = now
-		if at, ok := before[h.Name]; ok {
-			since[h.Name] = at
-		}
-	}
-
-	return since
-}
-
 // shouldHandOver reports whether a host should have the workers: if it is stronger, or if it is as strong and this one has
 // fallen behind.
 func (c *Candidate) shouldHandOver(t *Term, h ledger.Host) bool {
@@ -84,10 +70,5 @@
 	}
 	late := t.lateFor() >= lateLimit && time.Since(t.began) >= minLateTerm
 
-	return c.isStronger(h) || late && strongerRatio*h.Cores >= c.seat.host.Cores
-}
-
-// isStronger reports whether a host is stronger than this one.
-func (c *Candidate) isStronger(h ledger.Host) bool {
-	return h.Cores > strongerRatio*c.seat.host.Cores
+	return isStronger(h, c.seat.host) || late && strongerRatio*h.Cores >= c.seat.host.Cores
 }
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -31,7 +30,8 @@
 	process  string
 	log      *log.Logger
 	// ended is the revision of the last term of this process.
-	ended uint64
+	ended     uint64
+	standings standings
 	// handedOver is when this process last handed over, or zero.
 	handedOver time.Time
 }
@@ -49,6 +49,7 @@
 			pause.For(ctx, contentionPause)
 			continue
 		}
+		c.observe(0)
 		o, revision := b.Owner()
 		var t *Term
 		switch {
@@ -81,15 +82,15 @@
 	}
 }
 
-// deferToStronger leaves a new term to stronger hosts, since the owner does most of the work. It returns once there are none or
-// deferLimit has passed, or once there is an owner, and reports whether there is still none.
+// deferToStronger leaves a new term to stronger hosts, since the owner does most of the work. It returns once there are none
+// that are expected to take it or deferLimit has passed, or once there is an owner, and reports whether there is still none.
 func (c *Candidate) deferToStronger(ctx context.Context) bool {
-	for limit := time.Now().Add(deferLimit); ctx.Err() == nil; pause.For(ctx, contentionPause) {
-		b := c.follower.Book()
-		if _, revision := b.Owner(); revision != 0 {
+	for ; ctx.Err() == nil; pause.For(ctx, contentionPause) {
+		c.observe(0)
+		if c.standings.owned != 0 {
 			return false
 		}
-		if !slices.ContainsFunc(b.Hosts(), c.isStronger) || !time.Now().Before(limit) {
+		if !c.standings.awaits(c.seat.host, time.Now()) {
 			return true
 		}
 	}
@@ -97,6 +98,21 @@
 	return false
 }
 
+// observe takes note of the present state of the hosts. Its argument is the revision of this process's term, or zero, since
+// the follower may learn later of that.
+func (c *Candidate) observe(term uint64) {
+	b := c.follower.Book()
+	o, revision := b.Owner()
+	v := view{at: time.Now(), hosts: b.Hosts(), revisions: b.HostRevisions(), owner: o.Host, owned: revision}
+	if term != 0 {
+		v.owner, v.owned = c.seat.host.Name, term
+	}
+	if id, valid := c.seat.Lease(); valid {
+		v.lease = id
+	}
+	c.standings.observe(v)
+}
+
 // recoverTerm returns the term of a record that this process wrote without receiving the store's answer.
 func (c *Candidate) recoverTerm(revision uint64) *Term {
 	lease, valid := c.seat.Lease()
