owner: leave the workers to others after a term that was given up early

What callers would see: no job starts while a strong host can't read the ledger, or can't write the log, though other hosts could own the workers.

Cause: of the class of an owner that comes back for what it has failed at. A host gave up its term and left the next one to others for a second; weaker hosts left it to the strong host for four, so it took each term again.

Change: a host that gives up a term of less than half a minute, keeping its lease, is not waited for in the period that follows; if another host takes the term, other than a stronger one, it is neither waited for nor handed over to for two minutes or more, as if it had not bid. It bids itself only after six seconds, then 12, then 24, as long as there is a host that is expected to bid: longer than the four seconds for which others may wait for a third host. Where it is alone, or all hosts have failed, as while the store takes no writes, it leaves the next term to others for a second, as before. A term that lasted half a minute shows that its owner can own the workers, so a failure after that changes nothing.

A host is known by the revision of its record, so that one that died or was restarted is not taken for one that gave up.

Cost: where a single strong host gives up a short term for a passing reason, a weak one has the workers for two minutes.

--- a/dispatch/term_test.go
+++ b/dispatch/term_test.go
@@ -119,6 +119,52 @@
 	})
 }
 
+// Guards against a host that can't read the ledger and gets the workers again and again from hosts that can, and against one
+// that does not try again although no other host can own them.
+func TestTermsOfHostsThatCannotReadTheLedger(t *testing.T) {
+	tests := []struct {
+		name string
+		// blind is the number of hosts that can't read the ledger, and seeing that of weaker hosts that can.
+		blind, seeing int
+		atLeast       int64
+		atMost        int64
+	}{
+		{"alone", 1, 0, 40, 50},
+		{"two", 2, 0, 40, 50},
+		{"beside others", 1, 3, 2, 4},
+		{"several beside others", 3, 3, 3, 12},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := standin.NewStore()
+				ctx, cancel := context.WithCancel(t.Context())
+				var terms atomic.Int64
+				for i := range tt.blind + tt.seeing {
+					name := string(rune('a' + i))
+					host, client := ledger.Host{Name: fleet.EntryName(name), PeerAddress: name, Cores: 0.8}, withoutLedger(s.Client())
+					if i >= tt.blind {
+						host.Cores, client = 0.192, s.Client()
+					}
+					runCandidate(ctx, client, host, func(ctx context.Context, d *Dispatcher, tm *owner.Term) {
+						if host.Cores > 0.5 {
+							terms.Add(1)
+						}
+						d.Serve(ctx, tm)
+					})
+				}
+				time.Sleep(10 * time.Minute)
+				if n := terms.Load(); n < tt.atLeast || n > tt.atMost {
+					t.Errorf("%d terms of hosts that can't read the ledger in ten minutes, want %d to %d", n, tt.atLeast, tt.atMost)
+				}
+				cancel()
+				synctest.Wait()
+				time.Sleep(15 * time.Second)
+			})
+		})
+	}
+}
+
 // withoutLedger returns a client that can read all but the whole ledger.
 func withoutLedger(c *store.Client) *store.Client {
 	blind := *c
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -20,6 +20,11 @@
 	deferLimit = 2 * leaseTime
 	// yieldTime is how long a process that gave up its term leaves the next one to others.
 	yieldTime = time.Second
+	// restTime replaces yieldTime, while other hosts are expected to bid, for a process that gave up a short term for a reason of its own.
+	// It is longer than the others wait for a stronger host, and doubles with each such term in a row.
+	restTime = deferLimit + 2*time.Second
+	// maxRestDoublings limits how often restTime is doubled.
+	maxRestDoublings = 2
 )
 
 // Candidate competes for terms on behalf of a process.
@@ -32,6 +37,10 @@
 	// ended is the revision of the last term of this process.
 	ended     uint64
 	standings standings
+	// failedTerms is the number of short terms in a row that this process gave up for a reason of its own, and restUntil is until
+	// when it leaves the next one to others.
+	failedTerms int
+	restUntil   time.Time
 	// handedOver is when this process last handed over, or zero.
 	handedOver time.Time
 }
@@ -77,20 +86,21 @@
 		c.log.Info("no longer owns the workers", "term", t.Revision)
 		c.resign(ctx, t)
 		if id, _ := c.seat.Lease(); id == t.lease {
+			c.noteEnd(t)
 			pause.For(ctx, yieldTime)
 		}
 	}
 }
 
 // deferToStronger leaves a new term to stronger hosts, since the owner does most of the work. It returns once there are none
-// that are expected to take it or deferLimit has passed, or once there is an owner, and reports whether there is still none.
+// that are expected to take it or deferLimit has passed, and the process doesn't rest, or once there is an owner, and reports whether there is still none.
 func (c *Candidate) deferToStronger(ctx context.Context) bool {
 	for ; ctx.Err() == nil; pause.For(ctx, contentionPause) {
 		c.observe(0)
 		if c.standings.owned != 0 {
 			return false
 		}
-		if !c.standings.awaits(c.seat.host, time.Now()) {
+		if now := time.Now(); !c.rests(now) && !c.standings.awaits(c.seat.host, now) {
 			return true
 		}
 	}
@@ -98,6 +108,25 @@
 	return false
 }
 
+// noteEnd takes note of the end of a term that the process gave up.
+func (c *Candidate) noteEnd(t *Term) {
+	if c.handedOver.After(t.began) {
+		return
+	}
+	if time.Since(t.began) >= provenTime {
+		c.failedTerms = 0
+		return
+	}
+	c.restUntil = time.Now().Add(restTime << min(c.failedTerms, maxRestDoublings))
+	c.failedTerms++
+}
+
+// rests reports whether the process leaves a new term to any other host that is expected to take it. If all have failed, as
+// while the store takes no writes, none rests.
+func (c *Candidate) rests(now time.Time) bool {
+	return now.Before(c.restUntil) && c.standings.others(c.seat.host.Name, now)
+}
+
 // observe takes note of the present state of the hosts. Its argument is the revision of this process's term, or zero, since
 // the follower may learn later of that.
 func (c *Candidate) observe(term uint64) {
--- a/owner/standing.go
+++ b/owner/standing.go
@@ -31,7 +31,10 @@
 	since time.Time
 	// departures is how often the record went away or was written anew.
 	departures int
-	// refusals is how often the host left a term to a weaker one, and refusedUntil is until when the last one counts.
+	// gaveUp is set from the end of a short term until the next one begins, if the host ended it and kept its lease.
+	gaveUp bool
+	// refusals is how often the host left a term to a weaker one or gave one up, and refusedUntil is until when the last one
+	// counts.
 	refusals     int
 	refusedUntil time.Time
 }
@@ -43,7 +46,7 @@
 
 // refuses reports whether the host is expected not to take a term.
 func (s *standing) refuses(now time.Time) bool {
-	return now.Before(s.refusedUntil)
+	return s.gaveUp || now.Before(s.refusedUntil)
 }
 
 // staysFor returns how long the host must have held its lease for an owner to hand over to it.
@@ -90,6 +93,9 @@
 		s.lease, s.leaseSince, s.vacant = v.lease, v.at, time.Time{}
 	}
 	s.observeHosts(v)
+	if s.owned != 0 && v.owned != s.owned {
+		s.noteEnd(v.at)
+	}
 	switch {
 	case v.owned == 0:
 		if s.vacant.IsZero() && v.lease != 0 {
@@ -148,13 +154,33 @@
 		// A restarted process may be able to do what the last one was not.
 		h.refusedUntil = time.Time{}
 	}
+	h.gaveUp = false
 	h.revision, h.since = revision, now
 }
 
-// judge takes note of the hosts that left a term to a weaker one for as long as that one had to wait for them.
+// noteEnd takes note of the end of a term. A host that keeps the record that it had before the term has given the term up; one
+// that has had the workers for some time before is expected to take them again.
+func (s *standings) noteEnd(now time.Time) {
+	h, ok := s.hosts[s.owner]
+	if ok && h.present() && h.revision < s.owned && now.Sub(s.ownedSince) < provenTime {
+		h.gaveUp = true
+	}
+}
+
+// judge takes note, when a term begins, of the hosts that gave up the last one for a reason other than a stronger host, and of
+// those that left the term to a weaker one for as long as that one had to wait for them.
 func (s *standings) judge(v view) {
 	winner, ok := s.hosts[v.owner]
-	if !ok || s.vacant.IsZero() || v.at.Sub(s.vacant) < refusalTime {
+	if !ok {
+		return
+	}
+	for _, h := range s.hosts {
+		if h.gaveUp && h != winner && !isStronger(winner.host, h.host) {
+			h.refuse(v.at)
+		}
+		h.gaveUp = false
+	}
+	if s.vacant.IsZero() || v.at.Sub(s.vacant) < refusalTime {
 		return
 	}
 	var passive []*standing
@@ -198,6 +224,17 @@
 	return false
 }
 
+// others reports whether there are hosts other than this one that are expected to take a term.
+func (s *standings) others(self fleet.EntryName, now time.Time) bool {
+	for name, h := range s.hosts {
+		if name != self && h.present() && !h.refuses(now) {
+			return true
+		}
+	}
+
+	return false
+}
+
 // settled returns the hosts to which an owner may hand over.
 func (s *standings) settled(now time.Time) []ledger.Host {
 	var hosts []ledger.Host
