schedule: tell which accepted jobs don't start, and why

When accepted jobs waited although workers had room, neither logs nor metrics told whether the owner had the job, had refused it, or had assigned it without an answer, nor how late the owner's passes were.

Once in a second, right after a placement, the owner now looks for steps that are ready and have had no task started for 3 s, and for runs that have not been known to run for 3 s. Each is logged as Unstarted when its reason is new, at most 20 a second, and counted in lycheehook_unstarted_jobs{reason}. The reason comes from the conditions that the placement uses: bestWorkers and usable now ask the same two functions, and a task is put to chooseWorker itself, so that a condition that has no name yet shows as Overlooked (TestConditionWithoutAReason). At most 100 tasks are examined in a search, the longest unexamined first.

Each two seconds the dispatcher compares the follower's open jobs with the scheduler's. One that the scheduler has not had for 3 s is read from the store, logged as UnknownToOwner and added. A job that has run is not added, since its tasks might run twice, and one whose record is gone is not either.

lycheehook_pass_seconds and lycheehook_pass_lag_seconds tell whether the owner keeps its pace.

The tests have a case for each reason: named once after 3 to 4 s, counted, and gone when the job runs.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -7,6 +7,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"lycheehook.example/lycheehook/fleet"
 	"lycheehook.example/lycheehook/ledger"
 	"lycheehook.example/lycheehook/owner"
 	"lycheehook.example/lycheehook/pause"
@@ -47,6 +48,7 @@
 	hosts        Hosts
 	advise       work.Advise
 	report       func(jobs, runs int)
+	watch        Watch
 	// retention is how long jobs in a final state are kept.
 	retention time.Duration
 	observe   schedule.Observer
@@ -109,7 +111,7 @@
 ) *Dispatcher {
 	d := &Dispatcher{
 		client: c, follower: f, workers: w, bounds: b, self: self, log: l, config: config, watchWorkers: roster, observe: func(schedule.Decision) {},
-		report: func(int, int) {},
+		report: func(int, int) {}, watch: noWatch(),
 	}
 	for _, o := range options {
 		o(d)
@@ -138,6 +140,12 @@
 	// removing is set while batches before compacted are being removed.
 	removing bool
 	wake     chan struct{}
+	// passDue is when the next pass has to begin at the latest.
+	passDue time.Time
+	// unknown has the open jobs of the follower that the scheduler does not have, with the time at which that was first seen;
+	// unknownJobs counts those that count as a fault.
+	unknown     map[fleet.JobID]time.Time
+	unknownJobs int
 	// endTerm ends the term after a failed write.
 	endTerm context.CancelFunc
 }
@@ -170,9 +178,11 @@
 		background.Go(func() { t.maintainHosts(ctx) })
 	}
 	background.Go(func() { t.expireJobs(ctx) })
+	background.Go(func() { t.findUnknown(ctx) })
 	background.Go(func() { d.watchWorkers(ctx, t.applyRoster) })
 	t.run(ctx)
 	t.report(0, 0)
+	t.endWatch()
 	cancel()
 	background.Wait()
 }
@@ -209,6 +219,7 @@
 	for ctx.Err() == nil && !t.ownership.Ended() {
 		began := time.Now()
 		t.pass(ctx)
+		t.measurePass(began)
 		pause.For(ctx, passPause(time.Since(began)))
 		select {
 		case <-ctx.Done():
@@ -243,6 +254,7 @@
 			// An assignment waits for the next batch anyway, and one that is made later uses newer information.
 			t.sched.Place(now)
 		}
+		t.watchJobs(now)
 		for _, l := range t.sched.Polls(now) {
 			go t.sendPoll(l)
 		}
--- a/ledger/book.go
+++ b/ledger/book.go
@@ -276,6 +276,20 @@
 	return e.State(), true
 }
 
+// OpenJobs returns the jobs that are not over.
+func (b *Book) OpenJobs() []fleet.JobID {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var ids []fleet.JobID
+	for id, e := range b.entries {
+		if !e.Over() {
+			ids = append(ids, id)
+		}
+	}
+
+	return ids
+}
+
 // Job returns a job with the store revision of its record, and whether the job is known.
 func (b *Book) Job(id fleet.JobID) (work.Job, uint64, bool) {
 	b.mu.Lock()
--- a/manager/observe.go
+++ b/manager/observe.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"lycheehook.example/lycheehook/dispatch"
 	"lycheehook.example/lycheehook/intake"
 	"lycheehook.example/lycheehook/schedule"
 	"lycheehook.example/lycheehook/work"
@@ -37,6 +38,22 @@
 	m.metrics.Runs.Set(float64(runs))
 }
 
+// withWatch sets the metrics that tell whether the owner keeps up.
+func (m *Manager) withWatch() dispatch.Option {
+	return dispatch.WithWatch(dispatch.Watch{
+		Unstarted: m.recordUnstarted,
+		Pass:      m.metrics.Pass,
+		Lag:       func(lag time.Duration) { m.metrics.PassLag.Set(lag.Seconds()) },
+	})
+}
+
+// recordUnstarted sets the metric of unstarted jobs for each reason.
+func (m *Manager) recordUnstarted(jobs map[schedule.WaitReason]int) {
+	for _, reason := range schedule.WaitReasons() {
+		m.metrics.Unstarted(string(reason), jobs[reason])
+	}
+}
+
 // observeDecision logs and counts a decision of the scheduler.
 func (m *Manager) observeDecision(d schedule.Decision) {
 	m.metrics.Decision(string(d.What))
--- a/schedule/bench_test.go
+++ b/schedule/bench_test.go
@@ -109,3 +109,18 @@
 		})
 	}
 }
+
+// BenchmarkUnstarted measures a search for unstarted jobs, which runs once in a second, in a full fleet of which every job
+// that waits is late.
+func BenchmarkUnstarted(b *testing.B) {
+	for _, workers := range []int{12, 70, 178} {
+		b.Run(fmt.Sprint(5*workers), func(b *testing.B) {
+			s, now := benchFleet(b, workers)
+			for b.Loop() {
+				now = now.Add(unstartedAfter)
+				s.placedAt = now
+				s.Unstarted(now)
+			}
+		})
+	}
+}
--- a/schedule/decision.go
+++ b/schedule/decision.go
@@ -35,6 +35,8 @@
 	DecidedWorkerSlow DecisionKind = "WorkerSlow"
 	// DecidedNoAdvice is a question about workers that was not answered.
 	DecidedNoAdvice DecisionKind = "NoAdvice"
+	// DecidedUnstarted is an accepted job of which no ready task has started for some seconds, with a new reason.
+	DecidedUnstarted DecisionKind = "Unstarted"
 	// DecidedHostDraining is a host that gets no new tasks because of planned maintenance or a planned move.
 	DecidedHostDraining DecisionKind = "HostEmptying"
 	// DecidedHostOrdered is the answer to an order to a host.
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -26,10 +26,15 @@
 // Place assigns startable tasks to workers with room. It does nothing until a configuration has set the workspaces'
 // limits.
 func (s *Scheduler) Place(now time.Time) {
-	if !s.dirty || !s.configured {
+	if !s.configured {
+		return
+	}
+	s.placedAt = now
+	if !s.dirty {
 		return
 	}
 	s.dirty = false
+	s.clearReserves()
 	sets := s.usableWorkers(now)
 	s.unplaced = s.unplaced[:0]
 	for _, class := range rankClasses(s.readySteps(now)) {
@@ -51,11 +56,17 @@
 	unplaceable []fleet.Resources
 }
 
-// usableWorkers returns the usable workers of each pool, ordered by ID, and clears their reserves for lasting tasks.
+// clearReserves clears the workers' reserves for lasting tasks.
+func (s *Scheduler) clearReserves() {
+	for _, w := range s.workers {
+		w.lastingReserve = fleet.Resources{}
+	}
+}
+
+// usableWorkers returns the usable workers of each pool, ordered by ID.
 func (s *Scheduler) usableWorkers(now time.Time) map[fleet.PoolName]*workerSet {
 	sets := map[fleet.PoolName]*workerSet{}
 	for _, w := range s.workers {
-		w.lastingReserve = fleet.Resources{}
 		if !w.usable(now) {
 			continue
 		}
@@ -177,22 +188,31 @@
 
 // placeGang assigns all tasks of a gang under one attempt number, or none of them.
 func (s *Scheduler) placeGang(r *readyStep, step *work.Step, p *workerSet, now time.Time) {
-	e := r.job.entry
-	tasks := e.Step(r.step).Tasks
-	if len(r.tasks) < len(tasks) {
-		// Members of an earlier attempt still run.
+	if r.membersLeft() {
 		return
 	}
+	if !s.placeGangMembers(r, step, p, now) {
+		s.markUnplaced(r, len(r.tasks))
+	}
+}
+
+// membersLeft reports whether members of a gang's earlier attempt still run.
+func (r *readyStep) membersLeft() bool {
+	return len(r.tasks) < len(r.job.entry.Step(r.step).Tasks)
+}
+
+// placeGangMembers assigns all tasks of a gang to one of the sets of workers to try for it, and reports whether there was
+// room.
+func (s *Scheduler) placeGangMembers(r *readyStep, step *work.Step, p *workerSet, now time.Time) bool {
 	attempt := 0
+	tasks := r.job.entry.Step(r.step).Tasks
 	for i := range tasks {
 		attempt = max(attempt, tasks[i].Attempts)
 	}
-	for _, set := range gangWorkerSets(step, p.workers) {
-		if s.placeGangOn(r, attempt+1, &workerSet{workers: set}, now) {
-			return
-		}
-	}
-	s.markUnplaced(r, len(r.tasks))
+
+	return slices.ContainsFunc(gangWorkerSets(step, p.workers), func(set []*worker) bool {
+		return s.placeGangOn(r, attempt+1, &workerSet{workers: set}, now)
+	})
 }
 
 // placeGangOn assigns all tasks of a gang to a set of workers, or none of them, and reports whether there was room.
@@ -301,10 +321,7 @@
 	need := step.Reserved()
 	var bestScore, retryScore float64
 	for _, w := range p.workers {
-		if !need.FitsIn(w.freeFor(step)) || !r.allows(step, w) {
-			continue
-		}
-		if _, ok := s.ticketFor(r, w, now); !ok {
+		if s.obstacle(r, step, need, w, now) != noObstacle {
 			continue
 		}
 		failed := r.job.failedOn(task, w.id)
@@ -340,7 +357,12 @@
 
 // allows reports whether the step's label and MaxPerWorker permit one more of its tasks on a worker.
 func (r *readyStep) allows(step *work.Step, w *worker) bool {
-	return hasLabel(w.reg, step.Label) && (step.MaxPerWorker == 0 || r.tasksOnWorker[w.id] < step.MaxPerWorker)
+	return hasLabel(w.reg, step.Label) && r.withinMaxPerWorker(step, w)
+}
+
+// withinMaxPerWorker reports whether the step's MaxPerWorker permits one more of its tasks on a worker.
+func (r *readyStep) withinMaxPerWorker(step *work.Step, w *worker) bool {
+	return step.MaxPerWorker == 0 || r.tasksOnWorker[w.id] < step.MaxPerWorker
 }
 
 // limitedByRoomOnly reports whether a task of a step may run on any worker with room.
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -46,6 +46,9 @@
 	// maintainedBefore has the hosts that previous owners maintained for each wave.
 	maintainedBefore map[int64][]fleet.HostName
 	balancer         *balance.Balancer
+	unstarted        unstarted
+	// placedAt is when the last placement was made.
+	placedAt time.Time
 	// plannedAt is when moves between pools were last planned.
 	plannedAt time.Time
 	// unplaced has the steps whose tasks found no room in the last placement.
@@ -214,6 +217,13 @@
 	s.changes = append(s.changes, c)
 }
 
+// Has reports whether the scheduler has a job, which may be over.
+func (s *Scheduler) Has(id fleet.JobID) bool {
+	_, ok := s.entries[id]
+
+	return ok
+}
+
 // Jobs returns the number of jobs that are not over.
 func (s *Scheduler) Jobs() int {
 	return len(s.jobs)
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -29,6 +29,16 @@
 	// percent is the progress that each run reports; runs without an entry report 100.
 	percent map[work.Attempt]int
 	resumed string
+	// unstarted has the unstarted jobs of the last search.
+	unstarted map[WaitReason]int
+	// withhold has the parts of a pass that are left out, and heldOrders the starts that are not answered.
+	withhold   withheld
+	heldOrders []Order
+}
+
+// withheld has the parts of a pass that a test leaves out.
+type withheld struct {
+	placement, marks, writes, answers, stops bool
 }
 
 const testPool = fleet.PoolName("post")
@@ -76,13 +86,23 @@
 func (b *testbed) step() {
 	b.s.Tick()
 	b.s.Lapse(b.now)
-	b.s.Place(b.now)
-	_, starts := b.s.Take()
-	for _, o := range b.s.Stored(starts, b.now) {
-		b.order(o)
+	b.s.dirty = !b.withhold.marks
+	if !b.withhold.placement {
+		b.s.Place(b.now)
+	}
+	if counts, ok := b.s.Unstarted(b.now); ok {
+		b.unstarted = counts
+	}
+	if !b.withhold.writes {
+		_, starts := b.s.Take()
+		for _, o := range b.s.Stored(starts, b.now) {
+			b.order(o)
+		}
 	}
 	for _, o := range b.s.Stops(b.now) {
-		b.order(o)
+		if !b.withhold.stops {
+			b.order(o)
+		}
 	}
 	for _, l := range b.s.Polls(b.now) {
 		b.poll(l)
@@ -93,6 +113,9 @@
 func (b *testbed) order(o Order) {
 	id := o.Worker.ID
 	switch {
+	case o.Start != nil && b.withhold.answers:
+		b.heldOrders = append(b.heldOrders, o)
+		return
 	case b.unreachable[id]:
 		b.s.Answered(o, work.Answer{}, work.ErrNoAnswer, b.now)
 		return
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -288,5 +288,5 @@
 
 // usable reports whether tasks may be placed on the worker, whose registration must be that of the present incarnation.
 func (w *worker) usable(now time.Time) bool {
-	return w.present && w.reg.Life == w.life && w.tokenAcked && !w.cordoned && !w.reg.Draining && w.missedPolls < maxMissedPolls && !now.Before(w.quarantinedUntil)
+	return w.obstacle(now) == noObstacle
 }
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -27,6 +27,10 @@
 	calls      *prometheus.CounterVec
 	callTime   *prometheus.HistogramVec
 	firstStart prometheus.Histogram
+	unstarted  *prometheus.GaugeVec
+	passTime   prometheus.Histogram
+	// PassLag is how late the owner's last scheduling pass began, in seconds; zero at other hosts.
+	PassLag prometheus.Gauge
 	// Version is the version of the configuration in force.
 	Version prometheus.Gauge
 	// Term is the store revision of the term in which this process owns the workers; zero while it does not.
@@ -58,13 +62,21 @@
 		firstStart: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Namespace: namespace, Name: "first_start_seconds", Help: "Time from a job's arrival at the owner to its first assignment.", Buckets: latencies,
 		}),
+		unstarted: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "unstarted_jobs", Help: "Jobs of which no ready task has started for seconds, at the owner, by reason.",
+		}, []string{"reason"}),
+		passTime: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "pass_seconds", Help: "Time that a scheduling pass of the owner takes.", Buckets: latencies,
+		}),
+		PassLag:  gauge("pass_lag_seconds", "How late the owner's last scheduling pass began."),
 		Version:  gauge("config_version", "Version of the configuration in force."),
 		Term:     gauge("owner_term", "Store revision of the term in which this process owns the workers, or 0."),
 		OpenJobs: gauge("open_jobs", "Jobs that are not over, at the owner."),
 		Runs:     gauge("runs", "Runs that are held on workers, at the owner."),
 	}
 	m.registry.MustRegister(
-		m.requests, m.answerTime, m.decisions, m.ends, m.calls, m.callTime, m.firstStart, m.Version, m.Term, m.OpenJobs, m.Runs,
+		m.requests, m.answerTime, m.decisions, m.ends, m.calls, m.callTime, m.firstStart, m.unstarted, m.passTime, m.PassLag, m.Version, m.Term,
+		m.OpenJobs, m.Runs,
 	)
 
 	return m
@@ -107,6 +119,16 @@
 	m.firstStart.Observe(waited.Seconds())
 }
 
+// Unstarted sets the number of unstarted jobs for a reason.
+func (m *Metrics) Unstarted(reason string, jobs int) {
+	m.unstarted.WithLabelValues(reason).Set(float64(jobs))
+}
+
+// Pass notes how long a scheduling pass took.
+func (m *Metrics) Pass(took time.Duration) {
+	m.passTime.Observe(took.Seconds())
+}
+
 func (m *Metrics) call(to, call string, began time.Time, err error) {
 	m.calls.WithLabelValues(to, call, resultOf(err)).Inc()
 	m.callTime.WithLabelValues(to, call).Observe(time.Since(began).Seconds())
--- a/telemetry/telemetry_test.go
+++ b/telemetry/telemetry_test.go
@@ -102,6 +102,7 @@
 	m.Request(http.MethodGet, http.StatusOK, 0)
 	m.Decision("Assigned")
 	m.End(work.OutcomeDone)
+	m.Unstarted("NoRoom", 0)
 	m.call("store", "Get", time.Now(), nil)
 	families, err := m.registry.Gather()
 	if err != nil {
