schedule: don't tell of assignments that were rolled back

A gang that finds room for some of its members only was logged as Assigned for these in every placement, and counted in lycheehook_decisions_total and lycheehook_first_start_seconds, although no start was stored or sent: the members are assigned one by one, and rolled back when one finds no worker. Such lines look like orders that are never carried out.

The assignments of a gang are now observed once all of its members have a worker. TestGangWithoutRoomIsNotObserved before:

decisions while there is no room: want 0, got 28 decisions once there is room: want 5, got 37

--- a/schedule/place.go
+++ b/schedule/place.go
@@ -174,7 +174,7 @@
 
 			return
 		}
-		s.assign(r, n, e.Step(r.step).Tasks[n].Attempts+1, w, now)
+		s.observeAssigned(r, s.assign(r, n, e.Step(r.step).Tasks[n].Attempts+1, w, now), now)
 	}
 }
 
@@ -227,6 +227,9 @@
 		}
 		s.assign(r, n, attempt, w, now)
 	}
+	for _, member := range s.pendingRuns[firstRun:] {
+		s.observeAssigned(r, member, now)
+	}
 
 	return true
 }
@@ -258,7 +261,7 @@
 }
 
 // assign creates a run of a task on a worker; its start is sent once the assignment is stored.
-func (s *Scheduler) assign(r *readyStep, index, number int, w *worker, now time.Time) {
+func (s *Scheduler) assign(r *readyStep, index, number int, w *worker, now time.Time) *run {
 	e := r.job.entry
 	a := work.Attempt{
 		Task:   work.Task{Job: e.Job.ID, Occurrence: r.step.Occurrence, Step: r.step.Step, Index: index},
@@ -272,8 +275,15 @@
 	}
 	s.pendingRuns = append(s.pendingRuns, run)
 	s.record(e, ledger.Change{Kind: ledger.Assigned, Attempt: a, Worker: w.id, Life: w.life})
+
+	return run
+}
+
+// observeAssigned observes the assignment of a run, which must not be rolled back any more.
+func (s *Scheduler) observeAssigned(r *readyStep, assigned *run, now time.Time) {
+	w := assigned.worker
 	s.observe(Decision{
-		What: DecidedAssigned, Attempt: a, Worker: w.id, Standing: r.rank.urgency.String(), Age: now.Sub(r.job.knownSince), Token: s.token(w),
+		What: DecidedAssigned, Attempt: assigned.attempt, Worker: w.id, Standing: r.rank.urgency.String(), Age: now.Sub(r.job.knownSince), Token: s.token(w),
 	})
 }
 
--- a/schedule/place_test.go
+++ b/schedule/place_test.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -88,3 +89,21 @@
 	}
 	check(t, "order", []fleet.JobID{"lasting", "intime", "late", "overdue"}, order)
 }
+
+// A gang without room was once logged and counted as assigned in each placement, so that the log told of starts that were
+// never sent.
+func TestGangWithoutRoomIsNotObserved(t *testing.T) {
+	b := newTestbed(t, 1)
+	b.submit("j", work.Step{Count: 5, Size: size(4000), Gang: true})
+	b.settle()
+	check(t, "decisions while there is no room", 0, len(b.assigned()))
+
+	b.register("w1", 1)
+	b.settle()
+	check(t, "decisions once there is room", 5, len(b.assigned()))
+}
+
+// assigned returns the decisions on assignments.
+func (b *testbed) assigned() []Decision {
+	return slices.DeleteFunc(slices.Clone(b.decisions), func(d Decision) bool { return d.What != DecidedAssigned })
+}
