--- a/dispatch/term_test.go
+++ b/dispatch/term_test.go
@@ -111,9 +111,9 @@
 			addWorker(d, &starts)
 			d.Serve(ctx, tm)
 		}
-		runCandidate(ctx, &mute, "a", serve)
+		runCandidate(ctx, &mute, ledger.Host{Name: "a", PeerAddress: "a"}, serve)
 		time.Sleep(time.Second)
-		runCandidate(ctx, s.Client(), "b", func(ctx context.Context, d *Dispatcher, tm *owner.Term) {
+		runCandidate(ctx, s.Client(), ledger.Host{Name: "b", PeerAddress: "b"}, func(ctx context.Context, d *Dispatcher, tm *owner.Term) {
 			othersTerms.Add(1)
 			serve(ctx, d, tm)
 		})
--- a/schedule/isolation.go
+++ b/schedule/isolation.go
@@ -216,7 +216,7 @@
 	step, age := &r.job.entry.Job.Steps[task.Step], r.job.suspicions[task].isolation()
 	var workers []*worker
 	for _, w := range p.workers {
-		if w.mayStart(true, now) && s.mayRunOn(r, step, w, now) {
+		if w.mayStart(true, now) && s.obstacle(r, step, step.Reserved(), w, now) == noObstacle {
 			workers = append(workers, w)
 		}
 	}
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -26,11 +26,16 @@
 // Place assigns startable tasks to workers with room. It does nothing until a configuration has set the workspaces'
 // limits.
 func (s *Scheduler) Place(now time.Time) {
-	if !s.dirty || !s.configured {
+	if !s.configured {
+		return
+	}
+	s.placedAt = now
+	if !s.dirty {
 		return
 	}
 	s.dirty = false
 	s.settleSuspicions(now)
+	s.clearReserves()
 	sets := s.usableWorkers(now)
 	s.unplaced = s.unplaced[:0]
 	for _, class := range rankClasses(s.readySteps(now)) {
@@ -52,11 +57,17 @@
 	unplaceable []fleet.Resources
 }
 
-// usableWorkers returns the usable workers of each pool, ordered by ID, and clears their reserves for lasting tasks.
+// clearReserves clears the workers' reserves for lasting tasks.
+func (s *Scheduler) clearReserves() {
+	for _, w := range s.workers {
+		w.lastingReserve = fleet.Resources{}
+	}
+}
+
+// usableWorkers returns the usable workers of each pool, ordered by ID.
 func (s *Scheduler) usableWorkers(now time.Time) map[fleet.PoolName]*workerSet {
 	sets := map[fleet.PoolName]*workerSet{}
 	for _, w := range s.workers {
-		w.lastingReserve = fleet.Resources{}
 		if !w.usable(now) {
 			continue
 		}
@@ -164,7 +175,7 @@
 
 			return
 		}
-		s.assign(r, n, e.Step(r.step).Tasks[n].Attempts+1, w, now)
+		s.observeAssigned(r, s.assign(r, n, e.Step(r.step).Tasks[n].Attempts+1, w, now), now)
 	}
 }
 
@@ -178,26 +189,35 @@
 
 // placeGang assigns all tasks of a gang under one attempt number, or none of them.
 func (s *Scheduler) placeGang(r *readyStep, step *work.Step, p *workerSet, now time.Time) {
-	e := r.job.entry
-	tasks := e.Step(r.step).Tasks
-	if e.Step(r.step).Done > 0 {
+	if r.job.entry.Step(r.step).Done > 0 {
 		s.completeGang(r)
 		return
 	}
-	if len(r.tasks) < len(tasks) {
-		// Members of an earlier attempt still run.
+	if r.membersLeft() {
 		return
 	}
+	if !s.placeGangMembers(r, step, p, now) {
+		s.markUnplaced(r, len(r.tasks))
+	}
+}
+
+// membersLeft reports whether members of a gang's earlier attempt still run.
+func (r *readyStep) membersLeft() bool {
+	return len(r.tasks) < len(r.job.entry.Step(r.step).Tasks)
+}
+
+// placeGangMembers assigns all tasks of a gang to one of the sets of workers to try for it, and reports whether there was
+// room.
+func (s *Scheduler) placeGangMembers(r *readyStep, step *work.Step, p *workerSet, now time.Time) bool {
 	attempt := 0
+	tasks := r.job.entry.Step(r.step).Tasks
 	for i := range tasks {
 		attempt = max(attempt, tasks[i].Attempts)
 	}
-	for _, set := range gangWorkerSets(step, p.workers) {
-		if s.placeGangOn(r, attempt+1, &workerSet{workers: set}, now) {
-			return
-		}
-	}
-	s.markUnplaced(r, len(r.tasks))
+
+	return slices.ContainsFunc(gangWorkerSets(step, p.workers), func(set []*worker) bool {
+		return s.placeGangOn(r, attempt+1, &workerSet{workers: set}, now)
+	})
 }
 
 // completeGang records the waiting tasks of a gang as done, of which another member is: its members end as done together, so
@@ -225,6 +245,9 @@
 		}
 		s.assign(r, n, attempt, w, now)
 	}
+	for _, member := range s.pendingRuns[firstRun:] {
+		s.observeAssigned(r, member, now)
+	}
 
 	return true
 }
@@ -256,7 +279,7 @@
 }
 
 // assign creates a run of a task on a worker; its start is sent once the assignment is stored.
-func (s *Scheduler) assign(r *readyStep, index, number int, w *worker, now time.Time) {
+func (s *Scheduler) assign(r *readyStep, index, number int, w *worker, now time.Time) *run {
 	e := r.job.entry
 	a := work.Attempt{
 		Task:   work.Task{Job: e.Job.ID, Occurrence: r.step.Occurrence, Step: r.step.Step, Index: index},
@@ -273,8 +296,15 @@
 	}
 	s.pendingRuns = append(s.pendingRuns, run)
 	s.record(e, ledger.Change{Kind: ledger.Assigned, Attempt: a, Worker: w.id, Life: w.life})
+
+	return run
+}
+
+// observeAssigned observes the assignment of a run, which must not be rolled back any more.
+func (s *Scheduler) observeAssigned(r *readyStep, assigned *run, now time.Time) {
+	w := assigned.worker
 	s.observe(Decision{
-		What: DecidedAssigned, Attempt: a, Worker: w.id, Standing: r.rank.urgency.String(), Age: now.Sub(r.job.knownSince), Token: s.token(w),
+		What: DecidedAssigned, Attempt: assigned.attempt, Worker: w.id, Standing: r.rank.urgency.String(), Age: now.Sub(r.job.knownSince), Token: s.token(w),
 	})
 }
 
@@ -322,9 +352,10 @@
 // bestWorkers returns the best worker with room on which the task has not failed, and the best one on which it has.
 func (s *Scheduler) bestWorkers(r *readyStep, task work.Task, p *workerSet, now time.Time) (best, retry *worker) {
 	step := &r.job.entry.Job.Steps[task.Step]
+	need := step.Reserved()
 	var bestScore, retryScore float64
 	for _, w := range p.workers {
-		if !w.mayStart(false, now) || !s.mayRunOn(r, step, w, now) {
+		if !w.mayStart(false, now) || s.obstacle(r, step, need, w, now) != noObstacle {
 			continue
 		}
 		failed := r.job.failedOn(task, w.id)
@@ -339,16 +370,6 @@
 	return best, retry
 }
 
-// mayRunOn reports whether a worker has room for a task of a step and is allowed to run it.
-func (s *Scheduler) mayRunOn(r *readyStep, step *work.Step, w *worker, now time.Time) bool {
-	if !step.Reserved().FitsIn(w.freeFor(step)) || !r.allows(step, w) {
-		return false
-	}
-	_, ok := s.ticketFor(r, w, now)
-
-	return ok
-}
-
 // mayRunElsewhere reports whether a worker on which the task has not failed could take it once it has room.
 func (r *readyStep) mayRunElsewhere(task work.Task, p *workerSet) bool {
 	step := &r.job.entry.Job.Steps[task.Step]
@@ -370,7 +391,12 @@
 
 // allows reports whether the step's label and MaxPerWorker permit one more of its tasks on a worker.
 func (r *readyStep) allows(step *work.Step, w *worker) bool {
-	return hasLabel(w.reg, step.Label) && (step.MaxPerWorker == 0 || r.tasksOnWorker[w.id] < step.MaxPerWorker)
+	return hasLabel(w.reg, step.Label) && r.withinMaxPerWorker(step, w)
+}
+
+// withinMaxPerWorker reports whether the step's MaxPerWorker permits one more of its tasks on a worker.
+func (r *readyStep) withinMaxPerWorker(step *work.Step, w *worker) bool {
+	return step.MaxPerWorker == 0 || r.tasksOnWorker[w.id] < step.MaxPerWorker
 }
 
 // limitedByRoomOnly reports whether a task of a step may run on any worker with room.
