share: use the terms of fair scheduling

The comments described fair sharing with words of their own: what a team "is due", memory that "tilts the choice", parts that are "given". Names such as kinds, filling, due, settle, fade and here had to be looked up at their declaration.

Comments now use the terms of weighted DRF and progressive filling (fair share, dominant share, half-life, queued), and unexported names follow: due -> fair, parts -> fractions, largest -> dominant, grow -> fill, settle -> accrue, fade -> discount, here -> localFraction. Test cases are named by the property that they check. The comment of TestAllocateProperty no longer says that it checks the sums of Divide, which it never did.

--- a/share/allocate.go
+++ b/share/allocate.go
@@ -6,68 +6,68 @@
 	"lycheehook.example/lycheehook/fleet"
 )
 
-// kinds is the number of resources in fleet.Resources.
-const kinds = 4
+// resourceKinds is the number of fields in fleet.Resources.
+const resourceKinds = 4
 
-// epsilon absorbs rounding when a resource or a demand is used up.
+// epsilon is the tolerance for rounding errors when shares are compared.
 const epsilon = 1e-9
 
-// Demand is what one team wants, with the weight of its share.
+// Demand is the resources that one team requests, with its weight.
 type Demand struct {
 	Weight int64
-	// Wanted is what runs and what waits together, already bounded by the upper limit.
+	// Wanted is the sum of running and queued work, capped at the team's upper limit.
 	Wanted fleet.Resources
-	// Used is the remembered rate of use, as a dominant share.
+	// Used is the decayed average usage, as a dominant share.
 	Used float64
 }
 
-type vector [kinds]float64
+type vector [resourceKinds]float64
 
-// filling is the state of one demand while the common level rises.
-type filling struct {
+// fillState is the state of one demand during progressive filling.
+type fillState struct {
 	weight float64
-	// parts is the wanted fraction of each resource; largest is its dominant share.
-	parts   vector
-	largest float64
-	// start is the level at which the demand begins to grow.
+	// fractions is the requested fraction of each resource; dominant is the largest of them.
+	fractions vector
+	dominant  float64
+	// start is the level at which the demand begins to receive resources.
 	start float64
-	due   float64
+	fair  float64
 	done  bool
 }
 
-// Allocate returns for each demand the dominant share of total that it is due, by weighted progressive
-// filling (Ghodsi et al., Dominant Resource Fairness, NSDI 2011, with finite demands). A team that used more
-// for its weight begins to grow later: at common level L it is due weight*L - Used/runningFactor.
+// Allocate returns the fair dominant share of total for each demand, by weighted progressive filling
+// (Ghodsi et al., Dominant Resource Fairness, NSDI 2011, with finite demands). Past usage delays the start of a
+// team's filling: at level L its fair share is weight*L - Used/runningFactor.
 func Allocate(total fleet.Resources, demands []Demand) []float64 {
-	rows := make([]filling, len(demands))
+	rows := make([]fillState, len(demands))
 	for i, d := range demands {
-		rows[i] = newFilling(d, total)
+		rows[i] = newFillState(d, total)
 	}
 
 	free := vector{1, 1, 1, 1}
 	level := 0.0
-	// Each round starts or ends the growth of at least one demand.
+	// Each round starts or finishes at least one demand, which bounds the number of rounds.
 	for range 2 * len(rows) {
 		step := nextStep(level, free, rows)
 		if math.IsInf(step, 1) {
 			break
 		}
-		grow(level, step, &free, rows)
+		fill(level, step, &free, rows)
 		level += step
 	}
 
-	due := make([]float64, len(rows))
+	fair := make([]float64, len(rows))
 	for i := range rows {
-		due[i] = rows[i].due
+		fair[i] = rows[i].fair
 	}
 
-	return due
+	return fair
 }
 
-func newFilling(d Demand, total fleet.Resources) filling {
-	f := filling{weight: float64(d.Weight), parts: partsOf(d.Wanted, total)}
-	f.largest = max(f.parts[0], f.parts[1], f.parts[2], f.parts[3])
-	f.done = f.largest <= 0 || d.Weight <= 0
+func newFillState(d Demand, total fleet.Resources) fillState {
+	f := fillState{weight: float64(d.Weight), fractions: fractionsOf(d.Wanted, total)}
+	f.dominant = max(f.fractions[0], f.fractions[1], f.fractions[2], f.fractions[3])
+	f.done = f.dominant <= 0 || d.Weight <= 0
 	if !f.done {
 		f.start = d.Used / runningFactor / f.weight
 	}
@@ -75,8 +75,8 @@
 	return f
 }
 
-// nextStep returns how far the level rises until a demand starts, a demand is met or a resource is used up.
-func nextStep(level float64, free vector, rows []filling) float64 {
+// nextStep returns how far the level can rise until a demand starts, a demand is met or a resource is exhausted.
+func nextStep(level float64, free vector, rows []fillState) float64 {
 	var rate vector
 	step := math.Inf(1)
 	for i := range rows {
@@ -86,9 +86,9 @@
 		case f.start > level+epsilon:
 			step = min(step, f.start-level)
 		default:
-			step = min(step, (f.largest-f.due)/f.weight)
+			step = min(step, (f.dominant-f.fair)/f.weight)
 			for k := range rate {
-				rate[k] += f.weight * f.parts[k] / f.largest
+				rate[k] += f.weight * f.fractions[k] / f.dominant
 			}
 		}
 	}
@@ -101,31 +101,31 @@
 	return step
 }
 
-// grow raises every started demand by step and ends those that are met or that need a used-up resource.
-func grow(level, step float64, free *vector, rows []filling) {
+// fill raises every started demand by step and finishes those that are met or that need an exhausted resource.
+func fill(level, step float64, free *vector, rows []fillState) {
 	for i := range rows {
 		f := &rows[i]
 		if f.done || f.start > level+epsilon {
 			continue
 		}
-		rise := step * f.weight
-		f.due += rise
+		amount := step * f.weight
+		f.fair += amount
 		for k := range free {
-			free[k] -= rise * f.parts[k] / f.largest
+			free[k] -= amount * f.fractions[k] / f.dominant
 		}
 	}
 	for i := range rows {
 		f := &rows[i]
-		f.done = f.done || f.due >= f.largest-epsilon
+		f.done = f.done || f.fair >= f.dominant-epsilon
 		for k := range free {
-			if f.parts[k] > 0 && free[k] <= epsilon {
+			if f.fractions[k] > 0 && free[k] <= epsilon {
 				f.done = true
 			}
 		}
 	}
 }
 
-func partsOf(r, total fleet.Resources) vector {
+func fractionsOf(r, total fleet.Resources) vector {
 	return vector{
 		fraction(r.Slots, total.Slots),
 		fraction(int64(r.Cores), int64(total.Cores)),
--- a/share/allocate_test.go
+++ b/share/allocate_test.go
@@ -31,20 +31,20 @@
 		{"unused share goes to others", res(80, 0, 0, 0), []share.Demand{{Weight: 3, Wanted: res(8, 0, 0, 0)}, {Weight: 1, Wanted: res(80, 0, 0, 0)}}, []float64{.1, .9}},
 		{"a met demand takes no more", res(80, 0, 0, 0), []share.Demand{{Weight: 1, Wanted: res(8, 0, 0, 0)}}, []float64{.1}},
 		{"no demand", res(80, 0, 0, 0), []share.Demand{{Weight: 1}}, []float64{0}},
-		{"another resource goes on growing", res(80, 0, 0, 4), []share.Demand{{Weight: 1, Wanted: res(80, 0, 0, 4)}, {Weight: 1, Wanted: res(40, 0, 0, 0)}}, []float64{.5, .5}},
-		{"memory holds back who used more", res(80, 0, 0, 0), []share.Demand{{Weight: 1, Wanted: res(80, 0, 0, 0), Used: 1}, {Weight: 1, Wanted: res(80, 0, 0, 0)}}, []float64{.25, .75}},
-		{"memory does not starve without need", res(80, 0, 0, 0), []share.Demand{{Weight: 1, Wanted: res(80, 0, 0, 0), Used: 1}, {Weight: 1, Wanted: res(8, 0, 0, 0)}}, []float64{.9, .1}},
+		{"a demand stops at its first exhausted resource", res(80, 0, 0, 4), []share.Demand{{Weight: 1, Wanted: res(80, 0, 0, 4)}, {Weight: 1, Wanted: res(40, 0, 0, 0)}}, []float64{.5, .5}},
+		{"past usage lowers the share", res(80, 0, 0, 0), []share.Demand{{Weight: 1, Wanted: res(80, 0, 0, 0), Used: 1}, {Weight: 1, Wanted: res(80, 0, 0, 0)}}, []float64{.25, .75}},
+		{"past usage costs nothing without competition", res(80, 0, 0, 0), []share.Demand{{Weight: 1, Wanted: res(80, 0, 0, 0), Used: 1}, {Weight: 1, Wanted: res(8, 0, 0, 0)}}, []float64{.9, .1}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			if d := cmp.Diff(c.want, share.Allocate(c.total, c.demands), cmpopts.EquateApprox(0, 1e-6)); d != "" {
-				t.Errorf("due (-want +got):\n%s", d)
+				t.Errorf("fair shares (-want +got):\n%s", d)
 			}
 		})
 	}
 }
 
-// TestAllocateProperty checks that no resource is given twice, that none is left while someone wants it, and that
-// the parts of Divide sum to what there is.
+// TestAllocateProperty checks that no resource is allocated beyond its capacity and that no demand stays unmet
+// while all resources that it requests are free.
 func TestAllocateProperty(t *testing.T) {
 	for seed := range uint64(500) {
 		r := rand.New(rand.NewPCG(seed, 2))
@@ -57,7 +57,7 @@
 			}
 		}
 		var used [4]float64
-		due := share.Allocate(total, demands)
+		fair := share.Allocate(total, demands)
 		parts := func(i int) [4]float64 {
 			w := demands[i].Wanted
 			return [4]float64{float64(w.Slots) / 80, float64(w.Cores) / 64000, float64(w.Memory) / (1 << 17), float64(w.Accelerators) / 4}
@@ -66,20 +66,20 @@
 			largest := demands[i].Wanted.DominantShare(total)
 			for k, v := range parts(i) {
 				if largest > 0 {
-					used[k] += due[i] * v / largest
+					used[k] += fair[i] * v / largest
 				}
 			}
 		}
 		for i := range demands {
-			met, short := due[i] >= demands[i].Wanted.DominantShare(total)-1e-6, false
+			met, short := fair[i] >= demands[i].Wanted.DominantShare(total)-1e-6, false
 			for k, v := range parts(i) {
 				if used[k] > 1+1e-6 {
-					t.Fatalf("seed %d: resource %d is given %.3f times", seed, k, used[k])
+					t.Fatalf("seed %d: resource %d is allocated %.3f times its capacity", seed, k, used[k])
 				}
 				short = short || v > 0 && used[k] > 1-1e-6
 			}
 			if !met && !short {
-				t.Errorf("seed %d: demand %d is due %.3f while all it wants is free", seed, i, due[i])
+				t.Errorf("seed %d: demand %d has a fair share of %.3f, but all resources that it requests are free", seed, i, fair[i])
 			}
 		}
 	}
@@ -95,22 +95,22 @@
 		reports []share.Report
 		want    []int64
 	}{
-		{"idle is spread evenly", 8, []share.Report{{}, {}, {}}, []int64{3, 3, 2}},
+		{"idle slots are spread evenly", 8, []share.Report{{}, {}, {}}, []int64{3, 3, 2}},
 		{"slots follow the demand", 8, []share.Report{{Teams: []share.Standing{standing("a", 40)}}, {}}, []int64{8, 0}},
-		{"the shares decide when all is full", 12, []share.Report{
+		{"weights decide when demand exceeds capacity", 12, []share.Report{
 			{Teams: []share.Standing{standing("a", 100)}}, {Teams: []share.Standing{standing("b", 10)}},
 		}, []int64{8, 4}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			got := share.Divide(c.slots, map[fleet.TeamName]int64{"a": 2, "b": 1}, time.Second, c.reports)
 			if d := cmp.Diff(c.want, got); d != "" {
-				t.Errorf("parts (-want +got):\n%s", d)
+				t.Errorf("slots (-want +got):\n%s", d)
 			}
 		})
 	}
 }
 
-// TestLedgerReports checks that old reports fade, that usage decays by half in a half-life, and that peers count.
+// TestLedgerReports checks that running work on peers counts, that old reports lose their weight, and that usage halves in a half-life.
 func TestLedgerReports(t *testing.T) {
 	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	total := res(80, 0, 0, 0)
@@ -124,10 +124,10 @@
 		return l.UnderShare(a)
 	}
 	if underShare(100 * time.Millisecond) {
-		t.Error("a team with most of the pool at a peer counts as under its share")
+		t.Error("a team that has most of the pool on a peer counts as under its share")
 	}
 	if !underShare(time.Minute) {
-		t.Error("a report of a minute ago still counts")
+		t.Error("a report that is a minute old still counts")
 	}
 
 	l := share.New(share.WithHalfLife(10 * time.Second))
--- a/share/divide.go
+++ b/share/divide.go
@@ -9,15 +9,15 @@
 	"lycheehook.example/lycheehook/fleet"
 )
 
-// Divide returns how many of slots each entry host should hold, in the order of the reports: each team's
-// due part goes to the entry hosts in proportion to the team's demand there, and what is left is spread evenly.
+// Divide returns how many of the slots each entry host should hold, in the order of the reports. Each team's fair
+// share goes to the entry hosts in proportion to the team's demand there; unclaimed slots are spread evenly.
 //
-// It advises only; whoever moves the slots keeps their sum.
+// The result is a target. The caller that transfers slots has to preserve their total.
 func Divide(slots int64, weights map[fleet.TeamName]int64, halfLife time.Duration, reports []Report) []int64 {
 	teams, demands := totals(weights, halfLife, reports)
-	due := Allocate(fleet.Resources{Slots: slots}, demands)
+	fair := Allocate(fleet.Resources{Slots: slots}, demands)
 
-	want := make([]float64, len(reports))
+	targets := make([]float64, len(reports))
 	left := float64(slots)
 	for i, r := range reports {
 		for _, s := range r.Teams {
@@ -25,16 +25,16 @@
 			if !ok || demands[k].Wanted.Slots == 0 {
 				continue
 			}
-			part := due[k] * float64(slots) * float64(s.Demand.Slots) / float64(demands[k].Wanted.Slots)
-			want[i] += part
-			left -= part
+			slotsOfTeam := fair[k] * float64(slots) * float64(s.Demand.Slots) / float64(demands[k].Wanted.Slots)
+			targets[i] += slotsOfTeam
+			left -= slotsOfTeam
 		}
 	}
-	for i := range want {
-		want[i] += max(left, 0) / float64(len(want))
+	for i := range targets {
+		targets[i] += max(left, 0) / float64(len(targets))
 	}
 
-	return roundToSum(want, slots)
+	return roundToSum(targets, slots)
 }
 
 func totals(weights map[fleet.TeamName]int64, halfLife time.Duration, reports []Report) (map[fleet.TeamName]int, []Demand) {
@@ -56,18 +56,18 @@
 	return index, demands
 }
 
-// roundToSum rounds by largest remainder so that the result sums to sum.
-func roundToSum(want []float64, sum int64) []int64 {
-	out := make([]int64, len(want))
-	order := make([]int, len(want))
+// roundToSum rounds by the largest-remainder method, so that the result adds up to sum.
+func roundToSum(targets []float64, sum int64) []int64 {
+	out := make([]int64, len(targets))
+	order := make([]int, len(targets))
 	left := sum
-	for i, w := range want {
+	for i, w := range targets {
 		out[i] = int64(w)
 		left -= out[i]
 		order[i] = i
 	}
 	slices.SortStableFunc(order, func(a, b int) int {
-		return cmp.Compare(want[b]-float64(out[b]), want[a]-float64(out[a]))
+		return cmp.Compare(targets[b]-float64(out[b]), targets[a]-float64(out[a]))
 	})
 	for n := 0; left > 0 && len(order) > 0; n++ {
 		out[order[n%len(order)]]++
--- a/share/doc.go
+++ b/share/doc.go
@@ -1,4 +1,4 @@
-// Package share decides which team is next when more is asked than there is:
-// weighted max-min fairness over the dominant resource, with a decaying memory
-// of usage, over what this entry host and its peers have running.
+// Package share decides which team is scheduled next when demand exceeds capacity.
+// It implements weighted dominant resource fairness (DRF) with exponentially
+// decayed usage, counting what runs on this entry host and on its peers.
 package share
--- a/share/ledger.go
+++ b/share/ledger.go
@@ -8,49 +8,49 @@
 )
 
 const (
-	// DefaultHalfLife is the time after which usage counts half.
+	// DefaultHalfLife is the half-life of recorded usage.
 	DefaultHalfLife = 20 * time.Second
-	// reportHalfLife is the age at which a peer's report of running work counts half.
+	// reportHalfLife is the half-life of a peer's report once it is older than reportGrace.
 	reportHalfLife = 2 * time.Second
-	// reportGrace is the age up to which a report counts in full.
+	// reportGrace is the age up to which a peer's report has full weight.
 	reportGrace = time.Second
-	// runningFactor weighs what runs now against the remembered rate of use, so that
-	// memory tilts the choice between teams but does not starve a team that was busy.
+	// runningFactor is the weight of running work relative to past usage. Above 1, past usage
+	// influences the order of teams without starving a team that was recently busy.
 	runningFactor = 2
 )
 
-// Standing is what one entry host knows of one team's work on it.
+// Standing is the load of one team on one entry host.
 type Standing struct {
 	Team    fleet.TeamName
 	Running fleet.Resources
-	// Demand is what runs and what waits together.
+	// Demand is the sum of running and queued work.
 	Demand fleet.Resources
-	// Usage is the decayed integral of the dominant share, in share-seconds at the time of the report.
+	// Usage is the decayed integral of the dominant share, in share-seconds, as of the report.
 	Usage float64
 }
 
-// Report is what one entry host tells its peers of the teams' work on it.
+// Report is the load of all teams on one entry host, as sent to its peers.
 type Report struct {
 	Entry fleet.EntryName
-	// Age is the time since the standings were true.
+	// Age is the time since the standings were recorded.
 	Age   time.Duration
 	Teams []Standing
 }
 
-// Account is the running tally of one team on this entry host, with what the peers reported.
+// Account is the load of one team on this entry host, with the totals that its peers reported.
 type Account struct {
-	Team    fleet.TeamName
-	weight  float64
-	limit   fleet.Resources
-	running fleet.Resources
-	waiting fleet.Resources
-	usage   float64
-	at      time.Time
+	Team      fleet.TeamName
+	weight    float64
+	limit     fleet.Resources
+	running   fleet.Resources
+	waiting   fleet.Resources
+	usage     float64
+	accruedAt time.Time
 
 	peerRunning fleet.Resources
 	peerDemand  fleet.Resources
 	peerUsage   float64
-	due         float64
+	fair        float64
 	target      float64
 	rate        float64
 }
@@ -59,7 +59,7 @@
 type Ledger struct {
 	halfLife time.Duration
 	total    fleet.Resources
-	// quantum is the dominant share of one slot.
+	// quantum is the dominant share of a single slot.
 	quantum  float64
 	accounts map[fleet.TeamName]*Account
 	order    []*Account
@@ -69,7 +69,7 @@
 // Option configures a Ledger.
 type Option func(*Ledger)
 
-// WithHalfLife sets the time after which usage counts half.
+// WithHalfLife sets the half-life of recorded usage.
 func WithHalfLife(d time.Duration) Option {
 	return func(l *Ledger) { l.halfLife = d }
 }
@@ -84,11 +84,11 @@
 	return l
 }
 
-// Open returns the account of a team and brings its weight and upper limit up to date.
+// Open returns the account of a team, created if missing, and updates its weight and upper limit.
 func (l *Ledger) Open(t fleet.Team, now time.Time) *Account {
 	a, ok := l.accounts[t.Name]
 	if !ok {
-		a = &Account{Team: t.Name, at: now}
+		a = &Account{Team: t.Name, accruedAt: now}
 		l.accounts[t.Name] = a
 		l.order = append(l.order, a)
 		l.refresh = time.Time{}
@@ -99,55 +99,55 @@
 	return a
 }
 
-// Total returns the capacity that shares are of.
+// Total returns the total capacity that dominant shares are computed against.
 func (l *Ledger) Total() fleet.Resources {
 	return l.total
 }
 
-// Start counts size as running for a.
+// Start adds size to what a has running.
 func (l *Ledger) Start(a *Account, size fleet.Resources, now time.Time) {
-	l.settle(a, now)
+	l.accrue(a, now)
 	a.running = a.running.Plus(size)
 }
 
-// End counts size as no longer running for a.
+// End subtracts size from what a has running.
 func (l *Ledger) End(a *Account, size fleet.Resources, now time.Time) {
-	l.settle(a, now)
+	l.accrue(a, now)
 	a.running = a.running.Minus(size)
 }
 
-// Wait counts size as waiting for a.
+// Wait adds size to what a has queued.
 func (l *Ledger) Wait(a *Account, size fleet.Resources) {
 	a.waiting = a.waiting.Plus(size)
 }
 
-// Unwait counts size as no longer waiting for a.
+// Unwait subtracts size from what a has queued.
 func (l *Ledger) Unwait(a *Account, size fleet.Resources) {
 	a.waiting = a.waiting.Minus(size)
 }
 
-// Score ranks a among teams that want the same resource here; the lowest is next. It is what a has running here
-// and half a slot more, for what it is due here: the half makes rounding favour neither small nor large parts
-// (Webster's method). It uses what is due here and not what runs elsewhere, because entry hosts that follow the
-// same late news would all turn to the same team at once.
+// Score ranks a among the teams that compete for a resource on this entry host; the lowest score is scheduled next.
+// It divides what a has running here, plus half a slot, by its local target. The half slot is Webster's method, which
+// favours neither small nor large shares in rounding. Work on other entry hosts is left out, because entry hosts that
+// react to the same delayed reports would all pick the same team at once.
 func (l *Ledger) Score(a *Account) float64 {
 	return (a.running.DominantShare(l.total) + l.quantum/2) / a.target
 }
 
-// UnderShare reports whether a has less running over all entry hosts than it is due.
+// UnderShare reports whether a has less running on all entry hosts together than its fair share.
 func (l *Ledger) UnderShare(a *Account) bool {
-	return a.running.Plus(a.peerRunning).DominantShare(l.total) < a.due-epsilon
+	return a.running.Plus(a.peerRunning).DominantShare(l.total) < a.fair-epsilon
 }
 
-// Rate returns the part of the capacity, from 0 to 1, that a can count on while it has work waiting.
+// Rate returns the fraction of the capacity, from 0 to 1, that a can rely on while it has queued work.
 func (l *Ledger) Rate(a *Account) float64 {
 	return a.rate
 }
 
-// Refresh merges the peers' reports and computes anew what each team is due of total.
+// Refresh merges the peers' reports and recomputes every team's fair share of total.
 func (l *Ledger) Refresh(total fleet.Resources, reports []Report, now time.Time) {
 	for _, a := range l.order {
-		l.settle(a, now)
+		l.accrue(a, now)
 		a.peerRunning, a.peerDemand, a.peerUsage = fleet.Resources{}, fleet.Resources{}, 0
 	}
 	l.total, l.refresh = total, now
@@ -164,7 +164,7 @@
 			weights += a.weight
 		}
 	}
-	l.setDue(Allocate(total, demands), weights)
+	l.setFair(Allocate(total, demands), weights)
 }
 
 // Refreshed returns the time of the last Refresh.
@@ -172,11 +172,11 @@
 	return l.refresh
 }
 
-// Report returns the standings on this entry host, for its peers.
+// Report returns the load of all active teams on this entry host, for its peers.
 func (l *Ledger) Report(entry fleet.EntryName, now time.Time) Report {
 	r := Report{Entry: entry}
 	for _, a := range l.order {
-		l.settle(a, now)
+		l.accrue(a, now)
 		if a.running.IsZero() && a.waiting.IsZero() && a.usage < epsilon {
 			continue
 		}
@@ -189,39 +189,39 @@
 }
 
 func (l *Ledger) merge(r Report) {
-	fade := 1.0
+	discount := 1.0
 	if r.Age > reportGrace {
-		fade = math.Exp2(-(r.Age - reportGrace).Seconds() / reportHalfLife.Seconds())
+		discount = math.Exp2(-(r.Age - reportGrace).Seconds() / reportHalfLife.Seconds())
 	}
 	for _, s := range r.Teams {
 		a, ok := l.accounts[s.Team]
 		if !ok {
 			continue
 		}
-		a.peerRunning = a.peerRunning.Plus(scaled(s.Running, fade))
-		a.peerDemand = a.peerDemand.Plus(scaled(s.Demand, fade))
-		a.peerUsage += l.decayed(s.Usage, scaled(s.Running, fade), r.Age.Seconds())
+		a.peerRunning = a.peerRunning.Plus(scaled(s.Running, discount))
+		a.peerDemand = a.peerDemand.Plus(scaled(s.Demand, discount))
+		a.peerUsage += l.decayed(s.Usage, scaled(s.Running, discount), r.Age.Seconds())
 	}
 }
 
-func (l *Ledger) setDue(due []float64, weights float64) {
+func (l *Ledger) setFair(fair []float64, weights float64) {
 	spare := 1.0
-	for _, d := range due {
+	for _, d := range fair {
 		spare -= d
 	}
 	for i, a := range l.order {
 		floor := a.weight / max(weights, a.weight)
-		a.due = due[i]
-		here := 1.0
+		a.fair = fair[i]
+		localFraction := 1.0
 		if a.peerDemand != (fleet.Resources{}) {
-			here = a.demand().DominantShare(l.total) / max(a.demand().Plus(a.peerDemand).DominantShare(l.total), epsilon)
+			localFraction = a.demand().DominantShare(l.total) / max(a.demand().Plus(a.peerDemand).DominantShare(l.total), epsilon)
 		}
-		a.target = max(a.due*here, floor*l.quantum)
-		a.rate = min(1, max(floor, due[i]+max(spare, 0)))
+		a.target = max(a.fair*localFraction, floor*l.quantum)
+		a.rate = min(1, max(floor, fair[i]+max(spare, 0)))
 	}
 }
 
-// wanted returns the team's demand over all entry hosts within its upper limit.
+// wanted returns the team's demand on all entry hosts, capped at its upper limit.
 func (a *Account) wanted() fleet.Resources {
 	wanted := a.demand().Plus(a.peerDemand)
 	if a.limit.IsZero() {
@@ -231,28 +231,28 @@
 	return wanted.Min(a.limit)
 }
 
-// demand returns what runs and waits here.
+// demand returns the sum of running and queued work on this entry host.
 func (a *Account) demand() fleet.Resources {
 	return a.running.Plus(a.waiting)
 }
 
-// settle charges a for what ran since its last change.
-func (l *Ledger) settle(a *Account, now time.Time) {
-	a.usage = l.decayed(a.usage, a.running, now.Sub(a.at).Seconds())
-	a.at = now
+// accrue adds the usage since the last call to a.
+func (l *Ledger) accrue(a *Account, now time.Time) {
+	a.usage = l.decayed(a.usage, a.running, now.Sub(a.accruedAt).Seconds())
+	a.accruedAt = now
 }
 
-// decayed returns usage after elapsed seconds in which running was in use throughout.
+// decayed returns usage after elapsed seconds with running constantly in use.
 func (l *Ledger) decayed(usage float64, running fleet.Resources, elapsed float64) float64 {
 	if elapsed <= 0 || usage == 0 && running.IsZero() {
 		return usage
 	}
-	keep := math.Exp(-l.lambda() * elapsed)
+	decay := math.Exp(-l.lambda() * elapsed)
 
-	return usage*keep + running.DominantShare(l.total)*(1-keep)/l.lambda()
+	return usage*decay + running.DominantShare(l.total)*(1-decay)/l.lambda()
 }
 
-// lambda is the rate of decay per second.
+// lambda is the decay constant of usage, per second.
 func (l *Ledger) lambda() float64 {
 	return math.Ln2 / l.halfLife.Seconds()
 }
