fleet: describe entities in the terms of the field

Comments now name lifecycle states, quotas, reserved capacity and weights, and say for each With method that it returns a copy. No identifier changed: all are exported and used elsewhere, and field names are stored.

--- a/fleet/duration.go
+++ b/fleet/duration.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Duration is a time.Duration that is written as text such as "1m30s".
+// Duration is a time.Duration that is encoded as text such as "1m30s".
 type Duration time.Duration
 
 // Std returns d as a time.Duration.
@@ -10,7 +10,7 @@
 	return time.Duration(d)
 }
 
-// String returns d in the form of time.Duration.
+// String formats d like time.Duration.
 func (d Duration) String() string {
 	return time.Duration(d).String()
 }
--- a/fleet/entity.go
+++ b/fleet/entity.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// Names of the entities; each is unique within its table.
+// Names of entities. A name is unique within its table.
 type (
 	// HostName names a worker host of the platform.
 	HostName string
@@ -20,25 +20,25 @@
 	RackName string
 	// EndpointName names a runner that serves requests.
 	EndpointName string
-	// CustomerName names a customer of the operators.
+	// CustomerName names a customer.
 	CustomerName string
 	// WorkspaceName names a workspace of a customer.
 	WorkspaceName string
-	// TeamName names a team; teams are unique over all customers.
+	// TeamName names a team. Team names are unique across customers.
 	TeamName string
-	// PlanName names a customers' plan.
+	// PlanName names a plan that customers subscribe to.
 	PlanName string
-	// QueueName names a queue that callers submit work to.
+	// QueueName names a queue to which callers submit work.
 	QueueName string
 	// BudgetName names an availability budget.
 	BudgetName string
-	// EntryName names an entry host, a process of lycheehook.
+	// EntryName names an entry host, which runs one lycheehook process.
 	EntryName string
 	// JobID identifies a job.
 	JobID string
 )
 
-// HostState is the state of a host in its life.
+// HostState is the lifecycle state of a host.
 type HostState string
 
 // The states of a host.
@@ -50,7 +50,7 @@
 	HostLost      HostState = "Lost"
 )
 
-// Host is a worker of the platform; it belongs to exactly one pool at any time.
+// Host is a worker host of the platform. It belongs to exactly one pool at any time.
 type Host struct {
 	Name           HostName
 	Region         RegionName
@@ -60,23 +60,23 @@
 	State          HostState
 	Capacity       Resources
 	LastMaintained time.Time
-	// StoreRevision fences writes of the host's own record in the store.
+	// StoreRevision is the revision of the host's record in the store; a write is rejected if it has changed since.
 	StoreRevision uint64
 }
 
-// WithPool returns the host as a member of p.
+// WithPool returns a copy of the host in pool p.
 func (h Host) WithPool(p PoolName) Host {
 	h.Pool = p
 	return h
 }
 
-// WithState returns the host in state s.
+// WithState returns a copy of the host in state s.
 func (h Host) WithState(s HostState) Host {
 	h.State = s
 	return h
 }
 
-// WithLastMaintained returns the host as maintained at t.
+// WithLastMaintained returns a copy of the host whose last maintenance was at t.
 func (h Host) WithLastMaintained(t time.Time) Host {
 	h.LastMaintained = t
 	return h
@@ -85,20 +85,20 @@
 // Pool is a named set of hosts that serve the same queues.
 type Pool struct {
 	Name PoolName
-	// Spare marks the pool that keeps hosts ready for the others.
+	// Spare marks the pool whose hosts are kept in reserve for the other pools.
 	Spare bool `json:",omitempty"`
-	// MinHosts is the number of hosts that the pool never plans to go below.
+	// MinHosts is the lower bound for the pool's planned number of hosts.
 	MinHosts int `json:",omitempty"`
 }
 
-// Budget is an availability budget: of the hosts in its scope at most MaxUnavailable may be out of service at once.
+// Budget is an availability budget: at most MaxUnavailable hosts in its scope may be out of service at once.
 type Budget struct {
 	Name BudgetName
-	// Pools limits the scope to hosts of these pools; empty means all.
+	// Pools restricts the scope to hosts of these pools; empty means all.
 	Pools []PoolName `json:",omitempty"`
-	// Plans adds the pools of these plans' queues to the scope.
+	// Plans adds the pools that serve these plans' queues to the scope.
 	Plans []PlanName `json:",omitempty"`
-	// Zones limits the scope to hosts of these availability zones; empty means all.
+	// Zones restricts the scope to hosts of these availability zones; empty means all.
 	Zones []ZoneName `json:",omitempty"`
 	// MaxUnavailable counts planned and unplanned outages together, in hosts.
 	MaxUnavailable int
@@ -122,80 +122,80 @@
 	Leaving     bool
 }
 
-// WithLeaving returns the endpoint marked as leaving or not.
+// WithLeaving returns a copy of the endpoint with Leaving set to leaving.
 func (e Endpoint) WithLeaving(leaving bool) Endpoint {
 	e.Leaving = leaving
 	return e
 }
 
-// Customer is a customer of the operators with the plan that it was promised.
+// Customer is a customer with the plan that it subscribed to.
 type Customer struct {
 	Name CustomerName
 	Plan PlanName
-	// SignedUp is the day on which the plan was promised, as YYYY-MM-DD.
+	// SignedUp is the date on which the customer subscribed to the plan, as YYYY-MM-DD.
 	SignedUp string `json:",omitempty"`
 	Teams    []Team
 }
 
-// Team submits work with its keys, has a weighted share when the fleet is full, and an upper limit across the fleet.
+// Team submits work, authenticated by its keys. It has a weight for fair sharing and a fleet-wide quota.
 type Team struct {
 	Name      TeamName
 	Workspace WorkspaceName `json:",omitempty"`
-	// Share is the team's weight among all teams that want the same resource.
+	// Share is the team's weight among all teams that compete for a resource.
 	Share int64
-	// UpperLimit bounds what the team has running across the fleet; a zero component means none of that resource.
+	// UpperLimit bounds the resources of the team's running work across the fleet; zero means none of that resource.
 	UpperLimit Resources
-	// Customer and Plan are filled from the customer that lists the team.
+	// Customer and Plan are copied from the customer that lists the team.
 	Customer CustomerName `json:"-"`
 	Plan     PlanName     `json:"-"`
 }
 
-// Plan states what a customer may use.
+// Plan defines the queues, quota and reserved capacity of a customer.
 type Plan struct {
 	Name   PlanName
 	Queues []QueueName
-	// UpperLimit bounds what one customer's teams may have running together.
+	// UpperLimit bounds the running work of all teams of one customer together.
 	UpperLimit Resources
-	// Claim is the capacity that each customer of the plan was promised.
+	// Claim is the capacity reserved for each customer of the plan.
 	Claim Resources `json:",omitzero"`
 }
 
-// Allows reports whether the plan may use queue q.
+// Allows reports whether customers of the plan may use queue q.
 func (p Plan) Allows(q QueueName) bool {
 	return slices.Contains(p.Queues, q)
 }
 
-// Queue takes work for the endpoints and hosts of one pool.
+// Queue accepts work for the endpoints and hosts of one pool.
 type Queue struct {
 	Name QueueName
 	Pool PoolName
-	// Open queues take work without a key.
+	// Open queues accept work without a key.
 	Open bool `json:",omitempty"`
-	// Urgent queues start work ahead of others, within shares and limits.
+	// Urgent queues have priority over other queues, within shares and limits.
 	Urgent bool `json:",omitempty"`
-	// MaxLength bounds the number of requests that wait on one entry host.
+	// MaxLength is the maximum number of requests queued on one entry host.
 	MaxLength int
-	// MaxWait bounds how long a request waits before it is refused as not run.
+	// MaxWait is the maximum time in the queue, after which a request is rejected without having run.
 	MaxWait Duration
 }
 
-// Maintenance is how the operators want every host taken through maintenance; a zero field stands for the default.
+// Maintenance configures the waves in which hosts are maintained; a zero field selects the default.
 type Maintenance struct {
 	// Period is the time from the start of one wave to the start of the next.
 	Period Duration `json:",omitzero"`
-	// Notice is how long a plan is shown before its wave starts.
+	// Notice is how long before its start the schedule of a wave is published.
 	Notice Duration `json:",omitzero"`
 	// SettleFor is how long a wave pauses after an unplanned loss.
 	SettleFor Duration `json:",omitzero"`
-	// MaxLost is the number of lost hosts above which a wave pauses until they return.
+	// MaxLost is the number of lost hosts above which a wave pauses until hosts return.
 	MaxLost int `json:",omitempty"`
-	// Tail is the number of hosts of one zone that may still be out when the next zone starts.
+	// Tail is the number of hosts of one availability zone that may still be out of service when the next zone starts.
 	Tail int `json:",omitempty"`
-	// ReturnLimit is how long a host may take to come back before the wave goes on without it.
+	// ReturnLimit is how long a wave waits for a host to return to service before it proceeds without the host.
 	ReturnLimit Duration `json:",omitzero"`
 }
 
-// JobState is the state of a job in its life.
+// JobState is the lifecycle state of a job.
 type JobState string
 
 // The states of a job.
@@ -206,13 +206,13 @@
 	JobFailed    JobState = "Failed"
 	JobCancelled JobState = "Cancelled"
 	JobNeverRuns JobState = "NeverRuns"
-	// JobStarting is placed on a worker that may or may not have started it yet.
+	// JobStarting means that the job is placed on a worker, which may or may not have started it yet.
 	JobStarting JobState = "Starting"
-	// JobOutcomeUnknown may have run and is not idempotent, so it is never placed again.
+	// JobOutcomeUnknown means that a job that isn't idempotent may have run; it is never placed again.
 	JobOutcomeUnknown JobState = "OutcomeUnknown"
 )
 
-// Job is work that is placed on a worker host and asked about later.
+// Job is asynchronous work that is placed on a worker host; callers poll its state.
 type Job struct {
 	ID         JobID
 	Team       TeamName
@@ -227,13 +227,13 @@
 	Started    time.Time
 }
 
-// WithState returns the job in state s.
+// WithState returns a copy of the job in state s.
 func (j Job) WithState(s JobState) Job {
 	j.State = s
 	return j
 }
 
-// WithHost returns the job placed on host h.
+// WithHost returns a copy of the job placed on host h.
 func (j Job) WithHost(h HostName) Job {
 	j.Host = h
 	return j
--- a/fleet/incarnation.go
+++ b/fleet/incarnation.go
@@ -6,10 +6,10 @@
 	"github.com/google/uuid"
 )
 
-// Incarnation identifies one process of an entry host; a replaced process of the same name is another incarnation.
+// Incarnation identifies one lycheehook process; a process that is restarted under the same name gets a new one.
 type Incarnation string
 
-// NewIncarnation returns a new identity for a process of entry host e.
+// NewIncarnation returns a new unique ID for a process on entry host e.
 func NewIncarnation(e EntryName) Incarnation {
 	return Incarnation(string(e) + "#" + uuid.NewString()[:8])
 }
--- a/fleet/resources.go
+++ b/fleet/resources.go
@@ -1,12 +1,12 @@
 package fleet
 
-// MilliCores counts processor time in thousandths of a core.
+// MilliCores is a CPU quantity in thousandths of a core.
 type MilliCores int64
 
-// Mebibytes counts memory in units of 2^20 bytes.
+// Mebibytes is a memory quantity in units of 2^20 bytes.
 type Mebibytes int64
 
-// Resources is an amount of each resource that work takes and hosts or endpoints give.
+// Resources is a quantity of each resource that work requires and that hosts or endpoints provide.
 type Resources struct {
 	Slots        int64      `json:",omitempty"`
 	Cores        MilliCores `json:",omitempty"`
@@ -24,7 +24,7 @@
 	}
 }
 
-// Minus returns r less o; a component may come out negative.
+// Minus returns r - o; components of the result can be negative.
 func (r Resources) Minus(o Resources) Resources {
 	return Resources{
 		Slots:        r.Slots - o.Slots,
@@ -34,7 +34,7 @@
 	}
 }
 
-// Min returns the smaller of r and o in each component.
+// Min returns the minimum of r and o by component.
 func (r Resources) Min(o Resources) Resources {
 	return Resources{
 		Slots:        min(r.Slots, o.Slots),
@@ -44,7 +44,7 @@
 	}
 }
 
-// Max returns the larger of r and o in each component.
+// Max returns the maximum of r and o by component.
 func (r Resources) Max(o Resources) Resources {
 	return Resources{
 		Slots:        max(r.Slots, o.Slots),
@@ -79,7 +79,7 @@
 	return r.Slots < 0 || r.Cores < 0 || r.Memory < 0 || r.Accelerators < 0
 }
 
-// DominantShare returns the largest fraction of total that r takes in any component (Ghodsi et al., Dominant Resource Fairness, 2011).
+// DominantShare returns the largest fraction of total that r uses in any component (Ghodsi et al., Dominant Resource Fairness, NSDI 2011).
 func (r Resources) DominantShare(total Resources) float64 {
 	return max(
 		fraction(r.Slots, total.Slots),
@@ -89,7 +89,7 @@
 	)
 }
 
-// fraction returns 0 for a resource that the total lacks, because no share of it can be held.
+// fraction returns part/total, or 0 if the total has none of the resource.
 func fraction(part, total int64) float64 {
 	if total <= 0 {
 		return 0
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -7,12 +7,12 @@
 	"github.com/benbjohnson/immutable"
 )
 
-// Table is an immutable map in key order; its zero value is empty and ready to use.
+// Table is an immutable map sorted by key; its zero value is empty and ready to use.
 type Table[K cmp.Ordered, V any] struct {
 	m *immutable.SortedMap[K, V]
 }
 
-// comparer orders keys without reflection, so that a look-up allocates nothing.
+// comparer orders keys without reflection, so that lookups don't allocate.
 type comparer[K cmp.Ordered] struct{}
 
 // Compare implements immutable.Comparer.
@@ -20,7 +20,7 @@
 	return cmp.Compare(a, b)
 }
 
-// NewTable returns a table of the values, keyed by what key returns for each.
+// NewTable returns a table of values, each stored under the key that key returns for it.
 func NewTable[K cmp.Ordered, V any](key func(V) K, values ...V) Table[K, V] {
 	b := immutable.NewSortedMapBuilder[K, V](comparer[K]{})
 	for _, v := range values {
@@ -30,7 +30,7 @@
 	return Table[K, V]{m: b.Map()}
 }
 
-// Get returns the value at k and whether the table has it.
+// Get returns the value stored under k and whether there is one.
 func (t Table[K, V]) Get(k K) (V, bool) {
 	if t.m == nil {
 		var zero V
@@ -49,7 +49,7 @@
 	return t.m.Len()
 }
 
-// With returns a table in which k maps to v.
+// With returns a copy of the table in which k maps to v.
 func (t Table[K, V]) With(k K, v V) Table[K, V] {
 	m := t.m
 	if m == nil {
@@ -59,7 +59,7 @@
 	return Table[K, V]{m: m.Set(k, v)}
 }
 
-// Without returns a table that lacks k.
+// Without returns a copy of the table without k.
 func (t Table[K, V]) Without(k K) Table[K, V] {
 	if t.m == nil {
 		return t
