trace: describe the generator and the comparison of planners plainly

Demand was made of "turns", a "swing" and "parts"; the in-memory executor of decisions was a "fleetRun".

The generator now has bursts and lulls (onOff), a daily amplitude and level shifts; the tests run a simulation and accumulate totals. Nearness keeps its name and its label in the output, which docs/MOVES.md explains.

--- a/trace/doc.go
+++ b/trace/doc.go
@@ -1,3 +1,3 @@
-// Package trace generates demand and host events from a seed, so that planners
-// can be compared over the same hours.
+// Package trace generates synthetic traces of demand and host failures from a
+// seed, so that planners can be compared on identical input.
 package trace
--- a/trace/fleet_test.go
+++ b/trace/fleet_test.go
@@ -17,15 +17,15 @@
 const (
 	rebootTime = 5 * time.Minute
 	maxTask    = 10 * time.Minute
-	// poolPart and zonePart are the parts of a pool and of a zone that the budgets let go out.
-	poolPart = 0.2
-	zonePart = 0.5
+	// poolFraction and zoneFraction are the fractions of a pool and of an availability zone that the budgets allow to be unavailable.
+	poolFraction = 0.2
+	zoneFraction = 0.5
 )
 
 var epoch = time.Date(2026, 1, 5, 0, 0, 0, 0, time.UTC)
 
-// fleetRun carries decisions out in memory: actions take effect at once, drains and reboots after a time.
-type fleetRun struct {
+// simulation executes decisions in memory: writes take effect at once, drains and reboots after a delay.
+type simulation struct {
 	view    move.View
 	config  move.Config
 	sights  map[fleet.HostName]*move.Sight
@@ -37,8 +37,8 @@
 	moves, writes, overspent int
 }
 
-func newRun(s trace.Size, seed uint64) *fleetRun {
-	r := &fleetRun{
+func newSimulation(s trace.Size, seed uint64) *simulation {
+	r := &simulation{
 		view: move.View{
 			Hosts:   map[fleet.HostName]record.Versioned[move.Record]{},
 			Budgets: map[fleet.BudgetName]record.Versioned[budget.Record]{},
@@ -48,7 +48,7 @@
 	for i, name := range trace.PoolNames(s) {
 		r.config.Pools = r.config.Pools.With(name, fleet.Pool{Name: name, Spare: i == 0, MinHosts: 1 - boolInt(i == 0)})
 	}
-	perPool := max(1, int(poolPart*float64(s.Hosts)/float64(s.Pools)))
+	perPool := max(1, int(poolFraction*float64(s.Hosts)/float64(s.Pools)))
 	for _, name := range trace.PoolNames(s)[1:] {
 		r.setBudget(fleet.Budget{Name: fleet.BudgetName(name), Pools: []fleet.PoolName{name}, MaxUnavailable: perPool})
 	}
@@ -59,7 +59,7 @@
 		r.sights[h.Name] = &move.Sight{Asked: true, Status: hostapi.HostStatus{Host: h.Name, Up: true}}
 	}
 	for zone, n := range zones {
-		r.setBudget(fleet.Budget{Name: fleet.BudgetName(zone), Zones: []fleet.ZoneName{zone}, MaxUnavailable: int(zonePart * float64(n))})
+		r.setBudget(fleet.Budget{Name: fleet.BudgetName(zone), Zones: []fleet.ZoneName{zone}, MaxUnavailable: int(zoneFraction * float64(n))})
 	}
 
 	return r
@@ -73,13 +73,13 @@
 	return 0
 }
 
-func (r *fleetRun) setBudget(b fleet.Budget) {
+func (r *simulation) setBudget(b fleet.Budget) {
 	r.config.Budgets = r.config.Budgets.With(b.Name, b)
 }
 
-// tick decides over the proposals and carries the decision out.
-func (r *fleetRun) tick(now time.Time, proposals []move.Proposal) {
-	r.events(now)
+// tick processes due events, then decides on the proposals and executes the actions until none are left, in at most 4 rounds.
+func (r *simulation) tick(now time.Time, proposals []move.Proposal) {
+	r.applyEvents(now)
 	yes := move.Owner{Pool: func(fleet.PoolName) bool { return true }, Budget: func(fleet.BudgetName) bool { return true }}
 	for range 4 {
 		d := move.Decide(r.input(now, proposals, yes))
@@ -93,7 +93,7 @@
 	r.checkBudgets()
 }
 
-func (r *fleetRun) input(now time.Time, proposals []move.Proposal, o move.Owner) move.Input {
+func (r *simulation) input(now time.Time, proposals []move.Proposal, o move.Owner) move.Input {
 	sights := map[fleet.HostName]move.Sight{}
 	for name, v := range r.view.Hosts {
 		if s := r.sights[name]; s.Lost || v.Value.Intent != nil || v.Value.Out() {
@@ -105,7 +105,7 @@
 	return move.Input{View: r.view, Config: r.config, Sights: sights, Proposals: proposals, Owner: o, Now: now}
 }
 
-func (r *fleetRun) perform(a fleet.Action, now time.Time) {
+func (r *simulation) perform(a fleet.Action, now time.Time) {
 	switch a := a.(type) {
 	case move.WriteHost:
 		r.rev++
@@ -123,7 +123,7 @@
 	}
 }
 
-func (r *fleetRun) call(a move.CallHost, now time.Time) {
+func (r *simulation) call(a move.CallHost, now time.Time) {
 	s := &r.sights[a.Call.Host].Status
 	switch a.Kind {
 	case move.CallDrain:
@@ -141,8 +141,8 @@
 	s.Intent = a.Call.Intent
 }
 
-// events ends tasks and reboots whose time has come, and begins and ends losses.
-func (r *fleetRun) events(now time.Time) {
+// applyEvents completes tasks and reboots that are due, and starts and ends host failures.
+func (r *simulation) applyEvents(now time.Time) {
 	for name, at := range r.readyAt {
 		if now.Before(at) {
 			continue
@@ -164,8 +164,8 @@
 	}
 }
 
-// checkBudgets counts budgets with more planned outages than their maximum.
-func (r *fleetRun) checkBudgets() {
+// checkBudgets counts budgets whose planned outages exceed the maximum.
+func (r *simulation) checkBudgets() {
 	var out []move.Record
 	for _, v := range r.view.Hosts {
 		if v.Value.Out() && v.Value.Intent != nil {
@@ -186,8 +186,8 @@
 	}
 }
 
-// serving returns the live hosts of each pool.
-func (r *fleetRun) serving() map[fleet.PoolName]int {
+// serving returns the number of usable hosts of each pool.
+func (r *simulation) serving() map[fleet.PoolName]int {
 	n := map[fleet.PoolName]int{}
 	for _, v := range r.view.Hosts {
 		if pool, ok := v.Value.Usable(); ok {
@@ -198,23 +198,23 @@
 	return n
 }
 
-// nearness returns how much of the fair part of a fleet of the given size the pools have: one is all of it.
+// nearness returns the fraction of their max-min fair allocation that the pools have, for a fleet of the given size; 1 is all of it.
 func nearness(serving map[fleet.PoolName]int, demand map[fleet.PoolName]float64, hosts int) float64 {
 	sum := 0.0
 	for _, d := range demand {
 		sum += d
 	}
-	// The pools weigh the same, so the fair part of a full fleet is the water level.
-	level := waterLevel(demand, float64(hosts))
-	got := 0.0
+	// All pools have the same weight, so the fair allocation of a pool is its demand, capped at a common level.
+	level := fairLevel(demand, float64(hosts))
+	allocated := 0.0
 	for name, d := range demand {
-		got += math.Min(float64(serving[name]), math.Min(d, level))
+		allocated += math.Min(float64(serving[name]), math.Min(d, level))
 	}
 
-	return got / math.Min(sum, float64(hosts))
+	return allocated / math.Min(sum, float64(hosts))
 }
 
-func waterLevel(demand map[fleet.PoolName]float64, total float64) float64 {
+func fairLevel(demand map[fleet.PoolName]float64, total float64) float64 {
 	low, high := 0.0, total
 	for range 40 {
 		mid, sum := (low+high)/2, 0.0
--- a/trace/measure_test.go
+++ b/trace/measure_test.go
@@ -23,7 +23,7 @@
 
 var sizes = []trace.Size{{Hosts: 50, Pools: 5}, {Hosts: 890, Pools: 144}}
 
-// result is what one planner did over a trace.
+// result has the metrics of one planner over a trace.
 type result struct {
 	movesPerHour, buffer, nearness, instant float64
 	writesPerMove                           float64
@@ -35,7 +35,7 @@
 		r.movesPerHour, r.buffer, r.nearness, r.instant, r.writesPerMove, r.overspent)
 }
 
-// reactive follows the demand of the last tick at once.
+// reactive allocates for the demand of the last tick, without smoothing or hysteresis.
 func reactive() move.Policy {
 	p := move.DefaultPolicy(move.LedgerWeights())
 	p.HalfLife, p.Weights.Moves = fleet.Duration(time.Second), 0
@@ -43,7 +43,7 @@
 	return p
 }
 
-// smoothed follows the same forecast as the planner, without hysteresis.
+// smoothed uses the default forecast, without hysteresis.
 func smoothed() move.Policy {
 	p := move.DefaultPolicy(move.LedgerWeights())
 	p.Weights.Moves = 0
@@ -53,10 +53,10 @@
 
 func runPlanner(s trace.Size, p move.Policy) result {
 	tr := trace.New(s, traceSeed, traceTime, traceTick, traceLoad)
-	run := newRun(s, traceSeed)
+	run := newSimulation(s, traceSeed)
 	run.losses = tr.Losses
 	pl := move.NewPlanner(p)
-	var m meter
+	var m totals
 	for i := range tr.Ticks {
 		now := epoch.Add(time.Duration(i) * traceTick)
 		demand := map[fleet.PoolName]move.Demand{}
@@ -83,18 +83,18 @@
 	}
 }
 
-// runFixed gives each pool its mean over the trace and the smallest fixed spare, the same for each pool, with which the
-// pools come as near to their shares as wanted.
+// runFixed simulates a static allocation: each pool has its mean demand plus a constant number of spare hosts, the same
+// for all pools and the smallest with which the nearness reaches wanted.
 func runFixed(s trace.Size, wanted float64) (result, int) {
 	tr := trace.New(s, traceSeed, traceTime, traceTick, traceLoad)
-	whole := tr.Mean(tr.Ticks-1, traceTime)
+	all := tr.Mean(tr.Ticks-1, traceTime)
 	for spare := 0; ; spare++ {
 		fixed, total := map[fleet.PoolName]int{}, 0
-		for name, d := range whole {
+		for name, d := range all {
 			fixed[name] = int(math.Ceil(d)) + spare
 			total += fixed[name]
 		}
-		var m meter
+		var m totals
 		for i := int(warmUp / traceTick); i < tr.Ticks; i++ {
 			last := map[fleet.PoolName]float64{}
 			for name, d := range tr.Demand {
@@ -108,12 +108,12 @@
 	}
 }
 
-// meter sums the measures over ticks.
-type meter struct {
+// totals accumulates metrics over ticks.
+type totals struct {
 	n, buffer, near, instant float64
 }
 
-func (m *meter) add(serving map[fleet.PoolName]int, mean, last map[fleet.PoolName]float64, hosts int, reserve float64) {
+func (m *totals) add(serving map[fleet.PoolName]int, mean, last map[fleet.PoolName]float64, hosts int, reserve float64) {
 	m.n++
 	m.near += nearness(serving, mean, hosts)
 	m.instant += nearness(serving, last, hosts)
@@ -123,9 +123,9 @@
 	}
 }
 
-// runWave returns how long a whole wave takes; with single, one host is out at a time.
-func runWave(s trace.Size, single bool) (time.Duration, *fleetRun) {
-	run := newRun(s, traceSeed)
+// runWave returns the duration of a maintenance wave; with single, one host is out of service at a time.
+func runWave(s trace.Size, single bool) (time.Duration, *simulation) {
+	run := newSimulation(s, traceSeed)
 	rec := wave.Record{Number: 1, State: wave.Running, StartsAt: epoch}
 	for now := epoch; ; now = now.Add(traceTick) {
 		props, pr := wave.Decide(rec, wave.DefaultPolicy(), run.view.Hosts, now)
@@ -147,7 +147,7 @@
 	return props[:1]
 }
 
-// BenchmarkPlanners prints one table of the planners over the same trace, with ratios of one run.
+// BenchmarkPlanners compares the planners on the same trace and prints their metrics and ratios.
 func BenchmarkPlanners(b *testing.B) {
 	for _, s := range sizes {
 		b.Run(fmt.Sprintf("%d-%d", s.Hosts, s.Pools), func(b *testing.B) {
@@ -162,38 +162,38 @@
 	b.Helper()
 	ledger := runPlanner(s, move.DefaultPolicy(move.LedgerWeights()))
 	press := runPlanner(s, move.DefaultPolicy(move.PressWeights()))
-	simple, mild := runPlanner(s, reactive()), runPlanner(s, smoothed())
+	simple, noHysteresis := runPlanner(s, reactive()), runPlanner(s, smoothed())
 	fixed, spare := runFixed(s, min(ledger.nearness, press.nearness))
 	b.Logf("%s, %v at a load of %.2f", sizeName(s), traceTime, traceLoad)
 	b.Logf("  planner, ledger weights  %v", ledger)
 	b.Logf("  planner, press weights   %v", press)
 	b.Logf("  (a) reactive             %v", simple)
-	b.Logf("  forecast, no hysteresis  %v", mild)
+	b.Logf("  forecast, no hysteresis  %v", noHysteresis)
 	b.Logf("  (c) fixed spare of %d     %v", spare, fixed)
 	b.Logf("  ratios: (a)/ledger moves %.1f, (a)/press moves %.1f, ledger/(c) buffer %.2f, press/(c) buffer %.2f",
 		simple.movesPerHour/ledger.movesPerHour, simple.movesPerHour/press.movesPerHour, ledger.buffer/fixed.buffer, press.buffer/fixed.buffer)
 }
 
-// BenchmarkWaves prints how long a whole wave takes, against one host at a time.
+// BenchmarkWaves compares the duration of a maintenance wave with that of maintaining one host at a time.
 func BenchmarkWaves(b *testing.B) {
 	for _, s := range sizes {
 		b.Run(fmt.Sprintf("%d-%d", s.Hosts, s.Pools), func(b *testing.B) {
 			for b.Loop() {
-				whole, run := runWave(s, false)
+				all, run := runWave(s, false)
 				single, _ := runWave(s, true)
 				b.Logf("wave over %s: %v, (b) one host at a time %v, ratio %.1f, overspent %d, %.1f writes/host",
-					sizeName(s), whole, single, single.Seconds()/whole.Seconds(), run.overspent, float64(run.writes)/float64(s.Hosts))
+					sizeName(s), all, single, single.Seconds()/all.Seconds(), run.overspent, float64(run.writes)/float64(s.Hosts))
 			}
 		})
 	}
 }
 
-// BenchmarkTick measures one planning tick: forecast, moves, wave and decision.
+// BenchmarkTick measures one planning tick: forecast, proposals of moves and maintenance, and decision.
 func BenchmarkTick(b *testing.B) {
 	for _, s := range []trace.Size{{Hosts: 50, Pools: 5}, {Hosts: 222, Pools: 36}, {Hosts: 445, Pools: 72}, {Hosts: 890, Pools: 144}} {
 		b.Run(fmt.Sprintf("%d-%d", s.Hosts, s.Pools), func(b *testing.B) {
 			tr := trace.New(s, traceSeed, time.Hour, traceTick, traceLoad)
-			run := newRun(s, traceSeed)
+			run := newSimulation(s, traceSeed)
 			pl := move.NewPlanner(move.DefaultPolicy(move.LedgerWeights()))
 			rec := wave.Record{Number: 1, State: wave.Running, StartsAt: epoch}
 			owner := move.Owner{Pool: func(fleet.PoolName) bool { return true }, Budget: func(fleet.BudgetName) bool { return true }}
--- a/trace/trace.go
+++ b/trace/trace.go
@@ -9,28 +9,28 @@
 	"lycheehook.example/lycheehook/fleet"
 )
 
-// The shape of demand: turns of some seconds at about five times the mean, and a twentieth of it in between.
+// Parameters of demand: bursts of a few seconds at five times the mean, and a twentieth of the mean in between.
 const (
 	burstFactor = 5.0
 	lullFactor  = 0.05
-	// burstPart is the part of the time in bursts, so that the mean over turns is one.
-	burstPart   = (1 - lullFactor) / (burstFactor - lullFactor)
-	minBurst    = 3 * time.Second
-	maxBurst    = 12 * time.Second
-	day         = 24 * time.Hour
-	swing       = 0.35
-	shiftEvery  = 6 * time.Hour
-	shiftRange  = 0.4
-	sampleEvery = time.Second
+	// burstFraction is the fraction of time spent in bursts, chosen so that the long-term mean is 1.
+	burstFraction  = (1 - lullFactor) / (burstFactor - lullFactor)
+	minBurst       = 3 * time.Second
+	maxBurst       = 12 * time.Second
+	day            = 24 * time.Hour
+	dailyAmplitude = 0.35
+	shiftEvery     = 6 * time.Hour
+	shiftAmplitude = 0.4
+	sampleEvery    = time.Second
 )
 
-// The shape of host events.
+// Parameters of host failures.
 const (
 	meanTimeBetweenLosses = 60 * day
 	lossTime              = 20 * time.Minute
 )
 
-// hostsPerRack is the number of workers in a rack, and zones the number of availability zones.
+// hostsPerRack is the number of workers in a rack; zones is the number of availability zones.
 const (
 	hostsPerRack = 4
 	zones        = 4
@@ -41,24 +41,24 @@
 	Hosts, Pools int
 }
 
-// Loss is an unplanned outage of one host.
+// Loss is an unplanned outage of one host, as offsets from the start of the trace.
 type Loss struct {
 	Host  fleet.HostName
 	Begin time.Duration
 	End   time.Duration
 }
 
-// Trace is the demand of each pool and the losses of hosts over some hours.
+// Trace is a time series of the demand of each pool, and the host failures in the same period.
 type Trace struct {
 	Tick time.Duration
-	// Demand has for each pool the mean demand during each tick, in hosts.
+	// Demand is the mean demand of each pool in each tick, in hosts.
 	Demand map[fleet.PoolName][]float64
-	// Ticks is the length of the trace, in ticks.
+	// Ticks is the number of ticks in the trace.
 	Ticks  int
 	Losses []Loss
 }
 
-// PoolNames returns the pools of a fleet of the given size; the first is the spare.
+// PoolNames returns the pools of a fleet of the given size; the first is the spare pool.
 func PoolNames(s Size) []fleet.PoolName {
 	names := make([]fleet.PoolName, s.Pools)
 	for i := range names {
@@ -68,7 +68,7 @@
 	return names
 }
 
-// Hosts returns the hosts of a fleet of the given size, spread over zones and racks, with the pools they start in.
+// Hosts returns the hosts of a fleet of the given size, distributed over availability zones and racks, with their initial pools.
 func Hosts(s Size) []fleet.Host {
 	pools := PoolNames(s)
 	hosts := make([]fleet.Host, s.Hosts)
@@ -83,7 +83,7 @@
 	return hosts
 }
 
-// New generates a trace of the given length, in which the pools together ask for load of the fleet on average.
+// New generates a trace of the given length. The mean demand of all pools together is load, as a fraction of the fleet.
 func New(s Size, seed uint64, length, tick time.Duration, load float64) Trace {
 	rng := rand.New(rand.NewPCG(seed, 1))
 	t := Trace{Tick: tick, Ticks: int(length / tick), Demand: map[fleet.PoolName][]float64{}}
@@ -96,23 +96,23 @@
 	return t
 }
 
-// poolDemand multiplies turns by a daily curve and by shifts of some hours.
+// poolDemand generates the demand of one pool: bursts, scaled by a daily sine curve and by a random level that changes every shiftEvery.
 func poolDemand(rng *rand.Rand, mean float64, ticks int, tick time.Duration) []float64 {
 	phase := rng.Float64() * 2 * math.Pi
 	base := mean * (0.6 + 0.8*rng.Float64())
-	turns := newTurns(rng)
+	bursts := newOnOff(rng)
 	perTick := int(tick / sampleEvery)
 	demand := make([]float64, ticks)
 	shift := 1.0
 	for i := range demand {
 		at := time.Duration(i) * tick
 		if at%shiftEvery < tick {
-			shift = 1 + shiftRange*(2*rng.Float64()-1)
+			shift = 1 + shiftAmplitude*(2*rng.Float64()-1)
 		}
-		daily := 1 + swing*math.Sin(2*math.Pi*at.Hours()/day.Hours()+phase)
+		daily := 1 + dailyAmplitude*math.Sin(2*math.Pi*at.Hours()/day.Hours()+phase)
 		sum := 0.0
 		for range perTick {
-			sum += turns.next()
+			sum += bursts.next()
 		}
 		demand[i] = base * daily * shift * sum / float64(perTick)
 	}
@@ -120,23 +120,23 @@
 	return demand
 }
 
-// turns alternates bursts and lulls, one sample a second.
-type turns struct {
+// onOff generates alternating bursts and lulls, one sample a second.
+type onOff struct {
 	rng   *rand.Rand
 	left  int
 	burst bool
 }
 
-func newTurns(rng *rand.Rand) *turns {
-	return &turns{rng: rng, burst: rng.Float64() < burstPart}
+func newOnOff(rng *rand.Rand) *onOff {
+	return &onOff{rng: rng, burst: rng.Float64() < burstFraction}
 }
 
-func (t *turns) next() float64 {
+func (t *onOff) next() float64 {
 	if t.left == 0 {
 		t.burst = !t.burst
 		seconds := (minBurst + time.Duration(t.rng.Int64N(int64(maxBurst-minBurst)))).Seconds()
 		if !t.burst {
-			seconds *= (1 - burstPart) / burstPart
+			seconds *= (1 - burstFraction) / burstFraction
 		}
 		t.left = max(1, int(seconds))
 	}
@@ -160,7 +160,7 @@
 	return all
 }
 
-// Mean returns the mean demand of each pool over the window that ends with tick i, in hosts.
+// Mean returns the moving average of each pool's demand over the window that ends with tick i, in hosts.
 func (t Trace) Mean(i int, window time.Duration) map[fleet.PoolName]float64 {
 	first := max(0, i+1-int(window/t.Tick))
 	mean := make(map[fleet.PoolName]float64, len(t.Demand))
