hostapi: describe the platform's calls as an API

Comments told what a host "says about itself" and what a call "surely did not" do; fencing and idempotency had no name.

Comments now speak of fencing tokens, idempotency, leases, side effects and eventual consistency; a response is called so in names and errors too (two messages, which nothing matches). Test cases state the guarded behaviour.

--- a/hostapi/doc.go
+++ b/hostapi/doc.go
@@ -1,3 +1,4 @@
-// Package hostapi calls the platform that runs the workers: its lagging list
-// of live and leaving hosts, and the drains, reboots and tasks of hosts.
+// Package hostapi is a client of the platform that runs the workers. It reads
+// the eventually consistent inventory of hosts, and drains and reboots hosts and
+// manages the tasks on them.
 package hostapi
--- a/hostapi/http.go
+++ b/hostapi/http.go
@@ -16,7 +16,7 @@
 	"lycheehook.example/lycheehook/fleet"
 )
 
-// Paths of the platform's interface.
+// Paths of the platform's API.
 const (
 	pathHosts       = "/v1/hosts"
 	pathStatus      = "/v1/hosts/status"
@@ -34,9 +34,9 @@
 
 const (
 	dialTimeout = time.Second
-	// maxAnswerSize bounds an answer of the platform, in bytes.
-	maxAnswerSize = 64 << 20
-	idleConns     = 16
+	// maxResponseSize is the maximum size of a response body, in bytes.
+	maxResponseSize = 64 << 20
+	idleConns       = 16
 )
 
 type hostRequest struct {
@@ -48,20 +48,20 @@
 	Tasks []TaskCall
 }
 
-type renewAnswer struct {
+type renewResponse struct {
 	Gone []fleet.JobID
 }
 
-type tasksAnswer struct {
+type tasksResponse struct {
 	Tasks []TaskStatus
 }
 
-type errorAnswer struct {
+type errorResponse struct {
 	Error  string
 	Detail string
 }
 
-// wireErrors maps the error names of the platform to sentinel errors.
+// wireErrors maps error codes of the platform's API to sentinel errors.
 var wireErrors = map[string]error{
 	"Unavailable": ErrUnavailable,
 	"Refused":     ErrRefused,
@@ -69,16 +69,16 @@
 	"NotFound":    ErrNotFound,
 }
 
-type caller struct {
+type apiClient struct {
 	base    string
 	timeout time.Duration
 	client  *http.Client
 }
 
-// Dial returns a client of the platform at addr, in which each call takes at most timeout.
+// Dial returns a client of the platform at addr; timeout applies to each call. It doesn't connect until the first call.
 func Dial(addr netip.AddrPort, timeout time.Duration) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	c := &caller{
+	c := &apiClient{
 		base:    "http://" + addr.String(),
 		timeout: timeout,
 		client: &http.Client{Transport: &http.Transport{
@@ -106,42 +106,42 @@
 	}
 }
 
-func (c *caller) inventory(ctx context.Context) (Inventory, error) {
+func (c *apiClient) inventory(ctx context.Context) (Inventory, error) {
 	var inv Inventory
 	err := c.call(ctx, http.MethodGet, pathHosts, nil, &inv)
 
 	return inv, readError(err)
 }
 
-func (c *caller) status(ctx context.Context, h fleet.HostName) (HostStatus, error) {
+func (c *apiClient) status(ctx context.Context, h fleet.HostName) (HostStatus, error) {
 	var s HostStatus
 	err := c.post(ctx, pathStatus, hostRequest{Host: h}, &s)
 
 	return s, readError(err)
 }
 
-func (c *caller) renew(ctx context.Context, h fleet.HostName, tasks []TaskCall) ([]fleet.JobID, error) {
-	var a renewAnswer
+func (c *apiClient) renew(ctx context.Context, h fleet.HostName, tasks []TaskCall) ([]fleet.JobID, error) {
+	var a renewResponse
 	err := c.post(ctx, pathRenew, tasksRequest{Host: h, Tasks: tasks}, &a)
 
 	return a.Gone, err
 }
 
-func (c *caller) task(ctx context.Context, q TaskCall) (TaskStatus, error) {
+func (c *apiClient) task(ctx context.Context, q TaskCall) (TaskStatus, error) {
 	var s TaskStatus
 	err := c.post(ctx, pathTask, q, &s)
 
 	return s, readError(err)
 }
 
-func (c *caller) tasks(ctx context.Context, h fleet.HostName) ([]TaskStatus, error) {
-	var a tasksAnswer
+func (c *apiClient) tasks(ctx context.Context, h fleet.HostName) ([]TaskStatus, error) {
+	var a tasksResponse
 	err := c.post(ctx, pathTasks, hostRequest{Host: h}, &a)
 
 	return a.Tasks, readError(err)
 }
 
-// readError turns an unknown outcome into plain unavailability, because a read has no effect that could be in doubt.
+// readError maps ErrOutcomeUnknown to ErrUnavailable, because a read has no side effects.
 func readError(err error) error {
 	if errors.Is(err, ErrOutcomeUnknown) {
 		return merry.Prepend(ErrUnavailable, err.Error())
@@ -150,17 +150,17 @@
 	return err
 }
 
-func (c *caller) post(ctx context.Context, path string, req, answer any) error {
+func (c *apiClient) post(ctx context.Context, path string, req, response any) error {
 	body, err := json.Marshal(req)
 	if err != nil {
 		return merry.Prependf(err, "encode %s", path)
 	}
 
-	return c.call(ctx, http.MethodPost, path, body, answer)
+	return c.call(ctx, http.MethodPost, path, body, response)
 }
 
-// call sends one request; a failure before the request could have left is ErrUnavailable, any later one ErrOutcomeUnknown.
-func (c *caller) call(ctx context.Context, method, path string, body []byte, answer any) error {
+// call sends one request. It returns ErrUnavailable if the connection failed, so that nothing was sent, and ErrOutcomeUnknown for later failures.
+func (c *apiClient) call(ctx context.Context, method, path string, body []byte, response any) error {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 
@@ -175,15 +175,15 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerSize))
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseSize))
 	if err != nil {
-		return merry.Prependf(ErrOutcomeUnknown, "%s: read answer: %v", path, err)
+		return merry.Prependf(ErrOutcomeUnknown, "%s: read response: %v", path, err)
 	}
 
-	return decodeAnswer(path, resp.StatusCode, data, answer)
+	return decodeResponse(path, resp.StatusCode, data, response)
 }
 
-// sendError tells a failed dial, after which nothing can have happened, from every other failure.
+// sendError returns ErrUnavailable for a failed dial, after which the request can't have been sent, and ErrOutcomeUnknown otherwise.
 func sendError(err error) error {
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
@@ -193,19 +193,19 @@
 	return ErrOutcomeUnknown
 }
 
-func decodeAnswer(path string, status int, data []byte, answer any) error {
+func decodeResponse(path string, status int, data []byte, response any) error {
 	if status == http.StatusOK {
-		if answer == nil {
+		if response == nil {
 			return nil
 		}
-		if err := json.Unmarshal(data, answer); err != nil {
-			return merry.Prependf(ErrOutcomeUnknown, "%s: decode answer: %v", path, err)
+		if err := json.Unmarshal(data, response); err != nil {
+			return merry.Prependf(ErrOutcomeUnknown, "%s: decode response: %v", path, err)
 		}
 
 		return nil
 	}
 
-	var e errorAnswer
+	var e errorResponse
 	if err := json.Unmarshal(data, &e); err == nil {
 		if known, ok := wireErrors[e.Error]; ok {
 			return merry.Prependf(known, "%s: %s", path, e.Detail)
--- a/hostapi/platform.go
+++ b/hostapi/platform.go
@@ -9,47 +9,47 @@
 	"lycheehook.example/lycheehook/fleet"
 )
 
-// Sentinel errors of the platform.
+// Sentinel errors of calls to the platform.
 var (
-	// ErrUnavailable says that the platform surely did not carry the call out.
+	// ErrUnavailable means that the platform is unavailable and that the call had no effect.
 	ErrUnavailable = merry.Sentinel("hostapi: unavailable")
-	// ErrOutcomeUnknown says that a call may or may not have taken effect.
+	// ErrOutcomeUnknown means that the call may or may not have taken effect.
 	ErrOutcomeUnknown = merry.Sentinel("hostapi: outcome unknown")
-	// ErrRefused says that the platform answered and won't carry the call out.
+	// ErrRefused means that the platform rejected the call.
 	ErrRefused = merry.Sentinel("hostapi: refused")
-	// ErrFenced says that a call with a higher fence reached the host or task before, so nothing was done.
+	// ErrFenced means that the host or task has already seen a higher fencing token, so the call had no effect.
 	ErrFenced = merry.Sentinel("hostapi: fenced off by a newer call")
-	// ErrNotFound says that the platform has no such host or task.
+	// ErrNotFound means that the host or task doesn't exist.
 	ErrNotFound = merry.Sentinel("hostapi: not found")
 )
 
-// IntentID identifies one recorded intent; the platform treats calls of the same kind and intent as one.
+// IntentID is an idempotency key: the platform applies calls of the same kind with the same intent once.
 type IntentID string
 
-// Inventory is the platform's list of hosts and endpoints; it lags behind the truth.
+// Inventory is the platform's list of hosts and endpoints; it is eventually consistent.
 type Inventory struct {
 	Hosts     []fleet.Host
 	Endpoints []fleet.Endpoint
 }
 
-// HostCall asks for something to be done to a host under a recorded intent.
+// HostCall is a request to drain a host, to cancel its drain or to reboot it.
 type HostCall struct {
 	Host   fleet.HostName
 	Intent IntentID
-	// Fence is the store revision of the host's record when the call was decided.
+	// Fence is the fencing token: the store revision of the host's record on which the call is based.
 	Fence uint64
 }
 
-// HostStatus is what a host says about itself, without lag.
+// HostStatus is the current status of a host, as reported by the host itself.
 type HostStatus struct {
 	Host fleet.HostName
-	// Up reports whether the host answers the platform.
+	// Up reports whether the host responds to the platform.
 	Up bool
-	// Draining reports whether the host takes no new tasks.
+	// Draining reports whether the host rejects new tasks.
 	Draining bool
-	// Running counts tasks, and requests on the host's endpoints, in progress.
+	// Running is the number of tasks, and of requests on the host's endpoints, in progress.
 	Running int
-	// Rebooted is the intent of the last reboot that the host came back from.
+	// Rebooted is the intent of the last completed reboot.
 	Rebooted IntentID `json:",omitempty"`
 	// Intent is the intent of the last call that took effect.
 	Intent IntentID `json:",omitempty"`
@@ -64,74 +64,75 @@
 	TaskDone    TaskState = "Done"
 	TaskFailed  TaskState = "Failed"
 	TaskStopped TaskState = "Stopped"
-	// TaskLapsed is a task that its worker stopped because its lease was not renewed.
+	// TaskLapsed means that the worker stopped the task because its lease expired.
 	TaskLapsed TaskState = "Lapsed"
 )
 
-// TaskStart asks a worker to run a job's task under a lease.
+// TaskStart is a request to a worker to run a job's task under a lease.
 type TaskStart struct {
 	Job  fleet.JobID
 	Host fleet.HostName
-	// Token fences the task: a worker refuses calls about a job whose token is lower than one that it saw.
+	// Token is the task's fencing token: a worker rejects calls about a job with a token lower than the highest seen.
 	Token uint64
-	// HostFence is the store revision of the host's record that was read; it is refused after a newer call to the host,
-	// so that a reader of an old record can't use the host for a pool that it has left.
+	// HostFence is the store revision of the host's record on which the placement is based. The start is rejected after a
+	// newer call to the host, so that a stale record can't place a task on a host that has left the pool.
 	HostFence uint64
 	Size      fleet.Resources
 	LeaseTTL  fleet.Duration
 }
 
-// TaskCall names a task on a worker with its fencing token.
+// TaskCall identifies a task on a worker, with its fencing token.
 type TaskCall struct {
 	Job   fleet.JobID
 	Host  fleet.HostName
 	Token uint64
 }
 
-// ThrottleCall bounds the cores that a task may take.
+// ThrottleCall limits the cores that a task may use.
 type ThrottleCall struct {
 	TaskCall
 	Cores fleet.MilliCores
 }
 
-// TaskStatus is what a worker says about a task.
+// TaskStatus is the status of a task, as reported by its worker.
 type TaskStatus struct {
 	Job          fleet.JobID
 	Host         fleet.HostName
 	Token        uint64
 	State        TaskState
 	Checkpointed bool
-	// Usage is the largest use seen so far; it lags behind the truth.
+	// Usage is the peak usage so far; it is updated with a delay.
 	Usage   fleet.Resources
 	Started time.Time
 	Ended   time.Time `json:",omitzero"`
 }
 
-// Client is the set of calls that the platform answers; its fields are seams for tests.
+// Client has one function for each call of the platform's API; tests replace them.
 type Client struct {
-	// Inventory returns the lagging list of live and leaving hosts with their endpoints.
+	// Inventory lists live and leaving hosts with their endpoints; the list is eventually consistent.
 	Inventory func(ctx context.Context) (Inventory, error)
-	// Status returns what a host says about itself now.
+	// Status returns the current status of a host.
 	Status func(ctx context.Context, host fleet.HostName) (HostStatus, error)
-	// Drain keeps new tasks off a host; tasks in progress go on.
+	// Drain stops new tasks from starting on a host; tasks in progress continue.
 	Drain func(ctx context.Context, c HostCall) error
-	// CancelDrain lets a host take tasks again.
+	// CancelDrain makes a draining host accept tasks again.
 	CancelDrain func(ctx context.Context, c HostCall) error
-	// Reboot restarts a drained host; it is refused while tasks run.
+	// Reboot restarts a drained host; it is rejected while tasks are running.
 	Reboot func(ctx context.Context, c HostCall) error
 
-	// StartTask starts a task; a repeat with the same token is the same task.
+	// StartTask starts a task; it is idempotent for the same token.
 	StartTask func(ctx context.Context, t TaskStart) error
 	// RenewTasks renews the leases of tasks on one worker and returns those that it no longer runs.
 	RenewTasks func(ctx context.Context, host fleet.HostName, tasks []TaskCall) ([]fleet.JobID, error)
-	// Task returns the status of a task; ErrNotFound is a proof that the worker never started it under this token or a higher one, and that it refuses to do so from now on.
+	// Task returns the status of a task. ErrNotFound proves that the worker never started the task with this token or a
+	// higher one, and that it will reject a delayed start with this token or a lower one.
 	Task func(ctx context.Context, c TaskCall) (TaskStatus, error)
-	// Tasks returns the status of every task that a worker knows.
+	// Tasks returns the status of all tasks known to a worker.
 	Tasks func(ctx context.Context, host fleet.HostName) ([]TaskStatus, error)
-	// Checkpoint saves a task's state so that it may run on elsewhere.
+	// Checkpoint saves a task's state, so that the task can resume on another worker.
 	Checkpoint func(ctx context.Context, c TaskCall) error
-	// Throttle bounds the cores that a task may take.
+	// Throttle limits the cores that a task may use.
 	Throttle func(ctx context.Context, c ThrottleCall) error
-	// StopTasks stops tasks on one worker; unknown and ended tasks are passed over.
+	// StopTasks stops tasks on one worker; unknown and ended tasks are ignored.
 	StopTasks func(ctx context.Context, host fleet.HostName, tasks []TaskCall) error
 }
--- a/hostapi/platform_test.go
+++ b/hostapi/platform_test.go
@@ -18,7 +18,7 @@
 
 const callTimeout = 200 * time.Millisecond
 
-func serve(t *testing.T) (*standin.Platform, *hostapi.Client) {
+func newPlatform(t *testing.T) (*standin.Platform, *hostapi.Client) {
 	t.Helper()
 	p := standin.NewPlatform()
 	p.PutHost(fleet.Host{Name: "w1", Pool: "a", Zone: "z1", Rack: "r1", Capacity: fleet.Resources{Cores: 16_000}})
@@ -32,11 +32,11 @@
 	return hostapi.HostCall{Host: "w1", Intent: intent, Fence: fence}
 }
 
-func start(token uint64) hostapi.TaskStart {
+func taskStart(token uint64) hostapi.TaskStart {
 	return hostapi.TaskStart{Job: "j1", Host: "w1", Token: token, LeaseTTL: fleet.Duration(time.Hour)}
 }
 
-// effects are the calls with an effect, each with a check of whether it took effect.
+// effects are calls with side effects, each with a check of whether it took effect.
 var effects = []struct {
 	name string
 	call func(context.Context, *hostapi.Client) error
@@ -50,7 +50,7 @@
 		},
 	},
 	{
-		"StartTask", func(ctx context.Context, c *hostapi.Client) error { return c.StartTask(ctx, start(5)) },
+		"StartTask", func(ctx context.Context, c *hostapi.Client) error { return c.StartTask(ctx, taskStart(5)) },
 		func(ctx context.Context, c *hostapi.Client) bool {
 			s, err := c.Task(ctx, hostapi.TaskCall{Job: "j1", Host: "w1", Token: 5})
 			return err == nil && s.State == hostapi.TaskRunning
@@ -72,7 +72,7 @@
 	for _, e := range effects {
 		for _, f := range faults {
 			t.Run(e.name+string(f.fault), func(t *testing.T) {
-				p, c := serve(t)
+				p, c := newPlatform(t)
 				p.SetFault(f.fault)
 				if err := e.call(t.Context(), c); !errors.Is(err, f.want) {
 					t.Errorf("error %v, want %v", err, f.want)
@@ -86,7 +86,7 @@
 	}
 }
 
-func TestHostGoneFromTheNet(t *testing.T) {
+func TestConnectionRefused(t *testing.T) {
 	s := httptest.NewServer(nil)
 	addr := netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://"))
 	s.Close()
@@ -108,23 +108,23 @@
 		want  hostapi.HostStatus
 		boots int
 	}{
-		{"repeat is one", []step{{"Drain", hostCall("i1", 1), nil}, {"Drain", hostCall("i1", 1), nil}},
+		{"a repeated drain is applied once", []step{{"Drain", hostCall("i1", 1), nil}, {"Drain", hostCall("i1", 1), nil}},
 			hostapi.HostStatus{Host: "w1", Up: true, Draining: true, Intent: "i1"}, 0},
-		{"late drain is fenced off", []step{
+		{"a delayed drain is fenced", []step{
 			{"Drain", hostCall("i1", 1), nil}, {"CancelDrain", hostCall("i1", 3), nil}, {"Drain", hostCall("i0", 2), hostapi.ErrFenced},
 		}, hostapi.HostStatus{Host: "w1", Up: true, Intent: "i1"}, 0},
-		{"repeat after cancel has no effect", []step{
+		{"a repeated drain after its cancellation has no effect", []step{
 			{"Drain", hostCall("i1", 1), nil}, {"CancelDrain", hostCall("i1", 1), nil}, {"Drain", hostCall("i1", 1), nil},
 		}, hostapi.HostStatus{Host: "w1", Up: true, Intent: "i1"}, 0},
-		{"reboot needs a drain", []step{{"Reboot", hostCall("i1", 1), hostapi.ErrRefused}},
+		{"a reboot without a drain is rejected", []step{{"Reboot", hostCall("i1", 1), hostapi.ErrRefused}},
 			hostapi.HostStatus{Host: "w1", Up: true}, 0},
-		{"reboot once", []step{
+		{"a repeated reboot is applied once", []step{
 			{"Drain", hostCall("i1", 1), nil}, {"Reboot", hostCall("i1", 2), nil}, {"Reboot", hostCall("i1", 2), nil},
 		}, hostapi.HostStatus{Host: "w1", Draining: true, Intent: "i1"}, 1},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
-			p, c := serve(t)
+			p, c := newPlatform(t)
 			calls := map[string]func(context.Context, hostapi.HostCall) error{"Drain": c.Drain, "CancelDrain": c.CancelDrain, "Reboot": c.Reboot}
 			for _, s := range tc.steps {
 				if err := calls[s.call](t.Context(), s.HostCall); !errors.Is(err, s.want) {
@@ -145,28 +145,28 @@
 	}
 }
 
-// TestTaskDeclaredNotStarted holds that an answer "not found" stays true when the start arrives late.
+// TestTaskDeclaredNotStarted guards against a task that starts after its worker reported it as not found, because the start request was delayed.
 func TestTaskDeclaredNotStarted(t *testing.T) {
-	p, c := serve(t)
+	p, c := newPlatform(t)
 	if _, err := c.Task(t.Context(), hostapi.TaskCall{Job: "j1", Host: "w1", Token: 5}); !errors.Is(err, hostapi.ErrNotFound) {
 		t.Fatalf("error %v, want ErrNotFound", err)
 	}
 	for _, token := range []uint64{4, 5} {
-		if err := c.StartTask(t.Context(), start(token)); !errors.Is(err, hostapi.ErrFenced) {
+		if err := c.StartTask(t.Context(), taskStart(token)); !errors.Is(err, hostapi.ErrFenced) {
 			t.Errorf("late start with token %d: error %v, want ErrFenced", token, err)
 		}
 	}
 	if n := p.Starts("j1"); n != 0 {
-		t.Errorf("job was started %d times after it was declared not started", n)
+		t.Errorf("the job was started %d times after its task was reported as not found", n)
 	}
 }
 
 func TestTaskCalls(t *testing.T) {
 	ctx := t.Context()
-	p, c := serve(t)
+	p, c := newPlatform(t)
 	call := hostapi.TaskCall{Job: "j1", Host: "w1", Token: 5}
 	for range 2 {
-		if err := c.StartTask(ctx, start(5)); err != nil {
+		if err := c.StartTask(ctx, taskStart(5)); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -181,7 +181,7 @@
 		t.Fatal(err)
 	}
 	if err := c.Reboot(ctx, hostCall("i1", 1)); !errors.Is(err, hostapi.ErrRefused) {
-		t.Errorf("reboot under a running task: error %v, want ErrRefused", err)
+		t.Errorf("reboot with a running task: error %v, want ErrRefused", err)
 	}
 	if err := c.Throttle(ctx, hostapi.ThrottleCall{TaskCall: call, Cores: 500}); err != nil {
 		t.Error(err)
@@ -197,6 +197,6 @@
 		t.Errorf("task %+v, %v, want stopped after a checkpoint", s, err)
 	}
 	if n := p.CutOff(); n != 0 {
-		t.Errorf("%d tasks cut off", n)
+		t.Errorf("%d tasks were interrupted", n)
 	}
 }
