job: use the terms of schedulers and leases

The controller "settled", "asked", "gave up" and "learned", and its test ran "storms" and "weather" over a "yard"; what is written before a worker is called, and why, took several readings.

Comments now speak of placements, leases that expire, fencing tokens and quotas, and state why two owners of a shard are safe.

--- a/job/controller.go
+++ b/job/controller.go
@@ -20,29 +20,30 @@
 )
 
 const (
-	// Shards is the number of store records that jobs are spread over.
+	// Shards is the number of store records over which jobs are partitioned.
 	Shards = 16
-	// maxShardJobs bounds the jobs of one shard, so that its value stays well below store.MaxValueSize.
+	// maxShardJobs is the maximum number of jobs in one shard; it keeps the value well below store.MaxValueSize.
 	maxShardJobs = 1500
-	// defaultLease is how long a task runs on without a renewal.
+	// defaultLease is the duration of a task's lease.
 	defaultLease = time.Minute
-	// surelyLapsed is the number of lease times without contact after which a worker has ended a task by itself.
-	surelyLapsed = 2
-	// defaultRetention is how long an ended job can be asked about.
+	// expiryFactor is the number of lease durations without contact after which a worker is certain to have stopped its tasks.
+	expiryFactor = 2
+	// defaultRetention is how long an ended job is kept.
 	defaultRetention = time.Hour
 )
 
-// ErrFull says that a shard has no room for another job, so the job was not taken.
+// ErrFull means that the job's shard is full and that the job was not accepted.
 var ErrFull = merry.Sentinel("job: shard full")
 
-// Controller places and follows the jobs of the shards that it owns; a wrong guess of ownership costs a conflict.
+// Controller schedules and monitors the jobs of the shards that it owns. Two controllers that both consider themselves the
+// owner of a shard are safe: writes are conditional, so one of them gets a conflict.
 type Controller struct {
 	store     *store.Client
 	platform  *hostapi.Client
 	tables    func() fleet.Tables
 	hosts     func() map[fleet.HostName]record.Versioned[move.Record]
 	owns      func(shard int) bool
-	room      func(fleet.TeamName) (fleet.Resources, bool)
+	quota     func(fleet.TeamName) (fleet.Resources, bool)
 	policy    placement.Policy
 	lease     time.Duration
 	retention time.Duration
@@ -50,32 +51,32 @@
 	mu     sync.Mutex
 	health placement.Health
 	sizes  placement.Sizes
-	// silent has the time since when a worker has not answered.
-	silent map[fleet.HostName]time.Time
+	// unresponsiveSince is the time of the first failed call to each worker that hasn't responded since.
+	unresponsiveSince map[fleet.HostName]time.Time
 }
 
 // Option configures a Controller.
 type Option func(*Controller)
 
-// WithOwner sets which shards the controller takes care of; without it, all.
+// WithOwner sets which shards the controller owns; the default is all.
 func WithOwner(owns func(shard int) bool) Option { return func(c *Controller) { c.owns = owns } }
 
-// WithLease sets how long a task runs on without a renewal.
+// WithLease sets the duration of task leases.
 func WithLease(d time.Duration) Option { return func(c *Controller) { c.lease = d } }
 
-// WithPolicy sets the policy of placement.
+// WithPolicy sets the placement policy.
 func WithPolicy(p placement.Policy) Option { return func(c *Controller) { c.policy = p } }
 
-// WithRoom sets how much each team may have running in the owned shards together, which is the part of its upper limit
-// that this entry host holds; false means no limit.
-func WithRoom(room func(fleet.TeamName) (fleet.Resources, bool)) Option {
-	return func(c *Controller) { c.room = room }
+// WithRoom sets the quota of each team for all owned shards together, which is the part of its upper limit allocated to this
+// entry host; false means no limit.
+func WithRoom(quota func(fleet.TeamName) (fleet.Resources, bool)) Option {
+	return func(c *Controller) { c.quota = quota }
 }
 
-// WithRetention sets how long an ended job can be asked about.
+// WithRetention sets how long an ended job is kept.
 func WithRetention(d time.Duration) Option { return func(c *Controller) { c.retention = d } }
 
-// New returns a controller over the queues in tables and the host records that a move controller last read.
+// New returns a controller for the queues in tables. The function hosts returns the host records as last read by a move controller.
 func New(
 	s *store.Client, p *hostapi.Client, tables func() fleet.Tables,
 	hosts func() map[fleet.HostName]record.Versioned[move.Record], opts ...Option,
@@ -83,8 +84,8 @@
 	c := &Controller{
 		store: s, platform: p, tables: tables, hosts: hosts, owns: func(int) bool { return true },
 		policy: placement.DefaultPolicy(), lease: defaultLease, retention: defaultRetention,
-		room:   func(fleet.TeamName) (fleet.Resources, bool) { return fleet.Resources{}, false },
-		silent: map[fleet.HostName]time.Time{},
+		quota:             func(fleet.TeamName) (fleet.Resources, bool) { return fleet.Resources{}, false },
+		unresponsiveSince: map[fleet.HostName]time.Time{},
 	}
 	for _, opt := range opts {
 		opt(c)
@@ -93,7 +94,7 @@
 	return c
 }
 
-// ShardOf returns the shard of a job.
+// ShardOf returns the number of the shard that stores a job.
 func ShardOf(id fleet.JobID) int {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(id))
@@ -104,10 +105,10 @@
 // Key returns the store key of a shard.
 func Key(shard int) string { return Prefix + strconv.Itoa(shard) }
 
-// Submit records jobs, many in one write per shard; a job that is recorded already stays as it is. After an error some
-// of the jobs may be recorded, and submitting them again is safe.
+// Submit stores jobs with one write per shard and ignores those that are stored already. After an error, some of the jobs
+// may be stored; submitting them again is safe.
 func (c *Controller) Submit(ctx context.Context, jobs ...fleet.Job) error {
-	return change(ctx, c.store, jobs, func(j fleet.Job) fleet.JobID { return j.ID }, func(s Shard, j fleet.Job) (Shard, bool, error) {
+	return updateShards(ctx, c.store, jobs, func(j fleet.Job) fleet.JobID { return j.ID }, func(s Shard, j fleet.Job) (Shard, bool, error) {
 		if _, known := s.Jobs[j.ID]; known {
 			return s, false, nil
 		}
@@ -121,9 +122,9 @@
 	})
 }
 
-// Cancel asks for jobs to be stopped, many in one write per shard; unknown and ended jobs are passed over.
+// Cancel requests the cancellation of jobs, with one write per shard; unknown and ended jobs are ignored.
 func (c *Controller) Cancel(ctx context.Context, ids ...fleet.JobID) error {
-	return change(ctx, c.store, ids, func(id fleet.JobID) fleet.JobID { return id }, func(s Shard, id fleet.JobID) (Shard, bool, error) {
+	return updateShards(ctx, c.store, ids, func(id fleet.JobID) fleet.JobID { return id }, func(s Shard, id fleet.JobID) (Shard, bool, error) {
 		e, known := s.Jobs[id]
 		if !known || e.Cancel || e.Over() {
 			return s, false, nil
@@ -135,7 +136,7 @@
 	})
 }
 
-// Find returns a job as last written; the second result is false if it is not known.
+// Find reads a job from the store; the second result is false if it doesn't exist.
 func (c *Controller) Find(ctx context.Context, id fleet.JobID) (Entry, bool, error) {
 	v, err := record.Read[Shard](ctx, c.store, Key(ShardOf(id)))
 	e, ok := v.Value.Jobs[id]
@@ -143,8 +144,8 @@
 	return e, ok, err
 }
 
-// change groups items by shard and applies all of a shard in one write.
-func change[T any](
+// updateShards groups items by shard and applies them with one write per shard.
+func updateShards[T any](
 	ctx context.Context, c *store.Client, items []T, id func(T) fleet.JobID, apply func(Shard, T) (Shard, bool, error),
 ) error {
 	groups := map[int][]T{}
@@ -159,11 +160,11 @@
 			}
 			changed := false
 			for _, item := range groups[shard] {
-				next, did, err := apply(s, item)
+				next, itemChanged, err := apply(s, item)
 				if err != nil {
 					return s, false, err
 				}
-				s, changed = next, changed || did
+				s, changed = next, changed || itemChanged
 			}
 
 			return s, changed, nil
--- a/job/doc.go
+++ b/job/doc.go
@@ -1,3 +1,3 @@
-// Package job keeps jobs in batched store records and runs them on workers under
-// leases, so that a job that is not idempotent is never started twice.
+// Package job stores jobs in sharded records and runs them on workers under
+// leases. A job that isn't idempotent is started at most once.
 package job
--- a/job/job.go
+++ b/job/job.go
@@ -7,31 +7,31 @@
 	"lycheehook.example/lycheehook/hostapi"
 )
 
-// Prefix is the store prefix of job shards; the shard's number follows.
+// Prefix is the key prefix of job shards in the store; the number of the shard follows.
 const Prefix = "job/"
 
-// Entry is one job with its place, as written before its worker is called.
+// Entry is a stored job with its placement, which is written before the worker is called.
 type Entry struct {
 	fleet.Job
-	// Token fences the task on its worker; it grows with each placement.
+	// Token is the fencing token of the task; it increases with each placement.
 	Token uint64 `json:",omitempty"`
-	// HostFence is the store revision of the host's record that the placement was decided on.
+	// HostFence is the store revision of the host's record on which the placement is based.
 	HostFence uint64 `json:",omitempty"`
-	// Reserved is what the job takes of its worker.
+	// Reserved is the resources that the job occupies on its worker.
 	Reserved fleet.Resources `json:",omitzero"`
-	// Placed is when the place was written.
+	// Placed is the time of the placement.
 	Placed time.Time `json:",omitzero"`
-	// Cancel asks for the job to be stopped.
+	// Cancel requests that the job is stopped.
 	Cancel bool      `json:",omitempty"`
 	Ended  time.Time `json:",omitzero"`
 }
 
-// Shard is many jobs in one store value, so that writes stay flat as jobs grow.
+// Shard is the jobs of one store record. Sharding keeps the number of writes independent of the number of jobs.
 type Shard struct {
 	Jobs map[fleet.JobID]Entry `json:",omitempty"`
 }
 
-// Ongoing reports whether the job may be on its worker.
+// Ongoing reports whether the job may be running on its worker.
 func (e Entry) Ongoing() bool {
 	return e.State == fleet.JobStarting || e.State == fleet.JobRunning
 }
@@ -41,12 +41,12 @@
 	return !e.Ongoing() && e.State != fleet.JobWaiting
 }
 
-// Call returns the fenced name of the job's task.
+// Call identifies the job's task for calls to its worker, with the fencing token.
 func (e Entry) Call() hostapi.TaskCall {
 	return hostapi.TaskCall{Job: e.ID, Host: e.Host, Token: e.Token}
 }
 
-// PlacedOn returns the entry with a place that is written before the worker is called.
+// PlacedOn returns the entry placed on h with a new token; the caller writes it before it calls the worker.
 func (e Entry) PlacedOn(h fleet.HostName, fence uint64, reserved fleet.Resources, now time.Time) Entry {
 	e.State, e.Host, e.HostFence, e.Reserved, e.Placed = fleet.JobStarting, h, fence, reserved, now
 	e.Token++
@@ -54,32 +54,32 @@
 	return e
 }
 
-// Unplaced returns the entry of a job that its worker surely never started, or that may run again.
+// Unplaced returns the entry in the waiting state. The task must never have been started, or the job must be safe to run again.
 func (e Entry) Unplaced() Entry {
 	e.State, e.Host, e.HostFence, e.Reserved = fleet.JobWaiting, "", 0, fleet.Resources{}
 	return e
 }
 
-// EndedAs returns the entry in a final state.
+// EndedAs returns the entry in the final state s.
 func (e Entry) EndedAs(s fleet.JobState, now time.Time) Entry {
 	e.State, e.Ended, e.Reserved = s, now, fleet.Resources{}
 	return e
 }
 
-// NotStarted returns the entry after its worker proved that it never started the task and never will: it is placed anew.
+// NotStarted returns the entry for a task that its worker has not started and never will, so that it can be placed again.
 func (e Entry) NotStarted(now time.Time) Entry {
 	if e.Cancel {
 		return e.EndedAs(fleet.JobCancelled, now)
 	}
 	if e.State == fleet.JobRunning {
-		// A worker that ran the task and forgot it proves nothing about how far it came.
+		// The worker lost the state of a task that it had started, so the progress of the task is unknown.
 		return e.Interrupted(now)
 	}
 
 	return e.Unplaced()
 }
 
-// Interrupted returns the entry of a task that ended before its work did: only an idempotent job runs again.
+// Interrupted returns the entry for a task that ended before it completed; only idempotent jobs run again.
 func (e Entry) Interrupted(now time.Time) Entry {
 	switch {
 	case e.Cancel:
@@ -91,7 +91,7 @@
 	}
 }
 
-// Settled returns the entry after its worker told the task's status.
+// Settled returns the entry updated with the status that its worker reported.
 func (e Entry) Settled(s hostapi.TaskStatus, now time.Time) Entry {
 	switch s.State {
 	case hostapi.TaskRunning:
--- a/job/step.go
+++ b/job/step.go
@@ -14,18 +14,18 @@
 	"lycheehook.example/lycheehook/record"
 )
 
-// Report is what one step did.
+// Report is the result of one step.
 type Report struct {
 	Placed, Started, Ended int
-	// Unplaced has the reason for each job that waits.
+	// Unplaced lists the jobs that remain waiting, with the reason for each.
 	Unplaced []placement.Unplaced
-	// Failed has the error of each call that was not surely done; the next step asks what became of it.
+	// Failed has the errors of calls whose outcome is not known to be success; the next step determines their effect.
 	Failed []error
 }
 
-// Step settles, cancels and places the jobs of the owned shards, with at most one write for each. A worker is called
-// only after the write that says where its job goes; what came of a call is asked of the worker in the next step. One
-// goroutine at a time may call it.
+// Step updates, cancels and places the jobs of the owned shards, with at most one write per shard. A worker is called only
+// after the placement is written, and the next step reads the outcome of the call from the worker. Step is not safe for
+// concurrent use.
 func (c *Controller) Step(ctx context.Context, now time.Time) (Report, error) {
 	var rep Report
 	page, err := record.List[Shard](ctx, c.store, Prefix)
@@ -39,7 +39,7 @@
 			shards[shard] = v
 		}
 	}
-	l := load{hosts: usedBy(shards), teams: c.runningBy(shards)}
+	l := load{hosts: usedByHost(shards), teams: c.runningByTeam(shards)}
 	for _, shard := range slices.Sorted(maps.Keys(shards)) {
 		if c.owns(shard) {
 			c.stepShard(ctx, shard, shards[shard], l, now, &rep)
@@ -49,14 +49,14 @@
 	return rep, nil
 }
 
-// load is what runs already, with what this step adds.
+// load is the resources in use, including placements made in this step.
 type load struct {
 	hosts map[fleet.HostName]fleet.Resources
 	teams map[fleet.TeamName]fleet.Resources
 }
 
-// runningBy sums what each team has running in the owned shards.
-func (c *Controller) runningBy(shards map[int]record.Versioned[Shard]) map[fleet.TeamName]fleet.Resources {
+// runningByTeam returns the resources in use by each team in the owned shards.
+func (c *Controller) runningByTeam(shards map[int]record.Versioned[Shard]) map[fleet.TeamName]fleet.Resources {
 	running := map[fleet.TeamName]fleet.Resources{}
 	for shard, v := range shards {
 		if !c.owns(shard) {
@@ -72,8 +72,8 @@
 	return running
 }
 
-// usedBy sums what the jobs of all shards take of each worker.
-func usedBy(shards map[int]record.Versioned[Shard]) map[fleet.HostName]fleet.Resources {
+// usedByHost returns the resources in use on each worker by jobs of all shards.
+func usedByHost(shards map[int]record.Versioned[Shard]) map[fleet.HostName]fleet.Resources {
 	used := map[fleet.HostName]fleet.Resources{}
 	for _, v := range shards {
 		for _, e := range v.Value.Jobs {
@@ -90,7 +90,7 @@
 	ctx context.Context, shard int, v record.Versioned[Shard], l load, now time.Time, rep *Report,
 ) {
 	jobs := maps.Clone(v.Value.Jobs)
-	c.settle(ctx, jobs, now, rep)
+	c.update(ctx, jobs, now, rep)
 	starts := c.place(jobs, l, now, rep)
 	for id, e := range jobs {
 		if e.Over() && now.Sub(e.Ended) > c.retention {
@@ -101,17 +101,17 @@
 		return
 	}
 	if _, err := record.Write(ctx, c.store, Key(shard), Shard{Jobs: jobs}, v.Revision); err != nil {
-		// Without a sure write no worker is called: what became of it is read in the next step.
+		// The write may or may not have taken effect, so no worker is called; the next step reads the shard again.
 		rep.Failed = append(rep.Failed, err)
 		return
 	}
 
 	for _, e := range starts {
-		c.start(ctx, e, rep)
+		c.startTask(ctx, e, rep)
 	}
 }
 
-func (c *Controller) start(ctx context.Context, e Entry, rep *Report) {
+func (c *Controller) startTask(ctx context.Context, e Entry, rep *Report) {
 	err := c.platform.StartTask(ctx, hostapi.TaskStart{
 		Job: e.ID, Host: e.Host, Token: e.Token, HostFence: e.HostFence, Size: e.Reserved, LeaseTTL: fleet.Duration(c.lease),
 	})
@@ -122,8 +122,8 @@
 	rep.Started++
 }
 
-// settle renews the leases of one worker's tasks in one call, stops cancelled ones in another, and asks about the rest.
-func (c *Controller) settle(ctx context.Context, jobs map[fleet.JobID]Entry, now time.Time, rep *Report) {
+// update renews the leases of ongoing tasks and stops cancelled ones, with one call each per worker, and then reads the tasks' status.
+func (c *Controller) update(ctx context.Context, jobs map[fleet.JobID]Entry, now time.Time, rep *Report) {
 	for _, host := range hostsOf(jobs) {
 		var renew, stop []hostapi.TaskCall
 		for _, id := range slices.Sorted(maps.Keys(jobs)) {
@@ -137,13 +137,13 @@
 			}
 		}
 		if len(stop) > 0 {
-			c.note(c.platform.StopTasks(ctx, host, stop), rep)
+			c.addError(c.platform.StopTasks(ctx, host, stop), rep)
 		}
 		if len(renew) > 0 {
 			_, err := c.platform.RenewTasks(ctx, host, renew)
-			c.note(err, rep)
+			c.addError(err, rep)
 		}
-		c.ask(ctx, host, jobs, now, rep)
+		c.refresh(ctx, host, jobs, now, rep)
 	}
 	for id, e := range jobs {
 		if e.State == fleet.JobWaiting && e.Cancel {
@@ -152,7 +152,7 @@
 	}
 }
 
-func (c *Controller) note(err error, rep *Report) {
+func (c *Controller) addError(err error, rep *Report) {
 	if err != nil {
 		rep.Failed = append(rep.Failed, err)
 	}
@@ -169,17 +169,17 @@
 	return slices.Sorted(maps.Keys(hosts))
 }
 
-// ask reads the status of a worker's tasks in one call; a task that it does not list is asked about by its token, so
-// that the answer proves whether it may still start.
-func (c *Controller) ask(ctx context.Context, host fleet.HostName, jobs map[fleet.JobID]Entry, now time.Time, rep *Report) {
+// refresh reads the status of all tasks of a worker in one call. A task that isn't listed with its token is queried
+// separately, because only that answer excludes that a delayed request starts it later.
+func (c *Controller) refresh(ctx context.Context, host fleet.HostName, jobs map[fleet.JobID]Entry, now time.Time, rep *Report) {
 	all, err := c.platform.Tasks(ctx, host)
 	if err != nil {
 		rep.Failed = append(rep.Failed, err)
-		c.giveUp(host, jobs, now)
+		c.expire(host, jobs, now)
 
 		return
 	}
-	delete(c.silent, host)
+	delete(c.unresponsiveSince, host)
 	listed := make(map[fleet.JobID]hostapi.TaskStatus, len(all))
 	for _, s := range all {
 		listed[s.Job] = s
@@ -196,7 +196,7 @@
 		}
 		switch {
 		case err == nil:
-			jobs[id] = c.learn(e, s, now, rep)
+			jobs[id] = c.recordOutcome(e, s, now, rep)
 		case errors.Is(err, hostapi.ErrNotFound):
 			jobs[id] = e.NotStarted(now)
 		default:
@@ -206,13 +206,14 @@
 	}
 }
 
-// giveUp ends the wait for a worker that does not answer. Idempotent jobs run again once their leases have surely
-// lapsed; others do so never, and their outcome is unknown when the host was removed from the fleet.
-func (c *Controller) giveUp(host fleet.HostName, jobs map[fleet.JobID]Entry, now time.Time) {
-	since, known := c.silent[host]
+// expire handles the jobs of a worker that doesn't respond. An idempotent job runs again once its lease is certain to have
+// expired. Any job ends its attempt when the host was removed from the fleet: the outcome is then unknown unless the job is
+// idempotent or cancelled.
+func (c *Controller) expire(host fleet.HostName, jobs map[fleet.JobID]Entry, now time.Time) {
+	since, known := c.unresponsiveSince[host]
 	if !known {
 		since = now
-		c.silent[host] = now
+		c.unresponsiveSince[host] = now
 	}
 	records := c.hosts()
 	_, exists := records[host]
@@ -221,14 +222,14 @@
 		if e.Host != host || !e.Ongoing() {
 			continue
 		}
-		if removed || e.Idempotent && now.Sub(since) > surelyLapsed*c.lease {
+		if removed || e.Idempotent && now.Sub(since) > expiryFactor*c.lease {
 			jobs[id] = e.Interrupted(now)
 		}
 	}
 }
 
-// learn settles an entry and remembers what its task used and how it ended.
-func (c *Controller) learn(e Entry, s hostapi.TaskStatus, now time.Time, rep *Report) Entry {
+// recordOutcome updates an entry and records the task's outcome and peak usage, for the health of workers and estimates of sizes.
+func (c *Controller) recordOutcome(e Entry, s hostapi.TaskStatus, now time.Time, rep *Report) Entry {
 	next := e.Settled(s, now)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -248,7 +249,7 @@
 	return queue.Pool
 }
 
-// place writes places into jobs and returns the entries whose workers are to be called after the write.
+// place updates jobs with new placements and returns the entries to start after the shard is written.
 func (c *Controller) place(jobs map[fleet.JobID]Entry, l load, now time.Time, rep *Report) []Entry {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -262,13 +263,13 @@
 	records := c.hosts()
 	hosts, workers := c.workers(records, l.hosts, now)
 	waiting = c.withinLimits(waiting, l, rep)
-	placed, left := placement.Place(waiting, hosts, workers, c.policy)
-	for _, u := range left {
+	placed, unplaced := placement.Place(waiting, hosts, workers, c.policy)
+	for _, u := range unplaced {
 		if u.Reason == placement.NeverFits {
 			jobs[u.Job] = jobs[u.Job].EndedAs(fleet.JobNeverRuns, now)
 		}
 	}
-	rep.Unplaced = append(rep.Unplaced, left...)
+	rep.Unplaced = append(rep.Unplaced, unplaced...)
 
 	starts := make([]Entry, 0, len(placed))
 	for _, a := range placed {
@@ -283,13 +284,13 @@
 	return starts
 }
 
-// withinLimits keeps the jobs that their teams may have running now, in the order of placement.
+// withinLimits returns the jobs that fit in their teams' quotas, in placement order.
 func (c *Controller) withinLimits(waiting []placement.Job, l load, rep *Report) []placement.Job {
 	planned := maps.Clone(l.teams)
 	kept := make([]placement.Job, 0, len(waiting))
 	for _, j := range placement.InOrder(waiting) {
 		after := planned[j.Team].Plus(j.Need)
-		if room, limited := c.room(j.Team); limited && !after.FitsIn(room) {
+		if limit, limited := c.quota(j.Team); limited && !after.FitsIn(limit) {
 			rep.Unplaced = append(rep.Unplaced, placement.Unplaced{Job: j.ID, Reason: placement.TeamLimit})
 			continue
 		}
@@ -300,7 +301,7 @@
 	return kept
 }
 
-// workers returns every host, and those that may take work: a host whose record is not sure to be in a pool is left out.
+// workers returns all hosts, and as workers those that can accept work, which excludes hosts that are being moved.
 func (c *Controller) workers(
 	records map[fleet.HostName]record.Versioned[move.Record], used map[fleet.HostName]fleet.Resources, now time.Time,
 ) ([]fleet.Host, []placement.Worker) {
@@ -317,7 +318,7 @@
 	return hosts, workers
 }
 
-// Quiesce checkpoints and stops the idempotent tasks of a draining host, which then run on elsewhere; others finish.
+// Quiesce checkpoints and stops the idempotent tasks of a draining host, so that they resume on other workers; other tasks run to completion.
 func (c *Controller) Quiesce(ctx context.Context, w move.Wait) {
 	page, err := record.List[Shard](ctx, c.store, Prefix)
 	if err != nil {
@@ -332,7 +333,7 @@
 		}
 	}
 	if len(saved) > 0 {
-		// A lost answer is no harm: the next step asks about each task.
+		// The error is ignored: the next step reads the status of each task.
 		_ = c.platform.StopTasks(ctx, w.Host, saved)
 	}
 }
