member: use the terms of membership and leases

Processes "met", had "acquaintances" and "speak for" seats; knowledge was "in force", and the meaning of a "moment" had to be kept in mind through the whole of Standing.

Comments now speak of discovery, leases that expire, seats that are held or handed over, and of a head that is known to be current at a time. Unexported names follow: meet -> discover, acquaintances -> discoveryTargets, introduced -> handleIntroduction, note -> notifyRenewed, gone -> markGone, changed -> notifyChanged, asked -> requested. The tests' comments name the failure that each guards against.

--- a/member/doc.go
+++ b/member/doc.go
@@ -1,4 +1,5 @@
-// Package member is the membership of entry hosts: a record in the store bound
-// to one lease per process, the division of control work among live members,
-// and the rules by which a process knows that what it holds is still in force.
+// Package member implements the membership of entry hosts. Each process has a
+// record in the store that is bound to its lease, and control work is partitioned
+// among live members. Standing decides whether the configuration that a process
+// holds is known to be current.
 package member
--- a/member/lease.go
+++ b/member/lease.go
@@ -16,39 +16,39 @@
 )
 
 const (
-	kindRenew     peer.Kind = "Member/Renew"
-	kindIntroduce peer.Kind = "Member/Introduce"
-	meetInterval            = 2 * time.Second
+	kindRenew         peer.Kind = "Member/Renew"
+	kindIntroduce     peer.Kind = "Member/Introduce"
+	discoveryInterval           = 2 * time.Second
 )
 
-// renewRequest asks a peer to renew a lease in the store on the sender's behalf.
+// renewRequest requests that a peer renews the sender's lease in the store.
 type renewRequest struct {
 	Lease store.LeaseID
 }
 
-// renewAnswer says what the store answered.
-type renewAnswer struct {
+// renewResponse is the result of a renewal by a peer.
+type renewResponse struct {
 	Renewed bool
 	Lapsed  bool
 }
 
-// introduction is what two processes tell each other of the members that they know.
+// introduction is the members known to a process, exchanged between two processes.
 type introduction struct {
 	Members []Member
 }
 
-// keepLease joins under a new lease, renews it until it lapses, and starts over.
+// keepLease joins with a new lease, renews it until it expires, and repeats.
 func (r *Registry) keepLease(ctx context.Context) {
 	for ctx.Err() == nil && !r.leaving.Load() {
 		if err := r.join(ctx); err != nil {
 			pause.For(ctx, retryWait)
 			continue
 		}
-		r.renewUntilLapsed(ctx)
+		r.renewUntilExpired(ctx)
 	}
 }
 
-// Leave takes the process's record out of the store at once, so that the others need not wait for its lease to lapse.
+// Leave revokes the lease, which deletes the process's record at once, so that others don't wait for the lease to expire.
 func (r *Registry) Leave(ctx context.Context) error {
 	r.leaving.Store(true)
 	r.mu.Lock()
@@ -61,9 +61,9 @@
 	return r.client.Revoke(ctx, lease)
 }
 
-// join opens a lease and writes the process's record under a new seat.
+// join requests a lease and writes the process's record with a new seat.
 func (r *Registry) join(ctx context.Context) error {
-	asked := time.Now()
+	requested := time.Now()
 	lease, err := r.client.Grant(ctx, r.ttl)
 	r.setReachable(answered(err))
 	if err != nil {
@@ -73,7 +73,7 @@
 	self := r.mesh.Self()
 	r.mu.Lock()
 	r.epoch++
-	m := Member{Seat: seatOf(self, r.epoch), Peer: self, Zone: r.self.Zone, Region: r.self.Region, Joined: asked}
+	m := Member{Seat: seatOf(self, r.epoch), Peer: self, Zone: r.self.Zone, Region: r.self.Region, Joined: requested}
 	r.mu.Unlock()
 	if err := r.writeRecord(ctx, m, lease.ID); err != nil {
 		return err
@@ -82,12 +82,12 @@
 	r.mu.Lock()
 	r.self, r.lease = m, lease.ID
 	r.mu.Unlock()
-	r.note(m.Seat, asked)
+	r.notifyRenewed(m.Seat, requested)
 
 	return nil
 }
 
-// writeRecord creates the member's record; a lost answer is settled by reading the record back.
+// writeRecord creates the member's record. If the outcome is unknown, it reads the record to find out.
 func (r *Registry) writeRecord(ctx context.Context, m Member, lease store.LeaseID) error {
 	value, err := json.Marshal(record{
 		Name: m.Peer.Name, Incarnation: m.Peer.Incarnation, Address: m.Peer.Address, Zone: m.Zone, Region: m.Region, Joined: m.Joined,
@@ -109,28 +109,28 @@
 	return err
 }
 
-// note tells the observers of a renewal that was asked for at that moment.
-func (r *Registry) note(seat Seat, asked time.Time) {
+// notifyRenewed informs observers of a renewal that was requested at the given time.
+func (r *Registry) notifyRenewed(seat Seat, requested time.Time) {
 	r.mu.Lock()
-	r.renewed = asked
+	r.renewed = requested
 	observers := r.onRenewed
 	r.mu.Unlock()
 	for _, f := range observers {
-		f(seat, asked)
+		f(seat, requested)
 	}
 }
 
-// renewUntilLapsed renews the lease, through a peer when the store cannot be reached, until the store says that it lapsed.
-func (r *Registry) renewUntilLapsed(ctx context.Context) {
+// renewUntilExpired renews the lease until the store reports it as expired. It asks peers while it can't reach the store itself.
+func (r *Registry) renewUntilExpired(ctx context.Context) {
 	r.mu.Lock()
 	lease, seat := r.lease, r.self.Seat
 	r.mu.Unlock()
 	for ctx.Err() == nil {
-		pause.For(ctx, r.ttl/renewals)
-		asked := time.Now()
+		pause.For(ctx, r.ttl/renewalsPerTTL)
+		requested := time.Now()
 		err := r.client.KeepAlive(ctx, lease)
 		if ctx.Err() != nil {
-			// The call ended because the process stops, which says nothing about the store.
+			// The call was cancelled by shutdown, so its error doesn't mean that the store is unreachable.
 			return
 		}
 		r.setReachable(answered(err))
@@ -140,24 +140,24 @@
 
 		switch {
 		case err == nil:
-			r.note(seat, asked)
+			r.notifyRenewed(seat, requested)
 		case errors.Is(err, store.ErrLeaseLapsed):
 			return
 		}
 	}
 }
 
-// renewThroughPeer asks peers that reach the store, one after another, to renew the lease.
+// renewThroughPeer asks the peers that can reach the store, one at a time, to renew the lease.
 func (r *Registry) renewThroughPeer(ctx context.Context, lease store.LeaseID) error {
 	for _, p := range r.mesh.Peers() {
 		if h, ok := r.mesh.Heard(p.Name); !ok || !h.Status.StoreReachable {
 			continue
 		}
-		a, err := peer.Call[renewAnswer](ctx, r.mesh, p.Name, kindRenew, renewRequest{Lease: lease})
+		a, err := peer.Call[renewResponse](ctx, r.mesh, p.Name, kindRenew, renewRequest{Lease: lease})
 		switch {
 		case err != nil:
 		case a.Lapsed:
-			return merry.Prepend(store.ErrLeaseLapsed, "renew through "+string(p.Name))
+			return merry.Prepend(store.ErrLeaseLapsed, "renew through peer "+string(p.Name))
 		case a.Renewed:
 			return nil
 		}
@@ -166,34 +166,34 @@
 	return merry.Prepend(store.ErrUnavailable, "renew lease")
 }
 
-// renewFor renews a lease on behalf of a peer.
-func (r *Registry) renewFor(ctx context.Context, _ peer.Peer, req renewRequest) (renewAnswer, error) {
-	// A store that never answers must not hold the peer's request for longer than the lease could last.
+// renewForPeer renews a peer's lease.
+func (r *Registry) renewForPeer(ctx context.Context, _ peer.Peer, req renewRequest) (renewResponse, error) {
+	// Limits how long an unresponsive store can block the request; after one TTL the lease has expired anyway.
 	ctx, cancel := context.WithTimeout(ctx, r.ttl)
 	defer cancel()
 
 	err := r.client.KeepAlive(ctx, req.Lease)
 
-	return renewAnswer{Renewed: err == nil, Lapsed: errors.Is(err, store.ErrLeaseLapsed)}, nil
+	return renewResponse{Renewed: err == nil, Lapsed: errors.Is(err, store.ErrLeaseLapsed)}, nil
 }
 
-// meet introduces the process to those it knows of while the store does not show who the others are.
-func (r *Registry) meet(ctx context.Context) {
+// discover exchanges known members with seeds and peers while the store is unreachable.
+func (r *Registry) discover(ctx context.Context) {
 	for ctx.Err() == nil {
 		if !r.StoreReachable() {
-			for _, p := range r.acquaintances() {
-				answer, err := peer.CallAt[introduction](ctx, r.mesh, p, kindIntroduce, r.introduction())
+			for _, p := range r.discoveryTargets() {
+				response, err := peer.CallAt[introduction](ctx, r.mesh, p, kindIntroduce, r.introduction())
 				if err == nil {
-					r.learn(answer)
+					r.learn(response)
 				}
 			}
 		}
-		pause.For(ctx, meetInterval)
+		pause.For(ctx, discoveryInterval)
 	}
 }
 
-// acquaintances returns the addresses of the seeds and the peers.
-func (r *Registry) acquaintances() []peer.Peer {
+// discoveryTargets returns the peers, and the seeds that are not among them.
+func (r *Registry) discoveryTargets() []peer.Peer {
 	peers := r.mesh.Peers()
 	known := map[string]bool{r.mesh.Self().Address.String(): true}
 	for _, p := range peers {
@@ -208,7 +208,7 @@
 	return peers
 }
 
-// introduction returns the process itself and everyone it knows, the members of the store and its guests.
+// introduction returns the process itself and the members that it has read from the store.
 func (r *Registry) introduction() introduction {
 	self := r.mesh.Self()
 	r.mu.Lock()
@@ -229,14 +229,14 @@
 	return introduction{Members: all}
 }
 
-// introduced takes over whom a peer knows and answers with whom this process knows.
-func (r *Registry) introduced(_ context.Context, _ peer.Peer, in introduction) (introduction, error) {
+// handleIntroduction adds the members known to a peer and returns those known to this process.
+func (r *Registry) handleIntroduction(_ context.Context, _ peer.Peer, in introduction) (introduction, error) {
 	r.learn(in)
 
 	return r.introduction(), nil
 }
 
-// learn keeps processes that the store has not shown as guests.
+// learn adds processes that are not members according to the store as guests.
 func (r *Registry) learn(in introduction) {
 	self, now := r.mesh.Self(), time.Now()
 	r.mu.Lock()
@@ -244,7 +244,7 @@
 		if _, member := r.members[m.Seat]; member || m.Peer == self {
 			continue
 		}
-		r.guests[m.Peer] = guest{member: m, until: now.Add(guestFor)}
+		r.guests[m.Peer] = guest{member: m, until: now.Add(guestTTL)}
 	}
 	r.mu.Unlock()
 	r.mesh.SetPeers(r.peers(now))
--- a/member/member.go
+++ b/member/member.go
@@ -13,7 +13,7 @@
 	"lycheehook.example/lycheehook/store"
 )
 
-// Member is one process of an entry host, under the lease that it holds in the store.
+// Member is one process of an entry host, with the seat that is bound to its lease.
 type Member struct {
 	Seat   Seat
 	Peer   peer.Peer
@@ -22,7 +22,7 @@
 	Joined time.Time
 }
 
-// List reads the members' records from the store.
+// List reads all member records from the store.
 func List(ctx context.Context, c *store.Client) ([]Member, error) {
 	l, err := c.List(ctx, Prefix)
 	if err != nil {
@@ -39,13 +39,13 @@
 	return members, nil
 }
 
-// compareSeats orders members for listings.
+// compareSeats orders members by seat.
 func compareSeats(a, b Member) int {
 	return cmp.Compare(a.Seat, b.Seat)
 }
 
-// Owner returns the member to which a key belongs by rendezvous hashing (Thaler and Ravishankar, 1998): when a member
-// comes or goes, only its own keys change hands. It returns the zero Member if there are none.
+// Owner returns the member that owns a key, by rendezvous hashing (Thaler and Ravishankar, 1998): when a member joins or
+// leaves, only its own keys are reassigned. It returns the zero Member if there are no members.
 func Owner(members []Member, key string) Member {
 	var owner Member
 	var best uint64
@@ -68,7 +68,7 @@
 	return d.Sum64()
 }
 
-// View returns a hash of members, by which two processes see whether they know the same ones.
+// View returns a hash of the set of members, with which two processes compare their membership views.
 func View(members []Member) uint64 {
 	var sum uint64
 	for _, m := range members {
--- a/member/model_test.go
+++ b/member/model_test.go
@@ -12,30 +12,30 @@
 	"lycheehook.example/lycheehook/peer"
 )
 
-// The model runs the real transitions of Standing for two seated processes and a joining one in every order, up to a number of
-// generations, with a store that carries writes out late or loses their answers, and messages that are lost or late. A cut path or
-// a cut store is a run in which the action never happens, a pause or a crash is one in which a process does nothing any more.
+// The model checks the transitions of Standing exhaustively, for two seated processes and a joining one, up to a number of
+// generations. Writes can be delayed or lose their responses, and messages can be delayed or lost. A network partition or a
+// store outage is a run in which the action never happens; a paused or crashed process is one that takes no more actions.
 const (
 	modelTick    = time.Second
 	modelProcs   = 3
 	modelLastGen = 3
-	// modelGone is the age from which ages of leases are alike, in ticks above OutageLimit.
+	// modelGone is the age of a lease, in ticks beyond OutageLimit, from which all ages are equivalent.
 	modelGone = 2
 )
 
 var modelEpoch = time.Unix(1_000_000, 0)
 
-// modelSeats are the seats of the processes, in their order.
+// modelSeats are the seats of the processes, by index.
 var modelSeats = []Seat{"a", "b", "c"}
 
-// modelWrite is a conditional write of the head that is on its way to the store.
+// modelWrite is a conditional write of the head that is in flight.
 type modelWrite struct {
 	head     Head
 	withdraw bool
 	asked    int
 }
 
-// modelLate is one answer that is on its way to a process: a read of the store or a peer's heartbeat.
+// modelLate is a response in flight: a read of the store or a peer's heartbeat.
 type modelLate struct {
 	to    int
 	asked int
@@ -49,7 +49,7 @@
 	left  bool
 }
 
-// modelState is immutable once it is made: every action returns a changed copy.
+// modelState is immutable: every action returns a changed copy.
 type modelState struct {
 	now       int
 	head      Head
@@ -57,20 +57,20 @@
 	present   [modelProcs]bool
 	goneSince [modelProcs]int
 	late      *modelLate
-	// withdrawn is the generation that withdrew the key, and withdrawnAt when it took effect.
+	// withdrawn is the generation that revoked the key; withdrawnAt is the tick at which it took effect.
 	withdrawn   uint64
 	withdrawnAt int
 }
 
-// modelScope says which of the faults a run covers; one run over all of them at once has too many states.
+// modelScope selects the faults of a run; all of them at once have too many states.
 type modelScope struct {
-	// freshFor and outage are FreshFor and OutageLimit in ticks.
+	// freshFor and outage are FreshFor and OutageLimit, in ticks.
 	freshFor, outage int
-	// joiner adds a third process; late lets one answer arrive late; leases lets leases lapse; handover lets processes leave their seats to others.
+	// joiner adds a third process; late delays one response; leases lets leases expire; handover lets processes hand over seats.
 	joiner, late, leases, handover bool
 }
 
-// modelRules lets a test take one rule out.
+// modelRules disables single rules of the protocol.
 type modelRules struct {
 	anyoneWrites, noDoubt, receivedTime, doubtEndsOnError, earlyTakeover, handoverInDoubt, handoverToOlder bool
 }
@@ -97,7 +97,7 @@
 	return st
 }
 
-// unsafe reports whether a process serves a key that was withdrawn FreshFor ago.
+// unsafe reports whether a process still accepts a key that was revoked FreshFor ago or earlier.
 func (st modelState) unsafe(sc modelScope) bool {
 	if st.withdrawn == 0 || st.now-st.withdrawnAt < sc.freshFor {
 		return false
@@ -112,7 +112,7 @@
 	return peer.Heard{Status: st.procs[q].s.Status(modelTime(st.now)), Asked: modelTime(asked)}
 }
 
-// hear gives process p the heartbeat of a peer; a newer generation is fetched and taken over first, as a book does.
+// hear delivers a peer's heartbeat to process p, which first fetches and adopts a newer generation, as revision.Book does.
 func (st modelState) hear(p int, h peer.Heard, heads map[uint64]Head) modelState {
 	if h.Status.Generation > st.procs[p].s.head.Generation {
 		st.procs[p].s = st.procs[p].s.WithHead(heads[h.Status.Generation])
@@ -122,7 +122,7 @@
 	return st
 }
 
-// next returns every state that one action leads to.
+// next returns all states reachable with one action.
 func (st modelState) next(sc modelScope, r modelRules) []modelState {
 	var out []modelState
 	tick := st
@@ -205,7 +205,7 @@
 	return out
 }
 
-// writes returns the states after p sent a write, and after the store carried out or refused the one on its way.
+// writes returns the states after p sent a write, and after the store applied or rejected the write in flight.
 func (st modelState) writes(p int, sc modelScope, r modelRules) []modelState {
 	proc := st.procs[p]
 	if proc.write != nil {
@@ -243,7 +243,7 @@
 			live = append(live, seat)
 		}
 	}
-	// With leases, who has a seat changes by takeovers alone, which keeps the number of states in bounds.
+	// With leases, seats change only by takeovers, which bounds the number of states.
 	if !sc.leases && len(live) > 0 && !slices.Equal(live, proc.s.head.Seats) {
 		send(live, false)
 	}
@@ -277,7 +277,7 @@
 	answered.procs[p].s = answered.procs[p].s.WithRead(w.head, modelTime(w.asked))
 	out := []modelState{answered, n}
 	if r.doubtEndsOnError {
-		// The caller gives up while the write is still on its way, and the process forgets it.
+		// The caller times out while the write is still in flight, and the process drops its doubt.
 		gaveUp := st
 		gaveUp.procs[p].s = gaveUp.procs[p].s.WithDoubt(false)
 		out = append(out, gaveUp)
@@ -286,7 +286,7 @@
 	return out
 }
 
-// leases returns the states after the lease of p lapsed or was renewed, after p joined, and after the joining process saw who is gone.
+// leases returns the states after p's lease expired or was renewed, after p joined, and after the joining process observed expired members.
 func (st modelState) leases(p int) []modelState {
 	var out []modelState
 	seat := modelSeats[p]
@@ -318,7 +318,7 @@
 	return out
 }
 
-// handover returns the states after p left and gave its seat to another process, directly.
+// handover returns the states after p left and handed its seat directly to another process.
 func (st modelState) handover(p int, r modelRules) []modelState {
 	seat := modelSeats[p]
 	renewed, ok := st.procs[p].s.own[seat]
@@ -344,7 +344,7 @@
 	return out
 }
 
-// key returns the same hash for states that differ only in times which are too old to matter.
+// key returns a hash of the state; states that differ only in times too old to matter have the same hash.
 func (st modelState) key(buf []byte, sc modelScope) ([]byte, uint64) {
 	buf = buf[:0]
 	flag := func(b bool) byte {
@@ -411,7 +411,7 @@
 	return buf, xxhash.Sum64(buf)
 }
 
-// explore returns the number of states reached and whether an unsafe one was among them, up to a number of states.
+// explore visits reachable states, breadth first, until it finds an unsafe one or exceeds most; it returns the number visited.
 func explore(sc modelScope, r modelRules, most int) (states int, unsafe bool) {
 	first := modelStart(sc)
 	buf, k := first.key(nil, sc)
@@ -440,13 +440,13 @@
 	return len(seen), false
 }
 
-// never stands for an outage limit that no run reaches, in ticks.
+// never is an outage limit that no run reaches, in ticks.
 const never = 1000
 
-// modelAll adds the runs that take minutes.
+// modelAll adds scopes that take minutes to explore.
 var modelAll = flag.Bool("model.all", false, "explore every scope of the model")
 
-// TestModelIsSafe explores every order of events of each scope.
+// TestModelIsSafe guards against a process that accepts a revoked key for longer than FreshFor, in any order of events.
 func TestModelIsSafe(t *testing.T) {
 	for _, c := range []struct {
 		name string
@@ -463,13 +463,13 @@
 		}
 		states, unsafe := explore(c.sc, modelRules{}, math.MaxInt)
 		if unsafe {
-			t.Errorf("%s: a process serves a key that was withdrawn FreshFor ago", c.name)
+			t.Errorf("%s: a process accepts a key that was revoked FreshFor ago", c.name)
 		}
 		t.Logf("%s: %d states", c.name, states)
 	}
 }
 
-// TestModelNeedsEachRule takes one rule out at a time and expects that an unsafe state is found.
+// TestModelNeedsEachRule guards against a model that can't detect faults: without any one of the rules it finds an unsafe state.
 func TestModelNeedsEachRule(t *testing.T) {
 	two := modelScope{freshFor: 2, outage: never, late: true, handover: true}
 	for _, c := range []struct {
--- a/member/registry.go
+++ b/member/registry.go
@@ -22,23 +22,23 @@
 )
 
 const (
-	// Prefix is the prefix of the members' records in the store.
+	// Prefix is the key prefix of member records in the store.
 	Prefix = "member/"
-	// DefaultLeaseTTL is how long a member's record outlives the last renewal of its lease.
+	// DefaultLeaseTTL is the default TTL of a member's lease.
 	DefaultLeaseTTL = 5 * time.Second
-	// renewals is the number of renewals within one TTL.
-	renewals = 3
-	// watchWait is how long one watch of the members waits.
+	// renewalsPerTTL is the number of lease renewals in one TTL.
+	renewalsPerTTL = 3
+	// watchWait is the maximum duration of one long poll for changes of members.
 	watchWait = 5 * time.Second
 	retryWait = 500 * time.Millisecond
-	// guestFor is how long a process that is not in the store counts as a peer after it was last heard.
-	guestFor = 30 * time.Second
+	// guestTTL is how long a guest remains a peer after it was last reported.
+	guestTTL = 30 * time.Second
 )
 
-// ErrNotJoined says that the process holds no lease in the store yet.
+// ErrNotJoined means that the process has no valid lease in the store.
 var ErrNotJoined = merry.Sentinel("member: not joined")
 
-// record is the form of a member in the store.
+// record is a member as stored.
 type record struct {
 	Name        fleet.EntryName
 	Incarnation peer.Incarnation
@@ -48,13 +48,13 @@
 	Joined      time.Time
 }
 
-// guest is a process that introduced itself while the store did not show it.
+// guest is a process known from introductions that has no record in the store as far as this process has read it.
 type guest struct {
 	member Member
 	until  time.Time
 }
 
-// Registry keeps the process's own record in the store and follows those of the others.
+// Registry maintains the process's own record in the store and watches those of other members.
 type Registry struct {
 	client *store.Client
 	mesh   *peer.Mesh
@@ -62,7 +62,7 @@
 	ttl    time.Duration
 	seeds  []netip.AddrPort
 
-	// leaving says that the process ends and joins no more.
+	// leaving is set on shutdown, so that the process doesn't join again.
 	leaving atomic.Bool
 
 	mu        sync.Mutex
@@ -81,17 +81,17 @@
 // Option configures a Registry.
 type Option func(*Registry)
 
-// WithLeaseTTL sets how long a member's record outlives the last renewal of its lease.
+// WithLeaseTTL sets the TTL of the member's lease.
 func WithLeaseTTL(d time.Duration) Option {
 	return func(r *Registry) { r.ttl = d }
 }
 
-// WithSeeds names addresses of other entry hosts to ask when the store does not show any.
+// WithSeeds sets addresses of entry hosts to contact while the store is unreachable.
 func WithSeeds(seeds ...netip.AddrPort) Option {
 	return func(r *Registry) { r.seeds = seeds }
 }
 
-// New returns a registry for the process that mesh speaks for; it joins in Run.
+// New returns a registry for the process that mesh belongs to; Run joins.
 func New(client *store.Client, mesh *peer.Mesh, zone fleet.ZoneName, region fleet.RegionName, opts ...Option) *Registry {
 	r := &Registry{
 		client: client, mesh: mesh, ttl: DefaultLeaseTTL, self: Member{Zone: zone, Region: region},
@@ -100,13 +100,13 @@
 	for _, opt := range opts {
 		opt(r)
 	}
-	peer.Handle(mesh, kindRenew, r.renewFor)
-	peer.Handle(mesh, kindIntroduce, r.introduced)
+	peer.Handle(mesh, kindRenew, r.renewForPeer)
+	peer.Handle(mesh, kindIntroduce, r.handleIntroduction)
 
 	return r
 }
 
-// Self returns the process's own record; its seat is empty until it has joined.
+// Self returns the process's own member; its seat is empty until the process has joined.
 func (r *Registry) Self() Member {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -114,7 +114,7 @@
 	return r.self
 }
 
-// Members returns the members that the store last showed, in the order of their seats.
+// Members returns the members as last read from the store, ordered by seat.
 func (r *Registry) Members() []Member {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -122,18 +122,18 @@
 	return slices.SortedFunc(maps.Values(r.members), compareSeats)
 }
 
-// Owner returns the member to which a key belongs.
+// Owner returns the member that owns a key.
 func (r *Registry) Owner(key string) Member {
 	return Owner(r.Members(), key)
 }
 
-// Owns reports whether a key belongs to this process; at most for the time that members take to learn of a change, two may own a key.
+// Owns reports whether this process owns a key. Until all members have seen a change of membership, two of them can own a key.
 func (r *Registry) Owns(key string) bool {
 	self := r.Self()
 	return self.Seat != "" && r.Owner(key).Seat == self.Seat
 }
 
-// GoneSince returns since when records of members are known to be gone; a seat's record never returns.
+// GoneSince returns when the record of each former member was found to be deleted. A seat is never recreated.
 func (r *Registry) GoneSince() map[Seat]time.Time {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -141,7 +141,7 @@
 	return maps.Clone(r.goneSince)
 }
 
-// StoreReachable reports whether the last call to the store was answered.
+// StoreReachable reports whether the store responded to the last call.
 func (r *Registry) StoreReachable() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -149,7 +149,7 @@
 	return r.reachable
 }
 
-// Remaining returns how long the own lease surely lasts, counted from before its last renewal was asked for.
+// Remaining returns a lower bound for the remaining time of the own lease: the TTL counts from before its last renewal was requested.
 func (r *Registry) Remaining(now time.Time) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -160,7 +160,7 @@
 	return max(0, r.ttl-now.Sub(r.renewed))
 }
 
-// Lease returns the process's one lease with a positive remaining time, or ErrNotJoined.
+// Lease returns the process's lease, or ErrNotJoined if it has none or the lease may have expired.
 func (r *Registry) Lease(now time.Time) (store.LeaseID, error) {
 	remaining := r.Remaining(now)
 	r.mu.Lock()
@@ -172,45 +172,45 @@
 	return r.lease, nil
 }
 
-// OnRenewed calls f with the seat and the moment before each renewal of its lease was asked for.
+// OnRenewed registers f, called after each renewal with the seat and the time at which the renewal was requested.
 func (r *Registry) OnRenewed(f func(Seat, time.Time)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.onRenewed = append(r.onRenewed, f)
 }
 
-// OnChange calls f after the members changed.
+// OnChange registers f, called after each change of members.
 func (r *Registry) OnChange(f func()) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.onChange = append(r.onChange, f)
 }
 
-// Run joins, renews the lease and follows the members until ctx ends.
+// Run joins, renews the lease and watches the members until ctx is done.
 func (r *Registry) Run(ctx context.Context) {
 	var wg sync.WaitGroup
 	wg.Go(func() { r.keepLease(ctx) })
 	wg.Go(func() { r.follow(ctx) })
-	wg.Go(func() { r.meet(ctx) })
+	wg.Go(func() { r.discover(ctx) })
 	wg.Wait()
 }
 
-// follow lists the members and then watches for changes; any failure starts over with a list.
+// follow lists the members and then watches for changes; after a failure it lists them again.
 func (r *Registry) follow(ctx context.Context) {
 	for ctx.Err() == nil {
-		asked := time.Now()
+		requested := time.Now()
 		l, err := r.client.List(ctx, Prefix)
 		r.setReachable(err == nil)
 		if err != nil {
 			pause.For(ctx, retryWait)
 			continue
 		}
-		r.replace(l, asked)
+		r.replace(l, requested)
 		r.watch(ctx, l.Revision)
 	}
 }
 
-// watch takes over changes until the watch fails.
+// watch applies changes until the watch fails.
 func (r *Registry) watch(ctx context.Context, after uint64) {
 	for ctx.Err() == nil {
 		ev, err := r.client.Watch(ctx, Prefix, after, watchWait)
@@ -221,16 +221,16 @@
 		}
 		after = ev.Revision
 		for _, e := range ev.Events {
-			r.change(e)
+			r.apply(e)
 		}
 		if len(ev.Events) > 0 {
-			r.changed()
+			r.notifyChanged()
 		}
 	}
 }
 
-// replace takes over a list of all members.
-func (r *Registry) replace(l store.Listing, asked time.Time) {
+// replace replaces the members with a complete list.
+func (r *Registry) replace(l store.Listing, requested time.Time) {
 	members := make(map[Seat]Member, len(l.Records))
 	for _, rec := range l.Records {
 		if m, ok := parse(rec); ok {
@@ -241,22 +241,22 @@
 	r.mu.Lock()
 	for seat := range r.members {
 		if _, ok := members[seat]; !ok {
-			r.gone(seat, asked)
+			r.markGone(seat, requested)
 		}
 	}
 	r.members, r.listed = members, true
 	r.mu.Unlock()
-	r.changed()
+	r.notifyChanged()
 }
 
-func (r *Registry) change(e store.Event) {
+func (r *Registry) apply(e store.Event) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
 	if e.Deleted {
 		seat := Seat(strings.TrimPrefix(e.Record.Key, Prefix))
 		delete(r.members, seat)
-		r.gone(seat, time.Now())
+		r.markGone(seat, time.Now())
 		return
 	}
 	if m, ok := parse(e.Record); ok {
@@ -264,14 +264,14 @@
 	}
 }
 
-// gone notes that a seat's record was seen to be gone; the registry is locked.
-func (r *Registry) gone(seat Seat, at time.Time) {
+// markGone records that a seat's record is deleted; the caller holds the lock.
+func (r *Registry) markGone(seat Seat, at time.Time) {
 	if _, known := r.goneSince[seat]; !known {
 		r.goneSince[seat] = at
 	}
 }
 
-// NoteMissing notes those seats whose records the store did not show in the last list; seats of a head were once recorded.
+// NoteMissing marks the seats of a head that are not members as gone, because each of them had a record once.
 func (r *Registry) NoteMissing(seats []Seat, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -280,13 +280,13 @@
 	}
 	for _, seat := range seats {
 		if _, ok := r.members[seat]; !ok {
-			r.gone(seat, now)
+			r.markGone(seat, now)
 		}
 	}
 }
 
-// changed tells the mesh and the observers of a new list of members.
-func (r *Registry) changed() {
+// notifyChanged updates the peers of the mesh and informs observers of a change of members.
+func (r *Registry) notifyChanged() {
 	r.mesh.SetPeers(r.peers(time.Now()))
 	r.mu.Lock()
 	observers := r.onChange
@@ -296,26 +296,26 @@
 	}
 }
 
-// peers returns the processes to exchange heartbeats with: the members, and guests in place of older processes of their name.
+// peers returns the processes to exchange heartbeats with: for each entry host the most recently joined member or guest.
 func (r *Registry) peers(now time.Time) []peer.Peer {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
 	newest := map[fleet.EntryName]Member{}
-	take := func(m Member) {
+	keepNewest := func(m Member) {
 		if old, ok := newest[m.Peer.Name]; !ok || m.Joined.After(old.Joined) {
 			newest[m.Peer.Name] = m
 		}
 	}
 	for _, m := range r.members {
-		take(m)
+		keepNewest(m)
 	}
 	for p, g := range r.guests {
 		if now.After(g.until) {
 			delete(r.guests, p)
 			continue
 		}
-		take(g.member)
+		keepNewest(g.member)
 	}
 
 	peers := make([]peer.Peer, 0, len(newest))
--- a/member/registry_test.go
+++ b/member/registry_test.go
@@ -20,7 +20,7 @@
 	stop func()
 }
 
-func start(t *testing.T, s *standin.Store, n *standin.Network, name fleet.EntryName) process {
+func startProcess(t *testing.T, s *standin.Store, n *standin.Network, name fleet.EntryName) process {
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
 	mesh := n.Mesh(ctx, name, "1")
@@ -38,13 +38,13 @@
 	return p
 }
 
-// TestMembership checks who is a member after a fault of one of three processes has lasted for a while.
+// TestMembership checks who is a member 30 s after a fault of one of three processes began.
 func TestMembership(t *testing.T) {
 	for _, c := range []struct {
 		name    string
 		fault   func(*standin.Store, *standin.Network, process)
 		members int
-		// kept says that the process keeps its lease and with it its seat.
+		// kept means that the process keeps its lease and therefore its seat.
 		kept bool
 	}{
 		{"none", func(*standin.Store, *standin.Network, process) {}, 3, true},
@@ -64,8 +64,8 @@
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				s, n := standin.NewStore(), standin.NewNetwork()
-				e1, e2 := start(t, s, n, "e1"), start(t, s, n, "e2")
-				start(t, s, n, "e3")
+				e1, e2 := startProcess(t, s, n, "e1"), startProcess(t, s, n, "e2")
+				startProcess(t, s, n, "e3")
 				time.Sleep(3 * time.Second)
 				seat := e1.Self().Seat
 				c.fault(s, n, e1)
@@ -77,24 +77,24 @@
 					t.Errorf("seat gone: %v", gone)
 				}
 				if remaining := e1.Remaining(time.Now()); (remaining > 0) != c.kept {
-					t.Errorf("lease lasts for %v", remaining)
+					t.Errorf("remaining time of the lease: %v", remaining)
 				}
 			})
 		})
 	}
 }
 
-// TestLeaseThatLapsedGivesANewSeat pauses a process beyond its lease.
-func TestLeaseThatLapsedGivesANewSeat(t *testing.T) {
+// TestExpiredLeaseGetsNewSeat guards against a seat that survives its lease: a process that can't renew gets a new seat when it joins again.
+func TestExpiredLeaseGetsNewSeat(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s, n := standin.NewStore(), standin.NewNetwork()
-		e1 := start(t, s, n, "e1")
+		e1 := startProcess(t, s, n, "e1")
 		time.Sleep(3 * time.Second)
 		first := e1.Self().Seat
 		s.SetClientFault("e1", standin.FaultDown)
 		time.Sleep(20 * time.Second)
 		if _, err := e1.Lease(time.Now()); err == nil {
-			t.Error("a lapsed lease was handed out")
+			t.Error("Lease returned an expired lease")
 		}
 		s.SetClientFault("e1", standin.FaultNone)
 		time.Sleep(5 * time.Second)
@@ -104,7 +104,7 @@
 	})
 }
 
-func TestOwnerChangesOnlyForKeysOfTheOneThatLeft(t *testing.T) {
+func TestOwnerReassignsOnlyKeysOfLeaver(t *testing.T) {
 	members := make([]member.Member, 7)
 	for i := range members {
 		members[i].Seat = member.Seat(fmt.Sprint("e", i))
@@ -115,7 +115,7 @@
 		before, after := member.Owner(members, key), member.Owner(members[1:], key)
 		count[before.Seat]++
 		if before.Seat != members[0].Seat && before.Seat != after.Seat {
-			t.Fatalf("%s went from %s to %s", key, before.Seat, after.Seat)
+			t.Fatalf("owner of %s changed from %s to %s", key, before.Seat, after.Seat)
 		}
 	}
 	for seat, n := range count {
--- a/member/standing.go
+++ b/member/standing.go
@@ -9,48 +9,48 @@
 )
 
 const (
-	// DefaultFreshFor is how long knowledge of what is in force counts.
+	// DefaultFreshFor is how long a confirmation that the held head is current remains valid.
 	DefaultFreshFor = 3 * time.Second
-	// DefaultOutageLimit is how long a process may go on without renewing its lease in the store.
+	// DefaultOutageLimit is how long a process may operate without renewing its lease in the store.
 	DefaultOutageLimit = time.Hour
 )
 
-// Seat is the right to write the head record; it is bound to one lease and ends for good when that lease lapses.
+// Seat is the right to write the head record. It is bound to one lease and permanently ends when that lease expires.
 type Seat string
 
-// Head is the part of the head record that decides who may write the next one.
+// Head is the part of the head record that determines who may write the next generation.
 type Head struct {
-	// Generation grows by one with each write of the head record.
+	// Generation increases by one with each write of the head record.
 	Generation uint64
-	// Seats are those who may write the next generation; nobody else may.
+	// Seats are the only seats that may write the next generation.
 	Seats []Seat
 }
 
-// Limits are the times within which a standing counts.
+// Limits are the time limits of a Standing.
 type Limits struct {
 	FreshFor    time.Duration
 	OutageLimit time.Duration
 }
 
-// Standing is what a process knows about whether the head that it holds is in force; it is an immutable value.
+// Standing is what a process knows about whether the head that it holds is current. It is an immutable value.
 //
-// Every moment in it has this meaning: no head after the held one was written before it.
+// Its times mean that no later head had been written at that time, except for those of leases and storeless.
 type Standing struct {
 	limits Limits
 	head   Head
-	// confirmed is the newest moment known from the store, directly or through peers.
+	// confirmed is the latest such time known from the store, directly or through peers.
 	confirmed time.Time
-	// own maps each seat that this process speaks for to the moment of the last renewal of its lease.
+	// own maps each seat of this process to the time of the last renewal of the seat's lease.
 	own map[Seat]time.Time
-	// stated maps the seats of others to the moment at which their holders last stated that they wrote nothing after the held head.
+	// stated maps the seats of others to the time at which their holders last stated that they haven't written a later head.
 	stated map[Seat]time.Time
-	// storeless maps the seats of others to the moment at which their holders last said that they can't reach the store.
+	// storeless maps the seats of others to the time at which their holders last reported that they can't reach the store.
 	storeless map[Seat]time.Time
-	// doubt says that a write of this process may have replaced the held head, now or later.
+	// doubt is set while a write of this process may have replaced the held head or may still replace it.
 	doubt bool
 }
 
-// NewStanding returns the standing of a process that knows nothing.
+// NewStanding returns the standing of a process without a head or a seat.
 func NewStanding(l Limits) Standing {
 	return Standing{limits: l}
 }
@@ -65,34 +65,34 @@
 	return s.doubt
 }
 
-// WithHead returns the standing after the process took over a head; an older one changes nothing.
+// WithHead returns the standing after the process adopted h; an older head is ignored.
 func (s Standing) WithHead(h Head) Standing {
 	if h.Generation <= s.head.Generation {
 		return s
 	}
 
-	// The newer head shows that the write in doubt replaced its base or never will, because it was conditional on it.
+	// A write in doubt is conditional on the old head, so it has either taken effect or can't any more.
 	s.head, s.stated, s.storeless, s.doubt = h, nil, nil, false
 
 	return s
 }
 
-// WithRead returns the standing after a read of the store that was asked for at that moment returned h.
-func (s Standing) WithRead(h Head, asked time.Time) Standing {
+// WithRead returns the standing after a read of the store, requested at the given time, returned h.
+func (s Standing) WithRead(h Head, requested time.Time) Standing {
 	s = s.WithHead(h)
-	if h.Generation == s.head.Generation && asked.After(s.confirmed) {
-		s.confirmed = asked
+	if h.Generation == s.head.Generation && requested.After(s.confirmed) {
+		s.confirmed = requested
 	}
 
 	return s
 }
 
-// WithHeard returns the standing after a peer's answer; one about another generation changes nothing.
+// WithHeard returns the standing after a peer's heartbeat response; a response about another generation is ignored.
 func (s Standing) WithHeard(h peer.Heard) Standing {
 	if h.Status.Generation != s.head.Generation || h.Status.Generation == 0 {
 		return s
 	}
-	// The answer was made after it was asked for, so counting ages from that moment is safe however long it took.
+	// The peer responded after the request was sent, so an age counted from the request is safe regardless of latency.
 	if moment := h.Asked.Add(-h.Status.Age); h.Status.Confirmed && moment.After(s.confirmed) {
 		s.confirmed = moment
 	}
@@ -113,7 +113,7 @@
 	return s
 }
 
-// cloned returns a copy that can be written to.
+// cloned returns a copy of m that is not nil.
 func cloned(m map[Seat]time.Time) map[Seat]time.Time {
 	if m == nil {
 		return map[Seat]time.Time{}
@@ -122,13 +122,13 @@
 	return maps.Clone(m)
 }
 
-// WithDoubt returns the standing with a write in doubt or not; it is set before the write is sent.
+// WithDoubt returns the standing with doubt set or cleared; a writer sets it before it sends the write.
 func (s Standing) WithDoubt(doubt bool) Standing {
 	s.doubt = doubt
 	return s
 }
 
-// WithSeat returns the standing of a process that speaks for a seat whose lease was last renewed at that moment.
+// WithSeat returns the standing of a process that holds a seat whose lease was last renewed at the given time.
 func (s Standing) WithSeat(seat Seat, renewed time.Time) Standing {
 	s.own = maps.Clone(s.own)
 	if s.own == nil {
@@ -146,9 +146,10 @@
 	return s
 }
 
-// WithHanded returns the standing after the holder of a seat left it to this process, and whether it may be taken over.
+// WithHanded returns the standing after the holder of a seat handed it over to this process, and whether it was accepted.
 //
-// A process that holds an older head than the former holder must not state for the seat: the former holder may have written the next one.
+// A process with an older head than the former holder's must not make statements for the seat, because the former holder may
+// have written the next generation.
 func (s Standing) WithHanded(seat Seat, renewed time.Time, generation uint64) (Standing, bool) {
 	if s.head.Generation < generation {
 		return s, false
@@ -157,7 +158,7 @@
 	return s.WithSeat(seat, renewed), true
 }
 
-// WithoutSeat returns the standing of a process that no longer speaks for a seat.
+// WithoutSeat returns the standing of a process that no longer holds a seat.
 func (s Standing) WithoutSeat(seat Seat) Standing {
 	s.own = maps.Clone(s.own)
 	delete(s.own, seat)
@@ -165,13 +166,13 @@
 	return s
 }
 
-// HeldSeat is a seat that a process speaks for, with the moment of the last renewal of its lease.
+// HeldSeat is a seat of this process, with the time of the last renewal of the seat's lease.
 type HeldSeat struct {
 	Seat    Seat
 	Renewed time.Time
 }
 
-// Yield returns those seats of the held head that the process speaks for.
+// Yield returns the seats of the held head that the process holds.
 func (s Standing) Yield() []HeldSeat {
 	var held []HeldSeat
 	for _, seat := range s.head.Seats {
@@ -183,7 +184,7 @@
 	return held
 }
 
-// Seated reports whether the process may write the next head.
+// Seated reports whether the process holds a seat of the held head, so that it may write the next one.
 func (s Standing) Seated() bool {
 	return slices.ContainsFunc(s.head.Seats, func(seat Seat) bool {
 		_, ok := s.own[seat]
@@ -191,7 +192,7 @@
 	})
 }
 
-// Stating returns the seats for which the process states that it has written nothing after the held head.
+// Stating returns the seats for which the process can state that it has not written a later head.
 func (s Standing) Stating(now time.Time) []Seat {
 	if s.doubt {
 		return nil
@@ -207,7 +208,7 @@
 	return seats
 }
 
-// AsOf returns the newest moment of which the process knows that no later head was written before it; zero if there is none.
+// AsOf returns the latest time at which the held head is known to have been current; zero if there is none.
 func (s Standing) AsOf(now time.Time) time.Time {
 	if stated := s.statedByAll(now); stated.After(s.confirmed) {
 		return stated
@@ -216,9 +217,10 @@
 	return s.confirmed
 }
 
-// statedByAll returns the oldest of the statements of all seats, or zero when one is missing.
+// statedByAll returns the time of the oldest statement among all seats, or zero if a statement is missing.
 //
-// Only a seat of the held head can write the next one, and its holder stops stating before it does.
+// Together they prove that the head was current then: only a seat of the held head can write the next one, and its holder
+// stops making statements before it writes.
 func (s Standing) statedByAll(now time.Time) time.Time {
 	stating := s.Stating(now)
 	oldest := now
@@ -238,12 +240,12 @@
 	return oldest
 }
 
-// Confirmed returns the newest moment known from the store, directly or through peers, and not by statements of all seats.
+// Confirmed returns the latest time at which the store confirmed the head, directly or through peers; statements don't count.
 func (s Standing) Confirmed() time.Time {
 	return s.confirmed
 }
 
-// Fresh reports whether the held head is known to have been in force within FreshFor.
+// Fresh reports whether the held head is known to have been current within the last FreshFor.
 func (s Standing) Fresh(now time.Time) bool {
 	if !s.confirmed.IsZero() && now.Sub(s.confirmed) < s.limits.FreshFor {
 		return true
@@ -253,7 +255,7 @@
 	return !asOf.IsZero() && now.Sub(asOf) < s.limits.FreshFor
 }
 
-// Licensed reports whether a lease of the process was renewed within OutageLimit, so that others still count what it holds as held.
+// Licensed reports whether a lease of the process was renewed within the last OutageLimit, so that others still respect its allocations.
 func (s Standing) Licensed(now time.Time) bool {
 	for _, renewed := range s.own {
 		if now.Sub(renewed) < s.limits.OutageLimit {
@@ -264,8 +266,8 @@
 	return false
 }
 
-// StoreLost reports whether the holders of all seats said within FreshFor that they can't reach the store, so that nobody
-// with a seat can see there that this process's lease has lapsed.
+// StoreLost reports whether the holders of all other seats reported within the last FreshFor that they can't reach the store,
+// so that no seat holder can observe there that this process's lease has expired.
 func (s Standing) StoreLost(now time.Time) bool {
 	if len(s.head.Seats) == 0 {
 		return false
@@ -283,7 +285,7 @@
 	return true
 }
 
-// Status returns what heartbeats say of the standing; generation, age and seats are of one moment.
+// Status returns the fields of a heartbeat that describe the standing; generation, age and seats are consistent.
 func (s Standing) Status(now time.Time) peer.Status {
 	st := peer.Status{Generation: s.head.Generation}
 	for _, seat := range s.Stating(now) {
@@ -296,12 +298,12 @@
 	return st
 }
 
-// TakeoverDue reports whether the seats of the held head may be taken over by a process that has none, given since when the
-// records of members are known to be gone: a seat whose lease lapsed OutageLimit ago makes no statement any more, and without
-// it no other process can be fresh by statements alone.
+// TakeoverDue reports whether a process without a seat may take over the seats of the held head. goneSince has the times
+// at which records of members were found to be deleted. Once a seat's lease expired OutageLimit ago, its holder makes no
+// statements any more, and without them no process can be fresh by statements alone.
 func (s Standing) TakeoverDue(goneSince map[Seat]time.Time, now time.Time) bool {
 	for _, seat := range s.head.Seats {
-		// The clocks of two processes may run apart by up to a hundredth.
+		// Allows for clocks of two processes that differ in rate by up to 1%.
 		if since, gone := goneSince[seat]; gone && now.Sub(since) > s.limits.OutageLimit+s.limits.OutageLimit/100 {
 			return true
 		}
