key: speak of issued, verified and revoked keys

Keys were "given" and "withdrawn", a hash was "what is kept of a secret", and the reason for hashing the secret of an unknown ID was left to the reader.

Comments now use the terms of API keys and give that reason (timing must not reveal IDs) and the one for a fast hash (entropy rules out brute force). sum -> saltedHash, random -> randomBytes, sumBuffer -> sumBufferSize; names of stored fields and the exported Give, which others call, stay.

--- a/key/doc.go
+++ b/key/doc.go
@@ -1,4 +1,4 @@
-// Package key makes, checks and withdraws the keys that teams present.
+// Package key issues, verifies and revokes the API keys of teams.
 //
-// A secret is shown once, when its key is given; what is kept is a salted hash.
+// A secret is shown once, when its key is issued; only a salted hash is stored.
 package key
--- a/key/hashed.go
+++ b/key/hashed.go
@@ -12,43 +12,43 @@
 
 const (
 	saltSize = 16
-	// secretSize is the entropy of a secret in bytes; at this size a plain salted hash cannot be searched.
+	// secretSize is the entropy of a secret, in bytes. It rules out brute force, so a slow password hash isn't needed.
 	secretSize = 32
 )
 
-// Hashed is what is kept of a secret; its text is "SALT.HASH" in the URL form of base64.
+// Hashed is the salted hash of a secret. Its text form is "SALT.HASH" in URL-safe base64.
 type Hashed struct {
 	Salt []byte
 	Hash []byte
 }
 
-// NewSecret makes a random secret and returns it with its salted hash.
+// NewSecret generates a random secret and returns it with its salted hash.
 func NewSecret() (Hashed, string) {
-	secret := encode(random(secretSize))
+	secret := encode(randomBytes(secretSize))
 	return NewHashed(secret), secret
 }
 
-// NewHashed returns the salted hash of a secret; the secret must be random and long, as those of NewSecret are.
+// NewHashed returns the salted hash of a secret, which must have as much entropy as one of NewSecret.
 func NewHashed(secret string) Hashed {
-	salt := random(saltSize)
-	hash := sum(salt, secret)
+	salt := randomBytes(saltSize)
+	hash := saltedHash(salt, secret)
 
 	return Hashed{Salt: salt, Hash: hash[:]}
 }
 
-// Matches reports in constant time whether the hash is that of secret.
+// Matches reports whether h is the hash of secret; the comparison takes constant time.
 func (h Hashed) Matches(secret string) bool {
-	hash := sum(h.Salt, secret)
+	hash := saltedHash(h.Salt, secret)
 
 	return subtle.ConstantTimeCompare(hash[:], h.Hash) == 1
 }
 
-// IsZero reports whether h is the hash of nothing, which no secret matches.
+// IsZero reports whether h is empty; an empty hash matches no secret.
 func (h Hashed) IsZero() bool {
 	return len(h.Hash) == 0
 }
 
-// Allowed says which texts UnmarshalText takes.
+// Allowed describes the texts that UnmarshalText accepts, for error messages.
 func (h Hashed) Allowed() string {
 	return `a salted hash "SALT.HASH" as printed by lycheehook settings token`
 }
@@ -69,27 +69,27 @@
 		return merry.Prepend(ErrMalformed, "must be "+h.Allowed())
 	}
 
-	// The texts were decoded once already, so these can't fail.
+	// decodes has validated both texts, so these calls can't fail.
 	h.Salt, _ = base64.RawURLEncoding.DecodeString(salt)
 	h.Hash, _ = base64.RawURLEncoding.DecodeString(hash)
 
 	return nil
 }
 
-// sumBuffer holds a salt and a secret of the usual sizes, so that a check allocates nothing.
-const sumBuffer = 128
+// sumBufferSize fits a salt and a secret of the usual sizes, in bytes, so that Matches doesn't allocate.
+const sumBufferSize = 128
 
-func sum(salt []byte, secret string) [sha256.Size]byte {
-	buf := make([]byte, 0, sumBuffer)
+func saltedHash(salt []byte, secret string) [sha256.Size]byte {
+	buf := make([]byte, 0, sumBufferSize)
 	buf = append(buf, salt...)
 	buf = append(buf, secret...)
 
 	return sha256.Sum256(buf)
 }
 
-func random(size int) []byte {
+func randomBytes(size int) []byte {
 	b := make([]byte, size)
-	// Read never fails: it ends the program when the system has no randomness.
+	// rand.Read never returns an error: it crashes the program if the system has no entropy source.
 	_, _ = rand.Read(b)
 
 	return b
--- a/key/key.go
+++ b/key/key.go
@@ -17,16 +17,16 @@
 
 // Sentinel errors of keys.
 var (
-	// ErrMalformed says that a secret does not have the form of one.
+	// ErrMalformed means that a text is not a valid key or hash.
 	ErrMalformed = merry.Sentinel("key: malformed")
-	// ErrUnknown says that no key in force has this secret.
+	// ErrUnknown means that no valid key has this ID and secret.
 	ErrUnknown = merry.Sentinel("key: unknown or withdrawn")
 )
 
-// ID identifies a key without its secret.
+// ID identifies a key; it is not secret.
 type ID string
 
-// Key is what is kept of a key: its team and a salted hash of its secret.
+// Key is a key as stored: its team and the salted hash of its secret.
 type Key struct {
 	ID    ID
 	Team  fleet.TeamName
@@ -35,7 +35,7 @@
 	Given time.Time
 }
 
-// Give makes a key for a team and returns it with its secret, which is kept nowhere.
+// Give issues a key for a team and returns it with the text that the team presents, which is not stored.
 func Give(team fleet.TeamName, now time.Time) (Key, string) {
 	id := newID()
 	hashed, secret := NewSecret()
@@ -43,31 +43,31 @@
 	return Key{ID: ID(id), Team: team, Salt: hashed.Salt, Hash: hashed.Hash, Given: now}, strings.Join([]string{prefix, id, secret}, ".")
 }
 
-// newID makes a random ID that no command line takes for a flag.
+// newID generates a random ID that doesn't start with a dash, because a command line would take it for a flag.
 func newID() string {
 	for {
-		if id := encode(random(idSize)); !strings.HasPrefix(id, "-") {
+		if id := encode(randomBytes(idSize)); !strings.HasPrefix(id, "-") {
 			return id
 		}
 	}
 }
 
-// Ring is an immutable set of keys in force.
+// Ring is an immutable set of valid keys.
 type Ring struct {
 	keys fleet.Table[ID, Key]
 }
 
-// NewRing returns a ring of the keys.
+// NewRing returns a ring with the given keys.
 func NewRing(keys ...Key) Ring {
 	return Ring{keys: fleet.NewTable(func(k Key) ID { return k.ID }, keys...)}
 }
 
-// Keys returns the keys in the order of their IDs.
+// Keys returns all keys, ordered by ID.
 func (r Ring) Keys() []Key {
 	return r.keys.Values()
 }
 
-// OfTeam returns the keys of one team in the order of their IDs.
+// OfTeam returns the keys of one team, ordered by ID.
 func (r Ring) OfTeam(team fleet.TeamName) []Key {
 	var keys []Key
 	for _, k := range r.keys.All() {
@@ -79,35 +79,35 @@
 	return keys
 }
 
-// Get returns the key with the given ID and whether the ring has it.
+// Get returns the key with the given ID and whether it is in the ring.
 func (r Ring) Get(id ID) (Key, bool) {
 	return r.keys.Get(id)
 }
 
-// With returns a ring that has k too.
+// With returns a copy of the ring with k added or replaced.
 func (r Ring) With(k Key) Ring {
 	return Ring{keys: r.keys.With(k.ID, k)}
 }
 
-// Without returns a ring that lacks the key with the given ID.
+// Without returns a copy of the ring without the key with the given ID.
 func (r Ring) Without(id ID) Ring {
 	return Ring{keys: r.keys.Without(id)}
 }
 
-// Has reports whether the ring has the key with the given ID.
+// Has reports whether the key with the given ID is in the ring.
 func (r Ring) Has(id ID) bool {
 	_, ok := r.keys.Get(id)
 	return ok
 }
 
-// Match returns the key whose secret was presented, compared in constant time.
+// Match returns the key whose text was presented; secrets are compared in constant time.
 func (r Ring) Match(presented string) (Key, error) {
 	id, secret, err := split(presented)
 	if err != nil {
 		return Key{}, err
 	}
 
-	// An unknown ID costs the same hash as a known one.
+	// The hash is computed for unknown IDs too, so that timing doesn't reveal which IDs exist.
 	k, ok := r.keys.Get(id)
 	if matches := (Hashed{Salt: k.Salt, Hash: k.Hash}).Matches(secret); !matches || !ok {
 		return Key{}, merry.Wrap(ErrUnknown)
@@ -116,7 +116,7 @@
 	return k, nil
 }
 
-// split takes a presented secret apart and refuses any other form before it is hashed.
+// split parses a presented key and rejects malformed ones before any hashing.
 func split(presented string) (ID, string, error) {
 	const size = len(prefix) + 1 + (idSize*8+5)/6 + 1 + (secretSize*8+5)/6
 	if len(presented) != size {
--- a/key/key_test.go
+++ b/key/key_test.go
@@ -33,17 +33,17 @@
 
 	after := r.Without(first.ID)
 	if _, err := after.Match(firstSecret); !errors.Is(err, key.ErrUnknown) {
-		t.Errorf("withdrawn key: %v", err)
+		t.Errorf("revoked key: %v", err)
 	}
 	if _, err := after.Match(secondSecret); err != nil {
 		t.Errorf("the other key of the team: %v", err)
 	}
 	if _, err := r.Match(firstSecret); err != nil {
-		t.Errorf("the earlier ring changed: %v", err)
+		t.Errorf("Without changed its receiver: %v", err)
 	}
 }
 
-func TestMatchRefuses(t *testing.T) {
+func TestMatchRejects(t *testing.T) {
 	k, secret := key.Give("postings", given)
 	other, otherSecret := key.Give("receipts", given)
 	parts, otherParts := strings.Split(secret, "."), strings.Split(otherSecret, ".")
@@ -55,9 +55,9 @@
 		{"empty", "", key.ErrMalformed},
 		{"secret alone", parts[2], key.ErrMalformed},
 		{"other prefix", "xx" + secret[2:], key.ErrMalformed},
-		{"one character less", last, key.ErrMalformed},
-		{"one character more", secret + "A", key.ErrMalformed},
-		{"space behind", secret + " ", key.ErrMalformed},
+		{"one character short", last, key.ErrMalformed},
+		{"one extra character", secret + "A", key.ErrMalformed},
+		{"trailing space", secret + " ", key.ErrMalformed},
 		{"newline in place of a character", last + "\n", key.ErrMalformed},
 		{"nothing between the dots", "lh.." + strings.Repeat("A", len(secret)-4), key.ErrMalformed},
 		{"four parts", "lh." + parts[1] + "." + parts[2][:20] + "." + parts[2][21:], key.ErrMalformed},
@@ -90,14 +90,14 @@
 	return hash
 }
 
-func TestSecretIsKeptNowhere(t *testing.T) {
+func TestSecretIsNotStored(t *testing.T) {
 	k, secret := key.Give("postings", given)
 	record, err := json.Marshal(k)
 	if err != nil {
 		t.Fatal(err)
 	}
 	if hidden := strings.Split(secret, ".")[2]; strings.Contains(string(record), hidden) {
-		t.Errorf("the record has the secret: %s", record)
+		t.Errorf("the stored key contains the secret: %s", record)
 	}
 
 	same, _ := key.Give("postings", given)
@@ -114,10 +114,10 @@
 	}
 	var back key.Hashed
 	if err := back.UnmarshalText(text); err != nil || !back.Matches(secret) || back.Matches(secret+"x") {
-		t.Errorf("%s does not match its secret again: %v", text, err)
+		t.Errorf("%s does not match its secret after a round trip: %v", text, err)
 	}
 	if (key.Hashed{}).Matches("") {
-		t.Error("the hash of nothing matches the empty secret")
+		t.Error("the empty hash matches the empty secret")
 	}
 	for _, text := range []string{"", ".", "a.b", string(text) + "A", "x" + string(text)} {
 		if err := new(key.Hashed).UnmarshalText([]byte(text)); !errors.Is(err, key.ErrMalformed) {
@@ -166,8 +166,8 @@
 	// Output: postings true
 }
 
-// TestIDsAreNoFlags draws so many IDs that one in 64 with a leading dash could not stay unseen.
-func TestIDsAreNoFlags(t *testing.T) {
+// TestIDsAreNotFlags guards against IDs that a command line takes for a flag: 1 in 64 random IDs starts with a dash.
+func TestIDsAreNotFlags(t *testing.T) {
 	const draws = 2000
 	for range draws {
 		if k, _ := key.Give("postings", time.Time{}); strings.HasPrefix(string(k.ID), "-") {
