peer: use the terms of network protocols

Answers were "whole", paths "silent", bounds "kept", and comments told what a process "says of itself" at a "moment".

Comments now speak of requests and responses, outstanding requests, idle timeouts, retries, backoff and truncated messages, and say for each maximum that it is one. answer -> response, answerErrors -> wireErrors, refuse -> errorResponse. Tests name the failure that they guard against. Error texts with codes on the wire, metrics and labels stay as they were.

--- a/peer/bytes_test.go
+++ b/peer/bytes_test.go
@@ -11,7 +11,7 @@
 	"lycheehook.example/lycheehook/peer"
 )
 
-// packetOverhead is what IPv4 and UDP add to each packet, in bytes.
+// packetOverhead is the size of the IPv4 and UDP headers, in bytes.
 const packetOverhead = 28
 
 // countingSocket counts the bytes of a socket in both directions.
@@ -32,14 +32,14 @@
 	return c.PacketConn.WriteTo(p, a)
 }
 
-// teamUsage is a report of the size that shares need for a team.
+// teamUsage is as large as the entry of a team in reports of fair sharing.
 type teamUsage struct {
 	Team             string
 	Running, Waiting int64
 	Usage            float64
 }
 
-// BenchmarkBytes gives what one entry host sends and receives in a second, over entry hosts and teams.
+// BenchmarkBytes measures the traffic of one entry host per second, for several numbers of entry hosts and teams.
 func BenchmarkBytes(b *testing.B) {
 	for _, c := range []struct{ hosts, teams int }{{2, 0}, {7, 0}, {7, 43}, {7, 86}, {14, 0}, {14, 43}} {
 		b.Run(fmt.Sprintf("hosts=%d/teams=%d", c.hosts, c.teams), func(b *testing.B) {
@@ -81,7 +81,7 @@
 	<-time.After(warmUp)
 	s, r := sent.Load(), received.Load()
 	<-time.After(window)
-	// Only outgoing connections are counted; every peer does the same, so incoming ones carry as much in the other direction.
+	// Only outgoing connections are measured. All peers behave alike, so incoming ones carry as much in the opposite direction.
 	total := float64(sent.Load()-s+received.Load()-r) / window.Seconds()
 	b.ReportMetric(total, "sent-B/s")
 	b.ReportMetric(2*total, "sent+received-B/s")
--- a/peer/call.go
+++ b/peer/call.go
@@ -8,7 +8,7 @@
 	"lycheehook.example/lycheehook/fleet"
 )
 
-// Handle registers the handler of a kind of request; Q and A are encoded as CBOR maps with the names of their fields.
+// Handle registers the handler for a kind of request. Q and A are encoded as CBOR maps, keyed by field name.
 func Handle[Q, A any](m *Mesh, kind Kind, h func(ctx context.Context, from Peer, req Q) (A, error)) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -27,7 +27,7 @@
 	}
 }
 
-// Call sends a request to a peer and returns its whole answer; ErrUnknownPeer and ErrBusy say that nothing was sent.
+// Call sends a request to a peer and returns the response. After ErrUnknownPeer, and after ErrBusy of this process, nothing was sent.
 func Call[A, Q any](ctx context.Context, m *Mesh, to fleet.EntryName, kind Kind, q Q) (A, error) {
 	var a A
 	l, err := m.link(to)
@@ -45,7 +45,7 @@
 	return send[A](ctx, m, l.peer, kind, q)
 }
 
-// CallAt is Call for a process that is not in the table of peers, such as one that a starting process was told of.
+// CallAt is like Call for a process that is not a peer of the mesh, such as a seed; it doesn't limit outstanding requests.
 func CallAt[A, Q any](ctx context.Context, m *Mesh, to Peer, kind Kind, q Q) (A, error) {
 	return send[A](ctx, m, to, kind, q)
 }
@@ -80,7 +80,7 @@
 		return nil, err
 	}
 
-	var a answer
+	var a response
 	if err := decode(in, &a); err != nil {
 		return nil, err
 	}
@@ -88,17 +88,17 @@
 	return a.result()
 }
 
-// Serve answers one encoded request; transports call it.
+// Serve handles one encoded request and returns the encoded response; transports call it.
 func (m *Mesh) Serve(ctx context.Context, data []byte) []byte {
 	body, err := m.handle(ctx, data)
-	a := answer{Version: Version, OldestReader: oldestReader, Body: body}
+	a := response{Version: Version, OldestReader: oldestReader, Body: body}
 	if err != nil {
-		a = refuse(err)
+		a = errorResponse(err)
 	}
 
 	out, err := encode(a)
 	if err != nil {
-		out, _ = encode(refuse(err))
+		out, _ = encode(errorResponse(err))
 	}
 
 	return out
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -11,17 +11,17 @@
 )
 
 const (
-	// Version is the protocol version that this release speaks.
+	// Version is the protocol version of this release.
 	Version = 1
-	// oldestReader is the lowest protocol version that can read the messages of this release.
+	// oldestReader is the oldest protocol version that can decode messages of this release.
 	oldestReader = 1
-	// MaxMessageSize bounds a message, in bytes.
+	// MaxMessageSize is the maximum size of a message, in bytes.
 	MaxMessageSize = 1<<20 + 64<<10
 	maxElements    = 1 << 16
 	maxNesting     = 16
 )
 
-// request is the envelope of every request; readers pass over fields that they do not know.
+// request is the envelope of a request; unknown fields are ignored.
 type request struct {
 	Version      uint64
 	OldestReader uint64
@@ -30,18 +30,18 @@
 	Body         cbor.RawMessage
 }
 
-// answer is the envelope of every answer.
-type answer struct {
+// response is the envelope of a response.
+type response struct {
 	Version      uint64
 	OldestReader uint64
-	// Code is empty for a request that was carried out.
+	// Code is the error code; it is empty on success.
 	Code   string          `cbor:",omitempty"`
 	Reason string          `cbor:",omitempty"`
 	Body   cbor.RawMessage `cbor:",omitempty"`
 }
 
-// answerErrors gives the name on the wire of each error that a peer can answer with.
-var answerErrors = []struct {
+// wireErrors maps errors to their codes on the wire.
+var wireErrors = []struct {
 	err  error
 	name string
 }{
@@ -78,7 +78,7 @@
 	return data, nil
 }
 
-// decode reads exactly one data item from data.
+// decode decodes data, which must be exactly one CBOR data item.
 func decode(data []byte, v any) error {
 	if err := decoding().Unmarshal(data, v); err != nil {
 		return merry.Prependf(ErrMalformed, "decode %T: %v", v, err)
@@ -87,7 +87,7 @@
 	return nil
 }
 
-// readItem reads one data item up to the end of the stream and returns its bytes; anything less or more is an error.
+// readItem reads a stream that must consist of exactly one CBOR data item, and returns its bytes.
 func readItem(r io.Reader) ([]byte, error) {
 	bounded := &io.LimitedReader{R: r, N: MaxMessageSize + 1}
 	dec := decoding().NewDecoder(bounded)
@@ -114,10 +114,10 @@
 	return bytes.Clone(item), nil
 }
 
-// refuse returns the answer for a request that failed.
-func refuse(err error) answer {
-	a := answer{Version: Version, OldestReader: oldestReader, Code: codeRefused, Reason: err.Error()}
-	for _, known := range answerErrors {
+// errorResponse returns the response for a failed request.
+func errorResponse(err error) response {
+	a := response{Version: Version, OldestReader: oldestReader, Code: codeRefused, Reason: err.Error()}
+	for _, known := range wireErrors {
 		if errors.Is(err, known.err) {
 			a.Code = known.name
 		}
@@ -126,15 +126,15 @@
 	return a
 }
 
-// result returns the body of an answer or the error that it carries.
-func (a answer) result() ([]byte, error) {
+// result returns the body of a response, or its error.
+func (a response) result() ([]byte, error) {
 	if a.OldestReader > Version {
-		return nil, merry.Prependf(ErrVersion, "answer needs version %d", a.OldestReader)
+		return nil, merry.Prependf(ErrVersion, "response needs version %d", a.OldestReader)
 	}
 	if a.Code == "" {
 		return a.Body, nil
 	}
-	for _, known := range answerErrors {
+	for _, known := range wireErrors {
 		if known.name == a.Code {
 			return nil, merry.Prepend(known.err, a.Reason)
 		}
--- a/peer/codec_test.go
+++ b/peer/codec_test.go
@@ -31,7 +31,7 @@
 	return data
 }
 
-// TestVersionSkew serves requests as other releases would send them.
+// TestVersionSkew guards against requests of other releases that are rejected although they can be read, or the reverse.
 func TestVersionSkew(t *testing.T) {
 	body := cbor.RawMessage(mustEncode(t, text{"x"}))
 	for _, c := range []struct {
@@ -52,7 +52,7 @@
 		{"a body of another shape", request{OldestReader: 1, Kind: "Echo", Body: mustEncode(t, 7)}, ErrMalformed},
 		{"no envelope", 7, ErrMalformed},
 	} {
-		var a answer
+		var a response
 		if err := decode(echoMesh().Serve(t.Context(), mustEncode(t, c.req)), &a); err != nil {
 			t.Fatal(err)
 		}
@@ -61,12 +61,12 @@
 		}
 	}
 
-	if _, err := (answer{Version: 9, OldestReader: 2}).result(); !errors.Is(err, ErrVersion) {
-		t.Errorf("answer of a later release: %v", err)
+	if _, err := (response{Version: 9, OldestReader: 2}).result(); !errors.Is(err, ErrVersion) {
+		t.Errorf("response of a later release: %v", err)
 	}
 }
 
-// TestItemsAreWhole reads items that were cut at every place, and items with more behind them.
+// TestItemsAreWhole guards against truncated messages, and messages with trailing data, that are taken for complete.
 func TestItemsAreWhole(t *testing.T) {
 	whole := mustEncode(t, request{Version: 1, Kind: "Echo", Body: mustEncode(t, text{"a longer text"})})
 	got, err := readItem(iotest.OneByteReader(bytes.NewReader(whole)))
@@ -75,7 +75,7 @@
 	}
 	for n := range whole {
 		if _, err := readItem(bytes.NewReader(whole[:n])); !errors.Is(err, ErrMalformed) {
-			t.Errorf("cut after %d bytes: %v", n, err)
+			t.Errorf("truncated after %d bytes: %v", n, err)
 		}
 	}
 	for _, c := range []struct {
@@ -85,16 +85,16 @@
 	}{
 		{"two items", append(bytes.Clone(whole), whole...), ErrMalformed},
 		{"too large", mustEncode(t, make([]byte, MaxMessageSize+1)), ErrTooLarge},
-		{"doubled field", []byte{0xa2, 0x61, 'A', 1, 0x61, 'A', 2}, nil},
-		{"nested without end", bytes.Repeat([]byte{0x81}, 1000), ErrMalformed},
-		{"length beyond all memory", []byte{0x5b, 0x7f, 255, 255, 255, 255, 255, 255, 255}, ErrMalformed},
+		{"duplicate field", []byte{0xa2, 0x61, 'A', 1, 0x61, 'A', 2}, nil},
+		{"unbounded nesting", bytes.Repeat([]byte{0x81}, 1000), ErrMalformed},
+		{"length that exceeds memory", []byte{0x5b, 0x7f, 255, 255, 255, 255, 255, 255, 255}, ErrMalformed},
 	} {
 		if _, err := readItem(bytes.NewReader(c.data)); !errors.Is(err, c.want) {
 			t.Errorf("%s: %v, want %v", c.name, err, c.want)
 		}
 	}
 	if err := decode([]byte{0xa2, 0x64, 'T', 'e', 'x', 't', 0x61, 'a', 0x64, 'T', 'e', 'x', 't', 0x61, 'b'}, &text{}); !errors.Is(err, ErrMalformed) {
-		t.Errorf("doubled field: %v", err)
+		t.Errorf("duplicate field: %v", err)
 	}
 }
 
@@ -107,11 +107,11 @@
 	f.Fuzz(func(t *testing.T, data []byte) {
 		item, err := readItem(bytes.NewReader(data))
 		if err == nil && !bytes.Equal(item, data) {
-			t.Fatal("the item is not the whole of the data")
+			t.Fatal("the item differs from the data")
 		}
-		var a answer
+		var a response
 		if err := decode(m.Serve(t.Context(), data), &a); err != nil {
-			t.Fatalf("answer is malformed: %v", err)
+			t.Fatalf("response is malformed: %v", err)
 		}
 	})
 }
--- a/peer/counters.go
+++ b/peer/counters.go
@@ -6,7 +6,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 )
 
-// counters counts what passes through a mesh.
+// counters are the metrics of a mesh.
 type counters struct {
 	requests *prometheus.CounterVec
 	drops    *prometheus.CounterVec
--- a/peer/doc.go
+++ b/peer/doc.go
@@ -1,8 +1,8 @@
-// Package peer is the protocol between entry hosts: typed requests with whole
-// answers and a periodic heartbeat, in CBOR over QUIC with mutual TLS.
+// Package peer implements the protocol between entry hosts: typed requests and
+// periodic heartbeats, encoded as CBOR, over QUIC with mutual TLS.
 //
-// Each request has a stream of its own, whose end marks the end of the message,
-// so an answer can neither meet another request nor pass for whole when it was
-// cut. Requests may arrive twice when a caller repeats one, so every handler is
+// Each request uses its own stream, and the end of the stream marks the end of
+// the message. A response therefore can't be matched to another request, and a
+// truncated message is detected. Callers retry requests, so handlers have to be
 // idempotent.
 package peer
--- a/peer/heartbeat.go
+++ b/peer/heartbeat.go
@@ -11,61 +11,61 @@
 
 const (
 	kindHeartbeat Kind = "Heartbeat"
-	// maxBackoff is the longest time between heartbeats to a peer that does not answer, in intervals.
+	// maxBackoff is the maximum time between heartbeats to an unresponsive peer, in heartbeat intervals.
 	maxBackoff = 8
 )
 
-// Status is what a process says of itself in each heartbeat.
+// Status is the status of a process, sent in each heartbeat.
 type Status struct {
-	// Generation is the newest state of the head record that the sender holds.
+	// Generation is the generation of the head record that the sender holds.
 	Generation uint64
-	// Revision is the number of the configuration that the sender holds.
+	// Revision is the configuration version that the sender holds.
 	Revision uint64
-	// Confirmed says that the sender knows a moment at which Generation was in force; Age is the time since.
+	// Confirmed means that the sender knows a time at which Generation was current; Age is the time since then.
 	Confirmed bool
 	Age       time.Duration
-	// Seats are the seats for which the sender states that it has written nothing after Generation.
+	// Seats are the seats for which the sender states that it has not written a later generation.
 	Seats []string `cbor:",omitempty"`
-	// StoreReachable says whether the sender's last call to the store was answered.
+	// StoreReachable reports whether the store responded to the sender's last call.
 	StoreReachable bool
-	// View is a hash of the members that the sender knows.
+	// View is a hash of the members known to the sender.
 	View uint64
 }
 
-// Heard is the answer of a peer to a heartbeat.
+// Heard is a peer's response to a heartbeat.
 type Heard struct {
 	From   Peer
 	Status Status
-	// Asked is the moment before the heartbeat was sent; the answer was made after it.
+	// Asked is a time before the heartbeat was sent, and therefore before the response was created.
 	Asked time.Time
-	// Received is the moment at which the answer arrived.
+	// Received is the time at which the response arrived.
 	Received time.Time
 }
 
-// heartbeat is the message in both directions; answers carry no reports.
+// heartbeat is both the request and the response; responses carry no reports.
 type heartbeat struct {
 	Sequence    uint64
 	Incarnation Incarnation
 	Status      Status
-	// Reports are deflated CBOR, a map of names to reports.
+	// Reports is a CBOR map from names to reports, compressed with DEFLATE.
 	Reports []byte `cbor:",omitempty"`
 }
 
-// SetStatus makes f the source of what heartbeats say.
+// SetStatus sets the function that returns the status sent in heartbeats.
 func (m *Mesh) SetStatus(f func() Status) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.status = f
 }
 
-// OnHeard calls f with each answer to a heartbeat, one at a time per peer.
+// OnHeard registers f, called with each response to a heartbeat; calls for one peer are sequential.
 func (m *Mesh) OnHeard(f func(Heard)) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.onHeard = append(m.onHeard, f)
 }
 
-// Kick sends a heartbeat to every peer now.
+// Kick triggers an immediate heartbeat to every peer.
 func (m *Mesh) Kick() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -77,7 +77,7 @@
 	}
 }
 
-// Heard returns the newest answer of a peer and whether there is one.
+// Heard returns the latest heartbeat response of a peer and whether there is one.
 func (m *Mesh) Heard(name fleet.EntryName) (Heard, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -89,7 +89,7 @@
 	return l.heard, true
 }
 
-// beat sends heartbeats to one peer until ctx ends; a peer that does not answer is asked less often.
+// beat sends heartbeats to one peer until ctx is done, with exponential backoff while the peer doesn't respond.
 func (m *Mesh) beat(ctx context.Context, l *link) {
 	defer m.quic.drop(l.peer)
 	wait := m.interval
@@ -108,12 +108,12 @@
 	}
 }
 
-// jitter returns d less up to a fifth, so that heartbeats of many processes do not fall together.
+// jitter shortens d by a random amount of up to a fifth, so that processes don't send heartbeats at the same time.
 func jitter(d time.Duration) time.Duration {
 	return d - time.Duration(rand.Int64N(int64(d)/5+1))
 }
 
-// sendHeartbeat exchanges heartbeats with a peer and reports whether it answered.
+// sendHeartbeat sends a heartbeat to a peer and reports whether the peer responded.
 func (m *Mesh) sendHeartbeat(ctx context.Context, l *link) bool {
 	asked := time.Now()
 	reply, err := send[heartbeat](ctx, m, l.peer, kindHeartbeat, m.compose(l))
@@ -133,7 +133,7 @@
 	return true
 }
 
-// compose returns the next heartbeat for a peer, with reports when they are due.
+// compose returns the next heartbeat for a peer, with reports if the report interval has passed.
 func (m *Mesh) compose(l *link) heartbeat {
 	m.mu.Lock()
 	l.sequence++
@@ -153,7 +153,7 @@
 	return hb
 }
 
-// answerHeartbeat takes a peer's heartbeat and answers with the own status.
+// answerHeartbeat handles a peer's heartbeat and responds with the own status.
 func (m *Mesh) answerHeartbeat(_ context.Context, from Peer, hb heartbeat) (heartbeat, error) {
 	m.deliver(from, hb)
 	m.mu.Lock()
@@ -163,7 +163,7 @@
 	return heartbeat{Incarnation: m.Self().Incarnation, Status: status()}, nil
 }
 
-// deliver hands out the reports of a heartbeat unless one sent later came first.
+// deliver passes the reports of a heartbeat to their handlers, unless a later heartbeat has arrived already.
 func (m *Mesh) deliver(from Peer, hb heartbeat) {
 	m.mu.Lock()
 	l, ok := m.peers[from.Name]
--- a/peer/heartbeat_test.go
+++ b/peer/heartbeat_test.go
@@ -16,11 +16,12 @@
 	N int
 }
 
-// TestHeartbeatFaults checks under each fault of the path that reports never go back and that an answer is dated before it was made.
+// TestHeartbeatFaults guards against reports that arrive out of order and against responses that are dated later than they were
+// created, under each network fault.
 func TestHeartbeatFaults(t *testing.T) {
 	for _, c := range []struct {
 		name string
-		// toA and toB hold for the first part of the run, then the paths are sound if lifted.
+		// toA and toB apply in the first part of the run; if lifted is set, they are removed afterwards.
 		toA, toB       standin.PathFault
 		lifted         bool
 		heard, reports bool
@@ -70,7 +71,7 @@
 					defer mu.Unlock()
 					heard++
 					if h.Asked.After(made) {
-						t.Errorf("asked at %v after the answer was made at %v", h.Asked, made)
+						t.Errorf("dated %v, after the response was created at %v", h.Asked, made)
 					}
 				})
 				a.SetPeers([]peer.Peer{b.Self()})
@@ -90,13 +91,13 @@
 				defer mu.Unlock()
 
 				if (heard > 0) != c.heard {
-					t.Errorf("heard %d answers, want some: %v", heard, c.heard)
+					t.Errorf("received %d responses, want some: %v", heard, c.heard)
 				}
 				if (len(got) > 0) != c.reports {
 					t.Errorf("reports %v, want some: %v", got, c.reports)
 				}
 				if !slices.IsSorted(got) || len(slices.Compact(slices.Clone(got))) != len(got) {
-					t.Errorf("reports came back or twice: %v", got)
+					t.Errorf("reports out of order or duplicated: %v", got)
 				}
 			})
 		})
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -16,40 +16,40 @@
 )
 
 const (
-	// DefaultHeartbeatInterval is the time between two heartbeats to one peer.
+	// DefaultHeartbeatInterval is the default time between heartbeats to a peer.
 	DefaultHeartbeatInterval = 500 * time.Millisecond
-	// DefaultReportInterval is the time between two sets of reports to one peer.
+	// DefaultReportInterval is the default time between sets of reports to a peer.
 	DefaultReportInterval = time.Second
-	// DefaultTimeout bounds a request whose context has no earlier deadline; a path that stays silent for so long is replaced.
+	// DefaultTimeout is the default timeout of a request. A connection on which nothing arrives during a failed request is replaced.
 	DefaultTimeout = time.Second
-	// maxOutstanding bounds the requests that wait for answers of one peer.
+	// maxOutstanding is the maximum number of outstanding requests to one peer.
 	maxOutstanding = 64
 )
 
 // Sentinel errors of the protocol.
 var (
-	// ErrUnknownPeer says that the mesh has no peer of that name.
+	// ErrUnknownPeer means that the mesh has no peer of that name.
 	ErrUnknownPeer = merry.Sentinel("peer: unknown peer")
-	// ErrUnreachable says that no whole answer came; the request may have been handled.
+	// ErrUnreachable means that no complete response arrived; the request may have been handled.
 	ErrUnreachable = merry.Sentinel("peer: no answer")
-	// ErrBusy says that too many requests wait for the peer, so this one was not sent.
+	// ErrBusy means that too many requests to the peer are outstanding, so this one was not sent.
 	ErrBusy = merry.Sentinel("peer: too many requests outstanding")
-	// ErrUnknownKind says that the peer's release has no handler for the kind of request.
+	// ErrUnknownKind means that the peer's release has no handler for the kind of request.
 	ErrUnknownKind = merry.Sentinel("peer: unknown kind of request")
-	// ErrVersion says that one side speaks a protocol version that the other cannot read.
+	// ErrVersion means that one side can't decode the protocol version of the other.
 	ErrVersion = merry.Sentinel("peer: protocol versions do not meet")
-	// ErrMalformed says that a message is not one whole message of the protocol.
+	// ErrMalformed means that data is not exactly one valid message.
 	ErrMalformed = merry.Sentinel("peer: malformed message")
-	// ErrTooLarge says that a message exceeds MaxMessageSize.
+	// ErrTooLarge means that a message exceeds MaxMessageSize.
 	ErrTooLarge = merry.Sentinel("peer: message too large")
-	// ErrRefused says that the peer's handler returned an error; the text is the handler's.
+	// ErrRefused means that the peer's handler returned an error, whose text is included.
 	ErrRefused = merry.Sentinel("peer: request refused")
 )
 
-// Incarnation identifies one process of an entry host; a restarted process has another.
+// Incarnation identifies one process of an entry host; it changes with a restart.
 type Incarnation = fleet.Incarnation
 
-// Peer names one process of an entry host and where it listens for other entry hosts.
+// Peer identifies one process of an entry host, with the address at which it listens for peers.
 type Peer struct {
 	Name        fleet.EntryName
 	Incarnation Incarnation
@@ -59,17 +59,16 @@
 // Kind names a kind of request, such as "Allotment/Ask".
 type Kind string
 
-// handler answers one encoded request.
+// handler handles one decoded envelope and returns the encoded body of the response.
 type handler func(ctx context.Context, from Peer, body []byte) ([]byte, error)
 
-// Exchange sends one encoded request to a peer and returns its encoded answer.
+// Exchange sends one encoded request to a peer and returns the encoded response.
 type Exchange func(ctx context.Context, to Peer, request []byte) ([]byte, error)
 
 // Mesh connects an entry host with its peers.
 type Mesh struct {
-	self     Peer
-	interval time.Duration
-	// reportInterval is the time between two sets of reports to one peer.
+	self           Peer
+	interval       time.Duration
 	reportInterval time.Duration
 	timeout        time.Duration
 	exchange       Exchange
@@ -92,7 +91,7 @@
 	packedAt      time.Time
 }
 
-// link is what the mesh keeps of one peer.
+// link is the state of one peer.
 type link struct {
 	peer        Peer
 	outstanding chan struct{}
@@ -100,46 +99,46 @@
 	stop        context.CancelFunc
 	sequence    uint64
 	heard       Heard
-	// received is the newest heartbeat taken from the peer.
+	// received is the highest sequence number of a heartbeat received from the peer.
 	received uint64
-	// reported is when the last reports went to the peer.
+	// reported is the time at which reports were last sent to the peer.
 	reported time.Time
 }
 
 // Option configures a Mesh.
 type Option func(*Mesh)
 
-// WithTLS sets the configurations for accepting and for dialling; both sides must present a certificate of a common authority.
+// WithTLS sets the TLS configurations for incoming and outgoing connections; both have to verify the peer's certificate.
 func WithTLS(server, client *tls.Config) Option {
 	return func(m *Mesh) { m.quic.server, m.quic.client = withProtocol(server), withProtocol(client) }
 }
 
-// WithHeartbeatInterval sets the time between two heartbeats to one peer.
+// WithHeartbeatInterval sets the time between heartbeats to a peer.
 func WithHeartbeatInterval(d time.Duration) Option {
 	return func(m *Mesh) { m.interval = d }
 }
 
-// WithReportInterval sets the time between two sets of reports to one peer.
+// WithReportInterval sets the time between sets of reports to a peer.
 func WithReportInterval(d time.Duration) Option {
 	return func(m *Mesh) { m.reportInterval = d }
 }
 
-// WithTimeout bounds requests whose context has no earlier deadline.
+// WithTimeout sets the timeout of requests; an earlier deadline of the context takes precedence.
 func WithTimeout(d time.Duration) Option {
 	return func(m *Mesh) { m.timeout = d }
 }
 
-// WithExchange sends requests through f in place of QUIC.
+// WithExchange replaces the QUIC transport for outgoing requests with f.
 func WithExchange(f Exchange) Option {
 	return func(m *Mesh) { m.exchange = f }
 }
 
-// WithDialSocket opens the local socket of each new outgoing connection with f.
+// WithDialSocket sets the function that opens the local socket of each outgoing connection.
 func WithDialSocket(f func() (net.PacketConn, error)) Option {
 	return func(m *Mesh) { m.quic.socket = f }
 }
 
-// New returns a mesh without peers that does nothing until Run.
+// New returns a mesh without peers; Run starts it.
 func New(self Peer, opts ...Option) *Mesh {
 	m := &Mesh{
 		self: self, interval: DefaultHeartbeatInterval, reportInterval: DefaultReportInterval, timeout: DefaultTimeout, counters: newCounters(), started: time.Now(),
@@ -157,7 +156,7 @@
 	return m
 }
 
-// Self returns the process that the mesh speaks for.
+// Self returns the process that the mesh belongs to.
 func (m *Mesh) Self() Peer {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -165,7 +164,7 @@
 	return m.self
 }
 
-// Listen accepts peers on conn until ctx of Run ends; it takes over conn and fills in the own address if none was given.
+// Listen prepares to accept peers on conn, which it takes ownership of, and sets the own address if New got none.
 func (m *Mesh) Listen(conn net.PacketConn) error {
 	m.mu.Lock()
 	if !m.self.Address.IsValid() {
@@ -176,7 +175,7 @@
 	return m.quic.listen(conn)
 }
 
-// Run sends heartbeats and serves requests until ctx ends.
+// Run sends heartbeats and serves requests until ctx is done.
 func (m *Mesh) Run(ctx context.Context) {
 	m.mu.Lock()
 	m.ctx = ctx
@@ -216,7 +215,7 @@
 	}
 }
 
-// Peers returns the peers in the order of their names.
+// Peers returns the peers, ordered by name.
 func (m *Mesh) Peers() []Peer {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -229,7 +228,7 @@
 	return peers
 }
 
-// add puts a peer in the table; the mesh is locked.
+// add adds a peer; the caller holds the lock.
 func (m *Mesh) add(p Peer) {
 	l := &link{peer: p, outstanding: make(chan struct{}, maxOutstanding), kick: make(chan struct{}, 1), stop: func() {}}
 	m.peers[p.Name] = l
@@ -238,7 +237,7 @@
 	}
 }
 
-// start runs the heartbeats of a peer; the mesh is locked.
+// start starts the heartbeats of a peer; the caller holds the lock.
 func (m *Mesh) start(ctx context.Context, l *link) {
 	ctx, cancel := context.WithCancel(ctx)
 	l.stop = cancel
@@ -249,7 +248,7 @@
 	l.stop()
 }
 
-// link returns what is kept of a peer.
+// link returns the state of a peer.
 func (m *Mesh) link(name fleet.EntryName) (*link, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -37,7 +37,7 @@
 	return ca
 }
 
-// configs returns the configurations of one process for accepting and for dialling, with a new certificate.
+// configs returns the server and client configurations of one process, with a new certificate.
 func configs(ca *cert.Authority) (server, client *tls.Config, err error) {
 	const name = "peer.test"
 	pair, err := ca.Issue(name, time.Hour)
@@ -109,11 +109,11 @@
 	}()
 	fast, err := peer.Call[echo](t.Context(), a.Mesh, "b", "Echo", echo{strings.Repeat("x", 300_000)})
 	if err != nil || len(fast.Text) != 300_000 {
-		t.Fatalf("answer of %d bytes, %v", len(fast.Text), err)
+		t.Fatalf("response of %d bytes, %v", len(fast.Text), err)
 	}
 	close(release)
 	if got := <-slow; got != "first" {
-		t.Errorf("slow answer is %q", got)
+		t.Errorf("slow response is %q", got)
 	}
 }
 
@@ -148,7 +148,7 @@
 	}
 }
 
-// TestServerRefusesClientWithoutCertificate shows that both sides must prove themselves.
+// TestServerRefusesClientWithoutCertificate guards against clients that are served without authentication.
 func TestServerRefusesClientWithoutCertificate(t *testing.T) {
 	ca := authority(t)
 	b := start(t, ca, "b")
@@ -163,7 +163,7 @@
 	}
 }
 
-// TestSilentPathIsReplaced loses every packet of the connections that are open while new ones work.
+// TestSilentPathIsReplaced guards against the reuse of a connection all of whose packets are lost, while new connections work.
 func TestSilentPathIsReplaced(t *testing.T) {
 	ca := authority(t)
 	b := start(t, ca, "b")
@@ -186,7 +186,7 @@
 	}
 }
 
-// TestPacketFaults sends requests over a path that loses, doubles, delays and reorders packets.
+// TestPacketFaults guards against wrong or missing responses on a path that loses, duplicates, delays and reorders packets.
 func TestPacketFaults(t *testing.T) {
 	ca := authority(t)
 	b := start(t, ca, "b")
@@ -195,7 +195,7 @@
 		fault packetFault
 	}{
 		{"a tenth lost", packetFault{lose: 10}},
-		{"a third doubled", packetFault{double: 3}},
+		{"a third duplicated", packetFault{double: 3}},
 		{"a third late and out of order", packetFault{hold: 3}},
 		{"all at once", packetFault{lose: 15, double: 4, hold: 4}},
 	} {
@@ -209,7 +209,7 @@
 				text := strings.Repeat(string(rune('a'+i)), 5000)
 				got, err := peer.CallAt[echo](t.Context(), a.Mesh, to, "Echo", echo{text})
 				if err != nil || got.Text != text {
-					t.Fatalf("request %d: answer of %d bytes, %v", i, len(got.Text), err)
+					t.Fatalf("request %d: response of %d bytes, %v", i, len(got.Text), err)
 				}
 			}
 		})
@@ -243,11 +243,11 @@
 		t.Errorf("report %+v", got)
 	}
 	if len(tooBig) > 0 {
-		t.Error("a report above the bound was sent")
+		t.Error("a report larger than MaxReportSize was sent")
 	}
 }
 
-// TestReplacedPeerIsReachedAtItsNewAddress replaces a peer by another process of the same name.
+// TestReplacedPeerIsReachedAtItsNewAddress guards against calls to the old address after a process is replaced by one of the same name.
 func TestReplacedPeerIsReachedAtItsNewAddress(t *testing.T) {
 	ca := authority(t)
 	a, first := start(t, ca, "a", peer.WithTimeout(300*time.Millisecond)), start(t, ca, "b")
@@ -290,7 +290,7 @@
 		<-entered
 	}
 	if _, err := peer.Call[echo](t.Context(), a.Mesh, "b", "Hold", echo{}); !errors.Is(err, peer.ErrBusy) {
-		t.Errorf("request beyond the bound: %v", err)
+		t.Errorf("request above the limit: %v", err)
 	}
 	close(release)
 	for range bound {
--- a/peer/quic.go
+++ b/peer/quic.go
@@ -15,31 +15,32 @@
 )
 
 const (
-	// Protocol is the name under which the protocol is negotiated in TLS.
+	// Protocol is the name of the protocol in ALPN.
 	Protocol = "lycheehook-peer"
-	// maxIdle ends a connection on which nothing came for so long.
+	// maxIdle is the idle timeout of a connection.
 	maxIdle          = 10 * time.Second
 	handshakeTimeout = time.Second
-	// maxStreams bounds the requests that one peer may have open here.
+	// maxStreams is the maximum number of concurrent requests on one incoming connection.
 	maxStreams = 256
-	// serveTimeout bounds the handling of one request.
+	// serveTimeout is the timeout for each of reading, handling and answering a request.
 	serveTimeout = 10 * time.Second
 
 	codeReplaced quic.ApplicationErrorCode = 1
 	codeCut      quic.StreamErrorCode      = 1
 )
 
-// connection is an outgoing connection with a socket of its own, so that a new one takes a new path through the network.
+// connection is an outgoing connection with its own socket. A new connection gets a new source port and therefore a new flow in
+// middleboxes and multipath routing.
 type connection struct {
 	conn   *quic.Conn
 	socket net.PacketConn
 	tr     *quic.Transport
-	// heard is when the last answer came, in nanoseconds of the process's clock.
+	// heard is the time of the last response, in nanoseconds since the transport's epoch.
 	heard atomic.Int64
 	once  sync.Once
 }
 
-// dialling is a connection that is being set up; several requests may wait for it.
+// dialling is a connection that is established or in progress; several requests may wait for it.
 type dialling struct {
 	done chan struct{}
 	conn *connection
@@ -68,7 +69,7 @@
 	}
 }
 
-// withProtocol returns c for this protocol and its versions only.
+// withProtocol returns a copy of c that negotiates only this protocol, with TLS 1.3 or later.
 func withProtocol(c *tls.Config) *tls.Config {
 	c = c.Clone()
 	c.NextProtos = []string{Protocol}
@@ -87,7 +88,7 @@
 	}
 }
 
-// exchange sends one request on a stream of its own and reads the answer to its end.
+// exchange sends a request on a new stream and reads the response to the end of the stream.
 func (t *transport) exchange(ctx context.Context, to Peer, request []byte) ([]byte, error) {
 	c, err := t.connect(ctx, to)
 	if err != nil {
@@ -101,7 +102,7 @@
 		return data, nil
 	}
 	if time.Duration(c.heard.Load()) < asked || c.conn.Context().Err() != nil {
-		// Nothing came since the request left: the path may be silent for good, so the next request takes a new one.
+		// No response has arrived on this connection since the request was sent, so its path may be dead.
 		t.dropConnection(to, c)
 	}
 
@@ -130,7 +131,7 @@
 	return readItem(s)
 }
 
-// connect returns the connection to a peer and dials if there is none.
+// connect returns the connection to a peer, and dials it if there is none.
 func (t *transport) connect(ctx context.Context, to Peer) (*connection, error) {
 	t.mu.Lock()
 	if t.closed {
@@ -200,7 +201,7 @@
 	})
 }
 
-// dropConnection forgets c, unless another has taken its place.
+// dropConnection closes c and removes it unless it has been replaced already.
 func (t *transport) dropConnection(to Peer, c *connection) {
 	t.mu.Lock()
 	if d, ok := t.open[to]; ok && d.conn == c {
@@ -210,7 +211,7 @@
 	c.close()
 }
 
-// drop ends the connection to a peer.
+// drop closes the connection to a peer.
 func (t *transport) drop(to Peer) {
 	t.mu.Lock()
 	d, ok := t.open[to]
@@ -229,7 +230,7 @@
 	}
 }
 
-// listen takes over conn for incoming connections.
+// listen prepares to accept connections on conn and takes ownership of it.
 func (t *transport) listen(conn net.PacketConn) error {
 	if t.server == nil {
 		return errors.New("peer: no TLS configuration")
@@ -247,7 +248,7 @@
 	return nil
 }
 
-// accept serves incoming connections until ctx ends.
+// accept serves incoming connections in the background until ctx is done.
 func (t *transport) accept(ctx context.Context, serve func(context.Context, []byte) []byte) {
 	t.mu.Lock()
 	ln := t.ln
@@ -279,7 +280,7 @@
 	}
 }
 
-// serveStream answers one request; a request that is not whole is reset, never answered.
+// serveStream serves one request; the stream of an incomplete request is reset without a response.
 func serveStream(ctx context.Context, s *quic.Stream, serve func(context.Context, []byte) []byte) {
 	ctx, cancel := context.WithTimeout(ctx, serveTimeout)
 	defer cancel()
@@ -300,7 +301,7 @@
 	_ = s.Close()
 }
 
-// close ends every connection and the listener.
+// close closes all connections and the listener.
 func (t *transport) close() {
 	t.mu.Lock()
 	t.closed = true
--- a/peer/quic_test.go
+++ b/peer/quic_test.go
@@ -8,8 +8,8 @@
 	"testing"
 )
 
-// A request gives up an old connection to a peer (an entry host that was replaced amid edits) while another request dials a
-// new one: the race detector sees whether they agree on who holds it.
+// TestDropWhileDialling guards against a data race between a request that drops the connection to a replaced peer and another
+// request that dials a new one. The race detector finds it.
 func TestDropWhileDialling(t *testing.T) {
 	errNoSocket := errors.New("no socket")
 	for range 200 {
--- a/peer/relay_test.go
+++ b/peer/relay_test.go
@@ -8,12 +8,12 @@
 	"testing"
 )
 
-// packetFault says how many packets in each number meet a fault; zero means none.
+// packetFault selects the rate of each fault: one in so many packets; zero means none.
 type packetFault struct {
 	lose, double, hold int
 }
 
-// relay forwards packets between clients and one server, and can lose track of open flows as a middlebox does.
+// relay forwards packets between clients and one server, and can stop forwarding open flows, like a middlebox that lost its state.
 type relay struct {
 	server netip.AddrPort
 	front  *net.UDPConn
@@ -110,7 +110,7 @@
 	}
 }
 
-// pass sends a packet on under the faults in force; the relay is locked.
+// pass forwards a packet subject to the current faults; the caller holds the lock.
 func (r *relay) pass(f *flow, p []byte, write func([]byte)) {
 	hit := func(n int) bool { return n > 0 && r.random.IntN(n) == 0 }
 	r.bytes += int64(len(p))
@@ -118,7 +118,7 @@
 		return
 	}
 	if hit(r.fault.hold) {
-		// A held packet leaves after later ones, so the order on the wire is not the order of sending.
+		// A held packet is sent after later ones, which reorders packets.
 		p, f.held = f.held, append([]byte(nil), p...)
 		if p == nil {
 			return
--- a/peer/report.go
+++ b/peer/report.go
@@ -13,22 +13,22 @@
 )
 
 const (
-	// MaxReportSize bounds one report, in bytes before deflation.
+	// MaxReportSize is the maximum size of one report, in bytes before compression.
 	MaxReportSize = 64 << 10
-	// maxReportsSize bounds all reports of one heartbeat, in bytes before deflation.
+	// maxReportsSize is the maximum size of all reports of a heartbeat, in bytes before compression.
 	maxReportsSize = 128 << 10
-	// maxPackedSize bounds them after deflation, in bytes.
+	// maxPackedSize is the maximum size of all reports of a heartbeat, in bytes after compression.
 	maxPackedSize = 32 << 10
 )
 
-// Report adds a named report to a heartbeat in each report interval; one larger than MaxReportSize is left out and counted.
+// Report adds a named report to one heartbeat per report interval. Reports larger than MaxReportSize are dropped and counted.
 func Report[T any](m *Mesh, name string, produce func() T) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.reports[name] = func() ([]byte, error) { return encode(produce()) }
 }
 
-// OnReport calls f with each newer report of that name from a peer.
+// OnReport registers f for reports of that name from peers; outdated reports are skipped.
 func OnReport[T any](m *Mesh, name string, f func(from Peer, report T)) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -42,7 +42,7 @@
 	}
 }
 
-// packed returns all reports for a heartbeat; within half a report interval every peer gets the same ones.
+// packed returns the compressed reports for a heartbeat, cached for half a report interval and shared by all peers.
 func (m *Mesh) packed(now time.Time) []byte {
 	m.packMu.Lock()
 	defer m.packMu.Unlock()
@@ -100,7 +100,7 @@
 	return out.Bytes(), nil
 }
 
-// unpack inflates reports up to the bound that senders keep.
+// unpack decompresses and decodes reports, with a limit on their uncompressed size.
 func unpack(packed []byte) (map[string]cbor.RawMessage, error) {
 	const bound = 2 * maxReportsSize
 	data, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), bound+1))
