--- a/dispatch/term_test.go
+++ b/dispatch/term_test.go
@@ -165,6 +165,30 @@
 	}
 }
 
+// Guards against a host that gave up its term and takes the next one while the others still wait for a third host.
+func TestHostThatGaveUpATermRests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := standin.NewStore()
+		ctx, cancel := context.WithCancel(t.Context())
+		serve := func(ctx context.Context, d *Dispatcher, tm *owner.Term) { d.Serve(ctx, tm) }
+		runCandidate(ctx, withoutLedger(s.Client()), ledger.Host{Name: "f", PeerAddress: "f", Cores: 0.8}, serve)
+		time.Sleep(time.Second)
+		go owner.NewSeat(s.Client(), ledger.Host{Name: "m", PeerAddress: "m", Cores: 0.4}, log.New(io.Discard)).Run(ctx)
+		var served atomic.Int64
+		runCandidate(ctx, s.Client(), ledger.Host{Name: "a", PeerAddress: "a", Cores: 0.192}, func(ctx context.Context, d *Dispatcher, tm *owner.Term) {
+			served.Add(1)
+			d.Serve(ctx, tm)
+		})
+		time.Sleep(maxReadTime + 6*time.Second)
+		if served.Load() == 0 {
+			t.Error("the host that can read the ledger has not owned the workers")
+		}
+		cancel()
+		synctest.Wait()
+		time.Sleep(15 * time.Second)
+	})
+}
+
 // withoutLedger returns a client that can read all but the whole ledger.
 func withoutLedger(c *store.Client) *store.Client {
 	blind := *c
--- a/ledger/refresh_test.go
+++ b/ledger/refresh_test.go
@@ -15,8 +15,8 @@
 	"lycheehook.example/lycheehook/store"
 )
 
-// Guards against a follower that learns of changes of the owner and of the entry hosts only when a full read has ended, and
-// against one that reads the entry hosts without a pause meanwhile.
+// Guards against a follower that learns of changes of the owner and of the entry hosts only when a full read has ended, or
+// forgets them then, and against one that reads the entry hosts without a pause meanwhile.
 func TestHostsDuringFullRead(t *testing.T) {
 	tests := []struct {
 		name  string
@@ -45,6 +45,11 @@
 
 					return l, err
 				}
+				slow.Watch = func(ctx context.Context, prefix string, after uint64, wait time.Duration) (store.Events, error) {
+					time.Sleep(300 * time.Millisecond)
+
+					return c.Watch(ctx, prefix, after, wait)
+				}
 				f := ledger.NewFollower(&slow, log.New(io.Discard))
 				ctx, cancel := context.WithCancel(t.Context())
 				done := make(chan struct{})
