schedule: show a suspected task that never runs behind jobs in time

What callers would see: a job that was accepted and never ends, although its pool is nearly empty, and jobs behind which it waits start up to two seconds late again and again. It takes a pool in which one worker has room, such as one with a single host, a task under which two workers crashed, and other jobs that keep arriving and can still be in time; the suspected one is late by then.

Cause: a worker is kept free until an isolated run can start there. A job that comes before the suspected one finds no worker meanwhile, which is noted as a need that no worker has room for. Of the suspected task, which needs as much, it is asked first whether such a need is known, so the worker that is kept free for it is not tried, and its time is not extended. When that time ends, the other jobs start there first, and all begins anew.

--- /dev/null
+++ b/schedule/isolation_rank_test.go
@@ -0,0 +1,43 @@
+package schedule
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"lycheehook.example/lycheehook/fleet"
+	"lycheehook.example/lycheehook/ledger"
+	"lycheehook.example/lycheehook/work"
+)
+
+// A task under which two workers had crashed was never started again on a pool's only worker, which was nearly empty, while jobs
+// that can still be in time went on arriving, and these waited too.
+func TestSuspectedTaskBehindJobsInTime(t *testing.T) {
+	b := newTestbed(t, 1)
+	e := ledger.NewEntry(work.Job{ID: "suspect", Queue: "q", Pool: testPool, Submitted: b.now, Steps: []work.Step{{Count: 1, Size: size(1000)}}}, 1)
+	for n, id := range []work.WorkerID{"a", "b"} {
+		a := work.Attempt{Task: work.Task{Job: "suspect"}, Number: n + 1}
+		e.Apply(ledger.Change{Kind: ledger.Assigned, Attempt: a, Worker: id, Life: 1})
+		e.Apply(ledger.Change{Kind: ledger.TaskCrashed, Attempt: a, Worker: id, Life: 1})
+		e.Apply(ledger.Change{Kind: ledger.Ended, Attempt: a, Worker: id, Life: 1, Outcome: work.OutcomeLapsed})
+	}
+	b.entries["suspect"] = e
+	b.now = b.now.Add(10 * time.Second)
+	b.takeOver(2)
+	const steps, every = 200, 4
+	most := 0
+	for i := range steps {
+		if b.runningOf("suspect") > 0 {
+			return
+		}
+		if i%every == 0 {
+			b.submit(fleet.JobID(fmt.Sprintf("sound%03d", i)), work.Step{Count: 1, Size: size(1000), Estimate: time.Second})
+		}
+		if i%every == every-1 {
+			b.endAll(work.OutcomeDone)
+		}
+		most = max(most, b.running())
+		b.step()
+	}
+	t.Errorf("the task does not run after 20 s, in which at most %d of 16 cores were in use", most)
+}
