schedule: keep tasks isolated when the owner changes

That two workers crashed under a task is in the ledger; that its present run was isolated was known to the owner only. The next owner started other tasks beside it at once, one of these crashed the worker, and the sound lasting task, of which three crashes were known now, was held to be the cause.

Change: a new owner isolates the runs that it inherits of tasks under which two workers crashed, until they have outlived the trial. Several may be on one worker, whose isolation ended one after the other; then no single one is the cause, and a job is given up after four crashes instead of three. The tasks isolate alone when they start again, which clears the innocent ones.

Tests: TestIsolationOutlivesTheOwner fails before: "state of the lasting job: want InProgress, got Failed". TestSeveralIsolatedOfPreviousOwner fails without the limit of four: "state of the sound job: want InProgress, got Failed".

--- a/schedule/crash.go
+++ b/schedule/crash.go
@@ -17,8 +17,10 @@
 	// the last one ran nothing else, so that only the task can be the cause.
 	failAfterCrashes      = 3
 	failAfterCrashesAlone = 2
-	// failAfterGangCrashes is the limit for members of gangs, which are not isolated.
-	failAfterGangCrashes = 4
+	// failAfterGangCrashes is the limit for members of gangs, which are not isolated, failAfterSharedCrashes that for one of
+	// several tasks that may be the cause, of which the next isolation tells the innocent ones.
+	failAfterGangCrashes   = 4
+	failAfterSharedCrashes = 4
 	// failAfterLateCrashes is the limit for tasks that crash their workers late, when others may be the cause.
 	failAfterLateCrashes = 5
 	// rackFailureSpan is the time within which all hosts of a rack go down if the rack has failed, and minRackHosts the
@@ -112,7 +114,7 @@
 	if cause != "" {
 		return
 	}
-	rackFailed := w.isolated == nil && s.rackFailed(w)
+	rackFailed := len(w.isolated) == 0 && s.rackFailed(w)
 	end := now
 	if w.missedPolls > 0 {
 		end = w.silentSince
@@ -127,7 +129,7 @@
 	if rackFailed {
 		return
 	}
-	if r := s.culprit(runs, len(w.runs) == 1); r != nil {
+	if r := s.culprit(runs, len(w.runs)); r != nil {
 		s.giveUp(r)
 	}
 }
@@ -155,19 +157,22 @@
 	return age <= maxFirstIsolation
 }
 
-// suspectRuns returns the runs that may have ended their worker, of jobs that are not over: the isolated run if there is one,
-// or else all that may have been active, those first that started last.
+// suspectRuns returns the runs that may have ended their worker, of jobs that are not over: the isolated runs if there are
+// any, or else all that may have been active, those first that started last.
 func (w *worker) suspectRuns() []*run {
-	var runs []*run
+	var runs, isolated []*run
 	for _, r := range w.runs {
 		if r.phase == assigned || r.entry == nil || r.entry.Over() || r.entry.Task(r.attempt.Task).Done {
 			continue
 		}
-		if r == w.isolated {
-			return []*run{r}
+		if slices.Contains(w.isolated, r) {
+			isolated = append(isolated, r)
 		}
 		runs = append(runs, r)
 	}
+	if len(isolated) > 0 {
+		runs = isolated
+	}
 	slices.SortFunc(runs, func(a, b *run) int {
 		return cmp.Or(b.startedAt.Compare(a.startedAt), compareTasks(a.attempt.Task, b.attempt.Task))
 	})
@@ -215,12 +220,13 @@
 	return h.Rack != "" && failed >= minRackHosts
 }
 
-// culprit returns the run that caused the crash of the worker of all the runs, or nil if that is not known.
-func (s *Scheduler) culprit(runs []*run, alone bool) *run {
+// culprit returns the one of the suspected runs that caused the crash of their worker, which had all runs, or nil if that is
+// not known.
+func (s *Scheduler) culprit(suspected []*run, all int) *run {
 	var worst *run
 	most := 0
-	for _, r := range runs {
-		if n := s.jobs[r.attempt.Job].crashes(r.attempt.Task); n > most && n >= r.crashLimit(alone) {
+	for _, r := range suspected {
+		if n := s.jobs[r.attempt.Job].crashes(r.attempt.Task); n > most && n >= r.crashLimit(len(suspected), all) {
 			worst, most = r, n
 		}
 	}
@@ -228,14 +234,17 @@
 	return worst
 }
 
-// crashLimit returns how many workers may crash under the run's task before its job fails.
-func (r *run) crashLimit(alone bool) int {
+// crashLimit returns how many workers may crash under the run's task before its job fails, if it is one of the suspected runs
+// among all on its worker.
+func (r *run) crashLimit(suspected, all int) int {
 	switch {
 	case r.outlived:
 		return failAfterLateCrashes
 	case r.step.Gang:
 		return failAfterGangCrashes
-	case alone && !r.step.Lasting:
+	case suspected > 1:
+		return failAfterSharedCrashes
+	case all == 1 && !r.step.Lasting:
 		return failAfterCrashesAlone
 	default:
 		return failAfterCrashes
--- a/schedule/isolation.go
+++ b/schedule/isolation.go
@@ -45,7 +45,7 @@
 	for _, w := range s.workers {
 		if w.reg.Pool == pool && w.present {
 			workers++
-			if w.isolated != nil {
+			if len(w.isolated) > 0 {
 				isolated++
 			}
 		}
@@ -84,8 +84,8 @@
 	p := j.suspicions[t]
 	if age >= p.isolation() {
 		r.outlived, p.withRack = true, 0
-		if w.isolated == r {
-			w.isolated, j.cleared, s.dirty = nil, now, true
+		if w.endIsolation(r) {
+			j.cleared, s.dirty = now, true
 		}
 		p.isolate = j.crashes(t) >= failAfterCrashesAlone
 	}
@@ -157,7 +157,7 @@
 	return slices.ContainsFunc(st.Live, func(l ledger.LiveAttempt) bool {
 		w, ok := s.workers[l.Worker]
 
-		return ok && w.isolated != nil && w.isolated.attempt.Task == t
+		return ok && slices.ContainsFunc(w.isolated, func(r *run) bool { return r.attempt.Task == t })
 	})
 }
 
@@ -184,7 +184,15 @@
 
 // mayStart reports whether a task may start on the worker, given the isolated runs there.
 func (w *worker) mayStart(isolate bool, now time.Time) bool {
-	return w.isolated == nil && (isolate || !now.Before(w.isolationDue))
+	return len(w.isolated) == 0 && (isolate || !now.Before(w.isolationDue))
+}
+
+// endIsolation lets other tasks start beside a run, and reports whether it was isolated.
+func (w *worker) endIsolation(r *run) bool {
+	before := len(w.isolated)
+	w.isolated = slices.DeleteFunc(w.isolated, func(o *run) bool { return o == r })
+
+	return len(w.isolated) < before
 }
 
 // provenAge returns how long the run had lasted when its worker last answered.
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -289,7 +289,7 @@
 	run := &run{pace: fullPace, ticket: ticket, attempt: a, worker: w, life: w.life}
 	s.reserve(e, run)
 	if r.job.mustIsolate(a.Task) {
-		w.isolated = run
+		w.isolated = append(w.isolated, run)
 	}
 	if r.tasksOnWorker != nil {
 		r.tasksOnWorker[w.id]++
--- a/schedule/poll.go
+++ b/schedule/poll.go
@@ -60,7 +60,7 @@
 		return 0, true
 	case w.warmingUp():
 		return warmUpPollWait, true
-	case w.isolated != nil || now.Before(w.isolationDue):
+	case len(w.isolated) > 0 || now.Before(w.isolationDue):
 		return isolationPollWait, true
 	case len(w.runs) > 0:
 		return w.pollWait(), true
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -139,6 +139,8 @@
 		s.reserve(e, r)
 		if l.Life < w.life || e.Over() || e.Task(a.Task).Done {
 			r.requestStop()
+		} else if s.jobs[a.Job].mustIsolate(a.Task) {
+			w.isolated = append(w.isolated, r)
 		}
 	}
 }
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -124,9 +124,9 @@
 	delisted bool
 	// knownSince is when this owner learned of the incarnation; zero if a previous owner knew it.
 	knownSince time.Time
-	// isolated is a suspected task's run, beside which no other task is started. Until isolationDue none is started
-	// either, so that such a run can.
-	isolated     *run
+	// isolated has the runs of suspected tasks beside which no other task is started; only a previous owner's may be several.
+	// Until isolationDue none is started either, so that such a run can.
+	isolated     []*run
 	isolationDue time.Time
 	nextPollAt   time.Time
 	// seenEnd is the number of the last end that was handled, storedEnd the last one whose change is stored, and
@@ -207,9 +207,7 @@
 	if r.stopRequested {
 		w.stoppingRuns--
 	}
-	if w.isolated == r {
-		w.isolated = nil
-	}
+	w.endIsolation(r)
 	s.dirty = true
 	e := r.entry
 	if e == nil {
