ledger: list the jobs of a full read under the book's lock

What callers would see: an entry host whose process ends by itself with "fatal error: concurrent map iteration and map write".

Cause: of the class of access to shared state that skips its lock. After a full read the follower went through the jobs of the new book, which is in use by then, while jobs that this process accepts were added to it.

Change: the jobs and their revisions are copied under the lock, and told after it is released.

Test: TestJobAcceptedDuringFullRead, which fails before under the race detector with WARNING: DATA RACE, and passes now.

--- a/ledger/book.go
+++ b/ledger/book.go
@@ -315,6 +315,24 @@
 	return e.Job, e.Revision, true
 }
 
+// jobRecord is a job with the store revision of its record.
+type jobRecord struct {
+	job      work.Job
+	revision uint64
+}
+
+// jobRecords returns all jobs.
+func (b *Book) jobRecords() []jobRecord {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	list := make([]jobRecord, 0, len(b.entries))
+	for _, e := range b.entries {
+		list = append(list, jobRecord{e.Job, e.Revision})
+	}
+
+	return list
+}
+
 // Pending returns the number of jobs in a queue that have not started.
 func (b *Book) Pending(q fleet.QueueName) int {
 	b.mu.Lock()
--- a/ledger/follower.go
+++ b/ledger/follower.go
@@ -219,8 +219,8 @@
 		f.log.Error("malformed ledger record skipped", "error", fault)
 	}
 	f.current.Store(b)
-	for _, e := range b.Entries() {
-		f.notifyJob(e.Job, e.Revision)
+	for _, j := range b.jobRecords() {
+		f.notifyJob(j.job, j.revision)
 	}
 	f.signal()
 
