schedule: try a suspected task on workers that are kept free for it

What callers would see: a job that never ends although its pool is nearly empty, and other jobs that start up to two seconds late again and again.

Cause: of the class of a claim that its holder can't use. A worker is kept free for an isolated run; other jobs that find no room meanwhile note that no worker has room for such a need, and the task for which it is kept was asked about that note first.

Change: the note does not count for a task that runs isolated.

Test: TestSuspectedTaskBehindJobsInTime fails before: the task does not run after 20 s, in which at most 5 of 16 cores were in use

--- a/schedule/place.go
+++ b/schedule/place.go
@@ -328,14 +328,16 @@
 		return nil
 	}
 	need := step.Reserved()
-	if !step.Lasting && p.cannotFit(need) {
+	task := work.Task{Job: r.job.entry.Job.ID, Occurrence: r.step.Occurrence, Step: r.step.Step, Index: index}
+	isolate := r.job.mustIsolate(task)
+	// Workers that are kept free for an isolated run count as full for all others.
+	if !step.Lasting && !isolate && p.cannotFit(need) {
 		return nil
 	}
 	if r.tasksOnWorker == nil && (step.Lasting || step.MaxPerWorker > 0) {
 		r.tasksOnWorker = countTasksOnWorkers(r)
 	}
-	task := work.Task{Job: r.job.entry.Job.ID, Occurrence: r.step.Occurrence, Step: r.step.Step, Index: index}
-	if r.job.mustIsolate(task) {
+	if isolate {
 		return s.isolationWorker(r, task, p, now)
 	}
 	best, retry := s.bestWorkers(r, task, p, now)
