schedule: end an isolation whose task is suspected no more

What callers would see: a worker that starts no more tasks for as long as one lasting task runs there, and jobs that wait although nearly all of its room is free.

A worker that is cut off beyond its leases counts as crashed, and its tasks are isolated elsewhere. When it answers again the crash is withdrawn, and the suspicion with it; isolations were ended only for tasks that are still suspected.

Change: the isolations are gone through by worker, and end where the task of an open job is suspected no more.

Test: TestIsolationEndsWhenItsCrashIsWithdrawn fails before: running beside the lasting task: want 5, got 4

--- a/schedule/isolation.go
+++ b/schedule/isolation.go
@@ -54,8 +54,12 @@
 	return workers/isolationShare - isolated
 }
 
-// settleSuspicions ends the isolation of runs that have lasted long enough, and clears tasks that have outlived their trial.
+// settleSuspicions ends the isolation of runs that have lasted long enough or whose tasks are suspected no more, and clears
+// tasks that have outlived their trial.
 func (s *Scheduler) settleSuspicions(now time.Time) {
+	for _, w := range s.workers {
+		w.isolated = slices.DeleteFunc(w.isolated, func(r *run) bool { return s.cleared(r.attempt.Task) })
+	}
 	for _, j := range s.jobs {
 		for t := range j.suspicions {
 			for _, l := range j.entry.Task(t).Live {
@@ -68,6 +72,13 @@
 	}
 }
 
+// cleared reports whether a task of an open job is not suspected, or no more.
+func (s *Scheduler) cleared(t work.Task) bool {
+	j, open := s.jobs[t.Job]
+
+	return open && j.suspicions[t] == nil
+}
+
 // runOf returns the run of an attempt on a worker, or nil.
 func (s *Scheduler) runOf(a work.Attempt, id work.WorkerID) *run {
 	w, ok := s.workers[id]
