schedule: reserve room for a lasting task only where it has a ticket

What callers would see: jobs that are accepted and don't start on workers that are empty, for as long as the advice service gives no answer about a lasting job of another queue in the same pool.

Room was reserved for a lasting task on each worker that the advice had not refused, also where no answer was known, or where a ticket had run out long ago.

Change: room is reserved only where the step has a ticket, or had one until a second ago, which the next question renews. Before the first answer nothing is reserved, so that a lasting task in a full pool may start that much later.

--- a/schedule/advice.go
+++ b/schedule/advice.go
@@ -14,6 +14,8 @@
 	// ticketMargin is how long before its expiry a ticket is no longer used, for the time that the start takes to
 	// arrive.
 	ticketMargin = 200 * time.Millisecond
+	// ticketRenewalTime is how long after its expiry a ticket is expected to be renewed.
+	ticketRenewalTime = time.Second
 	// adviceRetryPause is the pause before an unanswered question is repeated.
 	adviceRetryPause = 200 * time.Millisecond
 )
@@ -151,14 +153,12 @@
 	s.dirty = true
 }
 
-// refusedFor reports whether the advice on a step has refused a worker.
-func (s *Scheduler) refusedFor(r *readyStep, w *worker) bool {
-	if r.queue.Advice == nil {
-		return false
-	}
-	a, ok := s.advice[work.Task{Job: r.job.entry.Job.ID, Occurrence: r.step.Occurrence, Step: r.step.Step}.StepName()]
+// mayHaveTicket reports whether a worker has a ticket for a step, or had one that can still be renewed by the question that is
+// due; queues without advice need none.
+func (s *Scheduler) mayHaveTicket(r *readyStep, w *worker, now time.Time) bool {
+	_, ok := s.ticketFor(r, w, now.Add(-ticketRenewalTime))
 
-	return ok && a.refused(w)
+	return ok
 }
 
 // ticketFor returns the ticket with which a worker may run a step now; queues without advice need none.
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -166,7 +166,7 @@
 		w := s.chooseWorker(r, n, p, now)
 		if w == nil {
 			if step.Lasting && s.withinLimit(e.Job.Workspace, step.Size) {
-				s.reserveForLasting(r, step, p.workers)
+				s.reserveForLasting(r, step, p.workers, now)
 				s.markUnplaced(r, 1)
 
 				continue
@@ -408,11 +408,11 @@
 
 // reserveForLasting reserves the room that becomes free on one worker for a lasting task that found none. Only room that other
 // lasting tasks don't hold becomes free by itself.
-func (s *Scheduler) reserveForLasting(r *readyStep, step *work.Step, workers []*worker) {
+func (s *Scheduler) reserveForLasting(r *readyStep, step *work.Step, workers []*worker, now time.Time) {
 	need := step.Reserved()
 	var best *worker
 	for _, w := range workers {
-		if !need.FitsIn(w.reg.Capacity.Minus(w.lastingReserve).Minus(w.heldByLasting())) || !r.allows(step, w) || s.refusedFor(r, w) {
+		if !need.FitsIn(w.reg.Capacity.Minus(w.lastingReserve).Minus(w.heldByLasting())) || !r.allows(step, w) || !s.mayHaveTicket(r, w, now) {
 			continue
 		}
 		if best == nil || w.used.Plus(w.lastingReserve).DominantShare(w.reg.Capacity) < best.used.Plus(best.lastingReserve).DominantShare(best.reg.Capacity) {
