schedule: start no job again whose record was removed

What callers would see: a job that was completed runs a second time, once the time has passed for which its state is kept.

Cause: of the class of evidence older than what is known. A full read of the ledger takes a while, and the follower tells the owner of each job in it. If the owner removes a job's record after the read has listed it, the job is told of once more and is new to the scheduler, which has forgotten it.

Change: the scheduler keeps the revision of each removed record for another retention time, and passes over records that are not newer. The same ID submitted anew has a newer one.

--- a/dispatch/compact.go
+++ b/dispatch/compact.go
@@ -122,7 +122,7 @@
 		}
 		if len(ids) > 0 && t.ownership.Valid() && t.removeKeys(ctx, keys) == len(keys) {
 			t.mu.Lock()
-			t.sched.Forget(ids)
+			t.sched.Forget(ids, time.Now())
 			t.mu.Unlock()
 			t.log.Info("expired jobs removed", "count", len(ids))
 		}
--- a/schedule/compact.go
+++ b/schedule/compact.go
@@ -45,8 +45,10 @@
 	return changes
 }
 
-// Expired returns the jobs that have been over for at least keep and have no live attempts.
+// Expired returns the jobs that have been over for at least keep and have no live attempts. It drops what is kept of jobs
+// that were removed as long ago.
 func (s *Scheduler) Expired(keep time.Duration, now time.Time) []fleet.JobID {
+	maps.DeleteFunc(s.removed, func(_ fleet.JobID, r removedJob) bool { return now.Sub(r.at) >= keep })
 	var ids []fleet.JobID
 	for id, e := range s.entries {
 		if !e.Over() {
@@ -74,9 +76,18 @@
 	return false
 }
 
-// Forget removes jobs whose records were deleted from the store.
-func (s *Scheduler) Forget(ids []fleet.JobID) {
+// removedJob is a job whose record was removed from the store.
+type removedJob struct {
+	revision uint64
+	at       time.Time
+}
+
+// Forget removes jobs whose records were removed from the store.
+func (s *Scheduler) Forget(ids []fleet.JobID, now time.Time) {
 	for _, id := range ids {
+		if e, ok := s.entries[id]; ok {
+			s.removed[id] = removedJob{revision: e.Revision, at: now}
+		}
 		delete(s.entries, id)
 		delete(s.overSince, id)
 		s.forgetSuspects(id)
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -43,6 +43,8 @@
 	advicePending bool
 	// overSince has the jobs that are over, with the time at which this owner first noticed.
 	overSince map[fleet.JobID]time.Time
+	// removed has the jobs that were removed from the ledger, of which an older read may tell once more.
+	removed map[fleet.JobID]removedJob
 	// pendingHosts has the hosts whose orders wait until the ledger has stored them.
 	pendingHosts []*host
 	// maintainedBefore has the hosts that previous owners maintained for each wave.
@@ -108,7 +110,8 @@
 		term: term, bounds: b, observe: func(Decision) {}, entries: entries,
 		queues: map[fleet.QueueName]*work.Queue{}, pools: map[fleet.PoolName]work.Pool{}, workspaces: map[fleet.WorkspaceName]work.Workspace{},
 		jobs: map[fleet.JobID]*job{}, workers: map[work.WorkerID]*worker{}, workspaceUsage: map[fleet.WorkspaceName]fleet.Resources{}, poolUsage: map[usageKey]fleet.Resources{}, dirty: true,
-		hosts: map[fleet.HostName]*host{}, waves: map[int64]*wave{}, quietUntil: map[fleet.HostName]time.Time{}, overSince: map[fleet.JobID]time.Time{},
+		hosts: map[fleet.HostName]*host{}, waves: map[int64]*wave{}, quietUntil: map[fleet.HostName]time.Time{},
+		overSince: map[fleet.JobID]time.Time{}, removed: map[fleet.JobID]removedJob{},
 		suspects: map[incarnation][]work.Task{}, advice: map[string]*advice{}, dueHosts: map[fleet.HostName]bool{},
 		balancer: balance.New(b.MoveTime + moveDecisionDelay),
 	}
@@ -172,8 +175,11 @@
 	return &work.Queue{Name: j.Queue, Pool: j.Pool, MaxAttempts: j.MaxAttempts}
 }
 
-// AddJob adds an accepted job, or updates a known one that was cancelled.
+// AddJob adds an accepted job, or updates a known one that was cancelled. It passes over records that were removed.
 func (s *Scheduler) AddJob(j work.Job, revision uint64, now time.Time) {
+	if r, ok := s.removed[j.ID]; ok && revision <= r.revision {
+		return
+	}
 	e, ok := s.entries[j.ID]
 	if !ok {
 		e = ledger.NewEntry(j, revision)
