schedule: fit the tests of evidence to several isolated runs

Several runs on a worker may be isolated since the owner changed; the limits of crashes are the same for one of them, and a case is added for several.

--- a/schedule/evidence_test.go
+++ b/schedule/evidence_test.go
@@ -56,7 +56,7 @@
 		want    []fleet.JobID
 	}{
 		{"all that run", func(*testbed, *worker) {}, []fleet.JobID{"new", "old"}},
-		{"isolated", func(b *testbed, w *worker) { w.isolated = b.runOfJob("new") }, []fleet.JobID{"new"}},
+		{"isolated", func(b *testbed, w *worker) { w.isolated = []*run{b.runOfJob("new")} }, []fleet.JobID{"new"}},
 		{"not sent", func(b *testbed, _ *worker) { b.runOfJob("new").phase = assigned }, []fleet.JobID{"old"}},
 		{"done elsewhere", func(b *testbed, _ *worker) {
 			for i := range 2 {
@@ -118,21 +118,25 @@
 // Guards against jobs that are given up for crashes of which another task is as likely the cause.
 func TestCrashesUntilAJobIsGivenUp(t *testing.T) {
 	tests := []struct {
-		name  string
-		run   run
-		alone bool
-		want  int
+		name string
+		run  run
+		// suspected is how many tasks may be the cause.
+		suspected int
+		// all is how many runs the worker had.
+		all  int
+		want int
 	}{
-		{"among others", run{step: &work.Step{}}, false, 3},
-		{"alone", run{step: &work.Step{}}, true, 2},
-		{"lasting and alone", run{step: &work.Step{Lasting: true}}, true, 3},
-		{"gang", run{step: &work.Step{Gang: true}}, false, 4},
-		{"gang member that is alone", run{step: &work.Step{Gang: true}}, true, 4},
-		{"crashes late", run{step: &work.Step{}, outlived: true}, false, 5},
-		{"crashes late and alone", run{step: &work.Step{}, outlived: true}, true, 5},
+		{"isolated beside others", run{step: &work.Step{}}, 1, 9, 3},
+		{"one of several", run{step: &work.Step{}}, 2, 9, 4},
+		{"alone", run{step: &work.Step{}}, 1, 1, 2},
+		{"lasting and alone", run{step: &work.Step{Lasting: true}}, 1, 1, 3},
+		{"gang", run{step: &work.Step{Gang: true}}, 1, 9, 4},
+		{"gang member that is alone", run{step: &work.Step{Gang: true}}, 1, 1, 4},
+		{"crashes late", run{step: &work.Step{}, outlived: true}, 1, 9, 5},
+		{"crashes late and alone", run{step: &work.Step{}, outlived: true}, 1, 1, 5},
 	}
 	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) { check(t, "crashes", tt.want, tt.run.crashLimit(tt.alone)) })
+		t.Run(tt.name, func(t *testing.T) { check(t, "crashes", tt.want, tt.run.crashLimit(tt.suspected, tt.all)) })
 	}
 }
 
@@ -224,7 +228,7 @@
 func TestSuspectsAreForgotten(t *testing.T) {
 	b := newTestbed(t, 1)
 	b.withCrashes("j", "a", "w0")
-	b.s.Forget([]fleet.JobID{"j"})
+	b.s.Forget([]fleet.JobID{"j"}, b.now)
 	check(t, "crashes with suspects", 0, len(b.s.suspects))
 }
 
