schedule: stop a lasting task for a drain only if it has room elsewhere

What callers saw: a lasting task that stays stopped, and maintenance that is never done, in a pool whose other hosts are full of lasting tasks. What they see now: all tasks run, and the maintenance waits for room.

Cause: tasks on a draining host were stopped as far as their steps allow, whether or not they had room elsewhere, and nothing ended the drain.

Change: - Each placement keeps room on other workers for the lasting tasks of draining hosts, before tasks that are not lasting get any. A task is stopped once its room is there, or once all that are left may be away together until the host is back (after 4 s, or at once if the wave is short of time; never for a move, after which the host is in another pool). - A drain for maintenance begins only if the host can be emptied so, counting room that other tasks free when they end. A host that can't is not counted for the balancer, one of each pool, so that the pool gets another. - A drain that is held up for 5 s, since its room was taken, is given up: the host is back in service, and what was stopped there may return. - The log says which hosts are kept in service, and why (HostKept).

--- a/schedule/decision.go
+++ b/schedule/decision.go
@@ -41,6 +41,8 @@
 	DecidedUnstarted DecisionKind = "Unstarted"
 	// DecidedHostDraining is a host that gets no new tasks because of planned maintenance or a planned move.
 	DecidedHostDraining DecisionKind = "HostEmptying"
+	// DecidedHostKept is a host that stays in service although its maintenance is due, since its lasting tasks can't leave.
+	DecidedHostKept DecisionKind = "HostKept"
 	// DecidedHostOrdered is the answer to an order to a host.
 	DecidedHostOrdered DecisionKind = "HostOrdered"
 )
--- /dev/null
+++ b/schedule/drain.go
@@ -0,0 +1,257 @@
+package schedule
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"lycheehook.example/lycheehook/fleet"
+	"lycheehook.example/lycheehook/ledger"
+	"lycheehook.example/lycheehook/work"
+)
+
+// A lasting task is stopped for a drain once there is room for it on another worker, which is kept for it, or once all that are
+// left on the host may be away together until it returns. A host that can't be emptied so is left in service.
+
+const (
+	// batchDrainTimeout is how long a draining host waits for tasks that are not lasting to end by themselves, and for room for
+	// the lasting ones that may be away until it returns.
+	batchDrainTimeout = 4 * time.Second
+	// drainPatience is how long a drain may be held up until the host goes back into service, and the pause before the next one.
+	drainPatience = 5 * time.Second
+	// drainSearchPause is the pause before a host is looked at again that could not be emptied.
+	drainSearchPause = time.Second
+)
+
+// drain starts to drain a host for a plan.
+func (s *Scheduler) drain(h *host, p hostPlan, now time.Time) {
+	h.phase, h.plan, h.phaseSince, h.progressAt, h.blockedUntil = draining, p, now, now, time.Time{}
+	if w, ok := s.workers[h.Worker]; ok {
+		w.cordoned = true
+	}
+	s.dirty = true
+	s.observe(Decision{What: DecidedHostDraining, Worker: h.Worker, Host: h.Host, Reason: p.String()})
+}
+
+// cancelPlan puts a host back in service when its order was not sent or was rejected.
+func (s *Scheduler) cancelPlan(h *host, now time.Time) {
+	h.phase, h.plan, h.phaseSince = inService, hostPlan{}, now
+	if w, ok := s.workers[h.Worker]; ok {
+		for _, r := range w.lastingRuns() {
+			r.leaveRefuge()
+		}
+	}
+	s.dirty = true
+}
+
+// giveUpDrain puts a host back in service whose drain is held up, so that the tasks that were stopped there may return.
+func (s *Scheduler) giveUpDrain(h *host, now time.Time) {
+	s.observe(Decision{What: DecidedHostKept, Worker: h.Worker, Host: h.Host, Reason: h.plan.String() + ": held up by lasting tasks"})
+	s.cancelPlan(h, now)
+	h.blockedUntil = now.Add(drainPatience)
+}
+
+// drained stops the lasting tasks on a host as far as room and their steps allow, and reports whether the host may be ordered
+// away.
+func (s *Scheduler) drained(h *host, now time.Time) bool {
+	w, ok := s.workers[h.Worker]
+	if !ok {
+		return true
+	}
+	together := s.mayLeaveTogether(h, w, now)
+	stopped, left := s.evictLasting(w, func(r *run) bool { return together || r.refuge != nil && r.refugeFree })
+	if stopped {
+		h.progressAt = now
+	}
+
+	return len(w.runs) == 0 || !left && now.Sub(h.phaseSince) > batchDrainTimeout
+}
+
+// mayLeaveTogether reports whether the lasting tasks that are left on a host may be away until it is back from maintenance.
+func (s *Scheduler) mayLeaveTogether(h *host, w *worker, now time.Time) bool {
+	o, ok := s.waves[h.plan.wave]
+	if !ok || w.lastingTasks == 0 || !o.urgent && now.Sub(h.phaseSince) <= batchDrainTimeout {
+		return false
+	}
+
+	return s.mayBeAway(slices.DeleteFunc(w.lastingRuns(), func(r *run) bool { return r.stopRequested }))
+}
+
+// heldUp reports whether a drain has made no progress for some time, and does not merely wait until tasks that are not lasting
+// make room elsewhere.
+func (s *Scheduler) heldUp(h *host, now time.Time) bool {
+	w, ok := s.workers[h.Worker]
+
+	return ok && now.Sub(h.progressAt) > drainPatience && slices.ContainsFunc(w.lastingRuns(), func(r *run) bool {
+		return !r.stopRequested && (r.refuge == nil || r.refugeFree)
+	})
+}
+
+// mayDrain reports whether a host in service can be emptied for maintenance: each lasting task finds room elsewhere, at the
+// latest once other tasks there have ended, or may be away until the host is back. If so, that room is kept.
+func (s *Scheduler) mayDrain(h *host, now time.Time) bool {
+	w, ok := s.workers[h.Worker]
+	if !ok || w.lastingTasks == 0 {
+		return true
+	}
+	if now.Before(h.blockedUntil) {
+		return false
+	}
+	runs := w.lastingRuns()
+	s.findRefuges(runs, s.usableWorkers(now), now)
+	homeless := slices.DeleteFunc(slices.Clone(runs), func(r *run) bool { return r.refuge != nil })
+	if s.mayBeAway(homeless) {
+		return true
+	}
+	for _, r := range runs {
+		r.leaveRefuge()
+	}
+	if h.blockedUntil.IsZero() {
+		s.observe(Decision{
+			What: DecidedHostKept, Worker: h.Worker, Host: h.Host, Reason: fmt.Sprintf("no room elsewhere for %d of %d lasting tasks", len(homeless), len(runs)),
+		})
+	}
+	h.blockedUntil = now.Add(drainSearchPause)
+
+	return false
+}
+
+// reserveForDrains keeps room on other workers for the lasting tasks of the hosts that are draining.
+func (s *Scheduler) reserveForDrains(sets map[fleet.PoolName]*workerSet, now time.Time) {
+	var runs []*run
+	for _, h := range s.hostList {
+		if w, ok := s.workers[h.Worker]; ok && h.phase == draining {
+			runs = append(runs, w.lastingRuns()...)
+		}
+	}
+	s.findRefuges(runs, sets, now)
+}
+
+// findRefuges keeps room for runs on other workers, as far as there is any.
+func (s *Scheduler) findRefuges(runs []*run, sets map[fleet.PoolName]*workerSet, now time.Time) {
+	type occurrence struct {
+		job  *job
+		step ledger.StepOf
+	}
+	steps := map[occurrence]*readyStep{}
+	for _, r := range runs {
+		r.refuge, r.refugeFree = nil, false
+		j, ok := s.jobs[r.attempt.Job]
+		if !ok {
+			continue
+		}
+		at := occurrence{j, ledger.StepOf{Occurrence: r.attempt.Occurrence, Step: r.attempt.Step}}
+		if steps[at] == nil {
+			steps[at] = &readyStep{job: j, step: at.step, queue: s.queueOf(&j.entry.Job)}
+			steps[at].tasksOnWorker = countTasksOnWorkers(steps[at])
+		}
+		if p, ok := sets[steps[at].queue.Pool]; ok {
+			s.findRefuge(r, steps[at], p.workers, now)
+		}
+	}
+}
+
+// findRefuge keeps room for a run on the best other worker, if possible on one that has it now.
+func (s *Scheduler) findRefuge(r *run, ready *readyStep, workers []*worker, now time.Time) {
+	var bestScore float64
+	isolate := ready.job.mustIsolate(r.attempt.Task)
+	for _, w := range workers {
+		if w == r.worker || !ready.allows(r.step, w) || s.refusedFor(ready, w) {
+			continue
+		}
+		left := w.reg.Capacity.Minus(w.lastingReserve)
+		free := r.reserved.FitsIn(left.Minus(w.used)) && w.mayStart(isolate, now)
+		if r.refugeFree && !free || !free && !r.reserved.FitsIn(left.Minus(w.heldByLasting())) {
+			continue
+		}
+		if sc := score(ready, r.step, w); r.refuge == nil || free && !r.refugeFree || sc < bestScore {
+			r.refuge, r.refugeFree, bestScore = w, free, sc
+		}
+	}
+	if r.refuge != nil {
+		r.refuge.lastingReserve = r.refuge.lastingReserve.Plus(r.reserved)
+		ready.tasksOnWorker[r.refuge.id]++
+	}
+}
+
+// leaveRefuge gives up the room that is kept for a run on another worker.
+func (r *run) leaveRefuge() {
+	if r.refuge != nil {
+		r.refuge.lastingReserve = r.refuge.lastingReserve.Minus(r.reserved)
+	}
+	r.refuge, r.refugeFree = nil, false
+}
+
+// lastingRuns returns the runs of lasting tasks on the worker, the largest first.
+func (w *worker) lastingRuns() []*run {
+	var list []*run
+	if w.lastingTasks == 0 {
+		return nil
+	}
+	for _, r := range w.runs {
+		if r.step != nil && r.step.Lasting {
+			list = append(list, r)
+		}
+	}
+	slices.SortFunc(list, func(a, b *run) int {
+		return cmp.Or(
+			cmp.Compare(b.reserved.DominantShare(w.reg.Capacity), a.reserved.DominantShare(w.reg.Capacity)),
+			compareTasks(a.attempt.Task, b.attempt.Task), cmp.Compare(a.attempt.Number, b.attempt.Number),
+		)
+	})
+
+	return list
+}
+
+// evictLasting stops the lasting tasks on a worker that are ready to leave, as far as their steps allow, so that they restart
+// elsewhere, and reports whether any was stopped and whether any are left.
+func (s *Scheduler) evictLasting(w *worker, ready func(*run) bool) (stopped, left bool) {
+	for _, r := range w.lastingRuns() {
+		left = true
+		if !r.stopRequested && ready(r) && s.mayBeAway([]*run{r}) {
+			r.requestStop()
+			w.pollNow, stopped = true, true
+		}
+	}
+
+	return stopped, left
+}
+
+// mayBeAway reports whether MaxAway of their steps permits that runs of lasting tasks are away at the same time.
+func (s *Scheduler) mayBeAway(runs []*run) bool {
+	leaving := make(map[work.Task]bool, len(runs))
+	for _, r := range runs {
+		leaving[r.attempt.Task] = true
+	}
+
+	return !slices.ContainsFunc(runs, func(r *run) bool { return !s.withinMaxAway(r, leaving) })
+}
+
+// withinMaxAway reports whether a run's step permits that its tasks among those that leave are away besides those that already
+// are.
+func (s *Scheduler) withinMaxAway(r *run, leaving map[work.Task]bool) bool {
+	t := r.attempt.Task
+	st := r.entry.Step(ledger.StepOf{Occurrence: t.Occurrence, Step: t.Step})
+	left := max(1, r.step.MaxAway)
+	for i := range st.Tasks {
+		t.Index = i
+		if !leaving[t] && s.atFullPace(t, &st.Tasks[i]) {
+			continue
+		}
+		if left--; left < 0 {
+			return false
+		}
+	}
+
+	return true
+}
+
+// atFullPace reports whether a task has a run that works at full pace.
+func (s *Scheduler) atFullPace(t work.Task, st *ledger.TaskState) bool {
+	return slices.ContainsFunc(st.Live, func(l ledger.LiveAttempt) bool {
+		r := s.runOf(work.Attempt{Task: t, Number: l.Number}, l.Worker)
+
+		return r != nil && !r.stopRequested && r.percent >= fullPace && r.worker.missedPolls == 0
+	})
+}
--- a/schedule/host.go
+++ b/schedule/host.go
@@ -34,6 +34,10 @@
 	plan hostPlan
 	// phaseSince is when the phase began.
 	phaseSince time.Time
+	// progressAt is when a lasting task was last stopped for the drain, or when it began.
+	progressAt time.Time
+	// blockedUntil is when the next drain may begin after one that could not be completed.
+	blockedUntil time.Time
 	// refusedPools has the pools that the host can't be moved to.
 	refusedPools map[fleet.PoolName]bool
 	// orderedAt is when the last order was queued for the ledger.
@@ -75,8 +79,6 @@
 const (
 	// hostOrderRetryPause is the pause before an unanswered order to the cloud is repeated.
 	hostOrderRetryPause = 400 * time.Millisecond
-	// batchDrainTimeout is how long a draining host waits for tasks that are not lasting to end by themselves.
-	batchDrainTimeout = 4 * time.Second
 	// quietMargin is added to Bounds.HandoverQuiet for delays.
 	quietMargin = 500 * time.Millisecond
 )
@@ -174,18 +176,6 @@
 	return s.listedAt
 }
 
-// drain starts to drain a host for a plan.
-func (s *Scheduler) drain(h *host, p hostPlan, now time.Time) {
-	h.phase, h.plan, h.phaseSince = draining, p, now
-	s.observe(Decision{What: DecidedHostDraining, Worker: h.Worker, Host: h.Host, Reason: p.String()})
-}
-
-// cancelPlan puts a host back in service when its order was not sent or was rejected.
-func (s *Scheduler) cancelPlan(h *host, now time.Time) {
-	h.phase, h.plan, h.phaseSince = inService, hostPlan{}, now
-	s.dirty = true
-}
-
 // markCordons notes on each worker whether its host is out of service or needs maintenance.
 func (s *Scheduler) markCordons() {
 	for _, w := range s.workers {
@@ -213,8 +203,11 @@
 	for _, h := range s.hostList {
 		switch h.phase {
 		case draining:
-			if s.drained(h, now) {
+			switch {
+			case s.drained(h, now):
 				s.queueHostOrder(h, now)
+			case s.heldUp(h, now):
+				s.giveUpDrain(h, now)
 			}
 		case orderPending:
 			switch {
@@ -259,39 +252,6 @@
 	return HostOrder{Host: h.Host, Wave: h.plan.wave, Pool: h.plan.pool, host: h}
 }
 
-// drained stops the lasting tasks on a host as far as their steps allow, and reports whether the host may be ordered
-// away.
-func (s *Scheduler) drained(h *host, now time.Time) bool {
-	w, ok := s.workers[h.Worker]
-	if !ok {
-		return true
-	}
-	lastingLeft := s.evictLasting(w)
-
-	return len(w.runs) == 0 || !lastingLeft && now.Sub(h.phaseSince) > batchDrainTimeout
-}
-
-// evictLasting stops the lasting tasks on a worker as far as their steps allow, so that they restart elsewhere, and
-// reports whether any are left.
-func (s *Scheduler) evictLasting(w *worker) bool {
-	if w.lastingTasks == 0 {
-		return false
-	}
-	lastingLeft := false
-	for _, r := range w.runs {
-		if r.step == nil || !r.step.Lasting {
-			continue
-		}
-		lastingLeft = true
-		if !r.stopRequested && s.mayEvict(r.entry, r) {
-			r.requestStop()
-			w.pollNow = true
-		}
-	}
-
-	return lastingLeft
-}
-
 // HostAnswered handles the answer to an order.
 func (s *Scheduler) HostAnswered(o HostOrder, err error, now time.Time) {
 	h := o.host
@@ -314,8 +274,7 @@
 		}
 		s.cancelPlan(h, now)
 	case orderRefused:
-		h.phase = draining
-		h.phaseSince = now
+		h.phase, h.phaseSince, h.progressAt = draining, now, now
 	case orderUnknown:
 		h.retryAt = now.Add(hostOrderRetryPause)
 	}
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -38,7 +38,18 @@
 	s.clearReserves()
 	sets := s.usableWorkers(now)
 	s.unplaced = s.unplaced[:0]
-	for _, class := range rankClasses(s.readySteps(now)) {
+	classes := rankClasses(s.readySteps(now))
+	s.placeClasses(classes, true, sets, now)
+	s.reserveForDrains(sets, now)
+	s.placeClasses(classes, false, sets, now)
+}
+
+// placeClasses places the rank classes of lasting jobs, or all others.
+func (s *Scheduler) placeClasses(classes [][]*readyStep, lastingJobs bool, sets map[fleet.PoolName]*workerSet, now time.Time) {
+	for _, class := range classes {
+		if (class[0].rank.urgency == lasting) != lastingJobs {
+			continue
+		}
 		pool := class[0].queue.Pool
 		if sets[pool] == nil {
 			sets[pool] = &workerSet{}
@@ -57,13 +68,6 @@
 	unplaceable []fleet.Resources
 }
 
-// clearReserves clears the workers' reserves for lasting tasks.
-func (s *Scheduler) clearReserves() {
-	for _, w := range s.workers {
-		w.lastingReserve = fleet.Resources{}
-	}
-}
-
 // usableWorkers returns the usable workers of each pool, ordered by ID.
 func (s *Scheduler) usableWorkers(now time.Time) map[fleet.PoolName]*workerSet {
 	sets := map[fleet.PoolName]*workerSet{}
@@ -404,40 +408,6 @@
 	return !step.Lasting && step.Label == "" && step.MaxPerWorker == 0 && q.Advice == nil
 }
 
-// reserveForLasting reserves the room that becomes free on one worker for a lasting task that found none. Only room that other
-// lasting tasks don't hold becomes free by itself.
-func (s *Scheduler) reserveForLasting(r *readyStep, step *work.Step, workers []*worker) {
-	need := step.Reserved()
-	var best *worker
-	for _, w := range workers {
-		if !need.FitsIn(w.reg.Capacity.Minus(w.lastingReserve).Minus(w.heldByLasting())) || !r.allows(step, w) || s.refusedFor(r, w) {
-			continue
-		}
-		if best == nil || w.used.Plus(w.lastingReserve).DominantShare(w.reg.Capacity) < best.used.Plus(best.lastingReserve).DominantShare(best.reg.Capacity) {
-			best = w
-		}
-	}
-	if best != nil {
-		best.lastingReserve = best.lastingReserve.Plus(need)
-		r.tasksOnWorker[best.id]++
-	}
-}
-
-// heldByLasting returns the room of the lasting tasks on the worker that are not being stopped.
-func (w *worker) heldByLasting() fleet.Resources {
-	var held fleet.Resources
-	if w.lastingTasks == 0 {
-		return held
-	}
-	for _, r := range w.runs {
-		if r.step != nil && r.step.Lasting && !r.stopRequested {
-			held = held.Plus(r.reserved)
-		}
-	}
-
-	return held
-}
-
 // lastingPackingBonus favours workers that already run lasting tasks for further ones.
 const lastingPackingBonus = 0.6
 
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -25,7 +25,7 @@
 	standby, spares := s.standby(now)
 	for _, m := range s.balancer.Plan(s.poolStates(now), standby, spares, now) {
 		h := s.hosts[m.Host]
-		if h.refusedPools[m.To] {
+		if h.refusedPools[m.To] || now.Before(h.blockedUntil) {
 			continue
 		}
 		s.drain(h, hostPlan{pool: m.To, reason: m.Reason}, now)
@@ -66,6 +66,7 @@
 		if p.Standby {
 			continue
 		}
+		replaced := false
 		st := balance.Pool{Name: p.Name, MinHosts: s.minHosts(p.Name), Running: l.running[p.Name], Waiting: l.waiting[p.Name], Overdue: l.overdue[p.Name]}
 		for _, h := range s.hostList {
 			switch {
@@ -74,7 +75,12 @@
 				st.Arrivals = append(st.Arrivals, s.hostArrival(h, now))
 			case h.Pool != p.Name:
 			case h.phase == inService && h.State == work.HostUp:
-				if !s.reachable(h) {
+				switch {
+				case !s.reachable(h):
+					continue
+				case !replaced && s.waitsForRoom(h, now):
+					// Like one in maintenance, so that the pool gets another host, to which its tasks can move.
+					replaced = true
 					continue
 				}
 				st.Hosts++
@@ -101,6 +107,11 @@
 	return list
 }
 
+// waitsForRoom reports whether maintenance of a host is due and its lasting tasks find no room elsewhere.
+func (s *Scheduler) waitsForRoom(h *host, now time.Time) bool {
+	return now.Before(h.blockedUntil) && s.dueHosts[h.Host]
+}
+
 // reachable reports whether a host's worker, if it has one, answers polls and is not leaving.
 func (s *Scheduler) reachable(h *host) bool {
 	w, ok := s.workers[h.Worker]
--- a/schedule/run.go
+++ b/schedule/run.go
@@ -241,7 +241,7 @@
 			continue
 		}
 		if w.reg.Draining && w.present {
-			s.evictLasting(w)
+			s.evictLasting(w, func(*run) bool { return true })
 		}
 		if w.stoppingRuns == 0 {
 			continue
--- a/schedule/wave.go
+++ b/schedule/wave.go
@@ -15,6 +15,8 @@
 	// seen is when this owner learned of the wave.
 	seen time.Time
 	done map[fleet.HostName]bool
+	// urgent reports that the wave is short of time.
+	urgent bool
 	// reported is the state that the operators were last told.
 	reported WaveState
 }
@@ -169,12 +171,12 @@
 				}
 			}
 		}
-		urgent := w.shortOfTime(len(waiting), now)
+		w.urgent = w.shortOfTime(len(waiting), now)
 		for _, h := range s.leastLoadedFirst(waiting) {
 			if busy >= w.order.MaxDown {
 				break
 			}
-			if !urgent && !away.allows(h.Pool) {
+			if !w.urgent && !away.allows(h.Pool) || !s.mayDrain(h, now) {
 				continue
 			}
 			s.drain(h, hostPlan{wave: w.order.Number}, now)
@@ -251,37 +253,3 @@
 
 	return hosts
 }
-
-// mayEvict reports whether MaxAway of a lasting task's step permits the scheduler to stop it.
-func (s *Scheduler) mayEvict(e *ledger.Entry, r *run) bool {
-	step := e.Job.Steps[r.attempt.Step]
-	allowed := max(1, step.MaxAway)
-	away := 0
-	st := e.Step(ledger.StepOf{Occurrence: r.attempt.Occurrence, Step: r.attempt.Step})
-	for i := range st.Tasks {
-		if i == r.attempt.Index || s.atFullPace(e.Job.ID, r.attempt, i, &st.Tasks[i]) {
-			continue
-		}
-		if away++; away >= allowed {
-			return false
-		}
-	}
-
-	return true
-}
-
-// atFullPace reports whether the task with this index, in the same step as a, has a run that works at full pace.
-func (s *Scheduler) atFullPace(id fleet.JobID, a work.Attempt, index int, t *ledger.TaskState) bool {
-	for _, l := range t.Live {
-		w, ok := s.workers[l.Worker]
-		if !ok {
-			continue
-		}
-		name := work.Attempt{Task: work.Task{Job: id, Occurrence: a.Occurrence, Step: a.Step, Index: index}, Number: l.Number}
-		if r, ok := w.runs[name]; ok && !r.stopRequested && r.percent >= fullPace && w.missedPolls == 0 {
-			return true
-		}
-	}
-
-	return false
-}
