schedule: ignore lists of hosts from before a worker's incarnation

What callers would see: tasks that wait although a worker would take them, tasks that run on a new worker and are started again elsewhere, and jobs that are blamed for a crash that was none; if workers keep their ID across incarnations, which they may.

Cause: a list of hosts was applied as if it were of the time of its arrival. One that was requested before a worker's new incarnation was known ended that incarnation, or made it count as no longer listed. And what a list said of the previous incarnation held for the new one until the next list. A worker whose end was withdrawn by a later list counted as not registered, or was forgotten, until its next registration.

Change: a list says nothing about incarnations that became known after it was requested; a new incarnation begins without what was listed of the previous one. Whether a registration is there is kept apart from whether its worker has ended, so that the withdrawal of the end restores it, and a worker that has ended isn't taken for a new one as long as its registration stays. That a silent worker's host is up must come from a list requested after its silence began.

--- a/schedule/drain_test.go
+++ b/schedule/drain_test.go
@@ -85,11 +85,11 @@
 	b.setHosts(upHosts(n + 1))
 }
 
-// drains returns how many drains have begun.
-func (b *testbed) drains() int {
+// count returns how many decisions of one kind were made.
+func (b *testbed) count(what DecisionKind) int {
 	n := 0
 	for _, d := range b.decisions {
-		if d.What == DecidedHostDraining {
+		if d.What == what {
 			n++
 		}
 	}
@@ -108,7 +108,7 @@
 	orders, least := b.drainFor(time.Minute)
 	check(t, "orders without room elsewhere", 0, len(orders))
 	check(t, "least running without room elsewhere", 4, least)
-	check(t, "drains without room elsewhere", 0, b.drains())
+	check(t, "drains without room elsewhere", 0, b.count(DecidedHostDraining))
 
 	b.addHost()
 	orders, least = b.drainFor(5 * time.Second)
@@ -180,7 +180,7 @@
 		}
 	}
 	check(t, "orders once tasks there have ended", 1, len(orders))
-	check(t, "drains", 1, b.drains())
+	check(t, "drains", 1, b.count(DecidedHostDraining))
 	check(t, "running on the host that is ordered down", 0, len(b.runs["w0"]))
 }
 
--- a/schedule/host.go
+++ b/schedule/host.go
@@ -95,7 +95,7 @@
 		}
 		before := h.Worker
 		if before != "" && st.Worker != "" && before != st.Worker {
-			s.replaced(before, now)
+			s.replaced(before, asked, now)
 		}
 		h.apply(st, now)
 		s.setWorkerHost(h)
@@ -106,7 +106,7 @@
 		if st.State == work.HostUp {
 			s.hostReturned(h, now)
 		} else {
-			s.workerGone(before, now)
+			s.workerGone(before, asked, now)
 		}
 	}
 	for name := range s.hosts {
@@ -116,7 +116,7 @@
 	}
 	s.hostList = slices.SortedFunc(maps.Values(s.hosts), func(a, b *host) int { return cmp.Compare(a.Host, b.Host) })
 	s.endLostWorkers(asked, now)
-	s.listedAt = now
+	s.listAsked, s.listedAt = asked, now
 	if s.firstListed.IsZero() {
 		s.firstListed = now
 	}
@@ -142,17 +142,17 @@
 	}
 	w.host = h.Host
 	if w.ended && h.State == work.HostUp {
-		w.ended = false
+		w.ended, w.present = false, w.registered
 		w.raiseToken()
 	}
 }
 
-// replaced ends the runs of a worker in whose place its host has another one.
-func (s *Scheduler) replaced(id work.WorkerID, now time.Time) {
-	if w, ok := s.workers[id]; ok && !w.ended {
+// replaced ends the runs of a worker in whose place its host has another one, by a list that was requested at asked.
+func (s *Scheduler) replaced(id work.WorkerID, asked, now time.Time) {
+	if w, ok := s.workers[id]; ok && !w.ended && w.knownBefore(asked) {
 		s.crashed(w, "its host has another worker", now)
 	}
-	s.workerGone(id, now)
+	s.workerGone(id, asked, now)
 }
 
 // hostReturned puts a host back in service once it is up after an order.
@@ -280,10 +280,11 @@
 	}
 }
 
-// workerGone ends all runs of a worker whose incarnation has ended.
-func (s *Scheduler) workerGone(id work.WorkerID, now time.Time) {
+// workerGone ends all runs of a worker whose incarnation has ended by a list that was requested at asked. Of an incarnation that
+// became known later the list says nothing.
+func (s *Scheduler) workerGone(id work.WorkerID, asked, now time.Time) {
 	w, ok := s.workers[id]
-	if !ok {
+	if !ok || !w.knownBefore(asked) {
 		return
 	}
 	w.present, w.ended = false, true
--- a/schedule/lost.go
+++ b/schedule/lost.go
@@ -6,11 +6,12 @@
 	"lycheehook.example/lycheehook/work"
 )
 
-// listedUp reports whether the cloud listed a worker on a host that is up after the worker fell silent.
+// listedUp reports whether the cloud listed a worker on a host that is up, in a list that was requested after the worker fell
+// silent.
 func (s *Scheduler) listedUp(w *worker) bool {
 	h, ok := s.hosts[w.host]
 
-	return ok && h.State == work.HostUp && h.Worker == w.id && s.listedAt.After(w.silentSince)
+	return ok && h.State == work.HostUp && h.Worker == w.id && s.listAsked.After(w.silentSince)
 }
 
 // endLostWorkers ends the runs of silent workers that the cloud's list, requested at asked, no longer shows.
@@ -20,15 +21,20 @@
 		listed[h.Worker] = true
 	}
 	for _, w := range s.workers {
-		w.delisted = w.host != "" && !listed[w.id]
+		w.delisted = w.host != "" && !listed[w.id] && w.knownBefore(asked)
 		if w.ended || listed[w.id] || !w.lostBefore(asked) {
 			continue
 		}
 		s.crashed(w, "its host is down", now)
-		s.workerGone(w.id, now)
+		s.workerGone(w.id, asked, now)
 	}
 }
 
+// knownBefore reports whether the worker's incarnation was known at t, so that a list requested then may say that it has ended.
+func (w *worker) knownBefore(t time.Time) bool {
+	return !w.knownSince.After(t)
+}
+
 // lostBefore reports whether a worker with runs has not answered since some time before t, or has never answered this owner
 // and is not registered.
 func (w *worker) lostBefore(t time.Time) bool {
--- a/schedule/run.go
+++ b/schedule/run.go
@@ -264,7 +264,7 @@
 		if w.silent() && now.After(w.leasesEndBy) {
 			s.lapseRuns(w, now)
 		}
-		if !w.present && len(w.runs) == 0 && now.After(w.leasesEndBy) && w.pollToken == 0 {
+		if !w.registered && len(w.runs) == 0 && now.After(w.leasesEndBy) && w.pollToken == 0 {
 			delete(s.workers, id)
 		}
 	}
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -29,8 +29,9 @@
 	hosts     map[fleet.HostName]*host
 	// hostList has the hosts in the order of their names.
 	hostList []*host
-	// listedAt is when the cloud's list of hosts was last applied, firstListed when that was first done.
-	listedAt, firstListed time.Time
+	// listedAt is when the cloud's list of hosts was last applied, listAsked when that list was requested, and firstListed when
+	// one was first applied.
+	listedAt, listAsked, firstListed time.Time
 	// waves has the maintenance waves by number; dueHosts has the hosts that still need maintenance for an open wave.
 	waves    map[int64]*wave
 	dueHosts map[fleet.HostName]bool
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -98,9 +98,10 @@
 
 // worker is one incarnation of a worker with its runs.
 type worker struct {
-	id      work.WorkerID
-	reg     work.Registration
-	present bool
+	id  work.WorkerID
+	reg work.Registration
+	// registered reports that the registration was not removed, present that it is also not known to be of a worker that has ended.
+	registered, present bool
 	// ended reports that the worker has surely ended, although its registration may still be present for a while.
 	ended       bool
 	life        work.Life
@@ -259,7 +260,11 @@
 // Register applies a worker's registration, unless it is that of an incarnation that has ended.
 func (s *Scheduler) Register(r work.Registration, now time.Time) {
 	w := s.ensureWorker(r.ID)
-	if r.Life < w.life || w.ended && r.Life == w.life {
+	if r.Life < w.life {
+		return
+	}
+	w.registered = true
+	if w.ended && r.Life == w.life {
 		return
 	}
 	if r.Life != w.life && w.life != 0 {
@@ -279,15 +284,15 @@
 // Deregister notes that a worker's registration was removed; its runs are kept until their leases have ended.
 func (s *Scheduler) Deregister(id work.WorkerID) {
 	if w, ok := s.workers[id]; ok {
-		w.present = false
+		w.registered, w.present = false, false
 	}
 }
 
-// Registered returns the workers whose registrations are present.
+// Registered returns the workers whose registrations were not removed.
 func (s *Scheduler) Registered() []work.WorkerID {
 	var ids []work.WorkerID
 	for id, w := range s.workers {
-		if w.present {
+		if w.registered {
 			ids = append(ids, id)
 		}
 	}
@@ -304,7 +309,7 @@
 			s.endRun(r, work.OutcomeLapsed, "", "worker restarted")
 		}
 	}
-	w.life, w.ended, w.knownSince = life, false, now
+	w.life, w.ended, w.delisted, w.knownSince = life, false, false, now
 	w.seenEnd, w.storedEnd, w.ackedEnd = 0, 0, 0
 	w.clock, w.polledAt, w.answeredAt = 0, time.Time{}, time.Time{}
 	w.missedPolls, w.nextPollAt = 0, time.Time{}
