manager: take a worker that registered again as registered

What callers would see: tasks that wait beside a free worker until its registration is written the next time. Found by reading; not seen in a play.

Cause: of the changes that one watch returns, all registrations were applied first and all removals after them, so that a worker whose registration was removed and written again in between counted as gone.

Change: a registration revokes the removals before it. Registrations before a removal are still passed on, as they tell that a worker announced its end.

Measured: before, TestRosterAfterNewRegistration/registered_again: - 1, 0, + 1, 1 TestRosterAfterNewRegistration/registered_again_after_another: gone - 0, + 1 Both pass now; manager passes under the race detector.

--- a/manager/roster.go
+++ b/manager/roster.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strings"
 	"time"
 
@@ -69,12 +70,15 @@
 	return list.Revision
 }
 
+// rosterOf returns what became of the workers by some changes. Registrations that were removed later are kept, since they tell
+// whether the worker announced its end.
 func rosterOf(events []store.Event, l *log.Logger) dispatch.Roster {
 	var r dispatch.Roster
 	for _, ev := range events {
 		key := ev.Record.Key
+		id := work.WorkerID(strings.TrimPrefix(key, platform.RegistrationPrefix))
 		if ev.Deleted {
-			r.Gone = append(r.Gone, work.WorkerID(strings.TrimPrefix(key, platform.RegistrationPrefix)))
+			r.Gone = append(r.Gone, id)
 			continue
 		}
 		reg, err := platform.DecodeRegistration(key, ev.Record.Value)
@@ -84,6 +88,7 @@
 			continue
 		}
 		r.Present = append(r.Present, reg)
+		r.Gone = slices.DeleteFunc(r.Gone, func(gone work.WorkerID) bool { return gone == id })
 	}
 
 	return r
--- a/manager/roster_test.go
+++ b/manager/roster_test.go
@@ -62,3 +62,29 @@
 
 	return r.Present[0].Capacity.Cores
 }
+
+// Guards against a worker that counts as gone although it has registered again: a watch returns several changes of one
+// registration together.
+func TestRosterAfterNewRegistration(t *testing.T) {
+	const id = "i-0"
+	put := store.Event{Record: store.Record{Key: "servers/" + id, Value: standin.NewTaskWorker(0).Registration("s-post", "10.0.0.9:80", "r0")}}
+	remove := store.Event{Record: store.Record{Key: "servers/" + id}, Deleted: true}
+	foreign := store.Event{Record: store.Record{Key: "servers/" + id, Value: []byte("?")}}
+	for _, tt := range []struct {
+		name          string
+		events        []store.Event
+		present, gone int
+	}{
+		{"removed", []store.Event{put, remove}, 1, 1},
+		{"registered again", []store.Event{remove, put}, 1, 0},
+		{"registered again after another", []store.Event{put, remove, put}, 2, 0},
+		{"removed, and written by another writer", []store.Event{put, remove, foreign}, 1, 1},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			r := rosterOf(tt.events, log.New(io.Discard))
+			if diff := cmp.Diff([]int{tt.present, tt.gone}, []int{len(r.Present), len(r.Gone)}); diff != "" {
+				t.Errorf("registered and removed workers (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
