--- a/schedule/advice.go
+++ b/schedule/advice.go
@@ -153,6 +153,16 @@
 	s.dirty = true
 }
 
+// refusedFor reports whether the advice on a step has refused a worker.
+func (s *Scheduler) refusedFor(r *readyStep, w *worker) bool {
+	if r.queue.Advice == nil {
+		return false
+	}
+	a, ok := s.advice[work.Task{Job: r.job.entry.Job.ID, Occurrence: r.step.Occurrence, Step: r.step.Step}.StepName()]
+
+	return ok && a.refused(w)
+}
+
 // mayHaveTicket reports whether a worker has a ticket for a step, or had one that can still be renewed by the question that is
 // due; queues without advice need none.
 func (s *Scheduler) mayHaveTicket(r *readyStep, w *worker, now time.Time) bool {
--- a/schedule/host.go
+++ b/schedule/host.go
@@ -34,6 +34,10 @@
 	plan hostPlan
 	// phaseSince is when the phase began.
 	phaseSince time.Time
+	// progressAt is when a lasting task was last stopped for the drain, or when it began.
+	progressAt time.Time
+	// blockedUntil is when the next drain may begin after one that could not be completed.
+	blockedUntil time.Time
 	// refusedPools has the pools that the host can't be moved to.
 	refusedPools map[fleet.PoolName]bool
 	// orderedAt is when the last order was queued for the ledger.
@@ -75,8 +79,6 @@
 const (
 	// hostOrderRetryPause is the pause before an unanswered order to the cloud is repeated.
 	hostOrderRetryPause = 400 * time.Millisecond
-	// batchDrainTimeout is how long a draining host waits for tasks that are not lasting to end by themselves.
-	batchDrainTimeout = 4 * time.Second
 	// quietMargin is added to Bounds.HandoverQuiet for delays.
 	quietMargin = 500 * time.Millisecond
 )
@@ -93,7 +95,7 @@
 		}
 		before := h.Worker
 		if before != "" && st.Worker != "" && before != st.Worker {
-			s.replaced(before, now)
+			s.replaced(before, asked, now)
 		}
 		h.apply(st, now)
 		s.setWorkerHost(h)
@@ -104,7 +106,7 @@
 		if st.State == work.HostUp {
 			s.hostReturned(h, now)
 		} else {
-			s.workerGone(before, now)
+			s.workerGone(before, asked, now)
 		}
 	}
 	for name := range s.hosts {
@@ -114,7 +116,7 @@
 	}
 	s.hostList = slices.SortedFunc(maps.Values(s.hosts), func(a, b *host) int { return cmp.Compare(a.Host, b.Host) })
 	s.endLostWorkers(asked, now)
-	s.listedAt = now
+	s.listAsked, s.listedAt = asked, now
 	if s.firstListed.IsZero() {
 		s.firstListed = now
 	}
@@ -140,17 +142,17 @@
 	}
 	w.host = h.Host
 	if w.ended && h.State == work.HostUp {
-		w.ended = false
+		w.ended, w.present = false, w.registered
 		w.raiseToken()
 	}
 }
 
-// replaced ends the runs of a worker in whose place its host has another one.
-func (s *Scheduler) replaced(id work.WorkerID, now time.Time) {
-	if w, ok := s.workers[id]; ok && !w.ended {
+// replaced ends the runs of a worker in whose place its host has another one, by a list that was requested at asked.
+func (s *Scheduler) replaced(id work.WorkerID, asked, now time.Time) {
+	if w, ok := s.workers[id]; ok && !w.ended && w.knownBefore(asked) {
 		s.crashed(w, "its host has another worker", now)
 	}
-	s.workerGone(id, now)
+	s.workerGone(id, asked, now)
 }
 
 // hostReturned puts a host back in service once it is up after an order.
@@ -174,18 +176,6 @@
 	return s.listedAt
 }
 
-// drain starts to drain a host for a plan.
-func (s *Scheduler) drain(h *host, p hostPlan, now time.Time) {
-	h.phase, h.plan, h.phaseSince = draining, p, now
-	s.observe(Decision{What: DecidedHostDraining, Worker: h.Worker, Host: h.Host, Reason: p.String()})
-}
-
-// cancelPlan puts a host back in service when its order was not sent or was rejected.
-func (s *Scheduler) cancelPlan(h *host, now time.Time) {
-	h.phase, h.plan, h.phaseSince = inService, hostPlan{}, now
-	s.dirty = true
-}
-
 // markCordons notes on each worker whether its host is out of service or needs maintenance.
 func (s *Scheduler) markCordons() {
 	for _, w := range s.workers {
@@ -213,8 +203,11 @@
 	for _, h := range s.hostList {
 		switch h.phase {
 		case draining:
-			if s.drained(h, now) {
+			switch {
+			case s.drained(h, now):
 				s.queueHostOrder(h, now)
+			case s.heldUp(h, now):
+				s.giveUpDrain(h, now)
 			}
 		case orderPending:
 			switch {
@@ -259,39 +252,6 @@
 	return HostOrder{Host: h.Host, Wave: h.plan.wave, Pool: h.plan.pool, host: h}
 }
 
-// drained stops the lasting tasks on a host as far as their steps allow, and reports whether the host may be ordered
-// away.
-func (s *Scheduler) drained(h *host, now time.Time) bool {
-	w, ok := s.workers[h.Worker]
-	if !ok {
-		return true
-	}
-	lastingLeft := s.evictLasting(w)
-
-	return len(w.runs) == 0 || !lastingLeft && now.Sub(h.phaseSince) > batchDrainTimeout
-}
-
-// evictLasting stops the lasting tasks on a worker as far as their steps allow, so that they restart elsewhere, and
-// reports whether any are left.
-func (s *Scheduler) evictLasting(w *worker) bool {
-	if w.lastingTasks == 0 {
-		return false
-	}
-	lastingLeft := false
-	for _, r := range w.runs {
-		if r.step == nil || !r.step.Lasting {
-			continue
-		}
-		lastingLeft = true
-		if !r.stopRequested && s.mayEvict(r.entry, r) {
-			r.requestStop()
-			w.pollNow = true
-		}
-	}
-
-	return lastingLeft
-}
-
 // HostAnswered handles the answer to an order.
 func (s *Scheduler) HostAnswered(o HostOrder, err error, now time.Time) {
 	h := o.host
@@ -314,17 +274,17 @@
 		}
 		s.cancelPlan(h, now)
 	case orderRefused:
-		h.phase = draining
-		h.phaseSince = now
+		h.phase, h.phaseSince, h.progressAt = draining, now, now
 	case orderUnknown:
 		h.retryAt = now.Add(hostOrderRetryPause)
 	}
 }
 
-// workerGone ends all runs of a worker whose incarnation has ended.
-func (s *Scheduler) workerGone(id work.WorkerID, now time.Time) {
+// workerGone ends all runs of a worker whose incarnation has ended by a list that was requested at asked. Of an incarnation that
+// became known later the list says nothing.
+func (s *Scheduler) workerGone(id work.WorkerID, asked, now time.Time) {
 	w, ok := s.workers[id]
-	if !ok {
+	if !ok || !w.knownBefore(asked) {
 		return
 	}
 	w.present, w.ended = false, true
