--- a/schedule/place.go
+++ b/schedule/place.go
@@ -38,7 +38,18 @@
 	s.clearReserves()
 	sets := s.usableWorkers(now)
 	s.unplaced = s.unplaced[:0]
-	for _, class := range rankClasses(s.readySteps(now)) {
+	classes := rankClasses(s.readySteps(now))
+	s.placeClasses(classes, true, sets, now)
+	s.reserveForDrains(sets, now)
+	s.placeClasses(classes, false, sets, now)
+}
+
+// placeClasses places the rank classes of lasting jobs, or all others.
+func (s *Scheduler) placeClasses(classes [][]*readyStep, lastingJobs bool, sets map[fleet.PoolName]*workerSet, now time.Time) {
+	for _, class := range classes {
+		if (class[0].rank.urgency == lasting) != lastingJobs {
+			continue
+		}
 		pool := class[0].queue.Pool
 		if sets[pool] == nil {
 			sets[pool] = &workerSet{}
@@ -57,13 +68,6 @@
 	unplaceable []fleet.Resources
 }
 
-// clearReserves clears the workers' reserves for lasting tasks.
-func (s *Scheduler) clearReserves() {
-	for _, w := range s.workers {
-		w.lastingReserve = fleet.Resources{}
-	}
-}
-
 // usableWorkers returns the usable workers of each pool, ordered by ID.
 func (s *Scheduler) usableWorkers(now time.Time) map[fleet.PoolName]*workerSet {
 	sets := map[fleet.PoolName]*workerSet{}
@@ -166,7 +170,7 @@
 		w := s.chooseWorker(r, n, p, now)
 		if w == nil {
 			if step.Lasting && s.withinLimit(e.Job.Workspace, step.Size) {
-				s.reserveForLasting(r, step, p.workers)
+				s.reserveForLasting(r, step, p.workers, now)
 				s.markUnplaced(r, 1)
 
 				continue
@@ -289,7 +293,7 @@
 	run := &run{pace: fullPace, ticket: ticket, attempt: a, worker: w, life: w.life}
 	s.reserve(e, run)
 	if r.job.mustIsolate(a.Task) {
-		w.isolated = run
+		w.isolated = append(w.isolated, run)
 	}
 	if r.tasksOnWorker != nil {
 		r.tasksOnWorker[w.id]++
@@ -328,14 +332,16 @@
 		return nil
 	}
 	need := step.Reserved()
-	if !step.Lasting && p.cannotFit(need) {
+	task := work.Task{Job: r.job.entry.Job.ID, Occurrence: r.step.Occurrence, Step: r.step.Step, Index: index}
+	isolate := r.job.mustIsolate(task)
+	// Workers that are kept free for an isolated run count as full for all others.
+	if !step.Lasting && !isolate && p.cannotFit(need) {
 		return nil
 	}
 	if r.tasksOnWorker == nil && (step.Lasting || step.MaxPerWorker > 0) {
 		r.tasksOnWorker = countTasksOnWorkers(r)
 	}
-	task := work.Task{Job: r.job.entry.Job.ID, Occurrence: r.step.Occurrence, Step: r.step.Step, Index: index}
-	if r.job.mustIsolate(task) {
+	if isolate {
 		return s.isolationWorker(r, task, p, now)
 	}
 	best, retry := s.bestWorkers(r, task, p, now)
@@ -404,40 +410,6 @@
 	return !step.Lasting && step.Label == "" && step.MaxPerWorker == 0 && q.Advice == nil
 }
 
-// reserveForLasting reserves the room that becomes free on one worker for a lasting task that found none. Only room that other
-// lasting tasks don't hold becomes free by itself.
-func (s *Scheduler) reserveForLasting(r *readyStep, step *work.Step, workers []*worker) {
-	need := step.Reserved()
-	var best *worker
-	for _, w := range workers {
-		if !need.FitsIn(w.reg.Capacity.Minus(w.lastingReserve).Minus(w.heldByLasting())) || !r.allows(step, w) || s.refusedFor(r, w) {
-			continue
-		}
-		if best == nil || w.used.Plus(w.lastingReserve).DominantShare(w.reg.Capacity) < best.used.Plus(best.lastingReserve).DominantShare(best.reg.Capacity) {
-			best = w
-		}
-	}
-	if best != nil {
-		best.lastingReserve = best.lastingReserve.Plus(need)
-		r.tasksOnWorker[best.id]++
-	}
-}
-
-// heldByLasting returns the room of the lasting tasks on the worker that are not being stopped.
-func (w *worker) heldByLasting() fleet.Resources {
-	var held fleet.Resources
-	if w.lastingTasks == 0 {
-		return held
-	}
-	for _, r := range w.runs {
-		if r.step != nil && r.step.Lasting && !r.stopRequested {
-			held = held.Plus(r.reserved)
-		}
-	}
-
-	return held
-}
-
 // lastingPackingBonus favours workers that already run lasting tasks for further ones.
 const lastingPackingBonus = 0.6
 
