--- a/schedule/crash_evidence_test.go
+++ b/schedule/crash_evidence_test.go
@@ -235,24 +235,32 @@
 // Guards against the crash of one host of a small rack that counts as a failure of the rack, and so is kept out of the ledger.
 func TestRackFailureTakesSeveralHosts(t *testing.T) {
 	for _, tt := range []struct {
-		name   string
-		hosts  int
-		apart  time.Duration
+		name  string
+		hosts int
+		apart time.Duration
+		// other is the pool of one more host of the rack, which is up.
+		other  fleet.PoolName
 		failed bool
 	}{
-		{"single host", 1, 0, false},
-		{"two hosts", 2, 0, false},
-		{"three hosts", 3, 0, true},
-		{"three hosts one after the other", 3, 3 * time.Second, false},
+		{"single host", 1, 0, "", false},
+		{"two hosts", 2, 0, "", false},
+		{"three hosts", 3, 0, "", true},
+		{"three hosts one after the other", 3, 3 * time.Second, "", false},
+		{"three hosts of four", 3, 0, testPool, false},
+		{"three hosts beside one that stands by", 3, 0, "off", true},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			b := newTestbed(t, 3)
+			b.s.pools["off"] = work.Pool{Name: "off", Standby: true}
 			list := upHosts(tt.hosts)
+			if tt.other != "" {
+				list = append(list, work.HostStatus{Host: "other", Pool: tt.other, State: work.HostUp})
+			}
 			for i := range list {
 				list[i].Rack = "r"
 			}
 			b.setHosts(list)
-			for i := range list {
+			for i := range tt.hosts {
 				list[i].State = work.HostDown
 				b.setHosts(list)
 				b.now = b.now.Add(tt.apart)
@@ -261,3 +269,16 @@
 		})
 	}
 }
+
+// Guards against a task that runs ahead of its job, or alone, since a whole rack failed under it.
+func TestRackFailureIsolatesNoTask(t *testing.T) {
+	for _, rack := range []bool{false, true} {
+		b, _ := evidenceBed(t)
+		r := b.runOfJob("new")
+		b.s.addCrash(r, rack, b.now, b.now)
+		p := b.s.jobs["new"].suspicions[r.attempt.Task]
+		check(t, "early", !rack, p.early)
+		check(t, "with its rack", rack, p.withRack == 1)
+		check(t, "in the ledger", !rack, len(r.entry.Task(r.attempt.Task).Crashes) == 1)
+	}
+}
