schedule: know when a worker fell silent also by a start that can't be sent

What callers would see: a task that crashes worker after worker is cleared of the crashes too early; a crash that is no evidence; a task that runs twice at a time after a list of hosts from before its worker last answered.

Cause: of the class of state that is set in one of several places that need it.

Change: both count missed polls in one place, which sets the time and tells of the silence.

--- a/schedule/poll.go
+++ b/schedule/poll.go
@@ -138,15 +138,21 @@
 
 // pollFailed handles a poll without a valid answer.
 func (s *Scheduler) pollFailed(w *worker, err error, now time.Time) {
-	w.missedPolls++
-	if w.missedPolls == 1 {
-		w.silentSince = now
-	}
+	s.setMissedPolls(w, w.missedPolls+1, err, now)
 	w.nextPollAt = now.Add(min(maxPollRetryPause, pollRetryPause*time.Duration(w.missedPolls)))
 	if errors.Is(err, work.ErrFenced) {
 		w.raiseToken()
 	}
-	if w.missedPolls == maxMissedPolls {
+}
+
+// setMissedPolls sets the number of calls in a row that a worker has left unanswered, the last of which failed with err.
+func (s *Scheduler) setMissedPolls(w *worker, n int, err error, now time.Time) {
+	before := w.missedPolls
+	w.missedPolls = n
+	if before == 0 {
+		w.silentSince = now
+	}
+	if before < maxMissedPolls && n >= maxMissedPolls {
 		s.observe(Decision{What: DecidedWorkerSilent, Worker: w.id, Reason: err.Error()})
 		s.dirty = true
 	}
--- a/schedule/run.go
+++ b/schedule/run.go
@@ -142,7 +142,7 @@
 	case errors.Is(err, work.ErrUnhealthy):
 		s.recordFailure(w, r.attempt.Job, now)
 	case errors.Is(err, work.ErrNotSent):
-		w.missedPolls = max(w.missedPolls, maxMissedPolls)
+		s.setMissedPolls(w, max(w.missedPolls, maxMissedPolls), err, now)
 		w.pollNow = true
 	case errors.Is(err, work.ErrFenced), errors.Is(err, work.ErrLate):
 		w.raiseToken()
