schedule: know by its worker that a previous owner's order ended it

What callers would see: evidence against tasks that have done nothing, and in the end a job that fails without cause.

Cause: of the class of missing knowledge that counts as evidence. Whether an order explains the end of a worker was looked up by the host, which is known from the cloud's list only; if the order was carried out before the new owner's first list, that list no longer names the worker.

Change: the announcement of an order in the ledger names the host's worker, in a field that older readers pass over. The end of that worker is no crash for as long as its leases may last from the start of the term on.

--- a/ledger/book.go
+++ b/ledger/book.go
@@ -267,7 +267,7 @@
 	case Compacted:
 		return
 	case HostOrdered:
-		b.orders[fleet.HostName(c.Worker)] = announcement{by: from.Owner, term: from.Term, uptime: from.Uptime}
+		b.orders[fleet.HostName(c.Worker)] = newAnnouncement(c, from)
 		return
 	}
 	if e, ok := b.entries[c.Attempt.Job]; ok {
@@ -399,6 +399,8 @@
 	By fleet.EntryName
 	// Age is a lower bound of the time since the announcement, by the monotonic clocks of the owners since then.
 	Age time.Duration
+	// Worker is the worker that the host had then; empty means unknown.
+	Worker work.WorkerID
 }
 
 // announcement is the announcement of an order to a host, with its time on the clock of the term.
@@ -406,6 +408,16 @@
 	by     fleet.EntryName
 	term   uint64
 	uptime time.Duration
+	worker work.WorkerID
+}
+
+func newAnnouncement(c Change, from Batch) announcement {
+	a := announcement{by: from.Owner, term: from.Term, uptime: from.Uptime}
+	if len(c.Live) > 0 {
+		a.worker = c.Live[0].Worker
+	}
+
+	return a
 }
 
 // termSpan has the times of the first and the last batch of a term, on the clock of the term.
@@ -430,7 +442,7 @@
 		if o.term != b.newestTerm.term {
 			age = b.newestTerm.last - b.newestTerm.first
 		}
-		orders[name] = HostOrder{By: o.by, Age: age}
+		orders[name] = HostOrder{By: o.by, Age: age, Worker: o.worker}
 	}
 
 	return orders
--- a/ledger/change.go
+++ b/ledger/change.go
@@ -45,7 +45,8 @@
 	JobFailed
 	// Maintained records that a host had its maintenance: Worker holds the host name, and Life the number of the wave.
 	Maintained
-	// HostOrdered announces a maintenance or move order to a host, before it is sent: Worker holds the host name.
+	// HostOrdered announces a maintenance or move order to a host, before it is sent: Worker holds the host name, and Live the
+	// host's worker without an attempt.
 	HostOrdered
 	// TaskSnapshot holds the whole state of a task and replaces all earlier changes; Number is its last attempt.
 	TaskSnapshot
@@ -67,7 +68,7 @@
 	Outcome work.Outcome
 	// Checkpoint is the checkpoint from which the next attempt resumes.
 	Checkpoint string
-	// Failures, Done and Live are set in a TaskSnapshot only.
+	// Failures and Done are set in a TaskSnapshot only, Live also in HostOrdered.
 	Failures int
 	Done     bool
 	Live     []LiveAttempt
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -256,11 +256,11 @@
 	})
 }
 
-// The age of a host order comes from the monotonic clocks of the owners, not from wall clocks.
+// The age of a host order comes from the monotonic clocks of the owners, not from wall clocks; its worker is kept.
 func TestHostOrderAge(t *testing.T) {
 	c := standin.NewStore().Client()
 	order := func(h string) []ledger.Change {
-		return []ledger.Change{{Kind: ledger.HostOrdered, Worker: work.WorkerID(h)}}
+		return []ledger.Change{{Kind: ledger.HostOrdered, Worker: work.WorkerID(h), Live: []ledger.LiveAttempt{{Worker: "on-" + work.WorkerID(h)}}}}
 	}
 	putBatch(t, c, ledger.Batch{Number: 0, Owner: "a", Term: 5, Uptime: 90 * time.Second, Changes: order("h1")})
 	putBatch(t, c, ledger.Batch{Number: 1, Owner: "b", Term: 9, Uptime: time.Second})
@@ -271,7 +271,7 @@
 		t.Fatal(err)
 	}
 	check(t, "orders", map[fleet.HostName]ledger.HostOrder{
-		"h1": {By: "a", Age: 3 * time.Second}, "h2": {By: "b", Age: time.Second},
+		"h1": {By: "a", Age: 3 * time.Second, Worker: "on-h1"}, "h2": {By: "b", Age: time.Second, Worker: "on-h2"},
 	}, b.HostOrders())
 }
 
--- a/schedule/compact.go
+++ b/schedule/compact.go
@@ -36,9 +36,9 @@
 			changes = append(changes, ledger.Change{Kind: ledger.Maintained, Worker: work.WorkerID(h), Life: work.Life(n)})
 		}
 	}
-	for name, h := range s.hosts {
+	for _, h := range s.hosts {
 		if h.phase != inService || now.Sub(h.orderedAt) < s.bounds.HandoverQuiet+quietMargin {
-			changes = append(changes, ledger.Change{Kind: ledger.HostOrdered, Worker: work.WorkerID(name)})
+			changes = append(changes, h.announcement())
 		}
 	}
 
--- a/schedule/crash.go
+++ b/schedule/crash.go
@@ -187,6 +187,8 @@
 	}
 	h, ok := s.hosts[w.host]
 	switch {
+	case now.Before(w.orderedUntil):
+		return ", maybe by an order of the previous owner"
 	case !ok:
 		return ""
 	case (h.phase == orderPending || h.phase == offline) && !w.knownSince.After(h.phaseSince), h.State == work.HostMoving, h.State == work.HostMaintenance:
--- a/schedule/host.go
+++ b/schedule/host.go
@@ -40,8 +40,9 @@
 	blockedUntil time.Time
 	// refusedPools has the pools that the host can't be moved to.
 	refusedPools map[fleet.PoolName]bool
-	// orderedAt is when the last order was queued for the ledger.
-	orderedAt time.Time
+	// orderedAt is when the last order was queued for the ledger, and orderedWorker the host's worker then.
+	orderedAt     time.Time
+	orderedWorker work.WorkerID
 	// orderStored reports that the order is stored and may be sent; retryAt is when an unanswered one is repeated.
 	orderStored bool
 	retryAt     time.Time
@@ -229,14 +230,23 @@
 // it.
 func (s *Scheduler) queueHostOrder(h *host, now time.Time) {
 	h.phase, h.phaseSince, h.orderedAt, h.retryAt = orderPending, now, now, time.Time{}
-	s.changes = append(s.changes, ledger.Change{Kind: ledger.HostOrdered, Worker: work.WorkerID(h.Host)})
+	h.orderedWorker = cmp.Or(h.Worker, h.orderedWorker)
+	s.changes = append(s.changes, h.announcement())
 	s.pendingHosts = append(s.pendingHosts, h)
 }
 
+// announcement returns the change that announces an order to the host.
+func (h *host) announcement() ledger.Change {
+	return ledger.Change{Kind: ledger.HostOrdered, Worker: work.WorkerID(h.Host), Live: []ledger.LiveAttempt{{Worker: h.orderedWorker}}}
+}
+
 // SetOrdered applies the orders of previous owners. Hosts that recently got an order from an entry host other than self
-// get none until HandoverQuiet has passed.
+// get none until HandoverQuiet has passed. The end of a worker that had an order is no crash for as long as its leases last.
 func (s *Scheduler) SetOrdered(ordered map[fleet.HostName]ledger.HostOrder, self fleet.EntryName, now time.Time) {
 	for name, o := range ordered {
+		if w, ok := s.workers[o.Worker]; ok {
+			w.orderedUntil = now.Add(leaseBound(s.bounds.MaxLease))
+		}
 		if left := s.bounds.HandoverQuiet + quietMargin - o.Age; o.By != self && left > 0 {
 			s.quietUntil[name] = now.Add(left)
 		}
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -127,6 +127,8 @@
 	// host is the host on which the cloud last listed the worker; delisted reports that it no longer does.
 	host     fleet.HostName
 	delisted bool
+	// orderedUntil is until when an order of a previous owner explains the end of the worker.
+	orderedUntil time.Time
 	// knownSince is when this owner learned of the incarnation; zero if a previous owner knew it.
 	knownSince time.Time
 	// isolated has the runs of suspected tasks beside which no other task is started; only a previous owner's may be several.
@@ -307,7 +309,7 @@
 			s.endRun(r, work.OutcomeLapsed, "", "worker restarted")
 		}
 	}
-	w.life, w.ended, w.delisted, w.knownSince = life, false, false, now
+	w.life, w.ended, w.delisted, w.knownSince, w.orderedUntil = life, false, false, now, time.Time{}
 	w.seenEnd, w.storedEnd, w.ackedEnd = 0, 0, 0
 	w.clock, w.polledAt, w.answeredAt = 0, time.Time{}, time.Time{}
 	w.missedPolls, w.nextPollAt = 0, time.Time{}
