schedule: log how many tasks the crash of a worker speaks against

What operators saw: a crash with the number of tasks on the worker. Whether it was evidence against one isolated task or against all of them, which decides whether a job may be given up, was not in the log.

Change: the line has the number of suspected tasks.

--- a/schedule/crash.go
+++ b/schedule/crash.go
@@ -110,7 +110,7 @@
 		return
 	}
 	cause := s.causeOfEnd(w, now)
-	s.observe(Decision{What: DecidedWorkerCrashed, Worker: w.id, Host: w.host, Reason: fmt.Sprintf("%s, with %d tasks%s", reason, len(w.runs), cause)})
+	s.observe(Decision{What: DecidedWorkerCrashed, Worker: w.id, Host: w.host, Reason: fmt.Sprintf("%s, with %d tasks, %d of them suspected%s", reason, len(w.runs), len(runs), cause)})
 	if cause != "" {
 		return
 	}
