schedule: give up a job after two crashes if the second is in isolation

What callers saw: a task that crashes its workers took a third one down, and the tasks of others there, although the second crash had told it from all others.

Cause: the limit of two crashes applied only where the worker ran nothing else, and while the pool is busy no worker is empty. The second crash of an isolated task says the same: no task had been started after it, and all that ran beside it had outlived the age at which the worker crashed.

Change: the limit of two applies to an isolated task. A crash of the whole rack is no such evidence. Lasting tasks keep the limit of three.

Test: TestCrashInIsolation fails before: "crashes: want 2, got 3".

--- a/schedule/crash.go
+++ b/schedule/crash.go
@@ -14,7 +14,7 @@
 
 const (
 	// failAfterCrashes is how many workers may crash under a task before its job fails, and failAfterCrashesAlone how many if
-	// the last one ran nothing else, so that only the task can be the cause.
+	// it was isolated on the last one, or alone there, so that hardly anything but the task can be the cause.
 	failAfterCrashes      = 3
 	failAfterCrashesAlone = 2
 	// failAfterGangCrashes is the limit for members of gangs, which are not isolated, failAfterSharedCrashes that for one of
@@ -114,7 +114,8 @@
 	if cause != "" {
 		return
 	}
-	rackFailed := len(w.isolated) == 0 && s.rackFailed(w)
+	inRack := s.rackFailed(w)
+	rackFailed, alone := inRack && len(w.isolated) == 0, !inRack && (len(w.runs) == 1 || len(w.isolated) == 1)
 	end := now
 	if w.missedPolls > 0 {
 		end = w.silentSince
@@ -129,7 +130,7 @@
 	if rackFailed {
 		return
 	}
-	if r := s.culprit(runs, len(w.runs)); r != nil {
+	if r := s.culprit(runs, alone); r != nil {
 		s.giveUp(r)
 	}
 }
@@ -220,13 +221,12 @@
 	return h.Rack != "" && failed >= minRackHosts
 }
 
-// culprit returns the one of the suspected runs that caused the crash of their worker, which had all runs, or nil if that is
-// not known.
-func (s *Scheduler) culprit(suspected []*run, all int) *run {
+// culprit returns the one of the suspected runs that caused the crash of their worker, or nil if that is not known.
+func (s *Scheduler) culprit(suspected []*run, alone bool) *run {
 	var worst *run
 	most := 0
 	for _, r := range suspected {
-		if n := s.jobs[r.attempt.Job].crashes(r.attempt.Task); n > most && n >= r.crashLimit(len(suspected), all) {
+		if n := s.jobs[r.attempt.Job].crashes(r.attempt.Task); n > most && n >= r.crashLimit(len(suspected), alone) {
 			worst, most = r, n
 		}
 	}
@@ -234,9 +234,9 @@
 	return worst
 }
 
-// crashLimit returns how many workers may crash under the run's task before its job fails, if it is one of the suspected runs
-// among all on its worker.
-func (r *run) crashLimit(suspected, all int) int {
+// crashLimit returns how many workers may crash under the run's task before its job fails, if it is one of several that are
+// suspected, or if it was isolated or alone on its worker.
+func (r *run) crashLimit(suspected int, alone bool) int {
 	switch {
 	case r.outlived:
 		return failAfterLateCrashes
@@ -244,7 +244,7 @@
 		return failAfterGangCrashes
 	case suspected > 1:
 		return failAfterSharedCrashes
-	case all == 1 && !r.step.Lasting:
+	case alone && !r.step.Lasting:
 		return failAfterCrashesAlone
 	default:
 		return failAfterCrashes
--- /dev/null
+++ b/schedule/crash_alone_test.go
@@ -0,0 +1,36 @@
+package schedule
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"lycheehook.example/lycheehook/fleet"
+	"lycheehook.example/lycheehook/ledger"
+	"lycheehook.example/lycheehook/work"
+)
+
+// A task that crashed the worker on which it was isolated once got a third worker, and ended the runs there too, unless it had
+// run on an empty one.
+func TestCrashInIsolation(t *testing.T) {
+	for _, delay := range crashDelays {
+		want := failAfterCrashesAlone
+		if delay > maxFirstIsolation {
+			want = failAfterCrashes
+		}
+		t.Run(fmt.Sprint("after ", delay), func(t *testing.T) {
+			b := newCrashbed(t)
+			b.poisonFirst(delay)
+			for i := range 2 * crashWorkers {
+				b.submit(fleet.JobID(fmt.Sprint("old", i)), work.Step{Count: 1, Size: size(7000)})
+			}
+			b.pass(time.Second)
+			b.submit("poison", work.Step{Count: 1, Size: taskSize})
+			b.until(30*time.Second, func() bool { return b.state("poison") == ledger.Failed })
+			check(t, "state of the crashing job", ledger.Failed, b.state("poison"))
+			check(t, "crashes", want, b.crashesBy("poison"))
+			b.pass(8 * time.Second)
+			check(t, "runs of the other jobs", 2*crashWorkers, b.running())
+		})
+	}
+}
