--- a/schedule/crash.go
+++ b/schedule/crash.go
@@ -14,9 +14,12 @@
 
 const (
 	// failAfterCrashes is how many workers may crash under a task before its job fails, and failAfterCrashesAlone how many if
-	// the last one ran nothing else, so that only the task can be the cause.
+	// it was isolated on the last one, or alone there, so that hardly anything but the task can be the cause.
 	failAfterCrashes      = 3
 	failAfterCrashesAlone = 2
+	// failAfterLastingCrashes is the limit for lasting tasks, whose jobs others depend on, so that one crash by chance in their
+	// isolation does not end them.
+	failAfterLastingCrashes = 4
 	// failAfterGangCrashes is the limit for members of gangs, which are not isolated, failAfterSharedCrashes that for one of
 	// several tasks that may be the cause, of which the next isolation tells the innocent ones.
 	failAfterGangCrashes   = 4
@@ -105,23 +108,20 @@
 // crashed records that a worker ended unexpectedly as evidence against the tasks that may have caused it, and fails the job
 // of the task that did, if that is known. The caller ends the runs.
 func (s *Scheduler) crashed(w *worker, reason string, now time.Time) {
-	runs := w.suspectRuns()
-	if len(runs) == 0 {
+	if len(w.runs) == 0 {
 		return
 	}
+	runs := w.suspectRuns(now)
 	cause := s.causeOfEnd(w, now)
-	s.observe(Decision{What: DecidedWorkerCrashed, Worker: w.id, Host: w.host, Reason: fmt.Sprintf("%s, with %d tasks%s", reason, len(w.runs), cause)})
-	if cause != "" {
+	s.observe(Decision{What: DecidedWorkerCrashed, Worker: w.id, Host: w.host, Reason: fmt.Sprintf("%s, with %d tasks, %d of them suspected%s", reason, len(w.runs), len(runs), cause)})
+	if cause != "" || len(runs) == 0 {
 		return
 	}
-	rackFailed := len(w.isolated) == 0 && s.rackFailed(w)
-	end := now
-	if w.missedPolls > 0 {
-		end = w.silentSince
-	}
+	inRack := s.rackFailed(w)
+	rackFailed, alone := inRack && len(w.isolated) == 0, !inRack && (len(w.runs) == 1 || len(w.isolated) == 1)
 	slots := s.isolationSlots(w.reg.Pool)
 	for _, r := range runs {
-		if s.addCrash(r, rackFailed, end, now) && slots > 0 {
+		if s.addCrash(r, rackFailed, now) && slots > 0 {
 			s.jobs[r.attempt.Job].suspicions[r.attempt.Task].isolate = true
 			slots--
 		}
@@ -129,14 +129,14 @@
 	if rackFailed {
 		return
 	}
-	if r := s.culprit(runs, len(w.runs)); r != nil {
+	if r := s.culprit(runs, alone); r != nil {
 		s.giveUp(r)
 	}
 }
 
-// addCrash notes a crash of the worker of a run at end, and reports whether the run had begun shortly before. A crash of a
+// addCrash notes a crash of the worker of a run, and reports whether the run had begun shortly before. A crash of a
 // whole rack is not kept in the ledger.
-func (s *Scheduler) addCrash(r *run, rackFailed bool, end, now time.Time) bool {
+func (s *Scheduler) addCrash(r *run, rackFailed bool, now time.Time) bool {
 	j, t, in := s.jobs[r.attempt.Job], r.attempt.Task, incarnation{r.worker.id, r.life}
 	p := j.suspect(t)
 	p.early, p.since = false, now
@@ -151,15 +151,16 @@
 	if r.startedAt.IsZero() {
 		return false
 	}
-	age := max(0, end.Sub(r.startedAt))
+	age := r.ageAtCrash(now)
 	p.age, p.early = max(p.age, age, time.Millisecond), !rackFailed && age <= maxIsolation
 
 	return age <= maxFirstIsolation
 }
 
 // suspectRuns returns the runs that may have ended their worker, of jobs that are not over: the isolated runs if there are
-// any, or else all that may have been active, those first that started last.
-func (w *worker) suspectRuns() []*run {
+// any, or else all that may have been active, those first that started last. A lasting run that outlived the longest isolation
+// is not one of them, since it would have been cleared by that.
+func (w *worker) suspectRuns(now time.Time) []*run {
 	var runs, isolated []*run
 	for _, r := range w.runs {
 		if r.phase == assigned || r.entry == nil || r.entry.Over() || r.entry.Task(r.attempt.Task).Done {
@@ -168,7 +169,9 @@
 		if slices.Contains(w.isolated, r) {
 			isolated = append(isolated, r)
 		}
-		runs = append(runs, r)
+		if !r.step.Lasting || r.ageAtCrash(now) <= maxIsolation {
+			runs = append(runs, r)
+		}
 	}
 	if len(isolated) > 0 {
 		runs = isolated
@@ -180,6 +183,19 @@
 	return runs
 }
 
+// ageAtCrash returns how long the run had lasted when its worker crashed, as far as this owner knows.
+func (r *run) ageAtCrash(now time.Time) time.Duration {
+	if r.startedAt.IsZero() {
+		return r.provenAge()
+	}
+	end := now
+	if r.worker.missedPolls > 0 {
+		end = r.worker.silentSince
+	}
+
+	return max(0, end.Sub(r.startedAt))
+}
+
 // causeOfEnd returns what other than its tasks explains the end of a worker, for logs, or an empty string.
 func (s *Scheduler) causeOfEnd(w *worker, now time.Time) string {
 	if w.reg.Draining {
@@ -222,13 +238,12 @@
 	return h.Rack != "" && failed >= minRackHosts
 }
 
-// culprit returns the one of the suspected runs that caused the crash of their worker, which had all runs, or nil if that is
-// not known.
-func (s *Scheduler) culprit(suspected []*run, all int) *run {
+// culprit returns the one of the suspected runs that caused the crash of their worker, or nil if that is not known.
+func (s *Scheduler) culprit(suspected []*run, alone bool) *run {
 	var worst *run
 	most := 0
 	for _, r := range suspected {
-		if n := s.jobs[r.attempt.Job].crashes(r.attempt.Task); n > most && n >= r.crashLimit(len(suspected), all) {
+		if n := s.jobs[r.attempt.Job].crashes(r.attempt.Task); n > most && n >= r.crashLimit(len(suspected), alone) {
 			worst, most = r, n
 		}
 	}
@@ -236,9 +251,9 @@
 	return worst
 }
 
-// crashLimit returns how many workers may crash under the run's task before its job fails, if it is one of the suspected runs
-// among all on its worker.
-func (r *run) crashLimit(suspected, all int) int {
+// crashLimit returns how many workers may crash under the run's task before its job fails, if it is one of several that are
+// suspected, or if it was isolated or alone on its worker.
+func (r *run) crashLimit(suspected int, alone bool) int {
 	switch {
 	case r.outlived:
 		return failAfterLateCrashes
@@ -246,7 +261,9 @@
 		return failAfterGangCrashes
 	case suspected > 1:
 		return failAfterSharedCrashes
-	case all == 1 && !r.step.Lasting:
+	case r.step.Lasting:
+		return failAfterLastingCrashes
+	case alone:
 		return failAfterCrashesAlone
 	default:
 		return failAfterCrashes
