schedule: isolate no task beside one that may crash the worker yet

What callers saw: nothing; found by reading and trials. What they would see: sound jobs that are shown as failed without cause, and six workers that crash under one task.

A run is isolated for two seconds at most. A task that crashes its worker later counted as hardly the cause by then, so another suspected task was isolated beside it, and the crash was held against that one alone.

Change: a run of a suspected task counts as a possible cause until it has outlived its trial, or for ten seconds, so that an isolated run does not wait much longer among tasks that had run for long when their workers crashed.

--- a/schedule/isolation.go
+++ b/schedule/isolation.go
@@ -24,6 +24,8 @@
 	isolationShare = 3
 	// isolationPollWait is how long a worker may delay its answer while a run is isolated there or is about to be.
 	isolationPollWait = 100 * time.Millisecond
+	// maxTrialWait is how long an isolated run waits for a suspected task on the same worker to outlive its trial.
+	maxTrialWait = 10 * time.Second
 	// maxIsolationWait is how long a task with a single crash waits for a worker to be isolated on.
 	maxIsolationWait = time.Second
 	// maxCanaryWait is how long the tasks of a job under which several workers crashed wait for one of them.
@@ -215,13 +217,12 @@
 	return r.worker.answeredAt.Sub(r.confirmedAt)
 }
 
-// youngRuns returns how many runs on the worker are not known to have lasted for a time, or for as long as earlier runs of a
-// suspected task. Those that have are hardly the cause of a crash from now on.
+// youngRuns returns how many runs on the worker are not known to have lasted for a time, or are of suspected tasks that may crash
+// it yet. The others are hardly the cause of a crash from now on.
 func (s *Scheduler) youngRuns(w *worker, age time.Duration) int {
 	n := 0
 	for _, r := range w.runs {
-		j, open := s.jobs[r.attempt.Job]
-		if r.provenAge() < age || open && j.suspicions[r.attempt.Task] != nil && !r.outlived {
+		if r.provenAge() < age || s.onTrial(r) {
 			n++
 		}
 	}
@@ -229,6 +230,18 @@
 	return n
 }
 
+// onTrial reports whether a run is of a suspected task and has not lasted long enough to clear it, or as long as an isolated run
+// may wait for that.
+func (s *Scheduler) onTrial(r *run) bool {
+	j, open := s.jobs[r.attempt.Job]
+	if !open {
+		return false
+	}
+	p, suspected := j.suspicions[r.attempt.Task]
+
+	return suspected && r.provenAge() < min(p.trial(r.step), maxTrialWait)
+}
+
 // isolationWorker returns the worker for an isolated run, one with few young runs and few others, which a crash would end
 // too. While it has runs younger than the task was at the last crash, it starts no more and nil is returned.
 func (s *Scheduler) isolationWorker(r *readyStep, task work.Task, p *workerSet, now time.Time) *worker {
--- a/schedule/late_crash_test.go
+++ b/schedule/late_crash_test.go
@@ -37,3 +37,29 @@
 		})
 	}
 }
+
+// Guards against a suspected task that doesn't start again for as long as all workers of its pool run suspected tasks that had
+// lasted for long when their workers crashed.
+func TestIsolationAmongLongTrials(t *testing.T) {
+	b := newTestbed(t, 2)
+	b.submit("long", work.Step{Count: 2, Size: size(12000)})
+	b.settle()
+	for i := range 2 {
+		b.s.jobs["long"].suspect(work.Task{Job: "long", Index: i}).age = time.Minute
+	}
+	b.submit("suspect", work.Step{Count: 1, Size: size(1000)})
+	j, task := b.s.jobs["suspect"], work.Task{Job: "suspect"}
+	for n, id := range []work.WorkerID{"a", "b"} {
+		a := work.Attempt{Task: task, Number: n + 1}
+		j.entry.Apply(ledger.Change{Kind: ledger.Assigned, Attempt: a, Worker: id, Life: 1})
+		j.entry.Apply(ledger.Change{Kind: ledger.TaskCrashed, Attempt: a, Worker: id, Life: 1})
+		j.entry.Apply(ledger.Change{Kind: ledger.Ended, Attempt: a, Worker: id, Life: 1, Outcome: work.OutcomeLapsed})
+	}
+	j.suspect(task).isolate = true
+	b.step()
+	check(t, "running beside the trials", 0, b.runningOf("suspect"))
+	for end := b.now.Add(maxTrialWait + maxIsolation); b.now.Before(end) && b.runningOf("suspect") == 0; {
+		b.step()
+	}
+	check(t, "running after the wait", 1, b.runningOf("suspect"))
+}
