ledger, dispatch: get over a damaged batch of the log

What operators would see: no job changes its state at any host any more, or no host can begin a term, while the log says that a record was skipped or that batches are missing.

Cause: batches are applied in order, and one that can't be decoded kept all later ones waiting. A host that saw other changes all the time never read the ledger again. A read of the log failed even when a compaction had made the batch obsolete, and succeeded when it was the last one, after which the new owner could not write the next.

Change: a damaged batch is an error of its own that names the record, in logs too. It is never passed over, as it may have the starts and ends of tasks: the state comes back with the next compaction, which the owner, who knows it, begins at once. Hosts read the whole ledger again every 5 s until then, know new jobs meanwhile, and a read begins where a compaction says that the log reproduces the whole state. The same reads get a host over missing batches.

What remains: without an owner nobody can mend the log, and there is no metric.

--- a/dispatch/compact.go
+++ b/dispatch/compact.go
@@ -33,10 +33,10 @@
 }
 
 // compact returns the next snapshot changes of a compaction, and whether they are the last. It starts a compaction if the log
-// is too long.
+// is too long, or damaged, so that other hosts can read it again.
 func (t *term) compact(now time.Time) (changes []ledger.Change, last bool) {
 	if t.compaction == nil {
-		if t.writer.next-t.compacted < maxBatches {
+		if t.writer.next-t.compacted < maxBatches && !t.logDamaged() {
 			return nil, false
 		}
 		t.compaction = &compaction{from: t.writer.next, jobs: t.sched.Entries()}
@@ -57,6 +57,16 @@
 	return append(changes, ledger.Change{Kind: ledger.Compacted, Life: work.Life(t.compaction.from)}), true
 }
 
+// logDamaged reports whether the log has a batch that can't be decoded, which no compaction has made obsolete yet.
+func (t *term) logDamaged() bool {
+	if t.follower == nil {
+		return false
+	}
+	n, damaged := t.follower.Damaged()
+
+	return damaged && n >= t.compacted
+}
+
 // finishCompaction starts the removal of obsolete batches, once the last snapshot changes are stored.
 func (t *term) finishCompaction(ctx context.Context) {
 	t.mu.Lock()
--- a/dispatch/compact_test.go
+++ b/dispatch/compact_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -190,3 +191,46 @@
 		checkSame(t, entries, book)
 	})
 }
+
+// Guards against an owner that leaves a damaged batch in the log for as long as the log is short, while no other host can read
+// it.
+func TestDamagedLogIsCompacted(t *testing.T) {
+	for _, reread := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			c := standin.NewStore().Client()
+			l := log.New(io.Discard)
+			writeOwner(t, c, "self", 0)
+			client := *c
+			var forgotten atomic.Bool
+			client.Watch = func(ctx context.Context, prefix string, after uint64, wait time.Duration) (store.Events, error) {
+				if forgotten.Load() {
+					return store.Events{}, store.ErrCompacted
+				}
+
+				return c.Watch(ctx, prefix, after, wait)
+			}
+			f := ledger.NewFollower(&client, l)
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan struct{})
+			go func() { defer close(done); f.Run(ctx) }()
+			tm := &term{Dispatcher: &Dispatcher{client: c, log: l, follower: f}, ownership: &owner.Term{}}
+			tm.sched = schedule.New(1, schedule.Bounds{}, map[fleet.JobID]*ledger.Entry{}, time.Now())
+			tm.writer = &logWriter{next: 2}
+			time.Sleep(time.Second)
+			_, before := tm.compact(time.Now())
+			forgotten.Store(reread)
+			if _, err := c.Commit(ctx, store.Txn{Puts: []store.Put{{Key: ledger.LogKey(0), Value: []byte{0xff}}}}); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(2 * time.Second)
+			_, damaged := tm.compact(time.Now())
+			tm.compacted, tm.compaction, tm.writer.next = 2, nil, 4
+			_, after := tm.compact(time.Now())
+			if diff := cmp.Diff([]bool{false, true, false}, []bool{before, damaged, after}); diff != "" {
+				t.Errorf("compacts before a batch is damaged, then, and once that is obsolete (-want +got):\n%s", diff)
+			}
+			cancel()
+			<-done
+		})
+	}
+}
--- a/ledger/book.go
+++ b/ledger/book.go
@@ -51,6 +51,8 @@
 	first, next uint64
 	// outOfOrder holds batches that arrived before one of their predecessors.
 	outOfOrder map[uint64]Batch
+	// damaged has the errors of the batches that can't be decoded.
+	damaged map[uint64]error
 	// maintained holds the hosts that had their maintenance, by wave.
 	maintained map[int64][]fleet.HostName
 	// orders holds the last announced order to each host.
@@ -66,31 +68,79 @@
 func NewBook() *Book {
 	return &Book{
 		entries: map[fleet.JobID]*Entry{}, orphans: map[fleet.JobID][]Change{}, hosts: map[fleet.EntryName]Host{},
-		hostRevs: map[fleet.EntryName]uint64{}, outOfOrder: map[uint64]Batch{}, maintained: map[int64][]fleet.HostName{}, orders: map[fleet.HostName]announcement{},
+		hostRevs: map[fleet.EntryName]uint64{}, outOfOrder: map[uint64]Batch{}, damaged: map[uint64]error{}, maintained: map[int64][]fleet.HostName{}, orders: map[fleet.HostName]announcement{},
 	}
 }
 
 // Read reads the whole ledger; it also returns the store revision after which to watch for changes.
 func Read(ctx context.Context, c *store.Client) (*Book, uint64, error) {
+	b, at, err := readAll(ctx, c)
+	if err != nil {
+		return nil, 0, err
+	}
+
+	return b, at, nil
+}
+
+// readAll is Read, but it returns what could be read of a damaged log with ErrDamaged.
+func readAll(ctx context.Context, c *store.Client) (*Book, uint64, error) {
 	l, err := c.List(ctx, Prefix)
 	if err != nil {
 		return nil, 0, err
 	}
-	b := NewBook()
 	// Keys sort as host, job, log, owner, so each job precedes its changes.
 	slices.SortFunc(l.Records, func(x, y store.Record) int { return strings.Compare(x.Key, y.Key) })
-	b.first, b.next = logRange(l.Records)
-	for _, r := range l.Records {
+	first, next := logRange(l.Records)
+	b := apply(l.Records, first, next)
+	err = b.gap()
+	if from, ok := reproducedFrom(l.Records, b.next+1); ok && errors.Is(err, ErrDamaged) {
+		b = apply(l.Records, first, from)
+		err = b.gap()
+	}
+
+	return b, l.Revision, err
+}
+
+// apply returns a book with sorted records, and with the changes of the log from batch next on.
+func apply(records []store.Record, first, next uint64) *Book {
+	b := NewBook()
+	b.first, b.next = first, next
+	for _, r := range records {
 		if err := b.ApplyEvent(store.Event{Record: r}); err != nil {
 			b.readErrors = append(b.readErrors, err)
 		}
 	}
+
+	return b
+}
+
+// Gap returns why the book does not have all changes up to the last batch that it knows: ErrDamaged, or ErrGap if batches are
+// missing, which a list in several pages and changes that were learned of early may cause for a moment.
+func (b *Book) Gap() error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	return b.gap()
+}
+
+// Damaged returns the number of the batch that can't be decoded and keeps the log from being followed, if there is one.
+func (b *Book) Damaged() (uint64, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	return b.next, b.damaged[b.next] != nil
+}
+
+// gap is Gap for callers that have exclusive use of the book.
+func (b *Book) gap() error {
+	if err := b.damaged[b.next]; err != nil {
+		return merry.Prependf(ErrDamaged, "no batch from %d on is applied: %v", b.next, err)
+	}
 	if len(b.outOfOrder) > 0 {
-		// A list in several pages is not a consistent snapshot: batches were removed between two pages.
-		return nil, 0, merry.Prependf(ErrGap, "after batch %d", b.next)
+		return merry.Prependf(ErrGap, "after batch %d", b.next)
 	}
 
-	return b, l.Revision, nil
+	return nil
 }
 
 // ReadHosts reads only the owner and the entry hosts.
@@ -132,13 +182,16 @@
 	return !b.hostsOnly
 }
 
-// Clone returns a deep copy for exclusive use, or ErrGap if batches of the log are missing.
+// Clone returns a deep copy for exclusive use, or ErrGap or ErrDamaged if changes of the log are not applied.
 func (b *Book) Clone() (*Book, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.hostsOnly || len(b.outOfOrder) > 0 {
+	if b.hostsOnly {
 		return nil, merry.Prependf(ErrGap, "after batch %d", b.next)
 	}
+	if err := b.gap(); err != nil {
+		return nil, err
+	}
 	c := NewBook()
 	c.hosts, c.owner, c.ownerRev, c.first, c.next, c.newestTerm = maps.Clone(b.hosts), b.owner, b.ownerRev, b.first, b.next, b.newestTerm
 	c.hostRevs, c.orders = maps.Clone(b.hostRevs), maps.Clone(b.orders)
@@ -242,8 +295,10 @@
 	}
 	batch, err := DecodeBatch(ev.Record.Key, ev.Record.Value)
 	if err != nil {
+		b.damaged[n] = err
 		return err
 	}
+	delete(b.damaged, n)
 	b.outOfOrder[n] = batch
 	for {
 		batch, ok := b.outOfOrder[b.next]
--- a/ledger/change.go
+++ b/ledger/change.go
@@ -32,6 +32,10 @@
 // ErrGap is returned when a read of the log misses batches; a new read returns them or the snapshots that replaced them.
 var ErrGap = merry.Sentinel("ledger: batches are missing")
 
+// ErrDamaged is returned when a batch of the log can't be decoded. No batch after it is applied, since it may have the starts
+// and ends of tasks, until the log reproduces the whole state from a later batch on.
+var ErrDamaged = merry.Sentinel("ledger: log is damaged")
+
 // Kind is the kind of a change.
 type Kind uint8
 
--- a/ledger/follower.go
+++ b/ledger/follower.go
@@ -29,6 +29,8 @@
 	ownerPause = 100 * time.Millisecond
 	// refreshInterval is the time between two reads of the owner and the entry hosts during a full read of the ledger.
 	refreshInterval = 300 * time.Millisecond
+	// gapInterval is the time between two full reads while the log can't be followed.
+	gapInterval = 5 * time.Second
 	// retryPause is the pause after a failed store call.
 	retryPause = 200 * time.Millisecond
 	// copyPause is the interval at which Copy checks whether the book is up to date.
@@ -50,6 +52,11 @@
 	// readDelay returns the delay of the first full read, and of the read after the store compacted its history; meanwhile
 	// only the owner and the entry hosts are read.
 	readDelay func() time.Duration
+	// gapSince is when the book was first seen to lack changes of the log, or when that was last read again.
+	gapSince time.Time
+	// damaged is the number of the batch that kept the last full read from succeeding, if readDamaged is set.
+	damaged     uint64
+	readDamaged bool
 }
 
 // FollowerOption configures a Follower.
@@ -101,15 +108,16 @@
 			wait = 0
 			at, err := f.read(ctx)
 			if err != nil {
-				f.log.Warn("can't read the ledger; retrying", "error", err)
-				f.refreshHosts(ctx, f.Book())
-				pause.For(ctx, retryPause)
-
+				f.readFailed(ctx, err)
 				continue
 			}
 			after, read = at, time.Now()
 			f.setFollowed(after)
 		}
+		if at, ok := f.closeGap(ctx); ok {
+			after, read = at, time.Now()
+			f.setFollowed(after)
+		}
 		ev, err := f.client.Watch(ctx, Prefix, after, watchWait)
 		switch {
 		case errors.Is(err, store.ErrCompacted):
@@ -123,12 +131,51 @@
 			after = ev.Revision
 			f.setFollowed(after)
 			f.waitBetweenWatches(ctx)
-		case time.Since(read) > readInterval:
+		case time.Since(read) > readInterval && f.gapSince.IsZero():
 			after = 0
 		}
 	}
 }
 
+// readFailed handles a failed full read. A damaged log is read less often, since only its owner can mend it.
+func (f *Follower) readFailed(ctx context.Context, err error) {
+	f.refreshHosts(ctx, f.Book())
+	if !errors.Is(err, ErrDamaged) {
+		f.log.Warn("can't read the ledger; retrying", "error", err)
+		pause.For(ctx, retryPause)
+
+		return
+	}
+	f.log.Error("the log is damaged; this host knows no jobs until the owner of the workers has compacted it", "error", err)
+	for due := time.Now().Add(gapInterval); ctx.Err() == nil && time.Now().Before(due); {
+		pause.For(ctx, refreshInterval)
+		f.refreshHosts(ctx, f.Book())
+	}
+}
+
+// closeGap reads the whole ledger again if the book lacks changes of the log for some time. Watches don't bring those back: a
+// batch can't be decoded, or was removed before this host had read it.
+func (f *Follower) closeGap(ctx context.Context) (at uint64, ok bool) {
+	gap := f.Book().Gap()
+	switch {
+	case gap == nil:
+		f.gapSince = time.Time{}
+		return 0, false
+	case f.gapSince.IsZero():
+		f.gapSince = time.Now()
+		return 0, false
+	case time.Since(f.gapSince) < gapInterval:
+		return 0, false
+	}
+	f.gapSince = time.Now()
+	at, err := f.read(ctx)
+	if err != nil {
+		f.log.Error("the log can't be followed; this host knows the jobs as they were before", "error", err, "gap", gap)
+	}
+
+	return at, err == nil
+}
+
 // followHosts keeps the owner and the entry hosts up to date until the full read of the ledger is due. It reads them at least
 // once before the first full read, which takes long if the ledger is large.
 func (f *Follower) followHosts(ctx context.Context, wait time.Duration) {
@@ -206,8 +253,9 @@
 
 func (f *Follower) read(ctx context.Context) (uint64, error) {
 	stop := f.refreshDuring(ctx)
-	b, at, err := Read(ctx, f.client)
+	b, at, err := readAll(ctx, f.client)
 	refreshed := stop()
+	f.noteDamage(b, err)
 	if err != nil {
 		return 0, err
 	}
@@ -227,6 +275,31 @@
 	return at, nil
 }
 
+// noteDamage notes whether a full read found a damaged log.
+func (f *Follower) noteDamage(b *Book, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case err == nil:
+		f.readDamaged = false
+	case errors.Is(err, ErrDamaged):
+		f.damaged, f.readDamaged = b.Damaged()
+	}
+}
+
+// Damaged returns the number of the batch that can't be decoded and keeps this host from following the log, if there is one.
+func (f *Follower) Damaged() (uint64, bool) {
+	if b := f.Book(); b != nil {
+		if n, damaged := b.Damaged(); damaged {
+			return n, true
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return f.damaged, f.readDamaged
+}
+
 // Copy waits until all changes up to a store revision are applied and returns a copy of the book.
 func (f *Follower) Copy(ctx context.Context, revision uint64) (*Book, error) {
 	for f.followedRevision() < revision {
@@ -277,7 +350,12 @@
 	b := f.Book()
 	for _, ev := range events {
 		if err := b.ApplyEvent(ev); err != nil {
-			f.log.Error("malformed ledger record skipped", "error", err)
+			what := "malformed ledger record skipped"
+			if _, damaged := b.Damaged(); damaged {
+				what = "the log is damaged; no later change is known to this host until the owner of the workers has compacted it"
+			}
+			f.log.Error(what, "error", err)
+
 			continue
 		}
 		if id, ok := strings.CutPrefix(ev.Record.Key, JobPrefix); ok && !ev.Deleted {
--- a/ledger/range.go
+++ b/ledger/range.go
@@ -47,3 +47,25 @@
 		return c.Kind == Compacted && uint64(c.Life) >= first
 	})
 }
+
+// reproducedFrom returns the last batch from first on from which the log says that it reproduces the whole state, if there is
+// one.
+func reproducedFrom(records []store.Record, first uint64) (from uint64, ok bool) {
+	for _, r := range records {
+		n, err := batchNumber(r.Key)
+		if err != nil || n < first || !strings.HasPrefix(r.Key, LogPrefix) {
+			continue
+		}
+		b, err := DecodeBatch(r.Key, r.Value)
+		if err != nil {
+			continue
+		}
+		for _, c := range b.Changes {
+			if c.Kind == Compacted && uint64(c.Life) >= first {
+				from, ok = max(from, uint64(c.Life)), true
+			}
+		}
+	}
+
+	return from, ok
+}
