schedule: look for usable workers once in a round of maintenance

A host that can't be emptied is looked at once in a second, and each look sorted all workers anew; the hosts of one round share the list now. Workers that were cordoned meanwhile are passed over, as before. What a run's room elsewhere is called is its destination. The cost was not measured.

--- a/schedule/drain.go
+++ b/schedule/drain.go
@@ -39,7 +39,7 @@
 	h.phase, h.plan, h.phaseSince = inService, hostPlan{}, now
 	if w, ok := s.workers[h.Worker]; ok {
 		for _, r := range w.lastingRuns() {
-			r.leaveRefuge()
+			r.dropDestination()
 		}
 	}
 	s.dirty = true
@@ -60,7 +60,7 @@
 		return true
 	}
 	together := s.mayLeaveTogether(h, w, now)
-	stopped, left := s.evictLasting(w, func(r *run) bool { return together || r.refuge != nil && r.refugeFree })
+	stopped, left := s.evictLasting(w, func(r *run) bool { return together || r.destination != nil && r.destinationFree })
 	if stopped {
 		h.progressAt = now
 	}
@@ -84,13 +84,14 @@
 	w, ok := s.workers[h.Worker]
 
 	return ok && now.Sub(h.progressAt) > drainPatience && slices.ContainsFunc(w.lastingRuns(), func(r *run) bool {
-		return !r.stopRequested && (r.refuge == nil || r.refugeFree)
+		return !r.stopRequested && (r.destination == nil || r.destinationFree)
 	})
 }
 
 // mayDrain reports whether a host in service can be emptied for maintenance: each lasting task finds room elsewhere, at the
-// latest once other tasks there have ended, or may be away until the host is back. If so, that room is kept.
-func (s *Scheduler) mayDrain(h *host, now time.Time) bool {
+// latest once other tasks there have ended, or may be away until the host is back. If so, that room is kept. The workers that
+// usable returns may have been cordoned since.
+func (s *Scheduler) mayDrain(h *host, usable func() map[fleet.PoolName]*workerSet, now time.Time) bool {
 	w, ok := s.workers[h.Worker]
 	if !ok || w.lastingTasks == 0 {
 		return true
@@ -99,17 +100,17 @@
 		return false
 	}
 	runs := w.lastingRuns()
-	s.findRefuges(runs, s.usableWorkers(now), now)
-	homeless := slices.DeleteFunc(slices.Clone(runs), func(r *run) bool { return r.refuge != nil })
-	if s.mayBeAway(homeless) {
+	s.findDestinations(runs, usable(), now)
+	staying := slices.DeleteFunc(slices.Clone(runs), func(r *run) bool { return r.destination != nil })
+	if s.mayBeAway(staying) {
 		return true
 	}
 	for _, r := range runs {
-		r.leaveRefuge()
+		r.dropDestination()
 	}
 	if h.blockedUntil.IsZero() {
 		s.observe(Decision{
-			What: DecidedHostKept, Worker: h.Worker, Host: h.Host, Reason: fmt.Sprintf("no room elsewhere for %d of %d lasting tasks", len(homeless), len(runs)),
+			What: DecidedHostKept, Worker: h.Worker, Host: h.Host, Reason: fmt.Sprintf("no room elsewhere for %d of %d lasting tasks", len(staying), len(runs)),
 		})
 	}
 	h.blockedUntil = now.Add(drainSearchPause)
@@ -125,18 +126,18 @@
 			runs = append(runs, w.lastingRuns()...)
 		}
 	}
-	s.findRefuges(runs, sets, now)
+	s.findDestinations(runs, sets, now)
 }
 
-// findRefuges keeps room for runs on other workers, as far as there is any.
-func (s *Scheduler) findRefuges(runs []*run, sets map[fleet.PoolName]*workerSet, now time.Time) {
+// findDestinations keeps room for runs on other workers, as far as there is any.
+func (s *Scheduler) findDestinations(runs []*run, sets map[fleet.PoolName]*workerSet, now time.Time) {
 	type occurrence struct {
 		job  *job
 		step ledger.StepOf
 	}
 	steps := map[occurrence]*readyStep{}
 	for _, r := range runs {
-		r.refuge, r.refugeFree = nil, false
+		r.destination, r.destinationFree = nil, false
 		j, ok := s.jobs[r.attempt.Job]
 		if !ok {
 			continue
@@ -147,40 +148,40 @@
 			steps[at].tasksOnWorker = countTasksOnWorkers(steps[at])
 		}
 		if p, ok := sets[steps[at].queue.Pool]; ok {
-			s.findRefuge(r, steps[at], p.workers, now)
+			s.findDestination(r, steps[at], p.workers, now)
 		}
 	}
 }
 
-// findRefuge keeps room for a run on the best other worker, if possible on one that has it now.
-func (s *Scheduler) findRefuge(r *run, ready *readyStep, workers []*worker, now time.Time) {
+// findDestination keeps room for a run on the best other worker, if possible on one that has it now.
+func (s *Scheduler) findDestination(r *run, ready *readyStep, workers []*worker, now time.Time) {
 	var bestScore float64
 	isolate := ready.job.mustIsolate(r.attempt.Task)
 	for _, w := range workers {
-		if w == r.worker || !ready.allows(r.step, w) || s.refusedFor(ready, w) {
+		if w == r.worker || w.cordoned || !ready.allows(r.step, w) || s.refusedFor(ready, w) {
 			continue
 		}
 		left := w.reg.Capacity.Minus(w.lastingReserve)
 		free := r.reserved.FitsIn(left.Minus(w.used)) && w.mayStart(isolate, now)
-		if r.refugeFree && !free || !free && !r.reserved.FitsIn(left.Minus(w.heldByLasting())) {
+		if r.destinationFree && !free || !free && !r.reserved.FitsIn(left.Minus(w.heldByLasting())) {
 			continue
 		}
-		if sc := score(ready, r.step, w); r.refuge == nil || free && !r.refugeFree || sc < bestScore {
-			r.refuge, r.refugeFree, bestScore = w, free, sc
+		if sc := score(ready, r.step, w); r.destination == nil || free && !r.destinationFree || sc < bestScore {
+			r.destination, r.destinationFree, bestScore = w, free, sc
 		}
 	}
-	if r.refuge != nil {
-		r.refuge.lastingReserve = r.refuge.lastingReserve.Plus(r.reserved)
-		ready.tasksOnWorker[r.refuge.id]++
+	if r.destination != nil {
+		r.destination.lastingReserve = r.destination.lastingReserve.Plus(r.reserved)
+		ready.tasksOnWorker[r.destination.id]++
 	}
 }
 
-// leaveRefuge gives up the room that is kept for a run on another worker.
-func (r *run) leaveRefuge() {
-	if r.refuge != nil {
-		r.refuge.lastingReserve = r.refuge.lastingReserve.Minus(r.reserved)
+// dropDestination gives up the room that is kept for a run on another worker.
+func (r *run) dropDestination() {
+	if r.destination != nil {
+		r.destination.lastingReserve = r.destination.lastingReserve.Minus(r.reserved)
 	}
-	r.refuge, r.refugeFree = nil, false
+	r.destination, r.destinationFree = nil, false
 }
 
 // lastingRuns returns the runs of lasting tasks on the worker, the largest first.
--- a/schedule/wave.go
+++ b/schedule/wave.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"sync"
 	"time"
 
 	"lycheehook.example/lycheehook/fleet"
@@ -152,6 +153,7 @@
 		return
 	}
 	away := s.countAway()
+	usable := sync.OnceValue(func() map[fleet.PoolName]*workerSet { return s.usableWorkers(now) })
 	for _, w := range s.waves {
 		if w.reported == WaveCompleted {
 			continue
@@ -176,7 +178,7 @@
 			if busy >= w.order.MaxDown {
 				break
 			}
-			if !w.urgent && !away.allows(h.Pool) || !s.mayDrain(h, now) {
+			if !w.urgent && !away.allows(h.Pool) || !s.mayDrain(h, usable, now) {
 				continue
 			}
 			s.drain(h, hostPlan{wave: w.order.Number}, now)
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -88,10 +88,10 @@
 	// which keeps the worker's count.
 	stopRequested bool
 	stopSentAt    time.Time
-	// refuge is the worker on which room is kept for a lasting task that is to leave its own; refugeFree reports that the room
+	// destination is the worker on which room is kept for a lasting task that is to leave its own; destinationFree reports that the room
 	// is there already.
-	refuge     *worker
-	refugeFree bool
+	destination     *worker
+	destinationFree bool
 	// pool is where the run counts towards its workspace's share.
 	pool fleet.PoolName
 }
