settings: use the terms of configuration

Settings were what a process "is told at its start", faults were "everything wrong", and addresses were "where somebody reaches" it.

Comments now speak of settings, defaults, listen addresses and limits, and say which fields are optional. Unexported names follow: nameForm -> namePattern, nameAllowed -> nameRequirement, between -> inRange, additional -> withoutDecodeFaults.

--- a/settings/check.go
+++ b/settings/check.go
@@ -13,7 +13,7 @@
 	"lycheehook.example/lycheehook/fleet"
 )
 
-// The ranges of the limits.
+// Accepted ranges of the limits.
 const (
 	minHeaderBytes = 4 << 10
 	maxHeaderBytes = 1 << 20
@@ -24,12 +24,12 @@
 	maxStopLimit   = 24 * time.Hour
 )
 
-// nameForm is the form of a name that appears in logs, metrics, paths of the store and the audit trail.
-var nameForm = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$`)
+// namePattern matches names that are used in logs, metrics, store keys and the audit trail.
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$`)
 
-const nameAllowed = "1 to 63 of a-z, 0-9, '.' and '-', with a letter or digit first and last"
+const nameRequirement = "1 to 63 of a-z, 0-9, '.' and '-', with a letter or digit first and last"
 
-// Faults returns everything wrong with the settings.
+// Faults validates the settings and returns all faults.
 func (s Settings) Faults() []document.Fault {
 	var c checker
 	c.name("Name", string(s.Name))
@@ -47,6 +47,7 @@
 	return c.faults
 }
 
+// checker collects the faults of settings.
 type checker struct {
 	faults []document.Fault
 }
@@ -56,8 +57,8 @@
 }
 
 func (c *checker) name(path, value string) {
-	if !nameForm.MatchString(value) {
-		c.add(path, "is %q, must be %s", value, nameAllowed)
+	if !namePattern.MatchString(value) {
+		c.add(path, "is %q, must be %s", value, nameRequirement)
 	}
 }
 
@@ -110,7 +111,7 @@
 	}
 }
 
-// tls checks that the files go together and can be opened.
+// tls checks that a certificate has its key, that mutual TLS has all three files, and that the files exist.
 func (c *checker) tls(path string, f TLSFiles, mutual bool) {
 	if mutual && f.CAFile == "" {
 		c.add(path+".CAFile", "is empty, must name a file, because PeerAddress is given and peers show certificates to each other")
@@ -136,20 +137,20 @@
 }
 
 func (c *checker) limits(s Settings) {
-	between(c, "Limits.MaxHeaderBytes", s.Limits.MaxHeaderBytes, minHeaderBytes, maxHeaderBytes)
-	between(c, "Limits.MaxBodyBytes", s.Limits.MaxBodyBytes, minBodyBytes, maxBodyBytes)
-	between(c, "Limits.ReadHeaderTimeout", s.Limits.ReadHeaderTimeout, fleet.Duration(minTimeout), fleet.Duration(maxTimeout))
-	between(c, "Limits.ReadTimeout", s.Limits.ReadTimeout, fleet.Duration(minTimeout), fleet.Duration(maxTimeout))
-	between(c, "Limits.IdleTimeout", s.Limits.IdleTimeout, fleet.Duration(minTimeout), fleet.Duration(maxTimeout))
-	between(c, "MaxRequestTime", s.MaxRequestTime, fleet.Duration(minTimeout), fleet.Duration(maxStopLimit))
+	inRange(c, "Limits.MaxHeaderBytes", s.Limits.MaxHeaderBytes, minHeaderBytes, maxHeaderBytes)
+	inRange(c, "Limits.MaxBodyBytes", s.Limits.MaxBodyBytes, minBodyBytes, maxBodyBytes)
+	inRange(c, "Limits.ReadHeaderTimeout", s.Limits.ReadHeaderTimeout, fleet.Duration(minTimeout), fleet.Duration(maxTimeout))
+	inRange(c, "Limits.ReadTimeout", s.Limits.ReadTimeout, fleet.Duration(minTimeout), fleet.Duration(maxTimeout))
+	inRange(c, "Limits.IdleTimeout", s.Limits.IdleTimeout, fleet.Duration(minTimeout), fleet.Duration(maxTimeout))
+	inRange(c, "MaxRequestTime", s.MaxRequestTime, fleet.Duration(minTimeout), fleet.Duration(maxStopLimit))
 	if s.StopLimit < s.MaxRequestTime || s.StopLimit > fleet.Duration(maxStopLimit) {
 		c.add("StopLimit", "is %s, must be MaxRequestTime (%s) to %s", s.StopLimit, s.MaxRequestTime, maxStopLimit)
 	}
 }
 
-func between[T int | int64 | fleet.Duration](c *checker, path string, value, least, most T) {
-	if value < least || value > most {
-		c.add(path, "is %v, must be %v to %v", value, least, most)
+func inRange[T int | int64 | fleet.Duration](c *checker, path string, value, lo, hi T) {
+	if value < lo || value > hi {
+		c.add(path, "is %v, must be %v to %v", value, lo, hi)
 	}
 }
 
--- a/settings/doc.go
+++ b/settings/doc.go
@@ -1,2 +1,2 @@
-// Package settings reads and checks the settings of an entry host.
+// Package settings reads and validates the settings of an entry host and of a job manager.
 package settings
--- a/settings/manager.go
+++ b/settings/manager.go
@@ -11,45 +11,45 @@
 	"lycheehook.example/lycheehook/fleet"
 )
 
-// Manager is what the manager of jobs on the users' platform is told at its start.
+// Manager is the settings of a job manager.
 type Manager struct {
 	Name fleet.EntryName
 	Zone fleet.ZoneName
-	// CallerAddress is where callers connect, ReadyAddress where the balancer asks whether they may.
+	// CallerAddress is the listen address for callers, ReadyAddress the one for the load balancer's readiness probes.
 	CallerAddress netip.AddrPort
 	ReadyAddress  netip.AddrPort
-	// PeerAddress is where the other entry hosts reach this one.
+	// PeerAddress is the address at which the other managers reach this one.
 	PeerAddress    netip.AddrPort
 	MetricsAddress netip.AddrPort
-	// SeedAddresses are peers to begin with; they may be gone.
+	// SeedAddresses are the peers that are contacted first; some of them may no longer exist.
 	SeedAddresses []netip.AddrPort
 	StoreAddress  netip.AddrPort
-	// CloudAddress and AdviceAddress are empty where the platform has no such service.
+	// CloudAddress and AdviceAddress are empty if the platform lacks the service.
 	CloudAddress  string `json:",omitempty"`
 	AdviceAddress string `json:",omitempty"`
-	// Cores is the part of a core that the host has, LinkMegabits what its link carries in a second; zero means unknown.
+	// Cores is the number of processor cores of the host, LinkMegabits the bandwidth of its link per second; zero means unknown.
 	Cores        float64 `json:",omitzero"`
 	LinkMegabits float64 `json:",omitzero"`
-	// MemoryMegabytes is the memory at which the platform ends the process; zero means unknown.
+	// MemoryMegabytes is the memory limit of the process; zero means unknown.
 	MemoryMegabytes int64 `json:",omitzero"`
 	Bounds          Bounds
 }
 
-// Bounds is what the platform promises and asks for.
+// Bounds is the durations that the platform guarantees or requires.
 type Bounds struct {
-	// Grace is the time between the request to stop and the kill.
+	// Grace is the time from the termination signal until the process is killed.
 	Grace fleet.Duration `json:",omitzero"`
-	// MaxLease bounds the lease of what runs on a worker.
+	// MaxLease is the longest lease of a run on a worker.
 	MaxLease fleet.Duration `json:",omitzero"`
-	// StatusTime is how long callers may ask for the state of a job that ended.
+	// StatusTime is how long the state of an ended job remains available to callers.
 	StatusTime fleet.Duration `json:",omitzero"`
-	// HandoverQuiet is how long nobody may order a host after its holder has changed.
+	// HandoverQuiet is how long no orders may be sent to a host after its owner has changed.
 	HandoverQuiet fleet.Duration `json:",omitzero"`
-	// MoveTime is how long a host is away when it changes its pool.
+	// MoveTime is how long a host is unavailable while it changes its pool.
 	MoveTime fleet.Duration `json:",omitzero"`
 }
 
-// DefaultManager returns the values of the fields that a file may leave out.
+// DefaultManager returns the defaults of the optional fields.
 func DefaultManager() Manager {
 	return Manager{Bounds: Bounds{
 		Grace:         fleet.Duration(6 * time.Second),
@@ -60,7 +60,7 @@
 	}}
 }
 
-// ReadManager returns the manager's settings in a file; an error of kind ErrInvalid names every fault.
+// ReadManager reads a manager's settings from a file. The error is ErrInvalid and lists all faults.
 func ReadManager(path string) (Manager, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
@@ -68,14 +68,14 @@
 	}
 	m := DefaultManager()
 	lines, faults := document.Decode(data, &m)
-	if faults = append(faults, additional(m.Faults(), lines, faults)...); len(faults) > 0 {
+	if faults = append(faults, withoutDecodeFaults(m.Faults(), lines, faults)...); len(faults) > 0 {
 		return Manager{}, merry.Append(ErrInvalid, path+"\n"+document.Text(faults))
 	}
 
 	return m, nil
 }
 
-// Faults returns everything wrong with the settings.
+// Faults validates the settings and returns all faults.
 func (m Manager) Faults() []document.Fault {
 	var c checker
 	c.name("Name", string(m.Name))
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -14,72 +14,72 @@
 	"lycheehook.example/lycheehook/key"
 )
 
-// ErrInvalid says that settings do not hold together; the error's text names each fault.
+// ErrInvalid is returned for invalid settings; the error's text lists all faults.
 var ErrInvalid = merry.Sentinel("settings: invalid")
 
-// Settings is what an entry host is told at its start.
+// Settings is the settings of an entry host.
 type Settings struct {
 	Name   fleet.EntryName
 	Region fleet.RegionName
 	Zone   fleet.ZoneName
-	// CallerAddress and OperatorAddress are where the entry host listens.
+	// CallerAddress and OperatorAddress are the listen addresses for callers and operators.
 	CallerAddress   netip.AddrPort
 	OperatorAddress netip.AddrPort
-	// PeerAddress is where the other entry hosts reach this one; a lone entry host has none.
+	// PeerAddress is the address at which the other entry hosts reach this one; it is omitted if there are no others.
 	PeerAddress netip.AddrPort `json:",omitzero"`
-	// StoreAddress and PlatformAddress are where the platform's services listen.
+	// StoreAddress and PlatformAddress are the addresses of the platform's services.
 	StoreAddress    netip.AddrPort
 	PlatformAddress netip.AddrPort
-	// Operators may use the operators' interface, each under an own name and token.
+	// Operators are the users of the operators' API, each with a name and a token.
 	Operators []Operator
 	TLS       TLS    `json:",omitzero"`
 	Log       Log    `json:",omitzero"`
 	Limits    Limits `json:",omitzero"`
-	// MaxRequestTime bounds the time that a caller may give one request.
+	// MaxRequestTime is the longest timeout that a caller may set for a request.
 	MaxRequestTime fleet.Duration `json:",omitzero"`
-	// StopLimit bounds how long requests in progress may hold up a stop; it must not be below MaxRequestTime.
+	// StopLimit is how long a graceful shutdown waits for requests in progress; it must be at least MaxRequestTime.
 	StopLimit fleet.Duration `json:",omitzero"`
 }
 
-// Operator is one who may use the operators' interface; the name goes into the audit trail.
+// Operator is a user of the operators' API; the name is recorded in the audit trail.
 type Operator struct {
 	Name      string
 	TokenHash key.Hashed
 }
 
-// TLS is what each listener uses for TLS; a listener without files serves plain text.
+// TLS is the TLS files of each listener; a listener without files serves without TLS.
 type TLS struct {
 	Callers   TLSFiles `json:",omitzero"`
 	Operators TLSFiles `json:",omitzero"`
 	Peers     TLSFiles `json:",omitzero"`
 }
 
-// TLSFiles names PEM files, which are read again whenever they change.
+// TLSFiles names PEM files, which are reloaded when they change.
 type TLSFiles struct {
 	CertificateFile string `json:",omitempty"`
 	KeyFile         string `json:",omitempty"`
-	// CAFile has the authorities whose certificates the other side must show; peers need it.
+	// CAFile contains the authorities that the other side's certificate is verified against; it is required for peers.
 	CAFile string `json:",omitempty"`
 }
 
-// IsZero reports whether no file is named.
+// IsZero reports whether all names are empty.
 func (f TLSFiles) IsZero() bool {
 	return f == TLSFiles{}
 }
 
-// LogFormat is the form of the log's lines.
+// LogFormat is the encoding of log lines.
 type LogFormat string
 
-// The forms of the log's lines.
+// The log formats.
 const (
 	LogLogfmt LogFormat = "Logfmt"
 	LogJSON   LogFormat = "JSON"
 )
 
-// LogLevel is the least level that is logged.
+// LogLevel is the minimum level that is logged.
 type LogLevel string
 
-// The levels of the log.
+// The log levels.
 const (
 	LogDebug LogLevel = "Debug"
 	LogInfo  LogLevel = "Info"
@@ -87,25 +87,25 @@
 	LogError LogLevel = "Error"
 )
 
-// Log is how the process logs.
+// Log is the settings of the process's log.
 type Log struct {
 	Level  LogLevel  `json:",omitempty"`
 	Format LogFormat `json:",omitempty"`
 }
 
-// Limits bounds what one connection may take.
+// Limits is the size and time limits of a connection.
 type Limits struct {
 	MaxHeaderBytes int   `json:",omitempty"`
 	MaxBodyBytes   int64 `json:",omitempty"`
-	// ReadHeaderTimeout bounds the time from the first byte of a request to the end of its header.
+	// ReadHeaderTimeout is the limit for reading a request's header.
 	ReadHeaderTimeout fleet.Duration `json:",omitzero"`
-	// ReadTimeout bounds the time to the end of a request's body.
+	// ReadTimeout is the limit for reading a whole request with its body.
 	ReadTimeout fleet.Duration `json:",omitzero"`
-	// IdleTimeout bounds how long a connection is kept without a request.
+	// IdleTimeout is how long a connection without requests is kept open.
 	IdleTimeout fleet.Duration `json:",omitzero"`
 }
 
-// Default returns the values of the fields that a file may leave out.
+// Default returns the defaults of the optional fields.
 func Default() Settings {
 	return Settings{
 		Log: Log{Level: LogInfo, Format: LogLogfmt},
@@ -121,7 +121,7 @@
 	}
 }
 
-// WithDefaults returns the settings with the default in place of each field that may be left out and is zero.
+// WithDefaults returns the settings with each optional field that is zero set to its default.
 func (s Settings) WithDefaults() Settings {
 	d := Default()
 	orDefault(&s.Log.Level, d.Log.Level)
@@ -144,7 +144,7 @@
 	}
 }
 
-// Read returns the settings in a file; an error of kind ErrInvalid names every fault.
+// Read reads settings from a file. The error is ErrInvalid and lists all faults.
 func Read(path string) (Settings, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
@@ -159,11 +159,11 @@
 	return s, nil
 }
 
-// Parse decodes settings, fills in the defaults and checks every field.
+// Parse decodes settings, sets the defaults of omitted fields and validates all fields.
 func Parse(data []byte) (Settings, error) {
 	s := Default()
 	lines, faults := document.Decode(data, &s)
-	if faults = append(faults, additional(s.Faults(), lines, faults)...); len(faults) > 0 {
+	if faults = append(faults, withoutDecodeFaults(s.Faults(), lines, faults)...); len(faults) > 0 {
 		slices.SortStableFunc(faults, func(a, b document.Fault) int { return cmp.Compare(a.Line, b.Line) })
 		return Settings{}, merry.Append(ErrInvalid, "\n"+document.Text(faults))
 	}
@@ -171,15 +171,15 @@
 	return s, nil
 }
 
-// additional returns the faults of fields that decoded well, with their lines; a field that did not decode has its fault already.
-func additional(found []document.Fault, lines document.Lines, decode []document.Fault) []document.Fault {
+// withoutDecodeFaults returns the faults, with their line numbers, of the fields without a decode error, so that no field is reported twice.
+func withoutDecodeFaults(faults []document.Fault, lines document.Lines, decodeFaults []document.Fault) []document.Fault {
 	known := map[string]bool{}
-	for _, f := range decode {
+	for _, f := range decodeFaults {
 		known[f.Path] = true
 	}
 
 	var more []document.Fault
-	for _, f := range found {
+	for _, f := range faults {
 		if known[f.Path] || known[""] {
 			continue
 		}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -28,7 +28,7 @@
 }`
 )
 
-func TestParseFillsInDefaults(t *testing.T) {
+func TestParseSetsDefaults(t *testing.T) {
 	s, err := settings.Parse([]byte(valid))
 	if err != nil {
 		t.Fatal(err)
@@ -43,7 +43,7 @@
 	}
 }
 
-func TestParseNamesEachFault(t *testing.T) {
+func TestParseReportsFault(t *testing.T) {
 	tests := []struct{ old, new, want string }{
 		{`"entry-1"`, `"Entry 1"`, `line 2: Name: is "Entry 1", must be 1 to 63 of`},
 		{`"Name": "entry-1",`, ``, `line 1: Name: is "", must be`},
@@ -79,14 +79,14 @@
 	}
 }
 
-func TestParseNamesAllFaultsAtOnce(t *testing.T) {
+func TestParseReportsAllFaults(t *testing.T) {
 	_, err := settings.Parse([]byte(`{"Name": "X", "Zome": 1, "CallerAddress": "nowhere"}`))
 	if err == nil {
 		t.Fatal("no error")
 	}
 	for _, path := range []string{"Name", "Region", "Zome", "Zone", "CallerAddress", "OperatorAddress", "StoreAddress", "PlatformAddress", "Operators"} {
 		if strings.Count(err.Error(), " "+path+": ") != 1 {
-			t.Errorf("%s does not stand once in:\n%v", path, err)
+			t.Errorf("%s is not reported exactly once in:\n%v", path, err)
 		}
 	}
 }
@@ -97,7 +97,7 @@
 	f.Fuzz(func(t *testing.T, data []byte) {
 		s, err := settings.Parse(data)
 		if err != nil && !errors.Is(err, settings.ErrInvalid) {
-			t.Errorf("error of another kind: %v", err)
+			t.Errorf("error is not ErrInvalid: %v", err)
 		}
 		if err == nil && len(s.Faults()) > 0 {
 			t.Errorf("accepted %q with faults %v", data, s.Faults())
@@ -105,7 +105,7 @@
 	})
 }
 
-// Every setting stands in the documentation with its whole path.
+// The documentation lists every setting by its full path.
 func TestSettingsAreDocumented(t *testing.T) {
 	doc, err := os.ReadFile("../docs/INTERFACE.md")
 	if err != nil {
