cert: use the terms of TLS

Certificates were "shown", peers "taken", files "sound" and "taken into use". Comments now speak of certificates that are presented, verified, loaded and rejected, and of the last valid contents of the files. Test cases name the property that they check.

An error text changes: "has no certificate of an authority" is "contains no CA certificate"; nothing matches it.

--- a/cert/authority.go
+++ b/cert/authority.go
@@ -17,27 +17,27 @@
 )
 
 const (
-	serialBits = 127
-	privateDir = 0o700
-	private    = 0o600
-	// clockSkew is how long before its making a certificate is valid already.
+	serialBits  = 127
+	privateDir  = 0o700
+	privateFile = 0o600
+	// clockSkew is how far NotBefore lies before the time of issue, for verifiers whose clocks are behind.
 	clockSkew = time.Minute
 )
 
-// Authority is a certificate authority in memory, for tests and sample estates.
+// Authority is an in-memory certificate authority for tests and sample estates.
 type Authority struct {
 	key         *ecdsa.PrivateKey
 	certificate *x509.Certificate
 	pem         []byte
 }
 
-// Pair is a certificate with its key, as PEM.
+// Pair is a certificate and its private key, PEM-encoded.
 type Pair struct {
 	Certificate []byte
 	Key         []byte
 }
 
-// NewAuthority makes an authority whose certificate is valid for lifetime.
+// NewAuthority returns an authority whose certificate is valid for lifetime.
 func NewAuthority(name string, lifetime time.Duration) (*Authority, error) {
 	k, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
@@ -62,12 +62,12 @@
 	return &Authority{key: k, certificate: c, pem: encode("CERTIFICATE", der)}, nil
 }
 
-// PEM returns the authority's certificate.
+// PEM returns the authority's certificate, PEM-encoded.
 func (a *Authority) PEM() []byte {
 	return a.pem
 }
 
-// Issue makes a certificate for a server or client with the given name and addresses, valid for lifetime; below zero it has expired.
+// Issue returns a certificate for a server or client with the given name and addresses. A negative lifetime makes one that has expired.
 func (a *Authority) Issue(name string, lifetime time.Duration, addresses ...net.IP) (Pair, error) {
 	k, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
@@ -93,7 +93,7 @@
 	return Pair{Certificate: encode("CERTIFICATE", der), Key: encode("PRIVATE KEY", keyDER)}, nil
 }
 
-// WriteFiles writes a pair and the authority into a directory, which is made if need be, and returns the files' names.
+// WriteFiles writes the pair and the authority's certificate to dir, which is created if needed, and returns the file names.
 func (a *Authority) WriteFiles(dir string, p Pair) (Files, error) {
 	f := Files{
 		Certificate: filepath.Join(dir, "certificate.pem"),
@@ -104,7 +104,7 @@
 		return f, merry.Prepend(err, "certificate files")
 	}
 	for name, data := range map[string][]byte{f.Certificate: p.Certificate, f.Key: p.Key, f.CA: a.pem} {
-		if err := os.WriteFile(name, data, private); err != nil {
+		if err := os.WriteFile(name, data, privateFile); err != nil {
 			return f, merry.Prepend(err, "certificate files")
 		}
 	}
--- a/cert/doc.go
+++ b/cert/doc.go
@@ -1,3 +1,3 @@
-// Package cert keeps the certificates of listeners and peers, reads their files
-// again when they change, and makes authorities and certificates for tests.
+// Package cert provides TLS configurations for listeners and peers, reloads their
+// certificate files when they change, and issues certificates for tests.
 package cert
--- a/cert/peers_test.go
+++ b/cert/peers_test.go
@@ -23,7 +23,7 @@
 	return server, client
 }
 
-// expiredPair writes a certificate that has expired and returns configurations that show it all the same.
+// expiredPair returns configurations that present an expired certificate, which Source itself would refuse to load.
 func expiredPair(t *testing.T, a *cert.Authority) (server, client *tls.Config) {
 	t.Helper()
 	server, client = peers(t, source(t, files(t, a, "peer", t.TempDir(), time.Hour)))
@@ -43,8 +43,8 @@
 	ourServer, ourClient := peers(t, source(t, files(t, ours, "peer", t.TempDir(), time.Hour)))
 	theirServer, theirClient := peers(t, source(t, files(t, theirs, "peer", t.TempDir(), time.Hour)))
 	expiredServer, expiredClient := expiredPair(t, ours)
-	blind := theirClient.Clone()
-	blind.VerifyConnection = nil
+	unverifying := theirClient.Clone()
+	unverifying.VerifyConnection = nil
 	otherServer, otherClient := peers(t, source(t, files(t, ours, "operators", t.TempDir(), time.Hour)))
 	anonymous := ourClient.Clone()
 	anonymous.GetClientCertificate = nil
@@ -56,10 +56,10 @@
 	}{
 		{"same authority", ourServer, ourClient, true},
 		{"client does not trust the server", theirServer, ourClient, false},
-		{"server does not trust the client", ourServer, blind, false},
-		{"client shows nothing", ourServer, anonymous, false},
-		{"client is of another name", ourServer, otherClient, false},
-		{"server is of another name", otherServer, ourClient, false},
+		{"server does not trust the client", ourServer, unverifying, false},
+		{"client presents no certificate", ourServer, anonymous, false},
+		{"client certificate is for another name", ourServer, otherClient, false},
+		{"server certificate is for another name", otherServer, ourClient, false},
 		{"client has expired", ourServer, expiredClient, false},
 		{"server has expired", expiredServer, ourClient, false},
 	}
@@ -74,9 +74,9 @@
 	}
 }
 
-// Configurations that were made once follow the files: after the authority was replaced on both sides they still fit, and
-// a peer that kept the old authority is refused.
-func TestPeersFollowTheFiles(t *testing.T) {
+// Existing configurations use reloaded files: after the authority has been replaced on both sides they can connect, and a peer
+// that still uses the old authority is rejected.
+func TestPeersReload(t *testing.T) {
 	ours, theirs := authority(t, "ours"), authority(t, "theirs")
 	dirs := []string{t.TempDir(), t.TempDir()}
 	var sources []*cert.Source
@@ -85,7 +85,7 @@
 	}
 	server, _ := peers(t, sources[0])
 	_, client := peers(t, sources[1])
-	_, left := peers(t, source(t, files(t, ours, "peer", t.TempDir(), time.Hour)))
+	_, staleClient := peers(t, source(t, files(t, ours, "peer", t.TempDir(), time.Hour)))
 	for i, dir := range dirs {
 		files(t, theirs, "peer", dir, time.Hour)
 		if err := sources[i].Reload(); err != nil {
@@ -96,13 +96,13 @@
 	if _, err := connect(t, server, client); err != nil {
 		t.Errorf("after the reload: %v", err)
 	}
-	if _, err := connect(t, server, left); err == nil {
-		t.Error("a peer of the replaced authority was taken")
+	if _, err := connect(t, server, staleClient); err == nil {
+		t.Error("a peer with a certificate of the replaced authority was accepted")
 	}
 }
 
-// The protocol between entry hosts runs over these configurations.
-func TestPeersFitTheMesh(t *testing.T) {
+// A mesh accepts calls of peers with the same authority and rejects others.
+func TestPeersMesh(t *testing.T) {
 	type echo struct{ Text string }
 	ours, theirs := authority(t, "ours"), authority(t, "theirs")
 	mesh := func(a *cert.Authority, name string) (*peer.Mesh, peer.Peer) {
@@ -129,9 +129,9 @@
 	friend, _ := mesh(ours, "b")
 	stranger, _ := mesh(theirs, "c")
 	if got, err := peer.CallAt[echo](t.Context(), friend, to, "Echo", echo{"x"}); err != nil || got.Text != "x" {
-		t.Errorf("a peer of the same authority: %+v, %v", got, err)
+		t.Errorf("call by a peer of the same authority: %+v, %v", got, err)
 	}
 	if _, err := peer.CallAt[echo](t.Context(), stranger, to, "Echo", echo{"x"}); err == nil {
-		t.Error("a stranger was answered")
+		t.Error("a call by a peer of another authority was answered")
 	}
 }
--- a/cert/source.go
+++ b/cert/source.go
@@ -14,21 +14,21 @@
 	"github.com/charmbracelet/log"
 )
 
-// DefaultInterval is how often the files are compared with what is in use.
+// DefaultInterval is how often the files are checked for changes.
 const DefaultInterval = 10 * time.Second
 
-// ErrInvalid says that certificate files can't be used.
+// ErrInvalid is returned for certificate files that are unreadable, malformed or expired.
 var ErrInvalid = merry.Sentinel("cert: invalid")
 
-// Files names PEM files: a certificate chain with its key, and the authorities that the other side is verified against.
+// Files names the PEM files of a certificate chain, its private key, and the authorities that the other side is verified against.
 type Files struct {
 	Certificate string
 	Key         string
-	// CA may be empty; a server then asks clients for no certificate, and a client trusts the authorities of its system.
+	// CA may be empty: a server then requests no client certificate, and a client trusts the system's authorities.
 	CA string
 }
 
-// Source gives TLS configurations from the newest sound state of its files.
+// Source provides TLS configurations from the last valid contents of its files.
 type Source struct {
 	files    Files
 	interval time.Duration
@@ -37,14 +37,14 @@
 	current  atomic.Pointer[material]
 }
 
-// material is one state of the files.
+// material is the parsed contents of the files.
 type material struct {
 	content     content
 	certificate *tls.Certificate
 	authorities *x509.CertPool
 }
 
-// content is what the files held, to see whether they changed.
+// content is the raw contents of the files, for detecting changes.
 type content struct {
 	certificate, key, ca []byte
 }
@@ -52,17 +52,17 @@
 // Option configures a Source.
 type Option func(*Source)
 
-// WithInterval sets how often the files are compared with what is in use.
+// WithInterval sets how often the files are checked for changes.
 func WithInterval(d time.Duration) Option {
 	return func(s *Source) { s.interval = d }
 }
 
-// WithLogger sets where reloads and files that can't be used are reported.
+// WithLogger sets the logger for reloads and invalid files.
 func WithLogger(l *log.Logger) Option {
 	return func(s *Source) { s.log = l }
 }
 
-// New returns a source that has read the files; an error of kind ErrInvalid names what can't be used.
+// New returns a source that has loaded the files. The error is ErrInvalid and names the invalid file.
 func New(files Files, opts ...Option) (*Source, error) {
 	s := &Source{files: files, interval: DefaultInterval, log: log.New(io.Discard), read: os.ReadFile}
 	for _, opt := range opts {
@@ -72,7 +72,7 @@
 	return s, s.Reload()
 }
 
-// Follow reloads the files when they change, until ctx ends.
+// Follow reloads the files when they change, until ctx is done.
 func (s *Source) Follow(ctx context.Context) {
 	tick := time.NewTicker(s.interval)
 	defer tick.Stop()
@@ -82,15 +82,15 @@
 		case <-ctx.Done():
 			return
 		case <-tick.C:
-			// Reload has logged what is wrong, and the next tick tries again.
+			// Reload logs its errors, and the next tick retries.
 			_ = s.Reload()
 		}
 	}
 }
 
-// Reload takes the files into use if they changed and are sound; otherwise what was in use stays.
+// Reload reads the files and uses them if they have changed and are valid; otherwise the current ones stay in use.
 func (s *Source) Reload() error {
-	c, err := s.contents()
+	c, err := s.readFiles()
 	if err != nil {
 		s.log.Error("certificate files not reloaded", "file", s.files.Certificate, "err", err)
 		return err
@@ -114,7 +114,7 @@
 	return nil
 }
 
-// NotAfter returns when the certificate in use expires, or the zero time if there is none.
+// NotAfter returns when the current certificate expires, or the zero time if there is none.
 func (s *Source) NotAfter() time.Time {
 	m := s.current.Load()
 	if m.certificate == nil {
@@ -124,7 +124,7 @@
 	return m.certificate.Leaf.NotAfter
 }
 
-// Server returns the configuration of a listener; each connection uses the newest sound state of the files.
+// Server returns the configuration of a listener; each connection uses the last valid contents of the files.
 func (s *Source) Server(nextProtos ...string) *tls.Config {
 	return &tls.Config{
 		MinVersion: tls.VersionTLS13,
@@ -140,7 +140,7 @@
 	c := &tls.Config{
 		MinVersion: tls.VersionTLS13,
 		NextProtos: nextProtos,
-		// A resumed session would skip the check against an authority that was replaced since.
+		// A resumed session would skip verification against an authority that has been replaced since.
 		SessionTicketsDisabled: true,
 	}
 	if m.certificate != nil {
@@ -154,7 +154,7 @@
 	return c
 }
 
-// Client returns the configuration for one connection to a server that must prove to be serverName; ask again for each connection.
+// Client returns the configuration for one connection to a server with a certificate for serverName. It doesn't follow reloads.
 func (s *Source) Client(serverName string, nextProtos ...string) *tls.Config {
 	m := s.current.Load()
 	c := &tls.Config{MinVersion: tls.VersionTLS13, ServerName: serverName, NextProtos: nextProtos, RootCAs: m.authorities}
@@ -165,7 +165,7 @@
 	return c
 }
 
-func (s *Source) contents() (content, error) {
+func (s *Source) readFiles() (content, error) {
 	var c content
 	var err error
 	for _, f := range []struct {
@@ -198,7 +198,7 @@
 	if s.files.CA != "" {
 		m.authorities = x509.NewCertPool()
 		if !m.authorities.AppendCertsFromPEM(c.ca) {
-			return nil, merry.Prependf(ErrInvalid, "%s: has no certificate of an authority", s.files.CA)
+			return nil, merry.Prependf(ErrInvalid, "%s: contains no CA certificate", s.files.CA)
 		}
 	}
 
--- a/cert/source_test.go
+++ b/cert/source_test.go
@@ -27,7 +27,7 @@
 	return a
 }
 
-// files writes a new certificate of an authority into dir.
+// files issues a certificate and writes it to dir.
 func files(t *testing.T, a *cert.Authority, name, dir string, lifetime time.Duration) cert.Files {
 	t.Helper()
 	p, err := a.Issue(name, lifetime, net.IPv4(127, 0, 0, 1))
@@ -52,7 +52,7 @@
 	return s
 }
 
-// connect shakes hands over loopback, exchanges a byte each way and returns what the server showed.
+// connect performs a handshake over loopback, exchanges a byte each way and returns the server's certificate.
 func connect(t *testing.T, server, client *tls.Config) (*x509.Certificate, error) {
 	t.Helper()
 	l, err := tls.Listen("tcp", "127.0.0.1:0", server)
@@ -102,15 +102,15 @@
 	}{
 		{"same authority", "entry-1", fromUs, ""},
 		{"by address", "127.0.0.1", fromUs, ""},
-		{"another name than asked for", "entry-3", fromUs, "not entry-3"},
+		{"server certificate is for another name", "entry-3", fromUs, "not entry-3"},
 		{"client trusts another authority", "entry-1", fromThem, "unknown authority"},
-		{"client is of another authority", "entry-1", stranger, "unknown certificate authority"},
-		{"client shows no certificate", "entry-1", onlyCA, "certificate required"},
+		{"client certificate is of another authority", "entry-1", stranger, "unknown certificate authority"},
+		{"client presents no certificate", "entry-1", onlyCA, "certificate required"},
 	}
 	for _, tt := range tests {
 		client := source(t, tt.files).Client(tt.serverName)
 		if len(client.Certificates) > 0 {
-			// Show the certificate also to a server that did not ask for one of its authority.
+			// Present the certificate even if the server doesn't list its authority as acceptable.
 			client.GetClientCertificate = func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
 				return &client.Certificates[0], nil
 			}
@@ -122,15 +122,15 @@
 	}
 }
 
-func TestExpiredIsRefused(t *testing.T) {
+func TestExpired(t *testing.T) {
 	a := authority(t, "ours")
 	good := files(t, a, "entry-1", t.TempDir(), time.Hour)
 	expired := files(t, a, "entry-2", t.TempDir(), -time.Second)
 	if _, err := cert.New(expired); !errors.Is(err, cert.ErrInvalid) || !strings.Contains(err.Error(), "expired") {
-		t.Errorf("an expired file was taken: %v", err)
+		t.Errorf("an expired certificate was loaded: %v", err)
 	}
 
-	// The other side must refuse it too, whatever a client takes from its files.
+	// The other side must reject an expired certificate even if the presenting side doesn't check its own.
 	pair, err := tls.LoadX509KeyPair(expired.Certificate, expired.Key)
 	if err != nil {
 		t.Fatal(err)
@@ -138,10 +138,10 @@
 	client := source(t, good).Client("entry-1")
 	client.Certificates = []tls.Certificate{pair}
 	if _, err := connect(t, source(t, good).Server(), client); err == nil || !strings.Contains(err.Error(), "expired") {
-		t.Errorf("an expired client was taken: %v", err)
+		t.Errorf("an expired client certificate was accepted: %v", err)
 	}
 	if _, err := connect(t, &tls.Config{Certificates: []tls.Certificate{pair}}, source(t, good).Client("entry-2")); err == nil {
-		t.Error("an expired server was taken")
+		t.Error("an expired server certificate was accepted")
 	}
 }
 
@@ -193,7 +193,7 @@
 	}
 }
 
-func TestReplacedAuthorityIsInForceForNewConnections(t *testing.T) {
+func TestReplacedAuthority(t *testing.T) {
 	ours, theirs, dir := authority(t, "ours"), authority(t, "theirs"), t.TempDir()
 	s := source(t, files(t, ours, "entry-1", dir, time.Hour))
 	old := source(t, files(t, ours, "entry-2", t.TempDir(), time.Hour))
@@ -207,14 +207,14 @@
 	config.RootCAs = x509.NewCertPool()
 	config.RootCAs.AppendCertsFromPEM(theirs.PEM())
 	if _, err := connect(t, server, config); err == nil {
-		t.Error("a client of the replaced authority was taken")
+		t.Error("a client certificate of the replaced authority was accepted")
 	}
 }
 
 func TestFollowReloads(t *testing.T) {
 	dir := t.TempDir()
 	synctest.Test(t, func(t *testing.T) {
-		// The bubble's clock starts in the year 2000, so the authority of this test is made within it.
+		// The bubble's clock starts in the year 2000, so the authority is created inside the bubble.
 		a := authority(t, "ours")
 		s := source(t, files(t, a, "entry-1", dir, time.Hour))
 		before := s.NotAfter()
