audit: use the terms of a write-ahead log

Writes were "settled", entries "stood" somewhere and were "told of". Comments now speak of unknown outcomes, retries, duplicates, retention and truncation, and name the mutex that must be held. Names follow: cut -> truncate, bounded -> truncated, unsettled -> outcomeUnknown, attempted -> firstUncertain, tellOfLost -> reportLost, untold -> unreported, wrote -> removeWritten, finish -> flushOnStop.

Log messages say what failed: "failed to write audit entries, retrying", "audit entry dropped, buffer is full".

--- a/audit/entry.go
+++ b/audit/entry.go
@@ -11,16 +11,16 @@
 	"lycheehook.example/lycheehook/fleet"
 )
 
-// The bounds of one entry, so that a batch of any entries fits into a segment.
+// Limits of one entry, which keep the largest entry below the minimum segment size.
 const (
 	maxChanges    = 100
 	maxTextLength = 256
 )
 
-// Action is what was done.
+// Action is the kind of a change.
 type Action string
 
-// The actions of the trail.
+// The actions.
 const (
 	ApplyLists  Action = "ApplyLists"
 	GiveKey     Action = "GiveKey"
@@ -31,33 +31,33 @@
 	PlanWave    Action = "PlanWave"
 	StartWave   Action = "StartWave"
 	EndWave     Action = "EndWave"
-	// LoseEntries reports entries that did not fit into the buffer.
+	// LoseEntries reports entries that were dropped because the buffer was full.
 	LoseEntries Action = "LoseEntries"
 )
 
-// Result is how a change ended.
+// Result is the result of a change.
 type Result string
 
 // The results of a change.
 const (
 	Accepted Result = "Accepted"
 	Refused  Result = "Refused"
-	// Unknown says that it could not be settled whether the change took effect.
+	// Unknown means that the change may or may not have taken effect.
 	Unknown Result = "Unknown"
 )
 
 // Entry is one change, or an attempt at one.
 type Entry struct {
-	// ID makes an entry that is written again after a lost answer recognisable; Record fills it in.
+	// ID is set by Record. It identifies the copies of an entry whose write was retried.
 	ID   uuid.UUID
 	Time time.Time
-	// Who is the operator's name, or the entry host's name for what the system does on its own.
+	// Who is the operator's name, or the entry host's name for automatic changes.
 	Who    string
 	Host   fleet.EntryName
 	Action Action
 	// Subject names what was changed, such as Lists, Keys/ID, Hosts/NAME or Waves/NAME.
 	Subject string
-	// Base is the revision that the change was based on, and Revision the one that it led to; zero if none.
+	// Base is the revision that the change was based on, and Revision the resulting one; zero if none.
 	Base     uint64   `json:",omitempty"`
 	Revision uint64   `json:",omitempty"`
 	Changes  []string `json:",omitempty"`
@@ -65,9 +65,9 @@
 	Reason   string `json:",omitempty"`
 }
 
-// bounded returns the entry with long texts and long lists of changes cut, which the cut end says.
-func (e Entry) bounded() Entry {
-	e.Who, e.Subject, e.Reason = cut(e.Who), cut(e.Subject), cut(e.Reason)
+// truncated returns the entry with long texts and long lists of changes truncated and marked as such.
+func (e Entry) truncated() Entry {
+	e.Who, e.Subject, e.Reason = truncate(e.Who), truncate(e.Subject), truncate(e.Reason)
 	changes := e.Changes
 	e.Changes = nil
 	for i, c := range changes {
@@ -75,13 +75,13 @@
 			e.Changes = append(e.Changes, fmt.Sprintf("and %d more", len(changes)-i))
 			break
 		}
-		e.Changes = append(e.Changes, cut(c))
+		e.Changes = append(e.Changes, truncate(c))
 	}
 
 	return e
 }
 
-func cut(text string) string {
+func truncate(text string) string {
 	text = strings.ToValidUTF8(text, "?")
 	if len(text) <= maxTextLength {
 		return text
@@ -90,7 +90,7 @@
 	return strings.ToValidUTF8(text[:maxTextLength], "") + "..."
 }
 
-// size returns how much of a segment the entry takes, in bytes.
+// size returns the encoded size of the entry in a segment, in bytes.
 func (e Entry) size() int {
 	b, err := json.Marshal(e)
 	if err != nil {
@@ -100,14 +100,14 @@
 	return len(b) + 1
 }
 
-// Filter selects entries; a zero field selects all.
+// Filter selects entries; a zero field matches all.
 type Filter struct {
 	Who string
-	// Subject selects by prefix, so that Keys/ selects every key.
+	// Subject is a prefix; Keys/ selects the entries of all keys.
 	Subject string
 	Action  Action
 	Since   time.Time
-	// Limit bounds the number of entries, of which the newest are returned.
+	// Limit is the maximum number of entries; the newest are returned.
 	Limit int
 }
 
--- a/audit/late_test.go
+++ b/audit/late_test.go
@@ -10,9 +10,9 @@
 	"lycheehook.example/lycheehook/store"
 )
 
-// large fills most of a segment of the least size.
-func large() audit.Entry {
-	e := given(9999)
+// largeEntry returns an entry that fills most of a segment of the minimum size.
+func largeEntry() audit.Entry {
+	e := keyEntry(9999)
 	for range 100 {
 		e.Changes = append(e.Changes, strings.Repeat("\x00", 256))
 	}
@@ -20,11 +20,12 @@
 	return e
 }
 
-// cutOff returns a client whose next write is done by write, after which it reaches the store again only when back is called.
-func cutOff(c *store.Client, write func(store.Write)) (client *store.Client, back func()) {
-	f, cut := *c, false
+// disconnectOnWrite returns a client whose next write calls write, returns an unknown outcome and disconnects it from the store
+// until reconnect is called.
+func disconnectOnWrite(c *store.Client, write func(store.Write)) (client *store.Client, reconnect func()) {
+	f, disconnected := *c, false
 	f.Get = func(ctx context.Context, key string) (store.Record, error) {
-		if cut {
+		if disconnected {
 			return store.Record{}, store.ErrUnavailable
 		}
 
@@ -35,12 +36,12 @@
 			return c.CompareAndSwap(ctx, w)
 		}
 		write(w)
-		write, cut = nil, true
+		write, disconnected = nil, true
 
 		return 0, store.ErrOutcomeUnknown
 	}
 
-	return &f, func() { cut = false }
+	return &f, func() { disconnected = false }
 }
 
 func flush(t *testing.T, trail *audit.Trail, entries ...audit.Entry) {
@@ -53,17 +54,17 @@
 	}
 }
 
-// The write of an entry took effect, its answer was lost, and others moved on by two segments before it could be read back.
-func TestLostAnswerIsSettledAfterRotations(t *testing.T) {
+// A write takes effect but its response is lost, and other hosts start two more segments before it can be read back.
+func TestUnknownOutcomeAfterRotations(t *testing.T) {
 	s := standin.NewStore()
-	client, back := cutOff(s.Client(), func(w store.Write) { _, _ = s.Client().CompareAndSwap(context.Background(), w) })
+	client, back := disconnectOnWrite(s.Client(), func(w store.Write) { _, _ = s.Client().CompareAndSwap(context.Background(), w) })
 	trail, busy := audit.New(client, "entry-1", audit.WithRetention(0, 100)), audit.New(s.Client(), "entry-2", audit.WithRetention(0, 100))
-	trail.Record(given(0))
+	trail.Record(keyEntry(0))
 	if err := trail.Flush(t.Context()); err == nil {
-		t.Fatal("the lost answer was not noticed")
+		t.Fatal("Flush reported success although the response was lost")
 	}
 	for range 4 {
-		flush(t, busy, large())
+		flush(t, busy, largeEntry())
 	}
 	back()
 	flush(t, trail)
@@ -81,25 +82,25 @@
 	}
 }
 
-// A write that was given up for lost takes effect after the entry was written again.
-func TestLateWriteCountsOnce(t *testing.T) {
+// A delayed write takes effect after the entry was written a second time.
+func TestLateWriteIsDeduplicated(t *testing.T) {
 	s := standin.NewStore()
 	var held store.Write
-	client, back := cutOff(s.Client(), func(w store.Write) { held = w })
+	client, back := disconnectOnWrite(s.Client(), func(w store.Write) { held = w })
 	trail, busy := audit.New(client, "entry-1", audit.WithRetention(0, 100)), audit.New(s.Client(), "entry-2", audit.WithRetention(0, 100))
-	flush(t, busy, large())
-	trail.Record(given(0))
+	flush(t, busy, largeEntry())
+	trail.Record(keyEntry(0))
 	if err := trail.Flush(t.Context()); err == nil {
-		t.Fatal("the lost write was not noticed")
+		t.Fatal("Flush reported success although the write was delayed")
 	}
-	flush(t, busy, large())
+	flush(t, busy, largeEntry())
 	back()
 	flush(t, trail)
 	if _, err := s.Client().CompareAndSwap(t.Context(), held); err != nil {
-		t.Fatalf("the late write did not land: %v", err)
+		t.Fatalf("the delayed write failed: %v", err)
 	}
 
 	if list := subjects(t, s.Client(), audit.Filter{Subject: "Keys/0000"}); len(list) != 1 {
-		t.Errorf("the entry stands %d times, want once", len(list))
+		t.Errorf("Read returns the entry %d times, want once", len(list))
 	}
 }
--- a/audit/read.go
+++ b/audit/read.go
@@ -9,7 +9,7 @@
 	"lycheehook.example/lycheehook/store"
 )
 
-// Read returns the entries in the store that the filter selects, oldest first.
+// Read returns the entries in the store that match the filter, oldest first.
 func Read(ctx context.Context, c *store.Client, f Filter) ([]Entry, error) {
 	s := &segments{client: c}
 	head, _, err := s.head(ctx)
@@ -24,20 +24,20 @@
 	var found []Entry
 	seen := map[uuid.UUID]bool{}
 	for number := last; number >= max(head.First, 1); number-- {
-		// An entry can stand a little before its place, so one segment more is read than the limit asks for.
-		enough := f.Limit > 0 && len(found) >= f.Limit
+		// An entry can be in an earlier segment than its time implies, so one more segment is read than the limit requires.
+		limitReached := f.Limit > 0 && len(found) >= f.Limit
 		segment, _, err := s.get(ctx, number)
 		if err != nil {
 			return nil, err
 		}
 		for _, e := range segment.Entries {
-			// A write that was given up for lost can land late, after the entry was written again.
+			// An entry has a second copy if a delayed write takes effect after its retry.
 			if f.matches(e) && !seen[e.ID] {
 				found = append(found, e)
 			}
 			seen[e.ID] = true
 		}
-		if enough {
+		if limitReached {
 			break
 		}
 	}
@@ -50,7 +50,7 @@
 	return found, nil
 }
 
-// last returns the number of the newest segment, which the head may not name yet.
+// last returns the number of the newest segment, which can be newer than the head's.
 func (s *segments) last(ctx context.Context, head headRecord) (uint64, error) {
 	number := max(head.Last, 1)
 	for {
--- a/audit/segment.go
+++ b/audit/segment.go
@@ -20,12 +20,12 @@
 	headKey       = "audit/head"
 	segmentPrefix = "audit/segment/"
 	maxAttempts   = 20
-	// maxTailAge bounds how long the tail is taken for the newest segment without asking, so that a host that seldom
-	// writes does not append to a segment that is about to be deleted.
+	// maxTailAge is how long the cached tail is used without reading it again, so that a host that rarely writes doesn't
+	// append to a segment that is about to be deleted.
 	maxTailAge = 30 * time.Second
 )
 
-// headRecord bounds the segments that the store has. Last may lag behind by a segment whose writer did not get to say so.
+// headRecord is the range of the segments in the store. Last lags behind if a writer fails before it updates the head.
 type headRecord struct {
 	First uint64
 	Last  uint64
@@ -35,13 +35,13 @@
 	Entries []Entry
 }
 
-// segments appends to the newest segment and deletes the oldest ones.
+// segments appends to the newest segment and deletes the oldest.
 type segments struct {
-	client *store.Client
-	size   int
-	kept   uint64
+	client      *store.Client
+	size        int
+	maxSegments uint64
 
-	// tail is the newest segment as last seen, with its store revision; number zero means that it must be read first.
+	// tail is the cached newest segment with its store revision; it must be read first if number is zero.
 	tail struct {
 		number   uint64
 		revision uint64
@@ -49,18 +49,18 @@
 		size     int
 		read     time.Time
 	}
-	// attempted is the oldest segment that may hold entries whose write had an unknown outcome; zero means none.
-	attempted uint64
+	// firstUncertain is the oldest segment that may contain entries whose write had an unknown outcome; zero means none.
+	firstUncertain uint64
 }
 
 func segmentKey(number uint64) string {
 	return fmt.Sprintf("%s%020d", segmentPrefix, number)
 }
 
-// append writes a batch that fits into one segment. After a lost answer or a conflict it reads the tail back and writes
-// only what is missing, so that no entry is lost or doubled.
+// append writes a batch that fits into one segment. After an unknown outcome or a conflict it reads the tail and writes
+// only the missing entries, so that no entry is lost or duplicated.
 func (s *segments) append(ctx context.Context, batch []Entry) error {
-	var last error
+	var lastErr error
 	for range maxAttempts {
 		if s.tail.number == 0 || time.Since(s.tail.read) > maxTailAge {
 			missing, err := s.load(ctx, batch)
@@ -70,29 +70,29 @@
 			batch = missing
 		}
 		if len(batch) == 0 {
-			s.attempted = 0
+			s.firstUncertain = 0
 			return nil
 		}
 
-		last = s.write(ctx, batch)
+		lastErr = s.write(ctx, batch)
 		switch {
-		case last == nil:
-			s.attempted = 0
+		case lastErr == nil:
+			s.firstUncertain = 0
 			return nil
-		case errors.Is(last, store.ErrConflict), errors.Is(last, store.ErrOutcomeUnknown):
-			if s.attempted == 0 {
-				s.attempted = s.tail.number
+		case errors.Is(lastErr, store.ErrConflict), errors.Is(lastErr, store.ErrOutcomeUnknown):
+			if s.firstUncertain == 0 {
+				s.firstUncertain = s.tail.number
 			}
 			s.tail.number = 0
 		default:
-			return last
+			return lastErr
 		}
 		if ctx.Err() != nil {
-			return last
+			return lastErr
 		}
 	}
 
-	return merry.Prependf(last, "gave up after %d attempts", maxAttempts)
+	return merry.Prependf(lastErr, "gave up after %d attempts", maxAttempts)
 }
 
 func (s *segments) write(ctx context.Context, batch []Entry) error {
@@ -114,7 +114,7 @@
 	return nil
 }
 
-// rotate starts the next segment with the batch and deletes what is kept no longer.
+// rotate starts the next segment with the batch and deletes the segments beyond maxSegments.
 func (s *segments) rotate(ctx context.Context, batch []Entry, size int) error {
 	number := s.tail.number + 1
 	next := segmentRecord{Entries: batch}
@@ -130,16 +130,16 @@
 	return nil
 }
 
-// advance records that a segment is the newest. A writer that slept for so long that the trail has moved past its segment
-// takes the segment back and reports a conflict.
+// advance records a segment as the newest. If the writer was suspended for so long that newer segments made this one obsolete,
+// it deletes the segment and reports a conflict.
 func (s *segments) advance(ctx context.Context, number, revision uint64) error {
 	head, base, err := s.head(ctx)
 	if err != nil {
-		return unsettled(err)
+		return outcomeUnknown(err)
 	}
 	if number < head.First {
 		if err := s.remove(ctx, number, revision); err != nil {
-			return unsettled(err)
+			return outcomeUnknown(err)
 		}
 
 		return merry.Prependf(store.ErrConflict, "segment %d is older than the oldest kept, %d", number, head.First)
@@ -149,8 +149,8 @@
 	}
 
 	next := headRecord{First: max(head.First, 1), Last: number}
-	for ; number-next.First >= s.kept; next.First++ {
-		// A deletion that fails is tried again at the next rotation, because the head still names the segment.
+	for ; number-next.First >= s.maxSegments; next.First++ {
+		// A failed deletion is retried at the next rotation, because the head still includes the segment.
 		if err := s.remove(ctx, next.First, 0); err != nil {
 			break
 		}
@@ -159,18 +159,18 @@
 	if err != nil {
 		return merry.Prepend(err, "encode head")
 	}
-	// The head may lag: readers and writers look for later segments. So a failure here loses nothing.
+	// A failure is harmless: readers and writers look for segments beyond the head's.
 	_, _ = s.client.CompareAndSwap(ctx, store.Write{Key: headKey, Value: value, Base: base})
 
 	return nil
 }
 
-// unsettled makes the caller read back, because the segment was written before err.
-func unsettled(err error) error {
+// outcomeUnknown turns err into one after which the caller reads back, because the segment was written before err.
+func outcomeUnknown(err error) error {
 	return merry.Prependf(store.ErrOutcomeUnknown, "%v", err)
 }
 
-// remove deletes a segment; a revision of zero stands for whatever is there.
+// remove deletes a segment; a revision of zero means its current one.
 func (s *segments) remove(ctx context.Context, number, revision uint64) error {
 	if revision == 0 {
 		r, err := s.client.Get(ctx, segmentKey(number))
@@ -196,17 +196,17 @@
 	return s.client.CompareAndSwap(ctx, store.Write{Key: segmentKey(number), Value: value, Base: base})
 }
 
-// load reads the newest segment and returns the entries of batch that are in no segment since the first attempt to write them.
+// load reads the newest segment and returns the entries of batch that no segment contains since the first attempt to write them.
 func (s *segments) load(ctx context.Context, batch []Entry) ([]Entry, error) {
-	asked := time.Now()
+	requested := time.Now()
 	head, _, err := s.head(ctx)
 	if err != nil {
 		return nil, err
 	}
 
 	number := max(head.Last, 1)
-	if s.attempted > 0 {
-		number = max(min(s.attempted, number), head.First)
+	if s.firstUncertain > 0 {
+		number = max(min(s.firstUncertain, number), head.First)
 	}
 	segment, revision, err := s.get(ctx, number)
 	if err != nil {
@@ -225,7 +225,7 @@
 		written = append(written, ids(segment)...)
 	}
 
-	s.tail.number, s.tail.revision, s.tail.segment, s.tail.size, s.tail.read = number, revision, segment, 0, asked
+	s.tail.number, s.tail.revision, s.tail.segment, s.tail.size, s.tail.read = number, revision, segment, 0, requested
 	for _, e := range segment.Entries {
 		s.tail.size += e.size()
 	}
--- a/audit/trail.go
+++ b/audit/trail.go
@@ -15,7 +15,7 @@
 	"lycheehook.example/lycheehook/store"
 )
 
-// The defaults of a trail; 128 segments of 256 KiB hold about 16 days of 3,200 changes a day with 640 bytes each.
+// Defaults of a trail: 128 segments of 256 KiB hold about 16 days of 3,200 changes a day with 640 bytes each.
 const (
 	DefaultSegmentSize = 256 << 10
 	DefaultMaxSegments = 128
@@ -24,23 +24,23 @@
 )
 
 const (
-	// minSegmentSize holds an entry of the largest size even if each of its characters is escaped.
+	// minSegmentSize fits an entry of the largest size even if each of its characters is escaped.
 	minSegmentSize = 192 << 10
 	minSegments    = 2
 	writeTimeout   = 5 * time.Second
 	retryWait      = time.Second
 )
 
-// ErrNotWritten says that entries wait in the buffer because the store could not take them.
+// ErrNotWritten means that entries are still buffered because they could not be written to the store.
 var ErrNotWritten = merry.Sentinel("audit: entries not yet written")
 
-// Counts tells what became of the entries since the start.
+// Counts is the number of entries since the start, by what happened to them.
 type Counts struct {
 	Recorded uint64
 	Written  uint64
-	// Lost entries did not fit into the buffer; the trail itself tells of them once it can be written.
+	// Lost entries were dropped because the buffer was full; an entry in the trail reports them once it can be written.
 	Lost uint64
-	// Waiting entries are in the buffer.
+	// Waiting entries are buffered.
 	Waiting int
 }
 
@@ -54,26 +54,26 @@
 	bufferSize  int
 	segments    *segments
 
-	// writing serialises writes to the store.
+	// writing is a semaphore that serialises writes to the store.
 	writing chan struct{}
 
 	mu     sync.Mutex
 	buffer []Entry
 	counts Counts
-	// untold is the number of lost entries that the trail does not tell of yet.
-	untold uint64
-	added  chan struct{}
+	// unreported is the number of lost entries that no entry in the trail reports yet.
+	unreported uint64
+	added      chan struct{}
 }
 
 // Option configures a Trail.
 type Option func(*Trail)
 
-// WithLogger sets where every entry is logged as well.
+// WithLogger sets the logger, to which every entry is logged as well.
 func WithLogger(l *log.Logger) Option {
 	return func(t *Trail) { t.log = l }
 }
 
-// WithRetention sets the size of a segment in bytes and how many are kept.
+// WithRetention sets the size of a segment in bytes and how many are retained.
 func WithRetention(segmentSize int, maxSegments uint64) Option {
 	return func(t *Trail) {
 		t.segmentSize = min(max(segmentSize, minSegmentSize), store.MaxValueSize/2)
@@ -81,17 +81,17 @@
 	}
 }
 
-// WithInterval sets for how long entries are collected before they are written together.
+// WithInterval sets how long entries are collected before they are written as a batch.
 func WithInterval(d time.Duration) Option {
 	return func(t *Trail) { t.interval = d }
 }
 
-// WithBufferSize sets how many entries may wait while the store can't be written.
+// WithBufferSize sets how many entries are buffered while the store is unavailable.
 func WithBufferSize(n int) Option {
 	return func(t *Trail) { t.bufferSize = n }
 }
 
-// New returns the trail of an entry host over the store.
+// New returns a trail that writes the entries of an entry host to the store.
 func New(c *store.Client, host fleet.EntryName, opts ...Option) *Trail {
 	t := &Trail{
 		host: host, log: log.New(io.Discard), interval: DefaultInterval, bufferSize: DefaultBufferSize,
@@ -101,14 +101,14 @@
 	for _, opt := range opts {
 		opt(t)
 	}
-	t.segments = &segments{client: c, size: t.segmentSize, kept: t.maxSegments}
+	t.segments = &segments{client: c, size: t.segmentSize, maxSegments: t.maxSegments}
 
 	return t
 }
 
-// Record adds an entry to the buffer and logs it; it never waits. An entry that does not fit is counted as lost.
+// Record buffers and logs an entry without blocking. If the buffer is full, the entry is dropped and counted as lost.
 func (t *Trail) Record(e Entry) {
-	e = e.bounded()
+	e = e.truncated()
 	e.ID = uuid.Must(uuid.NewV7())
 	e.Host = t.host
 	if e.Time.IsZero() {
@@ -123,8 +123,8 @@
 	t.counts.Recorded++
 	if len(t.buffer) >= t.bufferSize {
 		t.counts.Lost++
-		t.untold++
-		t.log.Error("audit entry lost, buffer is full", "id", e.ID, "lost", t.counts.Lost)
+		t.unreported++
+		t.log.Error("audit entry dropped, buffer is full", "id", e.ID, "lost", t.counts.Lost)
 
 		return
 	}
@@ -136,7 +136,7 @@
 	}
 }
 
-// Counts returns what became of the entries since the start.
+// Counts returns the counts of entries since the start.
 func (t *Trail) Counts() Counts {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -147,12 +147,12 @@
 	return c
 }
 
-// Run writes entries in batches until ctx ends, then writes what is left.
+// Run writes entries in batches until ctx is done, then flushes the buffer.
 func (t *Trail) Run(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
-			t.finish(context.WithoutCancel(ctx))
+			t.flushOnStop(context.WithoutCancel(ctx))
 			return
 		case <-t.added:
 		}
@@ -163,20 +163,20 @@
 			if err == nil {
 				break
 			}
-			t.log.Warn("audit entries wait", "waiting", t.Counts().Waiting, "err", err)
+			t.log.Warn("failed to write audit entries, retrying", "waiting", t.Counts().Waiting, "err", err)
 			pause.For(ctx, retryWait)
 		}
 	}
 }
 
-// finish writes what is left at a stop, or logs how much could not be written.
-func (t *Trail) finish(ctx context.Context) {
+// flushOnStop flushes the buffer at shutdown and logs how many entries are lost if that fails.
+func (t *Trail) flushOnStop(ctx context.Context) {
 	if err := t.flush(ctx); err != nil {
-		t.log.Error("audit entries lost at the stop", "waiting", t.Counts().Waiting, "err", err)
+		t.log.Error("audit entries lost at shutdown", "waiting", t.Counts().Waiting, "err", err)
 	}
 }
 
-// Flush returns when everything recorded before is in the store; an error of kind ErrNotWritten says that the entries still wait.
+// Flush returns when all entries recorded before the call are in the store, or ErrNotWritten if some are still buffered.
 func (t *Trail) Flush(ctx context.Context) error {
 	return t.flush(ctx)
 }
@@ -199,16 +199,16 @@
 		if err := t.segments.append(ctx, batch); err != nil {
 			return merry.Prependf(ErrNotWritten, "%v", err)
 		}
-		t.wrote(len(batch))
+		t.removeWritten(len(batch))
 	}
 }
 
-// batch returns the oldest entries of the buffer that fit into one segment.
+// batch returns the oldest buffered entries that fit into one segment.
 func (t *Trail) batch() []Entry {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
-	t.tellOfLost()
+	t.reportLost()
 	size := 0
 	for i, e := range t.buffer {
 		if size += e.size(); size > t.segmentSize {
@@ -219,18 +219,18 @@
 	return t.buffer[:len(t.buffer):len(t.buffer)]
 }
 
-// tellOfLost adds an entry about lost entries once there is room for it; t is locked.
-func (t *Trail) tellOfLost() {
-	if t.untold == 0 || len(t.buffer) >= t.bufferSize {
+// reportLost buffers an entry that reports lost entries, once there is room for it. t.mu must be held.
+func (t *Trail) reportLost() {
+	if t.unreported == 0 || len(t.buffer) >= t.bufferSize {
 		return
 	}
 
-	t.buffer = append(t.buffer, lossEntry(t.host, t.untold))
+	t.buffer = append(t.buffer, lossEntry(t.host, t.unreported))
 	t.counts.Recorded++
-	t.untold = 0
+	t.unreported = 0
 }
 
-func (t *Trail) wrote(n int) {
+func (t *Trail) removeWritten(n int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
--- a/audit/trail_test.go
+++ b/audit/trail_test.go
@@ -19,7 +19,7 @@
 	"lycheehook.example/lycheehook/store"
 )
 
-func given(i int) audit.Entry {
+func keyEntry(i int) audit.Entry {
 	return audit.Entry{Who: "wanjiru", Action: audit.GiveKey, Subject: fmt.Sprintf("Keys/%04d", i), Result: audit.Accepted}
 }
 
@@ -37,7 +37,7 @@
 	return list
 }
 
-// faulty returns a client whose writes take effect but for a part whose answers are lost, and a part that never arrives.
+// faulty returns a client of whose writes some lose their response and some never reach the store.
 func faulty(c *store.Client, seed uint64) *store.Client {
 	var mu sync.Mutex
 	r := rand.New(rand.NewPCG(seed, 1))
@@ -60,8 +60,8 @@
 	return &f
 }
 
-// Each entry of several hosts that race each other and lose answers stands in the trail exactly once.
-func TestEachEntryOnce(t *testing.T) {
+// Hosts that write concurrently and lose responses write each entry exactly once.
+func TestEachEntryWrittenOnce(t *testing.T) {
 	const hosts, entries = 4, 25
 	for seed := range uint64(8) {
 		s := standin.NewStore()
@@ -71,8 +71,8 @@
 				audit.WithRetention(0, 1000))
 			wg.Go(func() {
 				for i := range entries {
-					e := given(h*entries + i)
-					// Large entries make the segments rotate in the middle of the race.
+					e := keyEntry(h*entries + i)
+					// Large entries cause rotations during the concurrent writes.
 					for range 90 {
 						e.Changes = append(e.Changes, strings.Repeat("x", 250))
 					}
@@ -93,8 +93,8 @@
 			count[subject]++
 		}
 		for i := range hosts * entries {
-			if n := count[given(i).Subject]; n != 1 {
-				t.Errorf("seed %d: entry %d stands %d times", seed, i, n)
+			if n := count[keyEntry(i).Subject]; n != 1 {
+				t.Errorf("seed %d: Read returns entry %d %d times", seed, i, n)
 			}
 		}
 	}
@@ -107,7 +107,7 @@
 	}{
 		{"down", standin.FaultDown},
 		{"silent", standin.FaultSilent},
-		{"answers lost", standin.FaultAnswerLost},
+		{"responses lost", standin.FaultAnswerLost},
 	}
 	for _, tt := range tests {
 		synctest.Test(t, func(t *testing.T) {
@@ -116,19 +116,19 @@
 			ctx, stop := context.WithCancel(t.Context())
 			done := make(chan struct{})
 			go func() { trail.Run(ctx); close(done) }()
-			trail.Record(given(0))
+			trail.Record(keyEntry(0))
 			time.Sleep(time.Minute)
 
 			s.SetFault(tt.fault)
-			trail.Record(given(1))
+			trail.Record(keyEntry(1))
 			if err := trail.Flush(t.Context()); tt.fault != standin.FaultAnswerLost && !errors.Is(err, audit.ErrNotWritten) {
 				t.Errorf("%s: Flush returned %v", tt.name, err)
 			}
 			time.Sleep(time.Hour)
-			trail.Record(given(2))
+			trail.Record(keyEntry(2))
 			s.SetFault(standin.FaultNone)
 			time.Sleep(time.Minute)
-			trail.Record(given(3))
+			trail.Record(keyEntry(3))
 			stop()
 			<-done
 
@@ -143,12 +143,12 @@
 	}
 }
 
-func TestOverflowIsToldOf(t *testing.T) {
+func TestOverflowIsReported(t *testing.T) {
 	s := standin.NewStore()
 	s.SetFault(standin.FaultDown)
 	trail := audit.New(s.Client(), "entry-1", audit.WithBufferSize(3))
 	for i := range 5 {
-		trail.Record(given(i))
+		trail.Record(keyEntry(i))
 		_ = trail.Flush(t.Context())
 	}
 	if diff := cmp.Diff(audit.Counts{Recorded: 5, Lost: 2, Waiting: 3}, trail.Counts()); diff != "" {
@@ -161,19 +161,19 @@
 	}
 	entries, err := audit.Read(t.Context(), s.Client(), audit.Filter{Action: audit.LoseEntries})
 	if err != nil || len(entries) != 1 || !strings.HasPrefix(entries[0].Reason, "2 entries") {
-		t.Errorf("the trail tells of %+v, %v; want one entry about 2 lost ones", entries, err)
+		t.Errorf("the trail reports %+v, %v; want one entry that reports 2 lost ones", entries, err)
 	}
 }
 
-func TestRetentionBoundsTheStore(t *testing.T) {
+func TestRetention(t *testing.T) {
 	const kept = 3
 	s := standin.NewStore()
 	idle := audit.New(s.Client(), "entry-2", audit.WithRetention(0, kept))
 	trail := audit.New(s.Client(), "entry-1", audit.WithRetention(0, kept))
 	for i := range 200 {
-		e := given(i)
+		e := keyEntry(i)
 		for range 500 {
-			// Characters that JSON escapes make the largest entries.
+			// Characters that JSON escapes yield the largest entries.
 			e.Changes = append(e.Changes, strings.Repeat("\x00", 1000))
 		}
 		trail.Record(e)
@@ -200,17 +200,17 @@
 	}
 }
 
-// A host that has not written for long must not append to a segment that is about to be deleted.
-func TestIdleHostAppendsToTheNewestSegment(t *testing.T) {
+// A host that has not written for a long time must not append to a segment that is about to be deleted.
+func TestIdleHostAppendsToNewestSegment(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := standin.NewStore()
 		idle, busy := audit.New(s.Client(), "entry-1", audit.WithRetention(0, 2)), audit.New(s.Client(), "entry-2", audit.WithRetention(0, 2))
-		large := given(1)
+		large := keyEntry(1)
 		for range 100 {
 			large.Changes = append(large.Changes, strings.Repeat("\x00", 256))
 		}
 		busy.Record(large)
-		idle.Record(given(0))
+		idle.Record(keyEntry(0))
 		if err := errors.Join(busy.Flush(t.Context()), idle.Flush(t.Context())); err != nil {
 			t.Fatal(err)
 		}
@@ -220,7 +220,7 @@
 		}
 
 		time.Sleep(time.Hour)
-		idle.Record(given(2))
+		idle.Record(keyEntry(2))
 		if err := idle.Flush(t.Context()); err != nil {
 			t.Fatal(err)
 		}
@@ -229,18 +229,18 @@
 			t.Fatal(err)
 		}
 		if list := subjects(t, s.Client(), audit.Filter{Subject: "Keys/0002"}); len(list) != 1 {
-			t.Errorf("the entry of the idle host stands %d times, want once", len(list))
+			t.Errorf("Read returns the entry of the idle host %d times, want once", len(list))
 		}
 	})
 }
 
-func TestManyEntriesTakeOneWrite(t *testing.T) {
+func TestEntriesAreBatched(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := standin.NewStore()
 		trail := audit.New(s.Client(), "entry-1")
 		go trail.Run(t.Context())
 		for i := range 200 {
-			trail.Record(given(i))
+			trail.Record(keyEntry(i))
 		}
 		time.Sleep(time.Minute)
 		if n := s.Calls()["CompareAndSwap"]; n != 1 {
