telemetry: use the terms of logging and metrics

Comments now speak of rate limits, suppressed and dropped lines, label cardinality and histogram buckets, and no longer of what logs "tell". Names follow: call -> observeCall, resultOf -> resultLabel, report -> logSuppressed, gate -> blockedWriter.

--- a/telemetry/doc.go
+++ b/telemetry/doc.go
@@ -1,3 +1,3 @@
-// Package telemetry has what tells operators afterwards why something
-// happened: a log that never blocks and is bounded, and metrics.
+// Package telemetry provides metrics, a bounded log writer that never blocks, and
+// the reconstruction of a job's history from the logs of several hosts.
 package telemetry
--- a/telemetry/limiter.go
+++ b/telemetry/limiter.go
@@ -7,11 +7,11 @@
 	"github.com/charmbracelet/log"
 )
 
-// maxPerSecond bounds the lines of one kind in a second. The heaviest day known has some 200 starts and as many ends a
-// second, all at the owner, and several times that in the second after a take-over.
+// maxPerSecond is the limit of lines of one kind per second. The owner logs some 200 starts and as many ends a second
+// under heavy load, and several times that in the second after a change of ownership.
 const maxPerSecond = 800
 
-// Limiter bounds the log lines of each kind, and logs once a second how many were left out.
+// Limiter limits the rate of log lines by kind and logs how many lines of a second were suppressed.
 type Limiter struct {
 	log    *log.Logger
 	mu     sync.Mutex
@@ -19,17 +19,17 @@
 	counts map[string]int
 }
 
-// NewLimiter returns a limiter that reports to l.
+// NewLimiter returns a limiter that logs suppressed lines to l.
 func NewLimiter(l *log.Logger) *Limiter {
 	return &Limiter{log: l, counts: map[string]int{}}
 }
 
-// Allow reports whether one more line of a kind may be written in this second.
+// Allow reports whether another line of the kind may be logged in the current second.
 func (l *Limiter) Allow(kind string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if now := time.Now().Unix(); now != l.second {
-		l.report()
+		l.logSuppressed()
 		l.second = now
 		clear(l.counts)
 	}
@@ -38,7 +38,7 @@
 	return l.counts[kind] <= maxPerSecond
 }
 
-func (l *Limiter) report() {
+func (l *Limiter) logSuppressed() {
 	for kind, n := range l.counts {
 		if n > maxPerSecond {
 			l.log.Warn("log lines left out", "kind", kind, "count", n-maxPerSecond)
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -14,10 +14,10 @@
 
 const namespace = "lycheehook"
 
-// latencies are the upper bounds of the buckets of a latency, in seconds, from a call within a zone to a caller's deadline.
+// latencies are the bucket bounds of latency histograms, in seconds, from a call within a zone to a caller's deadline.
 var latencies = []float64{0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10}
 
-// Metrics has the process's counters, gauges and histograms.
+// Metrics is the process's counters, gauges and histograms.
 type Metrics struct {
 	registry   *prometheus.Registry
 	requests   *prometheus.CounterVec
@@ -29,18 +29,18 @@
 	firstStart prometheus.Histogram
 	unstarted  *prometheus.GaugeVec
 	passTime   prometheus.Histogram
-	// PassLag is how late the owner's last scheduling pass began, in seconds; zero at other hosts.
+	// PassLag is how late the owner's last scheduling pass started, in seconds; zero on other hosts.
 	PassLag prometheus.Gauge
 	// Version is the version of the configuration in force.
 	Version prometheus.Gauge
 	// Term is the store revision of the term in which this process owns the workers; zero while it does not.
 	Term prometheus.Gauge
-	// OpenJobs and Runs are what the owner has; zero at other hosts.
+	// OpenJobs and Runs are set by the owner; zero on other hosts.
 	OpenJobs prometheus.Gauge
 	Runs     prometheus.Gauge
 }
 
-// NewMetrics returns metrics that are all zero.
+// NewMetrics returns registered metrics with zero values.
 func NewMetrics() *Metrics {
 	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
 		return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
@@ -82,18 +82,18 @@
 	return m
 }
 
-// Handler serves the metrics as text.
+// Handler serves the metrics in the Prometheus text format.
 func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
 
-// Request counts a caller's request.
+// Request counts a caller's request and records its duration.
 func (m *Metrics) Request(method string, status int, took time.Duration) {
 	m.requests.WithLabelValues(method, statusText(status)).Inc()
 	m.answerTime.WithLabelValues(method).Observe(took.Seconds())
 }
 
-// statusText returns the status as a label, with a fixed set of values.
+// statusText returns the status as a label with bounded cardinality.
 func statusText(status int) string {
 	switch status {
 	case http.StatusOK, http.StatusBadRequest, http.StatusUnauthorized, http.StatusNotFound, http.StatusConflict, http.StatusGone,
@@ -114,7 +114,7 @@
 	m.ends.WithLabelValues(o.String()).Inc()
 }
 
-// FirstStart notes how long a job waited for its first assignment.
+// FirstStart records how long a job waited for its first assignment.
 func (m *Metrics) FirstStart(waited time.Duration) {
 	m.firstStart.Observe(waited.Seconds())
 }
@@ -124,17 +124,17 @@
 	m.unstarted.WithLabelValues(reason).Set(float64(jobs))
 }
 
-// Pass notes how long a scheduling pass took.
+// Pass records the duration of a scheduling pass.
 func (m *Metrics) Pass(took time.Duration) {
 	m.passTime.Observe(took.Seconds())
 }
 
-func (m *Metrics) call(to, call string, began time.Time, err error) {
-	m.calls.WithLabelValues(to, call, resultOf(err)).Inc()
-	m.callTime.WithLabelValues(to, call).Observe(time.Since(began).Seconds())
+func (m *Metrics) observeCall(to, observeCall string, began time.Time, err error) {
+	m.calls.WithLabelValues(to, observeCall, resultLabel(err)).Inc()
+	m.callTime.WithLabelValues(to, observeCall).Observe(time.Since(began).Seconds())
 }
 
-// results names what can come of a call, the first that fits.
+// results maps errors to labels; the first match is used.
 var results = []struct {
 	err  error
 	name string
@@ -146,7 +146,7 @@
 	{work.ErrAnotherLife, "AnotherLife"},
 }
 
-func resultOf(err error) string {
+func resultLabel(err error) string {
 	if err == nil {
 		return "OK"
 	}
--- a/telemetry/story.go
+++ b/telemetry/story.go
@@ -12,26 +12,26 @@
 	"github.com/go-logfmt/logfmt"
 )
 
-// maxLine bounds a log line, in bytes.
+// maxLine is the maximum length of a log line, in bytes.
 const maxLine = 1 << 20
 
-// Event is a line of a log that tells of a job.
+// Event is a log line about a job or a change of the owner.
 type Event struct {
 	Time   time.Time
 	Source string
-	// Fields has the line's keys and values without its time.
+	// Fields are the line's keys and values except its time.
 	Fields map[string]string
 	Text   string
 }
 
-// Story is what several hosts' logs tell of one job, in the order of their clocks.
+// Story is the history of one job, collected from the logs of several hosts.
 type Story struct {
 	Job    string
 	Events []Event
 }
 
-// Read takes in the lines of one log that tell of the job, or of a change of the owner; lines of another form are
-// passed over. What stands before the time of a line, such as a collector's own stamp, is ignored.
+// Read adds the lines of a log that are about the job or a change of the owner. Malformed lines are skipped, and anything
+// before a line's time key, such as the prefix of a log collector, is ignored.
 func (s *Story) Read(source string, r io.Reader) error {
 	lines := bufio.NewScanner(r)
 	lines.Buffer(nil, maxLine)
@@ -41,7 +41,7 @@
 		if at < 0 || !strings.Contains(line, s.Job) && !strings.Contains(line, "owns the workers") {
 			continue
 		}
-		if e, ok := parse(source, line[at:]); ok {
+		if e, ok := parseEvent(source, line[at:]); ok {
 			s.Events = append(s.Events, e)
 		}
 	}
@@ -49,7 +49,7 @@
 	return merry.Prepend(lines.Err(), source)
 }
 
-func parse(source, line string) (Event, bool) {
+func parseEvent(source, line string) (Event, bool) {
 	e := Event{Source: source, Fields: map[string]string{}, Text: line}
 	d := logfmt.NewDecoder(strings.NewReader(line))
 	if !d.ScanRecord() {
@@ -68,21 +68,21 @@
 	return e, true
 }
 
-// Write writes the events in order of time until the job is over, those of owners only from the job's first event on,
-// and what is missing.
+// Write writes the events in order of time, from the job's first event until the job is over, followed by what is missing
+// from the logs.
 func (s *Story) Write(w io.Writer) error {
 	slices.SortStableFunc(s.Events, func(a, b Event) int { return a.Time.Compare(b.Time) })
 	var text strings.Builder
-	var first time.Time
+	var start time.Time
 	for _, e := range s.Events {
 		own := e.Fields["job"] == s.Job
-		if first.IsZero() && !own {
+		if start.IsZero() && !own {
 			continue
 		}
-		if first.IsZero() {
-			first = e.Time
+		if start.IsZero() {
+			start = e.Time
 		}
-		fmt.Fprintf(&text, "%9.3fs %s %s\n", e.Time.Sub(first).Seconds(), e.Source, withoutTime(e.Text))
+		fmt.Fprintf(&text, "%9.3fs %s %s\n", e.Time.Sub(start).Seconds(), e.Source, withoutTime(e.Text))
 		if own && e.Fields["msg"] == "JobOver" {
 			break
 		}
@@ -101,7 +101,7 @@
 	return rest
 }
 
-// Missing returns what the logs do not tell although a job's story has it.
+// Missing describes the expected events that the logs lack.
 func (s *Story) Missing() []string {
 	has := func(key, value string) bool {
 		return slices.ContainsFunc(s.Events, func(e Event) bool { return e.Fields["job"] == s.Job && e.Fields[key] == value })
--- a/telemetry/story_test.go
+++ b/telemetry/story_test.go
@@ -9,7 +9,7 @@
 
 const storyJob = "5c0e7a21d94b36f8"
 
-// The lines of several logs are told in order of time, with the owners meanwhile, and with what is missing.
+// Events of several logs are merged in order of time, with the changes of the owner and what is missing.
 func TestStory(t *testing.T) {
 	front := "time=2026-04-15T05:30:00.100Z level=info msg=answered method=POST job=" + storyJob + " status=200\n" +
 		"time=2026-04-15T05:30:00.200Z level=info msg=answered method=POST job=aaaaaaaaaaaaaaaa status=200\n"
--- a/telemetry/telemetry_test.go
+++ b/telemetry/telemetry_test.go
@@ -17,20 +17,20 @@
 	"lycheehook.example/lycheehook/work"
 )
 
-// gate is a writer that waits until it is opened.
-type gate struct {
+// blockedWriter is a writer that blocks until open is closed.
+type blockedWriter struct {
 	open chan struct{}
 	bytes.Buffer
 }
 
-func (g *gate) Write(p []byte) (int, error) {
+func (g *blockedWriter) Write(p []byte) (int, error) {
 	<-g.open
 	return g.Buffer.Write(p)
 }
 
-// A log that can't be written blocks nobody; what was dropped is counted.
+// Writes don't block while the underlying writer does; the number of dropped lines is logged.
 func TestWriterNeverBlocks(t *testing.T) {
-	g := &gate{open: make(chan struct{})}
+	g := &blockedWriter{open: make(chan struct{})}
 	w := NewWriter(g)
 	const lines = 3 * maxQueued
 	for range lines {
@@ -46,11 +46,11 @@
 		t.Errorf("%d of %d lines written", written, lines)
 	}
 	if !strings.Contains(g.String(), "log lines dropped") {
-		t.Error("nothing says that lines were dropped")
+		t.Error("the dropped lines are not reported")
 	}
 }
 
-// Each kind of line is bounded by itself, and what was left out is told in the next second.
+// Each kind has its own limit, and the number of suppressed lines is logged in the next second.
 func TestLimiter(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var out bytes.Buffer
@@ -65,7 +65,7 @@
 			t.Errorf("lines in one second (-want +got):\n%s", diff)
 		}
 		if !l.Allow("Assigned") {
-			t.Error("another kind was held back")
+			t.Error("a line of another kind was suppressed")
 		}
 		time.Sleep(time.Second)
 		if !l.Allow("Ended") || !strings.Contains(out.String(), "count=7") {
@@ -74,12 +74,12 @@
 	})
 }
 
-// The metrics are served as text.
+// The metrics are served in the text format.
 func TestMetrics(t *testing.T) {
 	m := NewMetrics()
 	m.Request(http.MethodPost, http.StatusOK, 20*time.Millisecond)
 	m.End(work.OutcomeDone)
-	m.call("worker", "Start", time.Now(), work.ErrFenced)
+	m.observeCall("worker", "Start", time.Now(), work.ErrFenced)
 	rec := httptest.NewRecorder()
 	m.Handler().ServeHTTP(rec, httptest.NewRequest(http.MethodGet, "/metrics", nil))
 	for _, want := range []string{
@@ -92,8 +92,8 @@
 	}
 }
 
-// The operators' page lists every metric.
-func TestMetricsOnThePage(t *testing.T) {
+// docs/OPERATIONS.md lists every metric.
+func TestMetricsAreDocumented(t *testing.T) {
 	page, err := os.ReadFile("../docs/OPERATIONS.md")
 	if err != nil {
 		t.Fatal(err)
@@ -103,7 +103,7 @@
 	m.Decision("Assigned")
 	m.End(work.OutcomeDone)
 	m.Unstarted("NoRoom", 0)
-	m.call("store", "Get", time.Now(), nil)
+	m.observeCall("store", "Get", time.Now(), nil)
 	families, err := m.registry.Gather()
 	if err != nil {
 		t.Fatal(err)
--- a/telemetry/writer.go
+++ b/telemetry/writer.go
@@ -9,11 +9,11 @@
 	"time"
 )
 
-// maxQueued bounds the lines that wait to be written; at some 200 bytes each they take under a megabyte.
+// maxQueued is the length of the queue of lines; at some 200 bytes each they take under a megabyte.
 const maxQueued = 4096
 
-// Writer passes lines on to another writer without ever blocking its callers: lines that find the queue full are
-// dropped, counted, and the count is written once there is room.
+// Writer queues lines for another writer without ever blocking its callers. Lines are dropped and counted while the queue
+// is full, and their number is logged once there is room.
 type Writer struct {
 	out     io.Writer
 	lines   chan []byte
@@ -21,7 +21,7 @@
 	done    sync.WaitGroup
 }
 
-// NewWriter returns a writer that passes lines on to out until it is closed.
+// NewWriter returns a writer that forwards lines to out until it is closed.
 func NewWriter(out io.Writer) *Writer {
 	w := &Writer{out: out, lines: make(chan []byte, maxQueued)}
 	w.done.Go(w.run)
@@ -29,7 +29,7 @@
 	return w
 }
 
-// Write implements io.Writer; it takes the line or drops it.
+// Write implements io.Writer. It queues the line, or drops it if the queue is full.
 func (w *Writer) Write(line []byte) (int, error) {
 	select {
 	case w.lines <- bytes.Clone(line):
@@ -40,13 +40,13 @@
 	return len(line), nil
 }
 
-// Close writes what waits; nothing may be written afterwards.
+// Close writes the queued lines. Write must not be called afterwards.
 func (w *Writer) Close() {
 	close(w.lines)
 	w.done.Wait()
 }
 
-// run writes all lines that wait at once, so that many lines cost one call of the system.
+// run writes all queued lines at once, so that many lines take one system call.
 func (w *Writer) run() {
 	var batch bytes.Buffer
 	for line := range w.lines {
@@ -58,10 +58,10 @@
 		if n := w.dropped.Swap(0); n > 0 {
 			fmt.Fprintf(&batch, "time=%q level=warn msg=\"log lines dropped\" count=%d\n", time.Now().Format(TimeFormat), n)
 		}
-		// There is nobody to tell that the log itself can't be written.
+		// A failure to write the log itself can't be logged.
 		_, _ = w.out.Write(batch.Bytes())
 	}
 }
 
-// TimeFormat shows milliseconds and the zone, since several hosts' logs are read together.
+// TimeFormat has milliseconds and the zone, because the logs of several hosts are merged.
 const TimeFormat = "2006-01-02T15:04:05.000Z07:00"
