--- a/explore/doc.go
+++ b/explore/doc.go
@@ -1,7 +1,7 @@
-// Package explore checks a small model of a protocol in every state that it can
-// reach: breadth-first search over states, each expanded once by its key.
+// Package explore is a model checker for small models of protocols: it checks an
+// invariant in every reachable state, by breadth-first search.
 //
-// A model supplies the initial state, every step from a state, a canonical key
-// and the invariant. The steps should call the transition functions of the real
-// protocol, so that what is checked is what runs.
+// A model has an initial state, the transitions from a state, a canonical key of a
+// state and the invariant. Transitions should call the functions of the real
+// protocol, so that the checked code is the code that runs.
 package explore
--- a/explore/explore.go
+++ b/explore/explore.go
@@ -5,7 +5,7 @@
 	"strings"
 )
 
-// Step is one transition out of a state; Label names it in a trace.
+// Step is a transition to the state Next; Label names it in a trace.
 type Step[S any] struct {
 	Label string
 	Next  S
@@ -15,27 +15,27 @@
 type Model[S any, K comparable] struct {
 	// Initial is the state in which the search starts.
 	Initial S
-	// Steps returns every transition out of a state.
+	// Steps returns all transitions from a state.
 	Steps func(S) []Step[S]
-	// Key returns the same value for states that need not be told apart.
+	// Key returns the same value for states that are equivalent.
 	Key func(S) K
-	// Check returns an error for a state that breaks the invariant.
+	// Check returns an error for a state that violates the invariant.
 	Check func(S) error
 }
 
-// Report says how much of a model a search covered.
+// Report is the coverage of a search.
 type Report struct {
 	// States is the number of distinct states checked.
 	States int
 	// Steps is the number of transitions taken.
 	Steps int
-	// Depth is the length of the longest shortest path to a state, in steps.
+	// Depth is the largest distance of a state from the initial state, in steps.
 	Depth int
-	// Complete says that no state was left unexpanded.
+	// Complete means that every reachable state was expanded.
 	Complete bool
 }
 
-// ViolationError is a state that breaks the invariant, with a shortest path to it.
+// ViolationError reports a state that violates the invariant, with a shortest path to it.
 type ViolationError struct {
 	Trace []string
 	Err   error
@@ -46,7 +46,7 @@
 	return fmt.Sprintf("invariant broken after %d steps: %v\n  %s", len(v.Trace), v.Err, strings.Join(v.Trace, "\n  "))
 }
 
-// Unwrap returns what the invariant reported.
+// Unwrap returns the error of Check.
 func (v *ViolationError) Unwrap() error {
 	return v.Err
 }
@@ -59,7 +59,7 @@
 	label  string
 }
 
-// Run searches all states within maxDepth steps and returns a *ViolationError for the first that breaks the invariant.
+// Run searches all states within maxDepth steps and returns a *ViolationError for the first that violates the invariant.
 func (m Model[S, K]) Run(maxDepth int) (Report, error) {
 	nodes := []node[S]{{state: m.Initial, parent: -1}}
 	seen := map[K]struct{}{m.Key(m.Initial): {}}
@@ -89,8 +89,8 @@
 				return report, &ViolationError{Trace: trace(nodes), Err: err}
 			}
 		}
-		var expanded S
-		nodes[i].state = expanded
+		var zero S
+		nodes[i].state = zero
 	}
 
 	return report, nil
