load: use the terms of load generators

The package described responses that were "whole", "told" and "judged" and promises that were "broken". Comments now speak of open-loop load, coordinated omission, outcomes, guarantees and fair shares. Names follow: due -> maxMinFair (in maxmin.go), judgeAnswer -> classifyAnswer, told -> observation, cell -> windowCounts, track -> streamCounts, fillDue -> computeFairShares. The names in the report stay.

--- a/load/doc.go
+++ b/load/doc.go
@@ -1,7 +1,7 @@
-// Package load drives running entry hosts with requests over real sockets and
-// checks every answer while it measures.
+// Package load is a load generator that sends requests to running entry hosts,
+// measures latency and verifies every response.
 //
-// The load is open: each request has an intended start that does not wait for
-// earlier answers, and latency counts from there, so a stall of the system
-// shows in full instead of silencing the load.
+// The load is open-loop: each request has an intended start that does not depend
+// on earlier responses, and latency is measured from there. This avoids
+// coordinated omission: a stall of the system doesn't reduce the load.
 package load
--- a/load/load.go
+++ b/load/load.go
@@ -14,26 +14,26 @@
 	"lycheehook.example/lycheehook/fleet"
 )
 
-// Bounds of a run.
+// Limits of a run.
 const (
-	// MaxDuration bounds how long a run sends.
+	// MaxDuration is the longest time for which a run sends requests.
 	MaxDuration = 10 * time.Minute
-	// MaxRequests bounds how many requests a run sends.
+	// MaxRequests is the largest expected number of requests of a run.
 	MaxRequests = 2_000_000
 
 	defaultDuration = 10 * time.Second
 	defaultWindow   = time.Second
 	defaultTimeout  = 10 * time.Second
 	dialTimeout     = time.Second
-	// maxOutstanding bounds the requests of a run that wait for an answer at once.
+	// maxOutstanding is the limit of concurrent requests of a run.
 	maxOutstanding = 8192
 )
 
-// Sentinel errors of a load.
+// Errors of a load.
 var (
-	// ErrInvalid says that the options of a load do not hold together.
+	// ErrInvalid is returned for invalid options.
 	ErrInvalid = merry.Sentinel("load: invalid options")
-	// ErrBroken says that the answers showed a broken promise.
+	// ErrBroken is returned if the responses show that a guarantee was violated.
 	ErrBroken = merry.Sentinel("load: promise broken")
 )
 
@@ -42,19 +42,19 @@
 	Team   fleet.TeamName
 	Secret string
 	Queue  fleet.QueueName
-	// Share is the team's weight, against which its part is reported.
+	// Share is the team's weight, from which its fair share is computed.
 	Share int64
-	// Rate is the mean number of requests a second.
+	// Rate is the mean number of requests per second.
 	Rate float64
-	// BodySize is the size of each request's body in bytes.
+	// BodySize is the size of a request body in bytes.
 	BodySize int
 	// Idempotent is the fraction of requests that are marked as idempotent.
 	Idempotent float64
-	// Turns makes the demand alternate between bursts and lulls.
+	// Turns makes the rate alternate between bursts and lulls.
 	Turns Turns
 }
 
-// Load sends the requests of its streams and records the answers.
+// Load sends the requests of its streams and records the responses.
 type Load struct {
 	targets   []netip.AddrPort
 	endpoints []netip.AddrPort
@@ -70,12 +70,12 @@
 // Option configures a Load.
 type Option func(*Load)
 
-// WithTargets sets the callers' addresses of the entry hosts; requests go to them in turn.
+// WithTargets sets the callers' addresses of the entry hosts; requests are sent to them round-robin.
 func WithTargets(addrs ...netip.AddrPort) Option {
 	return func(l *Load) { l.targets = addrs }
 }
 
-// WithEndpoints sets the addresses of stand-in endpoints, which are asked after the run what really ran.
+// WithEndpoints sets the addresses of stand-in endpoints, whose run counts are compared with the responses after the run.
 func WithEndpoints(addrs ...netip.AddrPort) Option {
 	return func(l *Load) { l.endpoints = addrs }
 }
@@ -85,32 +85,32 @@
 	return func(l *Load) { l.streams = streams }
 }
 
-// WithDuration sets for how long requests are sent.
+// WithDuration sets how long requests are sent.
 func WithDuration(d time.Duration) Option {
 	return func(l *Load) { l.duration = d }
 }
 
-// WithWindow sets the length of the windows in which a run is reported over time.
+// WithWindow sets the length of the windows of the report.
 func WithWindow(d time.Duration) Option {
 	return func(l *Load) { l.window = d }
 }
 
-// WithTimeout sets how long the load waits for each answer.
+// WithTimeout sets the timeout of a request.
 func WithTimeout(d time.Duration) Option {
 	return func(l *Load) { l.timeout = d }
 }
 
-// WithSeed sets the seed of arrivals and bodies.
+// WithSeed sets the random seed of arrivals and bodies.
 func WithSeed(seed uint64) Option {
 	return func(l *Load) { l.seed = seed }
 }
 
-// WithAnyAddress lets the load go to addresses other than loopback.
+// WithAnyAddress allows targets other than loopback addresses.
 func WithAnyAddress() Option {
 	return func(l *Load) { l.allowAny = true }
 }
 
-// New returns a load, or an error that says what does not hold together.
+// New returns a load, or ErrInvalid if its options are invalid.
 func New(opts ...Option) (*Load, error) {
 	l := &Load{duration: defaultDuration, window: defaultWindow, timeout: defaultTimeout, seed: 1}
 	for _, opt := range opts {
@@ -161,7 +161,7 @@
 	return nil
 }
 
-// Run sends the load, waits for the answers and returns the report; its error is ErrBroken when the answers show a broken promise.
+// Run sends the requests, waits for the responses and returns the report. The error is ErrBroken if a guarantee was violated.
 func (l *Load) Run(ctx context.Context) (Report, error) {
 	rec := newRecorder(time.Now(), l.window, l.streams)
 	outstanding := make(chan struct{}, maxOutstanding)
@@ -174,16 +174,16 @@
 	senders.Wait()
 	l.client.CloseIdleConnections()
 
-	ran, err := l.fetchRuns(context.WithoutCancel(ctx))
+	runCounts, err := l.fetchRuns(context.WithoutCancel(ctx))
 	if err != nil {
 		return Report{}, err
 	}
-	report := rec.report(ran)
+	report := rec.report(runCounts)
 
 	return report, report.Broken()
 }
 
-// sendStream starts the requests of one stream at their intended times and returns when all are answered.
+// sendStream starts the requests of one stream at their intended times and returns when all have completed.
 func (l *Load) sendStream(ctx context.Context, index int, s Stream, rng *rand.Rand, rec *recorder, outstanding chan struct{}) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
@@ -209,7 +209,7 @@
 	}
 }
 
-// sleepUntil returns false if ctx ends first.
+// sleepUntil returns false if ctx is done first.
 func sleepUntil(ctx context.Context, t time.Time) bool {
 	wait := time.Until(t)
 	if wait <= 0 {
--- a/load/load_test.go
+++ b/load/load_test.go
@@ -14,25 +14,25 @@
 	"github.com/google/go-cmp/cmp/cmpopts"
 )
 
-func TestDue(t *testing.T) {
+func TestMaxMinFair(t *testing.T) {
 	tests := []struct {
 		name           string
 		amount         float64
 		demand, weight []float64
 		want           []float64
 	}{
-		{name: "nobody asks", amount: 10, demand: []float64{0, 0}, weight: []float64{1, 1}, want: []float64{0, 0}},
+		{name: "no demand", amount: 10, demand: []float64{0, 0}, weight: []float64{1, 1}, want: []float64{0, 0}},
 		{name: "enough for all", amount: 10, demand: []float64{3, 4}, weight: []float64{1, 1}, want: []float64{3, 4}},
-		{name: "by weight when full", amount: 9, demand: []float64{9, 9}, weight: []float64{2, 1}, want: []float64{6, 3}},
-		{name: "what one leaves goes to the others", amount: 12, demand: []float64{2, 20, 20}, weight: []float64{1, 1, 1}, want: []float64{2, 5, 5}},
+		{name: "by weight when demand exceeds the amount", amount: 9, demand: []float64{9, 9}, weight: []float64{2, 1}, want: []float64{6, 3}},
+		{name: "a surplus is divided among the others", amount: 12, demand: []float64{2, 20, 20}, weight: []float64{1, 1, 1}, want: []float64{2, 5, 5}},
 		{name: "nothing to divide", amount: 0, demand: []float64{2}, weight: []float64{1}, want: []float64{0}},
 		{name: "a weight of zero gets nothing", amount: 4, demand: []float64{4, 4}, weight: []float64{0, 1}, want: []float64{0, 4}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			got := due(tt.amount, tt.demand, tt.weight)
+			got := maxMinFair(tt.amount, tt.demand, tt.weight)
 			if diff := cmp.Diff(tt.want, got, cmpopts.EquateApprox(0, 1e-9)); diff != "" {
-				t.Errorf("due (-want +got):\n%s", diff)
+				t.Errorf("maxMinFair (-want +got):\n%s", diff)
 			}
 		})
 	}
@@ -41,22 +41,22 @@
 func TestVerdicts(t *testing.T) {
 	tests := []struct {
 		name string
-		told told
+		told observation
 		ran  int
 		want Verdicts
 	}{
-		{name: "done once", told: told{outcome: Done}, ran: 1, want: Verdicts{Audited: true}},
-		{name: "refused and not run", told: told{outcome: NotRun}, ran: 0, want: Verdicts{Audited: true}},
-		{name: "unknown may have run", told: told{outcome: Unknown}, ran: 1, want: Verdicts{Audited: true}},
-		{name: "done and never ran", told: told{outcome: Done}, ran: 0, want: Verdicts{Audited: true, Lost: 1}},
-		{name: "refused and ran", told: told{outcome: NotRun}, ran: 1, want: Verdicts{Audited: true, FalseNotRun: 1}},
-		{name: "ran twice", told: told{outcome: Done}, ran: 2, want: Verdicts{Audited: true, Doubled: 1}},
-		{name: "idempotent may run twice", told: told{outcome: Done, idempotent: true}, ran: 2, want: Verdicts{Audited: true}},
+		{name: "done once", told: observation{outcome: Done}, ran: 1, want: Verdicts{Audited: true}},
+		{name: "refused and not run", told: observation{outcome: NotRun}, ran: 0, want: Verdicts{Audited: true}},
+		{name: "unknown may have run", told: observation{outcome: Unknown}, ran: 1, want: Verdicts{Audited: true}},
+		{name: "done and never ran", told: observation{outcome: Done}, ran: 0, want: Verdicts{Audited: true, Lost: 1}},
+		{name: "refused and ran", told: observation{outcome: NotRun}, ran: 1, want: Verdicts{Audited: true, FalseNotRun: 1}},
+		{name: "ran twice", told: observation{outcome: Done}, ran: 2, want: Verdicts{Audited: true, Doubled: 1}},
+		{name: "idempotent may run twice", told: observation{outcome: Done, idempotent: true}, ran: 2, want: Verdicts{Audited: true}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			r := newRecorder(time.Now(), time.Second, nil)
-			r.told["id"] = tt.told
+			r.observations["id"] = tt.told
 			if diff := cmp.Diff(tt.want, r.verdicts(map[string]int{"id": tt.ran})); diff != "" {
 				t.Errorf("verdicts (-want +got):\n%s", diff)
 			}
@@ -64,23 +64,23 @@
 	}
 }
 
-func TestJudgeAnswer(t *testing.T) {
+func TestClassifyAnswer(t *testing.T) {
 	req := request{id: "id-1", body: []byte("id-1 body")}
 	tests := []struct {
 		name, id, body string
 		want           Outcome
 	}{
-		{name: "own and whole", id: "id-1", body: "id-1 body", want: Done},
-		{name: "cut short", id: "id-1", body: "id-1", want: Cut},
+		{name: "own and complete", id: "id-1", body: "id-1 body", want: Done},
+		{name: "truncated", id: "id-1", body: "id-1", want: Cut},
 		{name: "empty", id: "id-1", body: "", want: Cut},
-		{name: "another's", id: "id-2", body: "id-2 body", want: Mixed},
-		{name: "another's body under own ID", id: "id-1", body: "id-2 body", want: Mixed},
-		{name: "own body under another's ID", id: "id-2", body: "id-1 body", want: Mixed},
+		{name: "another request's", id: "id-2", body: "id-2 body", want: Mixed},
+		{name: "another request's body with own ID", id: "id-1", body: "id-2 body", want: Mixed},
+		{name: "own body with another request's ID", id: "id-2", body: "id-1 body", want: Mixed},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			if got := judgeAnswer(req, tt.id, []byte(tt.body)).outcome; got != tt.want {
-				t.Errorf("judged as %s, want %s", got, tt.want)
+			if got := classifyAnswer(req, tt.id, []byte(tt.body)).outcome; got != tt.want {
+				t.Errorf("classified as %s, want %s", got, tt.want)
 			}
 		})
 	}
@@ -111,7 +111,7 @@
 	}
 }
 
-func TestTurnsKeepTheMean(t *testing.T) {
+func TestTurnsPreserveMean(t *testing.T) {
 	turns := Turns{Burst: 2 * time.Second, BurstFactor: 5, LullFactor: 0.05}
 	rng := rand.New(rand.NewPCG(7, 7))
 
--- a/load/maxmin.go
+++ b/load/maxmin.go
@@ -1,8 +1,9 @@
 package load
 
-// due divides an amount among demands by weighted max-min fairness: nobody gets more than it asked for, and what some leave is divided among the others by weight.
-func due(amount float64, demand, weight []float64) []float64 {
-	got := make([]float64, len(demand))
+// maxMinFair divides an amount among demands by weighted max-min fairness: no allocation exceeds its demand, and what some
+// don't need is divided among the others by weight.
+func maxMinFair(amount float64, demand, weight []float64) []float64 {
+	allocated := make([]float64, len(demand))
 	open := make([]bool, len(demand))
 	for i := range demand {
 		open[i] = demand[i] > 0 && weight[i] > 0
@@ -16,25 +17,25 @@
 			}
 		}
 		if total == 0 || amount <= 0 {
-			return got
+			return allocated
 		}
 
-		level, settled := amount/total, false
+		level, satisfied := amount/total, false
 		for i := range open {
 			if open[i] && demand[i] <= level*weight[i] {
-				got[i], open[i], settled = demand[i], false, true
+				allocated[i], open[i], satisfied = demand[i], false, true
 				amount -= demand[i]
 			}
 		}
-		if settled {
+		if satisfied {
 			continue
 		}
 		for i := range open {
 			if open[i] {
-				got[i] = level * weight[i]
+				allocated[i] = level * weight[i]
 			}
 		}
 
-		return got
+		return allocated
 	}
 }
--- a/load/plot.go
+++ b/load/plot.go
@@ -21,7 +21,7 @@
 // panel is one plot over the windows of the run.
 type panel struct {
 	title, unit string
-	// value returns what is drawn of a window; dashed returns what is drawn as a dashed line beside it, if set.
+	// value returns the value of a window's solid line, dashed that of a dashed line if set.
 	value  func(Window) float64
 	dashed func(Window) float64
 }
@@ -36,7 +36,7 @@
 	{title: "Refused as not run per window", unit: "requests", value: func(w Window) float64 { return float64(w.NotRun) }},
 }
 
-// WriteSVG draws latency, parts against what is due, and refusals over time as one self-contained SVG document.
+// WriteSVG plots latency, completed requests with the fair share, and refusals over time, as a self-contained SVG document.
 func (r Report) WriteSVG(w io.Writer) error {
 	height := panelHeight * vg.Length(len(panels))
 	canvas := vgsvg.New(plotWidth, height)
--- a/load/recorder.go
+++ b/load/recorder.go
@@ -9,50 +9,50 @@
 	"lycheehook.example/lycheehook/refusal"
 )
 
-// Bounds of the latency histograms.
+// Range and precision of the latency histograms.
 const (
 	lowestLatency  = int64(time.Microsecond)
 	highestLatency = int64(5 * time.Minute)
 	latencyDigits  = 3
 )
 
-// cell is what one stream saw in one window.
-type cell struct {
+// windowCounts is the counts of a stream in one window.
+type windowCounts struct {
 	sent, done, notRun, unknown int
 	latencySum                  time.Duration
 	latencyMax                  time.Duration
 }
 
-// track is what one stream saw in all.
-type track struct {
+// streamCounts is the counts of a stream over the whole run.
+type streamCounts struct {
 	sent, skipped int
 	outcomes      map[Outcome]int
 	codes         map[refusal.Code]int
 	latency       *hdrhistogram.Histogram
-	cells         []cell
+	windows       []windowCounts
 }
 
-// told is what the caller learned about one request.
-type told struct {
+// observation is the outcome of a request from the caller's view.
+type observation struct {
 	outcome    Outcome
 	idempotent bool
 }
 
-// recorder gathers answers of all streams; it is safe for concurrent use.
+// recorder collects the results of all streams. It is safe for concurrent use.
 type recorder struct {
 	start   time.Time
 	window  time.Duration
 	streams []Stream
 
-	mu     sync.Mutex
-	tracks []*track
-	told   map[string]told
+	mu           sync.Mutex
+	counts       []*streamCounts
+	observations map[string]observation
 }
 
 func newRecorder(start time.Time, window time.Duration, streams []Stream) *recorder {
-	r := &recorder{start: start, window: window, streams: streams, told: map[string]told{}}
+	r := &recorder{start: start, window: window, streams: streams, observations: map[string]observation{}}
 	for range streams {
-		r.tracks = append(r.tracks, &track{
+		r.counts = append(r.counts, &streamCounts{
 			outcomes: map[Outcome]int{},
 			codes:    map[refusal.Code]int{},
 			latency:  hdrhistogram.New(lowestLatency, highestLatency, latencyDigits),
@@ -62,47 +62,47 @@
 	return r
 }
 
-// cellAt returns the cell of a moment of the run; the recorder is locked.
-func (r *recorder) cellAt(stream int, at time.Duration) *cell {
-	t := r.tracks[stream]
+// windowAt returns the window of a stream that contains the given time since the start. r.mu must be held.
+func (r *recorder) windowAt(stream int, at time.Duration) *windowCounts {
+	t := r.counts[stream]
 	i := int(at / r.window)
-	for len(t.cells) <= i {
-		t.cells = append(t.cells, cell{})
+	for len(t.windows) <= i {
+		t.windows = append(t.windows, windowCounts{})
 	}
 
-	return &t.cells[i]
+	return &t.windows[i]
 }
 
 func (r *recorder) sent(stream int, intended time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.tracks[stream].sent++
-	r.cellAt(stream, intended).sent++
+	r.counts[stream].sent++
+	r.windowAt(stream, intended).sent++
 }
 
-// skipped counts a request that was not sent because too many waited for an answer.
+// skipped counts a request that was not sent because too many were outstanding.
 func (r *recorder) skipped(stream int, intended time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.tracks[stream].skipped++
-	r.cellAt(stream, intended).sent++
+	r.counts[stream].skipped++
+	r.windowAt(stream, intended).sent++
 }
 
-// answered records what a request came to; its latency counts from the intended start.
+// answered records the result of a request; its latency is measured from the intended start.
 func (r *recorder) answered(stream int, intended time.Duration, req request, res result) {
 	now := time.Since(r.start)
 	latency := now - intended
 
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	t := r.tracks[stream]
+	t := r.counts[stream]
 	t.outcomes[res.outcome]++
-	r.told[req.id] = told{outcome: res.outcome, idempotent: req.idempotent}
+	r.observations[req.id] = observation{outcome: res.outcome, idempotent: req.idempotent}
 	if res.code != "" {
 		t.codes[res.code]++
 	}
 
-	c := r.cellAt(stream, now)
+	c := r.windowAt(stream, now)
 	switch res.outcome {
 	case Done:
 		c.done++
--- a/load/report.go
+++ b/load/report.go
@@ -14,37 +14,37 @@
 	"lycheehook.example/lycheehook/refusal"
 )
 
-// Verdicts counts the requests whose answers broke a promise.
+// Verdicts counts the requests that violated a guarantee.
 type Verdicts struct {
-	// Doubled ran more than once though they were not idempotent.
+	// Doubled ran more than once although they were not idempotent.
 	Doubled int
-	// Lost were answered as done and never ran.
+	// Lost were reported as done but never ran.
 	Lost int
-	// FalseNotRun were refused as not run and ran.
+	// FalseNotRun were reported as not run but ran.
 	FalseNotRun int
-	// Mixed were answered with another request's answer.
+	// Mixed got the response of another request.
 	Mixed int
-	// Cut were answered with part of an answer that claimed to be whole.
+	// Cut got a truncated response without an error.
 	Cut int
-	// Audited says whether the endpoints were asked what really ran.
+	// Audited means that the outcomes were compared with the run counts of the endpoints.
 	Audited bool
 }
 
-// Latency holds percentiles of the time from the intended start to the whole answer.
+// Latency is the percentiles of the time from the intended start to the complete response.
 type Latency struct {
 	P50, P90, P99, P999, Max fleet.Duration
 }
 
-// Window is what one team saw in one window of the run.
+// Window is the results of a team in one window of the run.
 type Window struct {
 	Sent, Done, NotRun, Unknown int
 	MeanLatency                 fleet.Duration
 	MaxLatency                  fleet.Duration
-	// Due is the team's fair part of all that was done in the window, in requests.
+	// Due is the team's fair share of all requests completed in the window.
 	Due float64
 }
 
-// TeamReport is what one team saw in all.
+// TeamReport is the results of a team over the whole run.
 type TeamReport struct {
 	Team     fleet.TeamName
 	Share    int64
@@ -56,14 +56,14 @@
 	Windows  []Window
 }
 
-// Report is what a run saw.
+// Report is the results of a run.
 type Report struct {
 	Window   fleet.Duration
 	Teams    []TeamReport
 	Verdicts Verdicts
 }
 
-// Broken returns an error if any promise was seen broken.
+// Broken returns ErrBroken if any guarantee was violated.
 func (r Report) Broken() error {
 	v := r.Verdicts
 	if v.Doubled+v.Lost+v.FalseNotRun+v.Mixed+v.Cut == 0 {
@@ -74,13 +74,13 @@
 		v.Doubled, v.Lost, v.FalseNotRun, v.Mixed, v.Cut)
 }
 
-// report sums up the run; ran is how often each request ID ran, or nil if nobody could be asked.
-func (r *recorder) report(ran map[string]int) Report {
+// report summarises the run. runCounts is how often each request ID ran, or nil if that is unknown.
+func (r *recorder) report(runCounts map[string]int) Report {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
-	rep := Report{Window: fleet.Duration(r.window), Verdicts: r.verdicts(ran)}
-	for i, t := range r.tracks {
+	rep := Report{Window: fleet.Duration(r.window), Verdicts: r.verdicts(runCounts)}
+	for i, t := range r.counts {
 		rep.Teams = append(rep.Teams, TeamReport{
 			Team: r.streams[i].Team, Share: r.streams[i].Share, Sent: t.sent, Skipped: t.skipped,
 			Outcomes: t.outcomes, Refusals: t.codes,
@@ -91,17 +91,17 @@
 				P999: fleet.Duration(t.latency.ValueAtQuantile(99.9)),
 				Max:  fleet.Duration(t.latency.Max()),
 			},
-			Windows: windows(t.cells),
+			Windows: summarise(t.windows),
 		})
 	}
-	rep.fillDue()
+	rep.computeFairShares()
 
 	return rep
 }
 
-func windows(cells []cell) []Window {
-	ws := make([]Window, len(cells))
-	for i, c := range cells {
+func summarise(counts []windowCounts) []Window {
+	ws := make([]Window, len(counts))
+	for i, c := range counts {
 		ws[i] = Window{Sent: c.sent, Done: c.done, NotRun: c.notRun, Unknown: c.unknown, MaxLatency: fleet.Duration(c.latencyMax)}
 		if c.done > 0 {
 			ws[i].MeanLatency = fleet.Duration(c.latencySum / time.Duration(c.done))
@@ -111,24 +111,24 @@
 	return ws
 }
 
-// verdicts compares what the callers were told with what the endpoints ran.
-func (r *recorder) verdicts(ran map[string]int) Verdicts {
-	v := Verdicts{Audited: ran != nil}
-	for _, t := range r.tracks {
+// verdicts compares the outcomes of requests with how often the endpoints ran them.
+func (r *recorder) verdicts(runCounts map[string]int) Verdicts {
+	v := Verdicts{Audited: runCounts != nil}
+	for _, t := range r.counts {
 		v.Mixed += t.outcomes[Mixed]
 		v.Cut += t.outcomes[Cut]
 	}
-	if ran == nil {
+	if runCounts == nil {
 		return v
 	}
 
-	for id, t := range r.told {
+	for id, t := range r.observations {
 		switch {
-		case ran[id] > 1 && !t.idempotent:
+		case runCounts[id] > 1 && !t.idempotent:
 			v.Doubled++
-		case ran[id] == 0 && t.outcome == Done:
+		case runCounts[id] == 0 && t.outcome == Done:
 			v.Lost++
-		case ran[id] > 0 && t.outcome == NotRun:
+		case runCounts[id] > 0 && t.outcome == NotRun:
 			v.FalseNotRun++
 		}
 	}
@@ -136,13 +136,13 @@
 	return v
 }
 
-// fillDue works out each team's fair part of what was done in each window.
-func (r *Report) fillDue() {
-	most := 0
+// computeFairShares sets each team's fair share of the requests completed in each window.
+func (r *Report) computeFairShares() {
+	longest := 0
 	for _, t := range r.Teams {
-		most = max(most, len(t.Windows))
+		longest = max(longest, len(t.Windows))
 	}
-	for w := range most {
+	for w := range longest {
 		demand, weight, done := make([]float64, len(r.Teams)), make([]float64, len(r.Teams)), 0.0
 		for i, t := range r.Teams {
 			weight[i] = float64(t.Share)
@@ -151,7 +151,7 @@
 				done += float64(t.Windows[w].Done)
 			}
 		}
-		for i, d := range due(done, demand, weight) {
+		for i, d := range maxMinFair(done, demand, weight) {
 			if w < len(r.Teams[i].Windows) {
 				r.Teams[i].Windows[w].Due = d
 			}
@@ -159,7 +159,7 @@
 	}
 }
 
-// WriteText writes the report as a table for people.
+// WriteText writes the report as a human-readable table.
 func (r Report) WriteText(w io.Writer) error {
 	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	_, _ = fmt.Fprintln(tw, "TEAM\tSHARE\tSENT\tDONE\tNOT RUN\tUNKNOWN\tP50\tP99\tMAX\tREFUSALS")
@@ -179,7 +179,7 @@
 	return err
 }
 
-// Refusals returns how often each code was told, over all teams, in the order of the codes.
+// Refusals returns the number of refusals by code over all teams, sorted by code.
 func (r Report) Refusals() string {
 	all := map[refusal.Code]int{}
 	for _, t := range r.Teams {
--- a/load/request.go
+++ b/load/request.go
@@ -19,26 +19,26 @@
 	"lycheehook.example/lycheehook/standin"
 )
 
-// answerPart is the part of the timeout that is left for the answer to arrive after the request's own deadline.
-const answerPart = 8
+// answerMarginDivisor is the fraction of the timeout, as a divisor, that remains after the request's deadline for the response.
+const answerMarginDivisor = 8
 
-// maxAnswer bounds how much of an answer is read beyond the body's own size, in bytes.
+// maxAnswer is how much longer than the request body a response may be, in bytes.
 const maxAnswer = 1 << 16
 
-// Outcome is what one request came to.
+// Outcome is the outcome of a request.
 type Outcome string
 
 // The outcomes of a request.
 const (
-	// Done is a whole answer of an endpoint to this request.
+	// Done is a complete response of an endpoint to this request.
 	Done Outcome = "Done"
-	// NotRun is a refusal which promises that nothing ran.
+	// NotRun is a refusal which guarantees that the request did not run.
 	NotRun Outcome = "NotRun"
-	// Unknown is an answer, or the lack of one, after which the work may have run.
+	// Unknown is a response, or the lack of one, after which the request may or may not have run.
 	Unknown Outcome = "Unknown"
-	// Mixed is an answer that belongs to another request.
+	// Mixed is a response to another request.
 	Mixed Outcome = "Mixed"
-	// Cut is an answer that claims to be whole and is not.
+	// Cut is a response that is truncated without an error.
 	Cut Outcome = "Cut"
 )
 
@@ -49,7 +49,7 @@
 	body       []byte
 }
 
-// result is what a request came to, with the code of a refusal.
+// result is the outcome of a request, with the code of a refusal.
 type result struct {
 	outcome Outcome
 	code    refusal.Code
@@ -64,7 +64,7 @@
 	Runs map[string]int
 }
 
-// newRequest returns a request whose body starts with its ID, so that no two bodies are the same.
+// newRequest returns a request whose body starts with its ID and is therefore unique.
 func newRequest(s Stream, rng *rand.Rand) request {
 	id := uuid.Must(uuid.NewV7()).String()
 	body := make([]byte, 0, max(s.BodySize, len(id)))
@@ -75,7 +75,7 @@
 	return request{id: id, idempotent: rng.Float64() < s.Idempotent, body: body}
 }
 
-// send sends one request to the first target from n on that accepts a connection, as a balancer would, and judges the answer.
+// send sends a request to the first target from n on that accepts a connection, as a load balancer does.
 func (l *Load) send(ctx context.Context, n int, s Stream, req request) result {
 	var res result
 	for i := range l.targets {
@@ -89,7 +89,7 @@
 	return res
 }
 
-// sendTo sends one request to a target; refused says that the target did not accept a connection, so that nothing was sent.
+// sendTo sends a request to a target. refused means that the target did not accept a connection, so nothing was sent.
 func (l *Load) sendTo(ctx context.Context, target netip.AddrPort, s Stream, req request) (res result, refused bool) {
 	url := "http://" + target.String() + "/v1/queues/" + string(s.Queue) + "/work"
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(req.body))
@@ -98,7 +98,7 @@
 	}
 	r.Header.Set("Request-Id", req.id)
 	r.Header.Set("Idempotent", strconv.FormatBool(req.idempotent))
-	r.Header.Set("Request-Timeout", (l.timeout - l.timeout/answerPart).String())
+	r.Header.Set("Request-Timeout", (l.timeout - l.timeout/answerMarginDivisor).String())
 	if s.Secret != "" {
 		r.Header.Set("Authorization", "Bearer "+s.Secret)
 	}
@@ -115,13 +115,13 @@
 		return result{outcome: Unknown, code: refusal.AnswerIncomplete}, false
 	}
 	if resp.StatusCode != http.StatusOK {
-		return judgeRefusal(body), false
+		return classifyRefusal(body), false
 	}
 
-	return judgeAnswer(req, resp.Header.Get(standin.HeaderRequestID), body), false
+	return classifyAnswer(req, resp.Header.Get(standin.HeaderRequestID), body), false
 }
 
-func judgeRefusal(body []byte) result {
+func classifyRefusal(body []byte) result {
 	var a refusalAnswer
 	if err := json.Unmarshal(body, &a); err != nil {
 		return result{outcome: Unknown, code: "Unreadable"}
@@ -133,8 +133,8 @@
 	return result{outcome: Unknown, code: a.Code}
 }
 
-// judgeAnswer checks that the echoed body is this request's, and whole.
-func judgeAnswer(req request, id string, body []byte) result {
+// classifyAnswer checks that the echoed body belongs to this request and is complete.
+func classifyAnswer(req request, id string, body []byte) result {
 	switch {
 	case bytes.Equal(body, req.body) && id == req.id:
 		return result{outcome: Done}
@@ -145,7 +145,7 @@
 	}
 }
 
-// fetchRuns asks the stand-in endpoints how often each request ID ran.
+// fetchRuns returns how often the stand-in endpoints ran each request ID.
 func (l *Load) fetchRuns(ctx context.Context) (map[string]int, error) {
 	if len(l.endpoints) == 0 {
 		return nil, nil
--- a/load/turns.go
+++ b/load/turns.go
@@ -5,23 +5,22 @@
 	"time"
 )
 
-// Turns makes demand alternate: for Burst at BurstFactor times the mean, then at LullFactor times the mean for as long as the mean needs.
-//
-// Its zero value is a steady demand.
+// Turns makes the rate alternate between bursts of length Burst at BurstFactor times the mean, and lulls at LullFactor times the
+// mean whose length preserves the mean. Its zero value is a steady rate.
 type Turns struct {
 	Burst       time.Duration
 	BurstFactor float64
 	LullFactor  float64
-	// Offset shifts the turns, so that streams take theirs at different times.
+	// Offset shifts the phase, so that the bursts of streams don't coincide.
 	Offset time.Duration
 }
 
-// lull returns how long demand stays low so that the mean over both phases is one.
+// lull returns the length of a lull for which the mean factor over a period is 1.
 func (t Turns) lull() time.Duration {
 	return time.Duration(float64(t.Burst) * (t.BurstFactor - 1) / (1 - t.LullFactor))
 }
 
-// factor returns the demand at a moment of the run as a multiple of the mean.
+// factor returns the rate at a time since the start as a multiple of the mean.
 func (t Turns) factor(at time.Duration) float64 {
 	if t.Burst <= 0 || t.BurstFactor <= 1 || t.LullFactor >= 1 {
 		return 1
@@ -34,7 +33,7 @@
 	return t.LullFactor
 }
 
-// next returns the first arrival after at of a Poisson process whose rate follows the turns, by thinning (Lewis and Shedler, 1979).
+// next returns the first arrival after at of a Poisson process with the alternating rate, by thinning (Lewis and Shedler, 1979).
 func (t Turns) next(at time.Duration, rate float64, rng *rand.Rand) time.Duration {
 	peak := max(t.BurstFactor, 1)
 	for {
