experiment: say what each set-up does

Comments speak of injected faults, saturation and violated guarantees. Names follow: turns -> bursts, full -> saturating, shareOfDue -> fractionOfFair.

--- a/experiment/doc.go
+++ b/experiment/doc.go
@@ -1,3 +1,3 @@
-// Package experiment runs set-ups of load and faults against a sample estate
-// and writes one report with ratios within the run.
+// Package experiment runs set-ups of load and faults against a sample estate and
+// writes a report that compares them with the first.
 package experiment
--- a/experiment/experiment.go
+++ b/experiment/experiment.go
@@ -20,7 +20,7 @@
 	defaultDuration = 10 * time.Second
 	defaultEntries  = 7
 	requestTimeout  = 10 * time.Second
-	fullQueue       = fleet.QueueName("post")
+	saturatedQueue  = fleet.QueueName("post")
 )
 
 // SetUp is a load with the faults that happen while it runs.
@@ -28,18 +28,18 @@
 	Name string
 	// Streams returns the load of the set-up.
 	Streams func(e *estate.Estate) []load.Stream
-	// Disturb brings about faults while the load runs for a duration; nil for none.
+	// Disturb injects faults while the load runs for a duration; nil injects none.
 	Disturb func(ctx context.Context, e *estate.Estate, d time.Duration) error
 }
 
-// Result is what one set-up saw.
+// Result is the result of one set-up.
 type Result struct {
 	SetUp string
-	// Report is what the load saw.
+	// Report is the report of the load.
 	Report load.Report
-	// StoreCalls is how many calls the store got during the run, of all entry hosts together.
+	// StoreCalls is the number of calls of all entry hosts to the store during the run.
 	StoreCalls int64
-	// Broken names the promise that was seen broken, if any.
+	// Broken describes the guarantees that were violated, if any.
 	Broken string `json:",omitempty"`
 }
 
@@ -56,7 +56,7 @@
 // Option configures an Experiment.
 type Option func(*Experiment)
 
-// WithDuration sets for how long each set-up sends requests.
+// WithDuration sets how long each set-up sends requests.
 func WithDuration(d time.Duration) Option {
 	return func(x *Experiment) { x.duration = d }
 }
@@ -71,12 +71,12 @@
 	return func(x *Experiment) { x.seed = seed }
 }
 
-// WithProgress sets what is told of each set-up as it starts.
+// WithProgress sets a function that is called with the name of each set-up when it starts.
 func WithProgress(f func(setUp string)) Option {
 	return func(x *Experiment) { x.progress = f }
 }
 
-// New returns an experiment over all set-ups.
+// New returns an experiment with all set-ups.
 func New(opts ...Option) *Experiment {
 	x := &Experiment{
 		setUps: SetUps(), duration: defaultDuration, entries: defaultEntries, seed: 1, sample: estate.Ledger,
@@ -89,18 +89,18 @@
 	return x
 }
 
-// SetUps returns every set-up: steady, full, an entry host replaced, an outage of the store, and an endpoint drained.
+// SetUps returns all set-ups: steady load, saturation, an entry host replaced, an outage of the store, and an endpoint drained.
 func SetUps() []SetUp {
 	return []SetUp{
 		{Name: "steady", Streams: func(e *estate.Estate) []load.Stream { return steady(e, 50) }},
-		{Name: "full, all teams asking", Streams: full},
-		{Name: "entry host replaced", Streams: turns, Disturb: replaceEntry},
-		{Name: "store down", Streams: turns, Disturb: storeDown},
-		{Name: "endpoint drained", Streams: turns, Disturb: drainEndpoint},
+		{Name: "full, all teams asking", Streams: saturating},
+		{Name: "entry host replaced", Streams: bursts, Disturb: replaceEntry},
+		{Name: "store down", Streams: bursts, Disturb: storeDown},
+		{Name: "endpoint drained", Streams: bursts, Disturb: drainEndpoint},
 	}
 }
 
-// Run runs every set-up and returns what each saw; its error says that a promise was broken in one of them.
+// Run runs all set-ups and returns their results. The error contains load.ErrBroken if a guarantee was violated.
 func (x *Experiment) Run(ctx context.Context) ([]Result, error) {
 	var results []Result
 	var broken error
@@ -174,13 +174,13 @@
 	return streams
 }
 
-// turns returns a stream for each team whose demand comes in turns.
-func turns(e *estate.Estate) []load.Stream {
+// bursts returns a stream for each team that alternates between bursts and lulls.
+func bursts(e *estate.Estate) []load.Stream {
 	return e.Streams(100)
 }
 
-// full returns steady streams that together ask for more than one pool has, from every team that may use its queue.
-func full(e *estate.Estate) []load.Stream {
+// saturating returns steady streams that together exceed the capacity of one pool, from all teams that may use its queue.
+func saturating(e *estate.Estate) []load.Stream {
 	var streams []load.Stream
 	plans := map[fleet.PlanName]fleet.Plan{}
 	for _, p := range e.Sample.Lists.Plans {
@@ -191,8 +191,8 @@
 		teams[t.Name] = t
 	}
 	for _, s := range steady(e, 900) {
-		if plans[teams[s.Team].Plan].Allows(fullQueue) {
-			s.Queue = fullQueue
+		if plans[teams[s.Team].Plan].Allows(saturatedQueue) {
+			s.Queue = saturatedQueue
 			streams = append(streams, s)
 		}
 	}
@@ -200,7 +200,7 @@
 	return streams
 }
 
-// replaceEntry stops an entry host gracefully in the middle of the run and starts another in its place.
+// replaceEntry starts another entry host in the middle of the run and gracefully stops an old one.
 func replaceEntry(ctx context.Context, e *estate.Estate, d time.Duration) error {
 	pause.For(ctx, d/2)
 	_, err := e.AddEntry(ctx)
@@ -209,7 +209,7 @@
 	return err
 }
 
-// storeDown takes the store away for the middle third of the run.
+// storeDown makes the store unavailable for the middle third of the run.
 func storeDown(ctx context.Context, e *estate.Estate, d time.Duration) error {
 	pause.For(ctx, d/3)
 	e.Store.SetFault(standin.FaultDown)
@@ -219,7 +219,7 @@
 	return nil
 }
 
-// drainEndpoint lists an endpoint as leaving for the middle third of the run.
+// drainEndpoint marks an endpoint as leaving for the middle third of the run.
 func drainEndpoint(ctx context.Context, e *estate.Estate, d time.Duration) error {
 	pause.For(ctx, d/3)
 	ep := e.Sample.Endpoints[0]
--- a/experiment/experiment_test.go
+++ b/experiment/experiment_test.go
@@ -17,10 +17,10 @@
 
 	for _, r := range results {
 		if !r.Report.Verdicts.Audited {
-			t.Errorf("%s: the endpoints were not asked what ran", r.SetUp)
+			t.Errorf("%s: the answers were not compared with what the endpoints ran", r.SetUp)
 		}
 		if sum(r.Report).done == 0 {
-			t.Errorf("%s: nothing was done", r.SetUp)
+			t.Errorf("%s: no request succeeded", r.SetUp)
 		}
 	}
 
@@ -33,21 +33,21 @@
 	}
 }
 
-func TestShareOfDue(t *testing.T) {
+func TestFractionOfFair(t *testing.T) {
 	tests := []struct {
 		name    string
 		windows []load.Window
 		want    float64
 	}{
 		{name: "no windows", want: 1},
-		{name: "all of it", windows: []load.Window{{Done: 4, Due: 4}}, want: 1},
-		{name: "half of it", windows: []load.Window{{Done: 1, Due: 4}, {Done: 3, Due: 4}}, want: 0.5},
-		{name: "more than due", windows: []load.Window{{Done: 8, Due: 4}}, want: 1},
+		{name: "the fair share", windows: []load.Window{{Done: 4, Due: 4}}, want: 1},
+		{name: "half of the fair share", windows: []load.Window{{Done: 1, Due: 4}, {Done: 3, Due: 4}}, want: 0.5},
+		{name: "more than the fair share", windows: []load.Window{{Done: 8, Due: 4}}, want: 1},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			if got := shareOfDue(load.TeamReport{Windows: tt.windows}); got != tt.want {
-				t.Errorf("shareOfDue %v, want %v", got, tt.want)
+			if got := fractionOfFair(load.TeamReport{Windows: tt.windows}); got != tt.want {
+				t.Errorf("fractionOfFair %v, want %v", got, tt.want)
 			}
 		})
 	}
--- a/experiment/summary.go
+++ b/experiment/summary.go
@@ -9,14 +9,14 @@
 	"lycheehook.example/lycheehook/load"
 )
 
-// totals sums a report over its teams.
+// totals is the sums and extremes of a report over its teams.
 type totals struct {
 	sent, done, notRun, unknown int
 	worstP50, worstP99          time.Duration
 	worstShare                  float64
 }
 
-// WriteMarkdown writes one row for each result, with ratios to the first.
+// WriteMarkdown writes a table with a row for each result; the first result is the baseline of the latency ratio.
 func WriteMarkdown(w io.Writer, results []Result) error {
 	tw := tabwriter.NewWriter(w, 0, 0, 1, ' ', 0)
 	_, _ = fmt.Fprintln(tw, "| Set-up\t| Sent\t| Done\t| Not run\t| Unknown\t| Worst p50\t| Worst p99\t| p99 to first\t"+
@@ -47,24 +47,24 @@
 		t.unknown += team.Outcomes[load.Unknown]
 		t.worstP50 = max(t.worstP50, team.Latency.P50.Std().Round(10*time.Microsecond))
 		t.worstP99 = max(t.worstP99, team.Latency.P99.Std().Round(10*time.Microsecond))
-		t.worstShare = min(t.worstShare, shareOfDue(team))
+		t.worstShare = min(t.worstShare, fractionOfFair(team))
 	}
 
 	return t
 }
 
-// shareOfDue returns what a team got over the whole run as a fraction of the sum of its fair parts, at most 1.
-func shareOfDue(t load.TeamReport) float64 {
-	got, due := 0.0, 0.0
+// fractionOfFair returns a team's completed requests as a fraction of its fair share over the whole run, at most 1.
+func fractionOfFair(t load.TeamReport) float64 {
+	got, fair := 0.0, 0.0
 	for _, w := range t.Windows {
 		got += float64(w.Done)
-		due += w.Due
+		fair += w.Due
 	}
-	if due == 0 {
+	if fair == 0 {
 		return 1
 	}
 
-	return min(got/due, 1)
+	return min(got/fair, 1)
 }
 
 func ratio(a, b time.Duration) float64 {
