--- a/capacity/capacity.go
+++ b/capacity/capacity.go
@@ -10,40 +10,40 @@
 	"gonum.org/v1/gonum/stat"
 )
 
-// minSizes is the least number of sizes from which a slope is worked out.
+// minSizes is the minimum number of sizes for a regression.
 const minSizes = 3
 
-// ErrTooFewSizes says that a measure has fewer than three sizes.
+// ErrTooFewSizes is returned for a measure with fewer than three sizes.
 var ErrTooFewSizes = merry.Sentinel("capacity: a slope needs at least three sizes")
 
-// Measure is one cost of one role that grows with one size.
+// Measure is a cost of a role as a function of a size.
 type Measure struct {
 	Role      string
 	Cost      string
 	Unit      string
 	Mechanism string
-	// Variable names the size, and Sizes are the ones that are measured.
+	// Variable names the size, and Sizes are the measured sizes.
 	Variable string
 	Sizes    []float64
-	// Target is the size that the cost is worked out for.
+	// Target is the size for which the cost is extrapolated.
 	Target float64
-	// Limit is the most that the cost may be at the target size, in Unit; zero if none is stated.
+	// Limit is the maximum cost at the target size, in Unit; zero means no limit.
 	Limit float64
-	// Run returns the cost at a size, in Unit.
+	// Run measures the cost at a size, in Unit.
 	Run func(ctx context.Context, size float64) (float64, error)
 }
 
-// Result is a measure with the costs that were seen and the line through them.
+// Result is a measure with the measured costs and their linear regression.
 type Result struct {
 	Measure
 	Costs []float64
-	// Slope is the cost per unit of the size, Base the cost at size zero, by least squares.
+	// Slope is the cost per unit of the size, Base the cost at size zero.
 	Slope, Base float64
-	// Fit is the part of the variance that the line explains.
+	// Fit is the coefficient of determination (R²).
 	Fit float64
 }
 
-// AtTarget returns the cost that the line gives at the target size, or the measured one if the target was measured.
+// AtTarget returns the cost at the target size: the measured one if the target was measured, otherwise the extrapolated one.
 func (r Result) AtTarget() float64 {
 	for i, s := range r.Sizes {
 		if s == r.Target {
@@ -54,12 +54,12 @@
 	return r.Base + r.Slope*r.Target
 }
 
-// Kept reports whether the cost at the target size is within the limit, or true if none is stated.
+// Kept reports whether the cost at the target size is within the limit; it is true if there is no limit.
 func (r Result) Kept() bool {
 	return r.Limit == 0 || r.AtTarget() <= r.Limit
 }
 
-// Run measures the cost at each size and fits a line.
+// Run measures the cost at each size and computes the regression.
 func Run(ctx context.Context, m Measure) (Result, error) {
 	if len(m.Sizes) < minSizes {
 		return Result{}, merry.Prependf(ErrTooFewSizes, "%s: %s", m.Role, m.Cost)
@@ -79,20 +79,20 @@
 	return r, nil
 }
 
-// WriteMarkdown writes one row for each result.
+// WriteMarkdown writes a table with a row for each result.
 func WriteMarkdown(w io.Writer, results []Result) error {
 	tw := tabwriter.NewWriter(w, 0, 0, 1, ' ', 0)
 	_, _ = fmt.Fprintln(tw, "| Role\t| Cost\t| Measured\t| Slope\t| Fit\t| At target\t| Limit\t| Carried by\t|")
 	_, _ = fmt.Fprintln(tw, "| ---\t| ---\t| ---\t| ---\t| ---:\t| ---:\t| ---:\t| ---\t|")
 	for _, r := range results {
 		_, _ = fmt.Fprintf(tw, "| %s\t| %s\t| %s\t| %.3g %s per %s\t| %.2f\t| %.3g %s at %g\t| %s\t| %s\t|\n",
-			r.Role, r.Cost, points(r), r.Slope, r.Unit, r.Variable, r.Fit, r.AtTarget(), r.Unit, r.Target, limit(r), r.Mechanism)
+			r.Role, r.Cost, formatCosts(r), r.Slope, r.Unit, r.Variable, r.Fit, r.AtTarget(), r.Unit, r.Target, formatLimit(r), r.Mechanism)
 	}
 
 	return tw.Flush()
 }
 
-func points(r Result) string {
+func formatCosts(r Result) string {
 	text := ""
 	for i, s := range r.Sizes {
 		if i > 0 {
@@ -104,7 +104,7 @@
 	return text
 }
 
-func limit(r Result) string {
+func formatLimit(r Result) string {
 	switch {
 	case r.Limit == 0:
 		return "none stated"
--- a/capacity/capacity_test.go
+++ b/capacity/capacity_test.go
@@ -23,12 +23,12 @@
 		atTarget float64
 		kept     bool
 	}{
-		{name: "beyond the sizes", measure: Measure{Sizes: []float64{1, 2, 4}, Target: 10, Limit: 35, Run: line(5, 3)}, atTarget: 35, kept: true},
+		{name: "extrapolated", measure: Measure{Sizes: []float64{1, 2, 4}, Target: 10, Limit: 35, Run: line(5, 3)}, atTarget: 35, kept: true},
 		{name: "over the limit", measure: Measure{Sizes: []float64{1, 2, 4}, Target: 10, Limit: 34, Run: line(5, 3)}, atTarget: 35},
 		{name: "no limit", measure: Measure{Sizes: []float64{1, 2, 4}, Target: 10, Run: line(5, 3)}, atTarget: 35, kept: true},
 		{name: "too few sizes", measure: Measure{Sizes: []float64{1, 2}, Run: line(5, 3)}, wantErr: ErrTooFewSizes},
 		{
-			name: "a size can't be measured", wantErr: errProbe,
+			name: "a measurement fails", wantErr: errProbe,
 			measure: Measure{Sizes: []float64{1, 2, 3}, Run: func(context.Context, float64) (float64, error) { return 0, errProbe }},
 		},
 	}
@@ -51,14 +51,14 @@
 	}
 }
 
-func TestAtTargetTakesTheMeasuredCost(t *testing.T) {
+func TestAtTargetReturnsMeasuredCost(t *testing.T) {
 	r := Result{Measure: Measure{Sizes: []float64{1, 2, 3}, Target: 3}, Costs: []float64{1, 2, 9}, Slope: 1}
 	if got := r.AtTarget(); got != 9 {
 		t.Errorf("AtTarget %v, want the measured 9", got)
 	}
 }
 
-func TestWriteMarkdownNamesAnExceededLimit(t *testing.T) {
+func TestWriteMarkdownReportsExceededLimit(t *testing.T) {
 	r, err := Run(t.Context(), Measure{Role: "entry host", Sizes: []float64{1, 2, 3}, Target: 4, Limit: 1, Run: line(0, 1)})
 	if err != nil {
 		t.Fatal(err)
@@ -68,6 +68,6 @@
 		t.Fatal(err)
 	}
 	if !strings.Contains(b.String(), "EXCEEDED") {
-		t.Errorf("exceeded limit is not named:\n%s", b.String())
+		t.Errorf("the exceeded limit is not reported:\n%s", b.String())
 	}
 }
--- a/capacity/measures.go
+++ b/capacity/measures.go
@@ -15,13 +15,13 @@
 	"lycheehook.example/lycheehook/plan"
 )
 
-// idleTime is how long an estate without requests is watched.
+// idleTime is how long an estate without requests is measured.
 const idleTime = 3 * time.Second
 
-// roleEntry is the role of every process of lycheehook.
+// roleEntry is the role of the processes of lycheehook.
 const roleEntry = "entry host"
 
-// Measures returns every measure of the capacity page.
+// Measures returns the measures that docs/CAPACITY.md reports.
 func Measures() []Measure {
 	return []Measure{
 		{
@@ -35,7 +35,7 @@
 			Role: roleEntry, Cost: "heap of lists and keys", Unit: "MiB", Mechanism: "one revision in memory",
 			Variable: "team", Sizes: []float64{6, 43, 172, 430}, Target: TargetTeams, Limit: LimitMemory,
 			Run: func(_ context.Context, n float64) (float64, error) {
-				return heapOf(func() any { return tablesOf(listsOf(int(n), TargetPools)) }), nil
+				return heapOf(func() any { return snapshotOf(listsOf(int(n), TargetPools)) }), nil
 			},
 		},
 		{
@@ -46,12 +46,12 @@
 		{
 			Role: roleEntry, Cost: "processor time without requests", Unit: "% of a core", Mechanism: "ticks, watches and heartbeats",
 			Variable: "entry host", Sizes: []float64{1, 3, 7, 14}, Target: 1, Limit: LimitCore,
-			Run: idle(func(ctx context.Context, _ *estate.Estate) (float64, error) { return processorPercent(ctx, idleTime) }),
+			Run: measureIdle(func(ctx context.Context, _ *estate.Estate) (float64, error) { return processorPercent(ctx, idleTime) }),
 		},
 		{
 			Role: "store", Cost: "calls without requests", Unit: "calls/s", Mechanism: "one watch per prefix, batched records",
 			Variable: "entry host", Sizes: []float64{1, 3, 7, 14}, Target: TargetEntries, Limit: LimitStoreReads,
-			Run: idle(func(ctx context.Context, e *estate.Estate) (float64, error) {
+			Run: measureIdle(func(ctx context.Context, e *estate.Estate) (float64, error) {
 				before := callsOf(e)
 				err := sleep(ctx, idleTime)
 
@@ -61,8 +61,8 @@
 	}
 }
 
-// idle returns a measure's function that starts an estate with so many entry hosts, lets it settle, and probes it.
-func idle(probe func(context.Context, *estate.Estate) (float64, error)) func(context.Context, float64) (float64, error) {
+// measureIdle returns a measure's function that starts an estate with the given number of entry hosts, waits, and calls probe.
+func measureIdle(probe func(context.Context, *estate.Estate) (float64, error)) func(context.Context, float64) (float64, error) {
 	return func(ctx context.Context, n float64) (float64, error) {
 		e := estate.New(log.New(io.Discard), estate.WithEntries(int(n)))
 		if err := e.Start(ctx); err != nil {
@@ -89,7 +89,7 @@
 	return total
 }
 
-// hostTables returns tables of n hosts in pools, racks and zones of the target's proportions.
+// hostTables returns tables of n hosts that are spread over the target's numbers of pools and zones.
 func hostTables(n int) fleet.Tables {
 	var t fleet.Tables
 	for i := range n {
@@ -104,7 +104,7 @@
 	return t
 }
 
-// listsOf returns lists of so many teams, four to a customer, and so many pools with a queue and a budget each.
+// listsOf returns lists with the given numbers of teams, four to a customer, and of pools with a queue and a budget each.
 func listsOf(teams, pools int) plan.Lists {
 	var l plan.Lists
 	for i := range pools {
@@ -131,18 +131,18 @@
 	return l
 }
 
-// kept is what an entry host keeps of a revision.
-type kept struct {
+// snapshot is the data of a revision that an entry host keeps in memory.
+type snapshot struct {
 	lists  plan.Lists
 	tables fleet.Tables
 	keys   key.Ring
 }
 
-func tablesOf(l plan.Lists) kept {
-	return kept{lists: l, tables: l.Fill(fleet.Tables{}), keys: keysOf(l)}
+func snapshotOf(l plan.Lists) snapshot {
+	return snapshot{lists: l, tables: l.Fill(fleet.Tables{}), keys: keysOf(l)}
 }
 
-// keysOf returns two keys for each team, as while one is exchanged for another.
+// keysOf returns two keys for each team, as during a key rotation.
 func keysOf(l plan.Lists) key.Ring {
 	var ring key.Ring
 	for _, t := range l.Teams() {
--- a/capacity/probe.go
+++ b/capacity/probe.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// heapOf returns the MiB of heap that build's value keeps alive.
+// heapOf returns the heap size of build's value, in MiB.
 func heapOf(build func() any) float64 {
 	before := liveHeap()
 	v := build()
@@ -17,7 +17,7 @@
 	return max(float64(after)-float64(before), 0) / (1 << 20)
 }
 
-// liveHeap returns the bytes of heap in use after a collection.
+// liveHeap returns the bytes of live heap objects after a garbage collection.
 func liveHeap() uint64 {
 	runtime.GC()
 	runtime.GC()
@@ -27,7 +27,7 @@
 	return m.HeapAlloc
 }
 
-// processorTime returns what this process has used so far, in user and system mode.
+// processorTime returns the CPU time of this process in user and system mode.
 func processorTime() (time.Duration, error) {
 	var u syscall.Rusage
 	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
@@ -37,7 +37,7 @@
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano()), nil
 }
 
-// processorPercent returns the percent of one core that this process uses during d.
+// processorPercent returns the CPU usage of this process during d, in percent of a core.
 func processorPercent(ctx context.Context, d time.Duration) (float64, error) {
 	before, err := processorTime()
 	if err != nil {
--- a/capacity/target.go
+++ b/capacity/target.go
@@ -1,6 +1,6 @@
 package capacity
 
-// The size that the design has to carry.
+// The target size of an installation.
 const (
 	TargetHosts        = 890
 	TargetAccelerators = 1100
@@ -9,21 +9,21 @@
 	TargetZones        = 8
 	// TargetEntries is four entry hosts in each availability zone.
 	TargetEntries = 4 * TargetZones
-	// TargetChanges counts changes of configuration a day.
+	// TargetChanges is the number of configuration changes per day.
 	TargetChanges = 3200
 )
 
-// What control may cost a node at the target size.
+// Limits of the cost of control per node at the target size.
 const (
 	// LimitCore is in percent of one core.
 	LimitCore = 1.5
 	// LimitMemory is in MiB.
 	LimitMemory = 32
-	// LimitTraffic is in kB a second.
+	// LimitTraffic is in kB per second.
 	LimitTraffic = 21
 )
 
-// What the platform's store carries, in calls a second.
+// Limits of the platform's store, in calls per second.
 const (
 	LimitStoreWrites = 300
 	LimitStoreReads  = 2000
