estate: say which guarantee each step checks

Comments no longer speak of what the estate "looks like" or who "takes over" what; steps check guarantees and log lines say that an entry host or a stand-in failed. Names follow: tally -> summarise, giveKey -> issueKey, issue -> issueCertificate, gone -> stopped, hold -> holdRequests.

--- a/estate/check.go
+++ b/estate/check.go
@@ -14,19 +14,19 @@
 	"lycheehook.example/lycheehook/settings"
 )
 
-// ErrPromiseBroken says that a check saw a promise broken.
+// ErrPromiseBroken is returned if a guarantee was violated.
 var ErrPromiseBroken = merry.Sentinel("estate: promise broken")
 
-// inForceLimit is how long an accepted configuration may take to be in force everywhere.
+// inForceLimit is the maximum time until an accepted configuration is in force on all entry hosts.
 const inForceLimit = 4 * time.Second
 
-// step checks one promise and returns what it saw.
+// step checks one guarantee and returns a summary of the results.
 type step struct {
 	promise string
 	run     func(ctx context.Context) (string, error)
 }
 
-// Check runs the main job against a started estate and writes a line for each promise; it goes on after a failure and returns the first.
+// Check checks all guarantees of a started estate and writes a line for each. It continues after a failure and returns the first.
 func (e *Estate) Check(ctx context.Context, out io.Writer) error {
 	var first error
 	for _, s := range e.steps() {
@@ -58,7 +58,7 @@
 	}
 }
 
-// work sends one request and returns the answer.
+// work sends a request and returns the response.
 func (e *Estate) work(ctx context.Context, s settings.Settings, q fleet.QueueName, secret, body string) (answer, error) {
 	header := http.Header{
 		"Request-Id":      {uuid.Must(uuid.NewV7()).String()},
@@ -76,7 +76,7 @@
 	return a, err
 }
 
-// awaitStatus repeats a request until the entry host answers with the wanted status.
+// awaitStatus repeats a request until the entry host responds with the wanted status.
 func (e *Estate) awaitStatus(
 	ctx context.Context, s settings.Settings, q fleet.QueueName, secret string, want int, limit time.Duration,
 ) error {
--- a/estate/doc.go
+++ b/estate/doc.go
@@ -1,3 +1,3 @@
-// Package estate runs a whole sample estate on loopback: the stand-ins of the
-// platform, endpoints, and entry hosts with sample lists.
+// Package estate runs a complete sample installation on loopback: fakes of the
+// platform and of endpoints, and entry hosts with sample lists.
 package estate
--- a/estate/entry.go
+++ b/estate/entry.go
@@ -16,24 +16,24 @@
 )
 
 const (
-	// DevOperatorToken is the operators' token of every sample estate.
+	// DevOperatorToken is the operators' token of sample estates.
 	DevOperatorToken = "dev-operator"
 	listenPoll       = 10 * time.Millisecond
 )
 
-// entryHost is a running entry host of the estate.
+// entryHost is an entry host of the estate.
 type entryHost struct {
 	settings settings.Settings
 	stop     context.CancelFunc
 	done     sync.WaitGroup
-	gone     bool
+	stopped  bool
 }
 
 func (h *entryHost) wait() {
 	h.done.Wait()
 }
 
-// Entries returns the settings of the entry hosts that run, with the addresses that they listen on.
+// Entries returns the settings of the running entry hosts, including their listen addresses.
 func (e *Estate) Entries() []settings.Settings {
 	var all []settings.Settings
 	for _, h := range e.live() {
@@ -43,7 +43,7 @@
 	return all
 }
 
-// CallerAddresses returns where the entry hosts listen for callers.
+// CallerAddresses returns the addresses at which the entry hosts listen for callers.
 func (e *Estate) CallerAddresses() []netip.AddrPort {
 	var addrs []netip.AddrPort
 	for _, s := range e.Entries() {
@@ -53,7 +53,7 @@
 	return addrs
 }
 
-// AddEntry starts one more entry host and returns its settings; its addresses take connections from then on.
+// AddEntry starts another entry host and returns its settings. Its addresses accept connections when AddEntry returns.
 func (e *Estate) AddEntry(ctx context.Context) (settings.Settings, error) {
 	e.mu.Lock()
 	n := len(e.entries)
@@ -68,7 +68,7 @@
 	if err != nil {
 		return s, err
 	}
-	if s.TLS.Peers, err = e.issue(s); err != nil {
+	if s.TLS.Peers, err = e.issueCertificate(s); err != nil {
 		return s, err
 	}
 	if e.separate != "" {
@@ -87,7 +87,7 @@
 	}
 	h.done.Go(func() {
 		if err := process.Run(hostCtx); err != nil {
-			e.log.Error("entry host", "entry", s.Name, "err", err)
+			e.log.Error("entry host failed", "entry", s.Name, "err", err)
 		}
 	})
 
@@ -96,7 +96,7 @@
 	return s, nil
 }
 
-// open opens what an entry host will listen on, and sets its addresses.
+// open opens the sockets of an entry host and sets their addresses in s.
 func (e *Estate) open(ctx context.Context, s *settings.Settings) error {
 	var err error
 	if s.CallerAddress, err = e.sockets.openTCP(ctx); err != nil {
@@ -116,7 +116,7 @@
 	e.entries = append(e.entries, h)
 }
 
-// StopEntry stops the first running entry host gracefully and returns when it has left.
+// StopEntry gracefully stops the first running entry host and waits for its end.
 func (e *Estate) StopEntry() {
 	live := e.live()
 	if len(live) == 0 {
@@ -124,7 +124,7 @@
 	}
 
 	e.mu.Lock()
-	live[0].gone = true
+	live[0].stopped = true
 	e.mu.Unlock()
 	live[0].stop()
 	live[0].wait()
@@ -136,7 +136,7 @@
 
 	var live []*entryHost
 	for _, h := range e.entries {
-		if !h.gone {
+		if !h.stopped {
 			live = append(live, h)
 		}
 	}
@@ -144,7 +144,7 @@
 	return live
 }
 
-// awaitListening returns when all addresses take connections, or the context has ended.
+// awaitListening waits until all addresses accept connections or ctx is done.
 func awaitListening(ctx context.Context, addrs ...netip.AddrPort) error {
 	var d net.Dialer
 	for _, a := range addrs {
--- a/estate/entry_test.go
+++ b/estate/entry_test.go
@@ -13,9 +13,9 @@
 	"lycheehook.example/lycheehook/settings"
 )
 
-// The script that starts an estate once waited for ever: the port that was chosen for an entry host had been freed, and
-// another process took it. From its choice until the end of the entry host nobody else can have the port.
-func TestPortsAreHeld(t *testing.T) {
+// The start of an estate hung because another process took a port between its choice and the start of the entry host. The
+// sockets of an entry host therefore stay open from the choice of the ports.
+func TestPortsAreReserved(t *testing.T) {
 	e := New(log.New(io.Discard))
 	var s settings.Settings
 	if err := e.open(t.Context(), &s); err != nil {
@@ -24,12 +24,12 @@
 	defer e.sockets.close()
 	for _, at := range []string{s.CallerAddress.String(), s.OperatorAddress.String()} {
 		if l, err := net.Listen("tcp", at); err == nil {
-			t.Errorf("%s was free to take", at)
+			t.Errorf("%s was not in use", at)
 			_ = l.Close()
 		}
 	}
 	if c, err := net.ListenPacket("udp", s.PeerAddress.String()); err == nil {
-		t.Errorf("%s was free to take", s.PeerAddress)
+		t.Errorf("%s was not in use", s.PeerAddress)
 		_ = c.Close()
 	}
 
@@ -43,23 +43,23 @@
 	}
 }
 
-// Waiting for an entry host that never listens ends with its context.
+// Waiting for an entry host that never listens ends when the context is done.
 func TestAwaitListeningEnds(t *testing.T) {
 	e := New(log.New(io.Discard))
-	nobody, err := e.sockets.openTCP(t.Context())
+	unused, err := e.sockets.openTCP(t.Context())
 	if err != nil {
 		t.Fatal(err)
 	}
 	e.sockets.close()
 	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
-	if err := awaitListening(ctx, nobody); err == nil {
-		t.Error("nobody listens there")
+	if err := awaitListening(ctx, unused); err == nil {
+		t.Error("no error although nothing listens at the address")
 	}
 }
 
-// Beside load the requests of this step were not yet in progress when the stop came: 0 of 6 were answered. A store that
-// takes 400 ms for a claim brings that about.
+// On a busy machine the requests were not yet in progress when the entry host was stopped, and none was answered. A store that
+// takes 400 ms for a claim reproduces this.
 func TestGracefulStopWithSlowClaims(t *testing.T) {
 	e := New(log.New(io.Discard))
 	if err := e.Start(t.Context()); err != nil {
@@ -71,6 +71,6 @@
 	}
 	e.Store.SetDelay(400 * time.Millisecond)
 	if saw, err := e.checkGracefulStop(t.Context()); err != nil {
-		t.Errorf("%s %v", saw, err)
+		t.Errorf("check of the graceful stop: %s %v", saw, err)
 	}
 }
--- a/estate/estate.go
+++ b/estate/estate.go
@@ -25,20 +25,20 @@
 	readHeaderTimeout = 5 * time.Second
 )
 
-// Estate is a running sample estate; its stand-ins are open to tests.
+// Estate is a sample installation. Its fakes are exported for tests.
 type Estate struct {
 	Sample    Sample
 	Store     *standin.Store
 	Platform  *standin.Platform
 	Endpoints []*standin.Endpoint
-	// Keys are the secrets of the keys that Prepare gave, by team.
+	// Keys are the secrets of the keys that Prepare issued, by team.
 	Keys map[fleet.TeamName]string
 
 	log        *log.Logger
 	entryCount int
 	separate   string
 	authority  *cert.Authority
-	// certificates is the folder of certificates; temporary is the one to remove at the end, if any.
+	// certificates is the directory of the certificates; temporary is the directory that Stop removes, if any.
 	certificates, temporary string
 	service                 time.Duration
 	servers                 []*http.Server
@@ -59,17 +59,17 @@
 	return func(e *Estate) { e.entryCount = n }
 }
 
-// WithSample sets what the estate looks like; the default is Ledger.
+// WithSample sets the lists, hosts and endpoints; the default is Ledger.
 func WithSample(s Sample) Option {
 	return func(e *Estate) { e.Sample = s }
 }
 
-// WithService sets how long an endpoint takes for a request.
+// WithService sets the service time of the endpoints.
 func WithService(d time.Duration) Option {
 	return func(e *Estate) { e.service = d }
 }
 
-// New returns an estate that is not yet running.
+// New returns an estate that has not been started.
 func New(l *log.Logger, opts ...Option) *Estate {
 	e := &Estate{
 		Sample: Ledger(), Store: standin.NewStore(), Platform: standin.NewPlatform(), Keys: map[fleet.TeamName]string{},
@@ -82,7 +82,7 @@
 	return e
 }
 
-// Start runs the stand-ins and the entry hosts and returns when all listen.
+// Start starts the fakes and the entry hosts and returns when all listen.
 func (e *Estate) Start(ctx context.Context) error {
 	err := e.prepareCertificates()
 	if err != nil {
@@ -110,7 +110,7 @@
 	return nil
 }
 
-// Stop stops the entry hosts gracefully, then the stand-ins.
+// Stop gracefully stops the entry hosts, then the fakes.
 func (e *Estate) Stop() {
 	for _, h := range e.live() {
 		h.stop()
@@ -127,7 +127,7 @@
 	}
 }
 
-// EndpointAddresses returns where the stand-in endpoints listen.
+// EndpointAddresses returns the addresses of the endpoints.
 func (e *Estate) EndpointAddresses() []netip.AddrPort {
 	addrs := make([]netip.AddrPort, len(e.Sample.Endpoints))
 	for i, ep := range e.Sample.Endpoints {
@@ -153,7 +153,7 @@
 	return nil
 }
 
-// serve serves h on a loopback port that the kernel chooses.
+// serve serves h on a free loopback port.
 func (e *Estate) serve(ctx context.Context, h http.Handler) (netip.AddrPort, error) {
 	var lc net.ListenConfig
 	l, err := lc.Listen(ctx, "tcp", loopback)
@@ -165,7 +165,7 @@
 	e.servers = append(e.servers, s)
 	go func() {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			e.log.Error("stand-in", "err", err)
+			e.log.Error("stand-in failed", "err", err)
 		}
 	}()
 
--- a/estate/estate_test.go
+++ b/estate/estate_test.go
@@ -15,9 +15,9 @@
 	"lycheehook.example/lycheehook/member"
 )
 
-// TestStoppedEntryHostHoldsNothing checks that an entry host which leaves in good order hands back its parts and its seat
-// and is no member any more: who waits for the word of one that is gone is not fresh in an outage.
-func TestStoppedEntryHostHoldsNothing(t *testing.T) {
+// An entry host that stops gracefully returns its allocations and its seat and leaves the membership. Otherwise the others would
+// wait for its confirmation and could not be fresh during an outage of the store.
+func TestGracefulStopReleasesAllocationsAndSeat(t *testing.T) {
 	e := estate.New(log.New(io.Discard))
 	if err := e.Start(t.Context()); err != nil {
 		t.Fatal(err)
@@ -28,25 +28,25 @@
 	}
 	leaving := e.Entries()[0].Name
 	if !slices.Contains(holders(t, e), leaving) {
-		t.Fatalf("%s holds nothing, so nothing would be shown", leaving)
+		t.Fatalf("%s holds no allocation before the stop, so the test would prove nothing", leaving)
 	}
 
 	e.StopEntry()
 	if got := holders(t, e); slices.Contains(got, leaving) {
-		t.Errorf("%s left, but parts are held by %v", leaving, got)
+		t.Errorf("%s has stopped but still holds allocations; holders: %v", leaving, got)
 	}
-	// The others may write the seat in once more before they see that the member is gone.
+	// The others may write the seat once more before they notice that the member has left.
 	deadline := time.Now().Add(member.DefaultFreshFor)
-	for named := namedBy(t, e, leaving); len(named) > 0; named = namedBy(t, e, leaving) {
+	for named := keysNaming(t, e, leaving); len(named) > 0; named = keysNaming(t, e, leaving) {
 		if time.Now().After(deadline) {
-			t.Fatalf("%s left, but %v still name it", leaving, named)
+			t.Fatalf("%s has stopped, but %v still name it", leaving, named)
 		}
 		<-time.After(10 * time.Millisecond)
 	}
 }
 
-// namedBy returns the keys of the store that name an entry host as a member or as one with a seat.
-func namedBy(t *testing.T, e *estate.Estate, name fleet.EntryName) []string {
+// keysNaming returns the store keys that name an entry host as a member or as the holder of a seat.
+func keysNaming(t *testing.T, e *estate.Estate, name fleet.EntryName) []string {
 	t.Helper()
 	var keys []string
 	for _, prefix := range []string{"member/", "config/head"} {
@@ -64,7 +64,7 @@
 	return keys
 }
 
-// holders returns the entry hosts that hold a part of any limit.
+// holders returns the entry hosts that hold an allocation of any limit.
 func holders(t *testing.T, e *estate.Estate) []fleet.EntryName {
 	t.Helper()
 	var names []fleet.EntryName
--- a/estate/operate.go
+++ b/estate/operate.go
@@ -29,26 +29,26 @@
 	Lists plan.Lists
 }
 
-type givenKey struct {
+type issuedKey struct {
 	ID       key.ID
 	Secret   string
 	Revision uint64
 }
 
-// answer is a status with a whole body.
+// answer is an HTTP status and a complete body.
 type answer struct {
 	status int
 	body   []byte
 }
 
-// Prepare puts the sample's lists in force, gives every team a key, and returns when every entry host takes each key's work.
+// Prepare applies the sample's lists, issues a key for each team, and returns when all entry hosts accept work with each key.
 func (e *Estate) Prepare(ctx context.Context) error {
 	first := e.Entries()[0]
 	if err := e.applyLists(ctx, first, e.Sample.Lists); err != nil {
 		return err
 	}
 	for _, t := range e.Sample.Lists.Teams() {
-		k, err := e.giveKey(ctx, first, t.Name)
+		k, err := e.issueKey(ctx, first, t.Name)
 		if err != nil {
 			return err
 		}
@@ -77,9 +77,9 @@
 	return ""
 }
 
-// applyLists replaces both lists on top of the revision in force.
+// applyLists replaces both lists, based on the current revision.
 func (e *Estate) applyLists(ctx context.Context, s settings.Settings, l plan.Lists) error {
-	cur, err := e.lists(ctx, s)
+	cur, err := e.currentLists(ctx, s)
 	if err != nil {
 		return err
 	}
@@ -92,7 +92,7 @@
 	return err
 }
 
-func (e *Estate) lists(ctx context.Context, s settings.Settings) (listsDocument, error) {
+func (e *Estate) currentLists(ctx context.Context, s settings.Settings) (listsDocument, error) {
 	var doc listsDocument
 	a, err := e.operate(ctx, s, http.MethodGet, operatorLists, nil)
 	if err != nil {
@@ -102,14 +102,14 @@
 	return doc, json.Unmarshal(a.body, &doc)
 }
 
-func (e *Estate) giveKey(ctx context.Context, s settings.Settings, team fleet.TeamName) (givenKey, error) {
-	var k givenKey
+func (e *Estate) issueKey(ctx context.Context, s settings.Settings, team fleet.TeamName) (issuedKey, error) {
+	var k issuedKey
 	a, err := e.operate(ctx, s, http.MethodPost, operatorKeys, map[string]fleet.TeamName{"Team": team})
 	if err != nil {
 		return k, err
 	}
 	if a.status != http.StatusOK {
-		return k, merry.Prependf(ErrPromiseBroken, "key not given: %d %s", a.status, a.body)
+		return k, merry.Prependf(ErrPromiseBroken, "key not issued: %d %s", a.status, a.body)
 	}
 
 	return k, json.Unmarshal(a.body, &k)
--- a/estate/sample.go
+++ b/estate/sample.go
@@ -8,7 +8,7 @@
 	"lycheehook.example/lycheehook/plan"
 )
 
-// Sizes of a sample estate.
+// Sizes of the samples.
 const (
 	hostsPerPool        = 10
 	hostsPerRack        = 4
@@ -19,11 +19,11 @@
 	sampleMaxWait       = fleet.Duration(30 * time.Second)
 )
 
-// Sample is an estate as its operators and its platform see it, before it runs.
+// Sample is the lists, hosts and endpoints of an estate.
 type Sample struct {
 	Lists plan.Lists
 	Hosts []fleet.Host
-	// Endpoints lack addresses until they are started.
+	// Endpoints have no addresses until they are started.
 	Endpoints []fleet.Endpoint
 }
 
@@ -152,7 +152,7 @@
 	return budgets
 }
 
-// sampleHosts returns ten hosts for each pool and for the spare pool, four to a rack, racks in turn over the availability zones.
+// sampleHosts returns ten hosts for each pool and for the spare pool, four to a rack, with the racks spread over the zones.
 func sampleHosts(capacity fleet.Resources, pools []fleet.PoolName) []fleet.Host {
 	var hosts []fleet.Host
 	for p, pool := range append(pools[:len(pools):len(pools)], "spare") {
@@ -169,7 +169,7 @@
 	return hosts
 }
 
-// sampleEndpoints returns a number of runners for each pool, each on a host of its own.
+// sampleEndpoints returns the given number of endpoints for each pool, each on its own host.
 func sampleEndpoints(pools []fleet.PoolName, runners []int) []fleet.Endpoint {
 	var endpoints []fleet.Endpoint
 	for p, pool := range pools {
--- a/estate/separate.go
+++ b/estate/separate.go
@@ -17,16 +17,17 @@
 
 const (
 	settingsFileMode = 0o600
-	// certificateLifetime is how long the certificates of a sample estate are valid.
+	// certificateLifetime is the validity of the certificates of a sample estate.
 	certificateLifetime = 30 * 24 * time.Hour
 )
 
-// WithSeparate makes Start write a settings file for each entry host into dir in place of running it; the entry hosts are then processes of their own.
+// WithSeparate makes Start write a settings file for each entry host to dir instead of running it, so that the entry hosts can be
+// started as separate processes.
 func WithSeparate(dir string) Option {
 	return func(e *Estate) { e.separate = dir }
 }
 
-// writeEntry writes the settings file of an entry host that somebody else starts.
+// writeEntry writes the settings file of an entry host that runs as a separate process.
 func (e *Estate) writeEntry(s settings.Settings) error {
 	s.Operators = []settings.Operator{{Name: "dev", TokenHash: key.NewHashed(DevOperatorToken)}}
 	data, err := json.MarshalIndent(s, "", "  ")
@@ -38,8 +39,8 @@
 	return os.WriteFile(path, append(data, '\n'), settingsFileMode)
 }
 
-// issue writes the files with which an entry host shows itself to the others.
-func (e *Estate) issue(s settings.Settings) (settings.TLSFiles, error) {
+// issueCertificate writes the certificate files with which an entry host authenticates to its peers.
+func (e *Estate) issueCertificate(s settings.Settings) (settings.TLSFiles, error) {
 	pair, err := e.authority.Issue(entry.PeerServerName, certificateLifetime)
 	if err != nil {
 		return settings.TLSFiles{}, merry.Prependf(err, "certificate of %s", s.Name)
@@ -49,7 +50,7 @@
 	return settings.TLSFiles{CertificateFile: files.Certificate, KeyFile: files.Key, CAFile: files.CA}, err
 }
 
-// prepareCertificates makes an authority and a folder for the certificates that it issues.
+// prepareCertificates creates an authority and a directory for its certificates.
 func (e *Estate) prepareCertificates() error {
 	var err error
 	if e.authority, err = cert.NewAuthority("lycheehook sample estate", certificateLifetime); err != nil {
@@ -63,7 +64,7 @@
 	return err
 }
 
-// AwaitEntries returns when every entry host listens; it is for entry hosts that somebody else starts.
+// AwaitEntries waits until all entry hosts listen; it is for entry hosts that run as separate processes.
 func (e *Estate) AwaitEntries(ctx context.Context, limit time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
--- a/estate/sockets.go
+++ b/estate/sockets.go
@@ -11,10 +11,10 @@
 	"lycheehook.example/lycheehook/entry"
 )
 
-// loopback is any free port of the loopback interface.
+// loopback is a free port of the loopback interface.
 const loopback = "127.0.0.1:0"
 
-// sockets keeps what was opened for entry hosts until they take it over.
+// sockets is the open sockets that have not been taken over by an entry host yet.
 type sockets struct {
 	mu        sync.Mutex
 	listeners map[string]net.Listener
@@ -25,7 +25,7 @@
 	return &sockets{listeners: map[string]net.Listener{}, packets: map[string]net.PacketConn{}}
 }
 
-// openTCP opens a listener and returns its address.
+// openTCP opens a TCP listener and returns its address.
 func (s *sockets) openTCP(ctx context.Context) (netip.AddrPort, error) {
 	l, err := entry.KernelSockets().Listen(ctx, "tcp", loopback)
 	if err != nil {
@@ -38,7 +38,7 @@
 	return netip.ParseAddrPort(l.Addr().String())
 }
 
-// openUDP opens a socket for datagrams and returns its address.
+// openUDP opens a UDP socket and returns its address.
 func (s *sockets) openUDP(ctx context.Context) (netip.AddrPort, error) {
 	c, err := entry.KernelSockets().ListenPacket(ctx, "udp", loopback)
 	if err != nil {
@@ -51,7 +51,7 @@
 	return netip.ParseAddrPort(c.LocalAddr().String())
 }
 
-// handOver returns the sockets of an entry host that takes over what was opened for it.
+// handOver returns functions with which an entry host takes over the sockets that were opened for it.
 func (s *sockets) handOver() entry.Sockets {
 	return entry.Sockets{
 		Listen: func(_ context.Context, _, address string) (net.Listener, error) {
@@ -79,12 +79,12 @@
 	}
 }
 
-// close closes what nobody took over, which frees its ports for entry hosts that run as processes of their own.
+// close closes the remaining sockets, which frees their ports for entry hosts that run as separate processes.
 func (s *sockets) close() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for address, l := range s.listeners {
-		// A listener that nobody used loses nothing when its close fails.
+		// A failure to close an unused listener is harmless.
 		_ = l.Close()
 		delete(s.listeners, address)
 	}
--- a/estate/steps.go
+++ b/estate/steps.go
@@ -22,9 +22,9 @@
 	loadTimeout   = 8 * time.Second
 	outage        = 5 * time.Second
 	leavingSettle = 3 * time.Second
-	// inProgressTime is how long requests are in progress after the stop has begun.
+	// inProgressTime is how long requests remain in progress after the stop has begun.
 	inProgressTime = 1500 * time.Millisecond
-	// startLimit is how long requests may take to be in progress on endpoints.
+	// startLimit is the timeout for requests to be in progress on endpoints.
 	startLimit     = 10 * time.Second
 	startPoll      = 5 * time.Millisecond
 	inProgressWork = 6
@@ -38,7 +38,7 @@
 	return fmt.Sprintf("%d teams on %d entry hosts", len(e.Keys), len(e.Entries())), nil
 }
 
-// Streams returns a stream for each team on its first queue, with the demand in turns that fills the fleet.
+// Streams returns a stream for each team on its first queue, with bursts that don't coincide.
 func (e *Estate) Streams(rate float64) []load.Stream {
 	var streams []load.Stream
 	for i, t := range e.Sample.Lists.Teams() {
@@ -51,7 +51,7 @@
 	return streams
 }
 
-// runLoad drives every entry host and checks each answer against what the endpoints ran.
+// runLoad sends load to all entry hosts and verifies the responses against the run counts of the endpoints.
 func (e *Estate) runLoad(ctx context.Context, streams []load.Stream, d time.Duration) (load.Report, error) {
 	l, err := load.New(
 		load.WithTargets(e.CallerAddresses()...), load.WithEndpoints(e.EndpointAddresses()...),
@@ -70,11 +70,11 @@
 		return "", err
 	}
 
-	return tally(report)
+	return summarise(report)
 }
 
-// tally returns the totals of a report, or an error if nothing was done.
-func tally(r load.Report) (string, error) {
+// summarise returns a summary of a report, or an error if no request succeeded.
+func summarise(r load.Report) (string, error) {
 	sent, done, notRun, unknown := 0, 0, 0, 0
 	for _, t := range r.Teams {
 		sent += t.Sent
@@ -143,7 +143,7 @@
 func (e *Estate) checkWithdrawnKey(ctx context.Context) (string, error) {
 	entries := e.Entries()
 	t := e.Sample.Lists.Teams()[0]
-	k, err := e.giveKey(ctx, entries[0], t.Name)
+	k, err := e.issueKey(ctx, entries[0], t.Name)
 	if err != nil {
 		return "", err
 	}
@@ -167,7 +167,7 @@
 	return fmt.Sprintf("refused everywhere %d ms after it was withdrawn", time.Since(began).Milliseconds()), nil
 }
 
-// checkLeaving marks an endpoint as leaving with work in progress on it.
+// checkLeaving checks that an endpoint that is marked as leaving gets no requests.
 func (e *Estate) checkLeaving(ctx context.Context) (string, error) {
 	leaving := e.Sample.Endpoints[0]
 	e.Platform.PutEndpoint(leaving.WithLeaving(true))
@@ -183,10 +183,10 @@
 		return "", merry.Prependf(ErrPromiseBroken, "endpoint %s got %d requests while leaving", leaving.Name, after-before)
 	}
 
-	return tally(report)
+	return summarise(report)
 }
 
-// awaitRunning returns when that many requests are in progress on the endpoints.
+// awaitRunning waits until the given number of requests are in progress on the endpoints.
 func (e *Estate) awaitRunning(ctx context.Context, requests int) error {
 	deadline := time.Now().Add(startLimit)
 	for {
@@ -203,11 +203,11 @@
 	}
 }
 
-// checkGracefulStop stops an entry host with slow requests in progress through it.
+// checkGracefulStop checks that an entry host which is stopped completes the requests in progress.
 func (e *Estate) checkGracefulStop(ctx context.Context) (string, error) {
 	s := e.Entries()[0]
 	t := e.Sample.Lists.Teams()[0]
-	release := e.hold()
+	release := e.holdRequests()
 	defer release()
 
 	var whole atomic.Int64
@@ -251,11 +251,11 @@
 		}
 	}
 
-	return tally(report)
+	return summarise(report)
 }
 
-// hold keeps requests in progress at all endpoints until the function that it returns is called.
-func (e *Estate) hold() (release func()) {
+// holdRequests blocks requests at all endpoints until release is called.
+func (e *Estate) holdRequests() (release func()) {
 	hold := make(chan struct{})
 	for _, ep := range e.Endpoints {
 		ep.SetHold(hold)
