standin: describe the fakes and their faults

Comments said what a stand-in "tells", "carries" or "meets". They now speak of fakes, fault injection, responses that are dropped, and mutexes that must be held. Names follow: TaskWorker.Settle -> Expire, view -> clientView (in clientfault.go), never -> neverReturns, mostSeen -> maxRunning, taken -> used, until -> leaseEnd, carry -> deliver.

--- a/cmd/lycheehook/soak_test.go
+++ b/cmd/lycheehook/soak_test.go
@@ -236,7 +236,7 @@
 	callers.Wait()
 	s.settle()
 	for _, w := range s.workers {
-		w.Settle()
+		w.Expire()
 	}
 	for _, f := range s.judge.faults() {
 		s.t.Error(f)
--- a/standin/clientfault.go
+++ b/standin/clientfault.go
@@ -11,21 +11,21 @@
 	"lycheehook.example/lycheehook/store"
 )
 
-// LateBy is how late calls are carried out or answered under FaultWriteLate and FaultReadLate.
+// LateBy is the delay of FaultWriteLate and FaultReadLate.
 const LateBy = 2 * time.Second
 
-// The faults that one client can meet besides those of the whole store.
+// Faults that are only available for a single client.
 const (
-	// FaultWriteLate tells the caller that the outcome of a write is unknown and carries it out LateBy later.
+	// FaultWriteLate returns an unknown outcome for a write and executes it LateBy later.
 	FaultWriteLate Fault = "WriteLate"
-	// FaultReadLate answers reads LateBy after they were carried out.
+	// FaultReadLate returns the results of reads LateBy after they were executed.
 	FaultReadLate Fault = "ReadLate"
-	// FaultWatchSilent keeps watches waiting and never tells of a change, while other calls are answered.
+	// FaultWatchSilent makes watches time out without events, while other calls work.
 	FaultWatchSilent Fault = "WatchSilent"
 )
 
-// view is the store as one client meets it.
-type view struct {
+// clientView is the faults and call counts of one client.
+type clientView struct {
 	inner *store.Client
 
 	mu      sync.Mutex
@@ -35,7 +35,7 @@
 	calls   map[string]int64
 }
 
-// ClientFor returns the client of one caller, which can meet faults that others do not.
+// ClientFor returns the client of the given name, which has its own faults and call counts.
 func (s *Store) ClientFor(name string) *store.Client {
 	v := s.view(name)
 
@@ -64,7 +64,7 @@
 	}
 }
 
-// SetClientFault applies f to every later call of one client, and to its watches that wait.
+// SetClientFault sets the fault of all later calls of a client, and ends its waiting watches.
 func (s *Store) SetClientFault(name string, f Fault) {
 	v := s.view(name)
 	v.mu.Lock()
@@ -74,7 +74,7 @@
 	v.changed = make(chan struct{})
 }
 
-// SetClientDelay makes every later call of one client take d longer.
+// SetClientDelay adds a delay to all later calls of a client.
 func (s *Store) SetClientDelay(name string, d time.Duration) {
 	v := s.view(name)
 	v.mu.Lock()
@@ -82,7 +82,7 @@
 	v.delay = d
 }
 
-// CallsOf returns how often one client made each call.
+// CallsOf returns the number of calls of a client by name.
 func (s *Store) CallsOf(name string) map[string]int64 {
 	v := s.view(name)
 	v.mu.Lock()
@@ -95,20 +95,20 @@
 	return calls
 }
 
-func (s *Store) view(name string) *view {
+func (s *Store) view(name string) *clientView {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	v, ok := s.views[name]
 	if !ok {
-		v = &view{inner: s.Client(), changed: make(chan struct{}), calls: map[string]int64{}}
+		v = &clientView{inner: s.Client(), changed: make(chan struct{}), calls: map[string]int64{}}
 		s.views[name] = v
 	}
 
 	return v
 }
 
-// enter counts a call, lets its delay pass and returns the fault that it meets.
-func (v *view) enter(ctx context.Context, call string) (Fault, error) {
+// enter counts a call, applies its delay and returns the current fault.
+func (v *clientView) enter(ctx context.Context, call string) (Fault, error) {
 	v.mu.Lock()
 	v.calls[call]++
 	fault, delay := v.fault, v.delay
@@ -128,8 +128,8 @@
 	}
 }
 
-// read carries out a call without effect.
-func read[T any](ctx context.Context, v *view, call string, do func(context.Context) (T, error)) (T, error) {
+// read executes a call without side effects.
+func read[T any](ctx context.Context, v *clientView, call string, do func(context.Context) (T, error)) (T, error) {
 	fault, err := v.enter(ctx, call)
 	if err != nil {
 		var none T
@@ -144,8 +144,8 @@
 	return got, err
 }
 
-// write carries out a call with an effect.
-func write[T any](ctx context.Context, v *view, call string, do func(context.Context) (T, error)) (T, error) {
+// write executes a call with side effects.
+func write[T any](ctx context.Context, v *clientView, call string, do func(context.Context) (T, error)) (T, error) {
 	var none T
 	fault, err := v.enter(ctx, call)
 	if err != nil {
@@ -166,8 +166,8 @@
 	}
 }
 
-// watch ends with an error when the client's fault changes, as an open connection would.
-func (v *view) watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (store.Events, error) {
+// watch returns an error when the client's fault changes, as if the connection were closed.
+func (v *clientView) watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (store.Events, error) {
 	fault, err := v.enter(ctx, "Watch")
 	if err != nil {
 		return store.Events{}, readError(err)
--- a/standin/doc.go
+++ b/standin/doc.go
@@ -1,5 +1,5 @@
-// Package standin serves small stand-ins for the platform and for endpoints on
-// loopback, with switches for the faults that lycheehook has to survive.
+// Package standin provides fakes of the platform and of endpoints, in memory or
+// over HTTP, with injection of the faults that lycheehook has to tolerate.
 //
-// They are fakes for tests and for the dev command, not a model of a cluster.
+// They are used by tests and by the dev command.
 package standin
--- a/standin/endpoint.go
+++ b/standin/endpoint.go
@@ -9,59 +9,59 @@
 	"time"
 )
 
-// Headers of the exchange with an endpoint.
+// Headers of requests to endpoints and of their responses.
 const (
-	// HeaderRequestID carries the caller's request ID to the endpoint.
+	// HeaderRequestID is the caller's request ID.
 	HeaderRequestID = "X-Request-Id"
-	// HeaderBodyDigest carries the SHA-256 of the request body in the answer, for checks of whole answers.
+	// HeaderBodyDigest is the SHA-256 of the request body, for detecting truncated responses.
 	HeaderBodyDigest = "X-Body-Digest"
-	// HeaderState is set to "Leaving" on every answer of an endpoint that is leaving.
+	// HeaderState is "Leaving" in every response of an endpoint that is leaving.
 	HeaderState = "Endpoint-State"
 
 	healthPath = "/healthz"
 )
 
-// Endpoint is a stand-in for a runner: it answers each request with its own body and counts what it ran.
+// Endpoint is a fake endpoint that echoes request bodies and counts the requests that it ran.
 type Endpoint struct {
 	mu      sync.Mutex
 	service time.Duration
-	// hold keeps requests from ending until it is closed; nil does not.
-	hold     <-chan struct{}
-	runs     map[string]int
-	total    int
-	running  int
-	mostSeen int
-	leaving  bool
-	status   int
+	// hold blocks requests until it is closed; nil doesn't block.
+	hold       <-chan struct{}
+	runs       map[string]int
+	total      int
+	running    int
+	maxRunning int
+	leaving    bool
+	status     int
 }
 
-// NewEndpoint returns an endpoint that takes service for each request.
+// NewEndpoint returns an endpoint with the given service time.
 func NewEndpoint(service time.Duration) *Endpoint {
 	return &Endpoint{service: service, runs: map[string]int{}}
 }
 
-// SetService changes how long a request takes.
+// SetService sets the service time.
 func (e *Endpoint) SetService(d time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.service = d
 }
 
-// SetHold keeps the requests that begin from now on from ending until hold is closed; nil does not.
+// SetHold blocks later requests until hold is closed; nil doesn't block.
 func (e *Endpoint) SetHold(hold <-chan struct{}) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.hold = hold
 }
 
-// SetLeaving makes the endpoint say on every answer that it is leaving; it goes on serving what it gets.
+// SetLeaving sets whether responses report that the endpoint is leaving. It serves requests either way.
 func (e *Endpoint) SetLeaving(leaving bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.leaving = leaving
 }
 
-// SetStatus makes the endpoint answer work with the given status, as a worker that fails everything it starts does.
+// SetStatus sets the status of responses to work, for simulating a worker that fails all requests.
 func (e *Endpoint) SetStatus(status int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -92,18 +92,18 @@
 	return e.running
 }
 
-// MostRunning returns the largest number of requests that ran at once.
+// MostRunning returns the largest number of requests that ran concurrently.
 func (e *Endpoint) MostRunning() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 
-	return e.mostSeen
+	return e.maxRunning
 }
 
 // ServeHTTP runs one request: it reads the body, waits for the service time, and echoes the body.
-// A health probe is answered at once.
+// A health probe is answered immediately.
 func (e *Endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	status := e.announce(w, r)
+	status := e.setState(w, r)
 	if r.URL.Path == healthPath {
 		w.WriteHeader(status)
 		return
@@ -128,8 +128,8 @@
 	_, _ = w.Write(body)
 }
 
-// announce sets the state in the answer and returns its status.
-func (e *Endpoint) announce(w http.ResponseWriter, r *http.Request) int {
+// setState sets the state header of the response and returns its status.
+func (e *Endpoint) setState(w http.ResponseWriter, r *http.Request) int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.leaving {
@@ -150,7 +150,7 @@
 	defer e.mu.Unlock()
 	e.total++
 	e.running++
-	e.mostSeen = max(e.mostSeen, e.running)
+	e.maxRunning = max(e.maxRunning, e.running)
 	if requestID != "" {
 		e.runs[requestID]++
 	}
--- a/standin/network.go
+++ b/standin/network.go
@@ -12,15 +12,15 @@
 	"lycheehook.example/lycheehook/peer"
 )
 
-// PathFault is what happens to requests from one entry host to another.
+// PathFault is the faults of requests from one entry host to another.
 type PathFault struct {
-	// RequestLost loses the request before the peer sees it.
+	// RequestLost drops the request before the peer receives it.
 	RequestLost bool
-	// AnswerLost loses the answer after the peer handled the request.
+	// AnswerLost drops the response after the peer handled the request.
 	AnswerLost bool
-	// Doubled lets the peer handle the request twice.
+	// Doubled makes the peer handle the request twice.
 	Doubled bool
-	// RequestDelay and AnswerDelay are the times that the two ways take.
+	// RequestDelay and AnswerDelay are the latencies of the two directions.
 	RequestDelay time.Duration
 	AnswerDelay  time.Duration
 }
@@ -29,7 +29,7 @@
 	from, to fleet.EntryName
 }
 
-// Network carries requests between meshes in memory, so that tests can stop the clock.
+// Network is an in-memory network between meshes, for tests with a fake clock.
 type Network struct {
 	mu     sync.Mutex
 	serve  map[netip.AddrPort]func(context.Context, []byte) []byte
@@ -38,12 +38,12 @@
 	bytes  int64
 }
 
-// NewNetwork returns a network without processes.
+// NewNetwork returns a network without meshes.
 func NewNetwork() *Network {
 	return &Network{serve: map[netip.AddrPort]func(context.Context, []byte) []byte{}, faults: map[path]PathFault{}}
 }
 
-// Mesh returns a mesh that is attached to the network under a new address until ctx ends.
+// Mesh returns a mesh that is attached to the network with a new address until ctx is done.
 func (n *Network) Mesh(ctx context.Context, name fleet.EntryName, incarnation peer.Incarnation, opts ...peer.Option) *peer.Mesh {
 	n.mu.Lock()
 	n.next++
@@ -68,20 +68,20 @@
 	return m
 }
 
-// SetFault applies f to later requests from one entry host to another.
+// SetFault sets the fault of later requests from one entry host to another.
 func (n *Network) SetFault(from, to fleet.EntryName, f PathFault) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.faults[path{from, to}] = f
 }
 
-// Cut loses everything between two entry hosts, or heals the path.
+// Cut partitions two entry hosts, or reconnects them.
 func (n *Network) Cut(a, b fleet.EntryName, cut bool) {
 	n.SetFault(a, b, PathFault{RequestLost: cut})
 	n.SetFault(b, a, PathFault{RequestLost: cut})
 }
 
-// Bytes returns the size of all messages so far.
+// Bytes returns the total size of all messages.
 func (n *Network) Bytes() int64 {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -93,26 +93,26 @@
 	fault, serve := n.path(from, to)
 	answered := make(chan []byte, 1)
 	if serve != nil && !fault.RequestLost {
-		// A request that is on its way arrives even when its sender no longer waits.
-		go func() { answered <- n.carry(context.WithoutCancel(ctx), fault, serve, request) }()
+		// A request that has been sent arrives even if its sender has been cancelled.
+		go func() { answered <- n.deliver(context.WithoutCancel(ctx), fault, serve, request) }()
 	}
 
 	select {
 	case <-ctx.Done():
-		return nil, merry.Prependf(peer.ErrUnreachable, "no answer of %s", to.Name)
+		return nil, merry.Prependf(peer.ErrUnreachable, "no response from %s", to.Name)
 	case answer := <-answered:
-		// A path that was cut in the meantime loses the answer.
+		// The response is also lost if the path was cut in the meantime.
 		if now, _ := n.path(from, to); !now.RequestLost && !fault.AnswerLost {
 			return answer, nil
 		}
 	}
 	<-ctx.Done()
 
-	return nil, merry.Prependf(peer.ErrUnreachable, "answer of %s lost", to.Name)
+	return nil, merry.Prependf(peer.ErrUnreachable, "response from %s lost", to.Name)
 }
 
-// carry takes a request to its receiver and the answer back.
-func (n *Network) carry(ctx context.Context, f PathFault, serve func(context.Context, []byte) []byte, request []byte) []byte {
+// deliver delivers a request to its receiver and returns the response.
+func (n *Network) deliver(ctx context.Context, f PathFault, serve func(context.Context, []byte) []byte, request []byte) []byte {
 	time.Sleep(f.RequestDelay)
 	n.count(request)
 	answer := serve(ctx, request)
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -11,10 +11,10 @@
 	"lycheehook.example/lycheehook/hostapi"
 )
 
-// defaultRebootTime is how long a host stays down for a reboot.
+// defaultRebootTime is how long a reboot takes.
 const defaultRebootTime = 5 * time.Minute
 
-// worker is the state of one host of the stand-in.
+// worker is the state of one host.
 type worker struct {
 	host     fleet.Host
 	draining bool
@@ -22,18 +22,18 @@
 	intent   hostapi.IntentID
 	done     map[hostapi.IntentID]map[string]bool
 	rebooted hostapi.IntentID
-	// backAt is when the host is up again; zero while it is up.
-	backAt  time.Time
-	pending hostapi.IntentID
-	never   bool
-	crashed bool
-	failing bool
-	boots   int
-	tasks   map[fleet.JobID]*task
-	tokens  map[fleet.JobID]uint64
+	// backAt is when the current reboot ends; zero while the host is up.
+	backAt       time.Time
+	pending      hostapi.IntentID
+	neverReturns bool
+	crashed      bool
+	failing      bool
+	boots        int
+	tasks        map[fleet.JobID]*task
+	tokens       map[fleet.JobID]uint64
 }
 
-// Platform is a stand-in for the platform that runs the workers.
+// Platform is a fake of the platform that runs the workers.
 type Platform struct {
 	mu         sync.Mutex
 	workers    map[fleet.HostName]*worker
@@ -57,7 +57,7 @@
 	}
 }
 
-// PutHost adds a host or replaces what the inventory says about it.
+// PutHost adds a host or replaces its inventory entry.
 func (p *Platform) PutHost(h fleet.Host) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -71,7 +71,7 @@
 	}
 }
 
-// RemoveHost takes a host out of the platform for good.
+// RemoveHost removes a host permanently.
 func (p *Platform) RemoveHost(name fleet.HostName) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -85,35 +85,36 @@
 	p.endpoints = p.endpoints.With(e.Name, e)
 }
 
-// SetBusy sets who counts the requests in progress on the endpoints of a host; they count as running work.
+// SetBusy sets the function that returns the number of requests in progress on the endpoints of a host, which count as running
+// work.
 func (p *Platform) SetBusy(name fleet.HostName, requests func() int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.busy[name] = requests
 }
 
-// SetFault applies f to every later call.
+// SetFault sets the fault of all later calls.
 func (p *Platform) SetFault(f Fault) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.fault = f
 }
 
-// SetDelay makes every later call take d longer.
+// SetDelay adds a delay to all later calls.
 func (p *Platform) SetDelay(d time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.delay = d
 }
 
-// SetRebootTime sets how long a host stays down for a reboot.
+// SetRebootTime sets how long a reboot takes.
 func (p *Platform) SetRebootTime(d time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.rebootTime = d
 }
 
-// SetStale freezes the inventory as it is now, or lets it follow the truth again.
+// SetStale sets whether calls return the inventory as it is now instead of the current one.
 func (p *Platform) SetStale(stale bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -125,7 +126,7 @@
 	}
 }
 
-// SetCrashed takes a host down without warning, or brings it back.
+// SetCrashed makes a host crash or recover.
 func (p *Platform) SetCrashed(name fleet.HostName, crashed bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -138,16 +139,16 @@
 	}
 }
 
-// SetNeverReturns makes a host stay down after its next reboot for as long as it is set.
+// SetNeverReturns sets whether a host stays down after a reboot.
 func (p *Platform) SetNeverReturns(name fleet.HostName, never bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if w, ok := p.workers[name]; ok {
-		w.never = never
+		w.neverReturns = never
 	}
 }
 
-// Boots returns how often a host was rebooted.
+// Boots returns the number of reboots of a host.
 func (p *Platform) Boots(name fleet.HostName) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -158,7 +159,7 @@
 	return 0
 }
 
-// OutOfService returns the hosts that take no new tasks now.
+// OutOfService returns the hosts that are draining or down.
 func (p *Platform) OutOfService() []fleet.HostName {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -173,7 +174,7 @@
 	return out
 }
 
-// Calls returns how often each call was made.
+// Calls returns the number of calls by name.
 func (p *Platform) Calls() map[string]int64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -186,7 +187,7 @@
 	return calls
 }
 
-// Client returns a client that calls the platform without a network.
+// Client returns an in-memory client.
 func (p *Platform) Client() *hostapi.Client {
 	return &hostapi.Client{
 		Inventory:   p.inventory,
@@ -204,7 +205,7 @@
 	}
 }
 
-// enter counts a call, applies delay and faults, and returns with the platform locked unless it returns an error.
+// enter counts a call and applies delay and faults. It returns with p.mu held unless it returns an error.
 func (p *Platform) enter(ctx context.Context, name string) error {
 	p.mu.Lock()
 	p.calls[name]++
@@ -232,7 +233,7 @@
 	return nil
 }
 
-// answer returns what a call with an effect reports under the fault in force; the platform is locked.
+// answer returns the error of a call that has taken effect, which depends on the current fault. p.mu must be held.
 func (p *Platform) answer(name string) error {
 	if p.fault == FaultAnswerLost {
 		return merry.Prepend(hostapi.ErrOutcomeUnknown, name)
@@ -241,9 +242,9 @@
 	return nil
 }
 
-// up brings the worker's reboot to an end when its time has come, and reports whether the worker is up.
+// up completes the worker's reboot if its time has passed, and reports whether the worker is up.
 func (p *Platform) up(w *worker) bool {
-	if !w.backAt.IsZero() && !w.never && !time.Now().Before(w.backAt) {
+	if !w.backAt.IsZero() && !w.neverReturns && !time.Now().Before(w.backAt) {
 		w.backAt = time.Time{}
 		w.rebooted, w.pending = w.pending, ""
 	}
@@ -251,7 +252,7 @@
 	return w.backAt.IsZero() && !w.crashed
 }
 
-// running counts the tasks and requests in progress on a worker.
+// running returns the number of tasks and requests in progress on a worker.
 func (p *Platform) running(w *worker) int {
 	n := w.running()
 	if requests, ok := p.busy[w.host.Name]; ok {
@@ -261,7 +262,7 @@
 	return n
 }
 
-// leaving marks the endpoints of hosts that take no new work.
+// leaving returns all endpoints, with those on draining or down hosts marked as leaving.
 func (p *Platform) leaving() []fleet.Endpoint {
 	all := p.endpoints.Values()
 	for i, e := range all {
@@ -319,7 +320,7 @@
 	}, nil
 }
 
-// act carries out one call to a host unless it is fenced off or a repeat.
+// act applies the effect of a call to a host unless the call is fenced or a retry.
 func (p *Platform) act(ctx context.Context, kind string, c hostapi.HostCall, effect func(*worker) error) error {
 	if err := p.enter(ctx, kind); err != nil {
 		return err
--- a/standin/platformserver.go
+++ b/standin/platformserver.go
@@ -32,7 +32,7 @@
 	Detail string
 }
 
-// platformErrors gives the status and the name on the wire of each error of the platform.
+// platformErrors is the HTTP status and the wire name of each platform error.
 var platformErrors = []struct {
 	err    error
 	status int
@@ -44,7 +44,7 @@
 	{hostapi.ErrNotFound, http.StatusNotFound, "NotFound"},
 }
 
-// ServeHTTP serves the protocol of the platform.
+// ServeHTTP implements http.Handler with the protocol of package hostapi.
 func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := p.Client()
 	switch r.URL.Path {
@@ -107,7 +107,7 @@
 	writePlatformAnswer(w, answer, err)
 }
 
-// writePlatformAnswer writes an answer; an unknown outcome cuts the connection, as a lost answer would.
+// writePlatformAnswer writes a response. It aborts the connection for an unknown outcome, which simulates a lost response.
 func writePlatformAnswer(w http.ResponseWriter, answer any, err error) {
 	if errors.Is(err, hostapi.ErrOutcomeUnknown) {
 		panic(http.ErrAbortHandler)
--- a/standin/platformstore.go
+++ b/standin/platformstore.go
@@ -10,7 +10,7 @@
 	"lycheehook.example/lycheehook/store"
 )
 
-// kvItem is an item of the published protocol.
+// kvItem is an item of the published protocol of the key-value service.
 type kvItem struct {
 	Key      string `json:"key"`
 	Value    []byte `json:"value"`
@@ -36,10 +36,10 @@
 	TTLMs   int64         `json:"ttlMs"`
 }
 
-// kvPage is how many items an answer to a range has at most, so that tests turn pages.
+// kvPage is the page size of ranges, small enough that tests need several pages.
 const kvPage = 50
 
-// PlatformHandler serves the store by the protocol that the users' platform has published.
+// PlatformHandler serves the store with the published protocol of the users' platform.
 func (s *Store) PlatformHandler() http.Handler {
 	c := s.Client()
 	mux := http.NewServeMux()
@@ -90,7 +90,7 @@
 func leaseOf(r *http.Request) store.LeaseID {
 	id, err := strconv.ParseUint(r.PathValue("id"), 10, 64)
 	if err != nil {
-		// No lease has the number zero, so the answer is that there is none.
+		// No lease has ID zero, so the response is 404.
 		return 0
 	}
 
@@ -155,7 +155,7 @@
 	return out
 }
 
-// kvAnswer writes an answer; one whose outcome is unknown is lost with its connection.
+// kvAnswer writes a response. It aborts the connection for an unknown outcome.
 func kvAnswer(w http.ResponseWriter, answer any, err error) {
 	switch {
 	case err == nil:
@@ -174,6 +174,6 @@
 func kvWrite(w http.ResponseWriter, status int, answer any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	// The caller may have gone.
+	// The client may have disconnected.
 	_ = json.NewEncoder(w).Encode(answer)
 }
--- a/standin/runs.go
+++ b/standin/runs.go
@@ -6,15 +6,15 @@
 	"net/http"
 )
 
-// PathRuns is where an endpoint's own server tells what ran.
+// PathRuns is the path at which Handler serves the run counts.
 const PathRuns = "/v1/runs"
 
 type runsAnswer struct {
-	// Runs is how often each request ID ran.
+	// Runs is the number of runs by request ID.
 	Runs map[string]int
 }
 
-// RunCounts returns how often each request ID ran.
+// RunCounts returns the number of runs by request ID.
 func (e *Endpoint) RunCounts() map[string]int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -22,7 +22,7 @@
 	return maps.Clone(e.runs)
 }
 
-// Handler serves requests at every path, but for PathRuns, which answers with the run counts.
+// Handler serves the run counts at PathRuns and requests at all other paths.
 func (e *Endpoint) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/", e)
--- a/standin/store.go
+++ b/standin/store.go
@@ -13,21 +13,21 @@
 	"lycheehook.example/lycheehook/store"
 )
 
-// keptEvents bounds the history that a watch can ask for, in events.
+// keptEvents is the minimum number of events that are retained for watches.
 const keptEvents = 100_000
 
-// Fault is a fault of the store, applied to every call until it is lifted.
+// Fault is a fault that is injected into calls.
 type Fault string
 
-// The faults of the store.
+// Faults of the store and the platform.
 const (
-	// FaultNone lets calls through.
+	// FaultNone injects no fault.
 	FaultNone Fault = ""
-	// FaultDown refuses every call before it has an effect.
+	// FaultDown fails every call before it takes effect.
 	FaultDown Fault = "Down"
-	// FaultAnswerLost carries out every write and loses its answer.
+	// FaultAnswerLost executes every write but drops its response.
 	FaultAnswerLost Fault = "AnswerLost"
-	// FaultSilent accepts every call and never answers.
+	// FaultSilent never responds.
 	FaultSilent Fault = "Silent"
 )
 
@@ -36,37 +36,37 @@
 	expires time.Time
 }
 
-// Store is an in-memory stand-in for the platform's key-value service.
+// Store is an in-memory fake of the platform's key-value service.
 type Store struct {
 	mu       sync.Mutex
 	revision uint64
 	records  map[string]store.Record
-	bound    map[string]store.LeaseID
+	leaseOf  map[string]store.LeaseID
 	leases   map[store.LeaseID]lease
 	nextID   store.LeaseID
 	events   []store.Event
-	// compacted is the newest revision whose event is no longer kept.
+	// compacted is the newest revision whose event has been discarded.
 	compacted uint64
 	changed   chan struct{}
 	fault     Fault
 	delay     time.Duration
 	calls     map[string]int64
-	views     map[string]*view
+	views     map[string]*clientView
 }
 
 // NewStore returns an empty store.
 func NewStore() *Store {
 	return &Store{
 		records: map[string]store.Record{},
-		bound:   map[string]store.LeaseID{},
+		leaseOf: map[string]store.LeaseID{},
 		leases:  map[store.LeaseID]lease{},
 		changed: make(chan struct{}),
 		calls:   map[string]int64{},
-		views:   map[string]*view{},
+		views:   map[string]*clientView{},
 	}
 }
 
-// SetFault applies f to every later call.
+// SetFault sets the fault of all later calls and of waiting watches.
 func (s *Store) SetFault(f Fault) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -74,14 +74,14 @@
 	s.wake()
 }
 
-// SetDelay makes every later call take d longer.
+// SetDelay adds a delay to all later calls.
 func (s *Store) SetDelay(d time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.delay = d
 }
 
-// Calls returns how often each call was made.
+// Calls returns the number of calls by name.
 func (s *Store) Calls() map[string]int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -94,7 +94,7 @@
 	return calls
 }
 
-// Client returns a client that calls the store without a network.
+// Client returns an in-memory client.
 func (s *Store) Client() *store.Client {
 	return &store.Client{
 		Get:            s.get,
@@ -108,7 +108,7 @@
 	}
 }
 
-// enter counts a call, applies delay and faults, and returns with the store locked unless it returns an error.
+// enter counts a call and applies delay and faults. It returns with s.mu held unless it returns an error.
 func (s *Store) enter(ctx context.Context, name string) error {
 	s.mu.Lock()
 	s.calls[name]++
@@ -138,7 +138,7 @@
 	return nil
 }
 
-// answer returns what a write reports under the fault in force; the store is locked.
+// answer returns the error of a write that has taken effect, which depends on the current fault. s.mu must be held.
 func (s *Store) answer(name string) error {
 	if s.fault == FaultAnswerLost {
 		return merry.Prepend(store.ErrOutcomeUnknown, name)
@@ -207,9 +207,9 @@
 	s.revision++
 	r := store.Record{Key: w.Key, Value: slices.Clone(w.Value), Revision: s.revision}
 	s.records[w.Key] = r
-	delete(s.bound, w.Key)
+	delete(s.leaseOf, w.Key)
 	if w.Lease != 0 {
-		s.bound[w.Key] = w.Lease
+		s.leaseOf[w.Key] = w.Lease
 	}
 	s.publish(store.Event{Record: r})
 }
@@ -221,7 +221,7 @@
 
 	s.revision++
 	delete(s.records, key)
-	delete(s.bound, key)
+	delete(s.leaseOf, key)
 	s.publish(store.Event{Record: store.Record{Key: key, Revision: s.revision}, Deleted: true})
 }
 
@@ -233,14 +233,14 @@
 	s.wake()
 }
 
-// Compact forgets every event so far, as the service does from time to time.
+// Compact discards all events, as the service does periodically.
 func (s *Store) Compact() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.compact(len(s.events))
 }
 
-// compact forgets the oldest events; the store is locked.
+// compact discards the n oldest events. s.mu must be held.
 func (s *Store) compact(n int) {
 	if n > 0 {
 		s.compacted = s.events[n-1].Record.Revision
@@ -248,26 +248,26 @@
 	}
 }
 
-// wake lets every waiting watch look again; the store is locked.
+// wake makes all waiting watches check for events and faults. s.mu must be held.
 func (s *Store) wake() {
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
-// expire removes lapsed leases with their keys; the store is locked.
+// expire removes expired leases with their keys. s.mu must be held.
 func (s *Store) expire() {
 	now := time.Now()
 	for id, l := range s.leases {
 		if now.Before(l.expires) {
 			continue
 		}
-		s.drop(id)
+		s.removeLease(id)
 	}
 }
 
-func (s *Store) drop(id store.LeaseID) {
+func (s *Store) removeLease(id store.LeaseID) {
 	delete(s.leases, id)
-	for key, bound := range s.bound {
+	for key, bound := range s.leaseOf {
 		if bound == id {
 			s.remove(key)
 		}
@@ -307,7 +307,7 @@
 	}
 }
 
-// untilExpiry returns how long it is until the next lease may lapse.
+// untilExpiry returns the time until the next lease may expire.
 func (s *Store) untilExpiry() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -320,7 +320,7 @@
 	return max(next, time.Millisecond)
 }
 
-// since returns the events under prefix after a revision; the store is locked.
+// since returns the events under prefix after a revision. s.mu must be held.
 func (s *Store) since(prefix string, after uint64) (store.Events, error) {
 	if after < s.compacted {
 		return store.Events{}, merry.Prepend(store.ErrCompacted, prefix)
@@ -372,12 +372,12 @@
 		return err
 	}
 	defer s.mu.Unlock()
-	s.drop(id)
+	s.removeLease(id)
 
 	return s.answer("Revoke")
 }
 
-// readError turns an unknown outcome into unavailability, as a read has no effect.
+// readError turns an unknown outcome into unavailability, because a read has no effect.
 func readError(err error) error {
 	if errors.Is(err, store.ErrOutcomeUnknown) {
 		return merry.Prepend(store.ErrUnavailable, err.Error())
--- a/standin/storecommit.go
+++ b/standin/storecommit.go
@@ -8,7 +8,7 @@
 	"lycheehook.example/lycheehook/store"
 )
 
-// commit carries out a transaction if all its expectations hold.
+// commit applies a transaction if all its expectations hold.
 func (s *Store) commit(ctx context.Context, t store.Txn) (uint64, error) {
 	if err := s.enter(ctx, "Commit"); err != nil {
 		return 0, err
--- a/standin/storeserver.go
+++ b/standin/storeserver.go
@@ -38,7 +38,7 @@
 	Error string
 }
 
-// storeErrors gives the status and the name on the wire of each error of the store.
+// storeErrors is the HTTP status and the wire name of each store error.
 var storeErrors = []struct {
 	err    error
 	status int
@@ -52,7 +52,7 @@
 	{store.ErrUnavailable, http.StatusServiceUnavailable, "Unavailable"},
 }
 
-// ServeHTTP serves the protocol of the platform's key-value service.
+// ServeHTTP implements http.Handler with the protocol of store.Dial.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := s.Client()
 	switch r.URL.Path {
@@ -93,7 +93,8 @@
 	}
 }
 
-// serveCall decodes a request, makes the call, and writes its answer; an unknown outcome cuts the connection, as a lost answer would.
+// serveCall decodes a request, makes the call and writes the response. It aborts the connection for an unknown outcome, which
+// simulates a lost response.
 func serveCall[Q any](w http.ResponseWriter, r *http.Request, call func(context.Context, Q) (any, error)) {
 	var q Q
 	if err := json.NewDecoder(r.Body).Decode(&q); err != nil {
--- a/standin/taskworker.go
+++ b/standin/taskworker.go
@@ -8,44 +8,44 @@
 	"time"
 )
 
-// TaskWorker is a stand-in for a worker that speaks the protocol which the users' platform has published.
+// TaskWorker is a fake worker with the published protocol of the users' platform.
 type TaskWorker struct {
 	mu    sync.Mutex
 	born  time.Time
 	token uint64
-	// taskTime is how long a task runs; zero means until it is stopped.
+	// taskTime is how long a run takes; zero means until it is stopped.
 	taskTime time.Duration
-	until    time.Duration
-	runs     map[runName]time.Time
+	leaseEnd time.Duration
+	runs     map[runKey]time.Time
 	highest  map[string]int
 	ends     []taskEnd
 	number   uint64
 	changed  chan struct{}
-	starts   map[runName]int
-	// cores is the capacity that the worker reports; it does not refuse what exceeds it.
+	starts   map[runKey]int
+	// cores is the capacity that the worker reports, in thousandths of a core. Starts that exceed it are not rejected.
 	cores int
-	// loseAnswers makes the worker carry out orders without answering.
+	// loseAnswers makes the worker execute starts and stops without responding.
 	loseAnswers bool
 	observe     func(RunEvent)
 }
 
-// RunEvent is the begin or the end of a run on a worker.
+// RunEvent is the start or the end of a run on a worker.
 type RunEvent struct {
 	Task    string
 	Attempt int
 	At      time.Time
-	// How says how the run ended; empty at its begin.
+	// How is the outcome of the run; empty for its start.
 	How string
 }
 
-type runName struct {
+type runKey struct {
 	Task    string
 	Attempt int
 }
 
 type taskEnd struct {
 	number uint64
-	run    runName
+	run    runKey
 	how    string
 }
 
@@ -58,39 +58,39 @@
 	WaitMs       int64  `json:"waitMs"`
 }
 
-// defaultCores is the capacity of a worker until SetCores is called, in thousandths of a core.
+// defaultCores is the capacity that a worker reports until SetCores is called, in thousandths of a core.
 const defaultCores = 16000
 
-// NewTaskWorker returns a worker whose tasks are done after taskTime, or never if that is zero.
+// NewTaskWorker returns a worker whose runs are done after taskTime, or never if that is zero.
 func NewTaskWorker(taskTime time.Duration) *TaskWorker {
 	return &TaskWorker{
-		born: time.Now(), taskTime: taskTime, runs: map[runName]time.Time{}, highest: map[string]int{}, changed: make(chan struct{}),
-		starts: map[runName]int{}, observe: func(RunEvent) {}, cores: defaultCores,
+		born: time.Now(), taskTime: taskTime, runs: map[runKey]time.Time{}, highest: map[string]int{}, changed: make(chan struct{}),
+		starts: map[runKey]int{}, observe: func(RunEvent) {}, cores: defaultCores,
 	}
 }
 
-// Observe makes f be told of each begin and end, with the worker locked.
+// Observe sets a function that is called for each start and end of a run, with w.mu held.
 func (w *TaskWorker) Observe(f func(RunEvent)) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.observe = f
 }
 
-// Settle tells of the ends of runs that are over by now.
-func (w *TaskWorker) Settle() {
+// Expire ends the runs whose time or lease is over, and reports them to the observer.
+func (w *TaskWorker) Expire() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.expire()
 }
 
-// SetCores changes the capacity that the next Registration reports, in thousandths of a core.
+// SetCores sets the capacity that later registrations report, in thousandths of a core.
 func (w *TaskWorker) SetCores(n int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.cores = n
 }
 
-// Registration returns what the worker says of itself in the store.
+// Registration returns the worker's record in the store.
 func (w *TaskWorker) Registration(service, address, rack string) []byte {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -99,21 +99,21 @@
 		"capacity": map[string]int{"cpu": w.cores, "memMb": 32768, "gpu": 0},
 	})
 	if err != nil {
-		// A map of texts and numbers always encodes.
+		// A map of strings and numbers can always be encoded.
 		panic(err)
 	}
 
 	return data
 }
 
-// SetLoseAnswers makes the worker carry out orders without answering, or answer again.
+// SetLoseAnswers sets whether the worker executes starts and stops without responding.
 func (w *TaskWorker) SetLoseAnswers(lose bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.loseAnswers = lose
 }
 
-// Starts returns how often each task began.
+// Starts returns the number of runs by task.
 func (w *TaskWorker) Starts() map[string]int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -125,7 +125,7 @@
 	return counts
 }
 
-// pathHold is where a worker's leases are renewed, and its runs and ends are asked for.
+// pathHold is the path of the call that renews leases and returns the active and finished runs.
 const pathHold = "/api/hold"
 
 // ServeHTTP implements http.Handler.
@@ -148,14 +148,14 @@
 	kvWrite(rw, status, answer)
 }
 
-// carryOut checks the token and does what an order asks for; the worker is locked.
+// carryOut checks the fencing token and executes an order. w.mu must be held.
 func (w *TaskWorker) carryOut(path string, o runOrder) (int, any) {
 	w.expire()
 	if o.Token < w.token {
 		return http.StatusConflict, w.answer("fence")
 	}
 	w.token = o.Token
-	run := runName{o.Task, o.Attempt}
+	run := runKey{o.Task, o.Attempt}
 	switch path {
 	case "/api/run-start":
 		if _, there := w.runs[run]; there {
@@ -189,10 +189,10 @@
 }
 
 func (w *TaskWorker) extend(o runOrder) {
-	w.until = max(w.until, time.Duration(o.DeadlineMs)*time.Millisecond)
+	w.leaseEnd = max(w.leaseEnd, time.Duration(o.DeadlineMs)*time.Millisecond)
 }
 
-func (w *TaskWorker) end(run runName, how string, at time.Time) {
+func (w *TaskWorker) end(run runKey, how string, at time.Time) {
 	delete(w.runs, run)
 	w.observe(RunEvent{Task: run.Task, Attempt: run.Attempt, At: at, How: how})
 	w.highest[run.Task] = max(w.highest[run.Task], run.Attempt)
@@ -202,21 +202,21 @@
 	w.changed = make(chan struct{})
 }
 
-// expire ends the runs that are done, or whose lease has ended.
+// expire ends the runs that are done or whose lease has expired. w.mu must be held.
 func (w *TaskWorker) expire() {
-	now, lapse := time.Now(), w.born.Add(w.until)
+	now, expiry := time.Now(), w.born.Add(w.leaseEnd)
 	for run, began := range w.runs {
 		done := began.Add(w.taskTime)
 		switch {
-		case w.taskTime > 0 && !done.After(now) && !done.After(lapse):
+		case w.taskTime > 0 && !done.After(now) && !done.After(expiry):
 			w.end(run, "done", done)
-		case now.After(lapse):
-			w.end(run, "lapsed", lapse)
+		case now.After(expiry):
+			w.end(run, "lapsed", expiry)
 		}
 	}
 }
 
-// hold waits for an end and returns both lists.
+// hold waits until a run has ended, at most for the requested time, and returns the active and finished runs.
 func (w *TaskWorker) hold(r *http.Request, o runOrder) any {
 	const look = 10 * time.Millisecond
 	deadline := time.Now().Add(time.Duration(o.WaitMs) * time.Millisecond)
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -20,7 +20,7 @@
 	throttled fleet.MilliCores
 }
 
-// SetFailing makes a worker fail every task that it is given from now on.
+// SetFailing sets whether a worker fails all tasks that are started on it.
 func (p *Platform) SetFailing(name fleet.HostName, failing bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -29,14 +29,14 @@
 	}
 }
 
-// SetTaskTime sets how long later tasks run; zero lets them run until FinishTask.
+// SetTaskTime sets how long tasks run that are started later; zero means until FinishTask.
 func (p *Platform) SetTaskTime(d time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.taskTime = d
 }
 
-// SetUsage sets what a running task is reported to use.
+// SetUsage sets the reported resource usage of a task.
 func (p *Platform) SetUsage(host fleet.HostName, job fleet.JobID, usage fleet.Resources) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -45,7 +45,7 @@
 	}
 }
 
-// FinishTask ends a running task in the given state.
+// FinishTask ends a running task with the given state.
 func (p *Platform) FinishTask(host fleet.HostName, job fleet.JobID, state hostapi.TaskState) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -54,7 +54,7 @@
 	}
 }
 
-// Starts returns how often tasks of a job were started on all workers.
+// Starts returns how often a job's task was started on all workers.
 func (p *Platform) Starts(job fleet.JobID) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -62,7 +62,7 @@
 	return p.starts[job]
 }
 
-// CutOff returns how many tasks lost their work to a stop or a reboot without a checkpoint.
+// CutOff returns the number of tasks that were stopped without a checkpoint.
 func (p *Platform) CutOff() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -83,11 +83,11 @@
 	t.status.State, t.status.Ended = s, now
 }
 
-// running settles lapsed and finished tasks and counts the rest.
+// running ends finished and expired tasks and returns the number of the others.
 func (w *worker) running() int {
 	n := 0
 	for _, t := range w.tasks {
-		t.settle(time.Now())
+		t.endIfOver(time.Now())
 		if t.status.State == hostapi.TaskRunning {
 			n++
 		}
@@ -96,8 +96,8 @@
 	return n
 }
 
-// settle ends a task whose run time is over or whose lease has lapsed, whichever came first.
-func (t *task) settle(now time.Time) {
+// endIfOver ends a task whose run time is over or whose lease has expired, whichever came first.
+func (t *task) endIfOver(now time.Time) {
 	if t.status.State != hostapi.TaskRunning {
 		return
 	}
@@ -110,8 +110,8 @@
 	}
 }
 
-// taken sums the sizes of the running tasks.
-func (w *worker) taken() fleet.Resources {
+// used returns the sum of the sizes of the running tasks.
+func (w *worker) used() fleet.Resources {
 	var sum fleet.Resources
 	for _, t := range w.tasks {
 		if t.status.State == hostapi.TaskRunning {
@@ -130,7 +130,7 @@
 	}
 }
 
-// enterWorker locks the platform and finds a worker that is up.
+// enterWorker calls enter and returns a worker that is up. It returns with p.mu held unless it returns an error.
 func (p *Platform) enterWorker(ctx context.Context, kind string, host fleet.HostName) (*worker, error) {
 	if err := p.enter(ctx, kind); err != nil {
 		return nil, err
@@ -173,7 +173,7 @@
 		return merry.Prependf(hostapi.ErrRefused, "host %s is draining", s.Host)
 	}
 
-	if !w.taken().Plus(s.Size).FitsIn(w.host.Capacity) {
+	if !w.used().Plus(s.Size).FitsIn(w.host.Capacity) {
 		return merry.Prependf(hostapi.ErrRefused, "host %s has no room", s.Host)
 	}
 
@@ -229,7 +229,7 @@
 	if t != nil && t.status.Token >= c.Token {
 		return t.status, nil
 	}
-	// From here on a late start with this token is refused, so that the answer stays true.
+	// A delayed start with this token is rejected from now on, so that the response stays true.
 	w.tokens[c.Job] = max(w.tokens[c.Job], c.Token)
 
 	return hostapi.TaskStatus{}, merry.Prependf(hostapi.ErrNotFound, "job %s on %s", c.Job, c.Host)
@@ -251,7 +251,7 @@
 	return all, nil
 }
 
-// onTask applies an effect to a running task with the call's token.
+// onTask applies an effect to a running task unless the call's token is stale.
 func (p *Platform) onTask(ctx context.Context, kind string, c hostapi.TaskCall, effect func(*task)) error {
 	w, err := p.enterWorker(ctx, kind, c.Host)
 	if err != nil {
