--- a/cmd/lycheehook/audit.go
+++ b/cmd/lycheehook/audit.go
@@ -17,13 +17,13 @@
 	Entries []audit.Entry
 }
 
-func newAudit(p process) *cobra.Command {
+func newAudit(p environment) *cobra.Command {
 	f := &clientFlags{process: p}
 	var who, subject, action, since string
 	var limit int
 	cmd := &cobra.Command{
 		Use:   "audit",
-		Short: "Show the trail of changes, oldest first",
+		Short: "Show the audit trail, oldest entry first",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			c, err := f.client()
@@ -45,11 +45,11 @@
 		},
 	}
 	f.add(cmd)
-	cmd.Flags().StringVar(&who, "who", "", "changes of this operator or entry host only")
-	cmd.Flags().StringVar(&subject, "subject", "", "changes of subjects that start with this only, such as Keys/ or Hosts/worker-01")
-	cmd.Flags().StringVar(&action, "action", "", "changes of this kind only, such as ApplyLists")
-	cmd.Flags().StringVar(&since, "since", "", "changes since a time such as 2026-03-01T08:00:00Z, or in the last 24h")
-	cmd.Flags().IntVar(&limit, "limit", defaultAuditLimit, "show the newest of them, at most this many")
+	cmd.Flags().StringVar(&who, "who", "", "only changes by this operator or entry host")
+	cmd.Flags().StringVar(&subject, "subject", "", "only changes of subjects with this prefix, such as Keys/ or Hosts/worker-01")
+	cmd.Flags().StringVar(&action, "action", "", "only changes of this kind, such as ApplyLists")
+	cmd.Flags().StringVar(&since, "since", "", "only changes since a time, such as 2026-03-01T08:00:00Z, or within a duration, such as 24h")
+	cmd.Flags().IntVar(&limit, "limit", defaultAuditLimit, "maximum number of entries; the newest are shown")
 
 	return cmd
 }
--- a/cmd/lycheehook/capacity.go
+++ b/cmd/lycheehook/capacity.go
@@ -11,7 +11,7 @@
 func newCapacity() *cobra.Command {
 	return &cobra.Command{
 		Use:   "capacity",
-		Short: "Measure how costs grow and work them out at the target size",
+		Short: "Measure how costs grow and extrapolate them to the target size",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			var results []capacity.Result
--- a/cmd/lycheehook/check.go
+++ b/cmd/lycheehook/check.go
@@ -14,7 +14,7 @@
 	"lycheehook.example/lycheehook/plan"
 )
 
-// fileFault is a fault with the file that it is in.
+// fileFault is a fault and the file that contains it.
 type fileFault struct {
 	File string
 	document.Fault
@@ -24,9 +24,9 @@
 	var output string
 	cmd := &cobra.Command{
 		Use:   "check FILE...",
-		Short: "Check lists in files without asking an entry host",
-		Long: "Check lists in files without asking an entry host. All files together are taken as the two lists; " +
-			"if the plans are in none of them, customers' plans are taken to exist.",
+		Short: "Check lists in files offline",
+		Long: "Check lists in files without contacting an entry host. All files together form the two lists; " +
+			"if no file contains plans, the plans that customers name are assumed to exist.",
 		Args: cobra.MinimumNArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			if err := checkOutput(output); err != nil {
@@ -34,23 +34,23 @@
 			}
 			_, faults := readLists(args)
 
-			return reportFaults(cmd, output, faults, "%d files hold together\n", len(args))
+			return reportFaults(cmd, output, faults, "%d files are valid\n", len(args))
 		},
 	}
-	cmd.Flags().StringVarP(&output, "output", "o", outputTable, "form of the output: table or json")
+	cmd.Flags().StringVarP(&output, "output", "o", outputTable, "output format: table or json")
 
 	return cmd
 }
 
-// reportFaults prints the faults, or the line that there are none.
-func reportFaults(cmd *cobra.Command, output string, faults []fileFault, sound string, args ...any) error {
+// reportFaults prints the faults and returns errInput, or prints the line valid if there are none.
+func reportFaults(cmd *cobra.Command, output string, faults []fileFault, validLine string, args ...any) error {
 	switch {
 	case output == outputJSON:
 		if err := writeJSON(cmd.OutOrStdout(), struct{ Faults []fileFault }{append([]fileFault{}, faults...)}); err != nil {
 			return err
 		}
 	case len(faults) == 0:
-		_, _ = fmt.Fprintf(cmd.OutOrStdout(), sound, args...)
+		_, _ = fmt.Fprintf(cmd.OutOrStdout(), validLine, args...)
 	}
 	if len(faults) == 0 {
 		return nil
@@ -65,7 +65,7 @@
 	return merry.Prependf(errInput, "%d", len(faults))
 }
 
-// listFile is one file and where its elements are in the lists of all files.
+// listFile is a file and the positions of its elements in the combined lists of all files.
 type listFile struct {
 	name  string
 	lines document.Lines
@@ -73,7 +73,7 @@
 	first, count map[string]int
 }
 
-// readLists reads files as parts of the two lists and returns every fault of them.
+// readLists reads files as parts of the two lists and returns all faults.
 func readLists(names []string) (plan.Lists, []fileFault) {
 	var all plan.Lists
 	var files []listFile
@@ -97,7 +97,7 @@
 		all.Budgets = append(all.Budgets, l.Budgets...)
 	}
 	if len(faults) > 0 {
-		// What did not decode would make faults that are none.
+		// Lists that were not decoded completely would yield spurious faults.
 		return all, faults
 	}
 
@@ -114,7 +114,7 @@
 	}
 }
 
-// faultsOf checks the lists; without a plans' list the plans that customers name are taken to exist.
+// faultsOf validates the lists. If the plans' list is empty, the plans that customers name are assumed to exist.
 func faultsOf(l plan.Lists) []plan.Fault {
 	if len(l.Plans)+len(l.Queues)+len(l.Pools)+len(l.Budgets) > 0 {
 		return l.Faults()
@@ -137,7 +137,7 @@
 	return faults
 }
 
-// locate finds the file and line of a fault of all files together.
+// locate returns the file and line of a fault in the combined lists.
 func locate(files []listFile, f document.Fault) fileFault {
 	list, rest, _ := strings.Cut(f.Path, "[")
 	number, rest, found := strings.Cut(rest, "]")
--- a/cmd/lycheehook/client.go
+++ b/cmd/lycheehook/client.go
@@ -22,7 +22,7 @@
 	"lycheehook.example/lycheehook/plan"
 )
 
-// Environment variables that stand in for flags.
+// Environment variables that are used if the flag is not set.
 const (
 	envOperator  = "LYCHEEHOOK_OPERATOR"
 	envToken     = "LYCHEEHOOK_TOKEN"
@@ -36,14 +36,14 @@
 	maxAnswerSize       = 64 << 20
 )
 
-// answerError is an error that an entry host answered with.
+// answerError is an error response of an entry host.
 type answerError struct {
 	Status   int `json:"-"`
 	Code     string
 	Reason   string
 	Faults   []document.Fault
 	Revision uint64
-	// Conflicts are the entries that the edit and others since its base both changed, and Changes what the edit would change.
+	// Conflicts are the entries changed both by the edit and by others since its base. Changes are the changes of the edit.
 	Conflicts []plan.Conflict
 	Changes   []plan.Change
 }
@@ -76,24 +76,24 @@
 	return exitFailure
 }
 
-// clientFlags are the flags of commands that ask the operators' interface.
+// clientFlags are the flags of commands that use the operators' API.
 type clientFlags struct {
 	addresses []string
 	token     string
 	tokenFile string
 	ca        string
 	output    string
-	process   process
+	process   environment
 }
 
 func (f *clientFlags) add(cmd *cobra.Command) {
 	fl := cmd.PersistentFlags()
 	fl.StringSliceVar(&f.addresses, "operator", nil,
-		"operators' address of an entry host, as IP:port; repeat for several (or "+envOperator+", with commas between)")
+		"operators' address of an entry host, as IP:port; repeat for several (or "+envOperator+", comma-separated)")
 	fl.StringVar(&f.token, "token", "", "operator's token (better: "+envToken+" or --token-file)")
 	fl.StringVar(&f.tokenFile, "token-file", "", "file with the operator's token (or "+envTokenFile+")")
-	fl.StringVar(&f.ca, "ca", "", "file with the authority of the entry hosts, for TLS (or "+envCA+")")
-	fl.StringVarP(&f.output, "output", "o", outputTable, "form of the output: table or json")
+	fl.StringVar(&f.ca, "ca", "", "file with the CA certificate of the entry hosts, for TLS (or "+envCA+")")
+	fl.StringVarP(&f.output, "output", "o", outputTable, "output format: table or json")
 }
 
 func (f *clientFlags) orEnv(value, name string) string {
@@ -104,7 +104,7 @@
 	return value
 }
 
-// client asks entry hosts on behalf of an operator.
+// client is a client of the operators' API.
 type client struct {
 	addresses []netip.AddrPort
 	scheme    string
@@ -174,11 +174,11 @@
 	return nil
 }
 
-// get asks the entry hosts in turn until one answers.
+// get requests path from the entry hosts, one at a time, until one responds.
 func (c *client) get(ctx context.Context, path string, answer any) error {
 	var err error
 	for _, a := range c.addresses {
-		if err = c.ask(ctx, a, http.MethodGet, path, nil, answer); !errors.Is(err, errUnavailable) && !errors.Is(err, errUnknown) {
+		if err = c.do(ctx, a, http.MethodGet, path, nil, answer); !errors.Is(err, errUnavailable) && !errors.Is(err, errUnknown) {
 			return err
 		}
 	}
@@ -186,11 +186,11 @@
 	return merry.Prepend(errUnavailable, err.Error())
 }
 
-// change sends a change; the next entry host is tried only while it surely was not carried out.
+// change sends a change. It tries the next entry host only if the change was certainly not applied.
 func (c *client) change(ctx context.Context, method, path string, request, answer any) error {
 	var err error
 	for _, a := range c.addresses {
-		if err = c.ask(ctx, a, method, path, request, answer); !errors.Is(err, errUnavailable) {
+		if err = c.do(ctx, a, method, path, request, answer); !errors.Is(err, errUnavailable) {
 			return err
 		}
 	}
@@ -198,8 +198,8 @@
 	return err
 }
 
-// ask sends one request to one entry host; a failed dial is errUnavailable, any later failure errUnknown.
-func (c *client) ask(ctx context.Context, to netip.AddrPort, method, path string, request, answer any) error {
+// do sends a request to an entry host. A failed dial is errUnavailable, any later failure errUnknown.
+func (c *client) do(ctx context.Context, to netip.AddrPort, method, path string, request, answer any) error {
 	var body io.Reader = http.NoBody
 	if request != nil {
 		data, err := json.Marshal(request)
@@ -238,7 +238,7 @@
 func decodeAnswer(from netip.AddrPort, status int, data []byte, answer any) error {
 	if status == http.StatusOK {
 		if err := json.Unmarshal(data, answer); err != nil {
-			return merry.Prependf(errUnknown, "%s: the answer is not of the expected form: %v", from, err)
+			return merry.Prependf(errUnknown, "%s: malformed response: %v", from, err)
 		}
 
 		return nil
--- a/cmd/lycheehook/dev.go
+++ b/cmd/lycheehook/dev.go
@@ -12,17 +12,17 @@
 	"lycheehook.example/lycheehook/estate"
 )
 
-// separateLimit bounds how long dev waits for entry hosts that run as processes of their own.
+// separateLimit is the timeout for the start of entry hosts that run as separate processes.
 const separateLimit = 10 * time.Minute
 
-// errUsage says that the words of a command line are off.
+// errUsage means that the arguments of a command line are invalid.
 var errUsage = merry.Sentinel("usage")
 
 // devFlags are the flags of commands that run a sample estate.
 type devFlags struct {
 	sample  string
 	entries int
-	// separate is where settings of entry hosts that run as processes of their own go; empty runs them in this process.
+	// separate is the directory for the settings of entry hosts that run as separate processes; empty runs them in this process.
 	separate string
 }
 
@@ -31,7 +31,7 @@
 	cmd.Flags().IntVar(&f.entries, "entries", 3, "number of entry hosts")
 }
 
-// newEstate returns the sample estate that the flags ask for.
+// newEstate returns the sample estate that the flags describe.
 func (f *devFlags) newEstate(l *log.Logger) (*estate.Estate, error) {
 	samples := map[string]func() estate.Sample{"ledger": estate.Ledger, "sleeves": estate.Sleeves}
 	sample, ok := samples[f.sample]
@@ -62,8 +62,8 @@
 	}
 	flags.add(cmd)
 	cmd.Flags().StringVar(&flags.separate, "separate", "",
-		"write settings files of the entry hosts into this folder and wait until you run them with lycheehook entry")
-	cmd.Flags().BoolVar(&check, "check", false, "run the main job, say what was seen of each promise, and stop")
+		"write the entry hosts' settings files to this directory and wait until they are started with lycheehook entry")
+	cmd.Flags().BoolVar(&check, "check", false, "check the main guarantees, print the results, and stop")
 
 	return cmd
 }
@@ -106,7 +106,7 @@
 	return nil
 }
 
-// printEstate writes the addresses, the keys and a request to try.
+// printEstate writes the addresses, the keys and an example request.
 func printEstate(w io.Writer, e *estate.Estate) {
 	for _, s := range e.Entries() {
 		_, _ = fmt.Fprintf(w, "%s  callers %s  operators %s\n", s.Name, s.CallerAddress, s.OperatorAddress)
--- a/cmd/lycheehook/doc_test.go
+++ b/cmd/lycheehook/doc_test.go
@@ -11,21 +11,21 @@
 	"github.com/spf13/pflag"
 )
 
-// typed finds the command lines in the pages.
-var typed = regexp.MustCompile(`(?m)^    (?:go run \./cmd/)?lycheehook (.*)$`)
+// commandLine matches command lines in the docs.
+var commandLine = regexp.MustCompile(`(?m)^    (?:go run \./cmd/)?lycheehook (.*)$`)
 
-// Each command in the pages names a command that there is, with flags and arguments that it takes.
-func TestCommandsInPagesAreTypedWell(t *testing.T) {
+// The command lines in the docs name existing commands with valid flags and arguments.
+func TestCommandsInDocsAreValid(t *testing.T) {
 	total := 0
 	for _, page := range []string{"../../README.md", "../../docs/INTERFACE.md", "../../docs/OPERATIONS.md"} {
 		data, err := os.ReadFile(page)
 		if err != nil {
 			t.Fatal(err)
 		}
-		for _, line := range typed.FindAllStringSubmatch(string(data), -1) {
+		for _, line := range commandLine.FindAllStringSubmatch(string(data), -1) {
 			words, _, _ := strings.Cut(line[1], " > ")
 			words, _, _ = strings.Cut(words, " #")
-			if err := checkTyped(strings.Fields(words)); err != nil {
+			if err := checkCommandLine(strings.Fields(words)); err != nil {
 				t.Errorf("%s: lycheehook %s: %v", page, line[1], err)
 			}
 			total++
@@ -36,8 +36,8 @@
 	}
 }
 
-func checkTyped(words []string) error {
-	root := newRoot(process{getenv: func(string) string { return "" }})
+func checkCommandLine(words []string) error {
+	root := newRoot(environment{getenv: func(string) string { return "" }})
 	root.InitDefaultCompletionCmd()
 	cmd, rest, err := root.Find(words)
 	if err != nil {
@@ -80,5 +80,5 @@
 			walk(sub)
 		}
 	}
-	walk(newRoot(process{}))
+	walk(newRoot(environment{}))
 }
--- a/cmd/lycheehook/entry.go
+++ b/cmd/lycheehook/entry.go
@@ -39,7 +39,7 @@
 	return cmd
 }
 
-// newLogger returns a logger of the level and format that the settings ask for.
+// newLogger returns a logger with the level and format of the settings.
 func newLogger(w io.Writer, s settings.Settings) *log.Logger {
 	levels := map[settings.LogLevel]log.Level{
 		settings.LogDebug: log.DebugLevel, settings.LogInfo: log.InfoLevel, settings.LogWarn: log.WarnLevel, settings.LogError: log.ErrorLevel,
--- a/cmd/lycheehook/entry_test.go
+++ b/cmd/lycheehook/entry_test.go
@@ -20,7 +20,7 @@
 	"lycheehook.example/lycheehook/standin"
 )
 
-// lockedBuffer is a log that is read while it is written.
+// lockedBuffer is a buffer that is safe for concurrent use.
 type lockedBuffer struct {
 	mu sync.Mutex
 	b  bytes.Buffer
@@ -53,7 +53,7 @@
 	return netip.MustParseAddrPort(l.Addr().String())
 }
 
-// tlsFiles writes a certificate of an authority for loopback into a new directory.
+// tlsFiles writes a certificate of an authority for loopback to a new directory.
 func tlsFiles(t *testing.T, a *cert.Authority) cert.Files {
 	t.Helper()
 	p, err := a.Issue("entry-1", time.Hour, net.IPv4(127, 0, 0, 1))
@@ -78,18 +78,18 @@
 	return a
 }
 
-// An entry host that is started from a settings file serves operators over TLS, logs JSON without secrets, and stops when it is told.
+// An entry host that is started with a settings file serves operators over TLS, logs JSON without secrets, and stops gracefully.
 func TestEntryFromSettingsFile(t *testing.T) {
 	entryFromSettingsFile(t, 3)
 }
 
-// entryFromSettingsFile makes that many attempts at free addresses.
+// entryFromSettingsFile retries with other addresses if another process has taken a port, up to attempts times.
 func entryFromSettingsFile(t *testing.T, attempts int) {
 	t.Helper()
 	store, platform := httptest.NewServer(standin.NewStore()), httptest.NewServer(standin.NewPlatform())
 	defer store.Close()
 	defer platform.Close()
-	files, strangers := tlsFiles(t, newAuthority(t)), tlsFiles(t, newAuthority(t))
+	files, otherFiles := tlsFiles(t, newAuthority(t)), tlsFiles(t, newAuthority(t))
 	hash, token := key.NewSecret()
 	s := settings.Settings{
 		Name: "entry-1", Region: "region-1", Zone: "zone-a", CallerAddress: freeAddress(t), OperatorAddress: freeAddress(t),
@@ -113,14 +113,14 @@
 	var logs lockedBuffer
 	ended := make(chan exitCode, 1)
 	go func() {
-		ended <- run(ctx, []string{"entry", "--settings", path}, process{out: &logs, err: &logs, getenv: os.Getenv})
+		ended <- run(ctx, []string{"entry", "--settings", path}, environment{out: &logs, err: &logs, getenv: os.Getenv})
 	}()
 
 	var out bytes.Buffer
 	operate := func(ca string, args ...string) exitCode {
 		out.Reset()
 		env := map[string]string{envOperator: s.OperatorAddress.String(), envToken: token, envCA: ca}
-		return run(t.Context(), args, process{out: &out, err: &out, getenv: func(name string) string { return env[name] }})
+		return run(t.Context(), args, environment{out: &out, err: &out, getenv: func(name string) string { return env[name] }})
 	}
 	for range 1000 {
 		if operate(files.CA, "status") == exitOK && strings.Contains(out.String(), "in force") {
@@ -128,7 +128,7 @@
 		}
 		if len(ended) > 0 {
 			if strings.Contains(logs.String(), "address already in use") && attempts > 1 {
-				// Another process took a port between the choice of the address and the start.
+				// Another process has taken a port between the choice of the address and the start.
 				entryFromSettingsFile(t, attempts-1)
 				return
 			}
@@ -139,11 +139,11 @@
 	if !strings.Contains(out.String(), "entry-1") || !strings.Contains(out.String(), "in force") {
 		t.Fatalf("status over TLS: %s\n%s", out.String(), logs.String())
 	}
-	if code := operate(strangers.CA, "customers", "get"); code != exitUnavailable || !strings.Contains(out.String(), "unknown authority") {
+	if code := operate(otherFiles.CA, "customers", "get"); code != exitUnavailable || !strings.Contains(out.String(), "unknown authority") {
 		t.Errorf("an entry host of another authority was trusted: %d %s", code, out.String())
 	}
 	if code := operate("", "customers", "get"); code == exitOK {
-		t.Errorf("plain text was taken: %s", out.String())
+		t.Errorf("a request without TLS succeeded: %s", out.String())
 	}
 
 	stop()
@@ -152,7 +152,7 @@
 	}
 	for line := range strings.Lines(logs.String()) {
 		if !json.Valid([]byte(line)) {
-			t.Errorf("not a line of JSON: %s", line)
+			t.Errorf("log line is not valid JSON: %s", line)
 		}
 	}
 	if text := logs.String(); !strings.Contains(text, "entry host serves") || strings.Contains(text, token) || !strings.Contains(text, "TLS handshake error") {
--- a/cmd/lycheehook/exit.go
+++ b/cmd/lycheehook/exit.go
@@ -10,7 +10,7 @@
 	"lycheehook.example/lycheehook/settings"
 )
 
-// exitCode is what the process returns; the numbers are part of the interface.
+// exitCode is the exit code of the process. The numbers are part of the documented interface.
 type exitCode int
 
 // The exit codes.
@@ -27,21 +27,21 @@
 	exitNotInForce  exitCode = 9
 )
 
-// Sentinel errors of the command line.
+// Errors of the command line.
 var (
-	// errInput says that a file does not hold together; its faults have been printed.
+	// errInput means that a file is invalid. Its faults have been printed.
 	errInput = merry.Sentinel("faults found")
-	// errUnavailable says that no entry host answered, or none reaches the store.
+	// errUnavailable means that no entry host responded.
 	errUnavailable = merry.Sentinel("unavailable")
-	// errUnknown says that a change may or may not have been accepted.
+	// errUnknown means that a change may or may not have been accepted.
 	errUnknown = merry.Sentinel("outcome unknown")
-	// errDifferent says that a file differs from what is in force.
+	// errDifferent means that a file differs from the list in force.
 	errDifferent = merry.Sentinel("the file differs from what is in force")
-	// errNotInForce says that a change was accepted but is not in force everywhere yet.
+	// errNotInForce means that a change was accepted but is not in force on all entry hosts yet.
 	errNotInForce = merry.Sentinel("accepted, but not yet in force everywhere")
 )
 
-// answerCodes gives the exit code of each code of the operators' interface.
+// answerCodes is the exit code for each error code of the operators' API.
 var answerCodes = map[string]exitCode{
 	"OperatorUnknown":  exitRefused,
 	"RequestInvalid":   exitUsage,
@@ -53,7 +53,7 @@
 	"OutcomeUnknown":   exitUnknown,
 }
 
-// exitCodeOf returns the exit code for the error of a command; a command that did not start was called wrongly.
+// exitCodeOf returns the exit code for the error of a command. An error before the command started is a usage error.
 func exitCodeOf(err error, started bool) exitCode {
 	var answer *answerError
 	switch {
--- a/cmd/lycheehook/experiment.go
+++ b/cmd/lycheehook/experiment.go
@@ -17,7 +17,7 @@
 	var asJSON bool
 	cmd := &cobra.Command{
 		Use:   "experiment",
-		Short: "Run load and faults in several set-ups and write one report",
+		Short: "Run several set-ups of load and faults and write a report",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			x := experiment.New(
@@ -40,9 +40,9 @@
 		},
 	}
 	cmd.Flags().IntVar(&entries, "entries", 7, "number of entry hosts")
-	cmd.Flags().DurationVar(&duration, "duration", 10*time.Second, "for how long each set-up sends requests")
+	cmd.Flags().DurationVar(&duration, "duration", 10*time.Second, "how long each set-up sends requests")
 	cmd.Flags().Uint64Var(&seed, "seed", 1, "seed of the loads")
-	cmd.Flags().BoolVar(&asJSON, "json", false, "write everything that was seen, as JSON")
+	cmd.Flags().BoolVar(&asJSON, "json", false, "write the full results as JSON")
 
 	return cmd
 }
--- a/cmd/lycheehook/explain.go
+++ b/cmd/lycheehook/explain.go
@@ -13,7 +13,7 @@
 func newExplain() *cobra.Command {
 	return &cobra.Command{
 		Use:   "explain JOB LOGFILE...",
-		Short: "Tell what the logs of several entry hosts say of a job",
+		Short: "Print the history of a job from the logs of several entry hosts",
 		Args:  cobra.MinimumNArgs(2),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			if !platform.ValidJobID(args[0]) {
@@ -36,7 +36,7 @@
 	if err != nil {
 		return merry.Prepend(err, "log")
 	}
-	// A file that was only read loses nothing when its close fails.
+	// A failure to close a file after reading is harmless.
 	defer func() { _ = f.Close() }()
 
 	return s.Read(path, f)
--- a/cmd/lycheehook/keys.go
+++ b/cmd/lycheehook/keys.go
@@ -31,9 +31,9 @@
 	Keys     []keyAnswer
 }
 
-func newKeys(p process) *cobra.Command {
+func newKeys(p environment) *cobra.Command {
 	f := &clientFlags{process: p}
-	cmd := newGroup("keys", "Give, withdraw and list the keys of teams", newKeysGive(f), newKeysWithdraw(f), newKeysList(f))
+	cmd := newGroup("keys", "Issue, revoke and list the keys of teams", newKeysGive(f), newKeysWithdraw(f), newKeysList(f))
 	f.add(cmd)
 
 	return cmd
@@ -43,7 +43,7 @@
 	var w waitFlags
 	cmd := &cobra.Command{
 		Use:   "give TEAM",
-		Short: "Make a key for a team and print its secret, which is shown only now",
+		Short: "Issue a key for a team and print its secret, which can't be shown again",
 		Args:  cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			c, err := f.client()
@@ -75,7 +75,7 @@
 	var w waitFlags
 	cmd := &cobra.Command{
 		Use:   "withdraw ID",
-		Short: "Withdraw a key",
+		Short: "Revoke a key",
 		Args:  cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			c, err := f.client()
--- a/cmd/lycheehook/list.go
+++ b/cmd/lycheehook/list.go
@@ -11,48 +11,48 @@
 	"lycheehook.example/lycheehook/plan"
 )
 
-// list is one of the two lists, as a command.
+// list describes one of the two lists for the commands.
 type list struct {
 	name string
-	// part returns this list out of both.
-	part func(plan.Lists) any
-	// alone returns both lists with the other one empty.
-	alone func(plan.Lists) plan.Lists
-	// edit is the request that puts this list in force.
+	// this returns this list.
+	this func(plan.Lists) any
+	// only returns both lists with the other one empty.
+	only func(plan.Lists) plan.Lists
+	// edit returns the request that applies this list.
 	edit func(base uint64, l plan.Lists) any
-	// foreign reports whether the lists have anything of the other list.
-	foreign func(plan.Lists) bool
+	// hasOther reports whether the other list is not empty.
+	hasOther func(plan.Lists) bool
 }
 
 // The two lists.
 var (
 	customersList = list{
-		name:  "customers",
-		part:  func(l plan.Lists) any { return l.CustomersList },
-		alone: func(l plan.Lists) plan.Lists { return plan.Lists{CustomersList: l.CustomersList} },
+		name: "customers",
+		this: func(l plan.Lists) any { return l.CustomersList },
+		only: func(l plan.Lists) plan.Lists { return plan.Lists{CustomersList: l.CustomersList} },
 		edit: func(base uint64, l plan.Lists) any {
 			return struct {
 				Base uint64
 				plan.CustomersList
 			}{base, l.CustomersList}
 		},
-		foreign: func(l plan.Lists) bool { return len(l.Plans)+len(l.Queues)+len(l.Pools)+len(l.Budgets) > 0 },
+		hasOther: func(l plan.Lists) bool { return len(l.Plans)+len(l.Queues)+len(l.Pools)+len(l.Budgets) > 0 },
 	}
 	plansList = list{
-		name:  "plans",
-		part:  func(l plan.Lists) any { return l.PlansList },
-		alone: func(l plan.Lists) plan.Lists { return plan.Lists{PlansList: l.PlansList} },
+		name: "plans",
+		this: func(l plan.Lists) any { return l.PlansList },
+		only: func(l plan.Lists) plan.Lists { return plan.Lists{PlansList: l.PlansList} },
 		edit: func(base uint64, l plan.Lists) any {
 			return struct {
 				Base uint64
 				plan.PlansList
 			}{base, l.PlansList}
 		},
-		foreign: func(l plan.Lists) bool { return len(l.Customers) > 0 },
+		hasOther: func(l plan.Lists) bool { return len(l.Customers) > 0 },
 	}
 )
 
-// listsAnswer is both lists with the revision that they are.
+// listsAnswer is both lists with their revision.
 type listsAnswer struct {
 	Base  uint64
 	Lists plan.Lists
@@ -64,7 +64,7 @@
 	AuditPending bool
 }
 
-func newList(l list, p process) *cobra.Command {
+func newList(l list, p environment) *cobra.Command {
 	f := &clientFlags{process: p}
 	cmd := newGroup(l.name, "Show and edit the list of "+l.name, l.newGet(f), l.newDiff(f), l.newApply(f))
 	f.add(cmd)
@@ -84,7 +84,7 @@
 			}
 			_, _ = fmt.Fprintf(cmd.ErrOrStderr(), "revision %d\n", cur.Base)
 
-			return writeJSON(cmd.OutOrStdout(), l.part(cur.Lists))
+			return writeJSON(cmd.OutOrStdout(), l.this(cur.Lists))
 		},
 	}
 }
@@ -104,7 +104,7 @@
 			if err != nil {
 				return err
 			}
-			changes := plan.Diff(l.alone(cur.Lists), next)
+			changes := plan.Diff(l.only(cur.Lists), next)
 			if err := printChanges(cmd, f.output, cur.Base, changes); err != nil {
 				return err
 			}
@@ -125,9 +125,9 @@
 	var w waitFlags
 	cmd := &cobra.Command{
 		Use:   "apply FILE",
-		Short: "Put the list in a file in force",
-		Long: "Put the list in a file in force. The file replaces the whole list. With --base, what others edited " +
-			"since that revision is kept, and an edit of the same entries is refused; without, it is made from the revision in force now.",
+		Short: "Apply the list in a file",
+		Long: "Apply the list in a file, which replaces the whole list. With --base, edits by others since that revision are kept, " +
+			"and conflicting edits are refused; without it, the current revision is the base.",
 		Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			c, cur, err := l.current(cmd, f)
@@ -153,7 +153,7 @@
 			return w.wait(cmd, c, a.Revision)
 		},
 	}
-	cmd.Flags().Uint64Var(&base, "base", 0, "revision that the edit was made from")
+	cmd.Flags().Uint64Var(&base, "base", 0, "revision on which the edit is based")
 	w.add(cmd)
 
 	return cmd
@@ -169,14 +169,14 @@
 	return c, cur, c.get(cmd.Context(), "/v1/lists", &cur)
 }
 
-// read returns the list in a file, whose faults it prints.
+// read returns the list in a file. It prints the file's faults.
 func (l list) read(cmd *cobra.Command, f *clientFlags, name string) (plan.Lists, error) {
 	next, faults := readLists([]string{name})
 	if len(faults) > 0 {
 		return next, reportFaults(cmd, f.output, faults, "")
 	}
-	if l.foreign(next) {
-		return next, merry.Prependf(errUsage, "%s has more than the list of %s", name, l.name)
+	if l.hasOther(next) {
+		return next, merry.Prependf(errUsage, "%s contains more than the list of %s", name, l.name)
 	}
 
 	return next, nil
@@ -208,6 +208,6 @@
 }
 
 func (w *waitFlags) add(cmd *cobra.Command) {
-	cmd.Flags().BoolVar(&w.enabled, "wait", false, "wait until the change is in force on every entry host that --operator names")
-	cmd.Flags().DurationVar(&w.limit, "wait-time", 30*time.Second, "longest time to wait")
+	cmd.Flags().BoolVar(&w.enabled, "wait", false, "wait until the change is in force on all entry hosts")
+	cmd.Flags().DurationVar(&w.limit, "wait-time", 30*time.Second, "timeout of --wait")
 }
--- a/cmd/lycheehook/load.go
+++ b/cmd/lycheehook/load.go
@@ -41,8 +41,8 @@
 	var f loadFlags
 	cmd := &cobra.Command{
 		Use:   "load",
-		Short: "Drive entry hosts with requests and check every answer",
-		Long: "Drive entry hosts with an open load of requests and check that each answer is whole, the request's own, and run once.\n" +
+		Short: "Send load to entry hosts and verify every response",
+		Long: "Send open-loop load to entry hosts and verify that each response is complete, belongs to its request, and was run once.\n" +
 			"Without --target it starts a sample estate of its own.",
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error { return f.run(cmd) },
@@ -50,19 +50,19 @@
 	f.dev.add(cmd)
 	fl := cmd.Flags()
 	fl.StringSliceVar(&f.targets, "target", nil, "callers' address of an entry host, as IP:port; repeat for several")
-	fl.StringSliceVar(&f.endpoints, "endpoint", nil, "address of a stand-in endpoint to ask what ran, as IP:port; repeat for several")
+	fl.StringSliceVar(&f.endpoints, "endpoint", nil, "address of a stand-in endpoint whose run counts are checked, as IP:port; repeat for several")
 	fl.StringToStringVar(&f.keys, "key", nil, "key of a team, as TEAM=KEY; repeat for several")
-	fl.StringToInt64Var(&f.shares, "share", nil, "share of a team to report against, as TEAM=N; 1 if not given")
+	fl.StringToInt64Var(&f.shares, "share", nil, "share of a team for the report, as TEAM=N; 1 if not set")
 	fl.StringVar(&f.queue, "queue", "", "queue that the teams of --key submit to")
-	fl.Float64Var(&f.rate, "rate", 100, "mean requests a second of each team")
-	fl.IntVar(&f.bodySize, "body-size", 512, "size of each body in bytes")
+	fl.Float64Var(&f.rate, "rate", 100, "mean requests per second of each team")
+	fl.IntVar(&f.bodySize, "body-size", 512, "size of a request body in bytes")
 	fl.Float64Var(&f.idempotent, "idempotent", 0.5, "fraction of requests that are marked as idempotent")
-	fl.BoolVar(&f.steady, "steady", false, "a steady demand in place of bursts and lulls")
+	fl.BoolVar(&f.steady, "steady", false, "steady load instead of bursts and lulls")
 	fl.DurationVar(&f.burst, "burst", time.Second, "length of a burst of five times the mean")
-	fl.DurationVar(&f.duration, "duration", 10*time.Second, "for how long requests are sent")
-	fl.DurationVar(&f.timeout, "timeout", 10*time.Second, "how long to wait for each answer")
+	fl.DurationVar(&f.duration, "duration", 10*time.Second, "how long requests are sent")
+	fl.DurationVar(&f.timeout, "timeout", 10*time.Second, "timeout of a request")
 	fl.Uint64Var(&f.seed, "seed", 1, "seed of arrivals and bodies")
-	fl.StringVar(&f.output, "output", "text", "form of the report: text or json")
+	fl.StringVar(&f.output, "output", "text", "format of the report: text or json")
 	fl.StringVar(&f.plot, "plot", "", "file for a plot of the run, as SVG")
 	fl.BoolVar(&f.remote, "remote", false, "allow targets that are not on loopback")
 
@@ -78,7 +78,7 @@
 	if f.remote {
 		opts = append(opts, load.WithAnyAddress())
 	}
-	more, stop, err := f.aim(cmd)
+	more, stop, err := f.target(cmd)
 	if err != nil {
 		return err
 	}
@@ -96,10 +96,10 @@
 	return runErr
 }
 
-// aim returns the options that say where the load goes, and what ends a sample estate that was started for it.
-func (f *loadFlags) aim(cmd *cobra.Command) ([]load.Option, func(), error) {
+// target returns the options for targets and streams, and a function that stops the sample estate if one was started.
+func (f *loadFlags) target(cmd *cobra.Command) ([]load.Option, func(), error) {
 	if len(f.targets) == 0 {
-		return f.aimAtSample(cmd)
+		return f.targetSample(cmd)
 	}
 
 	targets, err := parseAddresses(f.targets)
@@ -122,7 +122,7 @@
 	return []load.Option{load.WithTargets(targets...), load.WithEndpoints(endpoints...), load.WithStreams(streams...)}, func() {}, nil
 }
 
-func (f *loadFlags) aimAtSample(cmd *cobra.Command) ([]load.Option, func(), error) {
+func (f *loadFlags) targetSample(cmd *cobra.Command) ([]load.Option, func(), error) {
 	e, err := f.dev.newEstate(log.New(io.Discard))
 	if err != nil {
 		return nil, nil, err
--- a/cmd/lycheehook/main.go
+++ b/cmd/lycheehook/main.go
@@ -1,5 +1,5 @@
-// Command lycheehook is every process of lycheehook: the entry host, the
-// operators' command line, and a sample estate to try it on.
+// Command lycheehook runs entry hosts and job managers, and provides the
+// operators' command line, a sample estate, and measurement tools.
 package main
 
 import (
@@ -15,24 +15,24 @@
 )
 
 func main() {
-	// Refusals are ordinary answers here; a stack for each would cost more than the decision.
+	// Errors are part of normal operation, such as refused requests, and capturing stacks is expensive.
 	merry.SetStackCaptureEnabled(false)
 
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	code := run(ctx, os.Args[1:], process{out: os.Stdout, err: os.Stderr, getenv: os.Getenv})
+	code := run(ctx, os.Args[1:], environment{out: os.Stdout, err: os.Stderr, getenv: os.Getenv})
 	stop()
 	os.Exit(int(code))
 }
 
-// process is what a run of the command line has around it.
-type process struct {
+// environment is the environment of a command line.
+type environment struct {
 	out    io.Writer
 	err    io.Writer
 	getenv func(name string) string
 }
 
-// run carries out one command line and returns its exit code.
-func run(ctx context.Context, args []string, p process) exitCode {
+// run executes a command line and returns its exit code.
+func run(ctx context.Context, args []string, p environment) exitCode {
 	started := false
 	root := newRoot(p) //nolint:contextcheck // Each command gets its context from ExecuteContext.
 	root.PersistentPreRun = func(*cobra.Command, []string) { started = true }
--- a/cmd/lycheehook/manager.go
+++ b/cmd/lycheehook/manager.go
@@ -15,14 +15,14 @@
 	"lycheehook.example/lycheehook/telemetry"
 )
 
-// settingsVariable names the settings file where no flag does.
+// settingsVariable is the environment variable with the name of the settings file if the flag is not set.
 const settingsVariable = "LYCHEEHOOK_SETTINGS"
 
-// memoryShare is the part of its memory from which on a process collects garbage harder; the rest is for what the runtime does
-// not count and for bytes that have arrived and were not read yet.
+// memoryShare is the runtime's soft memory limit as a fraction of the process's limit. The rest is for memory that the runtime
+// doesn't account for, and for received data in socket buffers.
 const memoryShare = 0.75
 
-// limitMemory keeps the process from being ended for its memory, as far as collecting garbage can; zero leaves it as it is.
+// limitMemory sets the runtime's soft memory limit for a process with the given memory; zero sets no limit.
 func limitMemory(megabytes int64) {
 	if megabytes > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(megabytes<<20)))
@@ -64,7 +64,7 @@
 			return m.Run(cmd.Context(), hangup)
 		},
 	}
-	cmd.Flags().StringVar(&path, "settings", "", "file with the settings, as JSON; "+settingsVariable+" names it where this does not")
+	cmd.Flags().StringVar(&path, "settings", "", "file with the settings, as JSON (or "+settingsVariable+")")
 
 	return cmd
 }
--- a/cmd/lycheehook/output.go
+++ b/cmd/lycheehook/output.go
@@ -10,7 +10,7 @@
 	"github.com/ansel1/merry/v2"
 )
 
-// The forms of the output.
+// The output formats.
 const (
 	outputTable = "table"
 	outputJSON  = "json"
@@ -36,7 +36,7 @@
 	return err
 }
 
-// table is rows of text under a header.
+// table is rows of text with a header.
 type table struct {
 	header []string
 	rows   [][]string
--- a/cmd/lycheehook/rehearse.go
+++ b/cmd/lycheehook/rehearse.go
@@ -12,7 +12,7 @@
 	"lycheehook.example/lycheehook/rehearsal"
 )
 
-// Bounds of a rehearsal: the plays of each pattern, and the factor by which the fleet is larger.
+// Limits of the flags.
 const (
 	maxPlays = 1000
 	maxScale = 30
@@ -63,7 +63,7 @@
 	return cmd
 }
 
-// play plays a pattern with consecutive seeds.
+// play plays a pattern with consecutive seeds, concurrently.
 func play(p rehearsal.Pattern, seed uint64, plays, scale int) []rehearsal.Report {
 	list := make([]rehearsal.Report, plays)
 	var wg sync.WaitGroup
--- a/cmd/lycheehook/revisions.go
+++ b/cmd/lycheehook/revisions.go
@@ -17,9 +17,9 @@
 	Revisions []revisionAnswer
 }
 
-func newRevisions(p process) *cobra.Command {
+func newRevisions(p environment) *cobra.Command {
 	f := &clientFlags{process: p}
-	cmd := newGroup("revisions", "List accepted edits and put earlier lists in force again", newRevisionsList(f), newRevisionsRestore(f))
+	cmd := newGroup("revisions", "List accepted edits and restore earlier lists", newRevisionsList(f), newRevisionsRestore(f))
 	f.add(cmd)
 
 	return cmd
@@ -56,7 +56,7 @@
 	var w waitFlags
 	cmd := &cobra.Command{
 		Use:   "restore NUMBER",
-		Short: "Put the lists of an earlier revision in force as a new one; keys stay as they are",
+		Short: "Restore the lists of an earlier revision as a new one; keys don't change",
 		Args:  cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			c, err := f.client()
--- a/cmd/lycheehook/root.go
+++ b/cmd/lycheehook/root.go
@@ -5,7 +5,7 @@
 	"github.com/spf13/cobra"
 )
 
-func newRoot(p process) *cobra.Command {
+func newRoot(p environment) *cobra.Command {
 	root := &cobra.Command{
 		Use:           "lycheehook",
 		Short:         "Fleet capacity and maintenance manager",
@@ -20,7 +20,7 @@
 	return root
 }
 
-// newGroup returns a command that only has subcommands.
+// newGroup returns a command that only groups subcommands.
 func newGroup(use, short string, subcommands ...*cobra.Command) *cobra.Command {
 	cmd := &cobra.Command{
 		Use:   use,
--- a/cmd/lycheehook/script_test.go
+++ b/cmd/lycheehook/script_test.go
@@ -17,13 +17,13 @@
 
 type estateKey struct{}
 
-// TestScripts runs the command line against real estates on loopback. The scripts have these commands besides the usual ones:
+// TestScripts runs the command line against sample estates on loopback. The scripts have these additional commands:
 //
-//	estate N             starts the stand-ins and N entry hosts and points the environment at them
-//	store down|up        cuts the entry hosts off from the store, or ends that
+//	estate N             starts an estate with N entry hosts and sets the environment variables for its operators
+//	store down|up        makes the store unavailable or available
 //	lycheehook ARG...    runs a command line in this process
 //	exits CODE ARG...    runs a command line that must exit with CODE
-//	remember NAME WORD   sets the variable NAME to the word behind WORD in the last standard output
+//	remember NAME WORD   sets the variable NAME to the word after WORD in the last standard output
 func TestScripts(t *testing.T) {
 	testscript.Run(t, testscript.Params{
 		Dir:                 "testdata/script",
@@ -47,7 +47,7 @@
 }
 
 func expectExit(ts *testscript.TestScript, neg bool, want exitCode, args []string) {
-	got := run(context.Background(), args, process{out: ts.Stdout(), err: ts.Stderr(), getenv: ts.Getenv})
+	got := run(context.Background(), args, environment{out: ts.Stdout(), err: ts.Stderr(), getenv: ts.Getenv})
 	if (got == want) == neg {
 		ts.Fatalf("lycheehook %s: exit code %d, want %d (negated: %t)", strings.Join(args, " "), got, want, neg)
 	}
@@ -60,11 +60,11 @@
 	ts.Check(e.Start(context.Background()))
 	ts.Defer(e.Stop)
 	*ts.Value(estateKey{}).(**estate.Estate) = e
-	ts.Setenv(envOperator, operatorsOf(e.Entries()))
+	ts.Setenv(envOperator, operatorAddresses(e.Entries()))
 	ts.Setenv(envToken, estate.DevOperatorToken)
 }
 
-func operatorsOf(entries []settings.Settings) string {
+func operatorAddresses(entries []settings.Settings) string {
 	addresses := make([]string, len(entries))
 	for i, s := range entries {
 		addresses[i] = s.OperatorAddress.String()
@@ -90,5 +90,5 @@
 			return
 		}
 	}
-	ts.Fatalf("no word behind %q in the output", args[1])
+	ts.Fatalf("no word after %q in the output", args[1])
 }
--- a/cmd/lycheehook/settings.go
+++ b/cmd/lycheehook/settings.go
@@ -14,14 +14,14 @@
 	var ofManager bool
 	check := &cobra.Command{
 		Use:   "check FILE",
-		Short: "Check the settings of an entry host, or of a manager, and name every fault",
+		Short: "Check the settings of an entry host or a manager and list all faults",
 		Args:  cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			name, err := checkSettings(args[0], ofManager)
 			if err != nil {
 				return err
 			}
-			_, _ = fmt.Fprintf(cmd.OutOrStdout(), "settings of %s hold together\n", name)
+			_, _ = fmt.Fprintf(cmd.OutOrStdout(), "settings of %s are valid\n", name)
 
 			return nil
 		},
@@ -29,7 +29,7 @@
 	check.Flags().BoolVar(&ofManager, "manager", false, "the file is for lycheehook manager")
 	token := &cobra.Command{
 		Use:   "token NAME",
-		Short: "Make a token for an operator and print the entry for Operators in the settings",
+		Short: "Generate a token for an operator and print the entry for Operators in the settings",
 		Args:  cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			hash, secret := key.NewSecret()
@@ -39,10 +39,10 @@
 		},
 	}
 
-	return newGroup("settings", "Check settings and make operators' tokens", check, token)
+	return newGroup("settings", "Check settings and generate operators' tokens", check, token)
 }
 
-// checkSettings returns the name of the host that sound settings are for.
+// checkSettings returns the name of the host in valid settings.
 func checkSettings(path string, ofManager bool) (fleet.EntryName, error) {
 	if ofManager {
 		m, err := settings.ReadManager(path)
--- a/cmd/lycheehook/soak_test.go
+++ b/cmd/lycheehook/soak_test.go
@@ -34,7 +34,7 @@
 	soakTime  = flag.Duration("soaktime", 8*time.Second, "how long faults come in each seed of TestSoak")
 )
 
-// soakVariable makes the test binary run the program itself.
+// soakVariable is the environment variable that makes the test binary run the program instead of the tests.
 const soakVariable = "LYCHEEHOOK_SOAK_PROGRAM"
 
 // TestMain lets TestSoak start this binary as the program.
@@ -49,10 +49,10 @@
 	soakHosts    = 4
 	soakWorkers  = 6
 	soakTaskTime = 300 * time.Millisecond
-	// soakRecovery is how long after the last fault every accepted job may take: the longest lease of a run, that of the
-	// owner, and the work itself.
+	// soakRecovery is the time after the last fault within which all accepted jobs must end: the longest lease of a run, the
+	// lease of the owner, and the work itself.
 	soakRecovery = 30 * time.Second
-	// cancelTime is how long after the acknowledgement of a cancel a task of the job may still start.
+	// cancelTime is how long after the response to a cancel tasks of the job may still start.
 	cancelTime   = 3 * time.Second
 	soakJob      = `{"spec":"x","phases":[{"count":3,"cpu":500,"memMb":64,"estimateMs":300},{"count":2,"cpu":500,"memMb":64,"after":[0]}]}`
 	soakJobTasks = 5
@@ -60,7 +60,7 @@
 		`"targetLatencyMs":600,"public":true}],"services":[{"name":"s"}],"limits":{"maxBodyBytes":10000},"tenants":[]}`
 )
 
-// soak is a site of real processes on loopback with stand-ins of the platform, behind proxies.
+// soak is an installation of manager processes on loopback with fakes of the store and the workers behind proxies.
 type soak struct {
 	t       *testing.T
 	rng     *rand.Rand
@@ -68,13 +68,13 @@
 	config  int
 	workers []*standin.TaskWorker
 	hosts   []*soakHost
-	// ways are all proxies: to the store, one for each host, and to the workers.
-	ways   []*proxy
-	faults sync.WaitGroup
-	judge  *soakJudge
+	// proxies are all proxies: those of the hosts to the store, and those to the workers.
+	proxies []*proxy
+	faults  sync.WaitGroup
+	judge   *soakJudge
 }
 
-// soakHost is an entry host whose process is started again when it ends.
+// soakHost is an entry host whose process is restarted when it ends.
 type soakHost struct {
 	settings string
 	callers  string
@@ -84,8 +84,8 @@
 	stopped  bool
 }
 
-// Random faults from outside, in series that overlap: no task runs twice, nothing refused runs, nothing is lost, and ends
-// are told truly. Each seed that ever failed is among soakRegressions.
+// Under random overlapping faults, no task runs twice at a time, no refused job runs, no accepted job is lost, and reported
+// results are true. Seeds that have failed are kept in soakRegressions.
 func TestSoak(t *testing.T) {
 	seeds := slices.Clone(soakRegressions)
 	if *soakSeed != 1 || *soakSeeds != 1 {
@@ -101,7 +101,7 @@
 
 // soakRegressions are the seeds that have failed, each with its cause.
 var soakRegressions = []uint64{
-	// The judge took a run on a silent worker for running until somebody asked the worker, long after its end.
+	// The judge assumed that a run on an unreachable worker continued until the worker was next called, long after its end.
 	500, 505,
 }
 
@@ -117,12 +117,12 @@
 		ws := httptest.NewServer(w)
 		t.Cleanup(ws.CloseClientConnections)
 		p := newProxy(t, ws.Listener.Addr().String())
-		s.ways, s.workers = append(s.ways, p), append(s.workers, w)
+		s.proxies, s.workers = append(s.proxies, p), append(s.workers, w)
 		s.put(fmt.Sprint("servers/i-", i), w.Registration("s", p.address(), fmt.Sprint("r", i%2)))
 	}
 	for i := range soakHosts {
 		p := newProxy(t, server.Listener.Addr().String())
-		s.ways = append(s.ways, p)
+		s.proxies = append(s.proxies, p)
 		s.hosts = append(s.hosts, s.newHost(i, p.address()))
 	}
 
@@ -136,7 +136,7 @@
 	}
 }
 
-// configure writes a newer configuration, unless the store is away.
+// configure writes a new version of the configuration, unless the store is unavailable.
 func (s *soak) configure() {
 	s.config++
 	txn := store.Txn{Puts: []store.Put{{Key: "op/config", Value: fmt.Appendf(nil, soakConfig, s.config)}}}
@@ -192,7 +192,7 @@
 	}
 	h.cmd = cmd
 	go func() {
-		// How the process ended is told by its log; what it does to the promises, by the judge.
+		// The exit status is irrelevant: the log tells why the process ended, and the judge whether a guarantee was violated.
 		_ = cmd.Wait()
 		_ = out.Close()
 		time.Sleep(200 * time.Millisecond)
@@ -200,12 +200,12 @@
 	}()
 }
 
-// signal sends a signal to the host's process, if it has one.
+// signal sends a signal to the host's process, if there is one.
 func (h *soakHost) signal(sig syscall.Signal) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.cmd != nil {
-		// A process that has ended just now can't be signalled, and need not be.
+		// Signalling fails if the process has just ended, which is harmless.
 		_ = h.cmd.Process.Signal(sig)
 	}
 }
@@ -218,7 +218,7 @@
 	h.signal(syscall.SIGKILL)
 }
 
-// play lets callers work while faults come, and judges what was seen.
+// play runs callers while faults are injected, and checks the results.
 func (s *soak) play() {
 	ctx, cancel := context.WithCancel(context.Background())
 	var callers sync.WaitGroup
@@ -234,20 +234,20 @@
 	s.faults.Wait()
 	cancel()
 	callers.Wait()
-	s.settle()
+	s.awaitEnds()
 	for _, w := range s.workers {
 		w.Expire()
 	}
 	for _, f := range s.judge.faults() {
 		s.t.Error(f)
 	}
-	s.t.Logf("%d jobs accepted, %d runs", len(s.judge.accepted), s.judge.begun)
+	s.t.Logf("%d jobs accepted, %d runs", len(s.judge.accepted), s.judge.total)
 	if s.t.Failed() {
 		s.keepLogs()
 	}
 }
 
-// keepLogs copies the logs of a failed seed to where they outlast the test.
+// keepLogs copies the logs of a failed seed to a directory that is not removed after the test.
 func (s *soak) keepLogs() {
 	dir, err := os.MkdirTemp("", "soak-")
 	if err != nil {
@@ -266,51 +266,51 @@
 	s.t.Logf("logs are in %s", dir)
 }
 
-// fault begins one fault, and ends it after a while beside the others.
+// fault injects a random fault and ends it after a random time in the background.
 func (s *soak) fault() {
 	h := s.hosts[s.rng.IntN(len(s.hosts))]
-	p := s.ways[s.rng.IntN(len(s.ways))]
+	p := s.proxies[s.rng.IntN(len(s.proxies))]
 	long := time.Duration(200+s.rng.IntN(3000)) * time.Millisecond
-	lasting := func(begin, end func()) {
+	temporarily := func(begin, end func()) {
 		begin()
 		s.faults.Go(func() {
 			time.Sleep(long)
 			end()
 		})
 	}
-	way := func(w way) { lasting(func() { p.set(w) }, func() { p.set(wayOpen) }) }
+	setMode := func(w proxyMode) { temporarily(func() { p.set(w) }, func() { p.set(modeOpen) }) }
 	fault := func(f standin.Fault) {
-		lasting(func() { s.store.SetFault(f) }, func() { s.store.SetFault(standin.FaultNone) })
+		temporarily(func() { s.store.SetFault(f) }, func() { s.store.SetFault(standin.FaultNone) })
 	}
 	w := s.workers[s.rng.IntN(len(s.workers))]
 	kinds := []func(){
 		func() { h.signal(syscall.SIGKILL) },
 		func() { h.signal(syscall.SIGTERM) },
 		func() { h.signal(syscall.SIGHUP) },
-		func() { lasting(func() { h.signal(syscall.SIGSTOP) }, func() { h.signal(syscall.SIGCONT) }) },
+		func() { temporarily(func() { h.signal(syscall.SIGSTOP) }, func() { h.signal(syscall.SIGCONT) }) },
 		func() {
 			for _, h := range s.hosts {
 				h.signal(syscall.SIGKILL)
 			}
 		},
-		func() { way(waySlow) },
-		func() { way(waySilent) },
-		func() { way(wayOneWay) },
-		func() { way(wayReset) },
-		p.deafen,
+		func() { setMode(modeSlow) },
+		func() { setMode(modeStalled) },
+		func() { setMode(modeStalledResponses) },
+		func() { setMode(modeReset) },
+		p.discardOpen,
 		func() { fault(standin.FaultDown) },
 		func() { fault(standin.FaultSilent) },
 		func() { fault(standin.FaultAnswerLost) },
 		func() { s.store.Compact() },
-		func() { lasting(func() { w.SetLoseAnswers(true) }, func() { w.SetLoseAnswers(false) }) },
+		func() { temporarily(func() { w.SetLoseAnswers(true) }, func() { w.SetLoseAnswers(false) }) },
 		s.configure,
 	}
 	n := s.rng.IntN(len(kinds))
-	s.judge.note(fmt.Sprintf("fault %d for %s", n, long))
+	s.judge.logFault(fmt.Sprintf("fault %d for %s", n, long))
 	kinds[n]()
 }
 
-// call submits jobs, asks for them and cancels some, as callers do, until the context ends.
+// call submits jobs and cancels some of them until ctx is done.
 func (s *soak) call(ctx context.Context, rng *rand.Rand) {
 	for n := 0; ctx.Err() == nil; n++ {
 		id := fmt.Sprintf("%016x", rng.Uint64())
@@ -321,7 +321,7 @@
 	}
 }
 
-// submit hands a job in at some hosts until one has accepted it, and reports whether one has.
+// submit submits a job to random hosts until one accepts it, and reports whether one did.
 func (s *soak) submit(ctx context.Context, rng *rand.Rand, id string) bool {
 	unknown := false
 	for range 1 + rng.IntN(3) {
@@ -354,11 +354,11 @@
 	}
 }
 
-// request sends a request to a host and returns the answer; zero means that there was none.
+// request sends a request to a host and returns the response; status zero means that there was none.
 func (s *soak) request(method string, host int, id, body string) (int, string) {
-	// A caller with little patience finds out whether what it is told of a write under way is true.
-	patience := 300*time.Millisecond + time.Duration(rand.Int64N(int64(3*time.Second)))
-	ctx, cancel := context.WithTimeout(context.Background(), patience+time.Second)
+	// Short timeouts test the responses to requests whose writes are still in progress.
+	timeout := 300*time.Millisecond + time.Duration(rand.Int64N(int64(3*time.Second)))
+	ctx, cancel := context.WithTimeout(context.Background(), timeout+time.Second)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, s.hosts[host].callers+"/q/"+id, bytes.NewReader([]byte(body)))
 	if err != nil {
@@ -366,7 +366,7 @@
 		return 0, ""
 	}
 	req.Host = "a.example"
-	req.Header.Set("Lycheehook-Deadline-Ms", strconv.FormatInt(patience.Milliseconds(), 10))
+	req.Header.Set("Lycheehook-Deadline-Ms", strconv.FormatInt(timeout.Milliseconds(), 10))
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return 0, err.Error()
@@ -380,15 +380,15 @@
 	return resp.StatusCode, string(data)
 }
 
-// settle waits until every host tells the end of every accepted job.
-func (s *soak) settle() {
+// awaitEnds waits until every host reports the end of every accepted job.
+func (s *soak) awaitEnds() {
 	deadline := time.Now().Add(soakRecovery)
-	for _, id := range s.judge.open() {
+	for _, id := range s.judge.mustEnd() {
 		for host := range s.hosts {
 			for {
 				status, body := s.request(http.MethodGet, host, id, "")
 				if over := strings.Contains(body, "completed") || strings.Contains(body, "cancelled"); status == http.StatusOK && over {
-					s.judge.told(id, body)
+					s.judge.checkReported(id, body)
 					break
 				}
 				if time.Now().After(deadline) {
--- a/cmd/lycheehook/soakjudge_test.go
+++ b/cmd/lycheehook/soakjudge_test.go
@@ -10,27 +10,27 @@
 	"lycheehook.example/lycheehook/standin"
 )
 
-// soakJudge compares what callers were told with what ran on the workers.
+// soakJudge compares the responses to callers with the runs on the workers.
 type soakJudge struct {
-	began time.Time
+	start time.Time
 
 	mu       sync.Mutex
 	accepted map[string]bool
 	refused  map[string]bool
-	// cancelled has when a cancel was acknowledged; the zero time stands for one without an answer.
+	// cancelled is when a cancel was confirmed; the zero time means that there was no response.
 	cancelled map[string]time.Time
-	// runs has the runs of each task. A worker tells of an end when it is next called, which may be after another worker's
-	// begin of the same task, so that they are compared in the end.
+	// runs is the runs of each task. They are compared at the end, because a worker reports the end of a run when it is next
+	// called, which may be after another worker has started the same task.
 	runs map[string][]*soakRun
-	// done counts the runs of each task that were finished, ran the runs of each job that began.
-	done  map[string]int
-	ran   map[string]int
-	begun int
-	// story has the faults of the site, and found what broke a promise.
-	story, found []string
+	// done is the number of completed runs by task, ran the number of started runs by job.
+	done    map[string]int
+	started map[string]int
+	total   int
+	// injected is the injected faults, found the violated guarantees.
+	injected, violations []string
 }
 
-// soakRun is one run of a task; its end is zero while it is not known.
+// soakRun is a run of a task; its end is zero while it is unknown.
 type soakRun struct {
 	attempt    int
 	begin, end time.Time
@@ -38,15 +38,15 @@
 
 func newSoakJudge() *soakJudge {
 	return &soakJudge{
-		began: time.Now(), accepted: map[string]bool{}, refused: map[string]bool{}, cancelled: map[string]time.Time{},
-		runs: map[string][]*soakRun{}, done: map[string]int{}, ran: map[string]int{},
+		start: time.Now(), accepted: map[string]bool{}, refused: map[string]bool{}, cancelled: map[string]time.Time{},
+		runs: map[string][]*soakRun{}, done: map[string]int{}, started: map[string]int{},
 	}
 }
 
-func (j *soakJudge) note(text string) {
+func (j *soakJudge) logFault(text string) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.story = append(j.story, fmt.Sprintf("%.3f s %s", time.Since(j.began).Seconds(), text))
+	j.injected = append(j.injected, fmt.Sprintf("%.3f s %s", time.Since(j.start).Seconds(), text))
 }
 
 func (j *soakJudge) accept(id string) { j.set(j.accepted, id) }
@@ -64,7 +64,7 @@
 	j.cancelled[id] = at
 }
 
-// run takes in what happens on a worker.
+// run records an event on a worker.
 func (j *soakJudge) run(e standin.RunEvent) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -82,37 +82,37 @@
 		return
 	}
 	if at := j.cancelled[job]; !at.IsZero() && e.At.Sub(at) > cancelTime {
-		j.broken("task %s began %s after the cancel of its job", e.Task, e.At.Sub(at))
+		j.violated("task %s began %s after the cancel of its job", e.Task, e.At.Sub(at))
 	}
 	j.runs[e.Task] = append(j.runs[e.Task], &soakRun{attempt: e.Attempt, begin: e.At})
-	j.ran[job]++
-	j.begun++
+	j.started[job]++
+	j.total++
 }
 
 func (j *soakJudge) at(t time.Time) string {
-	return fmt.Sprintf("%.3f s", t.Sub(j.began).Seconds())
+	return fmt.Sprintf("%.3f s", t.Sub(j.start).Seconds())
 }
 
-// broken notes a broken promise; the judge is locked.
-func (j *soakJudge) broken(format string, args ...any) {
-	j.found = append(j.found, fmt.Sprintf(format, args...))
+// violated records a violated guarantee. j.mu must be held.
+func (j *soakJudge) violated(format string, args ...any) {
+	j.violations = append(j.violations, fmt.Sprintf(format, args...))
 }
 
-// compare finds runs of a task that overlap. A second run may begin once the first has ended, by its lease too.
+// compare finds overlapping runs of a task. A second run may start once the first has ended, also by the end of its lease.
 func (j *soakJudge) compare(task string, runs []*soakRun) {
 	slices.SortFunc(runs, func(a, b *soakRun) int { return a.begin.Compare(b.begin) })
 	for i, r := range runs {
 		for _, next := range runs[i+1:] {
 			if r.end.IsZero() || next.begin.Before(r.end) {
-				j.broken("task %s began as attempt %d at %s while attempt %d of %s ran until %s",
+				j.violated("task %s began as attempt %d at %s while attempt %d of %s ran until %s",
 					task, next.attempt, j.at(next.begin), r.attempt, j.at(r.begin), j.at(r.end))
 			}
 		}
 	}
 }
 
-// told takes in what a host says of a job that is over.
-func (j *soakJudge) told(id, answer string) {
+// checkReported checks the response of a host for a job that is over.
+func (j *soakJudge) checkReported(id, answer string) {
 	if !strings.Contains(answer, "completed") {
 		return
 	}
@@ -125,12 +125,12 @@
 		}
 	}
 	if n < soakJobTasks {
-		j.broken("job %s is told as completed with %d of %d tasks done", id, n, soakJobTasks)
+		j.violated("job %s is reported as completed with %d of %d tasks done", id, n, soakJobTasks)
 	}
 }
 
-// open returns the jobs that must be over in the end.
-func (j *soakJudge) open() []string {
+// mustEnd returns the jobs that must end.
+func (j *soakJudge) mustEnd() []string {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	var ids []string
@@ -142,21 +142,21 @@
 	return ids
 }
 
-// faults returns what broke a promise, with the story of the site's faults before it.
+// faults returns the violated guarantees after the injected faults, or nil if there are none.
 func (j *soakJudge) faults() []string {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	for task, runs := range j.runs {
 		j.compare(task, runs)
 	}
-	for job, n := range j.ran {
+	for job, n := range j.started {
 		if j.refused[job] {
-			j.broken("%d runs of job %s, which was refused", n, job)
+			j.violated("%d runs of job %s, which was refused", n, job)
 		}
 	}
-	if len(j.found) == 0 {
+	if len(j.violations) == 0 {
 		return nil
 	}
 
-	return append(j.story, j.found...)
+	return append(j.injected, j.violations...)
 }
--- a/cmd/lycheehook/soakproxy_test.go
+++ b/cmd/lycheehook/soakproxy_test.go
@@ -9,37 +9,37 @@
 	"time"
 )
 
-// way is what a proxy does with what it carries.
-type way int
+// mode is the fault that a proxy injects.
+type proxyMode int
 
 const (
-	wayOpen way = iota
-	// waySlow delays each piece of data.
-	waySlow
-	// waySilent carries nothing on open connections, and accepts new ones that stay silent.
-	waySilent
-	// wayOneWay carries requests, and no answers.
-	wayOneWay
-	// wayReset resets all connections.
-	wayReset
+	modeOpen proxyMode = iota
+	// modeSlow delays each piece of data.
+	modeSlow
+	// modeStalled holds back all data, also of new connections.
+	modeStalled
+	// modeStalledResponses forwards requests and holds back responses.
+	modeStalledResponses
+	// modeReset resets all connections, also new ones.
+	modeReset
 )
 
-const slowness = 60 * time.Millisecond
+const slowDelay = 60 * time.Millisecond
 
-// proxy carries connections over loopback to one address, and disturbs them.
+// proxy is a TCP proxy on loopback that injects faults.
 type proxy struct {
 	listener net.Listener
 	to       string
 
 	mu      sync.Mutex
-	way     way
+	mode    proxyMode
 	changed *sync.Cond
 	conns   map[net.Conn]bool
-	// opened counts the connections; those up to deaf are silent for good.
-	opened, deaf int
+	// opened is the number of connections so far; data of those up to deaf is discarded.
+	opened, discarded int
 }
 
-// newProxy returns an open proxy to an address that runs until the test ends.
+// newProxy returns a proxy to an address that runs until the test ends.
 func newProxy(t *testing.T, to string) *proxy {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -51,7 +51,7 @@
 	go p.serve()
 	t.Cleanup(func() {
 		_ = l.Close()
-		p.set(wayReset)
+		p.set(modeReset)
 	})
 
 	return p
@@ -61,12 +61,12 @@
 	return p.listener.Addr().String()
 }
 
-// set changes what the proxy does, with open connections as well.
-func (p *proxy) set(w way) {
+// set changes the fault of new and open connections.
+func (p *proxy) set(w proxyMode) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.way = w
-	if w == wayReset {
+	p.mode = w
+	if w == modeReset {
 		for c := range p.conns {
 			reset(c)
 		}
@@ -75,11 +75,11 @@
 	p.changed.Broadcast()
 }
 
-// deafen makes the connections that are open silent for good, while new ones work.
-func (p *proxy) deafen() {
+// discardOpen discards all further data of the connections that are open now.
+func (p *proxy) discardOpen() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.deaf = p.opened
+	p.discarded = p.opened
 }
 
 func reset(c net.Conn) {
@@ -102,7 +102,7 @@
 func (p *proxy) carry(c net.Conn) {
 	d, err := net.Dial("tcp", p.to)
 	p.mu.Lock()
-	if err != nil || p.way == wayReset {
+	if err != nil || p.mode == modeReset {
 		p.mu.Unlock()
 		reset(c)
 		if d != nil {
@@ -119,7 +119,7 @@
 	p.copy(d, c, number, false)
 }
 
-// copy carries data until one side closes; what is held back is carried when the way is open again.
+// copy forwards data until one side closes. Data that is held back is forwarded when the fault ends.
 func (p *proxy) copy(from, to net.Conn, number int, request bool) {
 	defer p.drop(from, to)
 	buf := make([]byte, 32<<10)
@@ -140,19 +140,19 @@
 	}
 }
 
-// await waits while data of this direction is held back, and reports whether it is to be carried on a connection.
+// await waits while data of this direction is held back, and reports whether data of the connection is forwarded.
 func (p *proxy) await(number int, request bool) bool {
 	p.mu.Lock()
-	for p.way == waySilent || p.way == wayOneWay && !request {
+	for p.mode == modeStalled || p.mode == modeStalledResponses && !request {
 		p.changed.Wait()
 	}
-	slow, deaf := p.way == waySlow, number <= p.deaf
+	slow, discard := p.mode == modeSlow, number <= p.discarded
 	p.mu.Unlock()
 	if slow {
-		time.Sleep(slowness)
+		time.Sleep(slowDelay)
 	}
 
-	return !deaf
+	return !discard
 }
 
 func (p *proxy) drop(conns ...net.Conn) {
--- a/cmd/lycheehook/status.go
+++ b/cmd/lycheehook/status.go
@@ -57,18 +57,18 @@
 	Open bool
 }
 
-// hostAnswer is the status of one entry host, or why it gave none.
+// hostAnswer is the status of an entry host, or the error of the request.
 type hostAnswer struct {
 	Address string
 	Error   string `json:",omitempty"`
 	Status  *statusAnswer
 }
 
-func newStatus(p process) *cobra.Command {
+func newStatus(p environment) *cobra.Command {
 	f := &clientFlags{process: p}
 	cmd := &cobra.Command{
 		Use:   "status",
-		Short: "Show what is in force on each entry host, and the pools, teams and queues",
+		Short: "Show the state of each entry host, and the pools, teams and queues",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			return runStatus(cmd, f)
@@ -90,7 +90,7 @@
 	for _, a := range c.addresses {
 		var s statusAnswer
 		h := hostAnswer{Address: a.String()}
-		if askErr := c.ask(cmd.Context(), a, http.MethodGet, "/v1/status", nil, &s); askErr != nil {
+		if askErr := c.do(cmd.Context(), a, http.MethodGet, "/v1/status", nil, &s); askErr != nil {
 			h.Error, err = askErr.Error(), askErr
 		} else {
 			h.Status = &s
@@ -158,7 +158,7 @@
 	}
 }
 
-// sumOf adds up a figure over the entry hosts that answered, as each knows only of its own work.
+// sumOf returns the sum of a value over the entry hosts that responded, because each reports only its own work.
 func sumOf(hosts []hostAnswer, figure func(*statusAnswer) int64) int64 {
 	total := int64(0)
 	for _, h := range hosts {
--- a/cmd/lycheehook/wait.go
+++ b/cmd/lycheehook/wait.go
@@ -14,7 +14,7 @@
 
 const waitInterval = 100 * time.Millisecond
 
-// wait returns when the revision is in force on every entry host, and shows progress on the error output.
+// wait waits until the revision is in force on all entry hosts and writes progress to the error output.
 func (w *waitFlags) wait(cmd *cobra.Command, c *client, revision uint64) error {
 	if !w.enabled {
 		return nil
@@ -22,12 +22,12 @@
 
 	ctx, cancel := context.WithTimeout(cmd.Context(), w.limit)
 	defer cancel()
-	shown := ""
+	last := ""
 	for {
 		missing, total := c.missing(ctx, revision)
-		if line := progress(revision, total-len(missing), total); line != shown && ctx.Err() == nil {
+		if line := progress(revision, total-len(missing), total); line != last && ctx.Err() == nil {
 			_, _ = fmt.Fprintln(cmd.ErrOrStderr(), line)
-			shown = line
+			last = line
 		}
 		if len(missing) == 0 {
 			return nil
@@ -46,8 +46,8 @@
 	return fmt.Sprintf("revision %d [%s] in force on %d of %d entry hosts", revision, bar, done, total)
 }
 
-// missing returns the entry hosts on which a revision is not in force yet, and how many there are: those that were named
-// and those that these know of.
+// missing returns the entry hosts on which a revision is not in force yet, and the total number of entry hosts: the configured
+// ones and those that they know of.
 func (c *client) missing(ctx context.Context, revision uint64) (missing []string, total int) {
 	inForce := map[string]bool{}
 	for _, a := range c.addresses {
@@ -57,7 +57,7 @@
 			continue
 		}
 		for _, e := range s.Entries {
-			// What an entry host says of itself counts for more than what another heard of it.
+			// An entry host's report about itself takes precedence over reports by others.
 			if _, known := inForce[e.Name]; !known || e.Name == s.Name {
 				inForce[e.Name] = e.Revision >= revision && e.InForce
 			}
@@ -74,7 +74,7 @@
 
 func (c *client) status(ctx context.Context, from netip.AddrPort) (statusAnswer, error) {
 	var s statusAnswer
-	err := c.ask(ctx, from, http.MethodGet, "/v1/status", nil, &s)
+	err := c.do(ctx, from, http.MethodGet, "/v1/status", nil, &s)
 
 	return s, err
 }
