--- a/admission/gate_test.go
+++ b/admission/gate_test.go
@@ -63,7 +63,7 @@
 	f := &fixture{set: endpoint.NewSet(), secrets: map[fleet.TeamName]string{}, ids: map[fleet.TeamName]key.ID{}}
 	ring := key.NewRing()
 	for _, t := range []fleet.TeamName{"a", "b", "c"} {
-		k, secret := key.Give(t, time.Now())
+		k, secret := key.Issue(t, time.Now())
 		ring = ring.With(k)
 		f.secrets[t], f.ids[t] = secret, k.ID
 	}
--- a/capacity/measures.go
+++ b/capacity/measures.go
@@ -147,7 +147,7 @@
 	var ring key.Ring
 	for _, t := range l.Teams() {
 		for range 2 {
-			k, _ := key.Give(t.Name, time.Now())
+			k, _ := key.Issue(t.Name, time.Now())
 			ring = ring.With(k)
 		}
 	}
--- a/entry/caller_test.go
+++ b/entry/caller_test.go
@@ -65,7 +65,7 @@
 			Pools: []fleet.Pool{{Name: "pool"}},
 		},
 	}
-	k, secret := key.Give("posting", time.Now())
+	k, secret := key.Issue("posting", time.Now())
 	rev := revision.Revision{Number: 1}.WithLists(lists).WithKeys(key.NewRing(k))
 
 	r := &callerFixture{secret: secret, set: endpoint.NewSet()}
--- a/entry/operatorkeys.go
+++ b/entry/operatorkeys.go
@@ -63,7 +63,7 @@
 		return
 	}
 
-	k, secret := key.Give(req.Team, time.Now().UTC())
+	k, secret := key.Issue(req.Team, time.Now().UTC())
 	base := uint64(0)
 	next, err := a.book.ApplyAs(r.Request.Context(), operatorOf(r), func(cur revision.Revision) (revision.Revision, error) {
 		base = cur.Number
--- a/key/key.go
+++ b/key/key.go
@@ -35,8 +35,8 @@
 	Given time.Time
 }
 
-// Give issues a key for a team and returns it with the text that the team presents, which is not stored.
-func Give(team fleet.TeamName, now time.Time) (Key, string) {
+// Issue issues a key for a team and returns it with the text that the team presents, which is not stored.
+func Issue(team fleet.TeamName, now time.Time) (Key, string) {
 	id := newID()
 	hashed, secret := NewSecret()
 
--- a/key/key_test.go
+++ b/key/key_test.go
@@ -16,9 +16,9 @@
 var given = time.Date(2026, 3, 1, 8, 0, 0, 0, time.UTC)
 
 func TestSeveralKeysOfOneTeam(t *testing.T) {
-	first, firstSecret := key.Give("postings", given)
-	second, secondSecret := key.Give("postings", given)
-	other, otherSecret := key.Give("receipts", given)
+	first, firstSecret := key.Issue("postings", given)
+	second, secondSecret := key.Issue("postings", given)
+	other, otherSecret := key.Issue("receipts", given)
 	r := key.NewRing(first, other).With(second)
 
 	for secret, want := range map[string]key.Key{firstSecret: first, secondSecret: second, otherSecret: other} {
@@ -44,8 +44,8 @@
 }
 
 func TestMatchRejects(t *testing.T) {
-	k, secret := key.Give("postings", given)
-	other, otherSecret := key.Give("receipts", given)
+	k, secret := key.Issue("postings", given)
+	other, otherSecret := key.Issue("receipts", given)
 	parts, otherParts := strings.Split(secret, "."), strings.Split(otherSecret, ".")
 	last := secret[:len(secret)-1]
 	tests := []struct {
@@ -91,7 +91,7 @@
 }
 
 func TestSecretIsNotStored(t *testing.T) {
-	k, secret := key.Give("postings", given)
+	k, secret := key.Issue("postings", given)
 	record, err := json.Marshal(k)
 	if err != nil {
 		t.Fatal(err)
@@ -100,7 +100,7 @@
 		t.Errorf("the stored key contains the secret: %s", record)
 	}
 
-	same, _ := key.Give("postings", given)
+	same, _ := key.Issue("postings", given)
 	if cmp.Equal(k.Salt, same.Salt) || k.ID == same.ID {
 		t.Error("two keys have the same salt or ID")
 	}
@@ -127,7 +127,7 @@
 }
 
 func FuzzMatch(f *testing.F) {
-	k, secret := key.Give("postings", given)
+	k, secret := key.Issue("postings", given)
 	r := key.NewRing(k)
 	f.Add("lh.AAAAAAAAAAAA.AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA")
 	f.Add("lh...")
@@ -144,7 +144,7 @@
 		var secret string
 		for range size {
 			var k key.Key
-			k, secret = key.Give("postings", given)
+			k, secret = key.Issue("postings", given)
 			r = r.With(k)
 		}
 		b.Run(fmt.Sprintf("keys=%d", size), func(b *testing.B) {
@@ -158,7 +158,7 @@
 }
 
 func ExampleRing_Match() {
-	k, secret := key.Give("postings", time.Now())
+	k, secret := key.Issue("postings", time.Now())
 	ring := key.NewRing(k)
 	found, _ := ring.Match(secret)
 	_, err := ring.Without(k.ID).Match(secret)
@@ -170,7 +170,7 @@
 func TestIDsAreNotFlags(t *testing.T) {
 	const draws = 2000
 	for range draws {
-		if k, _ := key.Give("postings", time.Time{}); strings.HasPrefix(string(k.ID), "-") {
+		if k, _ := key.Issue("postings", time.Time{}); strings.HasPrefix(string(k.ID), "-") {
 			t.Fatalf("ID %s looks like a flag", k.ID)
 		}
 	}
--- a/revision/group_test.go
+++ b/revision/group_test.go
@@ -140,7 +140,7 @@
 // issueKey issues a key to the team and returns its ID.
 func (h *host) issueKey(t *testing.T) key.ID {
 	t.Helper()
-	k, _ := key.Give("post", time.Now())
+	k, _ := key.Issue("post", time.Now())
 	_, err := h.book.Apply(t.Context(), func(cur revision.Revision) (revision.Revision, error) {
 		return cur.WithKeys(cur.Keys.With(k)), nil
 	})
--- a/revision/property_test.go
+++ b/revision/property_test.go
@@ -152,7 +152,7 @@
 }
 
 func (c *chaos) issue(h *host) {
-	k, _ := key.Give("post", time.Now())
+	k, _ := key.Issue("post", time.Now())
 	ctx, cancel := context.WithTimeout(c.ctx, 8*time.Second)
 	defer cancel()
 	_, err := h.book.Apply(ctx, func(cur revision.Revision) (revision.Revision, error) { return cur.WithKeys(cur.Keys.With(k)), nil })
