--- a/job/step.go
+++ b/job/step.go
@@ -288,7 +288,7 @@
 func (c *Controller) withinLimits(waiting []placement.Job, l load, rep *Report) []placement.Job {
 	planned := maps.Clone(l.teams)
 	kept := make([]placement.Job, 0, len(waiting))
-	for _, j := range placement.InOrder(waiting) {
+	for _, j := range placement.SortByPriority(waiting) {
 		after := planned[j.Team].Plus(j.Need)
 		if limit, limited := c.quota(j.Team); limited && !after.FitsIn(limit) {
 			rep.Unplaced = append(rep.Unplaced, placement.Unplaced{Job: j.ID, Reason: placement.TeamLimit})
@@ -311,7 +311,7 @@
 		r := records[name].Value
 		hosts = append(hosts, r.Host)
 		if _, usable := r.Usable(); usable && r.Intent == nil {
-			workers = append(workers, c.health.Judge(placement.Worker{Host: r.Host, Used: used[name]}, now))
+			workers = append(workers, c.health.Annotate(placement.Worker{Host: r.Host, Used: used[name]}, now))
 		}
 	}
 
--- a/placement/health.go
+++ b/placement/health.go
@@ -79,8 +79,8 @@
 	return done+failed > 0 && rate > failureFactor*failed/(done+failed)
 }
 
-// Judge returns the worker with Quarantined and Probing set from its health.
-func (h Health) Judge(w Worker, now time.Time) Worker {
+// Annotate returns the worker with Quarantined and Probing set from its health.
+func (h Health) Annotate(w Worker, now time.Time) Worker {
 	r, _ := h.workers.Get(w.Name)
 	w.Quarantined = r.quarantined
 	w.Probing = r.quarantined && !now.Before(r.probeAt)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -87,7 +87,7 @@
 
 	var placed []Assignment
 	var left []Unplaced
-	for _, j := range InOrder(jobs) {
+	for _, j := range SortByPriority(jobs) {
 		if reason := infeasibility(j, capacities[j.Pool]); reason != "" {
 			left = append(left, Unplaced{j.ID, reason})
 			continue
@@ -123,8 +123,8 @@
 	return pools
 }
 
-// InOrder returns the jobs in the order of placement: urgent jobs first, and then by time of submission.
-func InOrder(jobs []Job) []Job {
+// SortByPriority returns the jobs in the order of placement: urgent jobs first, and then by time of submission.
+func SortByPriority(jobs []Job) []Job {
 	ordered := slices.Clone(jobs)
 	slices.SortStableFunc(ordered, func(a, b Job) int {
 		if a.Urgent != b.Urgent {
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -112,7 +112,7 @@
 func TestHealth(t *testing.T) {
 	now := time.Unix(0, 0)
 	judge := func(h placement.Health, at time.Time) (bool, bool) {
-		w := h.Judge(newWorker("bad", resources(1, 0), resources(0, 0)), at)
+		w := h.Annotate(newWorker("bad", resources(1, 0), resources(0, 0)), at)
 		return w.Quarantined, w.Probing
 	}
 	var good, bad placement.Health
