--- a/entry/control.go
+++ b/entry/control.go
@@ -39,7 +39,7 @@
 	s *store.Client, p *hostapi.Client, b *revision.Book, cl *cluster, t *audit.Trail, cfg settings.Settings, l *log.Logger,
 ) *controlLoop {
 	c := &controlLoop{log: l, owns: cl.registry.Owns}
-	c.waves = wave.New(s, func() wave.Policy { return wave.PolicyOf(b.Current().Lists.Maintenance) },
+	c.waves = wave.New(s, func() wave.Policy { return wave.NewPolicy(b.Current().Lists.Maintenance) },
 		func() wave.Hosts { return c.moves.View().Hosts }, func() bool { return c.owns(waveKey) }).
 		WithAudit(waveAuditor(t, cfg.Name))
 	c.moves = move.New(s, p, func() (move.Config, bool) { return moveConfig(b, time.Now()) },
--- a/wave/wave.go
+++ b/wave/wave.go
@@ -59,8 +59,8 @@
 	return p
 }
 
-// PolicyOf returns the policy in the operators' lists, with the default for each field that is not set.
-func PolicyOf(m fleet.Maintenance) Policy {
+// NewPolicy returns the policy in the operators' lists, with the default for each field that is not set.
+func NewPolicy(m fleet.Maintenance) Policy {
 	d := DefaultPolicy()
 
 	return Policy{
