--- a/admission/waiter.go
+++ b/admission/waiter.go
@@ -50,7 +50,7 @@
 	if err != nil {
 		return nil, queueFull(auth, max(wait/2, minRetryAfter))
 	}
-	g.ledger.Wait(account, req.Size)
+	g.ledger.AddWaiting(account, req.Size)
 	select {
 	case g.enqueued <- struct{}{}:
 	default:
@@ -103,7 +103,7 @@
 	g.mu.Lock()
 	removed := pool.Remove(&w.item)
 	if removed {
-		g.ledger.Unwait(w.item.Account, w.request.Size)
+		g.ledger.RemoveWaiting(w.item.Account, w.request.Size)
 		if g.reserved[w.auth.queue.Pool].item == &w.item {
 			g.dispatchAll(time.Now())
 		}
@@ -131,7 +131,7 @@
 
 // deliver sends a waiter its only result; the caller must remove the waiter from its pool.
 func (g *Gate) deliver(w *waiter, alloc *allocation, err error) {
-	g.ledger.Unwait(w.item.Account, w.request.Size)
+	g.ledger.RemoveWaiting(w.item.Account, w.request.Size)
 	w.result <- result{alloc: alloc, err: err}
 }
 
--- a/queue/pool_test.go
+++ b/queue/pool_test.go
@@ -53,9 +53,9 @@
 		return
 	case shed != nil:
 		f.shed = append(f.shed, shed.Value.(string))
-		f.ledger.Unwait(shed.Account, shed.Size)
+		f.ledger.RemoveWaiting(shed.Account, shed.Size)
 	}
-	f.ledger.Wait(it.Account, it.Size)
+	f.ledger.AddWaiting(it.Account, it.Size)
 }
 
 func (f *fixture) cancel(name string) { f.pool.Remove(f.items[name]) }
@@ -76,7 +76,7 @@
 		return queue.ItemBlocked
 	}
 	f.free -= it.Size.Slots
-	f.ledger.Unwait(it.Account, it.Size)
+	f.ledger.RemoveWaiting(it.Account, it.Size)
 	f.ledger.Start(it.Account, it.Size, simStart)
 	f.started = append(f.started, it.Value.(string))
 
@@ -159,7 +159,7 @@
 				name := fmt.Sprint("w", r.IntN(added+1))
 				if it := f.items[name]; it != nil && it.Waiting() {
 					f.cancel(name)
-					f.ledger.Unwait(it.Account, it.Size)
+					f.ledger.RemoveWaiting(it.Account, it.Size)
 					left[name] = true
 				}
 			case 3:
--- a/queue/simulation_test.go
+++ b/queue/simulation_test.go
@@ -318,10 +318,10 @@
 	if _, err := h.pool.Add(it, fleet.Queue{Name: "work", MaxLength: 1 << 30}, simWeights[a.team]); err != nil {
 		panic(err)
 	}
-	h.ledger.Wait(it.Account, it.Size)
+	h.ledger.AddWaiting(it.Account, it.Size)
 	s.push(s.now+simMaxWait, func() {
 		if h.pool.Remove(it) {
-			h.ledger.Unwait(it.Account, it.Size)
+			h.ledger.RemoveWaiting(it.Account, it.Size)
 		}
 	})
 	s.dispatch(h)
@@ -339,7 +339,7 @@
 	a := it.Value.(arrival)
 	h.used++
 	s.used++
-	h.ledger.Unwait(it.Account, it.Size)
+	h.ledger.RemoveWaiting(it.Account, it.Size)
 	h.ledger.Start(it.Account, it.Size, s.time())
 	s.served.add(a.team, s.now, s.now+a.service)
 	s.push(s.now+a.service, func() {
--- a/share/allocate_test.go
+++ b/share/allocate_test.go
@@ -117,8 +117,8 @@
 	underShare := func(age time.Duration) bool {
 		l := share.New()
 		a, b := l.Open(fleet.Team{Name: "a", Share: 1}, start), l.Open(fleet.Team{Name: "b", Share: 1}, start)
-		l.Wait(a, res(80, 0, 0, 0))
-		l.Wait(b, res(80, 0, 0, 0))
+		l.AddWaiting(a, res(80, 0, 0, 0))
+		l.AddWaiting(b, res(80, 0, 0, 0))
 		l.Refresh(total, []share.Report{{Age: age, Teams: []share.Standing{{Team: "a", Running: res(60, 0, 0, 0), Demand: res(60, 0, 0, 0)}}}}, start)
 
 		return l.UnderShare(a)
--- a/share/ledger.go
+++ b/share/ledger.go
@@ -116,13 +116,13 @@
 	a.running = a.running.Minus(size)
 }
 
-// Wait adds size to what a has queued.
-func (l *Ledger) Wait(a *Account, size fleet.Resources) {
+// AddWaiting adds size to what a has queued.
+func (l *Ledger) AddWaiting(a *Account, size fleet.Resources) {
 	a.waiting = a.waiting.Plus(size)
 }
 
-// Unwait subtracts size from what a has queued.
-func (l *Ledger) Unwait(a *Account, size fleet.Resources) {
+// RemoveWaiting subtracts size from what a has queued.
+func (l *Ledger) RemoveWaiting(a *Account, size fleet.Resources) {
 	a.waiting = a.waiting.Minus(size)
 }
 
