--- a/entry/operator_test.go
+++ b/entry/operator_test.go
@@ -60,7 +60,7 @@
 	o.api.entries = o.api.entryStatuses
 	o.api.load = loadFuncs{
 		teams: func() share.Report {
-			return share.Report{Teams: []share.Standing{{Team: "postings", Running: fleet.Resources{Slots: 3}, Demand: fleet.Resources{Slots: 4}}}}
+			return share.Report{Teams: []share.TeamLoad{{Team: "postings", Running: fleet.Resources{Slots: 3}, Demand: fleet.Resources{Slots: 4}}}}
 		},
 		waiting: func(fleet.PoolName) int { return 2 },
 		slots:   func(fleet.PoolName) int64 { return 16 },
--- a/entry/operatorstatus.go
+++ b/entry/operatorstatus.go
@@ -84,7 +84,7 @@
 			Slots: a.load.slots(p.Name), Waiting: a.load.waiting(p.Name),
 		})
 	}
-	standings := map[fleet.TeamName]share.Standing{}
+	standings := map[fleet.TeamName]share.TeamLoad{}
 	for _, st := range a.load.teams().Teams {
 		standings[st.Team] = st
 	}
--- a/share/allocate_test.go
+++ b/share/allocate_test.go
@@ -86,8 +86,8 @@
 }
 
 func TestDivide(t *testing.T) {
-	standing := func(team fleet.TeamName, n int64) share.Standing {
-		return share.Standing{Team: team, Demand: res(n, 0, 0, 0)}
+	standing := func(team fleet.TeamName, n int64) share.TeamLoad {
+		return share.TeamLoad{Team: team, Demand: res(n, 0, 0, 0)}
 	}
 	for _, c := range []struct {
 		name    string
@@ -96,9 +96,9 @@
 		want    []int64
 	}{
 		{"idle slots are spread evenly", 8, []share.Report{{}, {}, {}}, []int64{3, 3, 2}},
-		{"slots follow the demand", 8, []share.Report{{Teams: []share.Standing{standing("a", 40)}}, {}}, []int64{8, 0}},
+		{"slots follow the demand", 8, []share.Report{{Teams: []share.TeamLoad{standing("a", 40)}}, {}}, []int64{8, 0}},
 		{"weights decide when demand exceeds capacity", 12, []share.Report{
-			{Teams: []share.Standing{standing("a", 100)}}, {Teams: []share.Standing{standing("b", 10)}},
+			{Teams: []share.TeamLoad{standing("a", 100)}}, {Teams: []share.TeamLoad{standing("b", 10)}},
 		}, []int64{8, 4}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -119,7 +119,7 @@
 		a, b := l.Open(fleet.Team{Name: "a", Share: 1}, start), l.Open(fleet.Team{Name: "b", Share: 1}, start)
 		l.AddWaiting(a, res(80, 0, 0, 0))
 		l.AddWaiting(b, res(80, 0, 0, 0))
-		l.Refresh(total, []share.Report{{Age: age, Teams: []share.Standing{{Team: "a", Running: res(60, 0, 0, 0), Demand: res(60, 0, 0, 0)}}}}, start)
+		l.Refresh(total, []share.Report{{Age: age, Teams: []share.TeamLoad{{Team: "a", Running: res(60, 0, 0, 0), Demand: res(60, 0, 0, 0)}}}}, start)
 
 		return l.UnderShare(a)
 	}
@@ -147,11 +147,11 @@
 	for _, size := range []struct{ teams, hosts int }{{6, 7}, {43, 70}} {
 		b.Run(fmt.Sprintf("teams-%d-hosts-%d", size.teams, size.hosts), func(b *testing.B) {
 			l := share.New()
-			teams := make([]share.Standing, 0, size.teams)
+			teams := make([]share.TeamLoad, 0, size.teams)
 			for i := range size.teams {
 				t := fleet.TeamName(rune('a' + i))
 				l.Open(fleet.Team{Name: t, Share: 1}, start)
-				teams = append(teams, share.Standing{Team: t, Running: res(3, 0, 0, 0), Demand: res(9, 0, 0, 0), Usage: 1})
+				teams = append(teams, share.TeamLoad{Team: t, Running: res(3, 0, 0, 0), Demand: res(9, 0, 0, 0), Usage: 1})
 			}
 			reports := make([]share.Report, size.hosts-1)
 			for i := range reports {
--- a/share/ledger.go
+++ b/share/ledger.go
@@ -19,8 +19,8 @@
 	runningFactor = 2
 )
 
-// Standing is the load of one team on one entry host.
-type Standing struct {
+// TeamLoad is the load of one team on one entry host.
+type TeamLoad struct {
 	Team    fleet.TeamName
 	Running fleet.Resources
 	// Demand is the sum of running and queued work.
@@ -34,7 +34,7 @@
 	Entry fleet.EntryName
 	// Age is the time since the standings were recorded.
 	Age   time.Duration
-	Teams []Standing
+	Teams []TeamLoad
 }
 
 // Account is the load of one team on this entry host, with the totals that its peers reported.
@@ -180,7 +180,7 @@
 		if a.running.IsZero() && a.waiting.IsZero() && a.usage < epsilon {
 			continue
 		}
-		r.Teams = append(r.Teams, Standing{
+		r.Teams = append(r.Teams, TeamLoad{
 			Team: a.Team, Running: a.running, Demand: a.running.Plus(a.waiting), Usage: a.usage,
 		})
 	}
