--- a/admission/gate.go
+++ b/admission/gate.go
@@ -47,7 +47,7 @@
 	// AcquireLimit counts size toward the upper limits of a team and of its customer.
 	AcquireLimit func(team fleet.Team, size fleet.Resources) (release func(), err error)
 	// AcquireSlot acquires slots of one endpoint of a pool.
-	AcquireSlot func(endpoint.Ask) (endpoint.Slot, bool)
+	AcquireSlot func(endpoint.SlotRequest) (endpoint.Slot, bool)
 	// Fits reports whether any endpoint of a pool has that many slots, free or not.
 	Fits func(fleet.PoolName, int64) bool
 	// Slots returns how many slots of a pool this process may use.
@@ -199,7 +199,7 @@
 
 // start acquires a slot and the upper limits, or returns nil.
 func (g *Gate) start(auth authorization, account *share.Account, req Request, now time.Time) *allocation {
-	slot, ok := g.AcquireSlot(endpoint.Ask{Pool: auth.queue.Pool, Slots: req.Size.Slots, Idempotent: req.Idempotent})
+	slot, ok := g.AcquireSlot(endpoint.SlotRequest{Pool: auth.queue.Pool, Slots: req.Size.Slots, Idempotent: req.Idempotent})
 	if !ok {
 		return nil
 	}
@@ -277,7 +277,7 @@
 	}
 	w.auth = auth
 
-	ask := endpoint.Ask{Pool: w.auth.queue.Pool, Slots: w.request.Size.Slots, Idempotent: w.request.Idempotent}
+	ask := endpoint.SlotRequest{Pool: w.auth.queue.Pool, Slots: w.request.Size.Slots, Idempotent: w.request.Idempotent}
 	slot, ok := g.AcquireSlot(ask)
 	if !ok {
 		return queue.ItemBlocked, true
--- a/admission/gate_test.go
+++ b/admission/gate_test.go
@@ -236,7 +236,7 @@
 		}, refusal.WaitTooLong, 10 * time.Second},
 		{"only idempotent work may try the endpoint", func(s *scenario) {
 			acquire := s.AcquireSlot
-			s.AcquireSlot = func(a endpoint.Ask) (endpoint.Slot, bool) {
+			s.AcquireSlot = func(a endpoint.SlotRequest) (endpoint.Slot, bool) {
 				if !a.Idempotent {
 					return endpoint.Slot{}, false
 				}
@@ -393,7 +393,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(8)
 		grants := f.takeSlots(t, "a", 3)
-		other, ok := f.set.Acquire(endpoint.Ask{Pool: "pool"})
+		other, ok := f.set.Acquire(endpoint.SlotRequest{Pool: "pool"})
 		if !ok || !grants[0].Again(other, time.Now().Add(time.Second)) {
 			t.Fatal("repeat below the upper limit was refused")
 		}
--- a/endpoint/fault_test.go
+++ b/endpoint/fault_test.go
@@ -179,7 +179,7 @@
 
 // send sends one request and reads the answer to its end.
 func send(ctx context.Context, set *endpoint.Set, s *endpoint.Sender, idempotent bool) outcome {
-	slot, ok := set.Acquire(endpoint.Ask{Pool: "p", Idempotent: idempotent})
+	slot, ok := set.Acquire(endpoint.SlotRequest{Pool: "p", Idempotent: idempotent})
 	if !ok {
 		return outcome{err: errors.New("no slot")}
 	}
@@ -369,7 +369,7 @@
 			r := &rawEndpoint{faults: map[int][]fault{0: {{read: 300, end: "close"}}}}
 			defer r.close()
 			set, s := twoEndpoints(), endpoint.NewSender(endpoint.WithDial(r.pipe))
-			slot, _ := set.Acquire(endpoint.Ask{Pool: "p"})
+			slot, _ := set.Acquire(endpoint.SlotRequest{Pool: "p"})
 			defer slot.Release()
 			_, err := s.Send(t.Context(), &slot, endpoint.Request{ID: faultID, Stream: c.body, Length: -1, Idempotent: true,
 				Again: func(endpoint.Slot) bool { return true }})
--- a/endpoint/set.go
+++ b/endpoint/set.go
@@ -44,8 +44,8 @@
 	health          health
 }
 
-// Ask describes the slots to acquire in a pool.
-type Ask struct {
+// SlotRequest describes the slots to acquire in a pool.
+type SlotRequest struct {
 	Pool  fleet.PoolName
 	Slots int64
 	// Idempotent work may try a quarantined endpoint earlier than other work.
@@ -60,7 +60,7 @@
 	state *endpointState
 	// endpoint is the list entry at the time of Acquire.
 	endpoint fleet.Endpoint
-	ask      Ask
+	request  SlotRequest
 	release  func()
 }
 
@@ -115,14 +115,14 @@
 		return
 	}
 	s.set.mu.Lock()
-	s.state.used -= s.ask.Slots
+	s.state.used -= s.request.Slots
 	s.set.mu.Unlock()
 	s.release()
 	s.state = nil
 }
 
 // Acquire takes slots of the least used endpoint of a pool that may get new work.
-func (s *Set) Acquire(ask Ask) (Slot, bool) {
+func (s *Set) Acquire(ask SlotRequest) (Slot, bool) {
 	ask.Slots = max(ask.Slots, 1)
 	now := time.Now()
 	s.mu.Lock()
@@ -146,13 +146,13 @@
 			best.reserved = 0
 		}
 
-		return Slot{set: s, state: best, endpoint: best.endpoint, ask: ask, release: release}, true
+		return Slot{set: s, state: best, endpoint: best.endpoint, request: ask, release: release}, true
 	}
 }
 
 // leastUsed returns the least used endpoint that has the wanted slots free and that this call of Acquire did not
 // skip, or nil; the set must be locked.
-func (s *Set) leastUsed(ask Ask, now time.Time) *endpointState {
+func (s *Set) leastUsed(ask SlotRequest, now time.Time) *endpointState {
 	var best *endpointState
 	for _, st := range s.pools[ask.Pool] {
 		if st.skippedBy == s.acquireCount || st.endpoint.Name == ask.Avoid || !st.acceptsWork(now, ask.Idempotent) ||
@@ -262,11 +262,11 @@
 
 // moveElsewhere moves the slot to another endpoint, if one is free, and reports whether it did.
 func (s *Slot) moveElsewhere() bool {
-	ask := s.ask
+	ask := s.request
 	ask.Avoid = s.endpoint.Name
 	next, ok := s.set.Acquire(ask)
 	if ok {
-		next.ask.Avoid = s.ask.Avoid
+		next.request.Avoid = s.request.Avoid
 		s.Release()
 		*s = next
 	}
--- a/endpoint/set_test.go
+++ b/endpoint/set_test.go
@@ -361,7 +361,7 @@
 	}
 	var got []int
 	for _, size := range []int64{4, 8, 2, 4, 1, 1, 1} {
-		if _, ok := set.Acquire(endpoint.Ask{Pool: "p", Slots: size}); ok {
+		if _, ok := set.Acquire(endpoint.SlotRequest{Pool: "p", Slots: size}); ok {
 			got = append(got, int(size))
 		}
 	}
@@ -398,13 +398,13 @@
 
 	var slots []endpoint.Slot
 	for range 3 {
-		slot, ok := s.Acquire(endpoint.Ask{Pool: "p"})
+		slot, ok := s.Acquire(endpoint.SlotRequest{Pool: "p"})
 		if !ok {
 			t.Fatalf("no slot while %v are shared", shared)
 		}
 		slots = append(slots, slot)
 	}
-	if _, ok := s.Acquire(endpoint.Ask{Pool: "p"}); ok {
+	if _, ok := s.Acquire(endpoint.SlotRequest{Pool: "p"}); ok {
 		t.Error("a slot was given that nobody shares")
 	}
 
