--- a/endpoint/fault_test.go
+++ b/endpoint/fault_test.go
@@ -186,7 +186,7 @@
 	defer func() { slot.Release() }()
 	answer, err := s.Send(ctx, &slot, endpoint.Request{
 		ID: faultID, Content: []byte(faultBody), Idempotent: idempotent,
-		Again: func(earlier endpoint.Slot) bool { earlier.Release(); return true },
+		BeforeRetry: func(earlier endpoint.Slot) bool { earlier.Release(); return true },
 	})
 	var body []byte
 	if err == nil {
@@ -372,7 +372,7 @@
 			slot, _ := set.Acquire(endpoint.SlotRequest{Pool: "p"})
 			defer slot.Release()
 			_, err := s.Send(t.Context(), &slot, endpoint.Request{ID: faultID, Stream: c.body, Length: -1, Idempotent: true,
-				Again: func(endpoint.Slot) bool { return true }})
+				BeforeRetry: func(endpoint.Slot) bool { return true }})
 			if !errors.Is(err, refusal.Uncertain(c.code, "")) {
 				t.Errorf("told %v, want %s", err, c.code)
 			}
--- a/endpoint/sender.go
+++ b/endpoint/sender.go
@@ -29,11 +29,11 @@
 	Length int64
 	// Idempotent requests may be sent again after a byte was written.
 	Idempotent bool
-	// Ready is called just before an attempt is written; its error is returned unchanged, without a retry.
-	Ready func() error
-	// Again is called before a retry while an earlier attempt may still run; it reports whether a second attempt may
+	// BeforeSend is called just before an attempt is written; its error is returned unchanged, without a retry.
+	BeforeSend func() error
+	// BeforeRetry is called before a retry while an earlier attempt may still run; it reports whether a second attempt may
 	// run concurrently and, if so, takes ownership of the slot of the first.
-	Again func(earlier Slot) bool
+	BeforeRetry func(earlier Slot) bool
 }
 
 // Answer is the endpoint's answer; Body must be read to its end and closed. A truncated body ends with a
@@ -73,7 +73,7 @@
 }
 
 // Send sends the request to the slot's endpoint. It retries within the retry budget if no byte was written or the
-// request is idempotent, and then moves the slot to another endpoint if one is free. Unless Ready failed, the error
+// request is idempotent, and then moves the slot to another endpoint if one is free. Unless BeforeSend failed, the error
 // is a refusal.NotRunError if no byte of any attempt was written, and a refusal.UnknownError otherwise.
 func (s *Sender) Send(ctx context.Context, slot *Slot, req Request) (Answer, error) {
 	s.budget.deposit()
@@ -114,7 +114,7 @@
 	}
 	var notRun *refusal.NotRunError
 	if !sent {
-		// A refusal by Ready is final; only connection errors are retried.
+		// A refusal by BeforeSend is final; only connection errors are retried.
 		if !errors.As(err, &notRun) || notRun.Code != refusal.NoEndpoint || !s.budget.withdraw() {
 			return false
 		}
@@ -122,7 +122,7 @@
 
 		return true
 	}
-	if !req.Idempotent || req.Stream != nil || req.Again == nil {
+	if !req.Idempotent || req.Stream != nil || req.BeforeRetry == nil {
 		return false
 	}
 
@@ -137,7 +137,7 @@
 	if !ok {
 		return false
 	}
-	if !req.Again(*slot) {
+	if !req.BeforeRetry(*slot) {
 		next.Release()
 		return false
 	}
@@ -160,8 +160,8 @@
 	}
 
 	unsent := startExchange(ctx, c, *slot)
-	if req.Ready != nil {
-		if err := req.Ready(); err != nil {
+	if req.BeforeSend != nil {
+		if err := req.BeforeSend(); err != nil {
 			unsent.exchange.release()
 			return Answer{}, err
 		}
--- a/entry/caller.go
+++ b/entry/caller.go
@@ -85,7 +85,7 @@
 		return
 	}
 	outgoing := c.request(grant)
-	outgoing.Ready = func() error { return a.recheck(grant) }
+	outgoing.BeforeSend = func() error { return a.recheck(grant) }
 	answer, err := a.sender.Send(ctx, grant.Slot(), outgoing)
 	if err != nil {
 		a.finish(grant, cl, c, nil, err)
