--- a/admission/gate_test.go
+++ b/admission/gate_test.go
@@ -202,7 +202,7 @@
 			for range 20 {
 				g := s.takeSlots(s.T, "a", 1)
 				time.Sleep(2 * time.Second)
-				g[0].Done()
+				g[0].Complete()
 			}
 			s.takeSlots(s.T, "a", 2)
 			s.ctx, s.cancel = context.WithTimeout(s.ctx, time.Second/2)
@@ -224,7 +224,7 @@
 		}, "", now},
 		{"work of unknown outcome keeps its slot until its end", func(s *scenario) {
 			for _, g := range s.takeSlots(s.T, "a", 2) {
-				g.Hold(time.Now().Add(4 * time.Second))
+				g.ReleaseAt(time.Now().Add(4 * time.Second))
 			}
 		}, "", 4 * time.Second},
 		{"a grant is released twice", func(s *scenario) {
@@ -304,7 +304,7 @@
 		for range 20 {
 			g := f.takeSlots(t, "a", 1)
 			time.Sleep(2 * time.Second)
-			g[0].Done()
+			g[0].Complete()
 		}
 		f.takeSlots(t, "a", 2)
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second/2)
@@ -394,10 +394,10 @@
 		f := newFixture(8)
 		grants := f.takeSlots(t, "a", 3)
 		other, ok := f.set.Acquire(endpoint.SlotRequest{Pool: "pool"})
-		if !ok || !grants[0].Again(other, time.Now().Add(time.Second)) {
+		if !ok || !grants[0].AcquireRepeat(other, time.Now().Add(time.Second)) {
 			t.Fatal("repeat below the upper limit was refused")
 		}
-		if grants[1].Again(endpoint.Slot{}, time.Now()) {
+		if grants[1].AcquireRepeat(endpoint.Slot{}, time.Now()) {
 			t.Error("repeat beyond the upper limit was allowed")
 		}
 		begin := time.Now()
--- a/admission/grant.go
+++ b/admission/grant.go
@@ -9,7 +9,7 @@
 	"lycheehook.example/lycheehook/share"
 )
 
-// Grant is the right to run one request; it must be released by Release, Done or Hold.
+// Grant is the right to run one request; it must be released by Release, Complete or ReleaseAt.
 type Grant struct {
 	alloc *allocation
 }
@@ -43,9 +43,9 @@
 	return err
 }
 
-// Again counts a second run of the same request toward the upper limit, since the earlier run may continue until the
+// AcquireRepeat counts a second run of the same request toward the upper limit, since the earlier run may continue until the
 // given time, and reports whether the limit allows that. The earlier run keeps its slot until then.
-func (g Grant) Again(earlier endpoint.Slot, until time.Time) bool {
+func (g Grant) AcquireRepeat(earlier endpoint.Slot, until time.Time) bool {
 	alloc := g.alloc
 	gate := alloc.gate
 	gate.mu.Lock()
@@ -64,13 +64,13 @@
 	return true
 }
 
-// Hold releases the grant at the given time, since the request may run until then; it is called instead of Release.
-func (g Grant) Hold(until time.Time) {
+// ReleaseAt releases the grant at the given time, since the request may run until then; it is called instead of Release.
+func (g Grant) ReleaseAt(until time.Time) {
 	time.AfterFunc(time.Until(until), g.alloc.release)
 }
 
-// Done releases the grant and records the service time of the request.
-func (g Grant) Done() {
+// Complete releases the grant and records the service time of the request.
+func (g Grant) Complete() {
 	alloc := g.alloc
 	alloc.gate.mu.Lock()
 	q := alloc.auth.queue.Name
--- a/entry/caller.go
+++ b/entry/caller.go
@@ -125,13 +125,13 @@
 	switch {
 	case err == nil:
 		cl.settle(outcomeDone, answer)
-		g.Done()
+		g.Complete()
 	case errors.As(err, &notRun):
 		cl.settle(outcomeNotRun, nil)
 		g.Release()
 	default:
 		cl.settle(outcomeUnknown, nil)
-		g.Hold(c.deadline.Add(deadlineGrace))
+		g.ReleaseAt(c.deadline.Add(deadlineGrace))
 		a.log.Warn("request outcome unknown", "request", c.id, "team", g.Team().Name, "endpoint", g.Slot().Endpoint().Name, "err", err)
 	}
 }
--- a/entry/callerrequest.go
+++ b/entry/callerrequest.go
@@ -203,7 +203,7 @@
 	req := endpoint.Request{
 		ID: c.id, Idempotent: c.idempotent,
 		Header:      endpoint.EndToEnd(c.header, "Authorization", headerRequestID, headerTimeout, headerIdempotent, "Expect"),
-		BeforeRetry: func(earlier endpoint.Slot) bool { return g.Again(earlier, c.deadline.Add(deadlineGrace)) },
+		BeforeRetry: func(earlier endpoint.Slot) bool { return g.AcquireRepeat(earlier, c.deadline.Add(deadlineGrace)) },
 	}
 	if c.body.stream != nil {
 		req.Stream, req.Length = c.body.stream, c.body.length
