--- a/admission/authorization.go
+++ b/admission/authorization.go
@@ -22,8 +22,8 @@
 }
 
 // authorize checks the queue, the key, the team and the plan, in this order.
-func (g *Gate) authorize(req Request, now time.Time) (authorization, error) {
-	a := authorization{revision: g.Current()}
+func (c *Controller) authorize(req Request, now time.Time) (authorization, error) {
+	a := authorization{revision: c.Current()}
 	q, ok := a.revision.Tables.Queues.Get(req.Queue)
 	if !ok {
 		return a, refusal.Refuse(refusal.QueueUnknown, "queue %q does not exist", req.Queue)
@@ -32,14 +32,14 @@
 	if q.Open && req.Secret == "" {
 		return a, nil
 	}
-	if !g.Fresh(now) {
+	if !c.Fresh(now) {
 		return a, notFresh()
 	}
 	if req.Secret == "" {
 		return a, refusal.Refuse(refusal.KeyMissing, "queue %s needs a key", q.Name)
 	}
 
-	k, err := g.secrets.match(a.revision, req.Secret)
+	k, err := c.secrets.match(a.revision, req.Secret)
 	if err != nil {
 		return a, refusal.Refuse(refusal.KeyUnknown, "key is unknown or withdrawn")
 	}
@@ -50,9 +50,9 @@
 }
 
 // reauthorize checks an authorization again, since the key may have been withdrawn or the lists changed.
-func (g *Gate) reauthorize(a authorization, now time.Time) (authorization, error) {
-	rev := g.Current()
-	if a.key != "" && !g.Fresh(now) {
+func (c *Controller) reauthorize(a authorization, now time.Time) (authorization, error) {
+	rev := c.Current()
+	if a.key != "" && !c.Fresh(now) {
 		return a, notFresh()
 	}
 	if rev == a.revision {
@@ -94,11 +94,11 @@
 }
 
 // checkSize refuses a request whose size is invalid or could never start.
-func (g *Gate) checkSize(a authorization, size fleet.Resources) error {
+func (c *Controller) checkSize(a authorization, size fleet.Resources) error {
 	if size.IsNegative() || size.Slots < 1 {
 		return refusal.Refuse(refusal.RequestInvalid, "size must have at least one slot and nothing negative")
 	}
-	if !g.Fits(a.queue.Pool, size.Slots) {
+	if !c.Fits(a.queue.Pool, size.Slots) {
 		return refusal.Refuse(refusal.NeverRuns, "no endpoint of pool %s has %d slots", a.queue.Pool, size.Slots)
 	}
 	if a.key == "" {
--- a/admission/gate.go
+++ b/admission/controller.go
@@ -17,7 +17,7 @@
 const (
 	// refreshInterval is how often shares are recomputed while requests arrive or wait.
 	refreshInterval = 25 * time.Millisecond
-	// idleInterval is the time between two calls of Wake while no request waits, since each call costs processor time.
+	// idleInterval is the time between two calls of Dispatch while no request waits, since each call costs processor time.
 	idleInterval = 250 * time.Millisecond
 	// minRetryAfter is the minimum retry delay of a refusal.
 	minRetryAfter = 100 * time.Millisecond
@@ -36,10 +36,10 @@
 	Waiting func(team fleet.Team)
 }
 
-// Gate admits requests according to the configuration in force: at once if a slot is free and no other request waits
+// Controller admits requests according to the configuration in force: at once if a slot is free and no other request waits
 // for it, otherwise from queues of bounded length by the teams' shares. Its function fields are called with its lock
-// held, so they must neither block nor call the gate.
-type Gate struct {
+// held, so they must neither block nor call the controller.
+type Controller struct {
 	// Current returns the configuration in force.
 	Current func() *revision.Revision
 	// Fresh reports whether the configuration was recently confirmed to be the one in force.
@@ -72,9 +72,9 @@
 	enqueued chan struct{}
 }
 
-// New returns a gate for a revision book and a set of endpoints; its upper limits count this entry host's work only.
-func New(book *revision.Book, set *endpoint.Set) *Gate {
-	g := &Gate{
+// New returns a controller for a revision book and a set of endpoints; its upper limits count this entry host's work only.
+func New(book *revision.Book, set *endpoint.Set) *Controller {
+	g := &Controller{
 		Current: book.Current, Fresh: book.Fresh, AcquireLimit: NewLimits(book.Current).Acquire,
 		AcquireSlot: set.Acquire, Fits: set.Fits, Slots: set.Slots, Total: set.Total,
 		Reserve: set.Reserve, Unreserve: set.Unreserve, reserved: map[fleet.PoolName]reservation{},
@@ -82,41 +82,41 @@
 		ledger:  share.New(), pools: map[fleet.PoolName]*queue.Pool{}, estimates: map[fleet.QueueName]queue.Estimate{},
 		enqueued: make(chan struct{}, 1),
 	}
-	set.Changed = g.Wake
+	set.Changed = g.Dispatch
 
 	return g
 }
 
 // Admit returns a grant or a NotRunError. If the request has to wait, Admit blocks until it is granted or refused, or
 // until ctx is done.
-func (g *Gate) Admit(ctx context.Context, req Request) (Grant, error) {
+func (c *Controller) Admit(ctx context.Context, req Request) (Grant, error) {
 	now := time.Now()
 	if ctx.Err() != nil {
 		return Grant{}, refuseContext(ctx)
 	}
-	auth, err := g.authorize(req, now)
+	auth, err := c.authorize(req, now)
 	if err != nil {
 		return Grant{}, err
 	}
-	if err := g.checkSize(auth, req.Size); err != nil {
+	if err := c.checkSize(auth, req.Size); err != nil {
 		return Grant{}, err
 	}
 
-	g.mu.Lock()
-	if g.stopping {
-		g.mu.Unlock()
+	c.mu.Lock()
+	if c.stopping {
+		c.mu.Unlock()
 		return Grant{}, refusal.Refuse(refusal.Stopping, "entry host is stopping").WithRetryAfter(minRetryAfter)
 	}
-	g.refresh(now)
-	pool, account := g.poolOf(auth.queue.Pool), g.ledger.Open(auth.team, now)
+	c.refresh(now)
+	pool, account := c.poolOf(auth.queue.Pool), c.ledger.Open(auth.team, now)
 	if pool.Len() == 0 {
-		if alloc := g.start(auth, account, req, now); alloc != nil {
-			g.mu.Unlock()
+		if alloc := c.start(auth, account, req, now); alloc != nil {
+			c.mu.Unlock()
 			return Grant{alloc: alloc}, nil
 		}
 	}
-	w, err := g.enqueue(ctx, pool, account, auth, req, now)
-	g.mu.Unlock()
+	w, err := c.enqueue(ctx, pool, account, auth, req, now)
+	c.mu.Unlock()
 	if err != nil {
 		return Grant{}, err
 	}
@@ -124,20 +124,20 @@
 		req.Waiting(auth.team)
 	}
 
-	return g.await(ctx, pool, w)
+	return c.await(ctx, pool, w)
 }
 
-// Wake starts the waiting requests that can start now; it must be called when capacity may have been added.
-func (g *Gate) Wake() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
+// Dispatch starts the waiting requests that can start now; it must be called when capacity may have been added.
+func (c *Controller) Dispatch() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	now := time.Now()
-	g.refresh(now)
-	g.dispatchAll(now)
+	c.refresh(now)
+	c.dispatchAll(now)
 }
 
-// Run calls Wake at short intervals until ctx is done, since capacity may be added without a notification.
-func (g *Gate) Run(ctx context.Context) {
+// Run calls Dispatch at short intervals until ctx is done, since capacity may be added without a notification.
+func (c *Controller) Run(ctx context.Context) {
 	interval := refreshInterval
 	timer := time.NewTimer(interval)
 	defer timer.Stop()
@@ -145,24 +145,24 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-g.enqueued:
+		case <-c.enqueued:
 			if interval == idleInterval {
 				interval = refreshInterval
 				timer.Reset(interval)
 			}
 		case <-timer.C:
-			g.Wake()
-			interval = g.interval()
+			c.Dispatch()
+			interval = c.interval()
 			timer.Reset(interval)
 		}
 	}
 }
 
-// interval returns the time until the next call of Wake.
-func (g *Gate) interval() time.Duration {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for _, pool := range g.pools {
+// interval returns the time until the next call of Dispatch.
+func (c *Controller) interval() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, pool := range c.pools {
 		if pool.Len() > 0 {
 			return refreshInterval
 		}
@@ -172,84 +172,84 @@
 }
 
 // Stop refuses all waiting and new requests; granted ones continue.
-func (g *Gate) Stop() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.stopping = true
-	g.refuseIf(func(*waiter) error {
+func (c *Controller) Stop() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stopping = true
+	c.refuseIf(func(*waiter) error {
 		return refusal.Refuse(refusal.Stopping, "entry host is stopping").WithRetryAfter(minRetryAfter)
 	})
 }
 
 // Report returns the running and waiting work of this entry host, for the other entry hosts.
-func (g *Gate) Report(entry fleet.EntryName) share.Report {
-	g.mu.Lock()
-	defer g.mu.Unlock()
+func (c *Controller) Report(entry fleet.EntryName) share.Report {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 
-	return g.ledger.Report(entry, time.Now())
+	return c.ledger.Report(entry, time.Now())
 }
 
 // Waiting returns the number of requests that wait for a pool.
-func (g *Gate) Waiting(p fleet.PoolName) int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
+func (c *Controller) Waiting(p fleet.PoolName) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 
-	return g.poolOf(p).Len()
+	return c.poolOf(p).Len()
 }
 
 // start acquires a slot and the upper limits, or returns nil.
-func (g *Gate) start(auth authorization, account *share.Account, req Request, now time.Time) *allocation {
-	slot, ok := g.AcquireSlot(endpoint.SlotRequest{Pool: auth.queue.Pool, Slots: req.Size.Slots, Idempotent: req.Idempotent})
+func (c *Controller) start(auth authorization, account *share.Account, req Request, now time.Time) *allocation {
+	slot, ok := c.AcquireSlot(endpoint.SlotRequest{Pool: auth.queue.Pool, Slots: req.Size.Slots, Idempotent: req.Idempotent})
 	if !ok {
 		return nil
 	}
-	release, err := g.AcquireLimit(auth.team, req.Size)
+	release, err := c.AcquireLimit(auth.team, req.Size)
 	if err != nil {
 		slot.Release()
 		return nil
 	}
-	g.ledger.Start(account, req.Size, now)
+	c.ledger.Start(account, req.Size, now)
 
-	return &allocation{gate: g, auth: auth, account: account, size: req.Size, slot: slot, limit: release, started: now}
+	return &allocation{controller: c, auth: auth, account: account, size: req.Size, slot: slot, limit: release, started: now}
 }
 
 // refresh recomputes the shares if they are outdated, and refuses waiting requests that a new revision doesn't allow.
-func (g *Gate) refresh(now time.Time) {
-	if rev := g.Current(); rev != g.checkedRevision {
-		g.checkedRevision = rev
-		g.refuseIf(func(w *waiter) error {
-			auth, err := g.reauthorize(w.auth, now)
+func (c *Controller) refresh(now time.Time) {
+	if rev := c.Current(); rev != c.checkedRevision {
+		c.checkedRevision = rev
+		c.refuseIf(func(w *waiter) error {
+			auth, err := c.reauthorize(w.auth, now)
 			if err == nil {
 				w.auth = auth
-				err = g.checkSize(auth, w.request.Size)
+				err = c.checkSize(auth, w.request.Size)
 			}
 
 			return err
 		})
 	}
-	if at := g.ledger.Refreshed(); at.IsZero() || now.Sub(at) >= refreshInterval {
-		g.ledger.Refresh(g.Total(), g.Reports(), now)
+	if at := c.ledger.Refreshed(); at.IsZero() || now.Sub(at) >= refreshInterval {
+		c.ledger.Refresh(c.Total(), c.Reports(), now)
 	}
 }
 
-func (g *Gate) dispatchAll(now time.Time) {
-	for name, pool := range g.pools {
-		if pool.Len() > 0 || g.reserved[name].item != nil {
-			g.reserve(name, pool, now)
-			g.dispatch(pool, now)
+func (c *Controller) dispatchAll(now time.Time) {
+	for name, pool := range c.pools {
+		if pool.Len() > 0 || c.reserved[name].item != nil {
+			c.reserve(name, pool, now)
+			c.dispatch(pool, now)
 		}
 	}
 }
 
 // dispatch starts waiting requests of a pool until no more can start.
-func (g *Gate) dispatch(pool *queue.Pool, now time.Time) {
+func (c *Controller) dispatch(pool *queue.Pool, now time.Time) {
 	if pool.Len() == 0 {
 		return
 	}
 	// If a request for one slot finds no slot, neither does any other request that may use the same endpoints.
 	// Idempotent requests may use all endpoints.
 	var nonIdempotentFull, idempotentFull bool
-	for pool.Next(g.ledger, func(it *queue.Item) queue.OfferResult {
+	for pool.Next(c.ledger, func(it *queue.Item) queue.OfferResult {
 		w := it.Value.(*waiter)
 		switch {
 		case idempotentFull:
@@ -257,7 +257,7 @@
 		case nonIdempotentFull && !w.request.Idempotent:
 			return queue.ItemBlocked
 		}
-		result, noSlot := g.tryStart(w, now)
+		result, noSlot := c.tryStart(w, now)
 		if noSlot && w.request.Size.Slots == 1 {
 			nonIdempotentFull = true
 			idempotentFull = w.request.Idempotent
@@ -269,38 +269,38 @@
 }
 
 // tryStart starts or refuses a waiting request, or returns why it has to wait; noSlot reports that no slot was free.
-func (g *Gate) tryStart(w *waiter, now time.Time) (result queue.OfferResult, noSlot bool) {
-	auth, err := g.reauthorize(w.auth, now)
+func (c *Controller) tryStart(w *waiter, now time.Time) (result queue.OfferResult, noSlot bool) {
+	auth, err := c.reauthorize(w.auth, now)
 	if err != nil {
-		g.deliver(w, nil, err)
+		c.deliver(w, nil, err)
 		return queue.Taken, false
 	}
 	w.auth = auth
 
 	ask := endpoint.SlotRequest{Pool: w.auth.queue.Pool, Slots: w.request.Size.Slots, Idempotent: w.request.Idempotent}
-	slot, ok := g.AcquireSlot(ask)
+	slot, ok := c.AcquireSlot(ask)
 	if !ok {
 		return queue.ItemBlocked, true
 	}
-	release, err := g.AcquireLimit(w.auth.team, w.request.Size)
+	release, err := c.AcquireLimit(w.auth.team, w.request.Size)
 	if err != nil {
 		slot.Release()
 		return queue.ItemBlocked, false
 	}
 	account := w.item.Account
-	g.ledger.Start(account, w.request.Size, now)
-	g.deliver(w, &allocation{
-		gate: g, auth: w.auth, account: account, size: w.request.Size, slot: slot, limit: release, started: now,
+	c.ledger.Start(account, w.request.Size, now)
+	c.deliver(w, &allocation{
+		controller: c, auth: w.auth, account: account, size: w.request.Size, slot: slot, limit: release, started: now,
 	}, nil)
 
 	return queue.Taken, false
 }
 
-func (g *Gate) poolOf(name fleet.PoolName) *queue.Pool {
-	pool, ok := g.pools[name]
+func (c *Controller) poolOf(name fleet.PoolName) *queue.Pool {
+	pool, ok := c.pools[name]
 	if !ok {
 		pool = queue.New()
-		g.pools[name] = pool
+		c.pools[name] = pool
 	}
 
 	return pool
--- a/admission/gate_test.go
+++ b/admission/controller_test.go
@@ -21,9 +21,9 @@
 	"lycheehook.example/lycheehook/store"
 )
 
-// fixture is a gate with a pool of one endpoint and a configuration that the test can change.
+// fixture is a controller with a pool of one endpoint and a configuration that the test can change.
 type fixture struct {
-	*admission.Gate
+	*admission.Controller
 	set     *endpoint.Set
 	rev     atomic.Pointer[revision.Revision]
 	fresh   atomic.Bool
@@ -70,7 +70,7 @@
 	rev := revision.Revision{Number: 1}.WithLists(lists()).WithKeys(ring)
 	f.rev.Store(&rev)
 	f.fresh.Store(true)
-	f.Gate = admission.New(revision.New(&store.Client{}), f.set)
+	f.Controller = admission.New(revision.New(&store.Client{}), f.set)
 	f.Current = f.rev.Load
 	f.Fresh = func(time.Time) bool { return f.fresh.Load() }
 	f.AcquireLimit = admission.NewLimits(f.Current).Acquire
@@ -84,7 +84,7 @@
 	next := change(*f.rev.Load())
 	next.Number++
 	f.rev.Store(&next)
-	f.Wake()
+	f.Dispatch()
 }
 
 func (f *fixture) withdrawKey(t fleet.TeamName) {
--- a/admission/grant.go
+++ b/admission/grant.go
@@ -16,14 +16,14 @@
 
 // allocation is the capacity that is allocated to one granted request.
 type allocation struct {
-	gate     *Gate
-	auth     authorization
-	account  *share.Account
-	size     fleet.Resources
-	slot     endpoint.Slot
-	limit    func()
-	started  time.Time
-	released atomic.Bool
+	controller *Controller
+	auth       authorization
+	account    *share.Account
+	size       fleet.Resources
+	slot       endpoint.Slot
+	limit      func()
+	started    time.Time
+	released   atomic.Bool
 }
 
 // Team returns the team that the request runs for; its name is empty for open queues without a key.
@@ -39,7 +39,7 @@
 // Recheck returns a NotRunError if the key or the plan no longer permits the request, or if the configuration isn't
 // fresh. It must be called after every wait, right before the first byte is sent.
 func (g Grant) Recheck() error {
-	_, err := g.alloc.gate.reauthorize(g.alloc.auth, time.Now())
+	_, err := g.alloc.controller.reauthorize(g.alloc.auth, time.Now())
 	return err
 }
 
@@ -47,17 +47,17 @@
 // given time, and reports whether the limit allows that. The earlier run keeps its slot until then.
 func (g Grant) AcquireRepeat(earlier endpoint.Slot, until time.Time) bool {
 	alloc := g.alloc
-	gate := alloc.gate
-	gate.mu.Lock()
-	defer gate.mu.Unlock()
-	limit, err := gate.AcquireLimit(alloc.auth.team, alloc.size)
+	controller := alloc.controller
+	controller.mu.Lock()
+	defer controller.mu.Unlock()
+	limit, err := controller.AcquireLimit(alloc.auth.team, alloc.size)
 	if err != nil {
 		return false
 	}
 	now := time.Now()
-	gate.ledger.Start(alloc.account, alloc.size, now)
+	controller.ledger.Start(alloc.account, alloc.size, now)
 	earlierAlloc := &allocation{
-		gate: gate, auth: alloc.auth, account: alloc.account, size: alloc.size, slot: earlier, limit: limit, started: now,
+		controller: controller, auth: alloc.auth, account: alloc.account, size: alloc.size, slot: earlier, limit: limit, started: now,
 	}
 	time.AfterFunc(time.Until(until), earlierAlloc.release)
 
@@ -72,10 +72,10 @@
 // Complete releases the grant and records the service time of the request.
 func (g Grant) Complete() {
 	alloc := g.alloc
-	alloc.gate.mu.Lock()
+	alloc.controller.mu.Lock()
 	q := alloc.auth.queue.Name
-	alloc.gate.estimates[q] = alloc.gate.estimates[q].With(time.Since(alloc.started))
-	alloc.gate.mu.Unlock()
+	alloc.controller.estimates[q] = alloc.controller.estimates[q].With(time.Since(alloc.started))
+	alloc.controller.mu.Unlock()
 	alloc.release()
 }
 
@@ -88,7 +88,7 @@
 	if a.released.Swap(true) {
 		return
 	}
-	g := a.gate
+	g := a.controller
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	a.slot.Release()
--- a/admission/reservation.go
+++ b/admission/reservation.go
@@ -19,28 +19,28 @@
 // reserve reserves slots for one request of a pool at a time: the oldest one for several slots that has waited for
 // reserveAfter and is below its upper limits. Once that request no longer waits or is at its limits, the reservation
 // goes to the next such request or is cancelled.
-func (g *Gate) reserve(name fleet.PoolName, pool *queue.Pool, now time.Time) {
-	current := g.reserved[name]
-	if current.item != nil && current.item.Waiting() && g.fitsLimits(current.item) {
+func (c *Controller) reserve(name fleet.PoolName, pool *queue.Pool, now time.Time) {
+	current := c.reserved[name]
+	if current.item != nil && current.item.Waiting() && c.fitsLimits(current.item) {
 		return
 	}
 	next := pool.Oldest(func(it *queue.Item) bool {
-		return it.Size.Slots > 1 && now.Sub(it.Enqueued) >= reserveAfter && g.fitsLimits(it)
+		return it.Size.Slots > 1 && now.Sub(it.Enqueued) >= reserveAfter && c.fitsLimits(it)
 	})
 	switch {
 	case next != nil:
-		g.reserved[name] = reservation{item: next}
-		g.Reserve(name, next.Size.Slots)
+		c.reserved[name] = reservation{item: next}
+		c.Reserve(name, next.Size.Slots)
 	case current.item != nil:
-		delete(g.reserved, name)
-		g.Unreserve(name)
+		delete(c.reserved, name)
+		c.Unreserve(name)
 	}
 }
 
 // fitsLimits reports whether the upper limits currently allow a waiting request to start.
-func (g *Gate) fitsLimits(it *queue.Item) bool {
+func (c *Controller) fitsLimits(it *queue.Item) bool {
 	w := it.Value.(*waiter)
-	release, err := g.AcquireLimit(w.auth.team, w.request.Size)
+	release, err := c.AcquireLimit(w.auth.team, w.request.Size)
 	if err != nil {
 		return false
 	}
--- a/admission/waiter.go
+++ b/admission/waiter.go
@@ -10,7 +10,7 @@
 	"lycheehook.example/lycheehook/share"
 )
 
-// waiter is a waiting request; Gate.mu guards auth.
+// waiter is a waiting request; Controller.mu guards auth.
 type waiter struct {
 	auth    authorization
 	queue   fleet.QueueName
@@ -28,11 +28,11 @@
 }
 
 // enqueue adds a request to its pool, unless its estimated wait is too long or the queue is full.
-func (g *Gate) enqueue(
+func (c *Controller) enqueue(
 	ctx context.Context, pool *queue.Pool, account *share.Account, auth authorization, req Request, now time.Time,
 ) (*waiter, error) {
-	estimate := g.estimates[auth.queue.Name]
-	slots := float64(g.Slots(auth.queue.Pool)) * g.ledger.Rate(account)
+	estimate := c.estimates[auth.queue.Name]
+	slots := float64(c.Slots(auth.queue.Pool)) * c.ledger.Rate(account)
 	wait := estimate.Wait(pool.AccountLen(account), slots)
 	if maxWait, bounded := waitLimit(ctx, auth, now); bounded && wait > maxWait {
 		return nil, refusal.Refuse(refusal.WaitTooLong, "about %v until a slot is free", wait.Round(time.Millisecond)).
@@ -50,16 +50,16 @@
 	if err != nil {
 		return nil, queueFull(auth, max(wait/2, minRetryAfter))
 	}
-	g.ledger.AddWaiting(account, req.Size)
+	c.ledger.AddWaiting(account, req.Size)
 	select {
-	case g.enqueued <- struct{}{}:
+	case c.enqueued <- struct{}{}:
 	default:
 	}
 	if shed != nil {
 		shedWaiter := shed.Value.(*waiter)
-		g.deliver(shedWaiter, nil, queueFull(shedWaiter.auth, max(wait/2, minRetryAfter)))
+		c.deliver(shedWaiter, nil, queueFull(shedWaiter.auth, max(wait/2, minRetryAfter)))
 	}
-	g.dispatch(pool, now)
+	c.dispatch(pool, now)
 
 	return w, nil
 }
@@ -79,7 +79,7 @@
 }
 
 // await returns the result of a waiter, or removes the waiter when ctx is done or MaxWait is over.
-func (g *Gate) await(ctx context.Context, pool *queue.Pool, w *waiter) (Grant, error) {
+func (c *Controller) await(ctx context.Context, pool *queue.Pool, w *waiter) (Grant, error) {
 	var maxWaitOver <-chan time.Time
 	if w.maxWait > 0 {
 		timer := time.NewTimer(w.maxWait)
@@ -91,24 +91,24 @@
 	case r := <-w.result:
 		return w.grant(ctx, r)
 	case <-ctx.Done():
-		return g.cancelWait(ctx, pool, w, refuseContext(ctx))
+		return c.cancelWait(ctx, pool, w, refuseContext(ctx))
 	case <-maxWaitOver:
-		return g.cancelWait(ctx, pool, w, refusal.Refuse(refusal.WaitTooLong, "waited %v in queue %s",
+		return c.cancelWait(ctx, pool, w, refusal.Refuse(refusal.WaitTooLong, "waited %v in queue %s",
 			w.maxWait, w.queue).WithRetryAfter(minRetryAfter))
 	}
 }
 
 // cancelWait removes a waiter from its pool and returns reason; if the waiter was removed before, its result is used.
-func (g *Gate) cancelWait(ctx context.Context, pool *queue.Pool, w *waiter, reason error) (Grant, error) {
-	g.mu.Lock()
+func (c *Controller) cancelWait(ctx context.Context, pool *queue.Pool, w *waiter, reason error) (Grant, error) {
+	c.mu.Lock()
 	removed := pool.Remove(&w.item)
 	if removed {
-		g.ledger.RemoveWaiting(w.item.Account, w.request.Size)
-		if g.reserved[w.auth.queue.Pool].item == &w.item {
-			g.dispatchAll(time.Now())
+		c.ledger.RemoveWaiting(w.item.Account, w.request.Size)
+		if c.reserved[w.auth.queue.Pool].item == &w.item {
+			c.dispatchAll(time.Now())
 		}
 	}
-	g.mu.Unlock()
+	c.mu.Unlock()
 	if removed {
 		return Grant{}, reason
 	}
@@ -130,20 +130,20 @@
 }
 
 // deliver sends a waiter its only result; the caller must remove the waiter from its pool.
-func (g *Gate) deliver(w *waiter, alloc *allocation, err error) {
-	g.ledger.RemoveWaiting(w.item.Account, w.request.Size)
+func (c *Controller) deliver(w *waiter, alloc *allocation, err error) {
+	c.ledger.RemoveWaiting(w.item.Account, w.request.Size)
 	w.result <- result{alloc: alloc, err: err}
 }
 
 // refuseIf refuses each waiting request for which reason returns an error.
-func (g *Gate) refuseIf(reason func(*waiter) error) {
-	for _, pool := range g.pools {
+func (c *Controller) refuseIf(reason func(*waiter) error) {
+	for _, pool := range c.pools {
 		var refused []*waiter
 		pool.All(func(it *queue.Item) bool {
 			w := it.Value.(*waiter)
 			if err := reason(w); err != nil {
 				refused = append(refused, w)
-				g.deliver(w, nil, err)
+				c.deliver(w, nil, err)
 			}
 
 			return true
--- a/entry/caller.go
+++ b/entry/caller.go
@@ -18,9 +18,9 @@
 
 // callerAPI serves the caller API.
 type callerAPI struct {
-	gate   *admission.Gate
-	sender *endpoint.Sender
-	log    *log.Logger
+	admission *admission.Controller
+	sender    *endpoint.Sender
+	log       *log.Logger
 	// maxRequestTime bounds the timeout that a caller may set for a request.
 	maxRequestTime time.Duration
 	// mayStart reports whether admitted work may still start; if nil, it always may.
@@ -63,7 +63,7 @@
 	pending := &pendingClaim{api: a, call: c}
 	request := c.admission()
 	request.Waiting = func(t fleet.Team) { pending.start(ctx, t) }
-	grant, err := a.gate.Admit(ctx, request)
+	grant, err := a.admission.Admit(ctx, request)
 	if err != nil {
 		cancel()
 		pending.abandon()
--- a/entry/caller_test.go
+++ b/entry/caller_test.go
@@ -70,15 +70,15 @@
 
 	r := &callerFixture{secret: secret, set: endpoint.NewSet()}
 	r.fresh.Store(true)
-	gate := admission.New(revision.New(&store.Client{}), r.set)
-	gate.Current = func() *revision.Revision { return &rev }
-	gate.Fresh = func(time.Time) bool { return r.fresh.Load() }
-	gate.AcquireLimit = admission.NewLimits(gate.Current).Acquire
+	controller := admission.New(revision.New(&store.Client{}), r.set)
+	controller.Current = func() *revision.Revision { return &rev }
+	controller.Fresh = func(time.Time) bool { return r.fresh.Load() }
+	controller.AcquireLimit = admission.NewLimits(controller.Current).Acquire
 	r.set.Replace([]fleet.Endpoint{{
 		Name: "runner", Pool: "pool", Slots: slots, Connections: 64,
 		Address: netip.MustParseAddrPort(backend.Listener.Addr().String()),
 	}})
-	r.api = &callerAPI{gate: gate, sender: endpoint.NewSender(), log: log.New(io.Discard), maxRequestTime: 10 * time.Minute}
+	r.api = &callerAPI{admission: controller, sender: endpoint.NewSender(), log: log.New(io.Discard), maxRequestTime: 10 * time.Minute}
 	front := httptest.NewServer(r.api.handler())
 	tb.Cleanup(front.Close)
 	r.url = front.URL + "/v1/queues/"
@@ -291,10 +291,10 @@
 	wg.Go(func() { running = r.outcome(t, "post", nil) })
 	<-entered
 	wg.Go(func() { waiting = r.outcome(t, "post", nil) })
-	for r.api.gate.Waiting("pool") == 0 {
+	for r.api.admission.Waiting("pool") == 0 {
 		runtime.Gosched()
 	}
-	r.api.gate.Stop()
+	r.api.admission.Stop()
 	stopping := callerOutcome{503, refusal.Stopping, true}
 	if d := cmp.Diff(stopping, r.outcome(t, "post", nil)); d != "" {
 		t.Errorf("outcome of a new request (-want +got):\n%s", d)
--- a/entry/host.go
+++ b/entry/host.go
@@ -31,21 +31,21 @@
 
 // components holds the dependencies of a Host; Wire fills it in.
 type components struct {
-	Settings settings.Settings
-	Store    *store.Client
-	Platform *hostapi.Client
-	Book     *revision.Book
-	Set      *endpoint.Set
-	Sender   *endpoint.Sender
-	Gate     *admission.Gate
-	Control  *controlLoop
-	Cluster  *cluster
-	Limits   *limits
-	Claims   *claim.Book
-	Trail    *audit.Trail
-	Metrics  *operatorMetrics
-	Log      *log.Logger
-	Sockets  Sockets
+	Settings  settings.Settings
+	Store     *store.Client
+	Platform  *hostapi.Client
+	Book      *revision.Book
+	Set       *endpoint.Set
+	Sender    *endpoint.Sender
+	Admission *admission.Controller
+	Control   *controlLoop
+	Cluster   *cluster
+	Limits    *limits
+	Claims    *claim.Book
+	Trail     *audit.Trail
+	Metrics   *operatorMetrics
+	Log       *log.Logger
+	Sockets   Sockets
 }
 
 // Host is an entry host.
@@ -61,20 +61,20 @@
 	c.Settings = c.Settings.WithDefaults()
 	h := &Host{
 		components: c,
-		caller:     &callerAPI{gate: c.Gate, sender: c.Sender, log: c.Log, maxRequestTime: c.Settings.MaxRequestTime.Std()},
+		caller:     &callerAPI{admission: c.Admission, sender: c.Sender, log: c.Log, maxRequestTime: c.Settings.MaxRequestTime.Std()},
 		operator:   &operatorAPI{settings: c.Settings, book: c.Book, trail: c.Trail, store: c.Store, metrics: c.Metrics, log: c.Log},
 	}
 	h.caller.claim, h.caller.maxKeptAnswer = newClaimFunc(c.Claims), claim.DefaultTiming().AnswerSize
 	h.caller.mayStart = c.Limits.holder.MayStart
-	newUsageExchange(c.Settings.Name, c.Cluster.mesh, c.Gate)
-	c.Gate.AcquireLimit = c.Limits.acquire
+	newUsageExchange(c.Settings.Name, c.Cluster.mesh, c.Admission)
+	c.Admission.AcquireLimit = c.Limits.acquire
 	c.Set.Take, c.Set.Expected = c.Limits.takeSlots, c.Limits.expectedSlots
-	c.Limits.holder.Grown = func(allotment.Key) { c.Gate.Wake() }
+	c.Limits.holder.Grown = func(allotment.Key) { c.Admission.Dispatch() }
 	h.operator.stopping = h.stopping.Load
 	h.operator.entries = h.operator.entryStatuses
 	h.operator.load = loadFuncs{
-		teams:   func() share.Report { return c.Gate.Report(c.Settings.Name) },
-		waiting: c.Gate.Waiting,
+		teams:   func() share.Report { return c.Admission.Report(c.Settings.Name) },
+		waiting: c.Admission.Waiting,
 		slots:   c.Set.Slots,
 	}
 
@@ -109,7 +109,7 @@
 	defer cancelLimits()
 	var limitsDone sync.WaitGroup
 	limitsDone.Go(func() { h.Limits.run(limitsCtx) })
-	wg.Go(func() { h.Gate.Run(workCtx) })
+	wg.Go(func() { h.Admission.Run(workCtx) })
 	wg.Go(func() { h.Claims.Run(workCtx) })
 	wg.Go(func() { endpoint.NewProber(h.Set, h.Sender).Run(workCtx) })
 
@@ -127,7 +127,7 @@
 
 	<-ctx.Done()
 	h.stopping.Store(true)
-	h.Gate.Stop()
+	h.Admission.Stop()
 	err = shutdown(workCtx, servers, h.Settings.StopLimit.Std())
 	// The holder must not acquire new parts of limits while it releases its own.
 	cancelLimits()
--- a/entry/usage.go
+++ b/entry/usage.go
@@ -31,8 +31,8 @@
 	at     time.Time
 }
 
-// newUsageExchange adds the gate's report to heartbeats and passes the reports of the other entry hosts to the gate.
-func newUsageExchange(self fleet.EntryName, m *peer.Mesh, g *admission.Gate) *usageExchange {
+// newUsageExchange adds the admission controller's report to heartbeats and passes the reports of the other entry hosts to the controller.
+func newUsageExchange(self fleet.EntryName, m *peer.Mesh, g *admission.Controller) *usageExchange {
 	u := &usageExchange{received: map[fleet.EntryName]receivedUsage{}}
 	peer.Report(m, usageReportName, func() share.Report { return g.Report(self) })
 	peer.OnReport(m, usageReportName, func(from peer.Peer, r share.Report) { u.receive(from.Name, r, time.Now()) })
--- a/entry/wire_gen.go
+++ b/entry/wire_gen.go
@@ -26,7 +26,7 @@
 	book := newBook(client, entryCluster)
 	set := endpoint.NewSet()
 	sender := newSender()
-	gate := admission.New(book, set)
+	controller := admission.New(book, set)
 	trail := newTrail(client, s, l)
 	entryControlLoop := newControlLoop(client, hostapiClient, book, entryCluster, trail, s, l)
 	entryLimits := newLimits(s, client, entryCluster, book, l)
@@ -34,21 +34,21 @@
 	registry := newRegistry()
 	entryOperatorMetrics := newOperatorMetrics(registry, book, trail)
 	entryComponents := components{
-		Settings: s,
-		Store:    client,
-		Platform: hostapiClient,
-		Book:     book,
-		Set:      set,
-		Sender:   sender,
-		Gate:     gate,
-		Control:  entryControlLoop,
-		Cluster:  entryCluster,
-		Limits:   entryLimits,
-		Claims:   claimBook,
-		Trail:    trail,
-		Metrics:  entryOperatorMetrics,
-		Log:      l,
-		Sockets:  sockets,
+		Settings:  s,
+		Store:     client,
+		Platform:  hostapiClient,
+		Book:      book,
+		Set:       set,
+		Sender:    sender,
+		Admission: controller,
+		Control:   entryControlLoop,
+		Cluster:   entryCluster,
+		Limits:    entryLimits,
+		Claims:    claimBook,
+		Trail:     trail,
+		Metrics:   entryOperatorMetrics,
+		Log:       l,
+		Sockets:   sockets,
 	}
 	host := newHost(entryComponents)
 	return host, nil
