--- a/claim/cluster_test.go
+++ b/claim/cluster_test.go
@@ -42,12 +42,12 @@
 	violation error
 }
 
-// process is one process of an entry host with its book.
+// process is one process of an entry host with its registry.
 type process struct {
-	cluster *cluster
-	self    fleet.Incarnation
-	book    *claim.Book
-	cancel  context.CancelFunc
+	cluster  *cluster
+	self     fleet.Incarnation
+	registry *claim.Registry
+	cancel   context.CancelFunc
 
 	mu sync.Mutex
 	// storeDown, loseAnswers and delayWrites are faults of the store that only this process sees.
@@ -76,12 +76,12 @@
 func (cl *cluster) start(name string) {
 	ctx, cancel := context.WithCancel(cl.ctx)
 	p := &process{cluster: cl, self: fleet.NewIncarnation(fleet.EntryName(name)), cancel: cancel}
-	p.book = claim.New(p.client(), p.self, claim.WithTiming(cl.timing))
-	p.book.Alive = cl.alive
+	p.registry = claim.New(p.client(), p.self, claim.WithTiming(cl.timing))
+	p.registry.Alive = cl.alive
 	cl.mu.Lock()
 	cl.processes[name] = p
 	cl.mu.Unlock()
-	go p.book.Run(ctx)
+	go p.registry.Run(ctx)
 }
 
 func (cl *cluster) alive(i fleet.Incarnation) bool {
@@ -145,7 +145,7 @@
 	p := cl.processes[name]
 	cl.mu.Unlock()
 
-	c, err := p.book.Claim(ctx, team, id, bodyDigest(id))
+	c, err := p.registry.Claim(ctx, team, id, bodyDigest(id))
 	if err != nil {
 		cl.checkError(id, err)
 		return err
@@ -166,7 +166,7 @@
 		return refusal.Uncertain(refusal.OutcomeUnknown, "%s crashed", name)
 	}
 	answer := &claim.Answer{Status: 200, Body: []byte("answer to " + id)}
-	p.book.Settle(c, claim.Outcome{State: claim.Done, Answer: answer})
+	p.registry.RecordOutcome(c, claim.Outcome{State: claim.Done, Answer: answer})
 
 	return nil
 }
--- a/claim/example_test.go
+++ b/claim/example_test.go
@@ -12,7 +12,7 @@
 	"lycheehook.example/lycheehook/standin"
 )
 
-func ExampleBook() {
+func ExampleRegistry() {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 
@@ -27,7 +27,7 @@
 		return
 	}
 	fmt.Println("to be sent:", c.Answer == nil)
-	b.Settle(c, claim.Outcome{State: claim.Done, Answer: &claim.Answer{Status: 200, Body: []byte("posted")}})
+	b.RecordOutcome(c, claim.Outcome{State: claim.Done, Answer: &claim.Answer{Status: 200, Body: []byte("posted")}})
 
 	repeat, err := b.Claim(ctx, "treasury", id, digest)
 	fmt.Println(string(repeat.Answer.Body), err)
--- a/claim/fault_test.go
+++ b/claim/fault_test.go
@@ -89,12 +89,12 @@
 	{"same ID with another body", func(cl *cluster, id string) []refusal.Code {
 		first := cl.attemptCode("a", id, 0)
 		time.Sleep(2 * time.Second)
-		_, err := cl.processes["b"].book.Claim(cl.ctx, team, id, sha256.Sum256([]byte("other")))
+		_, err := cl.processes["b"].registry.Claim(cl.ctx, team, id, sha256.Sum256([]byte("other")))
 		return []refusal.Code{first, codeOf(err)}
 	}, []refusal.Code{"", refusal.RequestInvalid}},
 	{"same ID from another team", func(cl *cluster, id string) []refusal.Code {
 		first := cl.attemptCode("a", id, 0)
-		_, err := cl.processes["a"].book.Claim(cl.ctx, "other", id, bodyDigest(id))
+		_, err := cl.processes["a"].registry.Claim(cl.ctx, "other", id, bodyDigest(id))
 		return []refusal.Code{first, codeOf(err)}
 	}, []refusal.Code{"", refusal.RequestInvalid}},
 	{"repeat just before the ID expires, and after", func(cl *cluster, id string) []refusal.Code {
--- a/claim/book.go
+++ b/claim/registry.go
@@ -79,8 +79,8 @@
 	Answer *Answer
 }
 
-// Book claims request IDs and stores the outcomes of the requests.
-type Book struct {
+// Registry claims request IDs and stores the outcomes of the requests.
+type Registry struct {
 	// Alive reports whether a process is a live member as far as this process knows.
 	Alive func(owner fleet.Incarnation) bool
 
@@ -95,17 +95,17 @@
 	ownClaims map[uuid.UUID]Entry
 }
 
-// Option configures a Book.
-type Option func(*Book)
+// Option configures a Registry.
+type Option func(*Registry)
 
 // WithTiming sets the durations and sizes of the protocol.
 func WithTiming(t Timing) Option {
-	return func(b *Book) { b.timing = t }
+	return func(b *Registry) { b.timing = t }
 }
 
-// New returns a book for one process; no claim succeeds before Run is called.
-func New(client *store.Client, self fleet.Incarnation, opts ...Option) *Book {
-	b := &Book{
+// New returns a registry for one process; no claim succeeds before Run is called.
+func New(client *store.Client, self fleet.Incarnation, opts ...Option) *Registry {
+	b := &Registry{
 		Alive:     func(fleet.Incarnation) bool { return false },
 		self:      self,
 		client:    client,
@@ -123,9 +123,9 @@
 }
 
 // Run writes claims and outcomes until ctx is done.
-func (b *Book) Run(ctx context.Context) {
+func (reg *Registry) Run(ctx context.Context) {
 	var wg sync.WaitGroup
-	for _, s := range b.shards {
+	for _, s := range reg.shards {
 		wg.Go(func() { s.run(ctx) })
 	}
 	wg.Wait()
@@ -136,51 +136,51 @@
 // A NotRunError means that this attempt sent nothing and never will; only with
 // RequestExpired and StoreUnavailable may an earlier attempt with the same ID
 // have run. An UnknownError reports the state of an earlier attempt.
-func (b *Book) Claim(ctx context.Context, team fleet.TeamName, id string, digest [sha256.Size]byte) (Claim, error) {
+func (reg *Registry) Claim(ctx context.Context, team fleet.TeamName, id string, digest [sha256.Size]byte) (Claim, error) {
 	now := time.Now()
-	u, err := b.validateID(id, now)
+	u, err := reg.validateID(id, now)
 	if err != nil {
 		return Claim{}, err
 	}
 
-	attempt := Entry{ID: u, State: Claimed, Sum: requestSum(team, digest), Token: b.nextToken(), At: now.UnixMilli()}
-	if earlier, ok := b.ownEntry(u); ok {
-		return b.repeatResult(attempt, earlier, now)
+	attempt := Entry{ID: u, State: Claimed, Sum: requestSum(team, digest), Token: reg.nextToken(), At: now.UnixMilli()}
+	if earlier, ok := reg.ownEntry(u); ok {
+		return reg.repeatResult(attempt, earlier, now)
 	}
 
 	w := &waiter{entry: attempt, done: make(chan result, 1)}
-	s := b.shardOf(u)
+	s := reg.shardOf(u)
 	s.enqueue(w)
 
-	timeout := time.NewTimer(b.timing.ClaimTimeout)
+	timeout := time.NewTimer(reg.timing.ClaimTimeout)
 	defer timeout.Stop()
 	select {
 	case r := <-w.done:
-		return b.resolve(w.entry, r)
+		return reg.resolve(w.entry, r)
 	case <-ctx.Done():
-		return b.abandon(s, w, refusal.Refuse(refusal.Cancelled, "request %s was cancelled before it was claimed", u))
+		return reg.abandon(s, w, refusal.Refuse(refusal.Cancelled, "request %s was cancelled before it was claimed", u))
 	case <-timeout.C:
-		return b.abandon(s, w, refusal.Refuse(refusal.StoreUnavailable,
+		return reg.abandon(s, w, refusal.Refuse(refusal.StoreUnavailable,
 			"request %s could not be claimed; repeat it with the same ID", u).WithRetryAfter(storeRetryAfter))
 	}
 }
 
-// Settle records the outcome of a claimed request, which is written along with later claims.
-func (b *Book) Settle(c Claim, o Outcome) {
+// RecordOutcome records the outcome of a claimed request, which is written along with later claims.
+func (reg *Registry) RecordOutcome(c Claim, o Outcome) {
 	e := c.entry.WithState(o.State)
-	if o.State == Done && o.Answer != nil && len(o.Answer.Body) <= b.timing.AnswerSize {
+	if o.State == Done && o.Answer != nil && len(o.Answer.Body) <= reg.timing.AnswerSize {
 		e = e.WithAnswer(o.Answer)
 	}
 
-	b.mu.Lock()
-	b.ownClaims[e.ID] = e
-	b.mu.Unlock()
-	b.shardOf(e.ID).addOutcome(e)
+	reg.mu.Lock()
+	reg.ownClaims[e.ID] = e
+	reg.mu.Unlock()
+	reg.shardOf(e.ID).addOutcome(e)
 }
 
 // Close writes all pending outcomes.
-func (b *Book) Close(ctx context.Context) error {
-	for _, s := range b.shards {
+func (reg *Registry) Close(ctx context.Context) error {
+	for _, s := range reg.shards {
 		for s.hasOutcomes() {
 			if err := s.flush(ctx); err != nil && !errors.Is(err, store.ErrConflict) {
 				return err
@@ -192,17 +192,17 @@
 }
 
 // validateID parses a request ID, and refuses one whose timestamp is outside of the retention period.
-func (b *Book) validateID(id string, now time.Time) (uuid.UUID, error) {
+func (reg *Registry) validateID(id string, now time.Time) (uuid.UUID, error) {
 	u, err := uuid.Parse(id)
 	if err != nil || u.Version() != requestIDVersion {
 		return u, refusal.Refuse(refusal.RequestInvalid, "request ID %q is not a UUID of version 7", id)
 	}
 
 	created := fromMillis(creationMillis(u))
-	if created.After(now.Add(b.timing.MaxSkew)) {
+	if created.After(now.Add(reg.timing.MaxSkew)) {
 		return u, refusal.Refuse(refusal.RequestInvalid, "request ID %s was made at %s, in the future", u, created.UTC())
 	}
-	if now.Sub(created) > b.timing.Retention {
+	if now.Sub(created) > reg.timing.Retention {
 		return u, expiredError(u)
 	}
 
@@ -214,19 +214,19 @@
 }
 
 // resolve converts a shard's result into the return values of Claim.
-func (b *Book) resolve(attempt Entry, r result) (Claim, error) {
+func (reg *Registry) resolve(attempt Entry, r result) (Claim, error) {
 	switch r.decision {
 	case granted, alreadyGranted:
 		return Claim{ID: attempt.ID, entry: attempt}, nil
 	case expired:
 		return Claim{}, expiredError(attempt.ID)
 	default:
-		return b.repeatResult(attempt, r.earlier, time.Now())
+		return reg.repeatResult(attempt, r.earlier, time.Now())
 	}
 }
 
 // repeatResult returns what a repeat is answered, given the entry of the earlier attempt.
-func (b *Book) repeatResult(attempt, earlier Entry, now time.Time) (Claim, error) {
+func (reg *Registry) repeatResult(attempt, earlier Entry, now time.Time) (Claim, error) {
 	id := attempt.ID
 	if earlier.Sum != attempt.Sum {
 		return Claim{}, refusal.Refuse(refusal.RequestInvalid, "request ID %s was used for another request", id)
@@ -239,11 +239,11 @@
 		}
 		return Claim{ID: id, Answer: earlier.Answer}, nil
 	case Claimed:
-		if b.withdrawalPending(earlier) {
+		if reg.withdrawalPending(earlier) {
 			return Claim{}, refusal.Refuse(refusal.StoreUnavailable,
 				"an earlier attempt of request %s is being withdrawn; repeat it with the same ID", id).WithRetryAfter(storeRetryAfter)
 		}
-		if b.mayBeRunning(earlier, now) {
+		if reg.mayBeRunning(earlier, now) {
 			return Claim{}, refusal.Uncertain(refusal.InProgress, "request %s is in progress on %s", id, earlier.Token.Owner.Entry())
 		}
 	case Withdrawn, Unknown:
@@ -253,73 +253,73 @@
 }
 
 // mayBeRunning reports whether a claim's owner may still be executing the request.
-func (b *Book) mayBeRunning(e Entry, now time.Time) bool {
-	if now.Sub(fromMillis(e.At)) > b.timing.MaxRequestTime+b.timing.ClaimTimeout {
+func (reg *Registry) mayBeRunning(e Entry, now time.Time) bool {
+	if now.Sub(fromMillis(e.At)) > reg.timing.MaxRequestTime+reg.timing.ClaimTimeout {
 		return false
 	}
 
-	return e.Token.Owner == b.self || b.Alive(e.Token.Owner)
+	return e.Token.Owner == reg.self || reg.Alive(e.Token.Owner)
 }
 
 // abandon gives up an attempt; if its claim was granted in the meantime, the claim is withdrawn.
-func (b *Book) abandon(s *shard, w *waiter, err error) (Claim, error) {
+func (reg *Registry) abandon(s *shard, w *waiter, err error) (Claim, error) {
 	if s.abandon(w) {
 		return Claim{}, err
 	}
 
 	r := <-w.done
 	if r.decision != granted && r.decision != alreadyGranted {
-		return b.resolve(w.entry, r)
+		return reg.resolve(w.entry, r)
 	}
-	b.Settle(Claim{ID: w.entry.ID, entry: w.entry}, Outcome{State: Withdrawn})
+	reg.RecordOutcome(Claim{ID: w.entry.ID, entry: w.entry}, Outcome{State: Withdrawn})
 
 	return Claim{}, err
 }
 
-func (b *Book) nextToken() Token {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.attempts++
+func (reg *Registry) nextToken() Token {
+	reg.mu.Lock()
+	defer reg.mu.Unlock()
+	reg.attempts++
 
-	return Token{Owner: b.self, Attempt: b.attempts}
+	return Token{Owner: reg.self, Attempt: reg.attempts}
 }
 
 // ownEntry returns this process's own claim of an ID, unless it was withdrawn.
-func (b *Book) ownEntry(id uuid.UUID) (Entry, bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	e, ok := b.ownClaims[id]
+func (reg *Registry) ownEntry(id uuid.UUID) (Entry, bool) {
+	reg.mu.Lock()
+	defer reg.mu.Unlock()
+	e, ok := reg.ownClaims[id]
 
 	return e, ok && e.State != Withdrawn
 }
 
 // withdrawalPending reports whether e is a claim of this process whose withdrawal isn't stored yet.
-func (b *Book) withdrawalPending(e Entry) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	own, ok := b.ownClaims[e.ID]
+func (reg *Registry) withdrawalPending(e Entry) bool {
+	reg.mu.Lock()
+	defer reg.mu.Unlock()
+	own, ok := reg.ownClaims[e.ID]
 
 	return ok && own.Token == e.Token && own.State == Withdrawn
 }
 
-func (b *Book) addOwn(e Entry) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.ownClaims[e.ID] = e
+func (reg *Registry) addOwn(e Entry) {
+	reg.mu.Lock()
+	defer reg.mu.Unlock()
+	reg.ownClaims[e.ID] = e
 }
 
 // removeOwn removes a claim whose outcome is stored, unless the ID was claimed again since.
-func (b *Book) removeOwn(e Entry) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.ownClaims[e.ID].Token == e.Token {
-		delete(b.ownClaims, e.ID)
+func (reg *Registry) removeOwn(e Entry) {
+	reg.mu.Lock()
+	defer reg.mu.Unlock()
+	if reg.ownClaims[e.ID].Token == e.Token {
+		delete(reg.ownClaims, e.ID)
 	}
 }
 
-func (b *Book) shardOf(id uuid.UUID) *shard {
+func (reg *Registry) shardOf(id uuid.UUID) *shard {
 	sum := fnv.New32a()
 	_, _ = sum.Write(id[:])
 
-	return b.shards[sum.Sum32()%shardCount]
+	return reg.shards[sum.Sum32()%shardCount]
 }
--- a/claim/shard.go
+++ b/claim/shard.go
@@ -42,9 +42,9 @@
 
 // shard is the client side of one shard: its claims and outcomes that are yet to be written.
 type shard struct {
-	book *Book
-	key  string
-	wake chan struct{}
+	registry *Registry
+	key      string
+	wake     chan struct{}
 	// flushing serialises flushes; it holds a value during a flush.
 	flushing chan struct{}
 
@@ -64,9 +64,9 @@
 	lastRevision uint64
 }
 
-func newShard(b *Book, i int) *shard {
+func newShard(b *Registry, i int) *shard {
 	return &shard{
-		book: b, key: fmt.Sprintf("claim/%d", i), wake: make(chan struct{}, 1), flushing: make(chan struct{}, 1),
+		registry: b, key: fmt.Sprintf("claim/%d", i), wake: make(chan struct{}, 1), flushing: make(chan struct{}, 1),
 		cache: map[uint64][]Entry{},
 	}
 }
@@ -106,7 +106,7 @@
 
 // run writes pending claims and outcomes, at most once per WriteInterval except after conflicts.
 func (s *shard) run(ctx context.Context) {
-	ticker := time.NewTicker(s.book.timing.OutcomeInterval)
+	ticker := time.NewTicker(s.registry.timing.OutcomeInterval)
 	defer ticker.Stop()
 	for {
 		select {
@@ -119,7 +119,7 @@
 			continue
 		}
 
-		next := time.Now().Add(s.book.timing.WriteInterval)
+		next := time.Now().Add(s.registry.timing.WriteInterval)
 		if err := s.flush(ctx); err != nil {
 			s.signal()
 			if errors.Is(err, store.ErrConflict) {
@@ -194,13 +194,13 @@
 	added = append(append(added, withdrawals...), claims...)
 
 	next := head
-	if len(next.Entries) > 0 && next.size() >= s.book.timing.SealThreshold {
+	if len(next.Entries) > 0 && next.size() >= s.registry.timing.SealThreshold {
 		if err := s.seal(ctx, head, revision); err != nil {
 			return err
 		}
 		next = next.WithSealed(revision)
 	}
-	next, removed := next.WithoutExpired(time.Now().Add(-s.book.timing.Retention - 2*s.book.timing.MaxSkew).UnixMilli())
+	next, removed := next.WithoutExpired(time.Now().Add(-s.registry.timing.Retention - 2*s.registry.timing.MaxSkew).UnixMilli())
 	for _, e := range added {
 		next = next.With(e)
 	}
@@ -250,10 +250,10 @@
 }
 
 func (s *shard) get(ctx context.Context, key string) (store.Record, error) {
-	call, cancel := context.WithTimeout(ctx, s.book.timing.CallTimeout)
+	call, cancel := context.WithTimeout(ctx, s.registry.timing.CallTimeout)
 	defer cancel()
 
-	return s.book.client.Get(call, key)
+	return s.registry.client.Get(call, key)
 }
 
 // nextBatch returns the claims and outcomes for the next write, bounded in size.
@@ -262,12 +262,12 @@
 	defer s.mu.Unlock()
 
 	size, n := 0, 0
-	for ; n < len(s.outcomes) && size < s.book.timing.MaxBatchSize/2; n++ {
+	for ; n < len(s.outcomes) && size < s.registry.timing.MaxBatchSize/2; n++ {
 		size += s.outcomes[n].size()
 	}
 	outcomes := slices.Clone(s.outcomes[:n])
 	n = 0
-	for ; n < len(s.waiting) && size < s.book.timing.MaxBatchSize; n++ {
+	for ; n < len(s.waiting) && size < s.registry.timing.MaxBatchSize; n++ {
 		size += s.waiting[n].entry.size()
 	}
 
@@ -374,9 +374,9 @@
 }
 
 func (s *shard) compareAndSwap(ctx context.Context, w store.Write) error {
-	call, cancel := context.WithTimeout(ctx, s.book.timing.CallTimeout)
+	call, cancel := context.WithTimeout(ctx, s.registry.timing.CallTimeout)
 	defer cancel()
-	_, err := s.book.client.CompareAndSwap(call, w)
+	_, err := s.registry.client.CompareAndSwap(call, w)
 
 	return err
 }
--- a/claim/shardsweep.go
+++ b/claim/shardsweep.go
@@ -14,7 +14,7 @@
 	s.outcomes = slices.Delete(s.outcomes, 0, len(outcomes))
 	s.mu.Unlock()
 	for _, e := range outcomes {
-		s.book.removeOwn(e)
+		s.registry.removeOwn(e)
 	}
 }
 
@@ -27,7 +27,7 @@
 			continue
 		}
 		if r.decision == granted || r.decision == alreadyGranted {
-			s.book.addOwn(w.entry)
+			s.registry.addOwn(w.entry)
 		}
 		w.answered = true
 		w.done <- r
@@ -62,13 +62,13 @@
 	if s.lastSweep.IsZero() {
 		s.lastSweep = now
 	}
-	if now.Sub(s.lastSweep) < s.book.timing.Retention {
+	if now.Sub(s.lastSweep) < s.registry.timing.Retention {
 		return nil
 	}
 
-	call, cancel := context.WithTimeout(ctx, s.book.timing.CallTimeout)
+	call, cancel := context.WithTimeout(ctx, s.registry.timing.CallTimeout)
 	defer cancel()
-	listing, err := s.book.client.List(call, s.key+"/")
+	listing, err := s.registry.client.List(call, s.key+"/")
 	if err != nil {
 		return err
 	}
--- a/entry/caller_test.go
+++ b/entry/caller_test.go
@@ -370,7 +370,7 @@
 	}
 }
 
-// TestCallerRepeatedRequest checks, with a real book of claims, that a repeated request gets the answer of the first
+// TestCallerRepeatedRequest checks, with a real registry of claims, that a repeated request gets the answer of the first
 // attempt and does not run again.
 func TestCallerRepeatedRequest(t *testing.T) {
 	echo := standin.NewEndpoint(0)
--- a/entry/callerclaim.go
+++ b/entry/callerclaim.go
@@ -41,7 +41,7 @@
 type claimFunc func(ctx context.Context, team fleet.TeamName, id string, digest [sha256.Size]byte) (claimed, error)
 
 // newClaimFunc returns a claimFunc that claims in b.
-func newClaimFunc(b *claim.Book) claimFunc {
+func newClaimFunc(b *claim.Registry) claimFunc {
 	return func(ctx context.Context, team fleet.TeamName, id string, digest [sha256.Size]byte) (claimed, error) {
 		c, err := b.Claim(ctx, team, id, digest)
 		if err != nil {
@@ -49,7 +49,7 @@
 		}
 
 		return claimed{earlier: c.Answer, settle: func(o outcome, a *claim.Answer) {
-			b.Settle(c, claim.Outcome{State: claimState(o), Answer: a})
+			b.RecordOutcome(c, claim.Outcome{State: claimState(o), Answer: a})
 		}}, nil
 	}
 }
--- a/entry/host.go
+++ b/entry/host.go
@@ -41,7 +41,7 @@
 	Control   *controlLoop
 	Cluster   *cluster
 	Limits    *limits
-	Claims    *claim.Book
+	Claims    *claim.Registry
 	Trail     *audit.Trail
 	Metrics   *operatorMetrics
 	Log       *log.Logger
--- a/entry/limits.go
+++ b/entry/limits.go
@@ -119,8 +119,8 @@
 	}
 }
 
-// newClaims returns this process's book of request ID claims.
-func newClaims(s settings.Settings, c *store.Client, l *limits) *claim.Book {
+// newClaims returns the registry of request IDs of this process.
+func newClaims(s settings.Settings, c *store.Client, l *limits) *claim.Registry {
 	timing := claim.DefaultTiming()
 	timing.MaxRequestTime = s.WithDefaults().MaxRequestTime.Std()
 	b := claim.New(c, l.holder.Self(), claim.WithTiming(timing))
--- a/entry/wire_gen.go
+++ b/entry/wire_gen.go
@@ -30,9 +30,9 @@
 	trail := newTrail(client, s, l)
 	entryControlLoop := newControlLoop(client, hostapiClient, book, entryCluster, trail, s, l)
 	entryLimits := newLimits(s, client, entryCluster, book, l)
-	claimBook := newClaims(s, client, entryLimits)
-	registry := newRegistry()
-	entryOperatorMetrics := newOperatorMetrics(registry, book, trail)
+	registry := newClaims(s, client, entryLimits)
+	prometheusRegistry := newRegistry()
+	entryOperatorMetrics := newOperatorMetrics(prometheusRegistry, book, trail)
 	entryComponents := components{
 		Settings:  s,
 		Store:     client,
@@ -44,7 +44,7 @@
 		Control:   entryControlLoop,
 		Cluster:   entryCluster,
 		Limits:    entryLimits,
-		Claims:    claimBook,
+		Claims:    registry,
 		Trail:     trail,
 		Metrics:   entryOperatorMetrics,
 		Log:       l,
