--- a/admission/controller.go
+++ b/admission/controller.go
@@ -72,10 +72,10 @@
 	enqueued chan struct{}
 }
 
-// New returns a controller for a revision book and a set of endpoints; its upper limits count this entry host's work only.
-func New(book *revision.Book, set *endpoint.Set) *Controller {
+// New returns a controller for a repository and a set of endpoints; its upper limits count this entry host's work only.
+func New(repo *revision.Repository, set *endpoint.Set) *Controller {
 	g := &Controller{
-		Current: book.Current, Fresh: book.Fresh, AcquireLimit: NewLimits(book.Current).Acquire,
+		Current: repo.Current, Fresh: repo.Fresh, AcquireLimit: NewLimits(repo.Current).Acquire,
 		AcquireSlot: set.Acquire, Fits: set.Fits, Slots: set.Slots, Total: set.Total,
 		Reserve: set.Reserve, Unreserve: set.Unreserve, reserved: map[fleet.PoolName]reservation{},
 		Reports: func() []share.Report { return nil },
--- a/entry/control.go
+++ b/entry/control.go
@@ -36,7 +36,7 @@
 
 // newControlLoop returns a control loop that follows the configuration in force.
 func newControlLoop(
-	s *store.Client, p *hostapi.Client, b *revision.Book, cl *cluster, t *audit.Trail, cfg settings.Settings, l *log.Logger,
+	s *store.Client, p *hostapi.Client, b *revision.Repository, cl *cluster, t *audit.Trail, cfg settings.Settings, l *log.Logger,
 ) *controlLoop {
 	c := &controlLoop{log: l, owns: cl.registry.Owns}
 	c.waves = wave.New(s, func() wave.Policy { return wave.NewPolicy(b.Current().Lists.Maintenance) },
@@ -55,7 +55,7 @@
 }
 
 // moveConfig returns the configuration for moves and whether it is known to be in force.
-func moveConfig(b *revision.Book, now time.Time) (move.Config, bool) {
+func moveConfig(b *revision.Repository, now time.Time) (move.Config, bool) {
 	cur := b.Current()
 
 	return move.Config{
--- a/entry/host.go
+++ b/entry/host.go
@@ -34,7 +34,7 @@
 	Settings  settings.Settings
 	Store     *store.Client
 	Platform  *hostapi.Client
-	Book      *revision.Book
+	Revisions *revision.Repository
 	Set       *endpoint.Set
 	Sender    *endpoint.Sender
 	Admission *admission.Controller
@@ -62,7 +62,7 @@
 	h := &Host{
 		components: c,
 		caller:     &callerAPI{admission: c.Admission, sender: c.Sender, log: c.Log, maxRequestTime: c.Settings.MaxRequestTime.Std()},
-		operator:   &operatorAPI{settings: c.Settings, book: c.Book, trail: c.Trail, store: c.Store, metrics: c.Metrics, log: c.Log},
+		operator:   &operatorAPI{settings: c.Settings, revisions: c.Revisions, trail: c.Trail, store: c.Store, metrics: c.Metrics, log: c.Log},
 	}
 	h.caller.claim, h.caller.maxKeptAnswer = newClaimFunc(c.Claims), claim.DefaultTiming().AnswerSize
 	h.caller.mayStart = c.Limits.holder.MayStart
@@ -100,7 +100,7 @@
 	workCtx, cancelWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancelWork()
 	var wg sync.WaitGroup
-	wg.Go(func() { h.Book.Follow(workCtx) })
+	wg.Go(func() { h.Revisions.Follow(workCtx) })
 	wg.Go(func() { h.followInventory(workCtx) })
 	wg.Go(func() { h.Trail.Run(workCtx) })
 	wg.Go(func() { h.Control.run(workCtx) })
@@ -150,7 +150,7 @@
 	if err := h.Limits.holder.Close(ctx); err != nil {
 		h.Log.Warn("parts of limits not released", "err", err)
 	}
-	if err := h.Book.Leave(ctx); err != nil {
+	if err := h.Revisions.Leave(ctx); err != nil {
 		h.Log.Warn("seat not released", "err", err)
 	}
 	if err := h.Cluster.registry.Leave(ctx); err != nil {
--- a/entry/limits.go
+++ b/entry/limits.go
@@ -33,11 +33,11 @@
 
 // limits counts running work against the upper limits and endpoint slots that all entry hosts share.
 type limits struct {
-	holder  *allotment.Holder
-	book    *revision.Book
-	cluster *cluster
-	store   *store.Client
-	log     *log.Logger
+	holder    *allotment.Holder
+	revisions *revision.Repository
+	cluster   *cluster
+	store     *store.Client
+	log       *log.Logger
 
 	timing allotment.Timing
 	// seatedSince is the time from which this process has had a seat without a break; nil while it has none.
@@ -55,7 +55,7 @@
 }
 
 // newLimits returns limits whose holder uses the configuration, the members and the peers.
-func newLimits(s settings.Settings, c *store.Client, cl *cluster, b *revision.Book, l *log.Logger) *limits {
+func newLimits(s settings.Settings, c *store.Client, cl *cluster, b *revision.Repository, l *log.Logger) *limits {
 	timing := allotment.DefaultTiming()
 	timing.LeaseTTL = member.DefaultLeaseTTL
 	timing.FreshFor = member.DefaultFreshFor
@@ -63,7 +63,7 @@
 
 	lm := &limits{
 		holder: allotment.New(c, cl.mesh.Self().Incarnation, allotment.WithTiming(timing)),
-		timing: timing, book: b, cluster: cl, store: c, log: l, slots: map[fleet.PoolName]map[string]fleet.Resources{},
+		timing: timing, revisions: b, cluster: cl, store: c, log: l, slots: map[fleet.PoolName]map[string]fleet.Resources{},
 	}
 	lm.membership.Store(&allotment.Membership{})
 	lm.teams.Store(&map[fleet.TeamName]limitKeys{})
@@ -82,7 +82,7 @@
 // licensed reports whether no other process can have reclaimed this process's parts: its lease is certain to be valid,
 // or no process that could see the lease lapse reaches the store.
 func (l *limits) licensed(now time.Time) bool {
-	return l.cluster.leaseHolds(now) || l.book.Licensed(now) && l.book.StoreLost(now)
+	return l.cluster.leaseHolds(now) || l.revisions.Licensed(now) && l.revisions.StoreLost(now)
 }
 
 // absent reads the members from the store and reports whether none has incarnation i.
@@ -111,7 +111,7 @@
 
 // updateSeatedSince sets seatedSince when this process gets a seat and clears it when the seat is lost.
 func (l *limits) updateSeatedSince(now time.Time) {
-	switch seated := l.book.Seated(); {
+	switch seated := l.revisions.Seated(); {
 	case !seated:
 		l.seatedSince.Store(nil)
 	case l.seatedSince.Load() == nil:
@@ -171,7 +171,7 @@
 func (l *limits) followRevisions(ctx context.Context) {
 	seen := uint64(0)
 	for ctx.Err() == nil {
-		if cur := l.book.Current(); cur.Number > seen {
+		if cur := l.revisions.Current(); cur.Number > seen {
 			seen = cur.Number
 			l.applyLimits(cur)
 		}
--- a/entry/operator.go
+++ b/entry/operator.go
@@ -77,12 +77,12 @@
 
 // operatorAPI serves the operator API.
 type operatorAPI struct {
-	settings settings.Settings
-	book     *revision.Book
-	trail    *audit.Trail
-	store    *store.Client
-	metrics  *operatorMetrics
-	log      *log.Logger
+	settings  settings.Settings
+	revisions *revision.Repository
+	trail     *audit.Trail
+	store     *store.Client
+	metrics   *operatorMetrics
+	log       *log.Logger
 	// stopping reports whether the entry host is shutting down.
 	stopping func() bool
 	// entries returns the revision that each entry host is known to have in force, this entry host first.
@@ -219,7 +219,7 @@
 	switch {
 	case a.stopping():
 		http.Error(w, "stopping", http.StatusServiceUnavailable)
-	case !a.book.Fresh(time.Now()):
+	case !a.revisions.Fresh(time.Now()):
 		http.Error(w, "the configuration was not confirmed recently", http.StatusServiceUnavailable)
 	default:
 		_, _ = io.WriteString(w, "ready\n")
--- a/entry/operator_test.go
+++ b/entry/operator_test.go
@@ -54,7 +54,7 @@
 		settings: settings.Settings{Name: "entry-1", Operators: []settings.Operator{
 			{Name: "wanjiru", TokenHash: hash}, {Name: "kiri", TokenHash: other},
 		}},
-		book: b, trail: trail, store: c, metrics: newOperatorMetrics(newRegistry(), b, trail), log: log.New(io.Discard),
+		revisions: b, trail: trail, store: c, metrics: newOperatorMetrics(newRegistry(), b, trail), log: log.New(io.Discard),
 		stopping: func() bool { return o.stopped },
 	}
 	o.api.entries = o.api.entryStatuses
@@ -160,7 +160,7 @@
 			t.Errorf("%s (-want +got):\n%s", tt.name, diff)
 		}
 	}
-	if n := o.api.book.Current().Number; n != 1 {
+	if n := o.api.revisions.Current().Number; n != 1 {
 		t.Errorf("revision %d is in force after refusals, want 1", n)
 	}
 }
@@ -193,7 +193,7 @@
 	var first, second giveKeyAnswer
 	o.do("POST", "/v1/keys", `{"Team": "postings"}`, &first)
 	o.do("POST", "/v1/keys", `{"Team": "postings"}`, &second)
-	if k, err := o.api.book.Current().Keys.Match(first.Secret); err != nil || k.ID != first.ID || first.ID == second.ID {
+	if k, err := o.api.revisions.Current().Keys.Match(first.Secret); err != nil || k.ID != first.ID || first.ID == second.ID {
 		t.Errorf("the secret that was shown is of key %q, %v", k.ID, err)
 	}
 	var accepted acceptedAnswer
@@ -268,7 +268,7 @@
 	if status := o.putLists(); status != http.StatusOK {
 		t.Errorf("the repeated edit answered %d", status)
 	}
-	if n := o.api.book.Current().Number; n != 1 {
+	if n := o.api.revisions.Current().Number; n != 1 {
 		t.Errorf("revision %d is in force, want 1", n)
 	}
 	if err := o.api.trail.Flush(t.Context()); err != nil {
@@ -340,7 +340,7 @@
 	if status := o.do("POST", "/v1/lists/customers", share(7), &merged); status != http.StatusOK || merged.Revision != 3 {
 		t.Fatalf("edit of another entry answered %d %+v", status, merged)
 	}
-	cur := o.api.book.Current()
+	cur := o.api.revisions.Current()
 	if _, kept := cur.Tables.Customers.Get("nairobi"); !kept {
 		t.Error("the first edit is lost")
 	}
@@ -382,7 +382,7 @@
 	if status := o.do("POST", "/v1/revisions/1/restore", "", &restored); status != http.StatusOK || restored.Revision != 5 || len(restored.Changes) != 1 {
 		t.Errorf("restore answered %d %+v", status, restored)
 	}
-	cur := o.api.book.Current()
+	cur := o.api.revisions.Current()
 	if tm, _ := cur.Tables.Teams.Get("postings"); tm.Share != 1 || len(cur.Keys.Keys()) != 0 {
 		t.Errorf("share %d with %d keys, want 1 and the withdrawn key withdrawn", tm.Share, len(cur.Keys.Keys()))
 	}
--- a/entry/operatorkeys.go
+++ b/entry/operatorkeys.go
@@ -44,7 +44,7 @@
 }
 
 func (a *operatorAPI) listKeys(r *restful.Request, w *restful.Response) {
-	cur := a.book.Current()
+	cur := a.revisions.Current()
 	keys := cur.Keys.Keys()
 	if team := r.QueryParameter("team"); team != "" {
 		keys = cur.Keys.OfTeam(fleet.TeamName(team))
@@ -65,7 +65,7 @@
 
 	k, secret := key.Issue(req.Team, time.Now().UTC())
 	base := uint64(0)
-	next, err := a.book.ApplyAs(r.Request.Context(), operatorOf(r), func(cur revision.Revision) (revision.Revision, error) {
+	next, err := a.revisions.ApplyAs(r.Request.Context(), operatorOf(r), func(cur revision.Revision) (revision.Revision, error) {
 		base = cur.Number
 		if _, ok := cur.Tables.Teams.Get(req.Team); !ok {
 			return cur, &operatorError{Code: codeNotFound, Reason: "no customer has a team " + string(req.Team)}
@@ -88,7 +88,7 @@
 	id := key.ID(r.PathParameter("id"))
 	var withdrawn key.Key
 	base := uint64(0)
-	next, err := a.book.ApplyAs(r.Request.Context(), operatorOf(r), func(cur revision.Revision) (revision.Revision, error) {
+	next, err := a.revisions.ApplyAs(r.Request.Context(), operatorOf(r), func(cur revision.Revision) (revision.Revision, error) {
 		var ok bool
 		base = cur.Number
 		if withdrawn, ok = cur.Keys.Get(id); !ok {
--- a/entry/operatorlists.go
+++ b/entry/operatorlists.go
@@ -47,7 +47,7 @@
 }
 
 func (a *operatorAPI) getLists(_ *restful.Request, w *restful.Response) {
-	cur := a.book.Current()
+	cur := a.revisions.Current()
 	writeJSON(w, http.StatusOK, listsDocument{Base: cur.Number, Lists: cur.Lists})
 }
 
@@ -86,7 +86,7 @@
 	var changes []plan.Change
 	unchanged := uint64(0)
 	ctx, who := r.Request.Context(), operatorOf(r)
-	next, err := a.book.ApplyAs(ctx, who, func(cur revision.Revision) (revision.Revision, error) {
+	next, err := a.revisions.ApplyAs(ctx, who, func(cur revision.Revision) (revision.Revision, error) {
 		unchanged = 0
 		if len(plan.Diff(cur.Lists, edit(cur.Lists))) == 0 {
 			unchanged = cur.Number
@@ -125,7 +125,7 @@
 	}
 
 	conflict := &operatorError{Code: codeConflict, Revision: cur.Number, Changes: plan.Diff(cur.Lists, edit(cur.Lists))}
-	from, err := a.book.At(ctx, base)
+	from, err := a.revisions.At(ctx, base)
 	if errors.Is(err, revision.ErrNoSuchRevision) {
 		conflict.Reason = fmt.Sprintf("the edit was made from revision %d, which the history does not have", base)
 		return plan.Lists{}, conflict
--- a/entry/operatormetrics.go
+++ b/entry/operatormetrics.go
@@ -27,7 +27,7 @@
 	return r
 }
 
-func newOperatorMetrics(r *prometheus.Registry, b *revision.Book, t *audit.Trail) *operatorMetrics {
+func newOperatorMetrics(r *prometheus.Registry, b *revision.Repository, t *audit.Trail) *operatorMetrics {
 	m := &operatorMetrics{
 		registry: r,
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
--- a/entry/operatorrevisions.go
+++ b/entry/operatorrevisions.go
@@ -35,7 +35,7 @@
 
 func (a *operatorAPI) listRevisions(_ *restful.Request, w *restful.Response) {
 	answer := revisionsAnswer{Revisions: []revisionAnswer{}}
-	for _, e := range a.book.History() {
+	for _, e := range a.revisions.History() {
 		answer.Revisions = append(answer.Revisions, revisionAnswer{Number: e.Number, By: e.By, At: e.At})
 	}
 	writeJSON(w, http.StatusOK, answer)
@@ -47,7 +47,7 @@
 		a.fail(w, err)
 		return
 	}
-	rev, err := a.book.At(r.Request.Context(), number)
+	rev, err := a.revisions.At(r.Request.Context(), number)
 	if err != nil {
 		a.fail(w, err)
 		return
@@ -65,8 +65,8 @@
 
 	var changes []plan.Change
 	ctx, who, base := r.Request.Context(), operatorOf(r), uint64(0)
-	next, err := a.book.ApplyAs(ctx, who, func(cur revision.Revision) (revision.Revision, error) {
-		old, err := a.book.At(ctx, number)
+	next, err := a.revisions.ApplyAs(ctx, who, func(cur revision.Revision) (revision.Revision, error) {
+		old, err := a.revisions.At(ctx, number)
 		if err != nil {
 			return cur, err
 		}
--- a/entry/operatorstatus.go
+++ b/entry/operatorstatus.go
@@ -67,10 +67,10 @@
 }
 
 func (a *operatorAPI) getStatus(_ *restful.Request, w *restful.Response) {
-	now, cur := time.Now(), a.book.Current()
+	now, cur := time.Now(), a.revisions.Current()
 	s := statusAnswer{
 		Name: a.settings.Name, Region: a.settings.Region, Zone: a.settings.Zone,
-		Revision: cur.Number, Fresh: a.book.Fresh(now), Stopping: a.stopping(), Entries: a.entries(now), Audit: a.trail.Counts(),
+		Revision: cur.Number, Fresh: a.revisions.Fresh(now), Stopping: a.stopping(), Entries: a.entries(now), Audit: a.trail.Counts(),
 	}
 
 	served := map[fleet.PoolName][]fleet.QueueName{}
@@ -100,9 +100,9 @@
 // entryStatuses returns the status of this entry host, and for each other entry host whether it has put the same
 // revision in force.
 func (a *operatorAPI) entryStatuses(now time.Time) []entryStatus {
-	cur := a.book.Current().Number
-	entries := []entryStatus{{Name: a.settings.Name, Revision: cur, InForce: a.book.Fresh(now)}}
-	others := a.book.InForce(cur)
+	cur := a.revisions.Current().Number
+	entries := []entryStatus{{Name: a.settings.Name, Revision: cur, InForce: a.revisions.Fresh(now)}}
+	others := a.revisions.InForce(cur)
 	delete(others, a.settings.Name)
 	for _, name := range slices.Sorted(maps.Keys(others)) {
 		e := entryStatus{Name: name, InForce: others[name]}
--- a/entry/providers.go
+++ b/entry/providers.go
@@ -26,7 +26,7 @@
 	return hostapi.Dial(s.PlatformAddress, platformTimeout)
 }
 
-func newBook(c *store.Client, cl *cluster) *revision.Book {
+func newRepository(c *store.Client, cl *cluster) *revision.Repository {
 	return revision.New(c, revision.WithPeers(cl.mesh, cl.registry))
 }
 
--- a/entry/wire_gen.go
+++ b/entry/wire_gen.go
@@ -23,21 +23,21 @@
 	if err != nil {
 		return nil, err
 	}
-	book := newBook(client, entryCluster)
+	repository := newRepository(client, entryCluster)
 	set := endpoint.NewSet()
 	sender := newSender()
-	controller := admission.New(book, set)
+	controller := admission.New(repository, set)
 	trail := newTrail(client, s, l)
-	entryControlLoop := newControlLoop(client, hostapiClient, book, entryCluster, trail, s, l)
-	entryLimits := newLimits(s, client, entryCluster, book, l)
+	entryControlLoop := newControlLoop(client, hostapiClient, repository, entryCluster, trail, s, l)
+	entryLimits := newLimits(s, client, entryCluster, repository, l)
 	registry := newClaims(s, client, entryLimits)
 	prometheusRegistry := newRegistry()
-	entryOperatorMetrics := newOperatorMetrics(prometheusRegistry, book, trail)
+	entryOperatorMetrics := newOperatorMetrics(prometheusRegistry, repository, trail)
 	entryComponents := components{
 		Settings:  s,
 		Store:     client,
 		Platform:  hostapiClient,
-		Book:      book,
+		Revisions: repository,
 		Set:       set,
 		Sender:    sender,
 		Admission: controller,
--- a/revision/collect.go
+++ b/revision/collect.go
@@ -22,16 +22,16 @@
 // A part is deleted only if its last write is older than the head, and by a compare-and-swap on that write. An edit in progress
 // writes its parts after reading the head, so either its parts are newer than the head read here, or a newer head was written
 // in the meantime and the edit fails.
-func (b *Book) collectGarbage(ctx context.Context) {
-	if b.registry != nil && !b.registry.Owns(collectKey) || !b.Seated() {
+func (repo *Repository) collectGarbage(ctx context.Context) {
+	if repo.registry != nil && !repo.registry.Owns(collectKey) || !repo.Seated() {
 		return
 	}
-	l, err := b.client.List(ctx, partPrefix)
+	l, err := repo.client.List(ctx, partPrefix)
 	if err != nil {
 		return
 	}
 	// Read the head after listing the parts, so that its history covers every part in the list.
-	r, err := b.client.Get(ctx, headKey)
+	r, err := repo.client.Get(ctx, headKey)
 	if err != nil {
 		return
 	}
@@ -48,7 +48,7 @@
 		if used[hash(strings.TrimPrefix(p.Key, partPrefix))] || p.Revision > r.Revision {
 			continue
 		}
-		_, err := b.client.CompareAndSwap(ctx, store.Write{Key: p.Key, Base: p.Revision, Delete: true})
+		_, err := repo.client.CompareAndSwap(ctx, store.Write{Key: p.Key, Base: p.Revision, Delete: true})
 		if err != nil && !errors.Is(err, store.ErrConflict) {
 			return
 		}
--- a/revision/edit.go
+++ b/revision/edit.go
@@ -63,30 +63,30 @@
 }
 
 // Apply applies an edit to the revision in force and returns the accepted revision.
-func (b *Book) Apply(ctx context.Context, edit Edit) (Revision, error) {
-	return b.ApplyAs(ctx, "", edit)
+func (repo *Repository) Apply(ctx context.Context, edit Edit) (Revision, error) {
+	return repo.ApplyAs(ctx, "", edit)
 }
 
 // ApplyAs is like Apply and records the author in the history. An edit that changes nothing creates no revision.
 // If it returns store.ErrOutcomeUnknown, the edit may or may not come into force.
-func (b *Book) ApplyAs(ctx context.Context, author string, edit Edit) (Revision, error) {
-	if err := b.writeMu.lock(ctx); err != nil {
+func (repo *Repository) ApplyAs(ctx context.Context, author string, edit Edit) (Revision, error) {
+	if err := repo.writeMu.lock(ctx); err != nil {
 		return Revision{}, err
 	}
-	defer b.writeMu.unlock()
-	if err := b.resolveUncertainWrite(ctx); err != nil {
+	defer repo.writeMu.unlock()
+	if err := repo.resolveUncertainWrite(ctx); err != nil {
 		return Revision{}, err
 	}
-	if err := b.awaitSeat(ctx); err != nil {
+	if err := repo.awaitSeat(ctx); err != nil {
 		return Revision{}, err
 	}
 
 	for range maxAttempts {
-		accepted, err := b.attempt(ctx, author, edit)
+		accepted, err := repo.attempt(ctx, author, edit)
 		if !errors.Is(err, store.ErrConflict) {
 			return accepted, err
 		}
-		if err := b.refresh(ctx); err != nil {
+		if err := repo.refresh(ctx); err != nil {
 			return Revision{}, err
 		}
 	}
@@ -95,17 +95,17 @@
 }
 
 // Put replaces both lists with an edited version of revision base. Later edits of other entries are kept; later edits of the same entries cause a ConflictError.
-func (b *Book) Put(ctx context.Context, author string, base uint64, lists plan.Lists) (Revision, error) {
+func (repo *Repository) Put(ctx context.Context, author string, base uint64, lists plan.Lists) (Revision, error) {
 	if err := lists.Check(); err != nil {
 		return Revision{}, err
 	}
 
-	return b.ApplyAs(ctx, author, func(cur Revision) (Revision, error) {
+	return repo.ApplyAs(ctx, author, func(cur Revision) (Revision, error) {
 		if cur.Number == base {
 			return cur.WithLists(lists), nil
 		}
 		conflict := &ConflictError{Base: base, Current: cur.Number, Changes: plan.Diff(cur.Lists, lists)}
-		from, err := b.At(ctx, base)
+		from, err := repo.At(ctx, base)
 		if errors.Is(err, ErrNoSuchRevision) {
 			return cur, conflict
 		}
@@ -123,9 +123,9 @@
 }
 
 // Restore creates a revision with the lists of an earlier one. Keys are not restored, because a revoked key must stay revoked.
-func (b *Book) Restore(ctx context.Context, author string, number uint64) (Revision, error) {
-	return b.ApplyAs(ctx, author, func(cur Revision) (Revision, error) {
-		old, err := b.At(ctx, number)
+func (repo *Repository) Restore(ctx context.Context, author string, number uint64) (Revision, error) {
+	return repo.ApplyAs(ctx, author, func(cur Revision) (Revision, error) {
+		old, err := repo.At(ctx, number)
 		if err != nil {
 			return cur, err
 		}
@@ -135,18 +135,18 @@
 }
 
 // At returns the current revision or one in the history.
-func (b *Book) At(ctx context.Context, number uint64) (Revision, error) {
-	if cur := b.Current(); cur.Number == number {
+func (repo *Repository) At(ctx context.Context, number uint64) (Revision, error) {
+	if cur := repo.Current(); cur.Number == number {
 		return *cur, nil
 	}
-	b.mu.RLock()
-	h, ok := b.head.manifestHash(number)
-	b.mu.RUnlock()
+	repo.mu.RLock()
+	h, ok := repo.head.manifestHash(number)
+	repo.mu.RUnlock()
 	if !ok {
 		return Revision{}, merry.Prependf(ErrNoSuchRevision, "revision %d", number)
 	}
 
-	data, err := b.readPartFromStore(ctx, h)
+	data, err := repo.readPartFromStore(ctx, h)
 	if err != nil {
 		return Revision{}, err
 	}
@@ -154,20 +154,20 @@
 	if err := json.Unmarshal(data, &m); err != nil || hashOf(data) != h {
 		return Revision{}, merry.Prependf(ErrCorrupt, "manifest of revision %d", number)
 	}
-	parts, err := b.loadPartsUncached(ctx, m.Parts)
+	parts, err := repo.loadPartsUncached(ctx, m.Parts)
 
 	return joinParts(number, parts), err
 }
 
 // loadPartsUncached returns the parts with the hashes without caching those it reads.
-func (b *Book) loadPartsUncached(ctx context.Context, hashes []hash) ([]*part, error) {
+func (repo *Repository) loadPartsUncached(ctx context.Context, hashes []hash) ([]*part, error) {
 	parts := make([]*part, 0, len(hashes))
 	for _, h := range hashes {
-		b.mu.RLock()
-		p := b.parts[h]
-		b.mu.RUnlock()
+		repo.mu.RLock()
+		p := repo.parts[h]
+		repo.mu.RUnlock()
 		if p == nil {
-			data, err := b.readPartFromStore(ctx, h)
+			data, err := repo.readPartFromStore(ctx, h)
 			if err != nil {
 				return nil, err
 			}
@@ -182,21 +182,21 @@
 }
 
 // awaitSeat reads the head and waits up to seatTimeout until this process may write, because one that just started has no seat yet.
-func (b *Book) awaitSeat(ctx context.Context) error {
+func (repo *Repository) awaitSeat(ctx context.Context) error {
 	caller := ctx
 	ctx, cancel := context.WithTimeout(ctx, seatTimeout)
 	defer cancel()
 	for {
-		b.mu.RLock()
-		changed := b.changed
-		b.mu.RUnlock()
-		if err := b.refresh(ctx); err != nil {
+		repo.mu.RLock()
+		changed := repo.changed
+		repo.mu.RUnlock()
+		if err := repo.refresh(ctx); err != nil {
 			if ctx.Err() != nil && caller.Err() == nil {
 				return merry.Prepend(ErrNotSeated, err.Error())
 			}
 			return err
 		}
-		if b.Seated() {
+		if repo.Seated() {
 			return nil
 		}
 		select {
@@ -209,10 +209,10 @@
 }
 
 // attempt applies an edit to the current head and writes the result. It returns store.ErrConflict if another write came first.
-func (b *Book) attempt(ctx context.Context, author string, edit Edit) (Revision, error) {
-	b.mu.RLock()
-	head, base, cur := b.head, b.base, *b.Current()
-	b.mu.RUnlock()
+func (repo *Repository) attempt(ctx context.Context, author string, edit Edit) (Revision, error) {
+	repo.mu.RLock()
+	head, base, cur := repo.head, repo.base, *repo.Current()
+	repo.mu.RUnlock()
 
 	edited, err := edit(cur)
 	if err != nil {
@@ -234,30 +234,30 @@
 		return Revision{}, merry.Prepend(err, "encode manifest")
 	}
 	parts[hashOf(m)] = m
-	if err := b.writeParts(ctx, parts, head.Parts, base); err != nil {
+	if err := repo.writeParts(ctx, parts, head.Parts, base); err != nil {
 		return Revision{}, err
 	}
 	next := head.successor().withEdit(hashes, hashOf(m), author, time.Now())
 	for _, h := range hashes {
-		if _, err := b.cachePart(h, parts[h]); err != nil {
+		if _, err := repo.cachePart(h, parts[h]); err != nil {
 			return Revision{}, err
 		}
 	}
-	if err := b.writeHead(ctx, next, base); err != nil {
+	if err := repo.writeHead(ctx, next, base); err != nil {
 		return Revision{}, err
 	}
 
-	return *b.Current(), nil
+	return *repo.Current(), nil
 }
 
 // writeParts writes the parts that are not in existing, the hashes of the current head. A part that the store already has is
 // written again, so that a collector that saw it as unused fails with a conflict.
-func (b *Book) writeParts(ctx context.Context, parts map[hash][]byte, existing []hash, base uint64) error {
+func (repo *Repository) writeParts(ctx context.Context, parts map[hash][]byte, existing []hash, base uint64) error {
 	for h, data := range parts {
 		if slices.Contains(existing, h) {
 			continue
 		}
-		if err := b.writePart(ctx, h, data, base); err != nil {
+		if err := repo.writePart(ctx, h, data, base); err != nil {
 			return err
 		}
 	}
@@ -266,14 +266,14 @@
 }
 
 // writePart retries the write of a part until the part is known to be newer than the head at store revision base.
-func (b *Book) writePart(ctx context.Context, h hash, data []byte, base uint64) error {
+func (repo *Repository) writePart(ctx context.Context, h hash, data []byte, base uint64) error {
 	w := store.Write{Key: partPrefix + string(h), Value: data}
 	for range maxAttempts {
-		_, err := b.client.CompareAndSwap(ctx, w)
+		_, err := repo.client.CompareAndSwap(ctx, w)
 		if !errors.Is(err, store.ErrConflict) && !errors.Is(err, store.ErrOutcomeUnknown) {
 			return err
 		}
-		r, readErr := b.client.Get(ctx, w.Key)
+		r, readErr := repo.client.Get(ctx, w.Key)
 		switch {
 		case readErr == nil && r.Revision > base:
 			return nil
@@ -291,7 +291,7 @@
 }
 
 // writeHead replaces the head at base with next. This process makes no statement for its seats from before the write is sent until its outcome is known.
-func (b *Book) writeHead(ctx context.Context, next headRecord, base uint64) error {
+func (repo *Repository) writeHead(ctx context.Context, next headRecord, base uint64) error {
 	raw, err := json.Marshal(next)
 	if err != nil {
 		return merry.Prepend(err, "encode head")
@@ -303,36 +303,36 @@
 	ctx, cancel := context.WithTimeout(ctx, resolveTimeout)
 	defer cancel()
 	requestedAt := time.Now()
-	uncertain := b.setWriteUncertain(true)
-	written, err := b.client.CompareAndSwap(ctx, store.Write{Key: headKey, Value: raw, Base: base})
+	uncertain := repo.setWriteUncertain(true)
+	written, err := repo.client.CompareAndSwap(ctx, store.Write{Key: headKey, Value: raw, Base: base})
 	for errors.Is(err, store.ErrOutcomeUnknown) && ctx.Err() == nil {
-		written, err = b.retryHead(ctx, next.Token, raw, base)
+		written, err = repo.retryHead(ctx, next.Token, raw, base)
 	}
 	if errors.Is(err, store.ErrUnavailable) {
-		b.setWriteUncertain(uncertain)
+		repo.setWriteUncertain(uncertain)
 	}
 	if err != nil {
 		return err
 	}
 	// ErrStale means that a later head was already accepted, and this write took effect before that head.
-	if err := b.acceptHead(ctx, raw, written, requestedAt, b.readPartFromStore); err != nil && !errors.Is(err, ErrStale) {
+	if err := repo.acceptHead(ctx, raw, written, requestedAt, repo.readPartFromStore); err != nil && !errors.Is(err, ErrStale) {
 		return err
 	}
-	b.offer(ctx)
+	repo.offer(ctx)
 
 	return nil
 }
 
 // retryHead checks whether a head write whose answer was lost took effect, and writes the head again if the store is still at base.
-func (b *Book) retryHead(ctx context.Context, token uuid.UUID, raw []byte, base uint64) (uint64, error) {
+func (repo *Repository) retryHead(ctx context.Context, token uuid.UUID, raw []byte, base uint64) (uint64, error) {
 	pause.For(ctx, jitter(retryDelay/4))
-	r, err := b.client.Get(ctx, headKey)
+	r, err := repo.client.Get(ctx, headKey)
 	if err != nil && !isNotFound(err) {
 		// The outcome stays unknown, because the write may still arrive at the store.
 		return 0, merry.Prepend(store.ErrOutcomeUnknown, err.Error())
 	}
 	if r.Revision == base {
-		written, err := b.client.CompareAndSwap(ctx, store.Write{Key: headKey, Value: raw, Base: base})
+		written, err := repo.client.CompareAndSwap(ctx, store.Write{Key: headKey, Value: raw, Base: base})
 		if errors.Is(err, store.ErrUnavailable) || errors.Is(err, store.ErrConflict) {
 			err = merry.Prepend(store.ErrOutcomeUnknown, err.Error())
 		}
@@ -349,45 +349,45 @@
 	}
 	if h.Token != token {
 		// The edit took effect and another followed, so accept the newer head instead.
-		return r.Revision, b.acceptHead(ctx, r.Value, r.Revision, time.Time{}, b.readPartFromStore)
+		return r.Revision, repo.acceptHead(ctx, r.Value, r.Revision, time.Time{}, repo.readPartFromStore)
 	}
 
 	return r.Revision, nil
 }
 
 // setWriteUncertain records whether a head write has an unknown outcome and returns the previous value.
-func (b *Book) setWriteUncertain(uncertain bool) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	before := b.standing.Doubt()
-	b.standing = b.standing.WithDoubt(uncertain)
+func (repo *Repository) setWriteUncertain(uncertain bool) bool {
+	repo.mu.Lock()
+	defer repo.mu.Unlock()
+	before := repo.standing.Doubt()
+	repo.standing = repo.standing.WithDoubt(uncertain)
 
 	return before
 }
 
 // resolveUncertainWrite ends the uncertainty about an earlier head write: it reads the head and, if no head has replaced the base of that
 // write, writes one itself.
-func (b *Book) resolveUncertainWrite(ctx context.Context) error {
-	b.mu.RLock()
-	uncertain := b.standing.Doubt()
-	b.mu.RUnlock()
+func (repo *Repository) resolveUncertainWrite(ctx context.Context) error {
+	repo.mu.RLock()
+	uncertain := repo.standing.Doubt()
+	repo.mu.RUnlock()
 	if !uncertain {
 		return nil
 	}
-	if err := b.refresh(ctx); err != nil {
+	if err := repo.refresh(ctx); err != nil {
 		return err
 	}
-	b.mu.RLock()
-	uncertain, head, base := b.standing.Doubt(), b.head, b.base
-	b.mu.RUnlock()
+	repo.mu.RLock()
+	uncertain, head, base := repo.standing.Doubt(), repo.head, repo.base
+	repo.mu.RUnlock()
 	if !uncertain {
 		return nil
 	}
 
 	// The uncertain write and this one have the same base, so only one of them can take effect.
-	err := b.writeHead(ctx, head.successor(), base)
+	err := repo.writeHead(ctx, head.successor(), base)
 	if errors.Is(err, store.ErrConflict) {
-		return b.refresh(ctx)
+		return repo.refresh(ctx)
 	}
 
 	return err
--- a/revision/exchange.go
+++ b/revision/exchange.go
@@ -47,91 +47,91 @@
 	Number uint64
 }
 
-// registerHandlers registers the book with the peer mesh and the member registry.
-func (b *Book) registerHandlers() {
-	peer.Handle(b.mesh, kindHead, b.handleHead)
-	peer.Handle(b.mesh, kindPart, b.handlePart)
-	peer.Handle(b.mesh, kindOffer, b.handleOffer)
-	peer.Handle(b.mesh, kindSeat, b.handleSeat)
-	b.mesh.SetStatus(b.status)
-	b.mesh.OnHeard(b.heard)
-	b.registry.OnRenewed(func(seat member.Seat, requestedAt time.Time) {
-		b.mu.Lock()
-		defer b.mu.Unlock()
-		b.standing = b.standing.WithSeat(seat, requestedAt)
+// registerHandlers registers the repository with the peer mesh and the member registry.
+func (repo *Repository) registerHandlers() {
+	peer.Handle(repo.mesh, kindHead, repo.handleHead)
+	peer.Handle(repo.mesh, kindPart, repo.handlePart)
+	peer.Handle(repo.mesh, kindOffer, repo.handleOffer)
+	peer.Handle(repo.mesh, kindSeat, repo.handleSeat)
+	repo.mesh.SetStatus(repo.status)
+	repo.mesh.OnHeard(repo.heard)
+	repo.registry.OnRenewed(func(seat member.Seat, requestedAt time.Time) {
+		repo.mu.Lock()
+		defer repo.mu.Unlock()
+		repo.standing = repo.standing.WithSeat(seat, requestedAt)
 	})
 }
 
-// status returns the book's part of the heartbeat status.
-func (b *Book) status() peer.Status {
-	members := b.registry.Members()
-	b.mu.RLock()
-	defer b.mu.RUnlock()
-	st := b.standing.Status(time.Now())
-	st.Revision, st.StoreReachable, st.View = b.head.Number, b.storeReachable, member.View(members)
+// status returns the repository's part of the heartbeat status.
+func (repo *Repository) status() peer.Status {
+	members := repo.registry.Members()
+	repo.mu.RLock()
+	defer repo.mu.RUnlock()
+	st := repo.standing.Status(time.Now())
+	st.Revision, st.StoreReachable, st.View = repo.head.Number, repo.storeReachable, member.View(members)
 
 	return st
 }
 
 // heard processes a peer's heartbeat status. A newer head is fetched from the peer first.
-func (b *Book) heard(h peer.Heard) {
-	b.recordInForce(h.From.Name, h.Status.Revision)
-	b.mu.RLock()
-	newer := h.Status.Generation > b.head.Generation
-	b.mu.RUnlock()
+func (repo *Repository) heard(h peer.Heard) {
+	repo.recordInForce(h.From.Name, h.Status.Revision)
+	repo.mu.RLock()
+	newer := h.Status.Generation > repo.head.Generation
+	repo.mu.RUnlock()
 	if newer {
 		ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 		defer cancel()
-		if err := b.fetchFrom(ctx, h.From); err != nil {
+		if err := repo.fetchFrom(ctx, h.From); err != nil {
 			return
 		}
 	}
 
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.standing = b.standing.WithHeard(h)
+	repo.mu.Lock()
+	defer repo.mu.Unlock()
+	repo.standing = repo.standing.WithHeard(h)
 }
 
 // fetchFrom fetches a peer's head and the parts that are not cached.
-func (b *Book) fetchFrom(ctx context.Context, from peer.Peer) error {
-	if err := b.fetchMu.lock(ctx); err != nil {
+func (repo *Repository) fetchFrom(ctx context.Context, from peer.Peer) error {
+	if err := repo.fetchMu.lock(ctx); err != nil {
 		return err
 	}
-	defer b.fetchMu.unlock()
-	msg, err := peer.Call[headMessage](ctx, b.mesh, from.Name, kindHead, headRequest{})
+	defer repo.fetchMu.unlock()
+	msg, err := peer.Call[headMessage](ctx, repo.mesh, from.Name, kindHead, headRequest{})
 	if err != nil {
 		return err
 	}
 
-	return b.acceptHead(ctx, msg.Raw, msg.Base, time.Time{}, b.readPartsFromPeer(from.Name))
+	return repo.acceptHead(ctx, msg.Raw, msg.Base, time.Time{}, repo.readPartsFromPeer(from.Name))
 }
 
 // readPartsFromPeer returns a reader that asks the peer for a part, and reads it from the store if the peer lacks it or cannot be reached.
-func (b *Book) readPartsFromPeer(name fleet.EntryName) partReader {
+func (repo *Repository) readPartsFromPeer(name fleet.EntryName) partReader {
 	return func(ctx context.Context, h hash) ([]byte, error) {
-		a, err := peer.Call[partResponse](ctx, b.mesh, name, kindPart, partRequest{Hash: string(h)})
+		a, err := peer.Call[partResponse](ctx, repo.mesh, name, kindPart, partRequest{Hash: string(h)})
 		if err == nil && hashOf(a.Data) == h {
 			return a.Data, nil
 		}
 
-		return b.readPartFromStore(ctx, h)
+		return repo.readPartFromStore(ctx, h)
 	}
 }
 
-func (b *Book) handleHead(context.Context, peer.Peer, headRequest) (headMessage, error) {
-	b.mu.RLock()
-	defer b.mu.RUnlock()
-	if b.head.Generation == 0 {
+func (repo *Repository) handleHead(context.Context, peer.Peer, headRequest) (headMessage, error) {
+	repo.mu.RLock()
+	defer repo.mu.RUnlock()
+	if repo.head.Generation == 0 {
 		return headMessage{}, merry.Prepend(ErrNoSuchRevision, "no head")
 	}
 
-	return headMessage{Raw: b.raw, Base: b.base}, nil
+	return headMessage{Raw: repo.raw, Base: repo.base}, nil
 }
 
-func (b *Book) handlePart(_ context.Context, _ peer.Peer, req partRequest) (partResponse, error) {
-	b.mu.RLock()
-	defer b.mu.RUnlock()
-	data, ok := b.partData[hash(req.Hash)]
+func (repo *Repository) handlePart(_ context.Context, _ peer.Peer, req partRequest) (partResponse, error) {
+	repo.mu.RLock()
+	defer repo.mu.RUnlock()
+	data, ok := repo.partData[hash(req.Hash)]
 	if !ok {
 		return partResponse{}, merry.Prepend(ErrNoSuchRevision, "part "+req.Hash)
 	}
@@ -140,29 +140,29 @@
 }
 
 // offer sends the head that this process wrote to every peer, along with the parts it added.
-func (b *Book) offer(ctx context.Context) {
-	if b.mesh == nil {
+func (repo *Repository) offer(ctx context.Context) {
+	if repo.mesh == nil {
 		return
 	}
-	b.mu.RLock()
-	msg := headMessage{Raw: b.raw, Base: b.base, Parts: map[string][]byte{}}
+	repo.mu.RLock()
+	msg := headMessage{Raw: repo.raw, Base: repo.base, Parts: map[string][]byte{}}
 	size := 0
-	for _, h := range b.addedParts {
-		if size += len(b.partData[h]); size > maxOfferSize {
+	for _, h := range repo.addedParts {
+		if size += len(repo.partData[h]); size > maxOfferSize {
 			break
 		}
-		msg.Parts[string(h)] = b.partData[h]
+		msg.Parts[string(h)] = repo.partData[h]
 	}
-	b.mu.RUnlock()
+	repo.mu.RUnlock()
 
 	// A peer that misses the offer learns of the head from heartbeats and from the store.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), peer.DefaultTimeout)
 	var wg sync.WaitGroup
-	for _, p := range b.mesh.Peers() {
+	for _, p := range repo.mesh.Peers() {
 		wg.Go(func() {
-			a, err := peer.Call[offerResponse](ctx, b.mesh, p.Name, kindOffer, msg)
+			a, err := peer.Call[offerResponse](ctx, repo.mesh, p.Name, kindOffer, msg)
 			if err == nil {
-				b.recordInForce(p.Name, a.Number)
+				repo.recordInForce(p.Name, a.Number)
 			}
 		})
 	}
@@ -176,62 +176,62 @@
 const offerTimeout = 2 * time.Second
 
 // handleOffer accepts a head sent by its writer. An offer does not confirm that the head is still in force, because it may arrive late.
-func (b *Book) handleOffer(ctx context.Context, from peer.Peer, msg headMessage) (offerResponse, error) {
+func (repo *Repository) handleOffer(ctx context.Context, from peer.Peer, msg headMessage) (offerResponse, error) {
 	// Parts may have to be read from the store, which may never answer.
 	ctx, cancel := context.WithTimeout(ctx, offerTimeout)
 	defer cancel()
 
-	err := b.acceptHead(ctx, msg.Raw, msg.Base, time.Time{}, func(ctx context.Context, h hash) ([]byte, error) {
+	err := repo.acceptHead(ctx, msg.Raw, msg.Base, time.Time{}, func(ctx context.Context, h hash) ([]byte, error) {
 		if data, ok := msg.Parts[string(h)]; ok {
 			return data, nil
 		}
 
-		return b.readPartsFromPeer(from.Name)(ctx, h)
+		return repo.readPartsFromPeer(from.Name)(ctx, h)
 	})
 	if err != nil && !errors.Is(err, ErrStale) {
 		return offerResponse{}, err
 	}
 
-	return offerResponse{Number: b.Current().Number}, nil
+	return offerResponse{Number: repo.Current().Number}, nil
 }
 
 // recordInForce records that an entry host has put a revision in force.
-func (b *Book) recordInForce(name fleet.EntryName, number uint64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if number <= b.inForce[name] {
+func (repo *Repository) recordInForce(name fleet.EntryName, number uint64) {
+	repo.mu.Lock()
+	defer repo.mu.Unlock()
+	if number <= repo.inForce[name] {
 		return
 	}
-	b.inForce[name] = number
-	close(b.changed)
-	b.changed = make(chan struct{})
+	repo.inForce[name] = number
+	close(repo.changed)
+	repo.changed = make(chan struct{})
 }
 
 // InForce reports for each member whether it has put the numbered revision or a later one in force.
-func (b *Book) InForce(number uint64) map[fleet.EntryName]bool {
-	b.mu.RLock()
-	defer b.mu.RUnlock()
-	if b.registry == nil {
+func (repo *Repository) InForce(number uint64) map[fleet.EntryName]bool {
+	repo.mu.RLock()
+	defer repo.mu.RUnlock()
+	if repo.registry == nil {
 		return nil
 	}
 
 	state := map[fleet.EntryName]bool{}
-	for _, m := range b.registry.Members() {
-		state[m.Peer.Name] = b.inForce[m.Peer.Name] >= number
+	for _, m := range repo.registry.Members() {
+		state[m.Peer.Name] = repo.inForce[m.Peer.Name] >= number
 	}
-	state[b.mesh.Self().Name] = b.Current().Number >= number
+	state[repo.mesh.Self().Name] = repo.Current().Number >= number
 
 	return state
 }
 
 // AwaitInForce waits until the numbered revision is in force on every member, and returns the members where it is not when ctx ends.
-func (b *Book) AwaitInForce(ctx context.Context, number uint64) []fleet.EntryName {
+func (repo *Repository) AwaitInForce(ctx context.Context, number uint64) []fleet.EntryName {
 	for {
-		b.mu.RLock()
-		changed := b.changed
-		b.mu.RUnlock()
+		repo.mu.RLock()
+		changed := repo.changed
+		repo.mu.RUnlock()
 		var missing []fleet.EntryName
-		for name, ok := range b.InForce(number) {
+		for name, ok := range repo.InForce(number) {
 			if !ok {
 				missing = append(missing, name)
 			}
--- a/revision/fetch.go
+++ b/revision/fetch.go
@@ -13,20 +13,20 @@
 const maxParallelReads = 8
 
 // readPartFromStore reads the encoded part from the store.
-func (b *Book) readPartFromStore(ctx context.Context, h hash) ([]byte, error) {
-	r, err := b.client.Get(ctx, partPrefix+string(h))
+func (repo *Repository) readPartFromStore(ctx context.Context, h hash) ([]byte, error) {
+	r, err := repo.client.Get(ctx, partPrefix+string(h))
 	return r.Value, err
 }
 
 // loadParts returns the parts with the hashes. Parts that are not cached are read by from and then cached.
-func (b *Book) loadParts(ctx context.Context, hashes []hash, from partReader) ([]*part, error) {
+func (repo *Repository) loadParts(ctx context.Context, hashes []hash, from partReader) ([]*part, error) {
 	parts := make([]*part, len(hashes))
 	g, ctx := errgroup.WithContext(ctx)
 	g.SetLimit(maxParallelReads)
 	for i, h := range hashes {
-		b.mu.RLock()
-		parts[i] = b.parts[h]
-		b.mu.RUnlock()
+		repo.mu.RLock()
+		parts[i] = repo.parts[h]
+		repo.mu.RUnlock()
 		if parts[i] != nil {
 			continue
 		}
@@ -35,7 +35,7 @@
 			if err != nil {
 				return err
 			}
-			parts[i], err = b.cachePart(h, data)
+			parts[i], err = repo.cachePart(h, data)
 
 			return err
 		})
@@ -45,14 +45,14 @@
 }
 
 // cachePart decodes a part and caches it for peers and later revisions.
-func (b *Book) cachePart(h hash, data []byte) (*part, error) {
+func (repo *Repository) cachePart(h hash, data []byte) (*part, error) {
 	p, err := parsePart(h, data)
 	if err != nil {
 		return nil, err
 	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.parts[h], b.partData[h] = p, data
+	repo.mu.Lock()
+	defer repo.mu.Unlock()
+	repo.parts[h], repo.partData[h] = p, data
 
 	return p, nil
 }
--- a/revision/group_test.go
+++ b/revision/group_test.go
@@ -32,7 +32,7 @@
 // host is an entry host reduced to the components that keep its revision.
 type host struct {
 	name     fleet.EntryName
-	book     *revision.Book
+	repo     *revision.Repository
 	registry *member.Registry
 	mesh     *peer.Mesh
 	stop     context.CancelFunc
@@ -80,10 +80,10 @@
 		seeds = append(seeds, other.mesh.Self().Address)
 	}
 	h.registry = member.New(client, h.mesh, "zone-a", "region-1", member.WithSeeds(seeds...))
-	h.book = revision.New(client, revision.WithPeers(h.mesh, h.registry), revision.WithOutageLimit(g.limit))
+	h.repo = revision.New(client, revision.WithPeers(h.mesh, h.registry), revision.WithOutageLimit(g.limit))
 	h.wg.Go(func() { h.mesh.Run(ctx) })
 	h.wg.Go(func() { h.registry.Run(ctx) })
-	h.wg.Go(func() { h.book.Follow(ctx) })
+	h.wg.Go(func() { h.repo.Follow(ctx) })
 	g.hosts[name] = h
 }
 
@@ -100,7 +100,7 @@
 	h := g.hosts[name]
 	ctx, cancel := context.WithTimeout(g.ctx, 10*time.Second)
 	defer cancel()
-	_ = h.book.Leave(ctx)
+	_ = h.repo.Leave(ctx)
 	g.crash(name)
 
 	g.start(name)
@@ -109,7 +109,7 @@
 func (g *group) fresh() int {
 	n := 0
 	for _, h := range g.hosts {
-		if h.book.Fresh(time.Now()) {
+		if h.repo.Fresh(time.Now()) {
 			n++
 		}
 	}
@@ -129,7 +129,7 @@
 
 func (h *host) put(t *testing.T, slots int64) revision.Revision {
 	t.Helper()
-	r, err := h.book.Put(t.Context(), "ann", h.book.Current().Number, lists(slots))
+	r, err := h.repo.Put(t.Context(), "ann", h.repo.Current().Number, lists(slots))
 	if err != nil {
 		t.Fatalf("%s: %v", h.name, err)
 	}
@@ -141,7 +141,7 @@
 func (h *host) issueKey(t *testing.T) key.ID {
 	t.Helper()
 	k, _ := key.Issue("post", time.Now())
-	_, err := h.book.Apply(t.Context(), func(cur revision.Revision) (revision.Revision, error) {
+	_, err := h.repo.Apply(t.Context(), func(cur revision.Revision) (revision.Revision, error) {
 		return cur.WithKeys(cur.Keys.With(k)), nil
 	})
 	if err != nil {
@@ -152,7 +152,7 @@
 }
 
 func (h *host) revokeKey(ctx context.Context, id key.ID) error {
-	_, err := h.book.Apply(ctx, func(cur revision.Revision) (revision.Revision, error) {
+	_, err := h.repo.Apply(ctx, func(cur revision.Revision) (revision.Revision, error) {
 		return cur.WithKeys(cur.Keys.Without(id)), nil
 	})
 
@@ -161,5 +161,5 @@
 
 // serves reports whether the entry host would accept work for the key.
 func (h *host) serves(id key.ID) bool {
-	return h.book.Fresh(time.Now()) && h.book.Current().Keys.Has(id)
+	return h.repo.Fresh(time.Now()) && h.repo.Current().Keys.Has(id)
 }
--- a/revision/property_test.go
+++ b/revision/property_test.go
@@ -28,7 +28,7 @@
 	t      *testing.T
 	random *rand.Rand
 	// newest is the newest revision seen on each process, and content the team limit seen in each revision.
-	newest  map[*revision.Book]uint64
+	newest  map[*revision.Repository]uint64
 	content map[uint64]int64
 	// refused holds the edits known to be rejected, and accepted the edits reported as accepted.
 	refused  map[int64]bool
@@ -51,7 +51,7 @@
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				c := &chaos{
-					group: newGroup(t, 4), t: t, random: rand.New(rand.NewPCG(seed, 6)), newest: map[*revision.Book]uint64{},
+					group: newGroup(t, 4), t: t, random: rand.New(rand.NewPCG(seed, 6)), newest: map[*revision.Repository]uint64{},
 					content: map[uint64]int64{}, refused: map[int64]bool{}, accepted: map[int64]bool{}, revokedAt: map[key.ID]time.Time{},
 				}
 				c.hosts["e1"].put(t, 1)
@@ -140,7 +140,7 @@
 	c.mu.Unlock()
 	ctx, cancel := context.WithTimeout(c.ctx, 8*time.Second)
 	defer cancel()
-	_, err := h.book.Apply(ctx, func(cur revision.Revision) (revision.Revision, error) { return cur.WithLists(lists(n)), nil })
+	_, err := h.repo.Apply(ctx, func(cur revision.Revision) (revision.Revision, error) { return cur.WithLists(lists(n)), nil })
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
@@ -155,7 +155,7 @@
 	k, _ := key.Issue("post", time.Now())
 	ctx, cancel := context.WithTimeout(c.ctx, 8*time.Second)
 	defer cancel()
-	_, err := h.book.Apply(ctx, func(cur revision.Revision) (revision.Revision, error) { return cur.WithKeys(cur.Keys.With(k)), nil })
+	_, err := h.repo.Apply(ctx, func(cur revision.Revision) (revision.Revision, error) { return cur.WithKeys(cur.Keys.With(k)), nil })
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if err == nil {
@@ -187,11 +187,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, h := range c.hosts {
-		cur := h.book.Current()
-		if cur.Number < c.newest[h.book] {
-			c.t.Fatalf("%s went back from revision %d to %d", h.name, c.newest[h.book], cur.Number)
+		cur := h.repo.Current()
+		if cur.Number < c.newest[h.repo] {
+			c.t.Fatalf("%s went back from revision %d to %d", h.name, c.newest[h.repo], cur.Number)
 		}
-		c.newest[h.book] = cur.Number
+		c.newest[h.repo] = cur.Number
 		if cur.Number == 0 {
 			continue
 		}
@@ -222,24 +222,24 @@
 	c.checkInvariants()
 	newest := uint64(0)
 	for _, h := range c.hosts {
-		newest = max(newest, h.book.Current().Number)
+		newest = max(newest, h.repo.Current().Number)
 	}
 	for _, h := range c.hosts {
-		if !h.book.Fresh(time.Now()) || h.book.Current().Number != newest {
-			c.t.Errorf("%s: fresh %v, revision %d, newest %d", h.name, h.book.Fresh(time.Now()), h.book.Current().Number, newest)
+		if !h.repo.Fresh(time.Now()) || h.repo.Current().Number != newest {
+			c.t.Errorf("%s: fresh %v, revision %d, newest %d", h.name, h.repo.Fresh(time.Now()), h.repo.Current().Number, newest)
 		}
 	}
 	seen := map[int64]bool{}
 	h := c.hosts["e1"]
-	for _, e := range h.book.History() {
-		r, err := h.book.At(c.t.Context(), e.Number)
+	for _, e := range h.repo.History() {
+		r, err := h.repo.At(c.t.Context(), e.Number)
 		if err != nil {
 			c.t.Errorf("revision %d of the history: %v", e.Number, err)
 			continue
 		}
 		seen[r.Lists.Customers[0].Teams[0].UpperLimit.Slots] = true
 	}
-	if len(h.book.History()) == 64 {
+	if len(h.repo.History()) == 64 {
 		return
 	}
 	for n := range c.accepted {
--- a/revision/refresh_test.go
+++ b/revision/refresh_test.go
@@ -34,7 +34,7 @@
 		time.Sleep(5 * time.Second)
 
 		armed.Store(true)
-		_, err := g.hosts["e3"].book.Apply(t.Context(), func(cur revision.Revision) (revision.Revision, error) {
+		_, err := g.hosts["e3"].repo.Apply(t.Context(), func(cur revision.Revision) (revision.Revision, error) {
 			return cur.WithLists(lists(7)), nil
 		})
 		if err != nil {
--- a/revision/book.go
+++ b/revision/repository.go
@@ -45,8 +45,8 @@
 	ErrNoSuchRevision = merry.Sentinel("revision: not in the history")
 )
 
-// Book keeps the newest revision of the configuration from the store and its peers, and writes edits to the store.
-type Book struct {
+// Repository keeps the newest revision of the configuration from the store and its peers, and writes edits to the store.
+type Repository struct {
 	client   *store.Client
 	mesh     *peer.Mesh
 	registry *member.Registry
@@ -80,27 +80,27 @@
 	fetchMu ctxMutex
 }
 
-// Option configures a Book.
-type Option func(*Book)
+// Option configures a Repository.
+type Option func(*Repository)
 
 // WithFreshFor sets how long a process counts as fresh, instead of DefaultFreshFor.
 func WithFreshFor(d time.Duration) Option {
-	return func(b *Book) { b.limits.FreshFor = d }
+	return func(b *Repository) { b.limits.FreshFor = d }
 }
 
 // WithOutageLimit sets how long a process may continue without renewing its lease in the store.
 func WithOutageLimit(d time.Duration) Option {
-	return func(b *Book) { b.limits.OutageLimit = d }
+	return func(b *Repository) { b.limits.OutageLimit = d }
 }
 
-// WithPeers lets the book exchange revisions and their status with other entry hosts. Only entry hosts that hold a seat accept edits.
+// WithPeers lets the repository exchange revisions and their status with other entry hosts. Only entry hosts that hold a seat accept edits.
 func WithPeers(m *peer.Mesh, r *member.Registry) Option {
-	return func(b *Book) { b.mesh, b.registry = m, r }
+	return func(b *Repository) { b.mesh, b.registry = m, r }
 }
 
-// New returns a Book for the store that has not seen a revision yet.
-func New(client *store.Client, opts ...Option) *Book {
-	b := &Book{
+// New returns a Repository for the store that has not seen a revision yet.
+func New(client *store.Client, opts ...Option) *Repository {
+	b := &Repository{
 		client: client, limits: member.Limits{FreshFor: DefaultFreshFor, OutageLimit: member.DefaultOutageLimit},
 		parts: map[hash]*part{}, partData: map[hash][]byte{}, inForce: map[fleet.EntryName]uint64{}, changed: make(chan struct{}), writeMu: newCtxMutex(), fetchMu: newCtxMutex(),
 	}
@@ -117,75 +117,75 @@
 }
 
 // Current returns the newest revision that this process has seen.
-func (b *Book) Current() *Revision {
-	return b.current.Load()
+func (repo *Repository) Current() *Revision {
+	return repo.current.Load()
 }
 
 // Fresh reports whether the current revision was in force recently enough to accept work authenticated by its keys.
-func (b *Book) Fresh(now time.Time) bool {
-	b.mu.RLock()
-	defer b.mu.RUnlock()
+func (repo *Repository) Fresh(now time.Time) bool {
+	repo.mu.RLock()
+	defer repo.mu.RUnlock()
 
-	return b.standing.Fresh(now)
+	return repo.standing.Fresh(now)
 }
 
 // StoreLost reports whether every process that may accept edits recently reported that it cannot reach the store.
-func (b *Book) StoreLost(now time.Time) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
+func (repo *Repository) StoreLost(now time.Time) bool {
+	repo.mu.Lock()
+	defer repo.mu.Unlock()
 
-	return b.standing.StoreLost(now)
+	return repo.standing.StoreLost(now)
 }
 
 // Licensed reports whether a lease of this process was renewed within the outage limit, so that others still count what it holds as taken.
-func (b *Book) Licensed(now time.Time) bool {
-	b.mu.RLock()
-	defer b.mu.RUnlock()
+func (repo *Repository) Licensed(now time.Time) bool {
+	repo.mu.RLock()
+	defer repo.mu.RUnlock()
 
-	return b.standing.Licensed(now)
+	return repo.standing.Licensed(now)
 }
 
 // Seated reports whether this process may accept edits.
-func (b *Book) Seated() bool {
-	b.mu.RLock()
-	defer b.mu.RUnlock()
+func (repo *Repository) Seated() bool {
+	repo.mu.RLock()
+	defer repo.mu.RUnlock()
 
-	return b.mayWrite()
+	return repo.mayWrite()
 }
 
 // mayWrite reports whether this process may write the next head. The caller must hold b.mu.
-func (b *Book) mayWrite() bool {
-	// Without a head there is no key to revoke yet, and a book without peers never relies on the statements of seat holders.
-	return b.standing.Seated() || len(b.head.Seats) == 0
+func (repo *Repository) mayWrite() bool {
+	// Without a head there is no key to revoke yet, and a repository without peers never relies on the statements of seat holders.
+	return repo.standing.Seated() || len(repo.head.Seats) == 0
 }
 
 // History returns the accepted edits, newest first.
-func (b *Book) History() []Entry {
-	b.mu.RLock()
-	defer b.mu.RUnlock()
+func (repo *Repository) History() []Entry {
+	repo.mu.RLock()
+	defer repo.mu.RUnlock()
 
-	entries := make([]Entry, len(b.head.History))
-	for i, r := range b.head.History {
+	entries := make([]Entry, len(repo.head.History))
+	for i, r := range repo.head.History {
 		entries[i] = Entry{Number: r.Number, By: r.By, At: r.At}
 	}
 
 	return entries
 }
 
-// Follow keeps the book up to date until ctx ends.
-func (b *Book) Follow(ctx context.Context) {
+// Follow keeps the repository up to date until ctx ends.
+func (repo *Repository) Follow(ctx context.Context) {
 	var wg sync.WaitGroup
-	wg.Go(func() { b.confirm(ctx) })
-	wg.Go(func() { b.watch(ctx) })
-	wg.Go(func() { b.runEvery(ctx, collectInterval, b.collectGarbage) })
-	if b.registry != nil {
-		wg.Go(func() { b.runEvery(ctx, seatInterval, b.maintainSeats) })
+	wg.Go(func() { repo.confirm(ctx) })
+	wg.Go(func() { repo.watch(ctx) })
+	wg.Go(func() { repo.runEvery(ctx, collectInterval, repo.collectGarbage) })
+	if repo.registry != nil {
+		wg.Go(func() { repo.runEvery(ctx, seatInterval, repo.maintainSeats) })
 	}
 	wg.Wait()
 }
 
 // runEvery calls f about every d until ctx ends.
-func (b *Book) runEvery(ctx context.Context, d time.Duration, f func(context.Context)) {
+func (repo *Repository) runEvery(ctx context.Context, d time.Duration, f func(context.Context)) {
 	for ctx.Err() == nil {
 		pause.For(ctx, jitter(d))
 		f(ctx)
@@ -194,37 +194,37 @@
 
 // confirm reads the head when neither this process nor a peer has confirmed it recently, and periodically to check whether the
 // store can be reached.
-func (b *Book) confirm(ctx context.Context) {
+func (repo *Repository) confirm(ctx context.Context) {
 	for ctx.Err() == nil {
-		if !b.readDue(time.Now()) {
+		if !repo.readDue(time.Now()) {
 			pause.For(ctx, jitter(confirmPollInterval))
 			continue
 		}
-		if err := b.refresh(ctx); err != nil {
+		if err := repo.refresh(ctx); err != nil {
 			pause.For(ctx, jitter(retryDelay))
 		}
 	}
 }
 
-func (b *Book) readDue(now time.Time) bool {
-	b.mu.RLock()
-	defer b.mu.RUnlock()
+func (repo *Repository) readDue(now time.Time) bool {
+	repo.mu.RLock()
+	defer repo.mu.RUnlock()
 	probe := probeInterval
-	if !b.storeReachable {
+	if !repo.storeReachable {
 		probe = confirmAfter
 	}
 
-	return now.Sub(b.standing.Confirmed()) >= confirmAfter || now.Sub(b.headReadAt) >= probe
+	return now.Sub(repo.standing.Confirmed()) >= confirmAfter || now.Sub(repo.headReadAt) >= probe
 }
 
 // watch accepts new heads from a watch of the store. A watch does not confirm the current head, because it may lag or stop without an error.
-func (b *Book) watch(ctx context.Context) {
+func (repo *Repository) watch(ctx context.Context) {
 	after := uint64(0)
 	for ctx.Err() == nil {
-		b.mu.RLock()
-		after = max(after, b.base)
-		b.mu.RUnlock()
-		ev, err := b.client.Watch(ctx, headKey, after, watchTimeout)
+		repo.mu.RLock()
+		after = max(after, repo.base)
+		repo.mu.RUnlock()
+		ev, err := repo.client.Watch(ctx, headKey, after, watchTimeout)
 		if err != nil {
 			// The events may be compacted or the store unreachable. The next read of the head gives the revision to resume from.
 			after = 0
@@ -234,17 +234,17 @@
 		after = max(after, ev.Revision)
 		if n := len(ev.Events); n > 0 && !ev.Events[n-1].Deleted {
 			r := ev.Events[n-1].Record
-			_ = b.acceptHead(ctx, r.Value, r.Revision, time.Time{}, b.readPartFromStore)
+			_ = repo.acceptHead(ctx, r.Value, r.Revision, time.Time{}, repo.readPartFromStore)
 		}
 	}
 }
 
 // refresh reads the head. It repeats the read if a newer head arrived from a peer meanwhile, and returns ErrStale if the
 // store keeps returning an older head than the current one.
-func (b *Book) refresh(ctx context.Context) error {
+func (repo *Repository) refresh(ctx context.Context) error {
 	var err error
 	for range maxReadAttempts {
-		if err = b.readHead(ctx); !errors.Is(err, ErrStale) {
+		if err = repo.readHead(ctx); !errors.Is(err, ErrStale) {
 			return err
 		}
 	}
@@ -253,33 +253,33 @@
 }
 
 // readHead reads and accepts the head, which is confirmed as of the moment before the read.
-func (b *Book) readHead(ctx context.Context) error {
+func (repo *Repository) readHead(ctx context.Context) error {
 	requestedAt := time.Now()
-	r, err := b.client.Get(ctx, headKey)
+	r, err := repo.client.Get(ctx, headKey)
 	switch {
 	case err == nil:
-		b.setStoreReachable(true, requestedAt)
-		return b.acceptHead(ctx, r.Value, r.Revision, requestedAt, b.readPartFromStore)
+		repo.setStoreReachable(true, requestedAt)
+		return repo.acceptHead(ctx, r.Value, r.Revision, requestedAt, repo.readPartFromStore)
 	case isNotFound(err):
-		b.setStoreReachable(true, requestedAt)
-		b.mu.Lock()
-		defer b.mu.Unlock()
-		b.standing = b.standing.WithRead(member.Head{}, requestedAt)
-		if b.head.Generation > 0 {
-			return merry.Prependf(ErrStale, "store has no head after generation %d", b.head.Generation)
+		repo.setStoreReachable(true, requestedAt)
+		repo.mu.Lock()
+		defer repo.mu.Unlock()
+		repo.standing = repo.standing.WithRead(member.Head{}, requestedAt)
+		if repo.head.Generation > 0 {
+			return merry.Prependf(ErrStale, "store has no head after generation %d", repo.head.Generation)
 		}
 
 		return nil
 	default:
-		b.setStoreReachable(false, requestedAt)
+		repo.setStoreReachable(false, requestedAt)
 		return err
 	}
 }
 
-func (b *Book) setStoreReachable(ok bool, requestedAt time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.storeReachable, b.headReadAt = ok, requestedAt
+func (repo *Repository) setStoreReachable(ok bool, requestedAt time.Time) {
+	repo.mu.Lock()
+	defer repo.mu.Unlock()
+	repo.storeReachable, repo.headReadAt = ok, requestedAt
 }
 
 // partReader returns the encoded part with the hash.
@@ -287,71 +287,71 @@
 
 // acceptHead loads the parts of a head and installs it, unless it is older than the current head.
 // A zero requestedAt means that the head's source does not confirm that it is in force.
-func (b *Book) acceptHead(ctx context.Context, raw []byte, base uint64, requestedAt time.Time, from partReader) error {
+func (repo *Repository) acceptHead(ctx context.Context, raw []byte, base uint64, requestedAt time.Time, from partReader) error {
 	h, err := parseHead(raw)
 	if err != nil {
 		return err
 	}
-	b.mu.RLock()
-	head := b.head
-	b.mu.RUnlock()
+	repo.mu.RLock()
+	head := repo.head
+	repo.mu.RUnlock()
 	if h.Generation < head.Generation {
 		return merry.Prependf(ErrStale, "generation %d after %d", h.Generation, head.Generation)
 	}
 
-	parts, err := b.loadParts(ctx, h.Parts, from)
+	parts, err := repo.loadParts(ctx, h.Parts, from)
 	if err != nil {
 		return err
 	}
 
-	return b.installHead(h, raw, base, requestedAt, parts)
+	return repo.installHead(h, raw, base, requestedAt, parts)
 }
 
 // installHead replaces the current head and revision with newer ones and records the confirmation.
-func (b *Book) installHead(h headRecord, raw []byte, base uint64, requestedAt time.Time, parts []*part) error {
+func (repo *Repository) installHead(h headRecord, raw []byte, base uint64, requestedAt time.Time, parts []*part) error {
 	var next *Revision
-	if cur := b.Current(); cur.Number < h.Number {
+	if cur := repo.Current(); cur.Number < h.Number {
 		r := joinParts(h.Number, parts)
 		next = &r
 	}
 
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if h.Generation < b.head.Generation {
-		return merry.Prependf(ErrStale, "generation %d after %d", h.Generation, b.head.Generation)
+	repo.mu.Lock()
+	defer repo.mu.Unlock()
+	if h.Generation < repo.head.Generation {
+		return merry.Prependf(ErrStale, "generation %d after %d", h.Generation, repo.head.Generation)
 	}
-	b.standing = b.standing.WithHead(h.membership())
+	repo.standing = repo.standing.WithHead(h.membership())
 	if !requestedAt.IsZero() {
-		b.standing = b.standing.WithRead(h.membership(), requestedAt)
+		repo.standing = repo.standing.WithRead(h.membership(), requestedAt)
 	}
-	if h.Generation == b.head.Generation {
-		b.base = max(b.base, base)
+	if h.Generation == repo.head.Generation {
+		repo.base = max(repo.base, base)
 		return nil
 	}
-	if next != nil && next.Number > b.Current().Number {
-		b.current.Store(next)
+	if next != nil && next.Number > repo.Current().Number {
+		repo.current.Store(next)
 	}
-	if h.Number > b.head.Number {
-		b.addedParts = slices.DeleteFunc(slices.Clone(h.Parts), func(p hash) bool { return slices.Contains(b.head.Parts, p) })
+	if h.Number > repo.head.Number {
+		repo.addedParts = slices.DeleteFunc(slices.Clone(h.Parts), func(p hash) bool { return slices.Contains(repo.head.Parts, p) })
 	}
-	b.head, b.raw, b.base = h, slices.Clone(raw), max(b.base, base)
-	b.pruneParts()
-	close(b.changed)
-	b.changed = make(chan struct{})
+	repo.head, repo.raw, repo.base = h, slices.Clone(raw), max(repo.base, base)
+	repo.pruneParts()
+	close(repo.changed)
+	repo.changed = make(chan struct{})
 
 	return nil
 }
 
 // pruneParts drops the cached parts that the current head does not refer to. The caller must hold b.mu.
-func (b *Book) pruneParts() {
-	keep := make(map[hash]bool, len(b.head.Parts))
-	for _, h := range b.head.Parts {
+func (repo *Repository) pruneParts() {
+	keep := make(map[hash]bool, len(repo.head.Parts))
+	for _, h := range repo.head.Parts {
 		keep[h] = true
 	}
-	for h := range b.parts {
+	for h := range repo.parts {
 		if !keep[h] {
-			delete(b.parts, h)
-			delete(b.partData, h)
+			delete(repo.parts, h)
+			delete(repo.partData, h)
 		}
 	}
 }
--- a/revision/book_test.go
+++ b/revision/repository_test.go
@@ -24,12 +24,12 @@
 		r := h.put(t, 5)
 		ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
 		defer cancel()
-		if missing := h.book.AwaitInForce(ctx, r.Number); len(missing) > 0 {
+		if missing := h.repo.AwaitInForce(ctx, r.Number); len(missing) > 0 {
 			t.Fatalf("not in force on %v", missing)
 		}
 		for _, other := range g.hosts {
-			if diff := plan.Diff(lists(5), other.book.Current().Lists); len(diff) > 0 || other.book.Current().Number != r.Number {
-				t.Errorf("%s has revision %d, differences %v", other.name, other.book.Current().Number, diff)
+			if diff := plan.Diff(lists(5), other.repo.Current().Lists); len(diff) > 0 || other.repo.Current().Number != r.Number {
+				t.Errorf("%s has revision %d, differences %v", other.name, other.repo.Current().Number, diff)
 			}
 		}
 		if got := g.fresh(); got != 7 {
@@ -46,9 +46,9 @@
 		again := lists(5)
 		teams := again.Customers[0].Teams
 		teams[0], teams[1] = teams[1], teams[0]
-		second, err := h.book.Put(t.Context(), "ann", first.Number, again)
-		if err != nil || second.Number != first.Number || len(h.book.History()) != 1 {
-			t.Errorf("revision %d after %d, %v, history %v", second.Number, first.Number, err, h.book.History())
+		second, err := h.repo.Put(t.Context(), "ann", first.Number, again)
+		if err != nil || second.Number != first.Number || len(h.repo.History()) != 1 {
+			t.Errorf("revision %d after %d, %v, history %v", second.Number, first.Number, err, h.repo.History())
 		}
 	})
 }
@@ -80,10 +80,10 @@
 			synctest.Test(t, func(t *testing.T) {
 				g := newGroup(t, 2)
 				base := g.hosts["e1"].put(t, 5).Number
-				if _, err := g.hosts["e1"].book.Put(t.Context(), "ann", base, c.first); err != nil {
+				if _, err := g.hosts["e1"].repo.Put(t.Context(), "ann", base, c.first); err != nil {
 					t.Fatal(err)
 				}
-				r, err := g.hosts["e2"].book.Put(t.Context(), "ben", base, c.second)
+				r, err := g.hosts["e2"].repo.Put(t.Context(), "ben", base, c.second)
 				if !errors.Is(err, c.want) {
 					t.Fatalf("%v, want %v", err, c.want)
 				}
@@ -123,21 +123,21 @@
 		if err := h.revokeKey(t.Context(), id); err != nil {
 			t.Fatal(err)
 		}
-		r, err := h.book.Restore(t.Context(), "ben", old.Number)
+		r, err := h.repo.Restore(t.Context(), "ben", old.Number)
 		if err != nil {
 			t.Fatal(err)
 		}
 		if diff := plan.Diff(lists(5), r.Lists); len(diff) > 0 || r.Number != old.Number+4 || r.Keys.Has(id) {
 			t.Errorf("revision %d, key back: %v, differences %v", r.Number, r.Keys.Has(id), diff)
 		}
-		authors := make([]string, 0, len(h.book.History()))
-		for _, e := range h.book.History() {
+		authors := make([]string, 0, len(h.repo.History()))
+		for _, e := range h.repo.History() {
 			authors = append(authors, fmt.Sprint(e.Number, e.By))
 		}
 		if diff := cmp.Diff([]string{"5ben", "4", "3ann", "2", "1ann"}, authors); diff != "" {
 			t.Errorf("history (-want +got):\n%s", diff)
 		}
-		if _, err := h.book.Restore(t.Context(), "ben", 77); !errors.Is(err, revision.ErrNoSuchRevision) {
+		if _, err := h.repo.Restore(t.Context(), "ben", 77); !errors.Is(err, revision.ErrNoSuchRevision) {
 			t.Errorf("restore of a nonexistent revision: %v", err)
 		}
 	})
@@ -173,14 +173,14 @@
 				}
 				ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
 				defer cancel()
-				r, err := h.book.Put(ctx, "ann", h.book.Current().Number, lists(6))
+				r, err := h.repo.Put(ctx, "ann", h.repo.Current().Number, lists(6))
 				if !errors.Is(err, c.want) {
 					t.Errorf("%v, want %v", err, c.want)
 				}
 				g.store.SetClientFault("e2", standin.FaultNone)
 				time.Sleep(15 * time.Second)
 				for _, other := range g.hosts {
-					cur := other.book.Current()
+					cur := other.repo.Current()
 					if accepted := len(plan.Diff(cur.Lists, lists(6))) == 0; accepted != (err == nil) {
 						t.Errorf("%s: edit in force: %v, but Put returned %v", other.name, accepted, err)
 					}
@@ -262,8 +262,8 @@
 				}
 				time.Sleep(4 * time.Second)
 				for _, h := range g.hosts {
-					if h.serves(id) || !h.book.Fresh(time.Now()) {
-						t.Errorf("%s: fresh %v, serves the revoked key %v", h.name, h.book.Fresh(time.Now()), h.serves(id))
+					if h.serves(id) || !h.repo.Fresh(time.Now()) {
+						t.Errorf("%s: fresh %v, serves the revoked key %v", h.name, h.repo.Fresh(time.Now()), h.serves(id))
 					}
 				}
 			})
@@ -283,12 +283,12 @@
 	}{
 		{"in good order", func(g *group) {
 			for _, h := range g.hosts {
-				_ = h.book.Leave(g.ctx)
+				_ = h.repo.Leave(g.ctx)
 			}
 		}, false, nil},
 		{"crash, operator takes over", func(*group) {}, true, func(t *testing.T, g *group) {
 			t.Helper()
-			if err := g.hosts["e1"].book.TakeOver(t.Context()); err != nil {
+			if err := g.hosts["e1"].repo.TakeOver(t.Context()); err != nil {
 				t.Error(err)
 			}
 		}},
@@ -347,7 +347,7 @@
 			editor := g.hosts[fleet.EntryName(fmt.Sprint("e", (i+1)%4+1))]
 			number := editor.put(t, int64(i+1)).Number
 			ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
-			if missing := editor.book.AwaitInForce(ctx, number); len(missing) > 0 {
+			if missing := editor.repo.AwaitInForce(ctx, number); len(missing) > 0 {
 				t.Errorf("minute %d: not in force on %v", i, missing)
 			}
 			cancel()
--- a/revision/seat.go
+++ b/revision/seat.go
@@ -34,47 +34,47 @@
 }
 
 // maintainSeats resolves a write of unknown outcome and updates the seats to match the live members.
-func (b *Book) maintainSeats(ctx context.Context) {
-	self := b.registry.Self().Seat
-	if self == "" || !b.writeMu.tryLock() {
+func (repo *Repository) maintainSeats(ctx context.Context) {
+	self := repo.registry.Self().Seat
+	if self == "" || !repo.writeMu.tryLock() {
 		return
 	}
-	defer b.writeMu.unlock()
-	if b.resigned.Load() {
+	defer repo.writeMu.unlock()
+	if repo.resigned.Load() {
 		return
 	}
-	if err := b.resolveUncertainWrite(ctx); err != nil {
+	if err := repo.resolveUncertainWrite(ctx); err != nil {
 		return
 	}
 
-	b.mu.RLock()
-	standing, head, base, storeReachable := b.standing, b.head, b.base, b.storeReachable
-	b.mu.RUnlock()
+	repo.mu.RLock()
+	standing, head, base, storeReachable := repo.standing, repo.head, repo.base, repo.storeReachable
+	repo.mu.RUnlock()
 	if !storeReachable {
 		return
 	}
-	seats, due := b.wantedSeats(standing, head, self)
+	seats, due := repo.wantedSeats(standing, head, self)
 	if !due {
 		return
 	}
 	next := head.successor()
 	next.Seats = seats
-	if err := b.writeHead(ctx, next, base); errors.Is(err, store.ErrConflict) {
-		_ = b.refresh(ctx)
+	if err := repo.writeHead(ctx, next, base); errors.Is(err, store.ErrConflict) {
+		_ = repo.refresh(ctx)
 	}
 }
 
 // wantedSeats returns the seats for the next head, and whether this process should write them now.
-func (b *Book) wantedSeats(standing member.Standing, head headRecord, self member.Seat) ([]member.Seat, bool) {
+func (repo *Repository) wantedSeats(standing member.Standing, head headRecord, self member.Seat) ([]member.Seat, bool) {
 	if head.Generation == 0 {
 		return []member.Seat{self}, !standing.Confirmed().IsZero()
 	}
 	if !standing.Seated() && len(head.Seats) > 0 {
-		b.registry.NoteMissing(head.Seats, time.Now())
-		return []member.Seat{self}, standing.TakeoverDue(b.registry.GoneSince(), time.Now())
+		repo.registry.NoteMissing(head.Seats, time.Now())
+		return []member.Seat{self}, standing.TakeoverDue(repo.registry.GoneSince(), time.Now())
 	}
 
-	members := b.registry.Members()
+	members := repo.registry.Members()
 	live := make([]member.Seat, 0, len(members))
 	var writers []member.Member
 	for _, m := range members {
@@ -92,58 +92,58 @@
 // TakeOver makes this process the only seat holder without checking that the current holders have stopped; the operator who
 // calls it must know that they have. A holder that still runs but is cut off may keep serving the previous revision for up to
 // OutageLimit.
-func (b *Book) TakeOver(ctx context.Context) error {
-	if err := b.writeMu.lock(ctx); err != nil {
+func (repo *Repository) TakeOver(ctx context.Context) error {
+	if err := repo.writeMu.lock(ctx); err != nil {
 		return err
 	}
-	defer b.writeMu.unlock()
-	self := b.registry.Self().Seat
+	defer repo.writeMu.unlock()
+	self := repo.registry.Self().Seat
 	if self == "" {
 		return merry.Wrap(member.ErrNotJoined)
 	}
-	if err := b.refresh(ctx); err != nil {
+	if err := repo.refresh(ctx); err != nil {
 		return err
 	}
-	b.mu.RLock()
-	next, base, seated := b.head.successor(), b.base, b.standing.Seated()
-	b.mu.RUnlock()
+	repo.mu.RLock()
+	next, base, seated := repo.head.successor(), repo.base, repo.standing.Seated()
+	repo.mu.RUnlock()
 	if seated {
 		return nil
 	}
 	next.Seats = []member.Seat{self}
 
-	return b.writeHead(ctx, next, base)
+	return repo.writeHead(ctx, next, base)
 }
 
 // Leave gives up this process's seats before it exits, so that the other processes can continue without it. It removes its own
 // seat in the store or, if that fails, transfers its seats to peers. It returns ErrNotSeated when no peer took a seat.
-func (b *Book) Leave(ctx context.Context) error {
-	if b.registry == nil {
+func (repo *Repository) Leave(ctx context.Context) error {
+	if repo.registry == nil {
 		return nil
 	}
-	if err := b.writeMu.lock(ctx); err != nil {
+	if err := repo.writeMu.lock(ctx); err != nil {
 		return err
 	}
-	defer b.writeMu.unlock()
-	b.resigned.Store(true)
-	self := b.registry.Self().Seat
-	if err := b.releaseSeatInStore(ctx, self); err == nil {
+	defer repo.writeMu.unlock()
+	repo.resigned.Store(true)
+	self := repo.registry.Self().Seat
+	if err := repo.releaseSeatInStore(ctx, self); err == nil {
 		return nil
 	}
 
-	return b.transferSeats(ctx)
+	return repo.transferSeats(ctx)
 }
 
-func (b *Book) releaseSeatInStore(ctx context.Context, self member.Seat) error {
-	if err := b.resolveUncertainWrite(ctx); err != nil {
+func (repo *Repository) releaseSeatInStore(ctx context.Context, self member.Seat) error {
+	if err := repo.resolveUncertainWrite(ctx); err != nil {
 		return err
 	}
-	if err := b.refresh(ctx); err != nil {
+	if err := repo.refresh(ctx); err != nil {
 		return err
 	}
-	b.mu.RLock()
-	next, base := b.head.successor(), b.base
-	b.mu.RUnlock()
+	repo.mu.RLock()
+	next, base := repo.head.successor(), repo.base
+	repo.mu.RUnlock()
 	at := slices.Index(next.Seats, self)
 	if at < 0 {
 		return nil
@@ -151,29 +151,29 @@
 	// Any process may write a head without seats. Without seats, no process counts as fresh by the seats' statements alone.
 	next.Seats = slices.Delete(next.Seats, at, at+1)
 
-	return b.writeHead(ctx, next, base)
+	return repo.writeHead(ctx, next, base)
 }
 
 // transferSeats hands each seat that this process holds to a peer whose head is at least as new.
-func (b *Book) transferSeats(ctx context.Context) error {
-	b.mu.Lock()
+func (repo *Repository) transferSeats(ctx context.Context) error {
+	repo.mu.Lock()
 	now := time.Now()
-	uncertain, generation := b.standing.Doubt(), b.standing.Head().Generation
-	seats := b.standing.Yield()
+	uncertain, generation := repo.standing.Doubt(), repo.standing.Head().Generation
+	seats := repo.standing.Yield()
 	if !uncertain {
 		// From here on this process makes no statement for the seats, whether or not a peer takes them.
 		for _, s := range seats {
-			b.standing = b.standing.WithoutSeat(s.Seat)
+			repo.standing = repo.standing.WithoutSeat(s.Seat)
 		}
 	}
-	b.mu.Unlock()
+	repo.mu.Unlock()
 	if uncertain {
 		return merry.Prepend(ErrNotSeated, "a write is in doubt")
 	}
 
 	for _, s := range seats {
 		msg := seatMessage{Seat: s.Seat, Age: now.Sub(s.Renewed), Generation: generation}
-		if err := b.transferSeat(ctx, msg); err != nil {
+		if err := repo.transferSeat(ctx, msg); err != nil {
 			return err
 		}
 	}
@@ -182,12 +182,12 @@
 }
 
 // transferSeat offers a seat to one peer after another until one takes it. It stops if an answer is lost, because that peer may have taken the seat.
-func (b *Book) transferSeat(ctx context.Context, msg seatMessage) error {
-	for _, p := range b.mesh.Peers() {
-		if h, ok := b.mesh.Heard(p.Name); !ok || h.Status.Generation < msg.Generation {
+func (repo *Repository) transferSeat(ctx context.Context, msg seatMessage) error {
+	for _, p := range repo.mesh.Peers() {
+		if h, ok := repo.mesh.Heard(p.Name); !ok || h.Status.Generation < msg.Generation {
 			continue
 		}
-		a, err := peer.Call[seatResponse](ctx, b.mesh, p.Name, kindSeat, msg)
+		a, err := peer.Call[seatResponse](ctx, repo.mesh, p.Name, kindSeat, msg)
 		switch {
 		case err == nil && a.Taken:
 			return nil
@@ -200,11 +200,11 @@
 }
 
 // handleSeat takes over a seat from a process that is leaving.
-func (b *Book) handleSeat(_ context.Context, _ peer.Peer, msg seatMessage) (seatResponse, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	next, ok := b.standing.WithHanded(msg.Seat, time.Now().Add(-msg.Age), msg.Generation)
-	b.standing = next
+func (repo *Repository) handleSeat(_ context.Context, _ peer.Peer, msg seatMessage) (seatResponse, error) {
+	repo.mu.Lock()
+	defer repo.mu.Unlock()
+	next, ok := repo.standing.WithHanded(msg.Seat, time.Now().Add(-msg.Age), msg.Generation)
+	repo.standing = next
 
 	return seatResponse{Taken: ok}, nil
 }
