--- a/budget/budget.go
+++ b/budget/budget.go
@@ -18,7 +18,7 @@
 var (
 	// ErrExhausted reports that the budget has no unit left for a planned outage.
 	ErrExhausted = merry.Sentinel("budget: no unit left for a planned outage")
-	// ErrHeld reports that the host still holds a unit under another intent, which Settled must free
+	// ErrHeld reports that the host still holds a unit under another intent, which Reconciled must free
 	// first.
 	ErrHeld = merry.Sentinel("budget: host holds a unit under another intent")
 	// ErrStaleLimit reports that the record was written under a newer revision of the operators'
@@ -56,7 +56,7 @@
 	Holds []Hold `json:",omitempty"`
 }
 
-// Out returns the number of hosts that hold a unit.
+// Unavailable returns the number of hosts that hold a unit.
 func (r Record) Out() int {
 	return len(r.Holds)
 }
@@ -126,32 +126,32 @@
 	return r.without(h).with(hold)
 }
 
-// Standing is a host's claim on a unit of one budget, according to its host record.
-type Standing struct {
-	// Out reports whether the host is unavailable within the budget's scope.
-	Out bool
+// HostState is a host's claim on a unit of one budget, according to its host record.
+type HostState struct {
+	// Unavailable reports whether the host is unavailable within the budget's scope.
+	Unavailable bool
 	// Reason is the reason why the host is unavailable.
 	Reason Reason
 	// Intent is the host's recorded intent, as long as the budget is among those that it spends.
 	Intent hostapi.IntentID
 }
 
-// Settled returns the record with a unit for every unavailable host, and without the units of
+// Reconciled returns the record with a unit for every unavailable host, and without the units of
 // hosts that returned or were removed. The claims must come from host records read no earlier than
 // r: a unit is recorded after its intent, so a host record that no longer has the intent proves
 // that nothing can be drained under it.
-func (r Record) Settled(claims map[fleet.HostName]Standing, now time.Time) Record {
+func (r Record) Reconciled(claims map[fleet.HostName]HostState, now time.Time) Record {
 	reconciled := r
 	for _, h := range r.Holds {
 		claim := claims[h.Host]
 		reserved := h.Intent != "" && h.Intent == claim.Intent
-		if !claim.Out && !reserved {
+		if !claim.Unavailable && !reserved {
 			reconciled = reconciled.without(h.Host)
 		}
 	}
 
 	for _, name := range sortedHosts(claims) {
-		if claim := claims[name]; claim.Out {
+		if claim := claims[name]; claim.Unavailable {
 			reconciled = reconciled.WithUnavailable(name, claim.Reason, claim.Intent, now)
 		}
 	}
@@ -184,7 +184,7 @@
 	return r
 }
 
-func sortedHosts(claims map[fleet.HostName]Standing) []fleet.HostName {
+func sortedHosts(claims map[fleet.HostName]HostState) []fleet.HostName {
 	names := make([]fleet.HostName, 0, len(claims))
 	for name := range claims {
 		names = append(names, name)
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -30,10 +30,10 @@
 	spend := func(h fleet.HostName, intent hostapi.IntentID) func(budget.Record) (budget.Record, error) {
 		return func(r budget.Record) (budget.Record, error) { return r.WithPlanned(h, intent, at) }
 	}
-	reconcile := func(s map[fleet.HostName]budget.Standing) func(budget.Record) (budget.Record, error) {
-		return func(r budget.Record) (budget.Record, error) { return r.Settled(s, at), nil }
+	reconcile := func(s map[fleet.HostName]budget.HostState) func(budget.Record) (budget.Record, error) {
+		return func(r budget.Record) (budget.Record, error) { return r.Reconciled(s, at), nil }
 	}
-	lost := budget.Standing{Out: true, Reason: budget.Unplanned}
+	lost := budget.HostState{Unavailable: true, Reason: budget.Unplanned}
 	cases := []struct {
 		name   string
 		max    int
@@ -50,13 +50,13 @@
 		{"maximum lowered below the unavailable hosts", 1, []budget.Hold{planned("h1", "i1"), planned("h2", "i2")}, spend("h3", "i3"),
 			[]budget.Hold{planned("h1", "i1"), planned("h2", "i2")}, budget.ErrExhausted},
 		{"unplanned outage above the maximum", 1, []budget.Hold{planned("h1", "i1")},
-			reconcile(map[fleet.HostName]budget.Standing{"h1": {Intent: "i1"}, "h2": lost}), []budget.Hold{planned("h1", "i1"), unplanned("h2")}, nil},
-		{"unplanned outage of a draining host keeps its unit", 1, []budget.Hold{planned("h1", "i1")}, reconcile(map[fleet.HostName]budget.Standing{"h1": lost}),
+			reconcile(map[fleet.HostName]budget.HostState{"h1": {Intent: "i1"}, "h2": lost}), []budget.Hold{planned("h1", "i1"), unplanned("h2")}, nil},
+		{"unplanned outage of a draining host keeps its unit", 1, []budget.Hold{planned("h1", "i1")}, reconcile(map[fleet.HostName]budget.HostState{"h1": lost}),
 			[]budget.Hold{{Host: "h1", Reason: budget.Unplanned, Intent: "i1", Since: at}}, nil},
-		{"reserving host keeps its unit", 1, []budget.Hold{planned("h1", "i1")}, reconcile(map[fleet.HostName]budget.Standing{"h1": {Intent: "i1"}}),
+		{"reserving host keeps its unit", 1, []budget.Hold{planned("h1", "i1")}, reconcile(map[fleet.HostName]budget.HostState{"h1": {Intent: "i1"}}),
 			[]budget.Hold{planned("h1", "i1")}, nil},
 		{"unit is freed when the host returns", 1, []budget.Hold{planned("h1", "i1")}, reconcile(nil), []budget.Hold{}, nil},
-		{"unit of an older intent is freed", 1, []budget.Hold{planned("h1", "i1")}, reconcile(map[fleet.HostName]budget.Standing{"h1": {Intent: "i2"}}), []budget.Hold{}, nil},
+		{"unit of an older intent is freed", 1, []budget.Hold{planned("h1", "i1")}, reconcile(map[fleet.HostName]budget.HostState{"h1": {Intent: "i2"}}), []budget.Hold{}, nil},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
@@ -104,7 +104,7 @@
 			case 1:
 				r, _ = r.WithLimit(limit(rng.IntN(4)), uint64(i+1))
 			case 2:
-				r = r.Settled(map[fleet.HostName]budget.Standing{h: {Out: true, Reason: budget.Planned}}, at)
+				r = r.Reconciled(map[fleet.HostName]budget.HostState{h: {Unavailable: true, Reason: budget.Planned}}, at)
 			default:
 				next, err := r.WithPlanned(h, hostapi.IntentID(fmt.Sprint(h, i)), at)
 				if err == nil && next.Out() > out && out >= r.MaxUnavailable {
--- a/move/decide.go
+++ b/move/decide.go
@@ -207,17 +207,17 @@
 		limited, err := v.Value.WithLimit(limit, p.Config.Revision)
 		d := &draft{Record: limited, base: v.Revision, limit: limit, newerLimit: err != nil}
 		if d.hostsStale = p.View.HostsAt < v.Revision; !d.hostsStale {
-			d.Record = d.Settled(p.standings(limit), p.Now)
+			d.Record = d.Reconciled(p.standings(limit), p.Now)
 		}
 		p.drafts[name] = d
 		p.budgetNames = append(p.budgetNames, name)
 	}
 }
 
-func (p *pass) standings(b fleet.Budget) map[fleet.HostName]budget.Standing {
-	all := map[fleet.HostName]budget.Standing{}
+func (p *pass) standings(b fleet.Budget) map[fleet.HostName]budget.HostState {
+	all := map[fleet.HostName]budget.HostState{}
 	for _, name := range p.active {
-		if s := p.hosts[name].Value.Standing(b); s.Out || s.Intent != "" {
+		if s := p.hosts[name].Value.HostState(b); s.Unavailable || s.Intent != "" {
 			all[name] = s
 		}
 	}
--- a/move/move.go
+++ b/move/move.go
@@ -67,19 +67,19 @@
 	return r.State != fleet.HostLive
 }
 
-// Standing returns the host's claim on a unit of b. While a host returns in a new pool, only budgets that cover it both
+// HostState returns the host's claim on a unit of b. While a host returns in a new pool, only budgets that cover it both
 // before and after the move are charged, because it has not yet served in the new pool.
-func (r Record) Standing(b fleet.Budget) budget.Standing {
+func (r Record) HostState(b fleet.Budget) budget.HostState {
 	if !b.Covers(r.Host) {
-		return budget.Standing{}
+		return budget.HostState{}
 	}
-	s := budget.Standing{Out: r.Out(), Reason: budget.Planned}
+	s := budget.HostState{Unavailable: r.Out(), Reason: budget.Planned}
 	if r.Intent == nil {
 		s.Reason = budget.Unplanned
 		return s
 	}
 	if !b.Covers(r.WithPool(r.Intent.From)) {
-		return budget.Standing{}
+		return budget.HostState{}
 	}
 	s.Intent = r.Intent.ID
 
