--- a/entry/control.go
+++ b/entry/control.go
@@ -117,7 +117,7 @@
 	endpoints := make([]fleet.Endpoint, 0, len(inv.Endpoints))
 	for _, e := range inv.Endpoints {
 		if rec, known := hosts[e.Host]; known {
-			pool, usable := rec.Value.Usable()
+			pool, usable := rec.Value.UsablePool()
 			if usable {
 				e.Pool = pool
 			}
--- a/job/step.go
+++ b/job/step.go
@@ -310,7 +310,7 @@
 	for _, name := range slices.Sorted(maps.Keys(records)) {
 		r := records[name].Value
 		hosts = append(hosts, r.Host)
-		if _, usable := r.Usable(); usable && r.Intent == nil {
+		if _, usable := r.UsablePool(); usable && r.Intent == nil {
 			workers = append(workers, c.health.Annotate(placement.Worker{Host: r.Host, Used: used[name]}, now))
 		}
 	}
--- a/move/advance.go
+++ b/move/advance.go
@@ -56,7 +56,7 @@
 	case r.Intent == nil:
 	case r.Intent.Phase == Reserving:
 		p.reserveUnits(v)
-	case !p.Sights[r.Name].Asked:
+	case !p.Observations[r.Name].Asked:
 		p.waitFor(r, WaitPlatform)
 	case r.Intent.Phase == Draining:
 		p.drain(v)
@@ -68,7 +68,7 @@
 }
 
 func (p *pass) awaitReturn(v record.Versioned[Record]) {
-	s := p.Sights[v.Value.Name]
+	s := p.Observations[v.Value.Name]
 	if s.Asked && s.Status.Up && !s.Lost {
 		p.writeHost(v.Value.Recovered(v.Revision, p.Now), v.Revision)
 		return
@@ -129,7 +129,7 @@
 }
 
 func (p *pass) drain(v record.Versioned[Record]) {
-	r, s := v.Value, p.Sights[v.Value.Name].Status
+	r, s := v.Value, p.Observations[v.Value.Name].Status
 	if _, exists := p.Config.Pools.Get(r.Intent.To); !exists {
 		p.writeHost(r.DrainCancelled(p.Now), v.Revision)
 		return
@@ -154,12 +154,12 @@
 // minDrainElapsed reports whether a host has drained for MinDrain, after which no client with an outdated inventory sends
 // it work any more.
 func (p *pass) minDrainElapsed(name fleet.HostName) bool {
-	since := p.Sights[name].DrainingSince
+	since := p.Observations[name].DrainingSince
 	return p.MinDrain == 0 || !since.IsZero() && p.Now.Sub(since) >= p.MinDrain
 }
 
 func (p *pass) reboot(v record.Versioned[Record]) {
-	r, s := v.Value, p.Sights[v.Value.Name].Status
+	r, s := v.Value, p.Observations[v.Value.Name].Status
 	switch {
 	case s.Up && s.Rebooted == r.Intent.ID:
 		if _, exists := p.Config.Pools.Get(r.Intent.To); !exists {
@@ -176,7 +176,7 @@
 }
 
 func (p *pass) returnToService(v record.Versioned[Record]) {
-	r, s := v.Value, p.Sights[v.Value.Name].Status
+	r, s := v.Value, p.Observations[v.Value.Name].Status
 	switch {
 	case s.Up && !s.Draining && s.Intent == r.Intent.ID:
 		p.writeHost(r.Returned(), v.Revision)
--- a/move/controller.go
+++ b/move/controller.go
@@ -188,7 +188,7 @@
 func (c *Controller) input(ctx context.Context, v View, now time.Time) Input {
 	cfg, inForce := c.config()
 	in := Input{
-		View: v, Config: cfg, Sights: c.observe(ctx, v, now), Owner: c.owner,
+		View: v, Config: cfg, Observations: c.observe(ctx, v, now), Owner: c.owner,
 		MinDrain: c.minDrain, DrainLimit: c.drainLimit, ReturnLimit: c.returnLimit, Now: now,
 	}
 	if inForce {
@@ -200,14 +200,14 @@
 
 // observe reads the platform's inventory, and the status of each host that is being drained, rebooted or returned or that
 // seems to be lost.
-func (c *Controller) observe(ctx context.Context, v View, now time.Time) map[fleet.HostName]Sight {
-	sights := map[fleet.HostName]Sight{}
+func (c *Controller) observe(ctx context.Context, v View, now time.Time) map[fleet.HostName]Observation {
+	sights := map[fleet.HostName]Observation{}
 	inv, err := c.platform.Inventory(ctx)
 	listed := map[fleet.HostName]fleet.Host{}
 	for _, h := range inv.Hosts {
 		listed[h.Name] = h
 		if _, known := v.Hosts[h.Name]; !known {
-			sights[h.Name] = Sight{Listed: &h}
+			sights[h.Name] = Observation{Listed: &h}
 		}
 	}
 
@@ -259,12 +259,12 @@
 
 // classify distinguishes a lost host from one whose status is unknown: a failed call to the platform is no sign of a
 // loss.
-func (c *Controller) classify(name fleet.HostName, a statusResult, now time.Time) Sight {
+func (c *Controller) classify(name fleet.HostName, a statusResult, now time.Time) Observation {
 	unknown := a.err != nil && !errors.Is(a.err, hostapi.ErrNotFound)
 	if unknown {
-		return Sight{}
+		return Observation{}
 	}
-	s := Sight{Asked: a.err == nil, Status: a.status}
+	s := Observation{Asked: a.err == nil, Status: a.status}
 	if a.err == nil && a.status.Up {
 		delete(c.missingSince, name)
 		s.DrainingSince = c.drainingSince(name, a.status, now)
--- a/move/decide.go
+++ b/move/decide.go
@@ -19,8 +19,8 @@
 	HostsAt uint64
 }
 
-// Sight is what the platform reports about a host.
-type Sight struct {
+// Observation is what the platform reports about a host.
+type Observation struct {
 	// Asked reports whether Status is known.
 	Asked  bool
 	Status hostapi.HostStatus
@@ -41,11 +41,11 @@
 
 // Input is the complete input of Decide.
 type Input struct {
-	View      View
-	Config    Config
-	Sights    map[fleet.HostName]Sight
-	Proposals []Proposal
-	Owner     Owner
+	View         View
+	Config       Config
+	Observations map[fleet.HostName]Observation
+	Proposals    []Proposal
+	Owner        Owner
 	// MinDrain is the minimum duration of a drain, because clients with an outdated inventory may still send work.
 	MinDrain time.Duration
 	// DrainLimit is how long a drain may wait for tasks before it is cancelled; zero means no limit.
@@ -147,8 +147,8 @@
 
 // registerListed writes a record for each host of the inventory that has none.
 func (p *pass) registerListed() {
-	for _, name := range slices.Sorted(maps.Keys(p.Sights)) {
-		listed := p.Sights[name].Listed
+	for _, name := range slices.Sorted(maps.Keys(p.Observations)) {
+		listed := p.Observations[name].Listed
 		if _, known := p.hosts[name]; known || listed == nil {
 			continue
 		}
@@ -180,7 +180,7 @@
 func (p *pass) recordLosses() {
 	for _, name := range slices.Sorted(maps.Keys(p.hosts)) {
 		v := p.hosts[name]
-		if !p.Sights[name].Lost || v.Value.State == fleet.HostLost || v.Value.State == fleet.HostRebooting {
+		if !p.Observations[name].Lost || v.Value.State == fleet.HostLost || v.Value.State == fleet.HostRebooting {
 			continue
 		}
 		lost := v.Value.Lost(p.Now)
@@ -193,7 +193,7 @@
 
 func (p *pass) findActive() {
 	for name, v := range p.hosts {
-		if v.Value.Out() || v.Value.Intent != nil {
+		if v.Value.OutOfService() || v.Value.Intent != nil {
 			p.active = append(p.active, name)
 		}
 	}
--- a/move/explore_test.go
+++ b/move/explore_test.go
@@ -85,7 +85,7 @@
 
 func (e *exploration) input(r reader) move.Input {
 	in := move.Input{
-		Config: e.config, Sights: map[fleet.HostName]move.Sight{}, Now: time.Unix(0, 0),
+		Config: e.config, Observations: map[fleet.HostName]move.Observation{}, Now: time.Unix(0, 0),
 		Owner: move.Owner{Pool: func(fleet.PoolName) bool { return true }, Budget: func(fleet.BudgetName) bool { return true }},
 		View: move.View{
 			Hosts:   map[fleet.HostName]record.Versioned[move.Record]{},
@@ -98,7 +98,7 @@
 	for i := range e.hosts {
 		name, s := hostNames[i], r.sights[i]
 		in.View.Hosts[name] = r.hosts[i]
-		in.Sights[name] = move.Sight{Asked: true, Lost: s.crashed, Status: hostapi.HostStatus{
+		in.Observations[name] = move.Observation{Asked: true, Lost: s.crashed, Status: hostapi.HostStatus{
 			Host: name, Up: !s.down && !s.crashed, Draining: s.draining, Rebooted: s.booted, Intent: s.intent,
 		}}
 		if r.hosts[i].Value.Pool == "a" {
@@ -260,7 +260,7 @@
 			}
 		}
 		stale := st.paused.hosts[i]
-		pool, usable := stale.Value.Usable()
+		pool, usable := stale.Value.UsablePool()
 		accepted := stale.Revision >= st.platform[i].fence && !out && !st.platform[i].crashed
 		if stale.Revision != 0 && usable && accepted && pool != r.Pool {
 			return fmt.Sprintf("%s takes work for %s and belongs to %s", r.Name, pool, r.Pool)
@@ -278,7 +278,7 @@
 				continue
 			}
 			switch {
-			case st.platform[i].crashed || r.Intent == nil && r.Out():
+			case st.platform[i].crashed || r.Intent == nil && r.OutOfService():
 				unplanned++
 			case st.platform[i].draining || st.platform[i].down:
 				planned++
@@ -310,7 +310,7 @@
 		}
 	}
 	for i := range e.hosts {
-		if r := st.hosts[i].Value; r.Pool != "b" || r.Out() || r.Intent != nil || st.platform[i].draining {
+		if r := st.hosts[i].Value; r.Pool != "b" || r.OutOfService() || r.Intent != nil || st.platform[i].draining {
 			return fmt.Sprintf("%s ends as %s in %s, draining %v", r.Name, r.State, r.Pool, st.platform[i].draining)
 		}
 	}
--- a/move/http_test.go
+++ b/move/http_test.go
@@ -42,7 +42,7 @@
 	}
 
 	h := c.View().Hosts["h0"].Value
-	if pool, usable := h.Usable(); pool != "b" || !usable || h.Intent != nil || p.Boots("h0") != 1 {
+	if pool, usable := h.UsablePool(); pool != "b" || !usable || h.Intent != nil || p.Boots("h0") != 1 {
 		t.Errorf("host %+v after %d reboots, want it live in b after one", h, p.Boots("h0"))
 	}
 	for name, b := range c.View().Budgets {
--- a/move/move.go
+++ b/move/move.go
@@ -57,13 +57,13 @@
 	Reboot bool
 }
 
-// Usable returns the pool that may use the host. If it returns false, no pool may use the host.
-func (r Record) Usable() (fleet.PoolName, bool) {
+// UsablePool returns the pool that may use the host. If it returns false, no pool may use the host.
+func (r Record) UsablePool() (fleet.PoolName, bool) {
 	return r.Pool, r.State == fleet.HostLive
 }
 
-// Out reports whether the host is out of service.
-func (r Record) Out() bool {
+// OutOfService reports whether the host is out of service.
+func (r Record) OutOfService() bool {
 	return r.State != fleet.HostLive
 }
 
@@ -73,7 +73,7 @@
 	if !b.Covers(r.Host) {
 		return budget.HostState{}
 	}
-	s := budget.HostState{Unavailable: r.Out(), Reason: budget.Planned}
+	s := budget.HostState{Unavailable: r.OutOfService(), Reason: budget.Planned}
 	if r.Intent == nil {
 		s.Reason = budget.Unplanned
 		return s
--- a/trace/fleet_test.go
+++ b/trace/fleet_test.go
@@ -28,7 +28,7 @@
 type simulation struct {
 	view    move.View
 	config  move.Config
-	sights  map[fleet.HostName]*move.Sight
+	sights  map[fleet.HostName]*move.Observation
 	readyAt map[fleet.HostName]time.Time
 	rng     *rand.Rand
 	losses  []trace.Loss
@@ -43,7 +43,7 @@
 			Hosts:   map[fleet.HostName]record.Versioned[move.Record]{},
 			Budgets: map[fleet.BudgetName]record.Versioned[budget.Record]{},
 		},
-		sights: map[fleet.HostName]*move.Sight{}, readyAt: map[fleet.HostName]time.Time{}, rng: rand.New(rand.NewPCG(seed, 2)), rev: 1,
+		sights: map[fleet.HostName]*move.Observation{}, readyAt: map[fleet.HostName]time.Time{}, rng: rand.New(rand.NewPCG(seed, 2)), rev: 1,
 	}
 	for i, name := range trace.PoolNames(s) {
 		r.config.Pools = r.config.Pools.With(name, fleet.Pool{Name: name, Spare: i == 0, MinHosts: 1 - boolInt(i == 0)})
@@ -56,7 +56,7 @@
 	for _, h := range trace.Hosts(s) {
 		zones[h.Zone]++
 		r.view.Hosts[h.Name] = record.Versioned[move.Record]{Value: move.Record{Host: h}, Revision: 1}
-		r.sights[h.Name] = &move.Sight{Asked: true, Status: hostapi.HostStatus{Host: h.Name, Up: true}}
+		r.sights[h.Name] = &move.Observation{Asked: true, Status: hostapi.HostStatus{Host: h.Name, Up: true}}
 	}
 	for zone, n := range zones {
 		r.setBudget(fleet.Budget{Name: fleet.BudgetName(zone), Zones: []fleet.ZoneName{zone}, MaxUnavailable: int(zoneFraction * float64(n))})
@@ -94,15 +94,15 @@
 }
 
 func (r *simulation) input(now time.Time, proposals []move.Proposal, o move.Owner) move.Input {
-	sights := map[fleet.HostName]move.Sight{}
+	sights := map[fleet.HostName]move.Observation{}
 	for name, v := range r.view.Hosts {
-		if s := r.sights[name]; s.Lost || v.Value.Intent != nil || v.Value.Out() {
+		if s := r.sights[name]; s.Lost || v.Value.Intent != nil || v.Value.OutOfService() {
 			sights[name] = *s
 		}
 	}
 	r.view.HostsAt = r.rev
 
-	return move.Input{View: r.view, Config: r.config, Sights: sights, Proposals: proposals, Owner: o, Now: now}
+	return move.Input{View: r.view, Config: r.config, Observations: sights, Proposals: proposals, Owner: o, Now: now}
 }
 
 func (r *simulation) perform(a fleet.Action, now time.Time) {
@@ -168,7 +168,7 @@
 func (r *simulation) checkBudgets() {
 	var out []move.Record
 	for _, v := range r.view.Hosts {
-		if v.Value.Out() && v.Value.Intent != nil {
+		if v.Value.OutOfService() && v.Value.Intent != nil {
 			out = append(out, v.Value)
 		}
 	}
@@ -190,7 +190,7 @@
 func (r *simulation) serving() map[fleet.PoolName]int {
 	n := map[fleet.PoolName]int{}
 	for _, v := range r.view.Hosts {
-		if pool, ok := v.Value.Usable(); ok {
+		if pool, ok := v.Value.UsablePool(); ok {
 			n[pool]++
 		}
 	}
