--- a/move/planner.go
+++ b/move/planner.go
@@ -20,19 +20,19 @@
 	Surplus  float64
 }
 
-// LedgerWeights returns weights for fleets in which moves delay requests: moves and roll-out time cost most.
-func LedgerWeights() Weights {
+// StableWeights returns weights for fleets in which moves delay requests: moves and roll-out time cost most.
+func StableWeights() Weights {
 	return Weights{Moves: 2, RollOut: 2, Shortage: 1, Surplus: 0.5}
 }
 
-// PressWeights returns weights for small fleets: shortages cost most, and surpluses twice as much as in LedgerWeights.
-func PressWeights() Weights {
+// ResponsiveWeights returns weights for small fleets: shortages cost most, and surpluses twice as much as in StableWeights.
+func ResponsiveWeights() Weights {
 	return Weights{Moves: 1, RollOut: 1, Shortage: 2, Surplus: 1}
 }
 
-// WithDefaults returns the weights with those of LedgerWeights in place of components that are not set.
+// WithDefaults returns the weights with those of StableWeights in place of components that are not set.
 func (w Weights) WithDefaults() Weights {
-	d := LedgerWeights()
+	d := StableWeights()
 	for _, c := range []struct {
 		v *float64
 		d float64
--- a/move/planner_test.go
+++ b/move/planner_test.go
@@ -31,7 +31,7 @@
 
 // proposalsAfter gives the planner a demand of pools a and b per tick, and returns its proposals after the last tick.
 func proposalsAfter(v move.View, cfg move.Config, ticks int, demand func(i int) (float64, float64)) []move.Proposal {
-	pl := move.NewPlanner(move.DefaultPolicy(move.LedgerWeights()))
+	pl := move.NewPlanner(move.DefaultPolicy(move.StableWeights()))
 	now := time.Unix(0, 0)
 	var all []move.Proposal
 	for i := range ticks {
--- a/trace/measure_test.go
+++ b/trace/measure_test.go
@@ -37,7 +37,7 @@
 
 // reactive allocates for the demand of the last tick, without smoothing or hysteresis.
 func reactive() move.Policy {
-	p := move.DefaultPolicy(move.LedgerWeights())
+	p := move.DefaultPolicy(move.StableWeights())
 	p.HalfLife, p.Weights.Moves = fleet.Duration(time.Second), 0
 
 	return p
@@ -45,7 +45,7 @@
 
 // smoothed uses the default forecast, without hysteresis.
 func smoothed() move.Policy {
-	p := move.DefaultPolicy(move.LedgerWeights())
+	p := move.DefaultPolicy(move.StableWeights())
 	p.Weights.Moves = 0
 
 	return p
@@ -160,8 +160,8 @@
 
 func comparePlanners(b *testing.B, s trace.Size) {
 	b.Helper()
-	ledger := runPlanner(s, move.DefaultPolicy(move.LedgerWeights()))
-	press := runPlanner(s, move.DefaultPolicy(move.PressWeights()))
+	ledger := runPlanner(s, move.DefaultPolicy(move.StableWeights()))
+	press := runPlanner(s, move.DefaultPolicy(move.ResponsiveWeights()))
 	simple, noHysteresis := runPlanner(s, reactive()), runPlanner(s, smoothed())
 	fixed, spare := runFixed(s, min(ledger.nearness, press.nearness))
 	b.Logf("%s, %v at a load of %.2f", sizeName(s), traceTime, traceLoad)
@@ -194,7 +194,7 @@
 		b.Run(fmt.Sprintf("%d-%d", s.Hosts, s.Pools), func(b *testing.B) {
 			tr := trace.New(s, traceSeed, time.Hour, traceTick, traceLoad)
 			run := newSimulation(s, traceSeed)
-			pl := move.NewPlanner(move.DefaultPolicy(move.LedgerWeights()))
+			pl := move.NewPlanner(move.DefaultPolicy(move.StableWeights()))
 			rec := wave.Record{Number: 1, State: wave.Running, StartsAt: epoch}
 			owner := move.Owner{Pool: func(fleet.PoolName) bool { return true }, Budget: func(fleet.BudgetName) bool { return true }}
 			i := 0
--- a/upkeep/upkeep.go
+++ b/upkeep/upkeep.go
@@ -83,7 +83,7 @@
 func New(s *store.Client, p *hostapi.Client, lists func() Lists, opts ...Option) *Controller {
 	c := &Controller{
 		lists: lists, owns: func(fleet.PoolName) bool { return true },
-		movePolicy: move.DefaultPolicy(move.LedgerWeights()), wavePolicy: wave.DefaultPolicy(),
+		movePolicy: move.DefaultPolicy(move.StableWeights()), wavePolicy: wave.DefaultPolicy(),
 	}
 	for _, opt := range opts {
 		opt(c)
--- a/upkeep/upkeep_test.go
+++ b/upkeep/upkeep_test.go
@@ -217,7 +217,7 @@
 func TestListsOverridePolicies(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newTestFleet()
-		moves, waves := move.DefaultPolicy(move.PressWeights()), wave.DefaultPolicy()
+		moves, waves := move.DefaultPolicy(move.ResponsiveWeights()), wave.DefaultPolicy()
 		moves.HalfLife, waves.Notice = fleet.Duration(1000*time.Hour), fleet.Duration(1000*time.Hour)
 		f.lists.MovePolicy, f.lists.WavePolicy = &moves, &waves
 		for range 300 {
--- a/wave/wave.go
+++ b/wave/wave.go
@@ -38,14 +38,14 @@
 
 const week = 7 * 24 * time.Hour
 
-// DefaultPolicy returns a policy of one wave every six weeks with a day's notice, with a tail by move.LedgerWeights.
+// DefaultPolicy returns a policy of one wave every six weeks with a day's notice, with a tail by move.StableWeights.
 func DefaultPolicy() Policy {
 	p := Policy{
 		Period: fleet.Duration(6 * week), Notice: fleet.Duration(24 * time.Hour),
 		SettleFor: fleet.Duration(15 * time.Minute), MaxLost: 2, ReturnLimit: fleet.Duration(move.DefaultReturnLimit),
 	}
 
-	return p.WithWeights(move.LedgerWeights())
+	return p.WithWeights(move.StableWeights())
 }
 
 // maxTail is the tail, in hosts, if only roll-out time matters.
