--- a/allotment/absence_test.go
+++ b/allotment/absence_test.go
@@ -41,7 +41,7 @@
 		{"absent beyond the outage limit", [][]reading{every(0, 3641*s, s)}, false, []fleet.Incarnation{"b"}},
 	} {
 		h := New(&store.Client{}, "a")
-		h.Knows = func(fleet.Incarnation) bool { return c.knows }
+		h.KnownBy = func(fleet.Incarnation) bool { return c.knows }
 		start := time.Now()
 		for _, rs := range c.given {
 			for _, r := range rs {
--- a/allotment/bench_test.go
+++ b/allotment/bench_test.go
@@ -24,7 +24,7 @@
 	var last *Holder
 	for i := range members {
 		h := New(st.Client(), fleet.NewIncarnation(fleet.EntryName(fmt.Sprintf("entry-%02d", i))))
-		h.Licensed = func(time.Time) bool { return true }
+		h.LeaseValid = func(time.Time) bool { return true }
 		m.Live = append(m.Live, h.self)
 		h.SetLimits(Limits, 1, upper)
 		for _, g := range h.allGroups() {
--- a/allotment/cluster_test.go
+++ b/allotment/cluster_test.go
@@ -84,7 +84,7 @@
 	ctx, cancel := context.WithCancel(c.ctx)
 	n := &node{cluster: c, name: name, self: fleet.NewIncarnation(fleet.EntryName(name)), cancel: cancel}
 	n.holder = allotment.New(n.client(), n.self, allotment.WithTiming(c.timing))
-	n.holder.Licensed = n.leaseValid
+	n.holder.LeaseValid = n.leaseValid
 	n.holder.Members = func() allotment.Membership {
 		n.mu.Lock()
 		defer n.mu.Unlock()
@@ -101,7 +101,7 @@
 		return false, err
 	}
 	n.holder.Ask = n.ask
-	n.holder.Knows = func(fleet.Incarnation) bool { return true }
+	n.holder.KnownBy = func(fleet.Incarnation) bool { return true }
 	n.holder.SetLimits(allotment.Limits, revision, map[string]fleet.Resources{teamKey.Name: slots(limit)})
 
 	c.mu.Lock()
--- a/allotment/example_test.go
+++ b/allotment/example_test.go
@@ -22,9 +22,9 @@
 	defer cancel()
 
 	h := allotment.New(standin.NewStore().Client(), fleet.NewIncarnation("entry-1"))
-	h.Licensed = func(time.Time) bool { return true }
+	h.LeaseValid = func(time.Time) bool { return true }
 	grown := make(chan allotment.Key, 1)
-	h.Grown = func(k allotment.Key) {
+	h.OnGrown = func(k allotment.Key) {
 		select {
 		case grown <- k:
 		default:
--- a/allotment/group.go
+++ b/allotment/group.go
@@ -273,7 +273,7 @@
 
 func (h *Holder) notifyGrown(keys []Key) {
 	for _, k := range keys {
-		h.Grown(k)
+		h.OnGrown(k)
 	}
 }
 
--- a/allotment/holder.go
+++ b/allotment/holder.go
@@ -55,20 +55,20 @@
 
 // Holder admits work within its own allocations of the limits.
 type Holder struct {
-	// Licensed reports whether this process may start work: its membership lease is known to be
+	// LeaseValid reports whether this process may start work: its membership lease is known to be
 	// valid, or its peers vouch for it while the store is unreachable.
-	Licensed func(now time.Time) bool
+	LeaseValid func(now time.Time) bool
 	// Members returns the newest membership read from the store.
 	Members func() Membership
 	// Absent reads the store and reports whether it has no member key for an incarnation.
 	Absent func(ctx context.Context, i fleet.Incarnation) (bool, error)
-	// Knows reports whether the membership that a holder last read from the store is guaranteed to
+	// KnownBy reports whether the membership that a holder last read from the store is guaranteed to
 	// include this process.
-	Knows func(i fleet.Incarnation) bool
+	KnownBy func(i fleet.Incarnation) bool
 	// Ask sends a request for allocations to a peer.
 	Ask func(ctx context.Context, to fleet.Incarnation, req Request) (Answer, error)
-	// Grown is called without locks held when an allocation has grown or work may start again.
-	Grown func(k Key)
+	// OnGrown is called without locks held when an allocation has grown or work may start again.
+	OnGrown func(k Key)
 
 	self   fleet.Incarnation
 	client *store.Client
@@ -103,16 +103,16 @@
 // New returns a holder without allocations; it refuses all work until its function fields are set.
 func New(client *store.Client, self fleet.Incarnation, opts ...Option) *Holder {
 	h := &Holder{
-		Licensed: func(time.Time) bool { return false },
-		Members:  func() Membership { return Membership{} },
+		LeaseValid: func(time.Time) bool { return false },
+		Members:    func() Membership { return Membership{} },
 		Absent: func(context.Context, fleet.Incarnation) (bool, error) {
 			return false, store.ErrUnavailable
 		},
-		Knows: func(fleet.Incarnation) bool { return false },
+		KnownBy: func(fleet.Incarnation) bool { return false },
 		Ask: func(context.Context, fleet.Incarnation, Request) (Answer, error) {
 			return Answer{}, store.ErrUnavailable
 		},
-		Grown:      func(Key) {},
+		OnGrown:    func(Key) {},
 		self:       self,
 		client:     client,
 		timing:     DefaultTiming(),
@@ -198,8 +198,8 @@
 	return e.state.room()
 }
 
-// Part returns the amount of a limit allocated to this process.
-func (h *Holder) Part(k Key) fleet.Resources {
+// Allocation returns the amount of a limit allocated to this process.
+func (h *Holder) Allocation(k Key) fleet.Resources {
 	e, ok := (*h.entries.Load())[k]
 	if !ok {
 		return fleet.Resources{}
@@ -214,7 +214,7 @@
 // mayStart checks the lease, and that no pause was long enough for the allocations to have been
 // reclaimed.
 func (h *Holder) mayStart(now time.Time) bool {
-	return elapsed(*h.leaseValidAt.Load(), now) < h.timing.MaxRequestTime && h.Licensed(now)
+	return elapsed(*h.leaseValidAt.Load(), now) < h.timing.MaxRequestTime && h.LeaseValid(now)
 }
 
 // elapsed returns the larger of the monotonic and the wall clock durations, because either clock
--- a/allotment/record_test.go
+++ b/allotment/record_test.go
@@ -147,7 +147,7 @@
 		{"no allocation", true, teamKey, slots(1), refusal.UpperLimit},
 		{"negative size", true, teamKey, slots(-1), refusal.RequestInvalid},
 	} {
-		h.Licensed = func(time.Time) bool { return c.leaseValid }
+		h.LeaseValid = func(time.Time) bool { return c.leaseValid }
 		h.SetLimits(allotment.Limits, 1, map[string]fleet.Resources{teamKey.Name: slots(5)})
 		_, err := h.Acquire(c.key, c.size)
 		if !errors.Is(err, &refusal.NotRunError{Code: c.want}) {
--- a/allotment/run.go
+++ b/allotment/run.go
@@ -86,7 +86,7 @@
 // checkLease extends the time for which the allocations are known to be valid, or suspends all
 // groups after a gap in it.
 func (h *Holder) checkLease(now time.Time) {
-	if !h.Licensed(now) {
+	if !h.LeaseValid(now) {
 		return
 	}
 	if elapsed(*h.leaseValidAt.Load(), now) >= h.timing.MaxRequestTime {
@@ -131,7 +131,7 @@
 // A holder that has never seen this process does not consult it, so it may keep serving because of
 // confirmations from peers that have lost the store together with it.
 func (h *Holder) reclaimWait(i fleet.Incarnation) time.Duration {
-	if h.Knows(i) {
+	if h.KnownBy(i) {
 		return h.timing.ReclaimAfter()
 	}
 
--- a/entry/host.go
+++ b/entry/host.go
@@ -69,7 +69,7 @@
 	newUsageExchange(c.Settings.Name, c.Cluster.mesh, c.Admission)
 	c.Admission.AcquireLimit = c.Limits.acquire
 	c.Set.Take, c.Set.Expected = c.Limits.takeSlots, c.Limits.expectedSlots
-	c.Limits.holder.Grown = func(allotment.Key) { c.Admission.Dispatch() }
+	c.Limits.holder.OnGrown = func(allotment.Key) { c.Admission.Dispatch() }
 	h.operator.stopping = h.stopping.Load
 	h.operator.entries = h.operator.entryStatuses
 	h.operator.load = loadFuncs{
--- a/entry/limits.go
+++ b/entry/limits.go
@@ -67,10 +67,10 @@
 	}
 	lm.membership.Store(&allotment.Membership{})
 	lm.teams.Store(&map[fleet.TeamName]limitKeys{})
-	lm.holder.Licensed = lm.licensed
+	lm.holder.LeaseValid = lm.licensed
 	lm.holder.Members = func() allotment.Membership { return *lm.membership.Load() }
 	lm.holder.Absent = lm.absent
-	lm.holder.Knows = lm.knownToPeers
+	lm.holder.KnownBy = lm.knownToPeers
 	lm.holder.Ask = lm.ask
 	peer.Handle(cl.mesh, kindParts, func(ctx context.Context, _ peer.Peer, req allotment.Request) (allotment.Answer, error) {
 		return lm.holder.Handle(ctx, req), nil
@@ -267,7 +267,7 @@
 
 // expectedSlots returns this entry host's part of an endpoint's slots.
 func (l *limits) expectedSlots(e fleet.Endpoint) int64 {
-	return l.holder.Part(slotsKey(e)).Slots
+	return l.holder.Allocation(slotsKey(e)).Slots
 }
 
 func slotsKey(e fleet.Endpoint) allotment.Key {
