--- a/member/model_test.go
+++ b/member/model_test.go
@@ -322,7 +322,7 @@
 func (st modelState) handover(p int, r modelRules) []modelState {
 	seat := modelSeats[p]
 	renewed, ok := st.procs[p].s.own[seat]
-	if p == 2 || !ok || (st.procs[p].s.Doubt() && !r.handoverInDoubt) {
+	if p == 2 || !ok || (st.procs[p].s.Uncertain() && !r.handoverInDoubt) {
 		return nil
 	}
 
--- a/member/standing.go
+++ b/member/standing.go
@@ -60,8 +60,8 @@
 	return s.head
 }
 
-// Doubt reports whether a write of this process may still replace the held head.
-func (s Standing) Doubt() bool {
+// Uncertain reports whether a write of this process may still replace the held head.
+func (s Standing) Uncertain() bool {
 	return s.doubt
 }
 
@@ -172,8 +172,8 @@
 	Renewed time.Time
 }
 
-// Yield returns the seats of the held head that the process holds.
-func (s Standing) Yield() []HeldSeat {
+// OwnSeats returns the seats of the held head that the process holds.
+func (s Standing) OwnSeats() []HeldSeat {
 	var held []HeldSeat
 	for _, seat := range s.head.Seats {
 		if renewed, ok := s.own[seat]; ok {
--- a/revision/edit.go
+++ b/revision/edit.go
@@ -359,7 +359,7 @@
 func (repo *Repository) setWriteUncertain(uncertain bool) bool {
 	repo.mu.Lock()
 	defer repo.mu.Unlock()
-	before := repo.standing.Doubt()
+	before := repo.standing.Uncertain()
 	repo.standing = repo.standing.WithDoubt(uncertain)
 
 	return before
@@ -369,7 +369,7 @@
 // write, writes one itself.
 func (repo *Repository) resolveUncertainWrite(ctx context.Context) error {
 	repo.mu.RLock()
-	uncertain := repo.standing.Doubt()
+	uncertain := repo.standing.Uncertain()
 	repo.mu.RUnlock()
 	if !uncertain {
 		return nil
@@ -378,7 +378,7 @@
 		return err
 	}
 	repo.mu.RLock()
-	uncertain, head, base := repo.standing.Doubt(), repo.head, repo.base
+	uncertain, head, base := repo.standing.Uncertain(), repo.head, repo.base
 	repo.mu.RUnlock()
 	if !uncertain {
 		return nil
--- a/revision/seat.go
+++ b/revision/seat.go
@@ -158,8 +158,8 @@
 func (repo *Repository) transferSeats(ctx context.Context) error {
 	repo.mu.Lock()
 	now := time.Now()
-	uncertain, generation := repo.standing.Doubt(), repo.standing.Head().Generation
-	seats := repo.standing.Yield()
+	uncertain, generation := repo.standing.Uncertain(), repo.standing.Head().Generation
+	seats := repo.standing.OwnSeats()
 	if !uncertain {
 		// From here on this process makes no statement for the seats, whether or not a peer takes them.
 		for _, s := range seats {
