--- a/move/controller.go
+++ b/move/controller.go
@@ -168,7 +168,7 @@
 		return View{}, err
 	}
 
-	v := View{HostsAt: hosts.At, Hosts: convertKeys[fleet.HostName](hosts.Records), Budgets: convertKeys[fleet.BudgetName](budgets.Records)}
+	v := View{HostsAt: hosts.Revision, Hosts: convertKeys[fleet.HostName](hosts.Records), Budgets: convertKeys[fleet.BudgetName](budgets.Records)}
 	c.mu.Lock()
 	c.view = v
 	c.mu.Unlock()
--- a/record/record.go
+++ b/record/record.go
@@ -25,8 +25,8 @@
 
 // Page is the set of records under a prefix as of one store revision, keyed by the rest of their keys.
 type Page[T any] struct {
-	Records map[string]Versioned[T]
-	At      uint64
+	Records  map[string]Versioned[T]
+	Revision uint64
 }
 
 // Read returns the record at key, or a record of revision zero if there is none.
@@ -50,7 +50,7 @@
 		return Page[T]{}, err
 	}
 
-	p := Page[T]{Records: make(map[string]Versioned[T], len(l.Records)), At: l.Revision}
+	p := Page[T]{Records: make(map[string]Versioned[T], len(l.Records)), Revision: l.Revision}
 	for _, r := range l.Records {
 		v, err := decode[T](r)
 		if err != nil {
