--- a/budget/budget.go
+++ b/budget/budget.go
@@ -56,8 +56,8 @@
 	Holds []Hold `json:",omitempty"`
 }
 
-// Unavailable returns the number of hosts that hold a unit.
-func (r Record) Out() int {
+// Held returns the number of hosts that hold a unit.
+func (r Record) Held() int {
 	return len(r.Holds)
 }
 
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -97,7 +97,7 @@
 		r, _ := budget.Record{}.WithLimit(limit(rng.IntN(4)), 1)
 		for i := range 40 {
 			h := fleet.HostName(fmt.Sprint(rng.IntN(8)))
-			out := r.Out()
+			out := r.Held()
 			switch rng.IntN(4) {
 			case 0:
 				r = r.WithUnavailable(h, budget.Unplanned, "", at)
@@ -107,8 +107,8 @@
 				r = r.Reconciled(map[fleet.HostName]budget.HostState{h: {Unavailable: true, Reason: budget.Planned}}, at)
 			default:
 				next, err := r.WithPlanned(h, hostapi.IntentID(fmt.Sprint(h, i)), at)
-				if err == nil && next.Out() > out && out >= r.MaxUnavailable {
-					t.Fatalf("unit %d of %d spent on a planned outage", next.Out(), r.MaxUnavailable)
+				if err == nil && next.Held() > out && out >= r.MaxUnavailable {
+					t.Fatalf("unit %d of %d spent on a planned outage", next.Held(), r.MaxUnavailable)
 				}
 				r = next
 			}
--- a/move/advance.go
+++ b/move/advance.go
@@ -96,7 +96,7 @@
 	}
 	// Losses since the units were spent may have exceeded a budget. Nothing is drained yet, so the host stays in service.
 	for _, name := range r.Intent.Budgets {
-		if d := p.drafts[name]; d.Out() > d.MaxUnavailable {
+		if d := p.drafts[name]; d.Held() > d.MaxUnavailable {
 			p.wait(Wait{Host: r.Name, Phase: Reserving, Reason: WaitBudget, Budget: name})
 			p.writeHost(r.Aborted(), v.Revision)
 
--- a/move/controller_test.go
+++ b/move/controller_test.go
@@ -96,7 +96,7 @@
 		}
 	}
 	for name, bud := range v.Budgets {
-		if n := bud.Value.Out(); n != 0 {
+		if n := bud.Value.Held(); n != 0 {
 			return fmt.Sprintf("budget %s keeps %d units", name, n)
 		}
 	}
@@ -216,7 +216,7 @@
 
 // heldUnits returns how many units of pool a's budget are held.
 func (f *testFleet) heldUnits() int {
-	return f.controllers[0].View().Budgets["pool-a"].Value.Out()
+	return f.controllers[0].View().Budgets["pool-a"].Value.Held()
 }
 
 func TestHostThatDoesNotReturn(t *testing.T) {
--- a/move/decide.go
+++ b/move/decide.go
@@ -276,7 +276,7 @@
 func (p *pass) writeBudgets() {
 	for _, name := range p.budgetNames {
 		d := p.drafts[name]
-		changed := !d.Equal(p.View.Budgets[name].Value) && (d.base != 0 || d.Out() > 0)
+		changed := !d.Equal(p.View.Budgets[name].Value) && (d.base != 0 || d.Held() > 0)
 		if changed && !d.hostsStale && (d.spent || p.Owner.Budget(name)) {
 			p.decision.Actions = append(p.decision.Actions, WriteBudget{Record: d.Record, Base: d.base})
 		}
--- a/move/explore_test.go
+++ b/move/explore_test.go
@@ -284,7 +284,7 @@
 				planned++
 			}
 		}
-		if planned > cfg.MaxUnavailable || e.crashes == 0 && st.budgets[b].Value.Out() > cfg.MaxUnavailable {
+		if planned > cfg.MaxUnavailable || e.crashes == 0 && st.budgets[b].Value.Held() > cfg.MaxUnavailable {
 			return fmt.Sprintf("%s: %d planned outages of %d allowed (%d unplanned)", name, planned, cfg.MaxUnavailable, unplanned)
 		}
 	}
@@ -315,7 +315,7 @@
 		}
 	}
 	for b, name := range budgetNames {
-		if n := st.budgets[b].Value.Out(); n != 0 {
+		if n := st.budgets[b].Value.Held(); n != 0 {
 			return fmt.Sprintf("%s keeps %d units", name, n)
 		}
 	}
--- a/move/http_test.go
+++ b/move/http_test.go
@@ -46,7 +46,7 @@
 		t.Errorf("host %+v after %d reboots, want it live in b after one", h, p.Boots("h0"))
 	}
 	for name, b := range c.View().Budgets {
-		if n := b.Value.Out(); n != 0 {
+		if n := b.Value.Held(); n != 0 {
 			t.Errorf("budget %s keeps %d units", name, n)
 		}
 	}
