--- a/member/model_test.go
+++ b/member/model_test.go
@@ -72,7 +72,7 @@
 
 // modelRules disables single rules of the protocol.
 type modelRules struct {
-	anyoneWrites, noDoubt, receivedTime, doubtEndsOnError, earlyTakeover, handoverInDoubt, handoverToOlder bool
+	anyoneWrites, neverUncertain, receivedTime, certainAfterError, earlyTakeover, handoverWhileUncertain, handoverToOlder bool
 }
 
 func modelTime(tick int) time.Time {
@@ -112,7 +112,7 @@
 	return peer.Heard{Status: st.procs[q].s.Status(modelTime(st.now)), Asked: modelTime(asked)}
 }
 
-// hear delivers a peer's heartbeat to process p, which first fetches and adopts a newer generation, as revision.Book does.
+// hear delivers a peer's heartbeat to process p, which first fetches and adopts a newer generation, as revision.Repository does.
 func (st modelState) hear(p int, h peer.Heard, heads map[uint64]Head) modelState {
 	if h.Status.Generation > st.procs[p].s.head.Generation {
 		st.procs[p].s = st.procs[p].s.WithHead(heads[h.Status.Generation])
@@ -225,7 +225,7 @@
 		n.procs[p].write = &modelWrite{
 			head: Head{Generation: proc.s.head.Generation + 1, Seats: seats}, withdraw: withdraw, asked: st.now,
 		}
-		n.procs[p].s = n.procs[p].s.WithDoubt(!r.noDoubt)
+		n.procs[p].s = n.procs[p].s.WithUncertain(!r.neverUncertain)
 		out = append(out, n)
 	}
 	if takeover {
@@ -276,10 +276,10 @@
 	answered := n
 	answered.procs[p].s = answered.procs[p].s.WithRead(w.head, modelTime(w.asked))
 	out := []modelState{answered, n}
-	if r.doubtEndsOnError {
-		// The caller times out while the write is still in flight, and the process drops its doubt.
+	if r.certainAfterError {
+		// The caller times out while the write is still in flight, and the process considers it as failed.
 		gaveUp := st
-		gaveUp.procs[p].s = gaveUp.procs[p].s.WithDoubt(false)
+		gaveUp.procs[p].s = gaveUp.procs[p].s.WithUncertain(false)
 		out = append(out, gaveUp)
 	}
 
@@ -322,7 +322,7 @@
 func (st modelState) handover(p int, r modelRules) []modelState {
 	seat := modelSeats[p]
 	renewed, ok := st.procs[p].s.own[seat]
-	if p == 2 || !ok || (st.procs[p].s.Uncertain() && !r.handoverInDoubt) {
+	if p == 2 || !ok || (st.procs[p].s.Uncertain() && !r.handoverWhileUncertain) {
 		return nil
 	}
 
@@ -371,7 +371,7 @@
 	}
 	buf = append(buf, byte(st.head.Generation), seats(st.head.Seats), byte(st.withdrawn), tick(st.withdrawnAt))
 	for i, p := range st.procs {
-		buf = append(buf, byte(p.s.head.Generation), seats(p.s.head.Seats), age(p.s.confirmed), flag(p.s.doubt), flag(p.left), flag(st.present[i]))
+		buf = append(buf, byte(p.s.head.Generation), seats(p.s.head.Seats), age(p.s.confirmed), flag(p.s.uncertain), flag(p.left), flag(st.present[i]))
 		for _, seat := range modelSeats {
 			renewed := byte(255)
 			if own, held := p.s.own[seat]; held && !sc.leases {
@@ -478,11 +478,11 @@
 		rules modelRules
 	}{
 		{"a process without a seat writes", modelScope{freshFor: 1, outage: never, joiner: true}, modelRules{anyoneWrites: true}},
-		{"a writer goes on stating", two, modelRules{noDoubt: true}},
+		{"a writer goes on stating", two, modelRules{neverUncertain: true}},
 		{"ages count from the arrival of answers", two, modelRules{receivedTime: true}},
-		{"a writer forgets a write that may be on its way", two, modelRules{doubtEndsOnError: true}},
+		{"a writer forgets a write that may be on its way", two, modelRules{certainAfterError: true}},
 		{"seats are taken over before the licence ends", modelScope{freshFor: 1, outage: never, joiner: true}, modelRules{earlyTakeover: true}},
-		{"a seat is left with a write in doubt", two, modelRules{handoverInDoubt: true}},
+		{"a seat is left with a write in doubt", two, modelRules{handoverWhileUncertain: true}},
 		{"a seat is left to a process with an older head", two, modelRules{handoverToOlder: true}},
 	} {
 		if states, unsafe := explore(c.sc, c.rules, math.MaxInt); !unsafe {
--- a/member/standing.go
+++ b/member/standing.go
@@ -46,8 +46,8 @@
 	stated map[Seat]time.Time
 	// storeless maps the seats of others to the time at which their holders last reported that they can't reach the store.
 	storeless map[Seat]time.Time
-	// doubt is set while a write of this process may have replaced the held head or may still replace it.
-	doubt bool
+	// uncertain is set while a write of this process may have replaced the held head or may still replace it.
+	uncertain bool
 }
 
 // NewStanding returns the standing of a process without a head or a seat.
@@ -62,7 +62,7 @@
 
 // Uncertain reports whether a write of this process may still replace the held head.
 func (s Standing) Uncertain() bool {
-	return s.doubt
+	return s.uncertain
 }
 
 // WithHead returns the standing after the process adopted h; an older head is ignored.
@@ -71,8 +71,8 @@
 		return s
 	}
 
-	// A write in doubt is conditional on the old head, so it has either taken effect or can't any more.
-	s.head, s.stated, s.storeless, s.doubt = h, nil, nil, false
+	// An uncertain write is conditional on the old head, so it has either taken effect or can't any more.
+	s.head, s.stated, s.storeless, s.uncertain = h, nil, nil, false
 
 	return s
 }
@@ -122,9 +122,9 @@
 	return maps.Clone(m)
 }
 
-// WithDoubt returns the standing with doubt set or cleared; a writer sets it before it sends the write.
-func (s Standing) WithDoubt(doubt bool) Standing {
-	s.doubt = doubt
+// WithUncertain returns the standing with uncertain set or cleared; a writer sets it before it sends the write.
+func (s Standing) WithUncertain(uncertain bool) Standing {
+	s.uncertain = uncertain
 	return s
 }
 
@@ -194,7 +194,7 @@
 
 // Stating returns the seats for which the process can state that it has not written a later head.
 func (s Standing) Stating(now time.Time) []Seat {
-	if s.doubt {
+	if s.uncertain {
 		return nil
 	}
 
--- a/revision/edit.go
+++ b/revision/edit.go
@@ -360,7 +360,7 @@
 	repo.mu.Lock()
 	defer repo.mu.Unlock()
 	before := repo.standing.Uncertain()
-	repo.standing = repo.standing.WithDoubt(uncertain)
+	repo.standing = repo.standing.WithUncertain(uncertain)
 
 	return before
 }
