--- a/endpoint/sender.go
+++ b/endpoint/sender.go
@@ -131,9 +131,9 @@
 
 // acquireRetrySlot acquires a slot of another endpoint for a retry while an earlier attempt may still run.
 func (s *Sender) acquireRetrySlot(slot *Slot, req Request) bool {
-	ask := slot.request
-	ask.Avoid = slot.endpoint.Name
-	next, ok := slot.set.Acquire(ask)
+	slotReq := slot.request
+	slotReq.Avoid = slot.endpoint.Name
+	next, ok := slot.set.Acquire(slotReq)
 	if !ok {
 		return false
 	}
--- a/endpoint/set.go
+++ b/endpoint/set.go
@@ -122,41 +122,41 @@
 }
 
 // Acquire takes slots of the least used endpoint of a pool that may get new work.
-func (s *Set) Acquire(ask SlotRequest) (Slot, bool) {
-	ask.Slots = max(ask.Slots, 1)
+func (s *Set) Acquire(req SlotRequest) (Slot, bool) {
+	req.Slots = max(req.Slots, 1)
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
 	s.acquireCount++
 	for {
-		best := s.leastUsed(ask, now)
+		best := s.leastUsed(req, now)
 		if best == nil {
 			return Slot{}, false
 		}
-		release, ok := s.Take(best.endpoint, ask.Slots)
+		release, ok := s.Take(best.endpoint, req.Slots)
 		if !ok {
 			best.skippedBy = s.acquireCount
 			continue
 		}
 		s.chosenCount++
 		best.lastChosen = s.chosenCount
-		best.used += ask.Slots
-		if ask.Slots >= best.reserved {
+		best.used += req.Slots
+		if req.Slots >= best.reserved {
 			best.reserved = 0
 		}
 
-		return Slot{set: s, state: best, endpoint: best.endpoint, request: ask, release: release}, true
+		return Slot{set: s, state: best, endpoint: best.endpoint, request: req, release: release}, true
 	}
 }
 
 // leastUsed returns the least used endpoint that has the wanted slots free and that this call of Acquire did not
 // skip, or nil; the set must be locked.
-func (s *Set) leastUsed(ask SlotRequest, now time.Time) *endpointState {
+func (s *Set) leastUsed(req SlotRequest, now time.Time) *endpointState {
 	var best *endpointState
-	for _, st := range s.pools[ask.Pool] {
-		if st.skippedBy == s.acquireCount || st.endpoint.Name == ask.Avoid || !st.acceptsWork(now, ask.Idempotent) ||
-			!s.hasRoom(st, ask.Slots) {
+	for _, st := range s.pools[req.Pool] {
+		if st.skippedBy == s.acquireCount || st.endpoint.Name == req.Avoid || !st.acceptsWork(now, req.Idempotent) ||
+			!s.hasRoom(st, req.Slots) {
 			continue
 		}
 		// Of equally used endpoints, the one that was chosen longest ago comes first.
@@ -262,9 +262,9 @@
 
 // moveElsewhere moves the slot to another endpoint, if one is free, and reports whether it did.
 func (s *Slot) moveElsewhere() bool {
-	ask := s.request
-	ask.Avoid = s.endpoint.Name
-	next, ok := s.set.Acquire(ask)
+	req := s.request
+	req.Avoid = s.endpoint.Name
+	next, ok := s.set.Acquire(req)
 	if ok {
 		next.request.Avoid = s.request.Avoid
 		s.Release()
