--- a/allotment/group.go
+++ b/allotment/group.go
@@ -263,7 +263,7 @@
 	return h.adopt(g, r)
 }
 
-// adopt applies a record and reports the limits with more room through Grown.
+// adopt applies a record and reports the limits with more room through OnGrown.
 func (h *Holder) adopt(g *group, r store.Record) error {
 	grown, err := g.adopt(r)
 	h.notifyGrown(grown)
