--- a/move/controller.go
+++ b/move/controller.go
@@ -201,13 +201,13 @@
 // observe reads the platform's inventory, and the status of each host that is being drained, rebooted or returned or that
 // seems to be lost.
 func (c *Controller) observe(ctx context.Context, v View, now time.Time) map[fleet.HostName]Observation {
-	sights := map[fleet.HostName]Observation{}
+	observations := map[fleet.HostName]Observation{}
 	inv, err := c.platform.Inventory(ctx)
 	listed := map[fleet.HostName]fleet.Host{}
 	for _, h := range inv.Hosts {
 		listed[h.Name] = h
 		if _, known := v.Hosts[h.Name]; !known {
-			sights[h.Name] = Observation{Listed: &h}
+			observations[h.Name] = Observation{Listed: &h}
 		}
 	}
 
@@ -226,10 +226,10 @@
 	}
 
 	for name, s := range c.queryStatuses(ctx, toQuery) {
-		sights[name] = c.classify(name, s, now)
+		observations[name] = c.classify(name, s, now)
 	}
 
-	return sights
+	return observations
 }
 
 type statusResult struct {
--- a/move/explore_test.go
+++ b/move/explore_test.go
@@ -40,7 +40,7 @@
 // reader is what one controller last read; a zero revision means that the record was not read.
 type reader struct {
 	hosts     [hostCount]record.Versioned[move.Record]
-	sights    [hostCount]platformHost
+	observed  [hostCount]platformHost
 	budgets   [budgetCount]record.Versioned[budget.Record]
 	hostsAt   uint64
 	budgetsAt uint64
@@ -96,7 +96,7 @@
 		in.View.HostsAt = 1 << 62
 	}
 	for i := range e.hosts {
-		name, s := hostNames[i], r.sights[i]
+		name, s := hostNames[i], r.observed[i]
 		in.View.Hosts[name] = r.hosts[i]
 		in.Observations[name] = move.Observation{Asked: true, Lost: s.crashed, Status: hostapi.HostStatus{
 			Host: name, Up: !s.down && !s.crashed, Draining: s.draining, Rebooted: s.booted, Intent: s.intent,
@@ -116,7 +116,7 @@
 
 // readNow returns what a controller knows that reads everything in st now.
 func readNow(st state) reader {
-	return reader{hosts: st.hosts, sights: st.platform, budgets: st.budgets, hostsAt: st.rev, budgetsAt: st.rev}
+	return reader{hosts: st.hosts, observed: st.platform, budgets: st.budgets, hostsAt: st.rev, budgetsAt: st.rev}
 }
 
 // successors returns every state that is one step away from st.
@@ -130,9 +130,9 @@
 		}
 	}
 	act(readNow(st))
-	if st.paused.hosts != st.hosts || st.paused.sights != st.platform {
+	if st.paused.hosts != st.hosts || st.paused.observed != st.platform {
 		n := st
-		n.paused.hosts, n.paused.sights, n.paused.hostsAt = st.hosts, st.platform, st.rev
+		n.paused.hosts, n.paused.observed, n.paused.hostsAt = st.hosts, st.platform, st.rev
 		next = append(next, n)
 	}
 	if !sameBudgets(st.paused.budgets, st.budgets) {
@@ -366,7 +366,7 @@
 	b = appendBudgets(b, st.budgets)
 	b = binary.AppendUvarint(b, st.rev)
 	b = binary.AppendUvarint(b, uint64(st.crashes))
-	b = appendHosts(b, st.paused.hosts, st.paused.sights)
+	b = appendHosts(b, st.paused.hosts, st.paused.observed)
 	b = appendBudgets(b, st.paused.budgets)
 	for _, r := range st.paused.budgets {
 		b = fmt.Append(b, st.paused.hostsAt >= r.Revision)
