--- a/revision/seat.go
+++ b/revision/seat.go
@@ -168,7 +168,7 @@
 	}
 	repo.mu.Unlock()
 	if uncertain {
-		return merry.Prepend(ErrNotSeated, "a write is in doubt")
+		return merry.Prepend(ErrNotSeated, "the outcome of a write is unknown")
 	}
 
 	for _, s := range seats {
