--- a/agent/delegator.go
+++ b/agent/delegator.go
@@ -354,7 +354,7 @@
 	close(d.opened)
 	d.opened = make(chan struct{})
 	if err != nil {
-		d.log.Warn("can't connect to the agent", "agent", address, "error", err)
+		d.log.Warn("failed to connect to the agent", "agent", address, "error", err)
 		d.failed[address] = time.Now()
 
 		return
--- a/agent/link.go
+++ b/agent/link.go
@@ -82,7 +82,7 @@
 	k.ended = true
 	close(k.done)
 	if err := k.stream.Close(); err != nil {
-		k.log.Debug("can't close the stream to an agent", "agent", k.address, "error", err)
+		k.log.Debug("failed to close the stream to an agent", "agent", k.address, "error", err)
 	}
 }
 
@@ -149,7 +149,7 @@
 			m.Calls = append(m.Calls, <-k.queue)
 		}
 		if err := writeFrame(k.stream, m); err != nil {
-			k.log.Debug("can't write calls; the stream ends", "agent", k.address, "error", err)
+			k.log.Debug("failed to write calls, closing the stream", "agent", k.address, "error", err)
 			k.close()
 
 			return
@@ -165,7 +165,7 @@
 		var m wireReplies
 		if err := readFrame(in, &m); err != nil {
 			if errors.Is(err, ErrFrame) {
-				k.log.Warn("malformed frame from an agent; the stream ends", "agent", k.address, "error", err)
+				k.log.Warn("malformed frame from an agent, closing the stream", "agent", k.address, "error", err)
 			}
 
 			return
--- a/agent/server.go
+++ b/agent/server.go
@@ -85,14 +85,14 @@
 	writer.Go(func() {
 		defer close(st.done)
 		if err := st.write(ctx, out, flush); err != nil {
-			s.log.Debug("can't write replies; the stream of calls ends", "error", err)
+			s.log.Debug("failed to write replies, closing the stream of calls", "error", err)
 		}
 	})
 	for {
 		var m wireCalls
 		err := readFrame(in, &m)
 		if errors.Is(err, ErrFrame) {
-			s.log.Warn("malformed frame from an owner; the stream of calls ends", "error", err)
+			s.log.Warn("malformed frame from an owner, closing the stream of calls", "error", err)
 		}
 		if err != nil {
 			break
--- a/cert/source.go
+++ b/cert/source.go
@@ -92,7 +92,7 @@
 func (s *Source) Reload() error {
 	c, err := s.readFiles()
 	if err != nil {
-		s.log.Error("certificate files not reloaded", "file", s.files.Certificate, "err", err)
+		s.log.Error("failed to reload certificate files", "file", s.files.Certificate, "err", err)
 		return err
 	}
 
@@ -103,7 +103,7 @@
 
 	m, err := s.parse(c)
 	if err != nil {
-		s.log.Error("certificate files not reloaded", "file", s.files.Certificate, "err", err)
+		s.log.Error("failed to reload certificate files", "file", s.files.Certificate, "err", err)
 		return err
 	}
 	s.current.Store(m)
--- a/cert/source_test.go
+++ b/cert/source_test.go
@@ -176,7 +176,7 @@
 		if got, err := connect(t, server, client.Client("entry-1")); err != nil || !got.Equal(before) {
 			t.Errorf("broken %s: the old certificate is not in use: %v", name, err)
 		}
-		if !strings.Contains(logs.String(), "not reloaded") {
+		if !strings.Contains(logs.String(), "failed to reload") {
 			t.Errorf("broken %s: logged %q", name, logs.String())
 		}
 		if err := os.WriteFile(name, sound, 0o600); err != nil {
--- a/entry/control.go
+++ b/entry/control.go
@@ -83,7 +83,7 @@
 
 	now := time.Now()
 	if err := c.waves.Step(ctx, now); err != nil {
-		c.log.Warn("wave step failed", "err", err)
+		c.log.Warn("maintenance wave step failed", "err", err)
 	}
 	report, err := c.moves.Step(ctx, now)
 	if err != nil {
--- a/entry/host.go
+++ b/entry/host.go
@@ -145,16 +145,16 @@
 	defer cancel()
 
 	if err := h.Claims.Close(ctx); err != nil {
-		h.Log.Warn("request outcomes not written to the store", "err", err)
+		h.Log.Warn("failed to write request outcomes to the store", "err", err)
 	}
 	if err := h.Limits.holder.Close(ctx); err != nil {
-		h.Log.Warn("parts of limits not released", "err", err)
+		h.Log.Warn("failed to release allocations of limits", "err", err)
 	}
 	if err := h.Revisions.Leave(ctx); err != nil {
-		h.Log.Warn("seat not released", "err", err)
+		h.Log.Warn("failed to release the seat", "err", err)
 	}
 	if err := h.Cluster.registry.Leave(ctx); err != nil {
-		h.Log.Warn("member record not removed", "err", err)
+		h.Log.Warn("failed to remove the member record", "err", err)
 	}
 }
 
@@ -185,7 +185,7 @@
 	for ctx.Err() == nil {
 		inv, err := h.Platform.Inventory(ctx)
 		if err != nil {
-			h.Log.Warn("inventory unavailable", "err", err)
+			h.Log.Warn("failed to read the inventory", "err", err)
 		} else {
 			view := h.Control.moves.View()
 			endpoints := endpointsOf(inv, view.Hosts)
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -160,7 +160,7 @@
 		if id, _ := c.seat.Lease(); err == nil || errors.Is(err, store.ErrConflict) || id != t.lease {
 			return
 		}
-		c.log.Warn("can't remove the owner record", "term", t.Revision, "error", err)
+		c.log.Warn("failed to remove the owner record", "term", t.Revision, "error", err)
 		if !pause.For(ctx, retryPause) {
 			return
 		}
@@ -196,7 +196,7 @@
 	}
 	value, err := ledger.Encode(ledger.Owner{Host: c.seat.host.Name, Process: c.process, PeerAddress: c.seat.host.PeerAddress})
 	if err != nil {
-		c.log.Error("can't encode the owner record", "error", err)
+		c.log.Error("failed to encode the owner record", "error", err)
 		return nil
 	}
 	revision, err := c.client.Commit(ctx, store.Txn{
@@ -206,7 +206,7 @@
 		revision, err = c.resolveWrite(ctx, value)
 	}
 	if err != nil {
-		c.log.Debug("owner record not written", "error", err)
+		c.log.Debug("failed to write the owner record", "error", err)
 		return nil
 	}
 
--- a/owner/seat.go
+++ b/owner/seat.go
@@ -95,7 +95,7 @@
 		id, _ := s.Lease()
 		if id == 0 {
 			if err := s.acquire(ctx); err != nil {
-				s.log.Warn("can't acquire a lease; retrying", "error", err)
+				s.log.Warn("failed to acquire a lease, retrying", "error", err)
 				pause.For(ctx, retryPause)
 			}
 
@@ -118,7 +118,7 @@
 	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
 	if err := s.client.Revoke(ctx, id); err != nil {
-		s.log.Warn("can't revoke the lease; it will expire", "error", err)
+		s.log.Warn("failed to revoke the lease, leaving it to expire", "error", err)
 	}
 }
 
@@ -168,6 +168,6 @@
 		s.mu.Unlock()
 		s.log.Warn("lease expired", "lease", id)
 	case ctx.Err() == nil:
-		s.log.Debug("can't renew the lease", "error", err)
+		s.log.Debug("failed to renew the lease", "error", err)
 	}
 }
--- a/telemetry/limiter.go
+++ b/telemetry/limiter.go
@@ -41,7 +41,7 @@
 func (l *Limiter) logSuppressed() {
 	for kind, n := range l.counts {
 		if n > maxPerSecond {
-			l.log.Warn("log lines left out", "kind", kind, "count", n-maxPerSecond)
+			l.log.Warn("log lines suppressed", "kind", kind, "count", n-maxPerSecond)
 		}
 	}
 }
