--- a/admission/property_test.go
+++ b/admission/property_test.go
@@ -11,16 +11,16 @@
 	"lycheehook.example/lycheehook/fleet"
 )
 
-// TestGateProperty makes random requests, cancellations and releases. It checks after every step that no limit is
+// TestControllerProperty makes random requests, cancellations and releases. It checks after every step that no limit is
 // exceeded and that no request waits that could start, and at the end that each request got exactly one result and
 // that all slots and limits were released.
-func TestGateProperty(t *testing.T) {
+func TestControllerProperty(t *testing.T) {
 	for seed := range uint64(150) {
-		synctest.Test(t, func(t *testing.T) { gateProperty(t, seed) })
+		synctest.Test(t, func(t *testing.T) { controllerProperty(t, seed) })
 	}
 }
 
-func gateProperty(t *testing.T, seed uint64) {
+func controllerProperty(t *testing.T, seed uint64) {
 	t.Helper()
 	r := rand.New(rand.NewPCG(seed, 3))
 	n := 1 + r.IntN(8)
