--- a/job/job.go
+++ b/job/job.go
@@ -91,8 +91,8 @@
 	}
 }
 
-// Settled returns the entry updated with the status that its worker reported.
-func (e Entry) Settled(s hostapi.TaskStatus, now time.Time) Entry {
+// WithStatus returns the entry updated with the status that its worker reported.
+func (e Entry) WithStatus(s hostapi.TaskStatus, now time.Time) Entry {
 	switch s.State {
 	case hostapi.TaskRunning:
 		if e.State == fleet.JobStarting {
--- a/job/step.go
+++ b/job/step.go
@@ -230,7 +230,7 @@
 
 // recordOutcome updates an entry and records the task's outcome and peak usage, for the health of workers and estimates of sizes.
 func (c *Controller) recordOutcome(e Entry, s hostapi.TaskStatus, now time.Time, rep *Report) Entry {
-	next := e.Settled(s, now)
+	next := e.WithStatus(s, now)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if next.State == fleet.JobDone || next.State == fleet.JobFailed {
