--- a/allotment/entry.go
+++ b/allotment/entry.go
@@ -134,7 +134,7 @@
 	e.state = e.state.withoutEscrow()
 }
 
-// escrow sets aside up to amount before a write that gives it away, and returns the amount set
+// escrow sets aside up to amount before a write that transfers it, and returns the amount set
 // aside.
 func (e *entry) escrow(amount fleet.Resources) fleet.Resources {
 	e.mu.Lock()
--- a/allotment/group.go
+++ b/allotment/group.go
@@ -123,9 +123,9 @@
 }
 
 // clearEscrow frees the amounts escrowed for a write that is known to have failed, unless an
-// earlier write is in doubt; g.mu is held.
+// earlier write is uncertain; g.mu is held.
 func (g *group) clearEscrow() {
-	if g.view.inDoubt {
+	if g.view.uncertain {
 		return
 	}
 	for _, e := range g.entries {
@@ -143,14 +143,14 @@
 	return g.entries[i], true
 }
 
-// planner returns the next state of a record and escrows what the holder gives away in it; the
+// planner returns the next state of a record and escrows what the holder transfers in it; the
 // group is locked.
 type planner func(g *group) Record
 
 // change reads the record, plans its next state and writes it, conditional on the revision that
 // was read.
 //
-// The amount given away is escrowed before the write and can't be used from then on. If the
+// The transferred amount is escrowed before the write and can't be used from then on. If the
 // response is lost, it stays in escrow until a newer revision has been read, because only then can
 // that write no longer be applied.
 //
@@ -233,7 +233,7 @@
 	case errors.Is(err, store.ErrConflict):
 		// The next read returns a newer revision and clears the escrow.
 	default:
-		g.view.inDoubt = g.view.inDoubt || g.view.revision == base
+		g.view.uncertain = g.view.uncertain || g.view.revision == base
 	}
 	g.mu.Unlock()
 	h.notifyGrown(grown)
--- a/allotment/model_test.go
+++ b/allotment/model_test.go
@@ -27,7 +27,7 @@
 	withoutConfirm       without = "confirmation after a lease lapse"
 	withoutAbsentCheck   without = "member key check before a reclaim"
 	withoutEscrow        without = "escrow before a write"
-	withoutInDoubt       without = "escrow kept while in doubt"
+	withoutUncertain     without = "escrow kept while uncertain"
 	withoutRevisionCheck without = "revision check of a write"
 	withoutSuspension    without = "suspension until a lowered limit is in the record"
 	withoutExcess        without = "no growth while in excess"
@@ -341,19 +341,19 @@
 		return
 	}
 
-	inDoubt := func(h *modelHolder) {
-		h.view.inDoubt = true
-		if r.omitted == withoutInDoubt {
+	uncertain := func(h *modelHolder) {
+		h.view.uncertain = true
+		if r.omitted == withoutUncertain {
 			h.state = h.state.withoutEscrow()
 		}
 	}
 	if ok {
-		lost := applied.at(i, inDoubt)
+		lost := applied.at(i, uncertain)
 		lost.losses--
 		add(lost, "response to %d is lost", i)
 	}
 	if sent.delayed.base == 0 {
-		late := sent.at(i, inDoubt)
+		late := sent.at(i, uncertain)
 		late.delayed = w
 		late.losses--
 		add(late, "write of %d is delayed", i)
@@ -378,7 +378,7 @@
 	for _, h := range m.holders[:r.holders] {
 		s := h.state
 		k += fmt.Sprint("|", s.used.Slots, s.allocated.Slots, s.escrowed.Slots, s.excess.Slots, s.suspended, base(h.view.revision), h.view.record.Revision,
-			h.view.inDoubt, h.view.unconfirmed, h.bounds.revision, h.bounds.oldest(), h.leaseValid, h.hasKey, h.paused, h.dead, h.leaseGap, h.waitElapsed)
+			h.view.uncertain, h.view.unconfirmed, h.bounds.revision, h.bounds.oldest(), h.leaseValid, h.hasKey, h.paused, h.dead, h.leaseGap, h.waitElapsed)
 		if h.planned {
 			k += fmt.Sprint("!", base(h.op.base), limit(h.op.next), h.op.reclaim)
 		}
@@ -453,7 +453,7 @@
 		{withoutConfirm, "pause", 16},
 		{withoutAbsentCheck, "pause", 18},
 		{withoutEscrow, "none", 14},
-		{withoutInDoubt, "loss", 14},
+		{withoutUncertain, "loss", 14},
 		{withoutRevisionCheck, "none", 14},
 		{withoutSuspension, "lowered", 14},
 		{withoutExcess, "lowered", 14},
--- a/allotment/run.go
+++ b/allotment/run.go
@@ -223,7 +223,7 @@
 func (h *Holder) needsChange(g *group, expired []fleet.Incarnation, n int) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.view.unconfirmed || g.view.inDoubt || len(expired) > 0 || g.bounds.revision > g.view.record.Revision {
+	if g.view.unconfirmed || g.view.uncertain || len(expired) > 0 || g.bounds.revision > g.view.record.Revision {
 		return true
 	}
 
--- a/allotment/view.go
+++ b/allotment/view.go
@@ -13,8 +13,8 @@
 	holders []fleet.Incarnation
 	// revision is the store's revision of the record; zero means that the key has never been seen.
 	revision uint64
-	// inDoubt reports that a write based on revision may still be applied.
-	inDoubt bool
+	// uncertain reports that a write based on revision may still be applied.
+	uncertain bool
 	// unconfirmed reports that the holder's allocations may have been reclaimed since, because its
 	// lease lapsed.
 	unconfirmed bool
--- a/member/model_test.go
+++ b/member/model_test.go
@@ -482,7 +482,7 @@
 		{"ages count from the arrival of answers", two, modelRules{receivedTime: true}},
 		{"a writer forgets a write that may be on its way", two, modelRules{certainAfterError: true}},
 		{"seats are taken over before the licence ends", modelScope{freshFor: 1, outage: never, joiner: true}, modelRules{earlyTakeover: true}},
-		{"a seat is left with a write in doubt", two, modelRules{handoverWhileUncertain: true}},
+		{"a seat is handed over while a write is uncertain", two, modelRules{handoverWhileUncertain: true}},
 		{"a seat is left to a process with an older head", two, modelRules{handoverToOlder: true}},
 	} {
 		if states, unsafe := explore(c.sc, c.rules, math.MaxInt); !unsafe {
--- a/store/http.go
+++ b/store/http.go
@@ -150,7 +150,7 @@
 	return c.call(ctx, pathRevoke, c.timeout, leaseRequest{ID: id}, &struct{}{})
 }
 
-// readError turns ErrOutcomeUnknown into ErrUnavailable, because a read has no effect that could be in doubt.
+// readError turns ErrOutcomeUnknown into ErrUnavailable, because a read has no effect whose outcome could be unknown.
 func readError(err error) error {
 	if errors.Is(err, ErrOutcomeUnknown) {
 		return merry.Prepend(ErrUnavailable, err.Error())
