--- a/load/load_test.go
+++ b/load/load_test.go
@@ -40,23 +40,23 @@
 
 func TestVerdicts(t *testing.T) {
 	tests := []struct {
-		name string
-		told observation
-		ran  int
-		want Verdicts
+		name        string
+		observation observation
+		ran         int
+		want        Verdicts
 	}{
-		{name: "done once", told: observation{outcome: Done}, ran: 1, want: Verdicts{Audited: true}},
-		{name: "refused and not run", told: observation{outcome: NotRun}, ran: 0, want: Verdicts{Audited: true}},
-		{name: "unknown may have run", told: observation{outcome: Unknown}, ran: 1, want: Verdicts{Audited: true}},
-		{name: "done and never ran", told: observation{outcome: Done}, ran: 0, want: Verdicts{Audited: true, Lost: 1}},
-		{name: "refused and ran", told: observation{outcome: NotRun}, ran: 1, want: Verdicts{Audited: true, FalseNotRun: 1}},
-		{name: "ran twice", told: observation{outcome: Done}, ran: 2, want: Verdicts{Audited: true, Doubled: 1}},
-		{name: "idempotent may run twice", told: observation{outcome: Done, idempotent: true}, ran: 2, want: Verdicts{Audited: true}},
+		{name: "done once", observation: observation{outcome: Done}, ran: 1, want: Verdicts{Audited: true}},
+		{name: "refused and not run", observation: observation{outcome: NotRun}, ran: 0, want: Verdicts{Audited: true}},
+		{name: "unknown may have run", observation: observation{outcome: Unknown}, ran: 1, want: Verdicts{Audited: true}},
+		{name: "done and never ran", observation: observation{outcome: Done}, ran: 0, want: Verdicts{Audited: true, Lost: 1}},
+		{name: "refused and ran", observation: observation{outcome: NotRun}, ran: 1, want: Verdicts{Audited: true, FalseNotRun: 1}},
+		{name: "ran twice", observation: observation{outcome: Done}, ran: 2, want: Verdicts{Audited: true, Doubled: 1}},
+		{name: "idempotent may run twice", observation: observation{outcome: Done, idempotent: true}, ran: 2, want: Verdicts{Audited: true}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			r := newRecorder(time.Now(), time.Second, nil)
-			r.observations["id"] = tt.told
+			r.observations["id"] = tt.observation
 			if diff := cmp.Diff(tt.want, r.verdicts(map[string]int{"id": tt.ran})); diff != "" {
 				t.Errorf("verdicts (-want +got):\n%s", diff)
 			}
