--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -165,8 +165,8 @@
 // weak is the CPU share in cores of a host that can't handle the calls to a single worker.
 const weak = 0.0001
 
-// An agent makes the calls of an owner on a small host, and returns the complete answers of the worker. In
-// harambee-ledgers-large, 129 of 147 hosts have 0.192 cores.
+// An agent makes the calls of an owner on a small host, and returns the complete answers of the worker. In a large installation
+// most hosts can be as small as 0.192 cores.
 func TestDelegated(t *testing.T) {
 	run(t, weak, func(f *site, w work.Workers) {
 		t := f.t
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -312,7 +312,7 @@
 	return result{1 - float64(len(s.late))/float64(s.jobs), s.hostSec*hostPrice + float64(s.moves)*movePrice, s.moves, s.jobs}
 }
 
-// When the queues peak in turn at four times their mean (harambee-ledgers, quiet-1), moved hosts serve at least as many
+// When the queues peak in turn at four times their mean, moved hosts serve at least as many
 // jobs in time as static pools, at no higher cost, and the forecast serves at least as many as reacting.
 func TestAlternatingPeaks(t *testing.T) {
 	const days = 5
@@ -368,7 +368,7 @@
 	}}
 }
 
-// With many jobs arriving at once, as in scale-1 and scale-2 of both sites and on grown sites with seven times the
+// With many jobs arriving at once, also with seven times the
 // hosts, the additional cost of the forecast must be less than the value of the jobs that it additionally serves.
 func TestAlternatingPeaksAtScale(t *testing.T) {
 	for _, scale := range []int{1, 7} {
@@ -439,8 +439,8 @@
 	return p
 }
 
-// When the work exceeds all hosts, pools get equal parts and overdue work comes last. In harambee-ledgers-large (small
-// twin, quiet-1) the pool that peaked first once kept two thirds of the fleet for twenty seconds.
+// When the work exceeds all hosts, pools get equal parts and overdue work comes last. Otherwise the pool that peaks first can keep
+// most of the fleet; in a failure it had two thirds of the hosts for twenty seconds.
 func TestOverload(t *testing.T) {
 	tests := []struct {
 		name  string
--- a/intake/handler_test.go
+++ b/intake/handler_test.go
@@ -19,8 +19,8 @@
 	"lycheehook.example/lycheehook/work"
 )
 
-// TestStateBeforeLogIsRead guards against a host reporting a job as queued although it may have ended. This occurred in
-// harambee-ledgers-large, when all hosts started at once and had not read the log yet. Without a response from the owner
+// TestStateBeforeLogIsRead guards against a host reporting a job as queued although it may have ended. This occurred
+// when all hosts started at once and had not read the log yet. Without a response from the owner
 // the host must report that the state is unavailable; for a cancelled job its record is sufficient.
 func TestStateBeforeLogIsRead(t *testing.T) {
 	tests := []struct {
--- a/manager/peers_test.go
+++ b/manager/peers_test.go
@@ -8,7 +8,7 @@
 	"lycheehook.example/lycheehook/ledger"
 )
 
-// TestSortPeers guards against a slow failover in harambee grown, scale-2: the owner loses its connection to the store for
+// TestSortPeers guards against a slow failover: the owner loses its connection to the store for
 // 12 s, and most entry hosts have 10 Mbit/s links, on which a batch of 1000 starts takes 0.1 s. Calls must go through a peer
 // with a wide link.
 func TestSortPeers(t *testing.T) {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -76,7 +76,7 @@
 	}
 }
 
-// TestFailover guards against the failure of harambee trouble-1, in which the store did not respond to the owner alone for
+// TestFailover guards against a partition in which the store did not respond to the owner alone for
 // 7 s. After the first timeout calls must go to a peer at once, and return to the direct connection when it works again.
 func TestFailover(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
