rehearsal: use the terms of simulation

Comments spoke of what a play "showed", a planner that "knows the future" and "true" times. They now speak of simulations, an offline planner, actual durations, generated jobs and sampled distributions. TestPlaysRepeat is TestPlaysAreDeterministic.

--- a/rehearsal/bound.go
+++ b/rehearsal/bound.go
@@ -8,8 +8,8 @@
 	"lycheehook.example/lycheehook/work"
 )
 
-// bestCost returns the price of hosts for a planner that knows all jobs, starts each task as soon as it may, and keeps or
-// returns each host between two uses, whichever is cheaper.
+// bestCost returns the cost of an offline planner that knows all jobs, starts each task as soon as its step is ready, and keeps
+// or returns each host between two uses, whichever is cheaper.
 func bestCost(list []arrival) float64 {
 	demand := [poolCount][]float64{}
 	for i := range poolCount {
@@ -36,7 +36,7 @@
 	return 0
 }
 
-// addTo adds a job to the hosts that its pool needs in each interval.
+// addTo adds the job to its pool's demand, in hosts for each interval.
 func (a arrival) addTo(demand []float64) {
 	from := a.at - settleTime
 	for i, times := range a.trueTimes {
@@ -52,7 +52,7 @@
 	}
 }
 
-// bestPoolCost returns the least price of hosts that cover a pool's demand: the n-th host is needed while demand exceeds
+// bestPoolCost returns the minimum cost of the hosts that cover a pool's demand: the n-th host is needed while demand exceeds
 // n-1, and in a gap it is kept or returned, whichever is cheaper.
 func bestPoolCost(demand []float64) float64 {
 	trip := 2*MovePrice + moveTime.Seconds()*HostPrice
--- a/rehearsal/demand.go
+++ b/rehearsal/demand.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// loadTime is how long jobs arrive, settleTime how long the fleet runs before, and finishTime how long after.
+	// loadTime is how long jobs arrive, settleTime how long the simulation runs before, and finishTime how long after.
 	loadTime   = 34 * time.Second
 	settleTime = 8 * time.Second
 	finishTime = 8 * time.Second
@@ -28,7 +28,7 @@
 	lastingTasks    = 5
 )
 
-// jobKind describes the jobs of a pool.
+// jobKind is the distribution of the jobs of a pool.
 type jobKind struct {
 	hosts     int
 	perSecond float64
@@ -38,7 +38,7 @@
 	seconds   float64
 }
 
-// kinds are the pools' jobs, which use about a third of the fleet on average.
+// kinds are the job kinds of the pools, which use about a third of the fleet on average.
 var kinds = [poolCount]jobKind{
 	{hosts: 10, perSecond: 6, steps: 1.5, tasks: 5, cores: 3000, seconds: 0.9},
 	{hosts: 10, perSecond: 1.5, steps: 2.5, tasks: 7, cores: 6000, seconds: 1.2},
@@ -48,15 +48,15 @@
 
 const standbyHosts = 8
 
-// arrival is a job with what is not known in advance: how long its tasks really take.
+// arrival is a job with the actual durations of its tasks, which the scheduler doesn't know.
 type arrival struct {
 	at  time.Duration
 	job work.Job
-	// trueTimes has the duration of each task by step.
+	// trueTimes is the actual duration of each task by step.
 	trueTimes [][]time.Duration
 }
 
-// demandOf draws the jobs of a play, in the order of their arrival.
+// demandOf generates the jobs of a play.
 func demandOf(p Pattern, scale int, rng *rand.Rand, start time.Time) []arrival {
 	var list []arrival
 	for pool := range poolCount {
@@ -84,7 +84,7 @@
 	return list
 }
 
-// workspaceShare returns the fraction of the jobs that a workspace sends; the first ones send the most.
+// workspaceShare returns the fraction of the jobs that a workspace submits; the first workspaces submit the most.
 func workspaceShare(ws int) float64 {
 	return float64(workspaceCount-ws) / (workspaceCount * (workspaceCount + 1) / 2)
 }
@@ -111,7 +111,7 @@
 	return arrival{at: at, job: j, trueTimes: [][]time.Duration{slices.Repeat([]time.Duration{time.Hour}, lastingTasks)}}
 }
 
-// batchJob draws a job of a pool whose steps follow one another.
+// batchJob generates a job of a pool whose steps run in sequence.
 func batchJob(pool, ws, number int, large float64, at time.Duration, rng *rand.Rand, start time.Time) arrival {
 	k := kinds[pool]
 	steps := max(1, int(math.Round(k.steps+0.8*rng.NormFloat64())))
@@ -143,14 +143,14 @@
 	return a
 }
 
-// spread draws from a log-normal distribution with the given mean and relative deviation, at most limit times the mean.
+// spread samples a log-normal distribution with the given mean and relative deviation, capped at limit times the mean.
 func spread(rng *rand.Rand, mean, deviation, limit float64) float64 {
 	sigma := math.Sqrt(math.Log(1 + deviation*deviation))
 
 	return min(limit*mean, mean*math.Exp(sigma*rng.NormFloat64()-sigma*sigma/2))
 }
 
-// poisson draws a number of arrivals.
+// poisson samples a Poisson distribution.
 func poisson(rng *rand.Rand, mean float64) int {
 	n, limit, product := 0, math.Exp(-mean), rng.Float64()
 	for product > limit {
@@ -161,7 +161,7 @@
 	return n
 }
 
-// objective returns the target duration of a job by the true length of its longest chain.
+// objective returns the target duration of a job, derived from the actual length of its critical path.
 func (a arrival) objective() time.Duration {
 	var chain time.Duration
 	for _, times := range a.trueTimes {
@@ -171,7 +171,7 @@
 	return time.Duration(objectiveFactor*float64(chain)) + slack
 }
 
-// hostSeconds returns the work of a job as a time of whole hosts.
+// hostSeconds returns the work of a job in host-seconds.
 func (a arrival) hostSeconds() float64 {
 	sum := 0.0
 	for i, times := range a.trueTimes {
--- a/rehearsal/doc.go
+++ b/rehearsal/doc.go
@@ -1,7 +1,7 @@
-// Package rehearsal plays load patterns to the scheduler and the balancer in
-// virtual time, with modelled workers and a modelled cloud, so that decisions
-// can be compared over many seeds without a network.
+// Package rehearsal simulates load patterns against the scheduler and the
+// balancer in virtual time, with modelled workers and a modelled cloud, so that
+// policies can be compared over many seeds without a network.
 //
-// Each play reports what callers got and what the hosts cost, beside what a
-// planner that knows the whole future would have paid for the same work.
+// Each simulation, called a play, reports the work that met its objective and the
+// cost of the hosts, beside the cost of an offline planner that knows all jobs.
 package rehearsal
--- a/rehearsal/pattern.go
+++ b/rehearsal/pattern.go
@@ -11,24 +11,24 @@
 // ErrUnknownPattern means that no pattern has the given name.
 var ErrUnknownPattern = merry.Sentinel("rehearsal: unknown pattern")
 
-// Pattern is a course of demand and events that the decisions have to answer.
+// Pattern is a sequence of demand and events.
 type Pattern struct {
 	// Name identifies the pattern in reports.
 	Name string
-	// About says in one sentence what the pattern asks of the decisions.
+	// About describes the pattern in one sentence.
 	About string
 	// rate returns the arrival rate of a pool's jobs at a time since the start, as a multiple of its mean rate.
 	rate func(pool int, at time.Duration) float64
-	// largeJobs multiplies the tasks of each job and divides the rate by the same number; zero counts as one.
+	// largeJobs multiplies the tasks of each job and divides the rate by the same number; zero means one.
 	largeJobs int
 	// floodFactor multiplies the jobs of one workspace between floodFrom and floodUntil.
 	floodFactor           float64
 	floodFrom, floodUntil time.Duration
 	// waveAt is when a maintenance wave over half of the hosts is requested; zero means never.
 	waveAt time.Duration
-	// rackLossAt is when a rack of the busiest pool stops to answer for rackLossTime.
+	// rackLossAt is when the rack with the most runs stops responding for rackLossTime.
 	rackLossAt time.Duration
-	// ownerLossAt is when the owner ends; a new one takes over after ownerGap.
+	// ownerLossAt is when the owner fails; a new one starts after ownerGap.
 	ownerLossAt time.Duration
 }
 
@@ -103,7 +103,7 @@
 	return list, nil
 }
 
-// turnsOf returns rates that peak in one pool after the other; turn converts a time to the number of turns passed.
+// turnsOf returns rates that peak in one pool after the other; turn converts a time to the number of completed turns.
 func turnsOf(turn func(at time.Duration) float64) func(int, time.Duration) float64 {
 	return func(pool int, at time.Duration) float64 {
 		phase := math.Mod(turn(at)-float64(pool)+2*poolCount, poolCount)
--- a/rehearsal/plot.go
+++ b/rehearsal/plot.go
@@ -18,7 +18,7 @@
 	plotHeight = 12 * vg.Centimeter
 )
 
-// WriteSVG draws the hosts of each pool over time, with those in use as dashed lines.
+// WriteSVG plots the hosts of each pool over time, and those in use as dashed lines.
 func (r Report) WriteSVG(w io.Writer) error {
 	pl := plot.New()
 	pl.Title.Text = fmt.Sprintf("%s, seed %d: hosts in each pool, in use dashed", r.Pattern, r.Seed)
--- a/rehearsal/rehearsal.go
+++ b/rehearsal/rehearsal.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	// passInterval is the time between two scheduling passes, and storeDelay how long the ledger takes to store changes.
+	// passInterval is the time between two scheduling passes, and storeDelay the latency of writes to the ledger.
 	passInterval = 20 * time.Millisecond
 	storeDelay   = 20 * time.Millisecond
 	// tickInterval, orderInterval and listInterval are those of the dispatcher.
@@ -32,7 +32,7 @@
 	start    time.Time
 	now      time.Duration
 	arrivals []arrival
-	// next is the index of the first job that has not arrived.
+	// next is the index of the next job to arrive.
 	next    int
 	jobs    map[fleet.JobID]*jobProgress
 	cloud   *cloud
@@ -46,20 +46,20 @@
 	report   Report
 }
 
-// storing is a batch of changes that the ledger is storing.
+// storing is a batch of changes whose write to the ledger is in progress.
 type storing struct {
 	pending bool
 	starts  []schedule.Start
 	doneAt  time.Duration
 }
 
-// jobProgress is what is known of a job that has arrived.
+// jobProgress is the progress of a job that has arrived.
 type jobProgress struct {
 	*arrival
 	left  int
 	done  map[work.Task]bool
 	began bool
-	// finished is when the last task ended; zero means not yet.
+	// finished is when the last task ended; zero if the job is not finished.
 	finished time.Duration
 }
 
@@ -71,7 +71,7 @@
 	return func(r *Rehearsal) { r.scale = n }
 }
 
-// New returns the play of a pattern whose jobs are drawn with a seed.
+// New returns a play of a pattern with jobs that are generated from a seed.
 func New(p Pattern, seed uint64, options ...Option) *Rehearsal {
 	r := &Rehearsal{
 		pattern: p, scale: 1, start: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
@@ -105,7 +105,7 @@
 	return r.report
 }
 
-// clock returns the virtual time as the scheduler sees it.
+// clock returns the virtual time.
 func (r *Rehearsal) clock() time.Time {
 	return r.start.Add(r.now)
 }
@@ -120,7 +120,7 @@
 	return event > 0 && settleTime+event > r.now-passInterval && settleTime+event <= r.now
 }
 
-// takeOver begins a new term with what the ledger has.
+// takeOver starts a new term with the entries of the ledger.
 func (r *Rehearsal) takeOver() {
 	r.term++
 	r.sched = schedule.New(
@@ -175,7 +175,7 @@
 	}
 }
 
-// silenceRack makes the rack with the most runs silent.
+// silenceRack makes the rack with the most runs unresponsive.
 func (r *Rehearsal) silenceRack() {
 	runs := map[fleet.RackName]int{}
 	most := fleet.RackName("")
@@ -211,7 +211,7 @@
 	}
 }
 
-// runWorkers ends runs, completes orders and announces new workers.
+// runWorkers ends runs, completes orders to hosts and registers new workers.
 func (r *Rehearsal) runWorkers() {
 	for _, m := range r.cloud.machines {
 		if m.status.State != work.HostUp {
@@ -228,7 +228,7 @@
 	}
 }
 
-// taskDone notes the end of a task.
+// taskDone records the end of a task.
 func (r *Rehearsal) taskDone(t work.Task) {
 	p := r.jobs[t.Job]
 	if p.done[t] {
@@ -279,7 +279,7 @@
 	}
 }
 
-// send carries out an order to a worker.
+// send executes an order to a worker.
 func (r *Rehearsal) send(o schedule.Order) {
 	m := r.cloud.byWorker[o.Worker.ID]
 	if m == nil || m.silentUntil > r.now {
@@ -326,7 +326,7 @@
 	}
 }
 
-// manageHosts reads the list of hosts if that is due, and carries out the orders to hosts.
+// manageHosts reads the list of hosts if that is due, and executes the orders to hosts.
 func (r *Rehearsal) manageHosts() {
 	now := r.clock()
 	if r.now-r.listedAt >= listInterval {
--- a/rehearsal/rehearsal_test.go
+++ b/rehearsal/rehearsal_test.go
@@ -28,8 +28,8 @@
 	return Mean(list)
 }
 
-// Every pattern plays to its end, runs the work that arrives, costs no less for the work in time than the planner that knows
-// the future, and is worth no more.
+// In every pattern jobs run, the cost of the work in time is at least that of the offline planner, and the worth at most that of
+// the offline planner.
 func TestEveryPattern(t *testing.T) {
 	var all []Report
 	for _, p := range Patterns() {
@@ -49,8 +49,8 @@
 	t.Log("\n" + b.String())
 }
 
-// A play with the same seed shows the same, so that policies can be compared.
-func TestPlaysRepeat(t *testing.T) {
+// Plays with the same seed have the same results, so that policies can be compared.
+func TestPlaysAreDeterministic(t *testing.T) {
 	for _, p := range Patterns() {
 		a, b := New(p, 3).Play(), New(p, 3).Play()
 		if diff := cmp.Diff(a, b, cmpopts.IgnoreUnexported(Report{})); diff != "" {
@@ -59,7 +59,7 @@
 	}
 }
 
-// A rehearsal of n times the size has n times the hosts and, over several plays, about n times the jobs.
+// A play with scale n has n times the hosts and about n times the jobs.
 func TestScale(t *testing.T) {
 	const n = 3
 	steady := Patterns()[0]
@@ -78,7 +78,7 @@
 	}
 }
 
-// A gap in which a host costs less than a move there and back is bridged, a longer one is not.
+// A host is kept during a gap if that costs less than returning and fetching it, and returned otherwise.
 func TestBestPoolCost(t *testing.T) {
 	trip := 2*MovePrice + moveTime.Seconds()*HostPrice
 	tests := []struct {
@@ -107,8 +107,8 @@
 	}
 }
 
-// The limits are what callers get and what it costs under each load, over several seeds: hosts follow deadlines, known later
-// steps and trends, and not the variation of single jobs. The moves are at most five to seven for each of the 48 hosts.
+// The work in time and the moves under each load, as means over several seeds, stay within limits: pool sizes follow deadlines,
+// known later steps and trends, and not the variation of single jobs. The limits allow five to seven moves of each of 48 hosts.
 func TestLoads(t *testing.T) {
 	tests := []struct {
 		pattern  string
--- a/rehearsal/report.go
+++ b/rehearsal/report.go
@@ -10,14 +10,14 @@
 	"lycheehook.example/lycheehook/fleet"
 )
 
-// The prices of a second of a host in a pool, of a move, and of a host-second of work of jobs that meet their objective.
+// Prices of a second of a host in a pool and of a move, and the value of a host-second of work that meets its objective.
 const (
 	HostPrice = 1.0
 	MovePrice = 1.15
 	WorkPrice = 15.0
 )
 
-// Report is what a play showed.
+// Report is the results of a play, or their means over several plays.
 type Report struct {
 	Pattern string
 	Seed    uint64
@@ -29,7 +29,7 @@
 	// HostSeconds is the time of hosts in pools, and WorkedSeconds the part of it that was in use.
 	HostSeconds, WorkedSeconds float64
 	Moves                      int
-	// Cost is the price of the hosts and their moves, BestCost that of a planner that knows the future.
+	// Cost is the price of the hosts and their moves, BestCost the cost of the offline planner.
 	Cost, BestCost float64
 	// MedianWait and LongWait are the median and the 95th percentile of the times from submission to the first start.
 	MedianWait, LongWait time.Duration
@@ -37,14 +37,14 @@
 	waits                []time.Duration
 }
 
-// Sample is the state of the fleet at a moment.
+// Sample is the state of the fleet at a time.
 type Sample struct {
 	At time.Duration
-	// Hosts counts the hosts in each pool, and Used the host equivalents in use there.
+	// Hosts is the number of hosts in each pool, and Used the sum of the used fractions of its hosts.
 	Hosts, Used [poolCount]float64
 }
 
-// sample adds the present state of the fleet to the report.
+// sample adds the current state of the fleet to the report.
 func (r *Rehearsal) sample() {
 	if r.now < settleTime || r.now >= settleTime+loadTime || !r.every(sampleTime) {
 		return
@@ -76,7 +76,7 @@
 	return used
 }
 
-// tally sums work, all of it and that of jobs in time.
+// tally is the sum of all work and of the work of jobs that met their objective.
 type tally struct{ all, inTime float64 }
 
 func (t tally) share() float64 {
@@ -87,7 +87,7 @@
 	return t.inTime / t.all
 }
 
-// summarise computes the figures that need the whole play.
+// summarise computes the results after the end of the play.
 func (r *Report) summarise(of *Rehearsal) {
 	const window = 2 * time.Second
 	var total tally
@@ -137,7 +137,7 @@
 	return r.InTime - r.Cost/all
 }
 
-// BestWorth returns the worth of the planner that knows the future, which serves all work in time.
+// BestWorth returns the worth of the offline planner, which completes all work in time.
 func (r Report) BestWorth() float64 {
 	return 1 - r.BestCost/(WorkPrice*r.workSeconds())
 }
--- a/rehearsal/workers.go
+++ b/rehearsal/workers.go
@@ -24,11 +24,12 @@
 // machine is a host with the worker that runs on it.
 type machine struct {
 	status work.HostStatus
-	// upAt is when the host's order is carried out and its next worker starts; registered says that the owner knows it.
+	// upAt is when the current order to the host completes and its next worker starts. registered is set once the owner has read
+	// the registration of the worker.
 	upAt       time.Duration
 	registered bool
 	life       work.Life
-	// silentUntil is until when the worker answers nothing.
+	// silentUntil is the end of the time in which the worker doesn't respond.
 	silentUntil time.Duration
 	runs        map[work.Attempt]activeRun
 	ends        []work.End
@@ -42,7 +43,7 @@
 	lasting    bool
 }
 
-// percent returns the progress of a run, or the speed of one that lasts.
+// percent returns the progress of a run, or the speed of a long-running one.
 func (r activeRun) percent(now time.Duration) int {
 	if r.lasting {
 		return 100
@@ -51,7 +52,7 @@
 	return int(100 * (now - r.began) / (r.end - r.began))
 }
 
-// pendingPoll is a poll whose answer is still due.
+// pendingPoll is a poll without a response yet.
 type pendingPoll struct {
 	schedule.Poll
 	sent time.Duration
@@ -89,7 +90,7 @@
 	}
 }
 
-// begin starts the next worker of a machine, unless its pool is off.
+// begin starts the next worker of a machine, unless the machine is on standby.
 func (c *cloud) begin(m *machine) {
 	m.status.State, m.registered = work.HostUp, false
 	m.runs, m.ends, m.lastEnd, m.polls = map[work.Attempt]activeRun{}, nil, 0, nil
@@ -103,7 +104,7 @@
 	c.byWorker[m.status.Worker] = m
 }
 
-// carryOut applies an order to a host; whatever runs there ends at once.
+// carryOut executes an order to a host; all runs on the host are lost.
 func (c *cloud) carryOut(o schedule.HostOrder, now time.Duration) error {
 	m := c.byHost[o.Host]
 	if m.status.State != work.HostUp {
@@ -152,7 +153,7 @@
 	}
 }
 
-// compareAttempts orders attempts, so that plays repeat.
+// compareAttempts orders attempts, which makes plays deterministic.
 func compareAttempts(a, b work.Attempt) int {
 	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index), cmp.Compare(a.Number, b.Number))
 }
@@ -163,7 +164,7 @@
 	m.ends = append(m.ends, work.End{Number: m.lastEnd, Attempt: a, Outcome: o})
 }
 
-// reply returns the reply to a poll and whether it is due: at once if there are ends, otherwise when the wait is over.
+// reply returns the response to a poll and whether it is due: immediately if there are ends, otherwise when the wait is over.
 func (m *machine) reply(p pendingPoll, now time.Duration) (work.PollReply, bool) {
 	m.ends = slices.DeleteFunc(m.ends, func(e work.End) bool { return e.Number <= p.Order.Acked })
 	if len(m.ends) == 0 && now-p.sent < p.Order.Wait {
