--- a/entry/caller.go
+++ b/entry/caller.go
@@ -118,19 +118,19 @@
 	return nil
 }
 
-// finish settles the claim and releases the grant once the request is certain to have ended: at once after a complete
+// finish records the outcome of the claim and releases the grant once the request has certainly ended: immediately after a complete
 // answer or if no byte was sent, otherwise a grace period after the caller's deadline, which the endpoint was told.
 func (a *callerAPI) finish(g admission.Grant, cl claimed, c call, answer *claim.Answer, err error) {
 	var notRun *refusal.NotRunError
 	switch {
 	case err == nil:
-		cl.settle(outcomeDone, answer)
+		cl.recordOutcome(outcomeDone, answer)
 		g.Complete()
 	case errors.As(err, &notRun):
-		cl.settle(outcomeNotRun, nil)
+		cl.recordOutcome(outcomeNotRun, nil)
 		g.Release()
 	default:
-		cl.settle(outcomeUnknown, nil)
+		cl.recordOutcome(outcomeUnknown, nil)
 		g.ReleaseAt(c.deadline.Add(deadlineGrace))
 		a.log.Warn("request outcome unknown", "request", c.id, "team", g.Team().Name, "endpoint", g.Slot().Endpoint().Name, "err", err)
 	}
--- a/entry/caller_test.go
+++ b/entry/caller_test.go
@@ -306,7 +306,7 @@
 	}
 }
 
-// TestCallerClaim checks that a claim is settled exactly once with the right outcome, and that a request that must not
+// TestCallerClaim checks that the right outcome of a claim is recorded exactly once, and that a request that must not
 // run is not sent.
 func TestCallerClaim(t *testing.T) {
 	closing := http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
@@ -334,7 +334,7 @@
 				got = append(got, fmt.Sprint(team, " ", id))
 				r.fresh.Store(!c.slow)
 
-				return claimed{settle: func(o outcome, _ *claim.Answer) { got = append(got, string(o)) }}, c.refused
+				return claimed{recordOutcome: func(o outcome, _ *claim.Answer) { got = append(got, string(o)) }}, c.refused
 			}
 			header := []string{"Request-Id: " + callerID}
 			if c.header != "" {
--- a/entry/callerclaim.go
+++ b/entry/callerclaim.go
@@ -32,8 +32,8 @@
 type claimed struct {
 	// earlier is the answer to an earlier attempt; nil if the request must be sent.
 	earlier *claim.Answer
-	// settle must be called once with the outcome, and with the answer if it is short enough to be stored.
-	settle func(outcome, *claim.Answer)
+	// recordOutcome must be called once with the outcome, and with the answer if it is short enough to be stored.
+	recordOutcome func(outcome, *claim.Answer)
 }
 
 // claimFunc claims a request ID for a team before the first byte is sent, so that the request runs at most once across
@@ -48,7 +48,7 @@
 			return claimed{}, err
 		}
 
-		return claimed{earlier: c.Answer, settle: func(o outcome, a *claim.Answer) {
+		return claimed{earlier: c.Answer, recordOutcome: func(o outcome, a *claim.Answer) {
 			b.RecordOutcome(c, claim.Outcome{State: claimState(o), Answer: a})
 		}}, nil
 	}
@@ -70,7 +70,7 @@
 // can't repeat the request under it.
 func (a *callerAPI) claimID(ctx context.Context, team fleet.TeamName, c call) (claimed, error) {
 	if a.claim == nil || c.idempotent || !c.hasCallerID {
-		return claimed{settle: func(outcome, *claim.Answer) {}}, nil
+		return claimed{recordOutcome: func(outcome, *claim.Answer) {}}, nil
 	}
 
 	return a.claim(ctx, team, c.id, c.body.digest())
@@ -104,14 +104,14 @@
 	return p.cl, p.err
 }
 
-// abandon settles the claim of a request that was refused while it waited, so that its ID may be used again.
+// abandon records that a request did not run which was refused while it waited, so that its ID may be used again.
 func (p *pendingClaim) abandon() {
 	if p.done == nil {
 		return
 	}
 	<-p.done
 	if p.err == nil && p.cl.earlier == nil {
-		p.cl.settle(outcomeNotRun, nil)
+		p.cl.recordOutcome(outcomeNotRun, nil)
 	}
 }
 
--- a/manager/observe.go
+++ b/manager/observe.go
@@ -38,7 +38,7 @@
 	m.metrics.Runs.Set(float64(runs))
 }
 
-// withWatch sets the metrics that tell whether the owner keeps up.
+// withWatch sets the metrics that show whether the owner keeps up.
 func (m *Manager) withWatch() dispatch.Option {
 	return dispatch.WithWatch(dispatch.Watch{
 		Unstarted: m.recordUnstarted,
