--- a/entry/caller.go
+++ b/entry/caller.go
@@ -112,7 +112,7 @@
 		return err
 	}
 	if a.mayStart != nil && g.Team().Name != "" && !a.mayStart(time.Now()) {
-		return refusal.Refuse(refusal.NotFresh, "this entry host can no longer count on its part of the limits")
+		return refusal.Refuse(refusal.NotFresh, "this entry host can no longer rely on its allocations of the limits")
 	}
 
 	return nil
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -37,7 +37,7 @@
 	// ErrUnknownKind means that the peer's release has no handler for the kind of request.
 	ErrUnknownKind = merry.Sentinel("peer: unknown kind of request")
 	// ErrVersion means that one side can't decode the protocol version of the other.
-	ErrVersion = merry.Sentinel("peer: protocol versions do not meet")
+	ErrVersion = merry.Sentinel("peer: no common protocol version")
 	// ErrMalformed means that data is not exactly one valid message.
 	ErrMalformed = merry.Sentinel("peer: malformed message")
 	// ErrTooLarge means that a message exceeds MaxMessageSize.
