--- a/agent/delegator.go
+++ b/agent/delegator.go
@@ -182,8 +182,8 @@
 	return ok && f.agent == agent && time.Since(f.at) < avoidTime
 }
 
-// Expect announces workers that are about to be called, so that streams to their agents are opened ahead of the calls.
-func (d *Delegator) Expect(ctx context.Context, workers []work.Registration) {
+// PrepareAgents opens streams to the agents of workers that are about to be called.
+func (d *Delegator) PrepareAgents(ctx context.Context, workers []work.Registration) {
 	d.mu.Lock()
 	for _, r := range workers {
 		d.recent[r.ID] = r.Zone
--- a/manager/manager.go
+++ b/manager/manager.go
@@ -137,7 +137,7 @@
 func (m *Manager) withAgents(roster func(context.Context, func(dispatch.Roster))) func(context.Context, func(dispatch.Roster)) {
 	return func(ctx context.Context, notify func(dispatch.Roster)) {
 		roster(ctx, func(r dispatch.Roster) {
-			m.delegator.Expect(ctx, r.Present)
+			m.delegator.PrepareAgents(ctx, r.Present)
 			notify(r)
 		})
 	}
