--- a/agent/delegator.go
+++ b/agent/delegator.go
@@ -76,11 +76,11 @@
 	opened chan struct{}
 	// failed has the time of the last failure of an agent's stream.
 	failed map[string]time.Time
-	// avoided has the agents that got no answer from a worker lately.
+	// avoided is the last failed call to each worker; its agent is avoided for avoidTime.
 	avoided map[work.WorkerID]failedCall
 }
 
-// failedCall is a call to a worker that an agent made in vain.
+// failedCall is a call by an agent that the worker did not answer.
 type failedCall struct {
 	agent string
 	at    time.Time
--- a/balance/need.go
+++ b/balance/need.go
@@ -8,18 +8,18 @@
 )
 
 const (
-	// leadSlots is the number of slots of time in a move with the time to decide on it, and slots that in a plan.
+	// leadSlots is the lead time of a move in time slots, including the time to decide on it, and slots the length of a plan.
 	leadSlots = 8
 	slots     = 5 * leadSlots
-	// packing is the fraction of a host that tasks fill when enough of them wait.
+	// packing is the fraction of a host that tasks can fill if enough of them wait.
 	packing = 0.95
-	// maxNeed is more than any pool needs.
+	// maxNeed is the upper bound of the search for a pool's need.
 	maxNeed = 1 << 20
-	// negligible is an amount of hosts that rounding may leave.
+	// negligible is an amount of hosts within the rounding error.
 	negligible = 1e-6
 )
 
-// Run is a task that runs, or several that end together.
+// Run is a running task, or several that end at the same time.
 type Run struct {
 	// Hosts is the size, in hosts.
 	Hosts float64
@@ -27,7 +27,7 @@
 	Left time.Duration
 }
 
-// Work is tasks of one step that wait or that will become ready; times count from the time of planning.
+// Work is the tasks of one step that wait or will become ready. Its times are relative to the time of planning.
 type Work struct {
 	// Hosts is the size of all the tasks, in hosts.
 	Hosts float64
@@ -41,7 +41,7 @@
 
 // forecast is the known and the expected work of a pool over the slots to come.
 type forecast struct {
-	// used is what the present runs occupy in each slot, in hosts.
+	// used is the usage of the current runs in each slot, in hosts.
 	used [slots]float64
 	// present is the number of hosts in service in each slot if no move is ordered.
 	present [slots]float64
@@ -60,7 +60,7 @@
 	return max(1, int(math.Ceil(float64(d)/float64(f.width))))
 }
 
-// newForecast returns the forecast of a pool with work that is expected beside what is known.
+// newForecast returns the forecast of a pool with its known work and the expected work.
 func newForecast(p Pool, expected []Work, width time.Duration) *forecast {
 	f := &forecast{work: slices.Concat(p.Waiting, expected), width: width}
 	for _, r := range p.Running {
@@ -82,7 +82,7 @@
 	return f
 }
 
-// relax replaces the objectives that no number of hosts can meet by the expiry of the work, and reports whether there were
+// relax replaces the latest starts that no number of hosts can meet by the expiry of the work, and reports whether there were
 // any.
 func (f *forecast) relax() bool {
 	missed := f.missed(maxNeed)
@@ -95,8 +95,8 @@
 	return len(missed) > 0
 }
 
-// need returns the least number of hosts for the runs that go on until a move is done, with which all work starts in
-// time; the objectives must be possible.
+// need returns the minimum number of hosts with which the runs that outlast a move continue and all work starts in
+// time. All latest starts must be feasible, see relax.
 func (f *forecast) need() int {
 	low, high := int(math.Ceil(f.used[leadSlots]/packing)), maxNeed
 	for low < high {
@@ -111,8 +111,8 @@
 	return low
 }
 
-// missed returns the indexes of the work that does not start in time if the pool has the given number of hosts as soon as
-// moves allow. It starts the work in the order of its latest start, each part as early as there is room.
+// missed returns the indexes of the work that doesn't start in time if the pool has the given number of hosts as soon as
+// moves allow. It starts the work in the order of the latest start, each task as early as there is room.
 func (f *forecast) missed(hosts int) []int {
 	var free [slots]float64
 	for i := range slots {
@@ -132,7 +132,7 @@
 	return late
 }
 
-// start takes the room of a piece of work, and reports whether all of it starts in time.
+// start allocates room for work, and reports whether all of it starts in time.
 func (f *forecast) start(w Work, free *[slots]float64) bool {
 	left := w.Hosts
 	length := f.slotsIn(w.Length)
--- a/claim/model_test.go
+++ b/claim/model_test.go
@@ -24,12 +24,12 @@
 const (
 	omitNothing      omitted = ""
 	omitFence        omitted = "revision as fence"
-	omitReadBack     omitted = "reading back after a lost answer"
+	omitReadBack     omitted = "reading back after an unknown outcome"
 	omitSegmentReads omitted = "reading of sealed segments"
 	omitSegmentWrite omitted = "segment before the head"
-	omitOutcomeCheck omitted = "check of an outcome against the claim that stands"
-	omitAbandoning   omitted = "giving up for good"
-	omitFloor        omitted = "floor of forgotten IDs"
+	omitOutcomeCheck omitted = "check of an outcome against the current claim"
+	omitAbandoning   omitted = "final abandonment"
+	omitFloor        omitted = "floor of expired IDs"
 )
 
 // phase is the phase of an attempt in the model.
