--- a/balance/need.go
+++ b/balance/need.go
@@ -112,7 +112,7 @@
 }
 
 // missed returns the indexes of the work that doesn't start in time if the pool has the given number of hosts as soon as
-// moves allow. It starts the work in the order of the latest start, each task as early as there is room.
+// moves allow. It starts the work in the order of the latest start, each part of it as early as there is room.
 func (f *forecast) missed(hosts int) []int {
 	var free [slots]float64
 	for i := range slots {
