--- a/agent/delegator.go
+++ b/agent/delegator.go
@@ -76,11 +76,11 @@
 	opened chan struct{}
 	// failed has the time of the last failure of an agent's stream.
 	failed map[string]time.Time
-	// avoided has the agents that got no answer from a worker lately.
+	// avoided is the last failed call to each worker; its agent is avoided for avoidTime.
 	avoided map[work.WorkerID]failedCall
 }
 
-// failedCall is a call to a worker that an agent made in vain.
+// failedCall is a call by an agent that the worker did not answer.
 type failedCall struct {
 	agent string
 	at    time.Time
@@ -182,8 +182,8 @@
 	return ok && f.agent == agent && time.Since(f.at) < avoidTime
 }
 
-// Expect announces workers that are about to be called, so that streams to their agents are opened ahead of the calls.
-func (d *Delegator) Expect(ctx context.Context, workers []work.Registration) {
+// PrepareAgents opens streams to the agents of workers that are about to be called.
+func (d *Delegator) PrepareAgents(ctx context.Context, workers []work.Registration) {
 	d.mu.Lock()
 	for _, r := range workers {
 		d.recent[r.ID] = r.Zone
@@ -354,7 +354,7 @@
 	close(d.opened)
 	d.opened = make(chan struct{})
 	if err != nil {
-		d.log.Warn("can't connect to the agent", "agent", address, "error", err)
+		d.log.Warn("failed to connect to the agent", "agent", address, "error", err)
 		d.failed[address] = time.Now()
 
 		return
--- a/entry/caller_test.go
+++ b/entry/caller_test.go
@@ -65,20 +65,20 @@
 			Pools: []fleet.Pool{{Name: "pool"}},
 		},
 	}
-	k, secret := key.Give("posting", time.Now())
+	k, secret := key.Issue("posting", time.Now())
 	rev := revision.Revision{Number: 1}.WithLists(lists).WithKeys(key.NewRing(k))
 
 	r := &callerFixture{secret: secret, set: endpoint.NewSet()}
 	r.fresh.Store(true)
-	gate := admission.New(revision.New(&store.Client{}), r.set)
-	gate.Current = func() *revision.Revision { return &rev }
-	gate.Fresh = func(time.Time) bool { return r.fresh.Load() }
-	gate.AcquireLimit = admission.NewLimits(gate.Current).Acquire
+	controller := admission.New(revision.New(&store.Client{}), r.set)
+	controller.Current = func() *revision.Revision { return &rev }
+	controller.Fresh = func(time.Time) bool { return r.fresh.Load() }
+	controller.AcquireLimit = admission.NewLimits(controller.Current).Acquire
 	r.set.Replace([]fleet.Endpoint{{
 		Name: "runner", Pool: "pool", Slots: slots, Connections: 64,
 		Address: netip.MustParseAddrPort(backend.Listener.Addr().String()),
 	}})
-	r.api = &callerAPI{gate: gate, sender: endpoint.NewSender(), log: log.New(io.Discard), maxRequestTime: 10 * time.Minute}
+	r.api = &callerAPI{admission: controller, sender: endpoint.NewSender(), log: log.New(io.Discard), maxRequestTime: 10 * time.Minute}
 	front := httptest.NewServer(r.api.handler())
 	tb.Cleanup(front.Close)
 	r.url = front.URL + "/v1/queues/"
@@ -291,10 +291,10 @@
 	wg.Go(func() { running = r.outcome(t, "post", nil) })
 	<-entered
 	wg.Go(func() { waiting = r.outcome(t, "post", nil) })
-	for r.api.gate.Waiting("pool") == 0 {
+	for r.api.admission.Waiting("pool") == 0 {
 		runtime.Gosched()
 	}
-	r.api.gate.Stop()
+	r.api.admission.Stop()
 	stopping := callerOutcome{503, refusal.Stopping, true}
 	if d := cmp.Diff(stopping, r.outcome(t, "post", nil)); d != "" {
 		t.Errorf("outcome of a new request (-want +got):\n%s", d)
@@ -306,7 +306,7 @@
 	}
 }
 
-// TestCallerClaim checks that a claim is settled exactly once with the right outcome, and that a request that must not
+// TestCallerClaim checks that the right outcome of a claim is recorded exactly once, and that a request that must not
 // run is not sent.
 func TestCallerClaim(t *testing.T) {
 	closing := http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
@@ -334,7 +334,7 @@
 				got = append(got, fmt.Sprint(team, " ", id))
 				r.fresh.Store(!c.slow)
 
-				return claimed{settle: func(o outcome, _ *claim.Answer) { got = append(got, string(o)) }}, c.refused
+				return claimed{recordOutcome: func(o outcome, _ *claim.Answer) { got = append(got, string(o)) }}, c.refused
 			}
 			header := []string{"Request-Id: " + callerID}
 			if c.header != "" {
@@ -370,7 +370,7 @@
 	}
 }
 
-// TestCallerRepeatedRequest checks, with a real book of claims, that a repeated request gets the answer of the first
+// TestCallerRepeatedRequest checks, with a real registry of claims, that a repeated request gets the answer of the first
 // attempt and does not run again.
 func TestCallerRepeatedRequest(t *testing.T) {
 	echo := standin.NewEndpoint(0)
--- a/entry/control.go
+++ b/entry/control.go
@@ -36,10 +36,10 @@
 
 // newControlLoop returns a control loop that follows the configuration in force.
 func newControlLoop(
-	s *store.Client, p *hostapi.Client, b *revision.Book, cl *cluster, t *audit.Trail, cfg settings.Settings, l *log.Logger,
+	s *store.Client, p *hostapi.Client, b *revision.Repository, cl *cluster, t *audit.Trail, cfg settings.Settings, l *log.Logger,
 ) *controlLoop {
 	c := &controlLoop{log: l, owns: cl.registry.Owns}
-	c.waves = wave.New(s, func() wave.Policy { return wave.PolicyOf(b.Current().Lists.Maintenance) },
+	c.waves = wave.New(s, func() wave.Policy { return wave.NewPolicy(b.Current().Lists.Maintenance) },
 		func() wave.Hosts { return c.moves.View().Hosts }, func() bool { return c.owns(waveKey) }).
 		WithAudit(waveAuditor(t, cfg.Name))
 	c.moves = move.New(s, p, func() (move.Config, bool) { return moveConfig(b, time.Now()) },
@@ -55,7 +55,7 @@
 }
 
 // moveConfig returns the configuration for moves and whether it is known to be in force.
-func moveConfig(b *revision.Book, now time.Time) (move.Config, bool) {
+func moveConfig(b *revision.Repository, now time.Time) (move.Config, bool) {
 	cur := b.Current()
 
 	return move.Config{
@@ -83,7 +83,7 @@
 
 	now := time.Now()
 	if err := c.waves.Step(ctx, now); err != nil {
-		c.log.Warn("wave step failed", "err", err)
+		c.log.Warn("maintenance wave step failed", "err", err)
 	}
 	report, err := c.moves.Step(ctx, now)
 	if err != nil {
@@ -117,7 +117,7 @@
 	endpoints := make([]fleet.Endpoint, 0, len(inv.Endpoints))
 	for _, e := range inv.Endpoints {
 		if rec, known := hosts[e.Host]; known {
-			pool, usable := rec.Value.Usable()
+			pool, usable := rec.Value.UsablePool()
 			if usable {
 				e.Pool = pool
 			}
--- a/move/explore_test.go
+++ b/move/explore_test.go
@@ -40,7 +40,7 @@
 // reader is what one controller last read; a zero revision means that the record was not read.
 type reader struct {
 	hosts     [hostCount]record.Versioned[move.Record]
-	sights    [hostCount]platformHost
+	observed  [hostCount]platformHost
 	budgets   [budgetCount]record.Versioned[budget.Record]
 	hostsAt   uint64
 	budgetsAt uint64
@@ -85,7 +85,7 @@
 
 func (e *exploration) input(r reader) move.Input {
 	in := move.Input{
-		Config: e.config, Sights: map[fleet.HostName]move.Sight{}, Now: time.Unix(0, 0),
+		Config: e.config, Observations: map[fleet.HostName]move.Observation{}, Now: time.Unix(0, 0),
 		Owner: move.Owner{Pool: func(fleet.PoolName) bool { return true }, Budget: func(fleet.BudgetName) bool { return true }},
 		View: move.View{
 			Hosts:   map[fleet.HostName]record.Versioned[move.Record]{},
@@ -96,9 +96,9 @@
 		in.View.HostsAt = 1 << 62
 	}
 	for i := range e.hosts {
-		name, s := hostNames[i], r.sights[i]
+		name, s := hostNames[i], r.observed[i]
 		in.View.Hosts[name] = r.hosts[i]
-		in.Sights[name] = move.Sight{Asked: true, Lost: s.crashed, Status: hostapi.HostStatus{
+		in.Observations[name] = move.Observation{Asked: true, Lost: s.crashed, Status: hostapi.HostStatus{
 			Host: name, Up: !s.down && !s.crashed, Draining: s.draining, Rebooted: s.booted, Intent: s.intent,
 		}}
 		if r.hosts[i].Value.Pool == "a" {
@@ -116,7 +116,7 @@
 
 // readNow returns what a controller knows that reads everything in st now.
 func readNow(st state) reader {
-	return reader{hosts: st.hosts, sights: st.platform, budgets: st.budgets, hostsAt: st.rev, budgetsAt: st.rev}
+	return reader{hosts: st.hosts, observed: st.platform, budgets: st.budgets, hostsAt: st.rev, budgetsAt: st.rev}
 }
 
 // successors returns every state that is one step away from st.
@@ -130,9 +130,9 @@
 		}
 	}
 	act(readNow(st))
-	if st.paused.hosts != st.hosts || st.paused.sights != st.platform {
+	if st.paused.hosts != st.hosts || st.paused.observed != st.platform {
 		n := st
-		n.paused.hosts, n.paused.sights, n.paused.hostsAt = st.hosts, st.platform, st.rev
+		n.paused.hosts, n.paused.observed, n.paused.hostsAt = st.hosts, st.platform, st.rev
 		next = append(next, n)
 	}
 	if !sameBudgets(st.paused.budgets, st.budgets) {
@@ -260,7 +260,7 @@
 			}
 		}
 		stale := st.paused.hosts[i]
-		pool, usable := stale.Value.Usable()
+		pool, usable := stale.Value.UsablePool()
 		accepted := stale.Revision >= st.platform[i].fence && !out && !st.platform[i].crashed
 		if stale.Revision != 0 && usable && accepted && pool != r.Pool {
 			return fmt.Sprintf("%s takes work for %s and belongs to %s", r.Name, pool, r.Pool)
@@ -278,13 +278,13 @@
 				continue
 			}
 			switch {
-			case st.platform[i].crashed || r.Intent == nil && r.Out():
+			case st.platform[i].crashed || r.Intent == nil && r.OutOfService():
 				unplanned++
 			case st.platform[i].draining || st.platform[i].down:
 				planned++
 			}
 		}
-		if planned > cfg.MaxUnavailable || e.crashes == 0 && st.budgets[b].Value.Out() > cfg.MaxUnavailable {
+		if planned > cfg.MaxUnavailable || e.crashes == 0 && st.budgets[b].Value.Held() > cfg.MaxUnavailable {
 			return fmt.Sprintf("%s: %d planned outages of %d allowed (%d unplanned)", name, planned, cfg.MaxUnavailable, unplanned)
 		}
 	}
@@ -310,12 +310,12 @@
 		}
 	}
 	for i := range e.hosts {
-		if r := st.hosts[i].Value; r.Pool != "b" || r.Out() || r.Intent != nil || st.platform[i].draining {
+		if r := st.hosts[i].Value; r.Pool != "b" || r.OutOfService() || r.Intent != nil || st.platform[i].draining {
 			return fmt.Sprintf("%s ends as %s in %s, draining %v", r.Name, r.State, r.Pool, st.platform[i].draining)
 		}
 	}
 	for b, name := range budgetNames {
-		if n := st.budgets[b].Value.Out(); n != 0 {
+		if n := st.budgets[b].Value.Held(); n != 0 {
 			return fmt.Sprintf("%s keeps %d units", name, n)
 		}
 	}
@@ -366,7 +366,7 @@
 	b = appendBudgets(b, st.budgets)
 	b = binary.AppendUvarint(b, st.rev)
 	b = binary.AppendUvarint(b, uint64(st.crashes))
-	b = appendHosts(b, st.paused.hosts, st.paused.sights)
+	b = appendHosts(b, st.paused.hosts, st.paused.observed)
 	b = appendBudgets(b, st.paused.budgets)
 	for _, r := range st.paused.budgets {
 		b = fmt.Append(b, st.paused.hostsAt >= r.Revision)
--- a/move/http_test.go
+++ b/move/http_test.go
@@ -42,11 +42,11 @@
 	}
 
 	h := c.View().Hosts["h0"].Value
-	if pool, usable := h.Usable(); pool != "b" || !usable || h.Intent != nil || p.Boots("h0") != 1 {
+	if pool, usable := h.UsablePool(); pool != "b" || !usable || h.Intent != nil || p.Boots("h0") != 1 {
 		t.Errorf("host %+v after %d reboots, want it live in b after one", h, p.Boots("h0"))
 	}
 	for name, b := range c.View().Budgets {
-		if n := b.Value.Out(); n != 0 {
+		if n := b.Value.Held(); n != 0 {
 			t.Errorf("budget %s keeps %d units", name, n)
 		}
 	}
