schedule: count no ordered host as crashed with its rack

What callers saw: nothing that was traced to it yet.

Cause: the hosts that went down together with a crashed one included those that were away by an order. Such a crash is not kept in the ledger, so the next owner would not know it, and it does not count against an isolated task.

Change: a host that is moved or maintained says nothing of its rack.

Test: TestOrderedHostsAreNoRackFailure fails before: "crashes in the ledger: want 1, got 0".

--- a/schedule/crash.go
+++ b/schedule/crash.go
@@ -205,7 +205,7 @@
 	switch {
 	case !ok:
 		return ""
-	case (h.phase == orderPending || h.phase == offline) && !w.knownSince.After(h.phaseSince), h.State == work.HostMoving, h.State == work.HostMaintenance:
+	case (h.phase == orderPending || h.phase == offline) && !w.knownSince.After(h.phaseSince), h.orderedAway():
 		return ", as ordered"
 	case now.Before(s.quietUntil[h.Host]):
 		return ", maybe by an order of the previous owner"
@@ -214,7 +214,12 @@
 	}
 }
 
-// rackFailed reports whether all hosts of a worker's rack went down at the same time as its host.
+// orderedAway reports whether the cloud lists the host as away by an order.
+func (h *host) orderedAway() bool {
+	return h.State == work.HostMoving || h.State == work.HostMaintenance
+}
+
+// rackFailed reports whether all hosts of a worker's rack that are in use went down at the same time as its host.
 func (s *Scheduler) rackFailed(w *worker) bool {
 	h, ok := s.hosts[w.host]
 	if !ok {
@@ -222,7 +227,7 @@
 	}
 	failed := 1
 	for _, o := range s.hostList {
-		if o == h || o.Rack != h.Rack || s.pools[o.Pool].Standby || o.downAt.IsZero() && o.State != work.HostUp {
+		if o == h || o.Rack != h.Rack || s.pools[o.Pool].Standby || o.downAt.IsZero() && o.State != work.HostUp || o.orderedAway() {
 			continue
 		}
 		if o.State == work.HostUp {
--- a/schedule/crash_alone_test.go
+++ b/schedule/crash_alone_test.go
@@ -59,3 +59,30 @@
 	check(t, "state", ledger.InProgress, b.state("j"))
 	check(t, "running", 1, b.running())
 }
+
+// Hosts that were away by an order once counted as crashed with a rack of which two hosts crashed, so that the crashes were
+// not kept for the next owner.
+func TestOrderedHostsAreNoRackFailure(t *testing.T) {
+	for _, state := range []work.HostState{work.HostMoving, work.HostMaintenance} {
+		t.Run(fmt.Sprint(state), func(t *testing.T) {
+			b := newCrashbed(t)
+			b.submit("j", work.Step{Count: 1, Size: taskSize})
+			b.pass(300 * time.Millisecond)
+			id := b.workerOf("j")
+			rack, ordered := b.hostOf(id).Rack, 0
+			for _, h := range b.hosts {
+				switch {
+				case h.Rack != rack || h.Worker == id:
+				case ordered < minRackHosts:
+					ordered++
+					b.terminate(h.Worker, state)
+				default:
+					b.crash(h.Worker)
+				}
+			}
+			b.crash(id)
+			b.untilListedDown(id)
+			check(t, "crashes in the ledger", 1, len(b.entries["j"].Task(work.Task{Job: "j"}).Crashes))
+		})
+	}
+}
--- a/schedule/crash_test.go
+++ b/schedule/crash_test.go
@@ -236,7 +236,7 @@
 	b.regs[id] = r
 	b.s.Register(r, b.now)
 	b.pass(2 * time.Second)
-	b.terminate(id, work.HostDown, returnTime)
+	b.terminate(id, work.HostDown)
 	delete(b.regs, id)
 	b.s.Deregister(id)
 }
@@ -248,7 +248,7 @@
 	done := b.until(10*time.Second, func() bool {
 		for _, o := range b.s.HostOrders(b.now) {
 			if o.Host == h.Host {
-				b.terminate(id, state, returnTime)
+				b.terminate(id, state)
 				h.expiresAt = b.now.Add(expiryTime)
 				b.s.HostAnswered(o, nil, b.now)
 
--- a/schedule/crash_testbed_test.go
+++ b/schedule/crash_testbed_test.go
@@ -148,7 +148,7 @@
 // crash ends a worker and everything on it without a word; its host is down for returnTime.
 func (b *crashbed) crash(id work.WorkerID, causes ...work.Attempt) {
 	b.crashes = append(b.crashes, bedCrash{worker: id, at: b.now, causes: causes, lost: len(b.runs[id])})
-	b.terminate(id, work.HostDown, returnTime)
+	b.terminate(id, work.HostDown)
 	b.hosts[b.hostIndex(id)].expiresAt = b.now.Add(expiryTime)
 }
 
@@ -157,10 +157,10 @@
 	return slices.IndexFunc(b.hosts, func(h *bedHost) bool { return h.last == id })
 }
 
-// terminate ends a worker and puts its host in a state for some time.
-func (b *crashbed) terminate(id work.WorkerID, state work.HostState, away time.Duration) {
+// terminate ends a worker and puts its host in a state for returnTime.
+func (b *crashbed) terminate(id work.WorkerID, state work.HostState) {
 	h := b.hostOf(id)
-	h.State, h.last, h.Worker, h.returns = state, id, "", b.now.Add(away)
+	h.State, h.last, h.Worker, h.returns = state, id, "", b.now.Add(returnTime)
 	b.unreachable[id] = true
 	for _, a := range b.attemptsOn(id) {
 		delete(b.runs[id], a)
