dispatch: test how often the list of hosts is read

What was seen: nothing; a review took out the frequent reads while a worker with runs is silent, and no test of dispatch failed. What callers would see: tasks of a host that is down start again up to five seconds late.

Change: TestListOfHostsWhileAWorkerIsSilent. The bound is the target's for urgent work, 3.4 s; while no worker is silent, the list is read once in idleListInterval.

Evidence: without HostsSilent in listHosts it fails: 1 starts 3.4 s after the host went down, want 2 and with frequent reads at all times: the list was read again after 500ms while no worker was silent

--- a/dispatch/hosts_test.go
+++ b/dispatch/hosts_test.go
@@ -148,3 +148,36 @@
 		}
 	})
 }
+
+// Guards against a task of a host that is down that waits for the next idle read of the cloud's list, though urgent work starts
+// within 3.4 s, and against a list that is read often without need, since calls to the cloud are metered.
+func TestListOfHostsWhileAWorkerIsSilent(t *testing.T) {
+	hosts := func(b *hostBed) []work.HostStatus {
+		b.lists.Add(1)
+		if closed(b.second) {
+			return listOfHost("")
+		}
+
+		return listOfHost("w")
+	}
+	withHostBed(t, hosts, func(b *hostBed) {
+		t := b.t
+		b.runJob()
+		// The worker falls silent soon after an idle read.
+		for n := b.lists.Load(); b.lists.Load() == n; {
+			time.Sleep(10 * time.Millisecond)
+		}
+		before, began := b.lists.Load(), time.Now()
+		for b.lists.Load() == before {
+			time.Sleep(10 * time.Millisecond)
+		}
+		if idle := time.Since(began); idle < idleListInterval-20*time.Millisecond {
+			t.Errorf("the list was read again after %s while no worker was silent", idle)
+		}
+		close(b.second)
+		time.Sleep(3400 * time.Millisecond)
+		if n := b.starts.Load(); n != 2 {
+			t.Errorf("%d starts 3.4 s after the host went down, want 2", n)
+		}
+	})
+}
