dispatch: let the worker of tests run what it was told to

What was seen: a new test of a store that is down counted four starts of a job. The assignment that was not written is withdrawn, and its task gets the next number; the worker of the tests always told of attempt 1, so the owner started the task again.

Change: it tells of the attempt that it started last.

Evidence: ten runs of the package's tests under the race detector pass.

--- a/dispatch/hosts_test.go
+++ b/dispatch/hosts_test.go
@@ -68,9 +68,6 @@
 	d.workers.Poll = func(r work.Registration, l work.Poll) (work.PollReply, error) {
 		reply, err := answer(r, l)
 		if r.ID == "w2" {
-			for i := range reply.Active {
-				reply.Active[i].Attempt.Number = 2
-			}
 			if b.starts.Load() < 2 {
 				reply.Active = nil
 			}
--- a/dispatch/term_test.go
+++ b/dispatch/term_test.go
@@ -127,10 +127,12 @@
 	})
 }
 
-// addWorker gives a dispatcher a configuration and one worker, which counts the starts that it gets.
+// addWorker gives a dispatcher a configuration and one worker, which counts the starts that it gets and runs
+// what it started last.
 func addWorker(d *Dispatcher, starts *atomic.Int64) {
 	r := work.Registration{ID: "w", Life: 1, Address: "w", Pool: "p", Capacity: fleet.Resources{Cores: 1000}}
 	answer := work.Answer{Life: 1, Clock: time.Minute}
+	var started atomic.Pointer[work.Attempt]
 	d.config = func() (work.Config, bool) {
 		return work.Config{Version: 1, Queues: []work.Queue{{Name: "q", Pool: "p"}}, Pools: []work.Pool{{Name: "p"}}}, true
 	}
@@ -139,7 +141,8 @@
 		<-ctx.Done()
 	}
 	d.workers = work.Workers{
-		Start: func(work.Registration, work.Start) (work.Answer, error) {
+		Start: func(_ work.Registration, st work.Start) (work.Answer, error) {
+			started.Store(&st.Attempt)
 			starts.Add(1)
 			return answer, nil
 		},
@@ -147,9 +150,8 @@
 		Poll: func(_ work.Registration, l work.Poll) (work.PollReply, error) {
 			time.Sleep(l.Wait + 10*time.Millisecond)
 			reply := work.PollReply{Answer: answer}
-			if starts.Load() > 0 {
-				a := work.Attempt{Task: work.Task{Job: "00000000000000a1"}, Number: 1}
-				reply.Active = []work.Activity{{Attempt: a, Percent: 10}}
+			if a := started.Load(); a != nil {
+				reply.Active = []work.Activity{{Attempt: *a, Percent: 10}}
 			}
 
 			return reply, nil
