dispatch: test that a term outlasts a store that is down

What was seen: nothing; a review took the line out that tells the log writer whether the lease is valid, and all tests passed, since those of the writer set that themselves. What callers would see: another term, with a new owner or not, for each time that the store takes no writes for twelve seconds.

Change: TestTermOutlastsTheStoreBeingDown, with an owner, and a store that takes no writes for twice that time and has expired no lease.

Evidence: without that line it fails: 2 terms and 1 starts of the job, want 1 of each

--- a/dispatch/ledger_test.go
+++ b/dispatch/ledger_test.go
@@ -88,3 +88,46 @@
 		time.Sleep(10 * time.Second)
 	})
 }
+
+// Guards against a term that ends since the store takes no writes of any host for longer than a host may need for a batch, and
+// whose lease is valid again afterwards, since a store that is down expires no leases.
+func TestTermOutlastsTheStoreBeingDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := standin.NewStore()
+		ctx, cancel := context.WithCancel(t.Context())
+		var isDown atomic.Bool
+		c := *s.Client()
+		c.Commit = func(ctx context.Context, x store.Txn) (uint64, error) {
+			if isDown.Load() {
+				return 0, store.ErrUnavailable
+			}
+
+			return s.Client().Commit(ctx, x)
+		}
+		c.KeepAlive = func(ctx context.Context, id store.LeaseID) error {
+			if err := s.Client().KeepAlive(ctx, id); err != nil || !isDown.Load() {
+				return err
+			}
+
+			return store.ErrUnavailable
+		}
+		var terms, starts atomic.Int64
+		runCandidate(ctx, &c, ledger.Host{Name: "a", PeerAddress: "a"}, func(ctx context.Context, d *Dispatcher, tm *owner.Term) {
+			terms.Add(1)
+			addWorker(d, &starts)
+			d.Serve(ctx, tm)
+		})
+		time.Sleep(2 * time.Second)
+		isDown.Store(true)
+		putJob(t, s, "00000000000000a1")
+		time.Sleep(2 * maxAppendTime)
+		isDown.Store(false)
+		time.Sleep(3400 * time.Millisecond)
+		if terms.Load() != 1 || starts.Load() != 1 {
+			t.Errorf("%d terms and %d starts of the job, want 1 of each", terms.Load(), starts.Load())
+		}
+		cancel()
+		synctest.Wait()
+		time.Sleep(10 * time.Second)
+	})
+}
