dispatch: test that an owner's pass is due at the tick

What was seen: nothing; a review took out that a pass is due tickInterval after the last one, and all tests passed. What callers would see: an owner that is just fast enough hands over to another one, for which it is no better.

Change: a case in TestSlowOwnerHandsOver whose passes take 540 ms. They begin 480 ms after they are due, which is not late.

--- a/dispatch/term_test.go
+++ b/dispatch/term_test.go
@@ -170,6 +170,8 @@
 	}{
 		{"nothing to do", 0, 0},
 		{"somewhat slow", 300 * time.Millisecond, 0},
+		// Its passes begin maxPassPause after the last one, less than half a second later than at the tick.
+		{"as slow as may be", 540 * time.Millisecond, 0},
 		{"slow", time.Second, 1},
 	}
 	for _, tt := range tests {
