schedule: show a lasting task that crashes its workers late

What callers would see: one task takes a worker down every few seconds, for ever, and with it the other tasks there.

Cause: a lasting task that outlives its isolation, two seconds at most, is cleared of the crashes before, since it is on many workers that crash for other reasons later. One that crashes each worker after that is cleared each time. Weighed and not built: to give up after five crashes at nearly the same age. A sound lasting task that is placed beside such a one restarts with it each time, so both would go.

--- a/schedule/late_crash_test.go
+++ b/schedule/late_crash_test.go
@@ -63,3 +63,16 @@
 	}
 	check(t, "running after the wait", 1, b.runningOf("suspect"))
 }
+
+// A lasting task that crashes its workers later than an isolation lasts was cleared by each isolation, and started again for
+// ever.
+func TestLastingTaskThatCrashesLate(t *testing.T) {
+	b := newCrashbed(t)
+	b.poisonFirst(3500 * time.Millisecond)
+	b.submit("poison", work.Step{Count: 1, Size: taskSize, Lasting: true})
+	b.until(2*time.Minute, func() bool { return b.state("poison") == ledger.Failed })
+	check(t, "state of the job", ledger.Failed, b.state("poison"))
+	if got := b.crashesBy("poison"); got > failAfterLateCrashes {
+		t.Errorf("%d crashes, at most %d are allowed", got, failAfterLateCrashes)
+	}
+}
