schedule: bound how long a drain waits for tasks to make room elsewhere

What callers would see: an accepted job that does not start although a host has room for it, and a wave of which no host is maintained, while a long task runs elsewhere.

Room that tasks which are not lasting will free counted as room elsewhere, whenever they end.

Change: such a wait is given up after 30 s, and the host goes back into service.

Test: TestDrainBehindLongTask fails before: orders: want 1, got 0.

--- a/schedule/drain.go
+++ b/schedule/drain.go
@@ -20,6 +20,8 @@
 	batchDrainTimeout = 4 * time.Second
 	// drainPatience is how long a drain may be held up until the host goes back into service, and the pause before the next one.
 	drainPatience = 5 * time.Second
+	// maxRoomWait is how long a drain may wait for tasks that are not lasting to make room elsewhere.
+	maxRoomWait = 30 * time.Second
 	// drainSearchPause is the pause before a host is looked at again that could not be emptied.
 	drainSearchPause = time.Second
 )
@@ -78,13 +80,14 @@
 	return s.mayBeAway(slices.DeleteFunc(w.lastingRuns(), func(r *run) bool { return r.stopRequested }))
 }
 
-// heldUp reports whether a drain has made no progress for some time, and does not merely wait until tasks that are not lasting
-// make room elsewhere.
+// heldUp reports whether a drain has made no progress for some time, which is longer while it merely waits until tasks that are
+// not lasting make room elsewhere.
 func (s *Scheduler) heldUp(h *host, now time.Time) bool {
 	w, ok := s.workers[h.Worker]
+	idle := now.Sub(h.progressAt)
 
-	return ok && now.Sub(h.progressAt) > drainPatience && slices.ContainsFunc(w.lastingRuns(), func(r *run) bool {
-		return !r.stopRequested && (r.destination == nil || r.destinationFree)
+	return ok && idle > drainPatience && slices.ContainsFunc(w.lastingRuns(), func(r *run) bool {
+		return !r.stopRequested && (r.destination == nil || r.destinationFree || idle > maxRoomWait)
 	})
 }
 
