schedule: begin no drain whose lasting tasks may not leave

What callers would see: maintenance of a host that could be emptied at any time is never done, while two others are out of service by turns.

Change: a drain begins only if each task may leave now. The log line of a host that is kept says how many may not.

Test: TestHostsThatCannotDrainTakeTurns fails before: hosts with orders: want h2, got none.

--- a/schedule/drain.go
+++ b/schedule/drain.go
@@ -92,7 +92,7 @@
 }
 
 // mayDrain reports whether a host in service can be emptied for maintenance: each lasting task finds room elsewhere, at the
-// latest once other tasks there have ended, or may be away until the host is back. If so, that room is kept. The workers that
+// latest once other tasks there have ended, or may be away until the host is back, and their steps permit that they leave. If so, that room is kept. The workers that
 // usable returns may have been cordoned since.
 func (s *Scheduler) mayDrain(h *host, usable func() map[fleet.PoolName]*workerSet, now time.Time) bool {
 	w, ok := s.workers[h.Worker]
@@ -105,7 +105,8 @@
 	runs := w.lastingRuns()
 	s.findDestinations(runs, usable(), now)
 	staying := slices.DeleteFunc(slices.Clone(runs), func(r *run) bool { return r.destination != nil })
-	if s.mayBeAway(staying) {
+	bound := slices.DeleteFunc(slices.Clone(runs), func(r *run) bool { return s.mayBeAway([]*run{r}) })
+	if len(bound) == 0 && s.mayBeAway(staying) {
 		return true
 	}
 	for _, r := range runs {
@@ -113,7 +114,7 @@
 	}
 	if h.blockedUntil.IsZero() {
 		s.observe(Decision{
-			What: DecidedHostKept, Worker: h.Worker, Host: h.Host, Reason: fmt.Sprintf("no room elsewhere for %d of %d lasting tasks", len(staying), len(runs)),
+			What: DecidedHostKept, Worker: h.Worker, Host: h.Host, Reason: fmt.Sprintf("of %d lasting tasks, no room elsewhere for %d, no other may be away with %d", len(runs), len(staying), len(bound)),
 		})
 	}
 	h.blockedUntil = now.Add(drainSearchPause)
