schedule: stop no lasting task for a destination that drains too

What callers would see: a lasting task that stays stopped for five seconds or longer although its host could have been kept in service.

Cause: one round of maintenance kept room on a second host and then drained that too; the task was stopped in the same round.

Change: a destination that is cordoned by then is none.

Test: TestDestinationDrainsToo fails before: least running: want 2, got 1.

--- a/schedule/drain.go
+++ b/schedule/drain.go
@@ -62,7 +62,7 @@
 		return true
 	}
 	together := s.mayLeaveTogether(h, w, now)
-	stopped, left := s.evictLasting(w, func(r *run) bool { return together || r.destination != nil && r.destinationFree })
+	stopped, left := s.evictLasting(w, func(r *run) bool { return together || r.mayMove() })
 	if stopped {
 		h.progressAt = now
 	}
@@ -70,6 +70,11 @@
 	return len(w.runs) == 0 || !left && now.Sub(h.phaseSince) > batchDrainTimeout
 }
 
+// mayMove reports whether a run can start again on its destination at once.
+func (r *run) mayMove() bool {
+	return r.destination != nil && r.destinationFree && !r.destination.cordoned
+}
+
 // mayLeaveTogether reports whether the lasting tasks that are left on a host may be away until it is back from maintenance.
 func (s *Scheduler) mayLeaveTogether(h *host, w *worker, now time.Time) bool {
 	o, ok := s.waves[h.plan.wave]
