schedule: ask for the tickets of lasting tasks that are to leave a host

What callers would see: a lasting task that stays stopped for as long as the advice service gives no answer, and maintenance that is not done meanwhile.

A worker counted as room for a task of an advised queue unless the advice had refused it, and questions were asked only for tasks that wait.

Change: steps with tasks that are to leave are asked about like those that wait, and a task is stopped only while it has a ticket for its destination.

Tests: TestDrainWithoutTicketElsewhere fails before: least running: want 2, got 1; TestDrainAsksForTickets.

--- a/schedule/advice.go
+++ b/schedule/advice.go
@@ -86,11 +86,12 @@
 	step   *readyStep
 }
 
-// byLastQuestion returns the unplaced steps about which a question may be asked, those that were asked about longest ago first.
-// A step that waits for room is asked about again when its tickets run out, which must not keep others from being asked about.
+// byLastQuestion returns the unplaced steps and those with tasks that are to leave their hosts, about which a question may be
+// asked, those that were asked about longest ago first. A step that waits for room is asked about again when its tickets run out,
+// which must not keep others from being asked about.
 func (s *Scheduler) byLastQuestion(now time.Time) []advisedStep {
 	var list []advisedStep
-	for _, r := range s.unplaced {
+	for _, r := range slices.Concat(s.unplaced, s.leaving) {
 		if r.queue.Advice == nil {
 			continue
 		}
--- a/schedule/drain.go
+++ b/schedule/drain.go
@@ -62,7 +62,7 @@
 		return true
 	}
 	together := s.mayLeaveTogether(h, w, now)
-	stopped, left := s.evictLasting(w, func(r *run) bool { return together || r.mayMove() })
+	stopped, left := s.evictLasting(w, func(r *run) bool { return together || s.mayMove(r, now) })
 	if stopped {
 		h.progressAt = now
 	}
@@ -71,8 +71,14 @@
 }
 
 // mayMove reports whether a run can start again on its destination at once.
-func (r *run) mayMove() bool {
-	return r.destination != nil && r.destinationFree && !r.destination.cordoned
+func (s *Scheduler) mayMove(r *run, now time.Time) bool {
+	j, open := s.jobs[r.attempt.Job]
+	if !open || r.destination == nil || !r.destinationFree || r.destination.cordoned {
+		return false
+	}
+	_, ok := s.ticketFor(s.stepOf(j, r), r.destination, now)
+
+	return ok
 }
 
 // mayLeaveTogether reports whether the lasting tasks that are left on a host may be away until it is back from maintenance.
@@ -135,16 +141,17 @@
 			runs = append(runs, w.lastingRuns()...)
 		}
 	}
-	s.findDestinations(runs, sets, now)
+	s.leaving = s.findDestinations(runs, sets, now)
 }
 
-// findDestinations keeps room for runs on other workers, as far as there is any.
-func (s *Scheduler) findDestinations(runs []*run, sets map[fleet.PoolName]*workerSet, now time.Time) {
+// findDestinations keeps room for runs on other workers, as far as there is any, and returns their steps.
+func (s *Scheduler) findDestinations(runs []*run, sets map[fleet.PoolName]*workerSet, now time.Time) []*readyStep {
 	type occurrence struct {
 		job  *job
 		step ledger.StepOf
 	}
 	steps := map[occurrence]*readyStep{}
+	var list []*readyStep
 	for _, r := range runs {
 		r.destination, r.destinationFree = nil, false
 		j, ok := s.jobs[r.attempt.Job]
@@ -153,13 +160,21 @@
 		}
 		at := occurrence{j, ledger.StepOf{Occurrence: r.attempt.Occurrence, Step: r.attempt.Step}}
 		if steps[at] == nil {
-			steps[at] = &readyStep{job: j, step: at.step, queue: s.queueOf(&j.entry.Job)}
+			steps[at] = s.stepOf(j, r)
 			steps[at].tasksOnWorker = countTasksOnWorkers(steps[at])
+			list = append(list, steps[at])
 		}
 		if p, ok := sets[steps[at].queue.Pool]; ok {
 			s.findDestination(r, steps[at], p.workers, now)
 		}
 	}
+
+	return list
+}
+
+// stepOf returns the step of a run as one with tasks that may start.
+func (s *Scheduler) stepOf(j *job, r *run) *readyStep {
+	return &readyStep{job: j, step: ledger.StepOf{Occurrence: r.attempt.Occurrence, Step: r.attempt.Step}, queue: s.queueOf(&j.entry.Job)}
 }
 
 // findDestination keeps room for a run on the best other worker, if possible on one that has it now.
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -58,7 +58,9 @@
 	plannedAt time.Time
 	// unplaced has the steps whose tasks found no room in the last placement.
 	unplaced []*readyStep
-	changes  []ledger.Change
+	// leaving has the steps with tasks that are to leave hosts that drain.
+	leaving []*readyStep
+	changes []ledger.Change
 	// pendingRuns has the new runs whose starts wait until the ledger has stored them.
 	pendingRuns []*run
 	// configured reports whether a configuration has been set.
