schedule: say in plain words which lasting tasks keep a host in service

The log line told of tasks with which no other may be away; it now tells how many have no room elsewhere and how many may not leave.

--- a/schedule/drain.go
+++ b/schedule/drain.go
@@ -18,8 +18,9 @@
 	// batchDrainTimeout is how long a draining host waits for tasks that are not lasting to end by themselves, and for room for
 	// the lasting ones that may be away until it returns.
 	batchDrainTimeout = 4 * time.Second
-	// drainPatience is how long a drain may be held up until the host goes back into service, and the pause before the next one.
-	drainPatience = 5 * time.Second
+	// maxDrainIdle is how long a drain may make no progress until the host goes back into service, and the pause before the next
+	// one.
+	maxDrainIdle = 5 * time.Second
 	// maxRoomWait is how long a drain may wait for tasks that are not lasting to make room elsewhere.
 	maxRoomWait = 30 * time.Second
 	// drainSearchPause is the pause before a host is looked at again that could not be emptied.
@@ -51,7 +52,7 @@
 func (s *Scheduler) giveUpDrain(h *host, now time.Time) {
 	s.observe(Decision{What: DecidedHostKept, Worker: h.Worker, Host: h.Host, Reason: h.plan.String() + ": held up by lasting tasks"})
 	s.cancelPlan(h, now)
-	h.blockedUntil = now.Add(drainPatience)
+	h.blockedUntil = now.Add(maxDrainIdle)
 }
 
 // drained stops the lasting tasks on a host as far as room and their steps allow, and reports whether the host may be ordered
@@ -97,14 +98,14 @@
 	w, ok := s.workers[h.Worker]
 	idle := now.Sub(h.progressAt)
 
-	return ok && idle > drainPatience && slices.ContainsFunc(w.lastingRuns(), func(r *run) bool {
+	return ok && idle > maxDrainIdle && slices.ContainsFunc(w.lastingRuns(), func(r *run) bool {
 		return !r.stopRequested && (r.destination == nil || r.destinationFree || idle > maxRoomWait)
 	})
 }
 
-// mayDrain reports whether a host in service can be emptied for maintenance: each lasting task finds room elsewhere, at the
-// latest once other tasks there have ended, or may be away until the host is back, and their steps permit that they leave. If so, that room is kept. The workers that
-// usable returns may have been cordoned since.
+// mayDrain reports whether a host in service can be emptied for maintenance: the steps of its lasting tasks permit that each
+// leaves, and each finds room elsewhere, at the latest once other tasks there have ended, or may be away until the host is back.
+// If so, that room is kept. The workers that usable returns may have been cordoned since.
 func (s *Scheduler) mayDrain(h *host, usable func() map[fleet.PoolName]*workerSet, now time.Time) bool {
 	w, ok := s.workers[h.Worker]
 	if !ok || w.lastingTasks == 0 {
@@ -115,9 +116,9 @@
 	}
 	runs := w.lastingRuns()
 	s.findDestinations(runs, usable(), now)
-	staying := slices.DeleteFunc(slices.Clone(runs), func(r *run) bool { return r.destination != nil })
-	bound := slices.DeleteFunc(slices.Clone(runs), func(r *run) bool { return s.mayBeAway([]*run{r}) })
-	if len(bound) == 0 && s.mayBeAway(staying) {
+	withoutRoom := slices.DeleteFunc(slices.Clone(runs), func(r *run) bool { return r.destination != nil })
+	needed := slices.DeleteFunc(slices.Clone(runs), func(r *run) bool { return s.mayBeAway([]*run{r}) })
+	if len(needed) == 0 && s.mayBeAway(withoutRoom) {
 		return true
 	}
 	for _, r := range runs {
@@ -125,7 +126,8 @@
 	}
 	if h.blockedUntil.IsZero() {
 		s.observe(Decision{
-			What: DecidedHostKept, Worker: h.Worker, Host: h.Host, Reason: fmt.Sprintf("of %d lasting tasks, no room elsewhere for %d, no other may be away with %d", len(runs), len(staying), len(bound)),
+			What: DecidedHostKept, Worker: h.Worker, Host: h.Host,
+			Reason: fmt.Sprintf("%d lasting tasks, of which %d have no room elsewhere and %d may not leave now", len(runs), len(withoutRoom), len(needed)),
 		})
 	}
 	h.blockedUntil = now.Add(drainSearchPause)
