--- a/admission/gate_test.go
+++ b/admission/controller_test.go
@@ -21,9 +21,9 @@
 	"lycheehook.example/lycheehook/store"
 )
 
-// fixture is a gate with a pool of one endpoint and a configuration that the test can change.
+// fixture is a controller with a pool of one endpoint and a configuration that the test can change.
 type fixture struct {
-	*admission.Gate
+	*admission.Controller
 	set     *endpoint.Set
 	rev     atomic.Pointer[revision.Revision]
 	fresh   atomic.Bool
@@ -63,14 +63,14 @@
 	f := &fixture{set: endpoint.NewSet(), secrets: map[fleet.TeamName]string{}, ids: map[fleet.TeamName]key.ID{}}
 	ring := key.NewRing()
 	for _, t := range []fleet.TeamName{"a", "b", "c"} {
-		k, secret := key.Give(t, time.Now())
+		k, secret := key.Issue(t, time.Now())
 		ring = ring.With(k)
 		f.secrets[t], f.ids[t] = secret, k.ID
 	}
 	rev := revision.Revision{Number: 1}.WithLists(lists()).WithKeys(ring)
 	f.rev.Store(&rev)
 	f.fresh.Store(true)
-	f.Gate = admission.New(revision.New(&store.Client{}), f.set)
+	f.Controller = admission.New(revision.New(&store.Client{}), f.set)
 	f.Current = f.rev.Load
 	f.Fresh = func(time.Time) bool { return f.fresh.Load() }
 	f.AcquireLimit = admission.NewLimits(f.Current).Acquire
@@ -84,7 +84,7 @@
 	next := change(*f.rev.Load())
 	next.Number++
 	f.rev.Store(&next)
-	f.Wake()
+	f.Dispatch()
 }
 
 func (f *fixture) withdrawKey(t fleet.TeamName) {
@@ -202,7 +202,7 @@
 			for range 20 {
 				g := s.takeSlots(s.T, "a", 1)
 				time.Sleep(2 * time.Second)
-				g[0].Done()
+				g[0].Complete()
 			}
 			s.takeSlots(s.T, "a", 2)
 			s.ctx, s.cancel = context.WithTimeout(s.ctx, time.Second/2)
@@ -224,7 +224,7 @@
 		}, "", now},
 		{"work of unknown outcome keeps its slot until its end", func(s *scenario) {
 			for _, g := range s.takeSlots(s.T, "a", 2) {
-				g.Hold(time.Now().Add(4 * time.Second))
+				g.ReleaseAt(time.Now().Add(4 * time.Second))
 			}
 		}, "", 4 * time.Second},
 		{"a grant is released twice", func(s *scenario) {
@@ -236,7 +236,7 @@
 		}, refusal.WaitTooLong, 10 * time.Second},
 		{"only idempotent work may try the endpoint", func(s *scenario) {
 			acquire := s.AcquireSlot
-			s.AcquireSlot = func(a endpoint.Ask) (endpoint.Slot, bool) {
+			s.AcquireSlot = func(a endpoint.SlotRequest) (endpoint.Slot, bool) {
 				if !a.Idempotent {
 					return endpoint.Slot{}, false
 				}
@@ -304,7 +304,7 @@
 		for range 20 {
 			g := f.takeSlots(t, "a", 1)
 			time.Sleep(2 * time.Second)
-			g[0].Done()
+			g[0].Complete()
 		}
 		f.takeSlots(t, "a", 2)
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second/2)
@@ -393,11 +393,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(8)
 		grants := f.takeSlots(t, "a", 3)
-		other, ok := f.set.Acquire(endpoint.Ask{Pool: "pool"})
-		if !ok || !grants[0].Again(other, time.Now().Add(time.Second)) {
+		other, ok := f.set.Acquire(endpoint.SlotRequest{Pool: "pool"})
+		if !ok || !grants[0].AcquireRepeat(other, time.Now().Add(time.Second)) {
 			t.Fatal("repeat below the upper limit was refused")
 		}
-		if grants[1].Again(endpoint.Slot{}, time.Now()) {
+		if grants[1].AcquireRepeat(endpoint.Slot{}, time.Now()) {
 			t.Error("repeat beyond the upper limit was allowed")
 		}
 		begin := time.Now()
--- a/entry/caller.go
+++ b/entry/caller.go
@@ -18,9 +18,9 @@
 
 // callerAPI serves the caller API.
 type callerAPI struct {
-	gate   *admission.Gate
-	sender *endpoint.Sender
-	log    *log.Logger
+	admission *admission.Controller
+	sender    *endpoint.Sender
+	log       *log.Logger
 	// maxRequestTime bounds the timeout that a caller may set for a request.
 	maxRequestTime time.Duration
 	// mayStart reports whether admitted work may still start; if nil, it always may.
@@ -63,7 +63,7 @@
 	pending := &pendingClaim{api: a, call: c}
 	request := c.admission()
 	request.Waiting = func(t fleet.Team) { pending.start(ctx, t) }
-	grant, err := a.gate.Admit(ctx, request)
+	grant, err := a.admission.Admit(ctx, request)
 	if err != nil {
 		cancel()
 		pending.abandon()
@@ -85,7 +85,7 @@
 		return
 	}
 	outgoing := c.request(grant)
-	outgoing.Ready = func() error { return a.recheck(grant) }
+	outgoing.BeforeSend = func() error { return a.recheck(grant) }
 	answer, err := a.sender.Send(ctx, grant.Slot(), outgoing)
 	if err != nil {
 		a.finish(grant, cl, c, nil, err)
@@ -112,26 +112,26 @@
 		return err
 	}
 	if a.mayStart != nil && g.Team().Name != "" && !a.mayStart(time.Now()) {
-		return refusal.Refuse(refusal.NotFresh, "this entry host can no longer count on its part of the limits")
+		return refusal.Refuse(refusal.NotFresh, "this entry host can no longer rely on its allocations of the limits")
 	}
 
 	return nil
 }
 
-// finish settles the claim and releases the grant once the request is certain to have ended: at once after a complete
+// finish records the outcome of the claim and releases the grant once the request has certainly ended: immediately after a complete
 // answer or if no byte was sent, otherwise a grace period after the caller's deadline, which the endpoint was told.
 func (a *callerAPI) finish(g admission.Grant, cl claimed, c call, answer *claim.Answer, err error) {
 	var notRun *refusal.NotRunError
 	switch {
 	case err == nil:
-		cl.settle(outcomeDone, answer)
-		g.Done()
+		cl.recordOutcome(outcomeDone, answer)
+		g.Complete()
 	case errors.As(err, &notRun):
-		cl.settle(outcomeNotRun, nil)
+		cl.recordOutcome(outcomeNotRun, nil)
 		g.Release()
 	default:
-		cl.settle(outcomeUnknown, nil)
-		g.Hold(c.deadline.Add(deadlineGrace))
+		cl.recordOutcome(outcomeUnknown, nil)
+		g.ReleaseAt(c.deadline.Add(deadlineGrace))
 		a.log.Warn("request outcome unknown", "request", c.id, "team", g.Team().Name, "endpoint", g.Slot().Endpoint().Name, "err", err)
 	}
 }
--- a/job/step.go
+++ b/job/step.go
@@ -230,7 +230,7 @@
 
 // recordOutcome updates an entry and records the task's outcome and peak usage, for the health of workers and estimates of sizes.
 func (c *Controller) recordOutcome(e Entry, s hostapi.TaskStatus, now time.Time, rep *Report) Entry {
-	next := e.Settled(s, now)
+	next := e.WithStatus(s, now)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if next.State == fleet.JobDone || next.State == fleet.JobFailed {
@@ -288,7 +288,7 @@
 func (c *Controller) withinLimits(waiting []placement.Job, l load, rep *Report) []placement.Job {
 	planned := maps.Clone(l.teams)
 	kept := make([]placement.Job, 0, len(waiting))
-	for _, j := range placement.InOrder(waiting) {
+	for _, j := range placement.SortByPriority(waiting) {
 		after := planned[j.Team].Plus(j.Need)
 		if limit, limited := c.quota(j.Team); limited && !after.FitsIn(limit) {
 			rep.Unplaced = append(rep.Unplaced, placement.Unplaced{Job: j.ID, Reason: placement.TeamLimit})
@@ -310,8 +310,8 @@
 	for _, name := range slices.Sorted(maps.Keys(records)) {
 		r := records[name].Value
 		hosts = append(hosts, r.Host)
-		if _, usable := r.Usable(); usable && r.Intent == nil {
-			workers = append(workers, c.health.Judge(placement.Worker{Host: r.Host, Used: used[name]}, now))
+		if _, usable := r.UsablePool(); usable && r.Intent == nil {
+			workers = append(workers, c.health.Annotate(placement.Worker{Host: r.Host, Used: used[name]}, now))
 		}
 	}
 
