--- a/schedule/drain.go
+++ b/schedule/drain.go
@@ -20,6 +20,8 @@
 	batchDrainTimeout = 4 * time.Second
 	// drainPatience is how long a drain may be held up until the host goes back into service, and the pause before the next one.
 	drainPatience = 5 * time.Second
+	// maxRoomWait is how long a drain may wait for tasks that are not lasting to make room elsewhere.
+	maxRoomWait = 30 * time.Second
 	// drainSearchPause is the pause before a host is looked at again that could not be emptied.
 	drainSearchPause = time.Second
 )
@@ -60,7 +62,7 @@
 		return true
 	}
 	together := s.mayLeaveTogether(h, w, now)
-	stopped, left := s.evictLasting(w, func(r *run) bool { return together || r.destination != nil && r.destinationFree })
+	stopped, left := s.evictLasting(w, func(r *run) bool { return together || s.mayMove(r, now) })
 	if stopped {
 		h.progressAt = now
 	}
@@ -68,6 +70,17 @@
 	return len(w.runs) == 0 || !left && now.Sub(h.phaseSince) > batchDrainTimeout
 }
 
+// mayMove reports whether a run can start again on its destination at once.
+func (s *Scheduler) mayMove(r *run, now time.Time) bool {
+	j, open := s.jobs[r.attempt.Job]
+	if !open || r.destination == nil || !r.destinationFree || r.destination.cordoned {
+		return false
+	}
+	_, ok := s.ticketFor(s.stepOf(j, r), r.destination, now)
+
+	return ok
+}
+
 // mayLeaveTogether reports whether the lasting tasks that are left on a host may be away until it is back from maintenance.
 func (s *Scheduler) mayLeaveTogether(h *host, w *worker, now time.Time) bool {
 	o, ok := s.waves[h.plan.wave]
@@ -78,18 +91,19 @@
 	return s.mayBeAway(slices.DeleteFunc(w.lastingRuns(), func(r *run) bool { return r.stopRequested }))
 }
 
-// heldUp reports whether a drain has made no progress for some time, and does not merely wait until tasks that are not lasting
-// make room elsewhere.
+// heldUp reports whether a drain has made no progress for some time, which is longer while it merely waits until tasks that are
+// not lasting make room elsewhere.
 func (s *Scheduler) heldUp(h *host, now time.Time) bool {
 	w, ok := s.workers[h.Worker]
+	idle := now.Sub(h.progressAt)
 
-	return ok && now.Sub(h.progressAt) > drainPatience && slices.ContainsFunc(w.lastingRuns(), func(r *run) bool {
-		return !r.stopRequested && (r.destination == nil || r.destinationFree)
+	return ok && idle > drainPatience && slices.ContainsFunc(w.lastingRuns(), func(r *run) bool {
+		return !r.stopRequested && (r.destination == nil || r.destinationFree || idle > maxRoomWait)
 	})
 }
 
 // mayDrain reports whether a host in service can be emptied for maintenance: each lasting task finds room elsewhere, at the
-// latest once other tasks there have ended, or may be away until the host is back. If so, that room is kept. The workers that
+// latest once other tasks there have ended, or may be away until the host is back, and their steps permit that they leave. If so, that room is kept. The workers that
 // usable returns may have been cordoned since.
 func (s *Scheduler) mayDrain(h *host, usable func() map[fleet.PoolName]*workerSet, now time.Time) bool {
 	w, ok := s.workers[h.Worker]
@@ -102,7 +116,8 @@
 	runs := w.lastingRuns()
 	s.findDestinations(runs, usable(), now)
 	staying := slices.DeleteFunc(slices.Clone(runs), func(r *run) bool { return r.destination != nil })
-	if s.mayBeAway(staying) {
+	bound := slices.DeleteFunc(slices.Clone(runs), func(r *run) bool { return s.mayBeAway([]*run{r}) })
+	if len(bound) == 0 && s.mayBeAway(staying) {
 		return true
 	}
 	for _, r := range runs {
@@ -110,7 +125,7 @@
 	}
 	if h.blockedUntil.IsZero() {
 		s.observe(Decision{
-			What: DecidedHostKept, Worker: h.Worker, Host: h.Host, Reason: fmt.Sprintf("no room elsewhere for %d of %d lasting tasks", len(staying), len(runs)),
+			What: DecidedHostKept, Worker: h.Worker, Host: h.Host, Reason: fmt.Sprintf("of %d lasting tasks, no room elsewhere for %d, no other may be away with %d", len(runs), len(staying), len(bound)),
 		})
 	}
 	h.blockedUntil = now.Add(drainSearchPause)
@@ -126,16 +141,17 @@
 			runs = append(runs, w.lastingRuns()...)
 		}
 	}
-	s.findDestinations(runs, sets, now)
+	s.leaving = s.findDestinations(runs, sets, now)
 }
 
-// findDestinations keeps room for runs on other workers, as far as there is any.
-func (s *Scheduler) findDestinations(runs []*run, sets map[fleet.PoolName]*workerSet, now time.Time) {
+// findDestinations keeps room for runs on other workers, as far as there is any, and returns their steps.
+func (s *Scheduler) findDestinations(runs []*run, sets map[fleet.PoolName]*workerSet, now time.Time) []*readyStep {
 	type occurrence struct {
 		job  *job
 		step ledger.StepOf
 	}
 	steps := map[occurrence]*readyStep{}
+	var list []*readyStep
 	for _, r := range runs {
 		r.destination, r.destinationFree = nil, false
 		j, ok := s.jobs[r.attempt.Job]
@@ -144,13 +160,21 @@
 		}
 		at := occurrence{j, ledger.StepOf{Occurrence: r.attempt.Occurrence, Step: r.attempt.Step}}
 		if steps[at] == nil {
-			steps[at] = &readyStep{job: j, step: at.step, queue: s.queueOf(&j.entry.Job)}
+			steps[at] = s.stepOf(j, r)
 			steps[at].tasksOnWorker = countTasksOnWorkers(steps[at])
+			list = append(list, steps[at])
 		}
 		if p, ok := sets[steps[at].queue.Pool]; ok {
 			s.findDestination(r, steps[at], p.workers, now)
 		}
 	}
+
+	return list
+}
+
+// stepOf returns the step of a run as one with tasks that may start.
+func (s *Scheduler) stepOf(j *job, r *run) *readyStep {
+	return &readyStep{job: j, step: ledger.StepOf{Occurrence: r.attempt.Occurrence, Step: r.attempt.Step}, queue: s.queueOf(&j.entry.Job)}
 }
 
 // findDestination keeps room for a run on the best other worker, if possible on one that has it now.
