--- a/entry/limits.go
+++ b/entry/limits.go
@@ -33,11 +33,11 @@
 
 // limits counts running work against the upper limits and endpoint slots that all entry hosts share.
 type limits struct {
-	holder  *allotment.Holder
-	book    *revision.Book
-	cluster *cluster
-	store   *store.Client
-	log     *log.Logger
+	holder    *allotment.Holder
+	revisions *revision.Repository
+	cluster   *cluster
+	store     *store.Client
+	log       *log.Logger
 
 	timing allotment.Timing
 	// seatedSince is the time from which this process has had a seat without a break; nil while it has none.
@@ -55,7 +55,7 @@
 }
 
 // newLimits returns limits whose holder uses the configuration, the members and the peers.
-func newLimits(s settings.Settings, c *store.Client, cl *cluster, b *revision.Book, l *log.Logger) *limits {
+func newLimits(s settings.Settings, c *store.Client, cl *cluster, b *revision.Repository, l *log.Logger) *limits {
 	timing := allotment.DefaultTiming()
 	timing.LeaseTTL = member.DefaultLeaseTTL
 	timing.FreshFor = member.DefaultFreshFor
@@ -63,14 +63,14 @@
 
 	lm := &limits{
 		holder: allotment.New(c, cl.mesh.Self().Incarnation, allotment.WithTiming(timing)),
-		timing: timing, book: b, cluster: cl, store: c, log: l, slots: map[fleet.PoolName]map[string]fleet.Resources{},
+		timing: timing, revisions: b, cluster: cl, store: c, log: l, slots: map[fleet.PoolName]map[string]fleet.Resources{},
 	}
 	lm.membership.Store(&allotment.Membership{})
 	lm.teams.Store(&map[fleet.TeamName]limitKeys{})
-	lm.holder.Licensed = lm.licensed
+	lm.holder.LeaseValid = lm.licensed
 	lm.holder.Members = func() allotment.Membership { return *lm.membership.Load() }
 	lm.holder.Absent = lm.absent
-	lm.holder.Knows = lm.knownToPeers
+	lm.holder.KnownBy = lm.knownToPeers
 	lm.holder.Ask = lm.ask
 	peer.Handle(cl.mesh, kindParts, func(ctx context.Context, _ peer.Peer, req allotment.Request) (allotment.Answer, error) {
 		return lm.holder.Handle(ctx, req), nil
@@ -82,7 +82,7 @@
 // licensed reports whether no other process can have reclaimed this process's parts: its lease is certain to be valid,
 // or no process that could see the lease lapse reaches the store.
 func (l *limits) licensed(now time.Time) bool {
-	return l.cluster.leaseHolds(now) || l.book.Licensed(now) && l.book.StoreLost(now)
+	return l.cluster.leaseHolds(now) || l.revisions.Licensed(now) && l.revisions.StoreLost(now)
 }
 
 // absent reads the members from the store and reports whether none has incarnation i.
@@ -111,7 +111,7 @@
 
 // updateSeatedSince sets seatedSince when this process gets a seat and clears it when the seat is lost.
 func (l *limits) updateSeatedSince(now time.Time) {
-	switch seated := l.book.Seated(); {
+	switch seated := l.revisions.Seated(); {
 	case !seated:
 		l.seatedSince.Store(nil)
 	case l.seatedSince.Load() == nil:
@@ -119,8 +119,8 @@
 	}
 }
 
-// newClaims returns this process's book of request ID claims.
-func newClaims(s settings.Settings, c *store.Client, l *limits) *claim.Book {
+// newClaims returns the registry of request IDs of this process.
+func newClaims(s settings.Settings, c *store.Client, l *limits) *claim.Registry {
 	timing := claim.DefaultTiming()
 	timing.MaxRequestTime = s.WithDefaults().MaxRequestTime.Std()
 	b := claim.New(c, l.holder.Self(), claim.WithTiming(timing))
@@ -171,7 +171,7 @@
 func (l *limits) followRevisions(ctx context.Context) {
 	seen := uint64(0)
 	for ctx.Err() == nil {
-		if cur := l.book.Current(); cur.Number > seen {
+		if cur := l.revisions.Current(); cur.Number > seen {
 			seen = cur.Number
 			l.applyLimits(cur)
 		}
@@ -267,7 +267,7 @@
 
 // expectedSlots returns this entry host's part of an endpoint's slots.
 func (l *limits) expectedSlots(e fleet.Endpoint) int64 {
-	return l.holder.Part(slotsKey(e)).Slots
+	return l.holder.Allocation(slotsKey(e)).Slots
 }
 
 func slotsKey(e fleet.Endpoint) allotment.Key {
--- a/entry/wire_gen.go
+++ b/entry/wire_gen.go
@@ -23,32 +23,32 @@
 	if err != nil {
 		return nil, err
 	}
-	book := newBook(client, entryCluster)
+	repository := newRepository(client, entryCluster)
 	set := endpoint.NewSet()
 	sender := newSender()
-	gate := admission.New(book, set)
+	controller := admission.New(repository, set)
 	trail := newTrail(client, s, l)
-	entryControlLoop := newControlLoop(client, hostapiClient, book, entryCluster, trail, s, l)
-	entryLimits := newLimits(s, client, entryCluster, book, l)
-	claimBook := newClaims(s, client, entryLimits)
-	registry := newRegistry()
-	entryOperatorMetrics := newOperatorMetrics(registry, book, trail)
+	entryControlLoop := newControlLoop(client, hostapiClient, repository, entryCluster, trail, s, l)
+	entryLimits := newLimits(s, client, entryCluster, repository, l)
+	registry := newClaims(s, client, entryLimits)
+	prometheusRegistry := newRegistry()
+	entryOperatorMetrics := newOperatorMetrics(prometheusRegistry, repository, trail)
 	entryComponents := components{
-		Settings: s,
-		Store:    client,
-		Platform: hostapiClient,
-		Book:     book,
-		Set:      set,
-		Sender:   sender,
-		Gate:     gate,
-		Control:  entryControlLoop,
-		Cluster:  entryCluster,
-		Limits:   entryLimits,
-		Claims:   claimBook,
-		Trail:    trail,
-		Metrics:  entryOperatorMetrics,
-		Log:      l,
-		Sockets:  sockets,
+		Settings:  s,
+		Store:     client,
+		Platform:  hostapiClient,
+		Revisions: repository,
+		Set:       set,
+		Sender:    sender,
+		Admission: controller,
+		Control:   entryControlLoop,
+		Cluster:   entryCluster,
+		Limits:    entryLimits,
+		Claims:    registry,
+		Trail:     trail,
+		Metrics:   entryOperatorMetrics,
+		Log:       l,
+		Sockets:   sockets,
 	}
 	host := newHost(entryComponents)
 	return host, nil
--- a/ledger/change.go
+++ b/ledger/change.go
@@ -32,6 +32,10 @@
 // ErrGap is returned when a read of the log misses batches; a new read returns them or the snapshots that replaced them.
 var ErrGap = merry.Sentinel("ledger: batches are missing")
 
+// ErrDamaged is returned when a batch of the log can't be decoded. No batch after it is applied, since it may have the starts
+// and ends of tasks, until the log reproduces the whole state from a later batch on.
+var ErrDamaged = merry.Sentinel("ledger: log is damaged")
+
 // Kind is the kind of a change.
 type Kind uint8
 
@@ -45,7 +49,8 @@
 	JobFailed
 	// Maintained records that a host had its maintenance: Worker holds the host name, and Life the number of the wave.
 	Maintained
-	// HostOrdered announces a maintenance or move order to a host, before it is sent: Worker holds the host name.
+	// HostOrdered announces a maintenance or move order to a host, before it is sent: Worker holds the host name, and Live the
+	// host's worker without an attempt.
 	HostOrdered
 	// TaskSnapshot holds the whole state of a task and replaces all earlier changes; Number is its last attempt.
 	TaskSnapshot
@@ -67,7 +72,7 @@
 	Outcome work.Outcome
 	// Checkpoint is the checkpoint from which the next attempt resumes.
 	Checkpoint string
-	// Failures, Done and Live are set in a TaskSnapshot only.
+	// Failures and Done are set in a TaskSnapshot only, Live also in HostOrdered.
 	Failures int
 	Done     bool
 	Live     []LiveAttempt
--- a/schedule/isolation.go
+++ b/schedule/isolation.go
@@ -24,6 +24,8 @@
 	isolationShare = 3
 	// isolationPollWait is how long a worker may delay its answer while a run is isolated there or is about to be.
 	isolationPollWait = 100 * time.Millisecond
+	// maxTrialWait is how long an isolated run waits for a suspected task on the same worker to outlive its trial.
+	maxTrialWait = 10 * time.Second
 	// maxIsolationWait is how long a task with a single crash waits for a worker to be isolated on.
 	maxIsolationWait = time.Second
 	// maxCanaryWait is how long the tasks of a job under which several workers crashed wait for one of them.
@@ -45,7 +47,7 @@
 	for _, w := range s.workers {
 		if w.reg.Pool == pool && w.present {
 			workers++
-			if w.isolated != nil {
+			if len(w.isolated) > 0 {
 				isolated++
 			}
 		}
@@ -54,8 +56,12 @@
 	return workers/isolationShare - isolated
 }
 
-// settleSuspicions ends the isolation of runs that have lasted long enough, and clears tasks that have outlived their trial.
+// settleSuspicions ends the isolation of runs that have lasted long enough or whose tasks are suspected no more, and clears
+// tasks that have outlived their trial.
 func (s *Scheduler) settleSuspicions(now time.Time) {
+	for _, w := range s.workers {
+		w.isolated = slices.DeleteFunc(w.isolated, func(r *run) bool { return s.cleared(r.attempt.Task) })
+	}
 	for _, j := range s.jobs {
 		for t := range j.suspicions {
 			for _, l := range j.entry.Task(t).Live {
@@ -68,6 +74,13 @@
 	}
 }
 
+// cleared reports whether a task of an open job is not suspected, or no more.
+func (s *Scheduler) cleared(t work.Task) bool {
+	j, open := s.jobs[t.Job]
+
+	return open && j.suspicions[t] == nil
+}
+
 // runOf returns the run of an attempt on a worker, or nil.
 func (s *Scheduler) runOf(a work.Attempt, id work.WorkerID) *run {
 	w, ok := s.workers[id]
@@ -84,8 +97,8 @@
 	p := j.suspicions[t]
 	if age >= p.isolation() {
 		r.outlived, p.withRack = true, 0
-		if w.isolated == r {
-			w.isolated, j.cleared, s.dirty = nil, now, true
+		if w.endIsolation(r) {
+			j.cleared, s.dirty = now, true
 		}
 		p.isolate = j.crashes(t) >= failAfterCrashesAlone
 	}
@@ -157,7 +170,7 @@
 	return slices.ContainsFunc(st.Live, func(l ledger.LiveAttempt) bool {
 		w, ok := s.workers[l.Worker]
 
-		return ok && w.isolated != nil && w.isolated.attempt.Task == t
+		return ok && slices.ContainsFunc(w.isolated, func(r *run) bool { return r.attempt.Task == t })
 	})
 }
 
@@ -184,7 +197,15 @@
 
 // mayStart reports whether a task may start on the worker, given the isolated runs there.
 func (w *worker) mayStart(isolate bool, now time.Time) bool {
-	return w.isolated == nil && (isolate || !now.Before(w.isolationDue))
+	return len(w.isolated) == 0 && (isolate || !now.Before(w.isolationDue))
+}
+
+// endIsolation lets other tasks start beside a run, and reports whether it was isolated.
+func (w *worker) endIsolation(r *run) bool {
+	before := len(w.isolated)
+	w.isolated = slices.DeleteFunc(w.isolated, func(o *run) bool { return o == r })
+
+	return len(w.isolated) < before
 }
 
 // provenAge returns how long the run had lasted when its worker last answered.
@@ -196,13 +217,12 @@
 	return r.worker.answeredAt.Sub(r.confirmedAt)
 }
 
-// youngRuns returns how many runs on the worker are not known to have lasted for a time, or for as long as earlier runs of a
-// suspected task. Those that have are hardly the cause of a crash from now on.
+// youngRuns returns how many runs on the worker are not known to have lasted for a time, or are of suspected tasks that may crash
+// it yet. The others are hardly the cause of a crash from now on.
 func (s *Scheduler) youngRuns(w *worker, age time.Duration) int {
 	n := 0
 	for _, r := range w.runs {
-		j, open := s.jobs[r.attempt.Job]
-		if r.provenAge() < age || open && j.suspicions[r.attempt.Task] != nil && !r.outlived {
+		if r.provenAge() < age || s.onTrial(r) {
 			n++
 		}
 	}
@@ -210,6 +230,18 @@
 	return n
 }
 
+// onTrial reports whether a run is of a suspected task and has not lasted long enough to clear it, or as long as an isolated run
+// may wait for that.
+func (s *Scheduler) onTrial(r *run) bool {
+	j, open := s.jobs[r.attempt.Job]
+	if !open {
+		return false
+	}
+	p, suspected := j.suspicions[r.attempt.Task]
+
+	return suspected && r.provenAge() < min(p.trial(r.step), maxTrialWait)
+}
+
 // isolationWorker returns the worker for an isolated run, one with few young runs and few others, which a crash would end
 // too. While it has runs younger than the task was at the last crash, it starts no more and nil is returned.
 func (s *Scheduler) isolationWorker(r *readyStep, task work.Task, p *workerSet, now time.Time) *worker {
--- a/schedule/run.go
+++ b/schedule/run.go
@@ -142,7 +142,7 @@
 	case errors.Is(err, work.ErrUnhealthy):
 		s.recordFailure(w, r.attempt.Job, now)
 	case errors.Is(err, work.ErrNotSent):
-		w.missedPolls = max(w.missedPolls, maxMissedPolls)
+		s.setMissedPolls(w, max(w.missedPolls, maxMissedPolls), err, now)
 		w.pollNow = true
 	case errors.Is(err, work.ErrFenced), errors.Is(err, work.ErrLate):
 		w.raiseToken()
@@ -241,7 +241,7 @@
 			continue
 		}
 		if w.reg.Draining && w.present {
-			s.evictLasting(w)
+			s.evictLasting(w, func(*run) bool { return true })
 		}
 		if w.stoppingRuns == 0 {
 			continue
@@ -264,7 +264,7 @@
 		if w.silent() && now.After(w.leasesEndBy) {
 			s.lapseRuns(w, now)
 		}
-		if !w.present && len(w.runs) == 0 && now.After(w.leasesEndBy) && w.pollToken == 0 {
+		if !w.registered && len(w.runs) == 0 && now.After(w.leasesEndBy) && w.pollToken == 0 {
 			delete(s.workers, id)
 		}
 	}
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -29,8 +29,9 @@
 	hosts     map[fleet.HostName]*host
 	// hostList has the hosts in the order of their names.
 	hostList []*host
-	// listedAt is when the cloud's list of hosts was last applied, firstListed when that was first done.
-	listedAt, firstListed time.Time
+	// listedAt is when the cloud's list of hosts was last applied, listAsked when that list was requested, and firstListed when
+	// one was first applied.
+	listedAt, listAsked, firstListed time.Time
 	// waves has the maintenance waves by number; dueHosts has the hosts that still need maintenance for an open wave.
 	waves    map[int64]*wave
 	dueHosts map[fleet.HostName]bool
@@ -43,6 +44,8 @@
 	advicePending bool
 	// overSince has the jobs that are over, with the time at which this owner first noticed.
 	overSince map[fleet.JobID]time.Time
+	// removed has the jobs that were removed from the ledger, of which an older read may tell once more.
+	removed map[fleet.JobID]removedJob
 	// pendingHosts has the hosts whose orders wait until the ledger has stored them.
 	pendingHosts []*host
 	// maintainedBefore has the hosts that previous owners maintained for each wave.
@@ -108,7 +111,8 @@
 		term: term, bounds: b, observe: func(Decision) {}, entries: entries,
 		queues: map[fleet.QueueName]*work.Queue{}, pools: map[fleet.PoolName]work.Pool{}, workspaces: map[fleet.WorkspaceName]work.Workspace{},
 		jobs: map[fleet.JobID]*job{}, workers: map[work.WorkerID]*worker{}, workspaceUsage: map[fleet.WorkspaceName]fleet.Resources{}, poolUsage: map[usageKey]fleet.Resources{}, dirty: true,
-		hosts: map[fleet.HostName]*host{}, waves: map[int64]*wave{}, quietUntil: map[fleet.HostName]time.Time{}, overSince: map[fleet.JobID]time.Time{},
+		hosts: map[fleet.HostName]*host{}, waves: map[int64]*wave{}, quietUntil: map[fleet.HostName]time.Time{},
+		overSince: map[fleet.JobID]time.Time{}, removed: map[fleet.JobID]removedJob{},
 		suspects: map[incarnation][]work.Task{}, advice: map[string]*advice{}, dueHosts: map[fleet.HostName]bool{},
 		balancer: balance.New(b.MoveTime + moveDecisionDelay),
 	}
@@ -139,6 +143,8 @@
 		s.reserve(e, r)
 		if l.Life < w.life || e.Over() || e.Task(a.Task).Done {
 			r.requestStop()
+		} else if s.jobs[a.Job].mustIsolate(a.Task) {
+			w.isolated = append(w.isolated, r)
 		}
 	}
 }
@@ -170,8 +176,11 @@
 	return &work.Queue{Name: j.Queue, Pool: j.Pool, MaxAttempts: j.MaxAttempts}
 }
 
-// AddJob adds an accepted job, or updates a known one that was cancelled.
+// AddJob adds an accepted job, or updates a known one that was cancelled. It passes over records that were removed.
 func (s *Scheduler) AddJob(j work.Job, revision uint64, now time.Time) {
+	if r, ok := s.removed[j.ID]; ok && revision <= r.revision {
+		return
+	}
 	e, ok := s.entries[j.ID]
 	if !ok {
 		e = ledger.NewEntry(j, revision)
