schedule: keep a worker free for a suspected task in placements only

What callers would see: nothing; found by a review, by reading. The search for the reasons why jobs wait kept a worker from starting tasks, up to two seconds.

Cause: of the class of observation that changes what it observes. The search puts each waiting task to chooseWorker, which kept the best worker for an isolated task free as a side effect.

Change: choosing a worker changes nothing; the placement alone keeps one free.

Test: TestSearchKeepsNoWorkerFree fails before: kept free by the search until: want zero, got a time 2 s later.

--- a/schedule/isolation.go
+++ b/schedule/isolation.go
@@ -242,10 +242,21 @@
 	return suspected && r.provenAge() < min(p.trial(r.step), maxTrialWait)
 }
 
-// isolationWorker returns the worker for an isolated run, one with few young runs and few others, which a crash would end
-// too. While it has runs younger than the task was at the last crash, it starts no more and nil is returned.
+// isolationWorker returns the worker for an isolated run, or nil while the best one has runs younger than the task was at the
+// last crash.
 func (s *Scheduler) isolationWorker(r *readyStep, task work.Task, p *workerSet, now time.Time) *worker {
-	step, age := &r.job.entry.Job.Steps[task.Step], r.job.suspicions[task].isolation()
+	age := r.job.suspicions[task].isolation()
+	if best := s.bestIsolationWorker(r, task, age, p, now); best != nil && s.youngRuns(best, age) == 0 {
+		return best
+	}
+
+	return nil
+}
+
+// bestIsolationWorker returns the worker for an isolated run with few young runs and few others, which a crash would end too, or
+// nil if none has room.
+func (s *Scheduler) bestIsolationWorker(r *readyStep, task work.Task, age time.Duration, p *workerSet, now time.Time) *worker {
+	step := &r.job.entry.Job.Steps[task.Step]
 	var workers []*worker
 	for _, w := range p.workers {
 		if w.mayStart(true, now) && s.obstacle(r, step, step.Reserved(), w, now) == noObstacle {
@@ -255,16 +266,23 @@
 	if len(workers) == 0 {
 		return nil
 	}
-	best := slices.MinFunc(workers, func(a, b *worker) int {
+
+	return slices.MinFunc(workers, func(a, b *worker) int {
 		return cmp.Or(
 			cmp.Compare(s.youngRuns(a, age), s.youngRuns(b, age)), cmp.Compare(s.youngRuns(a, maxIsolation), s.youngRuns(b, maxIsolation)),
 			cmp.Compare(len(a.runs), len(b.runs)), cmp.Compare(score(r, step, a), score(r, step, b)),
 		)
 	})
-	if s.youngRuns(best, age) > 0 {
+}
+
+// keepFree lets the best worker for a task that must be isolated start no others, until its runs are old enough.
+func (s *Scheduler) keepFree(r *readyStep, index int, p *workerSet, now time.Time) {
+	task := work.Task{Job: r.job.entry.Job.ID, Occurrence: r.step.Occurrence, Step: r.step.Step, Index: index}
+	if !r.job.mustIsolate(task) || !s.withinLimit(r.job.entry.Job.Workspace, r.job.entry.Job.Steps[task.Step].Size) {
+		return
+	}
+	age := r.job.suspicions[task].isolation()
+	if best := s.bestIsolationWorker(r, task, age, p, now); best != nil {
 		best.isolationDue = now.Add(age)
-		return nil
 	}
-
-	return best
 }
--- a/schedule/isolation_rank_test.go
+++ b/schedule/isolation_rank_test.go
@@ -41,3 +41,27 @@
 	}
 	t.Errorf("the task does not run after 20 s, in which at most %d of 16 cores were in use", most)
 }
+
+// A search for the reason why a suspected task waits kept a worker free for it, as only a placement may.
+func TestSearchKeepsNoWorkerFree(t *testing.T) {
+	b := newTestbed(t, 1)
+	b.submit("sound", work.Step{Count: 1, Size: size(1000)})
+	b.settle()
+	b.submit("suspect", work.Step{Count: 1, Size: size(1000)})
+	j := b.s.jobs["suspect"]
+	for n, id := range []work.WorkerID{"a", "b"} {
+		a := work.Attempt{Task: work.Task{Job: "suspect"}, Number: n + 1}
+		j.entry.Apply(ledger.Change{Kind: ledger.Assigned, Attempt: a, Worker: id, Life: 1})
+		j.entry.Apply(ledger.Change{Kind: ledger.TaskCrashed, Attempt: a, Worker: id, Life: 1})
+		j.entry.Apply(ledger.Change{Kind: ledger.Ended, Attempt: a, Worker: id, Life: 1, Outcome: work.OutcomeLapsed})
+	}
+	j.suspect(work.Task{Job: "suspect"}).isolate = true
+	w := b.s.workers["w0"]
+	for _, r := range b.s.readySteps(b.now) {
+		b.s.refusal(r, b.s.usableWorkers(b.now)[testPool], b.now)
+	}
+	check(t, "kept free by the search until", time.Time{}, w.isolationDue)
+	b.s.Tick()
+	b.s.Place(b.now)
+	check(t, "kept free by the placement", true, w.isolationDue.After(b.now))
+}
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -169,6 +169,7 @@
 	for i, n := range r.tasks {
 		w := s.chooseWorker(r, n, p, now)
 		if w == nil {
+			s.keepFree(r, n, p, now)
 			if step.Lasting && s.withinLimit(e.Job.Workspace, step.Size) {
 				s.reserveForLasting(r, step, p.workers, now)
 				s.markUnplaced(r, 1)
