schedule: derive whether a worker is present

Change: it is worked out. One case differs: a worker that answers in a new incarnation before its registration is read counts as present; tasks wait for the registration as before.

--- a/schedule/capacity.go
+++ b/schedule/capacity.go
@@ -64,7 +64,7 @@
 
 // capacityOf returns what a host's worker says of its capacity now, or else the cloud's figure.
 func (s *Scheduler) capacityOf(h *host) fleet.Resources {
-	if w, ok := s.workers[h.Worker]; ok && w.present {
+	if w, ok := s.workers[h.Worker]; ok && w.present() {
 		return w.reg.Capacity
 	}
 
--- a/schedule/host.go
+++ b/schedule/host.go
@@ -143,7 +143,7 @@
 	}
 	w.host = h.Host
 	if w.ended && h.State == work.HostUp {
-		w.ended, w.present = false, w.registered
+		w.ended = false
 		w.raiseToken()
 	}
 }
@@ -297,7 +297,7 @@
 	if !ok || !w.knownBefore(asked) {
 		return
 	}
-	w.present, w.ended = false, true
+	w.ended = true
 	for _, r := range w.runs {
 		s.endRun(r, work.OutcomeLapsed, "", "the host's worker has ended")
 	}
--- a/schedule/isolation.go
+++ b/schedule/isolation.go
@@ -45,7 +45,7 @@
 func (s *Scheduler) isolationSlots(pool fleet.PoolName) int {
 	workers, isolated := 0, 0
 	for _, w := range s.workers {
-		if w.reg.Pool == pool && w.present {
+		if w.reg.Pool == pool && w.present() {
 			workers++
 			if len(w.isolated) > 0 {
 				isolated++
--- a/schedule/lost.go
+++ b/schedule/lost.go
@@ -44,7 +44,7 @@
 	case w.missedPolls > 0:
 		return w.silentSince.Before(t)
 	default:
-		return w.answeredAt.IsZero() && !w.present
+		return w.answeredAt.IsZero() && !w.present()
 	}
 }
 
--- a/schedule/obstacle.go
+++ b/schedule/obstacle.go
@@ -92,7 +92,7 @@
 // obstacle returns why no task may be placed on the worker, whose registration must be that of the present incarnation.
 func (w *worker) obstacle(now time.Time) WaitReason {
 	switch {
-	case !w.present || w.reg.Life != w.life:
+	case !w.present() || w.reg.Life != w.life:
 		return NotRegistered
 	case w.delisted:
 		return HostNotUp
--- a/schedule/poll.go
+++ b/schedule/poll.go
@@ -52,7 +52,7 @@
 	}
 	switch {
 	case !w.tokenAcked:
-		return 0, w.present || len(w.runs) > 0
+		return 0, w.present() || len(w.runs) > 0
 	case w.storedEnd != w.seenEnd:
 		// The worker would answer at once, with ends that are already being stored.
 		return 0, false
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -123,14 +123,14 @@
 func (s *Scheduler) idle(h *host) bool {
 	w, ok := s.workers[h.Worker]
 
-	return ok && w.present && w.tokenAcked && w.missedPolls == 0 && len(w.runs) == 0 && !w.reg.Draining
+	return ok && w.present() && w.tokenAcked && w.missedPolls == 0 && len(w.runs) == 0 && !w.reg.Draining
 }
 
 // runsOnlyBatch reports whether a host's worker is up and has no lasting tasks, so that all its runs end by themselves.
 func (s *Scheduler) runsOnlyBatch(h *host) bool {
 	w, ok := s.workers[h.Worker]
 
-	return ok && w.present && w.tokenAcked && w.missedPolls == 0 && w.lastingTasks == 0 && !w.reg.Draining
+	return ok && w.present() && w.tokenAcked && w.missedPolls == 0 && w.lastingTasks == 0 && !w.reg.Draining
 }
 
 // load returns the dominant share of a host's capacity that is in use.
--- a/schedule/run.go
+++ b/schedule/run.go
@@ -240,7 +240,7 @@
 		if !w.tokenAcked || w.reg.Address == "" {
 			continue
 		}
-		if w.reg.Draining && w.present {
+		if w.reg.Draining && w.present() {
 			s.evictLasting(w, func(*run) bool { return true })
 		}
 		if w.stoppingRuns == 0 {
@@ -277,7 +277,7 @@
 
 // lapseRuns ends the runs on a silent worker whose leases have surely ended.
 func (s *Scheduler) lapseRuns(w *worker, now time.Time) {
-	if !w.present && !s.listedUp(w) {
+	if !w.present() && !s.listedUp(w) {
 		s.crashed(w, "lease ended on a silent worker that is no longer registered", now)
 	}
 	for _, r := range w.runs {
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -100,8 +100,8 @@
 type worker struct {
 	id  work.WorkerID
 	reg work.Registration
-	// registered reports that the registration was not removed, present that it is also not known to be of a worker that has ended.
-	registered, present bool
+	// registered reports that the registration was not removed.
+	registered bool
 	// ended reports that the worker has surely ended, although its registration may still be present for a while.
 	ended       bool
 	life        work.Life
@@ -263,6 +263,7 @@
 	if r.Life < w.life {
 		return
 	}
+	before := w.present()
 	w.registered = true
 	if w.ended && r.Life == w.life {
 		return
@@ -270,21 +271,26 @@
 	if r.Life != w.life && w.life != 0 {
 		s.restarted(w, r.Life, now)
 	}
-	if !w.present {
+	if !before {
 		w.pollNow = true
 	}
 	w.applyCapacity(r.Capacity)
 	if r.Life != w.life {
 		w.knownSince = now
 	}
-	w.reg, w.life, w.present = r, r.Life, true
+	w.reg, w.life = r, r.Life
 	s.dirty = true
 }
 
+// present reports whether the worker is registered and not known to have ended.
+func (w *worker) present() bool {
+	return w.registered && !w.ended
+}
+
 // Deregister notes that a worker's registration was removed; its runs are kept until their leases have ended.
 func (s *Scheduler) Deregister(id work.WorkerID) {
 	if w, ok := s.workers[id]; ok {
-		w.registered, w.present = false, false
+		w.registered = false
 	}
 }
 
