--- a/ledger/damage_rate_test.go
+++ b/ledger/damage_rate_test.go
@@ -11,7 +11,6 @@
 
 	"lycheehook.example/lycheehook/ledger"
 	"lycheehook.example/lycheehook/standin"
-	"lycheehook.example/lycheehook/store"
 )
 
 // Guards against a host that follows the log and reads the whole ledger more often than every five seconds while a batch is damaged,
@@ -21,15 +20,8 @@
 		c := standin.NewStore().Client()
 		putBatch(t, c, ledger.Batch{Number: 0})
 		reads := 0
-		counting := *c
-		counting.List = func(ctx context.Context, prefix string) (store.Listing, error) {
-			if prefix == ledger.Prefix {
-				reads++
-			}
-
-			return c.List(ctx, prefix)
-		}
-		f := ledger.NewFollower(&counting, log.New(io.Discard))
+		counting := countReads(c, &reads)
+		f := ledger.NewFollower(counting, log.New(io.Discard))
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		go func() { defer close(done); f.Run(ctx) }()
--- a/ledger/damage_test.go
+++ b/ledger/damage_test.go
@@ -127,6 +127,20 @@
 	}
 }
 
+// countReads returns a client that counts full reads of the ledger.
+func countReads(c *store.Client, reads *int) *store.Client {
+	counting := *c
+	counting.List = func(ctx context.Context, prefix string) (store.Listing, error) {
+		if prefix == ledger.Prefix {
+			*reads++
+		}
+
+		return c.List(ctx, prefix)
+	}
+
+	return &counting
+}
+
 // Guards against a host that starts while the log is damaged and reads all of it without a pause, knows no owner, or does not
 // read it once it has been compacted.
 func TestStartWithDamagedLog(t *testing.T) {
@@ -136,15 +150,8 @@
 		putDamaged(t, c, 0)
 		putBatch(t, c, ledger.Batch{Number: 1, Changes: doneSnapshots("j")})
 		reads := 0
-		counting := *c
-		counting.List = func(ctx context.Context, prefix string) (store.Listing, error) {
-			if prefix == ledger.Prefix {
-				reads++
-			}
-
-			return c.List(ctx, prefix)
-		}
-		f := ledger.NewFollower(&counting, log.New(io.Discard))
+		counting := countReads(c, &reads)
+		f := ledger.NewFollower(counting, log.New(io.Discard))
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		go func() { defer close(done); f.Run(ctx) }()
--- a/schedule/drain_bound_test.go
+++ b/schedule/drain_bound_test.go
@@ -11,16 +11,7 @@
 // Guards against a host that is out of service, and holds up the other hosts of its wave, for as long as a long task runs on the
 // worker to which its lasting tasks are to move.
 func TestDrainBehindLongTask(t *testing.T) {
-	b := newTestbed(t, 2)
-	b.setHosts(upHosts(2))
-	b.s.workers["w1"].cordoned = true
-	b.submit("l", work.Step{Count: 2, Size: size(2000), Lasting: true, MaxAway: 1})
-	b.settle()
-	b.s.workers["w0"].cordoned, b.s.workers["w1"].cordoned = true, false
-	b.submit("j", work.Step{Count: 1, Size: size(16000), Estimate: time.Hour})
-	b.settle()
-	b.s.markCordons()
-	check(t, "running on the hosts", []int{2, 1}, []int{len(b.runs["w0"]), len(b.runs["w1"])})
+	b := drainBeside(t, work.Step{Count: 1, Size: size(16000), Estimate: time.Hour})
 
 	b.s.SetWave(work.WaveOrder{Number: 1, Hosts: []fleet.HostName{"h0", "h1"}, MaxDown: 1, Duration: 5 * time.Minute}, b.now)
 	b.s.HostOrders(b.now)
--- a/schedule/drain_test.go
+++ b/schedule/drain_test.go
@@ -26,6 +26,24 @@
 	return b
 }
 
+// drainBeside returns a testbed of two hosts, the first of which runs two lasting tasks of one step and the other a task of a
+// step that is not lasting.
+func drainBeside(t *testing.T, other work.Step) *testbed {
+	t.Helper()
+	b := newTestbed(t, 2)
+	b.setHosts(upHosts(2))
+	b.s.workers["w1"].cordoned = true
+	b.submit("l", work.Step{Count: 2, Size: size(2000), Lasting: true, MaxAway: 1})
+	b.settle()
+	b.s.workers["w0"].cordoned, b.s.workers["w1"].cordoned = true, false
+	b.submit("j", other)
+	b.settle()
+	b.s.markCordons()
+	check(t, "running on the hosts", []int{2, 1}, []int{len(b.runs["w0"]), len(b.runs["w1"])})
+
+	return b
+}
+
 // lastingRunning returns how many of the lasting tasks run.
 func (b *testbed) lastingRunning() int {
 	n := 0
