admission: keep the releases of a test of large requests apart

TestCancelledLargeRequest was in KNOWN-RED: the request was granted before its cancel in 53 of 1500 runs. A run with a log line per release shows why: three of the four slots are released at the same moment (3.010 s), 10 ms after slots were reserved, so the grant is right and the test is wrong. Run times of 700 to 1350 ms don't keep releases apart, as its comment claimed; that depends on the order of the grants. Now all small requests run for one second and start 250 ms after one another, so that at most one slot can be free within the 100 ms between the reservation and the cancel. The bounds are as they were.

--- a/admission/controller_test.go
+++ b/admission/controller_test.go
@@ -355,20 +355,22 @@
 // these go on afterwards.
 func checkLargeRequest(t *testing.T, timeout time.Duration, granted bool) {
 	t.Helper()
+	const smallRunTime = time.Second
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(4)
 		stream, stop := context.WithCancel(t.Context())
 		var smallStarted atomic.Int64
 		for i := range 6 {
 			go func() {
-				// Different run times keep the slots from being released together.
-				for n := 0; stream.Err() == nil; n++ {
+				// Equal run times and staggered starts keep the slots from being released together.
+				time.Sleep(time.Duration(i) * smallRunTime / 4)
+				for stream.Err() == nil {
 					g, err := f.Admit(stream, f.request("c"))
 					if err != nil {
 						continue
 					}
 					smallStarted.Add(1)
-					time.Sleep(time.Duration(700+i*130) * time.Millisecond)
+					time.Sleep(smallRunTime)
 					g.Release()
 				}
 			}()
