owner: leave a new term to equally strong hosts that have not failed

A host rests for 6 s after a term that it gave up, and a term of the next one that fails takes 12 s, so its rest is over before the third host is tried, and the order of the bids decides.

A process that gave up a short term now leaves the next one to equally strong hosts that are expected to take it, for up to deferLimit without an owner, until it has had a longer term. So each of them is tried once before one is tried again. It does not leave it to weaker hosts, so that a strong one that has recovered still gets the workers back.

--- a/owner/owner.go
+++ b/owner/owner.go
@@ -121,10 +121,15 @@
 	c.failedTerms++
 }
 
-// rests reports whether the process leaves a new term to any other host that is expected to take it. If all have failed, as
-// while the store takes no writes, none rests.
+// rests reports whether the process leaves a new term to other hosts that are expected to take it: to any after a short term
+// that it gave up, and to equally strong ones until it has had a longer term. If all have failed, as while the store takes no
+// writes, none rests.
 func (c *Candidate) rests(now time.Time) bool {
-	return now.Before(c.restUntil) && c.standings.others(c.seat.host.Name, now)
+	if now.Before(c.restUntil) {
+		return c.standings.others(c.seat.host.Name, 0, now)
+	}
+
+	return c.failedTerms > 0 && !c.standings.deferLimitPassed(now) && c.standings.others(c.seat.host.Name, c.seat.host.Cores/strongerRatio, now)
 }
 
 // observe takes note of the present state of the hosts. Its argument is the revision of this process's term, or zero, since
--- a/owner/standing.go
+++ b/owner/standing.go
@@ -212,7 +212,7 @@
 
 // awaits reports whether a host should leave a new term to another one.
 func (s *standings) awaits(self ledger.Host, now time.Time) bool {
-	if !s.vacant.IsZero() && now.Sub(s.vacant) >= deferLimit {
+	if s.deferLimitPassed(now) {
 		return false
 	}
 	for _, h := range s.hosts {
@@ -224,10 +224,15 @@
 	return false
 }
 
-// others reports whether there are hosts other than this one that are expected to take a term.
-func (s *standings) others(self fleet.EntryName, now time.Time) bool {
+// deferLimitPassed reports whether the workers have been without an owner for deferLimit.
+func (s *standings) deferLimitPassed(now time.Time) bool {
+	return !s.vacant.IsZero() && now.Sub(s.vacant) >= deferLimit
+}
+
+// others reports whether there are hosts with at least minCores, other than this one, that are expected to take a term.
+func (s *standings) others(self fleet.EntryName, minCores float64, now time.Time) bool {
 	for name, h := range s.hosts {
-		if name != self && h.present() && !h.refuses(now) {
+		if name != self && h.present() && !h.refuses(now) && h.host.Cores >= minCores {
 			return true
 		}
 	}
