manager: show how old the configuration may be

No metric and no log line told how long ago a host's configuration was confirmed, so that the hypotheses about CONFIG could not be told apart.

--- a/manager/config.go
+++ b/manager/config.go
@@ -10,6 +10,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"lycheehook.example/lycheehook/owner"
 	"lycheehook.example/lycheehook/pause"
 	"lycheehook.example/lycheehook/platform"
 	"lycheehook.example/lycheehook/store"
@@ -29,8 +30,10 @@
 	log      *log.Logger
 	current  atomic.Pointer[work.Config]
 	onChange func(c work.Config)
-	mu       sync.Mutex
-	waves    map[string]work.WaveOrder
+	// confirmed is the uptime at which the last successful read or watch of the configuration began, in nanoseconds.
+	confirmed atomic.Int64
+	mu        sync.Mutex
+	waves     map[string]work.WaveOrder
 }
 
 // NewConfigWatcher returns a watcher that has read nothing yet; Run calls onChange with each newer configuration.
@@ -48,6 +51,16 @@
 	return *p, true
 }
 
+// Age returns for how long the current configuration was not confirmed to be the newest, as far as watches and reads tell.
+func (c *ConfigWatcher) Age() time.Duration {
+	return owner.Uptime() - time.Duration(c.confirmed.Load())
+}
+
+// confirm notes that a read or a watch that began at an uptime has succeeded.
+func (c *ConfigWatcher) confirm(began time.Duration) {
+	c.confirmed.Store(int64(began))
+}
+
 // Waves returns the maintenance waves that the operators have requested.
 func (c *ConfigWatcher) Waves() []work.WaveOrder {
 	c.mu.Lock()
@@ -74,6 +87,7 @@
 			}
 			after = at
 		}
+		began := owner.Uptime()
 		ev, err := c.client.Watch(ctx, platform.OperatorPrefix, after, configWatchWait)
 		switch {
 		case errors.Is(err, store.ErrCompacted):
@@ -85,6 +99,7 @@
 		case len(ev.Events) == 0:
 			c.recheck(ctx)
 		default:
+			c.confirm(began)
 			for _, e := range ev.Events {
 				c.apply(e)
 			}
@@ -95,10 +110,12 @@
 
 // readAll applies all records that the operators have written and returns the revision to watch from.
 func (c *ConfigWatcher) readAll(ctx context.Context) (uint64, error) {
+	began := owner.Uptime()
 	l, err := c.client.List(ctx, platform.OperatorPrefix)
 	if err != nil {
 		return 0, err
 	}
+	c.confirm(began)
 	for _, r := range l.Records {
 		c.apply(store.Event{Record: r})
 	}
@@ -108,9 +125,11 @@
 
 // recheck reads the configuration record, in case a watch has missed a change.
 func (c *ConfigWatcher) recheck(ctx context.Context) {
+	began := owner.Uptime()
 	r, err := c.client.Get(ctx, platform.KeyConfig)
 	switch {
 	case err == nil:
+		c.confirm(began)
 		c.apply(store.Event{Record: r})
 	case !errors.Is(err, store.ErrNotFound):
 		c.log.Warn("failed to recheck the configuration", "error", err)
--- a/manager/manager.go
+++ b/manager/manager.go
@@ -111,6 +111,7 @@
 	m.states = inquiry.NewClient(transport.To, m.owner, l)
 	m.handler = intake.NewHandler(client, m.follower, l, m.observeRequest, intake.WithStored(m.notifyOwner), intake.WithOwnerState(m.ownerState))
 	m.config = NewConfigWatcher(client, l, m.applyConfig)
+	m.metrics.ConfigAge(m.config.Age)
 	self := ledger.Owner{Host: s.Name, Process: process.String()}
 	host := ledger.Host{Name: s.Name, Zone: s.Zone, PeerAddress: s.PeerAddress.String(), Cores: s.Cores, LinkMegabits: s.LinkMegabits}
 	m.seat = owner.NewSeat(client, host, l)
--- a/manager/observe.go
+++ b/manager/observe.go
@@ -28,7 +28,7 @@
 	}
 	m.log.Info(
 		"answered", "method", e.Method, "job", e.Job, "queue", e.Queue, "workspace", e.Workspace, "status", e.Status, "reason", e.Reason,
-		"config", e.Version, "took", e.Duration.Round(time.Millisecond),
+		"config", e.Version, "config_age", m.config.Age().Round(time.Millisecond), "took", e.Duration.Round(time.Millisecond),
 	)
 }
 
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -82,6 +82,13 @@
 	return m
 }
 
+// ConfigAge adds a gauge of how long the configuration was not confirmed to be the newest.
+func (m *Metrics) ConfigAge(age func() time.Duration) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: namespace, Name: "config_age_seconds", Help: "Time since the start of the last read that confirmed the configuration.",
+	}, func() float64 { return age().Seconds() }))
+}
+
 // Handler serves the metrics in the Prometheus text format.
 func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
