relay: send an overdue read by another way

What callers saw: a configuration in force seconds late after a short outage. A read through peers tried them one after the other, each with the whole timeout: with a direct connection and three peers that are silent for a moment, one watch took 6.4 s and one list 12 s, although the direct connection was well again 100 ms after the read began.

A read now has a delay after which it is overdue, 250 ms for a record, a second for a page. Then it is sent by the next way too, the direct connection early among them, and the first answer counts. Earlier attempts go on, so that a slow store still answers. The failure of a call that was made before the last success no longer counts: it sent the calls back to the peers. Writes are sent as before.

TestReadByAnotherWay, TestLateFailures and TestOvertakenDirectReads are new.

--- /dev/null
+++ b/relay/read_test.go
@@ -0,0 +1,159 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/charmbracelet/log"
+	"github.com/google/go-cmp/cmp"
+
+	"lycheehook.example/lycheehook/platform"
+)
+
+const (
+	testHedgeDelay = 250 * time.Millisecond
+	testTimeout    = 3 * time.Second
+)
+
+// silentUntil returns an exchange that answers calls which begin after a time at once, and no others.
+func silentUntil(at time.Time) platform.Exchange {
+	return func(ctx context.Context, r platform.Request) (platform.Response, error) {
+		if !time.Now().Before(at) {
+			return platform.Response{Status: http.StatusOK}, nil
+		}
+		ctx, cancel := context.WithTimeout(ctx, r.Timeout)
+		defer cancel()
+		<-ctx.Done()
+
+		return platform.Response{}, merry.Wrap(platform.ErrNoAnswer, merry.WithCause(ctx.Err()))
+	}
+}
+
+// Guards against a read that waits for the timeouts of silent ways one after the other, long after another way is well (CONFIG).
+func TestReadByAnotherWay(t *testing.T) {
+	const never = time.Hour
+	tests := []struct {
+		name string
+		// direct and peers are how long each way is silent.
+		direct time.Duration
+		peers  []time.Duration
+		// want is when the read is answered at the latest.
+		want time.Duration
+	}{
+		{"the store answers", 0, nil, 0},
+		{"only the first call is lost", time.Millisecond, []time.Duration{never, never, never}, 2 * testHedgeDelay},
+		{"the direct connection is out", never, []time.Duration{0}, testHedgeDelay},
+		{"the direct connection and a peer are out", never, []time.Duration{never, 0}, 3 * testHedgeDelay},
+		{"all ways were out for a second", time.Second, []time.Duration{never, never, never}, time.Second + repeatDelay},
+		{"no peers", time.Second, nil, time.Second + repeatDelay},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				start := time.Now()
+				r := routeOf(start, tt.direct, tt.peers)
+				req := readCall
+				req.Timeout, req.HedgeDelay = testTimeout, testHedgeDelay
+				resp, err := r.Exchange(t.Context(), req)
+				if err != nil || resp.Status != http.StatusOK {
+					t.Errorf("status %d, %v", resp.Status, err)
+				}
+				if took := time.Since(start); took > tt.want {
+					t.Errorf("answered after %v, want %v at most", took, tt.want)
+				}
+			})
+		})
+	}
+}
+
+// TestReadEnds checks that a read that no way answers ends with an error, also if its caller gives up first.
+func TestReadEnds(t *testing.T) {
+	tests := []struct {
+		name string
+		// hedge is the hedge delay and limit the caller's deadline.
+		hedge, limit time.Duration
+		want         time.Duration
+	}{
+		{"no way answers", testHedgeDelay, time.Minute, testHedgeDelay + testTimeout + repeatDelay},
+		{"without repetitions", 0, time.Minute, 3 * testTimeout},
+		{"the caller gives up", testHedgeDelay, time.Second, time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				start := time.Now()
+				r := routeOf(start, time.Hour, []time.Duration{time.Hour})
+				ctx, cancel := context.WithTimeout(t.Context(), tt.limit)
+				defer cancel()
+				req := readCall
+				req.Timeout, req.HedgeDelay = testTimeout, tt.hedge
+				if _, err := r.Exchange(ctx, req); !errors.Is(err, platform.ErrNoAnswer) {
+					t.Errorf("got %v", err)
+				}
+				if took := time.Since(start); took > tt.want {
+					t.Errorf("ended after %v, want %v at most", took, tt.want)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a direct connection that counts as failed again because calls from before its recovery end.
+func TestLateFailures(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		r := routeOf(start, time.Second, []time.Duration{time.Hour})
+		req := readCall
+		req.Timeout, req.HedgeDelay = testTimeout, testHedgeDelay
+		if _, err := r.Exchange(t.Context(), req); err != nil {
+			t.Error(err)
+		}
+		time.Sleep(testTimeout)
+		if diff := cmp.Diff(true, r.Direct()); diff != "" {
+			t.Errorf("calls go to the store directly (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// TestOvertakenDirectReads checks that calls go through peers once these were faster several times, so that not each read has to
+// wait for the direct connection first.
+func TestOvertakenDirectReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		r := routeOf(start, time.Hour, []time.Duration{0})
+		req := readCall
+		req.Timeout, req.HedgeDelay = testTimeout, testHedgeDelay
+		for range failoverThreshold {
+			if _, err := r.Exchange(t.Context(), req); err != nil {
+				t.Error(err)
+			}
+			synctest.Wait()
+		}
+		start = time.Now()
+		if _, err := r.Exchange(t.Context(), req); err != nil || time.Since(start) > 0 {
+			t.Errorf("%v after %v", err, time.Since(start))
+		}
+	})
+}
+
+// routeOf returns a route whose ways are silent for some time from the start.
+func routeOf(start time.Time, direct time.Duration, peers []time.Duration) *Route {
+	ways := map[string]platform.Exchange{}
+	var names []string
+	for i, d := range peers {
+		name := string(rune('a' + i))
+		names = append(names, name)
+		ways[name] = silentUntil(start.Add(d))
+	}
+
+	return New(
+		silentUntil(start.Add(direct)), func(a string) platform.Exchange { return ways[a] }, func() []string { return names },
+		readCall, log.New(io.Discard),
+	)
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -42,6 +42,8 @@
 	failures  int
 	usePeers  bool
 	lastProbe time.Time
+	// lastSuccess is when a direct call was last answered.
+	lastSuccess time.Time
 	// lastPeer is the peer that last forwarded a call successfully.
 	lastPeer string
 }
@@ -57,27 +59,30 @@
 }
 
 // Exchange makes a call to the store. A direct call that was not carried out is retried through peers; a call with an
-// unknown outcome is retried only if it is a read.
+// unknown outcome is retried only if it is a read. A read that is overdue is sent again by another way.
 func (r *Route) Exchange(ctx context.Context, req platform.Request) (platform.Response, error) {
+	if req.Method == http.MethodGet {
+		return r.read(ctx, req)
+	}
 	if !r.failedOver(ctx) {
 		resp, err := r.exchangeDirect(ctx, req)
-		if answered(resp, err) || ctx.Err() != nil || outcomeUnknown(err) && req.Method != http.MethodGet {
+		if answered(resp, err) || ctx.Err() != nil || outcomeUnknown(err) {
 			return resp, err
 		}
 	}
 
-	return r.exchangeViaPeers(ctx, req)
+	return r.writeViaPeers(ctx, req)
 }
 
-// exchangeViaPeers tries peers in turn, and the direct connection if none of them succeeds.
-func (r *Route) exchangeViaPeers(ctx context.Context, req platform.Request) (platform.Response, error) {
+// writeViaPeers tries peers in turn, and the direct connection if none of them succeeds.
+func (r *Route) writeViaPeers(ctx context.Context, req platform.Request) (platform.Response, error) {
 	for _, p := range r.peerOrder() {
 		resp, err := r.viaPeer(p)(ctx, req)
 		switch {
 		case answered(resp, err):
 			r.setLastPeer(p)
 			return resp, nil
-		case ctx.Err() != nil, outcomeUnknown(err) && req.Method != http.MethodGet:
+		case ctx.Err() != nil, outcomeUnknown(err):
 			return resp, err
 		}
 	}
@@ -85,18 +90,30 @@
 	return r.exchangeDirect(ctx, req)
 }
 
-// exchangeDirect makes a direct call to the store and records its result. If the caller cancels the call or its deadline
-// passes before minSilence, the result says nothing about the store and is not recorded.
+// exchangeDirect makes a direct call to the store and records its result, unless the result says nothing about the store.
 func (r *Route) exchangeDirect(ctx context.Context, req platform.Request) (platform.Response, error) {
 	start := time.Now()
 	resp, err := r.direct(ctx, req)
-	if ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) && time.Since(start) >= minSilence {
-		r.recordDirect(resp, err)
+	if ctx.Err() == nil || wasSilent(ctx, time.Since(start), req) {
+		r.recordDirect(start, resp, err)
 	}
 
 	return resp, err
 }
 
+// wasSilent reports whether a call that its caller ended had waited so long that the store counts as silent: until the caller's
+// deadline, or until another way was faster although it began later.
+func wasSilent(ctx context.Context, waited time.Duration, req platform.Request) bool {
+	switch {
+	case errors.Is(context.Cause(ctx), errOvertaken):
+		return waited >= req.HedgeDelay
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return waited >= minSilence
+	default:
+		return false
+	}
+}
+
 // answered reports whether the store itself answered a call, with a status other than those that a store or a peer uses to
 // turn a call away.
 func answered(resp platform.Response, err error) bool {
@@ -116,21 +133,26 @@
 	if r.usePeers && time.Since(r.lastProbe) >= probeInterval {
 		r.lastProbe = time.Now()
 		go func() {
+			start := time.Now()
 			resp, err := r.direct(context.WithoutCancel(ctx), r.probe)
-			r.recordDirect(resp, err)
+			r.recordDirect(start, resp, err)
 		}()
 	}
 
 	return r.usePeers
 }
 
-// recordDirect updates the state of the direct connection with the result of a direct call.
-func (r *Route) recordDirect(resp platform.Response, err error) {
+// recordDirect updates the state of the direct connection with the result of a direct call. The failure of a call that was
+// made before the last success is out of date.
+func (r *Route) recordDirect(start time.Time, resp platform.Response, err error) {
 	ok := answered(resp, err)
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if !ok && start.Before(r.lastSuccess) {
+		return
+	}
 	if ok {
-		r.failures = 0
+		r.failures, r.lastSuccess = 0, time.Now()
 		if r.usePeers {
 			r.usePeers = false
 			r.log.Info("direct connection to the store restored")
@@ -156,7 +178,11 @@
 	return !r.usePeers
 }
 
+// setLastPeer notes the peer that forwarded a call; it is empty if the store answered directly.
 func (r *Route) setLastPeer(peer string) {
+	if peer == "" {
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.lastPeer = peer
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -15,13 +15,13 @@
 	"lycheehook.example/lycheehook/platform"
 )
 
-// result is the result of each call made through an exchange.
-type result struct {
+// outcome is the result of each call made through an exchange.
+type outcome struct {
 	status int
 	err    error
 }
 
-func (r result) exchange(calls *int) platform.Exchange {
+func (r outcome) exchange(calls *int) platform.Exchange {
 	return func(context.Context, platform.Request) (platform.Response, error) {
 		*calls++
 		return platform.Response{Status: r.status}, r.err
@@ -29,12 +29,12 @@
 }
 
 var (
-	success    = result{status: http.StatusOK}
-	rejection  = result{status: http.StatusServiceUnavailable}
-	badGateway = result{status: http.StatusBadGateway}
-	notSent    = result{err: platform.ErrNotSent}
-	noAnswer   = result{err: platform.ErrNoAnswer}
-	timedOut   = result{err: merry.Wrap(platform.ErrNoAnswer, merry.WithCause(context.DeadlineExceeded))}
+	success    = outcome{status: http.StatusOK}
+	rejection  = outcome{status: http.StatusServiceUnavailable}
+	badGateway = outcome{status: http.StatusBadGateway}
+	notSent    = outcome{err: platform.ErrNotSent}
+	noAnswer   = outcome{err: platform.ErrNoAnswer}
+	timedOut   = outcome{err: merry.Wrap(platform.ErrNoAnswer, merry.WithCause(context.DeadlineExceeded))}
 	readCall   = platform.Request{Method: http.MethodGet, Path: platform.StorePath + "key?key=a"}
 	writeCall  = platform.Request{Method: http.MethodPost, Path: platform.StorePath + "txn"}
 )
@@ -44,7 +44,7 @@
 func TestExchange(t *testing.T) {
 	tests := []struct {
 		name         string
-		direct, peer result
+		direct, peer outcome
 		call         platform.Request
 		status       int
 		err          error
--- a/relay/server.go
+++ b/relay/server.go
@@ -76,8 +76,9 @@
 		return
 	}
 
+	start := time.Now()
 	answer, err := s.route.direct(r.Context(), platform.Request{Method: r.Method, Path: path, Body: body, Timeout: min(timeout, maxTimeout)})
-	s.route.recordDirect(answer, err)
+	s.route.recordDirect(start, answer, err)
 	switch {
 	case errors.Is(err, platform.ErrNotSent):
 		resp.WriteHeader(http.StatusBadGateway)
