store: follow records with one type that knows how old its copy is

What callers saw: a route that had been added is not served, or an older version comes into force for a moment. The loops that followed the configuration and the registrations each had rules of their own: the first read the configuration again only after a watch without events, so that a change was missed for as long as waves came (TestConfigBesideWaves), and put each version of one answer in force in turn (TestOnlyNewestOfSeveralVersions); the second never read again what a watch had missed. Both tests failed before.

store.Reflector lists, watches and reads again: by a check after each watch that failed and once nothing was read for an interval, or by lists at an interval. It knows when the last read began that succeeded and could be applied; a watch confirms nothing, since it may miss changes. It can confirm its copy on demand, with one read for all who ask. The configuration is checked within 1.5 s at the latest, the registrations are listed every 15 s. The ledger's follower keeps its own loop, which has to find gaps in the log, and so does the registry of members, which is of the entry hosts of the other program.

--- a/manager/config.go
+++ b/manager/config.go
@@ -5,60 +5,65 @@
 	"errors"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
 
-	"lycheehook.example/lycheehook/owner"
-	"lycheehook.example/lycheehook/pause"
 	"lycheehook.example/lycheehook/platform"
 	"lycheehook.example/lycheehook/store"
 	"lycheehook.example/lycheehook/work"
 )
 
-const (
-	// configWatchWait is the maximum wait of a watch of the configuration. A read follows a watch without events, because a
-	// watch may miss changes.
-	configWatchWait = time.Second
-	retryDelay      = 150 * time.Millisecond
-)
+// configCheckInterval is how old the configuration may be at the end of a watch without being read again, since a watch may miss
+// changes. Together with the wait of the next watch it stays below the two seconds in which a change must be in force.
+const configCheckInterval = 500 * time.Millisecond
 
 // ConfigWatcher tracks the configuration and the maintenance waves that the operators write to the store.
 type ConfigWatcher struct {
-	client   *store.Client
-	log      *log.Logger
-	current  atomic.Pointer[work.Config]
-	onChange func(c work.Config)
-	// confirmed is the uptime at which the last successful read or watch of the configuration began, in nanoseconds.
-	confirmed atomic.Int64
-	mu        sync.Mutex
-	waves     map[string]work.WaveOrder
+	client    *store.Client
+	log       *log.Logger
+	reflector *store.Reflector
+	onChange  func(c work.Config)
+
+	mu sync.Mutex
+	// current is nil before the first configuration.
+	current *work.Config
+	waves   map[string]work.WaveOrder
 }
 
 // NewConfigWatcher returns a watcher that has read nothing yet; Run calls onChange with each newer configuration.
-func NewConfigWatcher(c *store.Client, l *log.Logger, onChange func(c work.Config)) *ConfigWatcher {
-	return &ConfigWatcher{client: c, log: l, onChange: onChange, waves: map[string]work.WaveOrder{}}
+func NewConfigWatcher(c *store.Client, l *log.Logger, onChange func(c work.Config), options ...store.ReflectorOption) *ConfigWatcher {
+	w := &ConfigWatcher{client: c, log: l, onChange: onChange, waves: map[string]work.WaveOrder{}}
+	options = append(options, store.WithCheck(w.check, configCheckInterval))
+	w.reflector = store.NewReflector(c, platform.OperatorPrefix, l, w.apply, options...)
+
+	return w
+}
+
+// Run watches the store until the context ends.
+func (c *ConfigWatcher) Run(ctx context.Context) {
+	c.reflector.Run(ctx)
 }
 
 // Current returns the newest configuration, and whether there is one.
 func (c *ConfigWatcher) Current() (work.Config, bool) {
-	p := c.current.Load()
-	if p == nil {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.current == nil {
 		return work.Config{}, false
 	}
 
-	return *p, true
+	return *c.current, true
 }
 
-// Age returns for how long the current configuration was not confirmed to be the newest, as far as watches and reads tell.
+// Age returns for how long the current configuration was not confirmed to be the newest; before the first read it is zero.
 func (c *ConfigWatcher) Age() time.Duration {
-	return owner.Uptime() - time.Duration(c.confirmed.Load())
-}
+	age, confirmed := c.reflector.Age()
+	if !confirmed {
+		return 0
+	}
 
-// confirm notes that a read or a watch that began at an uptime has succeeded.
-func (c *ConfigWatcher) confirm(began time.Duration) {
-	c.confirmed.Store(int64(began))
+	return age
 }
 
 // Waves returns the maintenance waves that the operators have requested.
@@ -73,99 +78,66 @@
 	return waves
 }
 
-// Run watches the store until the context ends.
-func (c *ConfigWatcher) Run(ctx context.Context) {
-	var after uint64
-	for ctx.Err() == nil {
-		if after == 0 {
-			at, err := c.readAll(ctx)
-			if err != nil {
-				c.log.Warn("failed to read the configuration", "error", err)
-				pause.For(ctx, retryDelay)
-
-				continue
-			}
-			after = at
-		}
-		began := owner.Uptime()
-		ev, err := c.client.Watch(ctx, platform.OperatorPrefix, after, configWatchWait)
-		switch {
-		case errors.Is(err, store.ErrCompacted):
-			after = 0
-		case err != nil:
-			c.log.Warn("failed to watch the configuration", "error", err)
-			pause.For(ctx, retryDelay)
-			after = 0
-		case len(ev.Events) == 0:
-			c.recheck(ctx)
-		default:
-			c.confirm(began)
-			for _, e := range ev.Events {
-				c.apply(e)
-			}
-			after = ev.Revision
-		}
+// check reads the configuration record, in case a watch has missed a change.
+func (c *ConfigWatcher) check(ctx context.Context) error {
+	r, err := c.client.Get(ctx, platform.KeyConfig)
+	if errors.Is(err, store.ErrNotFound) {
+		return nil
 	}
-}
-
-// readAll applies all records that the operators have written and returns the revision to watch from.
-func (c *ConfigWatcher) readAll(ctx context.Context) (uint64, error) {
-	began := owner.Uptime()
-	l, err := c.client.List(ctx, platform.OperatorPrefix)
 	if err != nil {
-		return 0, err
-	}
-	c.confirm(began)
-	for _, r := range l.Records {
-		c.apply(store.Event{Record: r})
+		return err
 	}
 
-	return l.Revision, nil
+	return c.setCurrent(r)
 }
 
-// recheck reads the configuration record, in case a watch has missed a change.
-func (c *ConfigWatcher) recheck(ctx context.Context) {
-	began := owner.Uptime()
-	r, err := c.client.Get(ctx, platform.KeyConfig)
-	switch {
-	case err == nil:
-		c.confirm(began)
-		c.apply(store.Event{Record: r})
-	case !errors.Is(err, store.ErrNotFound):
-		c.log.Warn("failed to recheck the configuration", "error", err)
+// apply applies the records that the operators have written; of several configurations only the last one, since the others
+// are no longer in force.
+func (c *ConfigWatcher) apply(u store.Update) error {
+	var newest *store.Record
+	for _, ev := range u.Events {
+		switch key := ev.Record.Key; {
+		case ev.Deleted:
+		case key == platform.KeyConfig:
+			newest = &ev.Record
+		case strings.HasPrefix(key, platform.WavePrefix):
+			c.addWave(ev.Record)
+		}
 	}
+	if newest == nil {
+		return nil
+	}
+
+	return c.setCurrent(*newest)
 }
 
-func (c *ConfigWatcher) apply(ev store.Event) {
-	switch key := ev.Record.Key; {
-	case ev.Deleted:
-	case key == platform.KeyConfig:
-		c.setCurrent(ev.Record)
-	case strings.HasPrefix(key, platform.WavePrefix):
-		o, err := platform.DecodeWave(ev.Record.Value)
-		if err != nil {
-			c.log.Error("ignoring malformed maintenance wave", "key", key, "error", err)
-			return
-		}
-		c.mu.Lock()
-		c.waves[strings.TrimPrefix(key, platform.WavePrefix)] = o
-		c.mu.Unlock()
-		c.log.Info("maintenance wave requested", "wave", o.Number, "hosts", len(o.Hosts), "max_down", o.MaxDown, "duration", o.Duration)
+func (c *ConfigWatcher) addWave(r store.Record) {
+	o, err := platform.DecodeWave(r.Value)
+	if err != nil {
+		c.log.Error("ignoring malformed maintenance wave", "key", r.Key, "error", err)
+		return
 	}
+	c.mu.Lock()
+	c.waves[strings.TrimPrefix(r.Key, platform.WavePrefix)] = o
+	c.mu.Unlock()
+	c.log.Info("maintenance wave requested", "wave", o.Number, "hosts", len(o.Hosts), "max_down", o.MaxDown, "duration", o.Duration)
 }
 
 // setCurrent replaces the current configuration if the record is newer.
-func (c *ConfigWatcher) setCurrent(r store.Record) {
-	if cur := c.current.Load(); cur != nil && cur.Revision >= r.Revision {
-		return
+func (c *ConfigWatcher) setCurrent(r store.Record) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.current != nil && c.current.Revision >= r.Revision {
+		return nil
 	}
 	next, err := platform.DecodeConfig(r.Value)
 	if err != nil {
-		c.log.Error("ignoring malformed configuration", "error", err)
-		return
+		return err
 	}
 	next.Revision = r.Revision
-	c.current.Store(&next)
+	c.current = &next
 	c.onChange(next)
 	c.log.Info("configuration applied", "version", next.Version, "queues", len(next.Queues), "workspaces", len(next.Workspaces))
+
+	return nil
 }
--- a/manager/config_age_test.go
+++ b/manager/config_age_test.go
@@ -166,7 +166,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			for phase := time.Duration(0); phase < configWatchWait; phase += 90 * time.Millisecond {
+			for phase := time.Duration(0); phase < store.DefaultWatchWait; phase += 90 * time.Millisecond {
 				synctest.Test(t, func(t *testing.T) { checkConfigAfterFault(t, phase, tt.peers, tt.silentPeers, tt.outage, tt.silence) })
 			}
 		})
--- /dev/null
+++ b/manager/config_test.go
@@ -0,0 +1,113 @@
+package manager
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/google/go-cmp/cmp"
+
+	"lycheehook.example/lycheehook/pause"
+	"lycheehook.example/lycheehook/platform"
+	"lycheehook.example/lycheehook/standin"
+	"lycheehook.example/lycheehook/store"
+	"lycheehook.example/lycheehook/work"
+)
+
+// versions records the versions that a watcher puts in force.
+type versions struct {
+	mu   sync.Mutex
+	seen []int64
+}
+
+func (v *versions) add(c work.Config) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.seen = append(v.seen, c.Version)
+}
+
+func (v *versions) list() []int64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+
+	return append([]int64{}, v.seen...)
+}
+
+// watchConfigs runs a watcher on a store and returns the versions that it puts in force.
+func watchConfigs(ctx context.Context, c *store.Client) *versions {
+	v := &versions{}
+	go NewConfigWatcher(c, log.New(io.Discard), v.add).Run(ctx)
+
+	return v
+}
+
+func writeConfig(t *testing.T, s *standin.Store, value string) {
+	t.Helper()
+	if _, err := s.Client().Commit(t.Context(), store.Txn{Puts: []store.Put{{Key: platform.KeyConfig, Value: []byte(value)}}}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// configOf returns a configuration with one queue.
+func configOf(version int) string {
+	return fmt.Sprintf(`{"version":%d,"routes":[{"name":"r","host":"a.example","pathPrefix":"/r/","service":"s"}]}`, version)
+}
+
+// Guards against versions that are in force for a moment although a newer one was read with them (CONFIG).
+func TestOnlyNewestOfSeveralVersions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		s := standin.NewStore()
+		writeConfig(t, s, configOf(1))
+		c := s.Client()
+		slow := *c
+		slow.Watch = func(ctx context.Context, prefix string, after uint64, wait time.Duration) (store.Events, error) {
+			pause.For(ctx, 100*time.Millisecond)
+			return c.Watch(ctx, prefix, after, wait)
+		}
+		v := watchConfigs(ctx, &slow)
+		synctest.Wait()
+		for version := 2; version <= 5; version++ {
+			writeConfig(t, s, configOf(version))
+		}
+		time.Sleep(3 * time.Second)
+		if diff := cmp.Diff([]int64{1, 5}, v.list()); diff != "" {
+			t.Errorf("versions in force (-want +got):\n%s", diff)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against a change of the configuration that is missed for as long as the watch brings other records (CONFIG).
+func TestConfigBesideWaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		s := standin.NewStore()
+		writeConfig(t, s, configOf(1))
+		c := s.Client()
+		deaf := *c
+		deaf.Watch = func(ctx context.Context, prefix string, after uint64, wait time.Duration) (store.Events, error) {
+			pause.For(ctx, wait/2)
+			wave := store.Record{Key: platform.WavePrefix + "1", Value: []byte(`{"cohort":1}`), Revision: after + 1}
+
+			return store.Events{Events: []store.Event{{Record: wave}}, Revision: after + 1}, ctx.Err()
+		}
+		v := watchConfigs(ctx, &deaf)
+		synctest.Wait()
+		writeConfig(t, s, configOf(2))
+		time.Sleep(maxConfigDelay)
+		if diff := cmp.Diff([]int64{1, 2}, v.list()); diff != "" {
+			t.Errorf("versions in force (-want +got):\n%s", diff)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/manager/roster.go
+++ b/manager/roster.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"slices"
 	"strings"
 	"time"
@@ -10,16 +9,14 @@
 	"github.com/charmbracelet/log"
 
 	"lycheehook.example/lycheehook/dispatch"
-	"lycheehook.example/lycheehook/pause"
 	"lycheehook.example/lycheehook/platform"
 	"lycheehook.example/lycheehook/store"
 	"lycheehook.example/lycheehook/work"
 )
 
 const (
-	// rosterWatchWait is the maximum wait of a watch of the workers; a connection that stopped responding is noticed only
-	// after it.
-	rosterWatchWait = time.Second
+	// rosterListInterval is the time between two lists of all workers, since a watch may miss changes.
+	rosterListInterval = 15 * time.Second
 	// rosterWatchDelay is the delay between watches. It lets heartbeats accumulate, because the store counts each call.
 	rosterWatchDelay = 300 * time.Millisecond
 )
@@ -28,46 +25,17 @@
 // context ends.
 func watchRoster(c *store.Client, l *log.Logger) func(ctx context.Context, notify func(dispatch.Roster)) {
 	return func(ctx context.Context, notify func(dispatch.Roster)) {
-		var after uint64
-		for ctx.Err() == nil {
-			if after == 0 {
-				after = readRoster(ctx, c, l, notify)
-				continue
-			}
-			ev, err := c.Watch(ctx, platform.RegistrationPrefix, after, rosterWatchWait)
-			switch {
-			case errors.Is(err, store.ErrCompacted):
-				after = 0
-			case err != nil:
-				l.Warn("failed to watch the worker registrations", "error", err)
-				pause.For(ctx, retryDelay)
-			case len(ev.Events) > 0:
-				notify(rosterOf(ev.Events, l))
-				after = ev.Revision
-				pause.For(ctx, rosterWatchDelay)
-			}
-		}
-	}
-}
-
-// readRoster calls notify with all workers and returns the revision to watch from, or zero after a failure.
-func readRoster(ctx context.Context, c *store.Client, l *log.Logger, notify func(dispatch.Roster)) uint64 {
-	list, err := c.List(ctx, platform.RegistrationPrefix)
-	if err != nil {
-		l.Warn("failed to list the worker registrations", "error", err)
-		pause.For(ctx, retryDelay)
+		apply := func(u store.Update) error {
+			r := rosterOf(u.Events, l)
+			r.Whole = u.Full
+			notify(r)
 
-		return 0
-	}
-	events := make([]store.Event, 0, len(list.Records))
-	for _, r := range list.Records {
-		events = append(events, store.Event{Record: r})
+			return nil
+		}
+		store.NewReflector(
+			c, platform.RegistrationPrefix, l, apply, store.WithListInterval(rosterListInterval), store.WithWatchDelay(rosterWatchDelay),
+		).Run(ctx)
 	}
-	r := rosterOf(events, l)
-	r.Whole = true
-	notify(r)
-
-	return list.Revision
 }
 
 // rosterOf returns what became of the workers by some changes. Registrations that were removed later are kept, since they tell
--- /dev/null
+++ b/store/reflector.go
@@ -0,0 +1,269 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"lycheehook.example/lycheehook/pause"
+)
+
+const (
+	// DefaultWatchWait is the default maximum wait of a watch of a Reflector. Only after it, a watch on a connection that went
+	// silent is noticed.
+	DefaultWatchWait = time.Second
+	// watchMargin is how much longer than its wait a watch may take.
+	watchMargin = 250 * time.Millisecond
+	// reflectDelay is the delay after a failed call.
+	reflectDelay = 150 * time.Millisecond
+)
+
+// Update is what a Reflector has read.
+type Update struct {
+	// Events are changes in order or, if Full is set, all records under the prefix.
+	Events []Event
+	Full   bool
+}
+
+// Reflector keeps a copy of the records under a prefix up to date: it lists them and then watches for changes. Since a watch
+// may miss changes or go silent, it can also check or list the records at intervals. It knows as of when the copy holds.
+type Reflector struct {
+	client *Client
+	prefix string
+	log    *log.Logger
+	apply  func(u Update) error
+	// check reads and applies what must not be missed; nil for none.
+	check         func(ctx context.Context) error
+	checkInterval time.Duration
+	listInterval  time.Duration
+	watchDelay    time.Duration
+	clock         func() time.Duration
+
+	mu sync.Mutex
+	// confirmed is when the last successful list or check began; before the first one it is not set. A watch confirms nothing.
+	confirmed   time.Duration
+	isConfirmed bool
+	// running is the confirmation under way, or nil.
+	running *confirmation
+	// failure is the text of the last logged failure since the last success.
+	failure string
+}
+
+// confirmation is a check on demand, which several callers may wait for.
+type confirmation struct {
+	began time.Duration
+	done  chan struct{}
+}
+
+// ReflectorOption configures a Reflector.
+type ReflectorOption func(*Reflector)
+
+// WithCheck makes the reflector call check after each watch that failed, and after any watch once no read has succeeded for an
+// interval; check reads and applies what must not be missed.
+func WithCheck(check func(ctx context.Context) error, interval time.Duration) ReflectorOption {
+	return func(r *Reflector) { r.check, r.checkInterval = check, interval }
+}
+
+// WithListInterval makes the reflector list all records again at intervals.
+func WithListInterval(d time.Duration) ReflectorOption {
+	return func(r *Reflector) { r.listInterval = d }
+}
+
+// WithWatchDelay makes the reflector wait after changes, so that several arrive together.
+func WithWatchDelay(d time.Duration) ReflectorOption {
+	return func(r *Reflector) { r.watchDelay = d }
+}
+
+// WithClock replaces the clock for the age of the copy, which must not stand still while the machine is suspended.
+func WithClock(uptime func() time.Duration) ReflectorOption {
+	return func(r *Reflector) { r.clock = uptime }
+}
+
+// NewReflector returns a reflector that calls apply with all that it reads once Run is called; after an error of apply, the
+// copy does not count as confirmed.
+func NewReflector(c *Client, prefix string, l *log.Logger, apply func(u Update) error, options ...ReflectorOption) *Reflector {
+	began := time.Now()
+	r := &Reflector{client: c, prefix: prefix, log: l, apply: apply, clock: func() time.Duration { return time.Since(began) }}
+	for _, o := range options {
+		o(r)
+	}
+
+	return r
+}
+
+// Run follows the store until the context ends.
+func (r *Reflector) Run(ctx context.Context) {
+	var after uint64
+	var listed time.Time
+	mustCheck := false
+	for ctx.Err() == nil {
+		if after == 0 || r.listInterval > 0 && time.Since(listed) >= r.listInterval {
+			at, err := r.list(ctx)
+			if err != nil {
+				r.failed(ctx, "failed to list records", err)
+				continue
+			}
+			after, listed = at, time.Now()
+		}
+		if r.check != nil && (mustCheck || r.dueForCheck()) {
+			err := r.confirm(ctx, r.check)
+			if err != nil {
+				r.failed(ctx, "failed to check records", err)
+			}
+			if errors.Is(err, ErrUnavailable) {
+				continue
+			}
+		}
+		var err error
+		if after, err = r.watch(ctx, after); err != nil {
+			r.failed(ctx, "failed to watch records", err)
+		}
+		mustCheck = err != nil
+	}
+}
+
+// failed logs a failure and waits before the next call.
+func (r *Reflector) failed(ctx context.Context, what string, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	r.logFailure(what, err)
+	pause.For(ctx, reflectDelay)
+}
+
+// logFailure logs a failure unless it is the same as the one before.
+func (r *Reflector) logFailure(what string, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if text := what + err.Error(); text != r.failure {
+		r.failure = text
+		r.log.Warn(what, "prefix", r.prefix, "error", err)
+	}
+}
+
+// list reads and applies all records and returns the revision to watch from.
+func (r *Reflector) list(ctx context.Context) (uint64, error) {
+	var at uint64
+	err := r.confirm(ctx, func(ctx context.Context) error {
+		l, err := r.client.List(ctx, r.prefix)
+		if err != nil {
+			return err
+		}
+		at = l.Revision
+		u := Update{Full: true}
+		for _, rec := range l.Records {
+			u.Events = append(u.Events, Event{Record: rec})
+		}
+
+		return r.apply(u)
+	})
+	if at != 0 && err != nil {
+		// The list was read, but not all of it is usable: the changes after it are still worth following.
+		r.logFailure("failed to apply records", err)
+		err = nil
+	}
+
+	return at, err
+}
+
+// watch waits for changes after a revision, applies them and returns the revision to watch from next, which is zero if the
+// store does not keep the changes any more.
+func (r *Reflector) watch(ctx context.Context, after uint64) (uint64, error) {
+	watching, cancel := context.WithTimeout(ctx, DefaultWatchWait+watchMargin)
+	defer cancel()
+	ev, err := r.client.Watch(watching, r.prefix, after, DefaultWatchWait)
+	switch {
+	case errors.Is(err, ErrCompacted):
+		return 0, err
+	case err != nil || len(ev.Events) == 0:
+		return after, err
+	}
+	if err := r.apply(Update{Events: ev.Events}); err != nil {
+		r.logFailure("failed to apply changes", err)
+	}
+	pause.For(ctx, r.watchDelay)
+
+	return ev.Revision, nil
+}
+
+func (r *Reflector) dueForCheck() bool {
+	age, ok := r.Age()
+
+	return !ok || age >= r.checkInterval
+}
+
+// confirm calls read and notes its success.
+func (r *Reflector) confirm(ctx context.Context, read func(ctx context.Context) error) error {
+	began := r.clock()
+	if err := read(ctx); err != nil {
+		return err
+	}
+	r.setConfirmed(began)
+
+	return nil
+}
+
+func (r *Reflector) setConfirmed(began time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.isConfirmed || began > r.confirmed {
+		r.confirmed, r.isConfirmed, r.failure = began, true, ""
+	}
+}
+
+// Age returns how long ago the last successful read began, and whether there was one; the copy holds as of then.
+func (r *Reflector) Age() (time.Duration, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	return r.clock() - r.confirmed, r.isConfirmed
+}
+
+// Confirm reports whether the copy is at most maxAge old, and checks it if it is older. Callers share checks, so that there is
+// only one at a time.
+func (r *Reflector) Confirm(ctx context.Context, maxAge time.Duration) bool {
+	since := r.clock() - maxAge
+	for ctx.Err() == nil {
+		if age, ok := r.Age(); ok && r.clock()-age >= since {
+			return true
+		}
+		c := r.startConfirmation(ctx)
+		select {
+		case <-c.done:
+		case <-ctx.Done():
+			return false
+		}
+		if age, ok := r.Age(); c.began >= since && (!ok || r.clock()-age < since) {
+			return false
+		}
+	}
+
+	return false
+}
+
+// startConfirmation returns the confirmation under way, or starts one.
+func (r *Reflector) startConfirmation(ctx context.Context) *confirmation {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.running != nil {
+		return r.running
+	}
+	c := &confirmation{began: r.clock(), done: make(chan struct{})}
+	r.running = c
+	go func() {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), DefaultWatchWait)
+		defer cancel()
+		if err := r.confirm(ctx, r.check); err != nil {
+			r.logFailure("failed to confirm records", err)
+		}
+		r.mu.Lock()
+		r.running = nil
+		r.mu.Unlock()
+		close(c.done)
+	}()
+
+	return c
+}
