intake: confirm the configuration before a request is refused

What callers saw: 404 for a queue that had been added, or 401 for a key that is there. A host refused by whatever configuration it had, however long ago that was confirmed: while its reads hung, after a suspension, or where the owner of the workers runs a job of a queue that its own configuration does not have yet.

A refusal now takes a configuration that was read at most 100 ms ago; refusals share that read, so a flood of bad keys costs ten reads a second at most. If none can be read, the answer is 503 with Retry-After, since neither 404 nor 401 is known to be true. A request that is allowed by a configuration of over two seconds waits up to 100 ms for a newer one and is then handled by what is known, so that states are told while the store is down.

--- a/intake/handler.go
+++ b/intake/handler.go
@@ -29,6 +29,12 @@
 	defaultMaxBodyBytes = 1 << 20
 	// storeRetrySeconds is the Retry-After value of a response that reports the service as unavailable.
 	storeRetrySeconds = 1
+	// maxRefusalAge is how old the configuration may be that refuses a request; below it, refusals share a read of the store.
+	maxRefusalAge = 100 * time.Millisecond
+	// maxConfigAge is how old the configuration may be that allows a request without an attempt to confirm it, for at most
+	// confirmWait. If that fails, the request is allowed, so that states are known while the store is down.
+	maxConfigAge = 2 * time.Second
+	confirmWait  = 100 * time.Millisecond
 )
 
 // Handler serves the requests of callers.
@@ -40,6 +46,7 @@
 	observe    Observer
 	onStored   func(r store.Record)
 	ownerState func(ctx context.Context, j inquiry.Job) (ledger.State, bool)
+	confirm    func(ctx context.Context, maxAge time.Duration) bool
 	router     atomic.Pointer[Router]
 }
 
@@ -74,11 +81,18 @@
 	return func(h *Handler) { h.ownerState = f }
 }
 
+// WithConfirm makes the handler call f to confirm that its configuration was the newest at most maxAge ago; f calls SetConfig
+// if it finds a newer one.
+func WithConfirm(f func(ctx context.Context, maxAge time.Duration) bool) Option {
+	return func(h *Handler) { h.confirm = f }
+}
+
 // NewHandler returns a handler that refuses all requests until SetConfig is called.
 func NewHandler(c *store.Client, f *ledger.Follower, l *log.Logger, observe Observer, options ...Option) *Handler {
 	h := &Handler{
 		committer: NewCommitter(c, l), client: c, follower: f, log: l, observe: observe, onStored: func(store.Record) {},
 		ownerState: func(context.Context, inquiry.Job) (ledger.State, bool) { return ledger.Queued, false },
+		confirm:    func(context.Context, time.Duration) bool { return true },
 	}
 	for _, o := range options {
 		o(h)
@@ -173,21 +187,12 @@
 	if r.router == nil {
 		return unavailableResponse("no configuration yet")
 	}
-	queue, rest, ok := r.router.Queue(r.Host, r.URL.Path)
-	if !ok {
-		return errorResponse(http.StatusNotFound, "no such queue")
-	}
-	r.queue = queue
-	workspace, known := r.router.Workspace(r.Header.Get(platform.HeaderKey))
-	r.caller = workspace
-	if !queue.Open {
-		if !known {
-			return errorResponse(http.StatusUnauthorized, "unknown key")
-		}
-		r.workspace = workspace
+	rest, refusal := h.route(ctx, r)
+	if refusal != nil {
+		return *refusal
 	}
 	if rest == "" && r.Method == http.MethodGet {
-		return h.pendingCount(queue)
+		return h.pendingCount(r.queue)
 	}
 	if !platform.ValidJobID(rest) {
 		return errorResponse(http.StatusBadRequest, "a job's ID has 16 hexadecimal digits")
@@ -206,6 +211,48 @@
 	}
 }
 
+// route finds the queue and the workspace of a request, and returns the path after the queue's prefix or a refusal. A refusal is
+// confirmed first: the queue or the key may have been added since the configuration was read.
+func (h *Handler) route(ctx context.Context, r *request) (string, *response) {
+	waiting, cancel := context.WithTimeout(ctx, confirmWait)
+	h.confirm(waiting, maxConfigAge)
+	cancel()
+	r.router = h.router.Load()
+	rest, refusal := r.resolve()
+	if refusal == nil {
+		return rest, nil
+	}
+	if !h.confirm(ctx, maxRefusalAge) {
+		unavailable := unavailableResponse("the configuration can't be confirmed")
+		return "", &unavailable
+	}
+	r.router = h.router.Load()
+
+	return r.resolve()
+}
+
+// resolve finds the queue and the workspace in the configuration of the request.
+func (r *request) resolve() (string, *response) {
+	queue, rest, ok := r.router.Queue(r.Host, r.URL.Path)
+	if !ok {
+		refusal := errorResponse(http.StatusNotFound, "no such queue")
+		return "", &refusal
+	}
+	r.queue = queue
+	workspace, known := r.router.Workspace(r.Header.Get(platform.HeaderKey))
+	r.caller, r.workspace = workspace, ""
+	if queue.Open {
+		return rest, nil
+	}
+	if !known {
+		refusal := errorResponse(http.StatusUnauthorized, "unknown key")
+		return "", &refusal
+	}
+	r.workspace = workspace
+
+	return rest, nil
+}
+
 // deadline returns the time limit of a request: the deadline that the caller gave less responseMargin, but at least
 // responseMargin.
 func deadline(r *http.Request) time.Duration {
--- a/manager/config.go
+++ b/manager/config.go
@@ -66,6 +66,11 @@
 	return age
 }
 
+// Confirm reports whether the current configuration was the newest at most maxAge ago, and reads it if that is not known.
+func (c *ConfigWatcher) Confirm(ctx context.Context, maxAge time.Duration) bool {
+	return c.reflector.Confirm(ctx, maxAge)
+}
+
 // Waves returns the maintenance waves that the operators have requested.
 func (c *ConfigWatcher) Waves() []work.WaveOrder {
 	c.mu.Lock()
--- a/manager/observe.go
+++ b/manager/observe.go
@@ -1,6 +1,7 @@
 package manager
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -16,6 +17,11 @@
 	m.metrics.Version.Set(float64(c.Version))
 }
 
+// confirmConfig reports whether the configuration in force was the newest at most maxAge ago.
+func (m *Manager) confirmConfig(ctx context.Context, maxAge time.Duration) bool {
+	return m.config.Confirm(ctx, maxAge)
+}
+
 // observeRequest logs and counts a request. Successful GET requests are only counted.
 func (m *Manager) observeRequest(e intake.RequestEvent) {
 	m.metrics.Request(e.Method, e.Status, e.Duration)
