--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -93,6 +93,9 @@
 	Whole   bool
 	Present []work.Registration
 	Gone    []work.WorkerID
+	// Unreadable has the workers whose records do not describe a worker. What is known of them stays as it is: another writer
+	// may have overwritten the record of one that goes on.
+	Unreadable []work.WorkerID
 }
 
 // Option configures a Dispatcher.
@@ -380,6 +383,9 @@
 		for _, p := range r.Present {
 			present[p.ID] = true
 		}
+		for _, id := range r.Unreadable {
+			present[id] = true
+		}
 		for _, id := range t.sched.Registered() {
 			if !present[id] {
 				t.sched.Deregister(id)
--- a/manager/manager.go
+++ b/manager/manager.go
@@ -121,7 +121,7 @@
 	m.agent = agent.NewServer(direct, owner.Uptime, l)
 	m.dispatch = dispatch.New(
 		client, m.follower, m.metrics.Workers("fleet", m.delegator.Workers(workerTimeout)), bounds(s), self, l,
-		m.config.Current, m.withAgents(watchRoster(client, l)), dispatch.WithObserver(m.observeDecision), m.withHosts(transport, client),
+		m.config.Current, m.withAgents(watchRoster(client, l, m.metrics.MalformedRegistration)), dispatch.WithObserver(m.observeDecision), m.withHosts(transport, client),
 		dispatch.WithReport(m.recordLoad), m.withWatch(), m.withAdvice(transport), dispatch.WithKeep(s.Bounds.StatusTime.Std()+statusMargin),
 	)
 
--- a/manager/roster.go
+++ b/manager/roster.go
@@ -22,14 +22,12 @@
 )
 
 // watchRoster returns a function that watches the registrations of workers and calls notify with each change until its
-// context ends.
-func watchRoster(c *store.Client, l *log.Logger) func(ctx context.Context, notify func(dispatch.Roster)) {
+// context ends. It calls onMalformed for each entry that does not describe a usable worker, once until that changes.
+func watchRoster(c *store.Client, l *log.Logger, onMalformed func()) func(ctx context.Context, notify func(dispatch.Roster)) {
 	return func(ctx context.Context, notify func(dispatch.Roster)) {
+		reader := newRosterReader(l, onMalformed)
 		apply := func(u store.Update) error {
-			r := rosterOf(u.Events, l)
-			r.Whole = u.Full
-			notify(r)
-
+			notify(reader.read(u))
 			return nil
 		}
 		store.NewReflector(
@@ -38,26 +36,54 @@
 	}
 }
 
-// rosterOf returns what became of the workers by some changes. Registrations that were removed later are kept, since they tell
+// rosterReader reads changes of the registrations. Entries may come from other writers; those that do not describe a usable
+// worker are named once.
+type rosterReader struct {
+	log         *log.Logger
+	onMalformed func()
+	// malformed has the workers whose entries are known to be malformed.
+	malformed map[work.WorkerID]bool
+}
+
+func newRosterReader(l *log.Logger, onMalformed func()) *rosterReader {
+	return &rosterReader{log: l, onMalformed: onMalformed, malformed: map[work.WorkerID]bool{}}
+}
+
+// read returns what became of the workers by an update. Registrations that were removed later are kept, since they tell
 // whether the worker announced its end.
-func rosterOf(events []store.Event, l *log.Logger) dispatch.Roster {
-	var r dispatch.Roster
-	for _, ev := range events {
+func (m *rosterReader) read(u store.Update) dispatch.Roster {
+	r := dispatch.Roster{Whole: u.Full}
+	known := m.malformed
+	if u.Full {
+		m.malformed = map[work.WorkerID]bool{}
+	}
+	for _, ev := range u.Events {
 		key := ev.Record.Key
 		id := work.WorkerID(strings.TrimPrefix(key, platform.RegistrationPrefix))
 		if ev.Deleted {
+			delete(m.malformed, id)
 			r.Gone = append(r.Gone, id)
 			continue
 		}
 		reg, err := platform.DecodeRegistration(key, ev.Record.Value)
 		if err != nil {
-			// Records of other writers under this prefix do not identify usable workers.
-			l.Debug("ignoring malformed worker registration", "error", err)
+			m.noteMalformed(id, err, known[id])
+			r.Unreadable = append(r.Unreadable, id)
 			continue
 		}
+		delete(m.malformed, id)
 		r.Present = append(r.Present, reg)
 		r.Gone = slices.DeleteFunc(r.Gone, func(gone work.WorkerID) bool { return gone == id })
 	}
 
 	return r
 }
+
+func (m *rosterReader) noteMalformed(id work.WorkerID, err error, known bool) {
+	m.malformed[id] = true
+	if known {
+		return
+	}
+	m.onMalformed()
+	m.log.Warn("ignoring malformed worker registration", "worker", id, "error", err)
+}
--- a/manager/roster_test.go
+++ b/manager/roster_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
+	"strings"
 	"testing"
 
 	"github.com/charmbracelet/log"
@@ -31,7 +33,7 @@
 	rosters, done := make(chan dispatch.Roster), make(chan struct{})
 	go func() {
 		defer close(done)
-		watchRoster(s.Client(), log.New(io.Discard))(ctx, func(r dispatch.Roster) {
+		watchRoster(s.Client(), log.New(io.Discard), func() {})(ctx, func(r dispatch.Roster) {
 			select {
 			case rosters <- r:
 			case <-ctx.Done():
@@ -81,10 +83,48 @@
 		{"removed, and written by another writer", []store.Event{put, remove, foreign}, 1, 1},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
-			r := rosterOf(tt.events, log.New(io.Discard))
+			r := newRosterReader(log.New(io.Discard), func() {}).read(store.Update{Events: tt.events})
 			if diff := cmp.Diff([]int{tt.present, tt.gone}, []int{len(r.Present), len(r.Gone)}); diff != "" {
 				t.Errorf("registered and removed workers (-want +got):\n%s", diff)
 			}
 		})
 	}
 }
+
+// The machines that read the list of workers ended or stopped following it because of one odd entry: the others must be followed
+// beside it, it must be named once, and what is known of a worker whose entry turns odd must stay.
+func TestRosterBesideOddEntries(t *testing.T) {
+	sound := standin.NewTaskWorker(0).Registration("s-post", "10.0.0.9:80", "r0")
+	entry := func(id string, value []byte) store.Event {
+		return store.Event{Record: store.Record{Key: "servers/" + id, Value: value}}
+	}
+	for _, odd := range []string{
+		"", "null", "\xff\xfe", strings.Repeat("[", 200_000), strings.Repeat(`{"a":`, 20_000), `{"born":1e400}`,
+		strings.Replace(string(sound), "10.0.0.9:80", "10.0.0.9:99999", 1), strings.Replace(string(sound), `"born":`, `"born":900000000000`, 1),
+	} {
+		t.Run(fmt.Sprintf("%.20q", odd), func(t *testing.T) {
+			const others = 500
+			list := store.Update{Full: true, Events: []store.Event{entry("odd", []byte(odd))}}
+			for i := range others {
+				list.Events = append(list.Events, entry(fmt.Sprint("i-", i), sound))
+			}
+			named := 0
+			m := newRosterReader(log.New(io.Discard), func() { named++ })
+			for range 3 {
+				r := m.read(list)
+				if diff := cmp.Diff([]int{others, 1, 0}, []int{len(r.Present), len(r.Unreadable), len(r.Gone)}); diff != "" {
+					t.Errorf("sound, odd and removed entries (-want +got):\n%s", diff)
+				}
+				m.read(store.Update{Events: list.Events[:2]})
+			}
+			if diff := cmp.Diff(1, named); diff != "" {
+				t.Errorf("times that the entry was named (-want +got):\n%s", diff)
+			}
+			m.read(store.Update{Events: []store.Event{entry("odd", sound)}})
+			m.read(list)
+			if diff := cmp.Diff(2, named); diff != "" {
+				t.Errorf("times that it was named after it was sound (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -29,6 +29,7 @@
 	firstStart prometheus.Histogram
 	unstarted  *prometheus.GaugeVec
 	passTime   prometheus.Histogram
+	malformed  *prometheus.CounterVec
 	// PassLag is how late the owner's last scheduling pass started, in seconds; zero on other hosts.
 	PassLag prometheus.Gauge
 	// Version is the version of the configuration in force.
@@ -68,20 +69,31 @@
 		passTime: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Namespace: namespace, Name: "pass_seconds", Help: "Time that a scheduling pass of the owner takes.", Buckets: latencies,
 		}),
-		PassLag:  gauge("pass_lag_seconds", "How late the owner's last scheduling pass began."),
-		Version:  gauge("config_version", "Version of the configuration in force."),
-		Term:     gauge("owner_term", "Store revision of the term in which this process owns the workers, or 0."),
-		OpenJobs: gauge("open_jobs", "Jobs that are not over, at the owner."),
-		Runs:     gauge("runs", "Runs that are held on workers, at the owner."),
+		malformed: counter("malformed_records_total", "Records of other writers that were ignored because they can't be used, by kind.", "kind"),
+		PassLag:   gauge("pass_lag_seconds", "How late the owner's last scheduling pass began."),
+		Version:   gauge("config_version", "Version of the configuration in force."),
+		Term:      gauge("owner_term", "Store revision of the term in which this process owns the workers, or 0."),
+		OpenJobs:  gauge("open_jobs", "Jobs that are not over, at the owner."),
+		Runs:      gauge("runs", "Runs that are held on workers, at the owner."),
 	}
 	m.registry.MustRegister(
-		m.requests, m.answerTime, m.decisions, m.ends, m.calls, m.callTime, m.firstStart, m.unstarted, m.passTime, m.PassLag, m.Version, m.Term,
+		m.requests, m.answerTime, m.decisions, m.ends, m.calls, m.callTime, m.firstStart, m.unstarted, m.passTime, m.malformed, m.PassLag, m.Version, m.Term,
 		m.OpenJobs, m.Runs,
 	)
 
 	return m
 }
 
+// MalformedRegistration counts a registration that does not describe a usable worker.
+func (m *Metrics) MalformedRegistration() {
+	m.malformed.WithLabelValues("Registration").Inc()
+}
+
+// MalformedConfig counts a configuration that can't be put in force.
+func (m *Metrics) MalformedConfig() {
+	m.malformed.WithLabelValues("Configuration").Inc()
+}
+
 // ConfigAge adds a gauge of how long the configuration was not confirmed to be the newest.
 func (m *Metrics) ConfigAge(age func() time.Duration) {
 	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
