platform, manager: put no invalid and no older configuration in force

What callers saw: an invalid configuration was taken, or an older one came back. Values such as {} and null were decoded as a configuration without queues, after which every request is answered with 404, and a lower version came into force if it was written later.

One that is refused is logged and counted once, and until a sound one is there the host does not count its configuration as confirmed, so that it refuses unknown queues and keys with 503 rather than 404 and 401.

--- a/manager/config.go
+++ b/manager/config.go
@@ -7,8 +7,10 @@
 	"sync"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/charmbracelet/log"
 
+	"lycheehook.example/lycheehook/owner"
 	"lycheehook.example/lycheehook/platform"
 	"lycheehook.example/lycheehook/store"
 	"lycheehook.example/lycheehook/work"
@@ -24,18 +26,45 @@
 	log       *log.Logger
 	reflector *store.Reflector
 	onChange  func(c work.Config)
+	// onMalformed is called for each configuration that can't be put in force.
+	onMalformed func()
+	uptime      func() time.Duration
 
 	mu sync.Mutex
 	// current is nil before the first configuration.
 	current *work.Config
-	waves   map[string]work.WaveOrder
+	// malformed is the revision of the last record that could not be put in force.
+	malformed uint64
+	waves     map[string]work.WaveOrder
+}
+
+// errOlderVersion means that a newer record holds an older version of the configuration.
+var errOlderVersion = merry.Sentinel("manager: the version is older than the one in force")
+
+// ConfigOption configures a ConfigWatcher.
+type ConfigOption func(*ConfigWatcher)
+
+// WithMalformed makes the watcher call f once for each configuration that can't be put in force.
+func WithMalformed(f func()) ConfigOption {
+	return func(w *ConfigWatcher) { w.onMalformed = f }
+}
+
+// WithUptime replaces the clock for the age of the configuration.
+func WithUptime(uptime func() time.Duration) ConfigOption {
+	return func(w *ConfigWatcher) { w.uptime = uptime }
 }
 
 // NewConfigWatcher returns a watcher that has read nothing yet; Run calls onChange with each newer configuration.
-func NewConfigWatcher(c *store.Client, l *log.Logger, onChange func(c work.Config), options ...store.ReflectorOption) *ConfigWatcher {
-	w := &ConfigWatcher{client: c, log: l, onChange: onChange, waves: map[string]work.WaveOrder{}}
-	options = append(options, store.WithCheck(w.check, configCheckInterval))
-	w.reflector = store.NewReflector(c, platform.OperatorPrefix, l, w.apply, options...)
+func NewConfigWatcher(c *store.Client, l *log.Logger, onChange func(c work.Config), options ...ConfigOption) *ConfigWatcher {
+	w := &ConfigWatcher{
+		client: c, log: l, onChange: onChange, onMalformed: func() {}, uptime: owner.Uptime, waves: map[string]work.WaveOrder{},
+	}
+	for _, o := range options {
+		o(w)
+	}
+	w.reflector = store.NewReflector(
+		c, platform.OperatorPrefix, l, w.apply, store.WithCheck(w.check, configCheckInterval), store.WithClock(w.uptime),
+	)
 
 	return w
 }
@@ -128,21 +157,41 @@
 	c.log.Info("maintenance wave requested", "wave", o.Number, "hosts", len(o.Hosts), "max_down", o.MaxDown, "duration", o.Duration)
 }
 
-// setCurrent replaces the current configuration if the record is newer.
+// setCurrent replaces the current configuration if the record is newer. A record that can't be put in force leaves the current
+// one in force, which then does not count as confirmed.
 func (c *ConfigWatcher) setCurrent(r store.Record) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.current != nil && c.current.Revision >= r.Revision {
 		return nil
 	}
-	next, err := platform.DecodeConfig(r.Value)
+	next, err := c.decode(r)
 	if err != nil {
+		if c.malformed != r.Revision {
+			c.malformed = r.Revision
+			c.onMalformed()
+			c.log.Error("ignoring malformed configuration", "revision", r.Revision, "error", err)
+		}
+
 		return err
 	}
-	next.Revision = r.Revision
 	c.current = &next
 	c.onChange(next)
 	c.log.Info("configuration applied", "version", next.Version, "queues", len(next.Queues), "workspaces", len(next.Workspaces))
 
 	return nil
 }
+
+// decode decodes a configuration that is newer than the current one.
+func (c *ConfigWatcher) decode(r store.Record) (work.Config, error) {
+	next, err := platform.DecodeConfig(r.Value)
+	if err != nil {
+		return work.Config{}, err
+	}
+	if c.current != nil && next.Version < c.current.Version {
+		return work.Config{}, merry.Prependf(errOlderVersion, "version %d after %d", next.Version, c.current.Version)
+	}
+	next.Revision = r.Revision
+
+	return next, nil
+}
--- a/manager/config_age_test.go
+++ b/manager/config_age_test.go
@@ -62,7 +62,7 @@
 	b.route = b.newRoute(transport, addresses)
 	b.client = platform.NewStore(b.route.Exchange, storeTimeout)
 	b.write(1)
-	b.watcher = NewConfigWatcher(b.client, log.New(io.Discard), func(work.Config) {})
+	b.watcher = NewConfigWatcher(b.client, log.New(io.Discard), func(work.Config) {}, WithUptime(steadyClock()))
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
--- a/manager/config_test.go
+++ b/manager/config_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -41,11 +42,18 @@
 // watchConfigs runs a watcher on a store and returns the versions that it puts in force.
 func watchConfigs(ctx context.Context, c *store.Client) *versions {
 	v := &versions{}
-	go NewConfigWatcher(c, log.New(io.Discard), v.add).Run(ctx)
+	go NewConfigWatcher(c, log.New(io.Discard), v.add, WithUptime(steadyClock())).Run(ctx)
 
 	return v
 }
 
+// steadyClock returns a clock that a synctest bubble advances.
+func steadyClock() func() time.Duration {
+	began := time.Now()
+
+	return func() time.Duration { return time.Since(began) }
+}
+
 func writeConfig(t *testing.T, s *standin.Store, value string) {
 	t.Helper()
 	if _, err := s.Client().Commit(t.Context(), store.Txn{Puts: []store.Put{{Key: platform.KeyConfig, Value: []byte(value)}}}); err != nil {
@@ -111,3 +119,41 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against an invalid configuration or an older version that comes into force because it was written later, and against a
+// host that takes the one before for confirmed then (CONFIG).
+func TestConfigThatCannotBeInForce(t *testing.T) {
+	for _, value := range []string{"null", "{}", "[", configOf(6), configOf(0)} {
+		t.Run(value, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				var malformed atomic.Int64
+				s, v := standin.NewStore(), &versions{}
+				writeConfig(t, s, configOf(7))
+				w := NewConfigWatcher(s.Client(), log.New(io.Discard), v.add, WithUptime(steadyClock()), WithMalformed(func() { malformed.Add(1) }))
+				go w.Run(ctx)
+				time.Sleep(5 * time.Second)
+				writeConfig(t, s, value)
+				time.Sleep(5 * time.Second)
+				if diff := cmp.Diff([]int64{7}, v.list()); diff != "" {
+					t.Errorf("versions in force (-want +got):\n%s", diff)
+				}
+				if diff := cmp.Diff(int64(1), malformed.Load()); diff != "" {
+					t.Errorf("times that the configuration was counted (-want +got):\n%s", diff)
+				}
+				if w.Confirm(ctx, time.Second) || w.Age() < 5*time.Second {
+					t.Errorf("confirmed, %v old", w.Age())
+				}
+
+				writeConfig(t, s, configOf(8))
+				time.Sleep(time.Second)
+				if diff := cmp.Diff([]int64{7, 8}, v.list()); diff != "" || !w.Confirm(ctx, time.Second) {
+					t.Errorf("confirmed %t, versions in force (-want +got):\n%s", w.Confirm(ctx, time.Second), diff)
+				}
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/manager/manager.go
+++ b/manager/manager.go
@@ -110,7 +110,7 @@
 	m.notices = notice.NewSender(transport.To, m.owner, owner.Uptime, l)
 	m.states = inquiry.NewClient(transport.To, m.owner, l)
 	m.handler = intake.NewHandler(client, m.follower, l, m.observeRequest, intake.WithStored(m.notifyOwner), intake.WithOwnerState(m.ownerState), intake.WithConfirm(m.confirmConfig))
-	m.config = NewConfigWatcher(client, l, m.applyConfig, store.WithClock(owner.Uptime))
+	m.config = NewConfigWatcher(client, l, m.applyConfig, WithMalformed(m.metrics.MalformedConfig))
 	m.metrics.ConfigAge(m.config.Age)
 	self := ledger.Owner{Host: s.Name, Process: process.String()}
 	host := ledger.Host{Name: s.Name, Zone: s.Zone, PeerAddress: s.PeerAddress.String(), Cores: s.Cores, LinkMegabits: s.LinkMegabits}
