schedule: start a job only under the configuration that accepted it

What callers could see: a task of a queue that was just added runs, and the host that started it refuses the queue's callers by its older configuration, or serves a queue that the newer one dropped. A job carries its pool, so the owner of the workers started it without having read the configuration under which another host had accepted it; the rule on hosts that go back counts from the start that a worker sees.

A job has the store revision of the configuration that accepted it. The owner waits for that or a newer one before it starts its tasks, reads the configuration at once for such a job, and names the reason OldConfiguration if that takes long. Records of older builds have no revision and start as before.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -43,6 +43,7 @@
 	workers      work.Workers
 	bounds       schedule.Bounds
 	config       func() (work.Config, bool)
+	checkConfig  func()
 	log          *log.Logger
 	watchWorkers func(ctx context.Context, notify func(Roster))
 	hosts        Hosts
@@ -106,6 +107,12 @@
 	return func(d *Dispatcher) { d.observe = f }
 }
 
+// WithConfigCheck sets a function that begins to read the configuration again; it is called for each job that was accepted under
+// a newer one.
+func WithConfigCheck(f func()) Option {
+	return func(d *Dispatcher) { d.checkConfig = f }
+}
+
 // New returns a dispatcher; config returns the current configuration, and roster watches the registered workers until its
 // context ends.
 func New(
@@ -114,7 +121,7 @@
 ) *Dispatcher {
 	d := &Dispatcher{
 		client: c, follower: f, workers: w, bounds: b, self: self, log: l, config: config, watchWorkers: roster, observe: func(schedule.Decision) {},
-		report: func(int, int) {}, watch: noWatch(),
+		report: func(int, int) {}, watch: noWatch(), checkConfig: func() {},
 	}
 	for _, o := range options {
 		o(d)
@@ -130,11 +137,13 @@
 	// writer appends to the ledger's log.
 	writer *logWriter
 
-	mu        sync.Mutex
-	sched     *schedule.Scheduler
-	version   int64
-	writing   bool
-	lastWrite time.Time
+	mu    sync.Mutex
+	sched *schedule.Scheduler
+	// version and configRevision are those of the scheduler's configuration.
+	version        int64
+	configRevision uint64
+	writing        bool
+	lastWrite      time.Time
 	// oldest is the number of the oldest batch that may be in the store. The log from batch compacted on reproduces the whole
 	// state.
 	oldest, compacted uint64
@@ -255,7 +264,7 @@
 
 	if ok && c.Version != t.version {
 		t.sched.SetConfig(c)
-		t.version = c.Version
+		t.version, t.configRevision = c.Version, c.Revision
 	}
 	t.sched.Lapse(now)
 	if t.ownership.Valid() {
@@ -371,7 +380,11 @@
 func (t *term) addJob(j work.Job, revision uint64) {
 	t.mu.Lock()
 	t.sched.AddJob(j, revision, time.Now())
+	newer := t.configRevision != 0 && j.ConfigRevision > t.configRevision
 	t.mu.Unlock()
+	if newer {
+		t.checkConfig()
+	}
 	t.signal()
 }
 
--- a/intake/handler.go
+++ b/intake/handler.go
@@ -317,6 +317,7 @@
 	}
 	j.ID, j.Workspace, j.Submitted = r.id, r.workspace, time.Now().UTC()
 	j.Queue, j.Pool, j.MaxAttempts = r.queue.Name, r.queue.Pool, r.queue.MaxAttempts
+	j.ConfigRevision = r.router.Config().Revision
 
 	return j, nil
 }
--- a/manager/config.go
+++ b/manager/config.go
@@ -100,6 +100,11 @@
 	return c.reflector.Confirm(ctx, maxAge)
 }
 
+// StartCheck begins to read the configuration again, unless such a read is under way.
+func (c *ConfigWatcher) StartCheck() {
+	c.reflector.StartCheck()
+}
+
 // Waves returns the maintenance waves that the operators have requested.
 func (c *ConfigWatcher) Waves() []work.WaveOrder {
 	c.mu.Lock()
--- a/manager/manager.go
+++ b/manager/manager.go
@@ -122,7 +122,7 @@
 	m.dispatch = dispatch.New(
 		client, m.follower, m.metrics.Workers("fleet", m.delegator.Workers(workerTimeout)), bounds(s), self, l,
 		m.config.Current, m.withAgents(watchRoster(client, l, m.metrics.MalformedRegistration)), dispatch.WithObserver(m.observeDecision), m.withHosts(transport, client),
-		dispatch.WithReport(m.recordLoad), m.withWatch(), m.withAdvice(transport), dispatch.WithKeep(s.Bounds.StatusTime.Std()+statusMargin),
+		dispatch.WithReport(m.recordLoad), dispatch.WithConfigCheck(m.config.StartCheck), m.withWatch(), m.withAdvice(transport), dispatch.WithKeep(s.Bounds.StatusTime.Std()+statusMargin),
 	)
 
 	m.recordUnstarted(nil)
--- a/schedule/obstacle.go
+++ b/schedule/obstacle.go
@@ -20,6 +20,8 @@
 const (
 	// NoConfiguration is a term without a configuration, in which nothing is placed.
 	NoConfiguration WaitReason = "NoConfiguration"
+	// OldConfiguration is a job that was accepted under a configuration that this owner has not read yet.
+	OldConfiguration WaitReason = "OldConfiguration"
 	// NoPlacement is a time without placements: the log is being written, or the term is not confirmed.
 	NoPlacement WaitReason = "NoPlacement"
 	// Overlooked tasks were not placed although a worker would take them.
@@ -81,7 +83,7 @@
 // WaitReasons returns all reasons.
 func WaitReasons() []WaitReason {
 	return slices.Concat(workerReasons, []WaitReason{
-		NoConfiguration, NoPlacement, WorkspaceAtLimit, GangNotOver, GangNoRoom, NoWorker, UnknownToOwner, NotExamined,
+		NoConfiguration, OldConfiguration, NoPlacement, WorkspaceAtLimit, GangNotOver, GangNoRoom, NoWorker, UnknownToOwner, NotExamined,
 		LogNotWritten, StartNotAnswered, StartNotSettled, InheritedNotSettled, OnSilentWorker, StopNotSettled,
 	})
 }
@@ -149,6 +151,8 @@
 	switch {
 	case !s.configured:
 		return NoConfiguration, string(NoConfiguration)
+	case s.awaitsConfig(r):
+		return OldConfiguration, string(OldConfiguration)
 	case step.Gang && r.membersLeft():
 		return GangNotOver, string(GangNotOver)
 	case !s.withinLimit(r.job.entry.Job.Workspace, step.Size):
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -38,12 +38,18 @@
 	s.clearReserves()
 	sets := s.usableWorkers(now)
 	s.unplaced = s.unplaced[:0]
-	classes := rankClasses(s.readySteps(now))
+	ready := slices.DeleteFunc(s.readySteps(now), s.awaitsConfig)
+	classes := rankClasses(ready)
 	s.placeClasses(classes, true, sets, now)
 	s.reserveForDrains(sets, now)
 	s.placeClasses(classes, false, sets, now)
 }
 
+// awaitsConfig reports whether a step's job was accepted under a configuration that is newer than the one in force.
+func (s *Scheduler) awaitsConfig(r *readyStep) bool {
+	return r.job.entry.Job.ConfigRevision > s.configRevision
+}
+
 // placeClasses places the rank classes of lasting jobs, or all others.
 func (s *Scheduler) placeClasses(classes [][]*readyStep, lastingJobs bool, sets map[fleet.PoolName]*workerSet, now time.Time) {
 	for _, class := range classes {
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -63,8 +63,9 @@
 	changes []ledger.Change
 	// pendingRuns has the new runs whose starts wait until the ledger has stored them.
 	pendingRuns []*run
-	// configured reports whether a configuration has been set.
-	configured bool
+	// configured reports whether a configuration has been set, and configRevision is its store revision.
+	configured     bool
+	configRevision uint64
 	// dirty reports whether something has changed since the last placement.
 	dirty bool
 }
@@ -153,7 +154,7 @@
 
 // SetConfig replaces the configuration.
 func (s *Scheduler) SetConfig(c work.Config) {
-	s.configured = true
+	s.configured, s.configRevision = true, c.Revision
 	clear(s.pools)
 	clear(s.workspaces)
 	for _, q := range c.Queues {
--- a/schedule/unstarted_test.go
+++ b/schedule/unstarted_test.go
@@ -88,6 +88,20 @@
 			func(b *testbed) { b.s.configured = false; submitOne(b) },
 			func(b *testbed) { b.s.SetConfig(testConfig) },
 		},
+		{
+			OldConfiguration, 1,
+			func(b *testbed) {
+				submitOne(b)
+				for _, j := range b.s.jobs {
+					j.entry.Job.ConfigRevision = 1
+				}
+			},
+			func(b *testbed) {
+				newer := testConfig
+				newer.Revision = 1
+				b.s.SetConfig(newer)
+			},
+		},
 		{
 			NoPlacement, 1,
 			settled(func(b *testbed) { b.withhold.placement = true; submitOne(b) }),
--- a/store/reflector.go
+++ b/store/reflector.go
@@ -230,7 +230,7 @@
 		if age, ok := r.Age(); ok && r.clock()-age >= since {
 			return true
 		}
-		c := r.startConfirmation(ctx)
+		c := r.startConfirmation()
 		select {
 		case <-c.done:
 		case <-ctx.Done():
@@ -244,8 +244,13 @@
 	return false
 }
 
-// startConfirmation returns the confirmation under way, or starts one.
-func (r *Reflector) startConfirmation(ctx context.Context) *confirmation {
+// StartCheck starts a check in the background, unless one on demand is under way.
+func (r *Reflector) StartCheck() {
+	r.startConfirmation()
+}
+
+// startConfirmation returns the confirmation under way, or starts one, which goes on even if the caller does not wait for it.
+func (r *Reflector) startConfirmation() *confirmation {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.running != nil {
@@ -254,7 +259,7 @@
 	c := &confirmation{began: r.clock(), done: make(chan struct{})}
 	r.running = c
 	go func() {
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), DefaultWatchWait)
+		ctx, cancel := context.WithTimeout(context.Background(), DefaultWatchWait)
 		defer cancel()
 		if err := r.confirm(ctx, r.check); err != nil {
 			r.logFailure("failed to confirm records", err)
--- a/work/job.go
+++ b/work/job.go
@@ -25,6 +25,9 @@
 	Submitted  time.Time     `cbor:"10,keyasint"`
 	// MaxAttempts is the queue's limit when the job was accepted; it applies while no configuration names the queue.
 	MaxAttempts int `cbor:"12,keyasint,omitempty"`
+	// ConfigRevision is the revision of the configuration under which the job was accepted. Its tasks start only under that or a
+	// newer one, so that a host does not act on a configuration and refuse requests by an older one.
+	ConfigRevision uint64 `cbor:"13,keyasint,omitempty"`
 	// Cancelled marks a job that must no longer run; it is also stored for a job that is cancelled before it is submitted.
 	Cancelled bool `cbor:"11,keyasint,omitempty"`
 }
