--- a/store/reflector.go
+++ b/store/reflector.go
@@ -222,21 +222,28 @@
 	return r.clock() - r.confirmed, r.isConfirmed
 }
 
+func (r *Reflector) confirmedSince(uptime time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	return r.isConfirmed && r.confirmed >= uptime
+}
+
 // Confirm reports whether the copy is at most maxAge old, and checks it if it is older. Callers share checks, so that there is
 // only one at a time.
 func (r *Reflector) Confirm(ctx context.Context, maxAge time.Duration) bool {
 	since := r.clock() - maxAge
 	for ctx.Err() == nil {
-		if age, ok := r.Age(); ok && r.clock()-age >= since {
+		if r.confirmedSince(since) {
 			return true
 		}
-		c := r.startConfirmation()
+		c := r.startConfirmation(context.WithoutCancel(ctx))
 		select {
 		case <-c.done:
 		case <-ctx.Done():
 			return false
 		}
-		if age, ok := r.Age(); c.began >= since && (!ok || r.clock()-age < since) {
+		if c.began >= since && !r.confirmedSince(since) {
 			return false
 		}
 	}
@@ -246,11 +253,11 @@
 
 // StartCheck starts a check in the background, unless one on demand is under way.
 func (r *Reflector) StartCheck() {
-	r.startConfirmation()
+	r.startConfirmation(context.Background())
 }
 
-// startConfirmation returns the confirmation under way, or starts one, which goes on even if the caller does not wait for it.
-func (r *Reflector) startConfirmation() *confirmation {
+// startConfirmation returns the confirmation under way, or starts one.
+func (r *Reflector) startConfirmation(ctx context.Context) *confirmation {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.running != nil {
@@ -259,7 +266,7 @@
 	c := &confirmation{began: r.clock(), done: make(chan struct{})}
 	r.running = c
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), DefaultWatchWait)
+		ctx, cancel := context.WithTimeout(ctx, DefaultWatchWait)
 		defer cancel()
 		if err := r.confirm(ctx, r.check); err != nil {
 			r.logFailure("failed to confirm records", err)
