connection: one pool that replaces silent connections, for every client

The same cause stood in the two other HTTP clients: those of the store and the hosts for the entry hosts' program kept up to sixteen idle connections too, each of which had to time out by itself.

--- /dev/null
+++ b/connection/doc.go
@@ -0,0 +1,3 @@
+// Package connection keeps the HTTP connections to one address and replaces those
+// that may have gone silent.
+package connection
--- a/hostapi/http.go
+++ b/hostapi/http.go
@@ -13,6 +13,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"lycheehook.example/lycheehook/connection"
 	"lycheehook.example/lycheehook/fleet"
 )
 
@@ -81,11 +82,7 @@
 	c := &apiClient{
 		base:    "http://" + addr.String(),
 		timeout: timeout,
-		client: &http.Client{Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
-			MaxIdleConnsPerHost: idleConns,
-			IdleConnTimeout:     time.Minute,
-		}},
+		client:  &http.Client{Transport: connection.NewPool(dialer.DialContext, idleConns, time.Minute)},
 	}
 
 	return &Client{
--- a/store/http.go
+++ b/store/http.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+
+	"lycheehook.example/lycheehook/connection"
 )
 
 // Paths of the key-value service.
@@ -27,6 +29,8 @@
 
 const (
 	dialTimeout = time.Second
+	// maxIdleConns is the maximum number of idle connections that are kept.
+	maxIdleConns = 16
 	// maxResponseSize bounds the body of a response, in bytes.
 	maxResponseSize = 64 << 20
 	// watchGrace is how long a watch may take beyond the wait that it requests and the timeout of a call.
@@ -84,11 +88,7 @@
 	c := &httpClient{
 		base:    "http://" + addr.String(),
 		timeout: timeout,
-		client: &http.Client{Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
-			MaxIdleConnsPerHost: 16,
-			IdleConnTimeout:     time.Minute,
-		}},
+		client:  &http.Client{Transport: connection.NewPool(dialer.DialContext, maxIdleConns, time.Minute)},
 	}
 
 	return &Client{
