schedule: give up a lasting task that crashes its workers late and alone

A lasting task that crashes its worker 3.5 s after each start was started for ever (KNOWN-RED: 30 crashes in two minutes, at most 5 are allowed): each isolation of two seconds cleared it. A sound task beside others, whose workers crash at as regular ages, has to be kept (TestLastingTaskAmongCrashingJobs). A trace of that test shows what tells them apart: there two tasks share each worker that crashes, here the task is the only one.

The owner counts the crashes of workers on which nothing but one lasting task ran, for 2 to 10 s and each time about as long. After five in a row the job is given up; a longer run or another age ends the series. It is no evidence in the ledger, so a new owner begins anew, and a late crash beside other tasks still counts for nothing.

--- a/schedule/crash.go
+++ b/schedule/crash.go
@@ -114,7 +114,14 @@
 	runs := w.suspectRuns(now)
 	cause := s.causeOfEnd(w, now)
 	s.observe(Decision{What: DecidedWorkerCrashed, Worker: w.id, Host: w.host, Reason: fmt.Sprintf("%s, with %d tasks, %d of them suspected%s", reason, len(w.runs), len(runs), cause)})
-	if cause != "" || len(runs) == 0 {
+	if cause != "" {
+		return
+	}
+	if r := s.noteLateCrash(w, now); r != nil {
+		s.giveUp(r, s.jobs[r.attempt.Job].late[r.attempt.Task].String())
+		return
+	}
+	if len(runs) == 0 {
 		return
 	}
 	inRack := s.rackFailed(w)
@@ -130,7 +137,7 @@
 		return
 	}
 	if r := s.culprit(runs, alone); r != nil {
-		s.giveUp(r)
+		s.giveUp(r, r.crashedWorkers())
 	}
 }
 
@@ -276,14 +283,20 @@
 }
 
 // giveUp fails the job of a run's task.
-func (s *Scheduler) giveUp(r *run) {
+func (s *Scheduler) giveUp(r *run, reason string) {
+	s.observe(Decision{What: DecidedJobFailed, Attempt: r.attempt, Reason: reason})
+	s.record(r.entry, ledger.Change{Kind: ledger.JobFailed, Attempt: r.attempt})
+	s.closeIfOver(r.entry)
+}
+
+// crashedWorkers names the workers that crashed under the run's task.
+func (r *run) crashedWorkers() string {
 	var names []string
 	for _, c := range r.entry.Task(r.attempt.Task).Crashes {
 		names = append(names, string(c.Worker))
 	}
-	s.observe(Decision{What: DecidedJobFailed, Attempt: r.attempt, Reason: "workers crashed under the task: " + strings.Join(names, ", ")})
-	s.record(r.entry, ledger.Change{Kind: ledger.JobFailed, Attempt: r.attempt})
-	s.closeIfOver(r.entry)
+
+	return "workers crashed under the task: " + strings.Join(names, ", ")
 }
 
 // withdrawCrash clears the tasks of the crash of a worker that answers again in the same incarnation: its link was cut.
--- a/schedule/isolation.go
+++ b/schedule/isolation.go
@@ -63,6 +63,7 @@
 		w.isolated = slices.DeleteFunc(w.isolated, func(r *run) bool { return s.cleared(r.attempt.Task) })
 	}
 	for _, j := range s.jobs {
+		s.endLateCrashes(j)
 		for t := range j.suspicions {
 			for _, l := range j.entry.Task(t).Live {
 				r := s.runOf(work.Attempt{Task: t, Number: l.Number}, l.Worker)
--- a/schedule/late_crash_test.go
+++ b/schedule/late_crash_test.go
@@ -76,3 +76,28 @@
 		t.Errorf("%d crashes, at most %d are allowed", got, failAfterLateCrashes)
 	}
 }
+
+// Guards against a sound lasting task that is given up because workers crashed by chance while it was alone on them.
+func TestLastingTaskAloneAmongChanceCrashes(t *testing.T) {
+	tests := []struct {
+		name string
+		ages []time.Duration
+	}{
+		{"irregular", []time.Duration{3 * time.Second, 5 * time.Second, 7 * time.Second, 3 * time.Second, 5 * time.Second, 7 * time.Second}},
+		{"regular but old", []time.Duration{12 * time.Second, 12 * time.Second, 12 * time.Second, 12 * time.Second, 12 * time.Second, 12 * time.Second}},
+		{"fewer than the limit, then a long run", []time.Duration{
+			4 * time.Second, 4 * time.Second, 4 * time.Second, 4 * time.Second, 9 * time.Second, 4 * time.Second, 4 * time.Second, 4 * time.Second,
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newCrashbed(t)
+			b.submit("lasting", work.Step{Count: 1, Size: taskSize, Lasting: true})
+			for i, age := range tt.ages {
+				b.pass(age)
+				b.crashUnder("lasting", 1, i)
+			}
+			check(t, "state", ledger.InProgress, b.state("lasting"))
+		})
+	}
+}
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -90,6 +90,8 @@
 	failedOnWorkers map[work.Task][]work.WorkerID
 	// suspicions has the tasks under which workers crashed.
 	suspicions map[work.Task]*suspicion
+	// late has the lasting tasks under which workers crashed late.
+	late map[work.Task]lateCrashes
 	// lastCrash is when this owner learned of the last of these crashes, and cleared when a suspected task last outlived its
 	// isolation.
 	lastCrash, cleared time.Time
