relay: don't send a read again whose response has begun

A page of the ledger can take seconds on a narrow link. Sent again by another way after a second, it comes over the same link once more, and then both may miss their timeout. Once the first byte of a response has come, the rest has four times as long until the read is overdue. TestReadWhoseResponseHasBegun fails without that.

--- a/relay/read.go
+++ b/relay/read.go
@@ -12,6 +12,10 @@
 // repeatDelay is the time between direct attempts of an overdue read once all ways were tried.
 const repeatDelay = 500 * time.Millisecond
 
+// bodyFactor is how many times longer than the first byte the rest of a response may take until the read is overdue: sending it
+// again would only fill a narrow link.
+const bodyFactor = 4
+
 // errOvertaken is the cause with which the other attempts of a read are cancelled once one was answered.
 var errOvertaken = merry.Sentinel("relay: another attempt was answered")
 
@@ -34,42 +38,46 @@
 	req     platform.Request
 	ways    []way
 	pending int
-	ended   chan attempt
+	// begun receives a value when a response begins.
+	begun chan struct{}
+	ended chan attempt
 	// deadline is until when the direct connection is tried again; it counts from the first call by the last way.
 	deadline time.Time
 }
 
 // read makes a call that has no effect.
 func (r *Route) read(ctx context.Context, req platform.Request) (platform.Response, error) {
-	rd := &reading{route: r, req: req, ways: r.ways(ctx), ended: make(chan attempt)}
+	rd := &reading{route: r, req: req, ways: r.ways(ctx), begun: make(chan struct{}, 1), ended: make(chan attempt)}
+	rd.req.OnResponse = rd.noteResponse
 	attempts, cancel := context.WithCancelCause(ctx)
 	defer cancel(errOvertaken)
-	overdue := time.NewTimer(req.HedgeDelay)
-	defer overdue.Stop()
-	if req.HedgeDelay <= 0 {
-		overdue.Stop()
-	}
+	late := newOverdue(req)
+	defer late.timer.Stop()
 
 	for rd.sendNext(attempts); ; {
 		select {
 		case <-ctx.Done():
 			return platform.Response{}, merry.Wrap(platform.ErrNoAnswer, merry.WithCause(ctx.Err()))
+		case <-rd.begun:
+			late.reset(bodyFactor * req.HedgeDelay)
 		case a := <-rd.ended:
 			rd.pending--
 			if answered(a.resp, a.err) {
 				r.setLastPeer(a.peer)
 				return a.resp, nil
 			}
-			if !rd.sendNext(attempts) && rd.pending == 0 {
+			if rd.sendNext(attempts) {
+				late.reset(req.HedgeDelay)
+			} else if rd.pending == 0 {
 				return a.resp, a.err
 			}
-		case <-overdue.C:
+		case <-late.timer.C:
 			switch {
 			case rd.sendNext(attempts):
-				overdue.Reset(req.HedgeDelay)
+				late.reset(req.HedgeDelay)
 			case time.Now().Before(rd.deadline):
 				rd.send(attempts, way{})
-				overdue.Reset(repeatDelay)
+				late.reset(repeatDelay)
 			default:
 				return platform.Response{}, merry.Wrap(platform.ErrNoAnswer, merry.WithCause(context.DeadlineExceeded))
 			}
@@ -77,6 +85,14 @@
 	}
 }
 
+// noteResponse is called when the response to an attempt begins.
+func (rd *reading) noteResponse() {
+	select {
+	case rd.begun <- struct{}{}:
+	default:
+	}
+}
+
 // sendNext sends the read by the next way and reports whether there was one.
 func (rd *reading) sendNext(ctx context.Context) bool {
 	if len(rd.ways) == 0 {
@@ -124,3 +140,25 @@
 
 	return ways
 }
+
+// overdue tells when a read is overdue.
+type overdue struct {
+	timer *time.Timer
+	// never is set for reads that are sent again only after a failure.
+	never bool
+}
+
+func newOverdue(req platform.Request) overdue {
+	o := overdue{timer: time.NewTimer(req.HedgeDelay), never: req.HedgeDelay <= 0}
+	if o.never {
+		o.timer.Stop()
+	}
+
+	return o
+}
+
+func (o overdue) reset(d time.Duration) {
+	if !o.never {
+		o.timer.Reset(d)
+	}
+}
--- a/relay/read_test.go
+++ b/relay/read_test.go
@@ -13,6 +13,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/google/go-cmp/cmp"
 
+	"lycheehook.example/lycheehook/pause"
 	"lycheehook.example/lycheehook/platform"
 )
 
@@ -72,6 +73,45 @@
 	}
 }
 
+// Guards against a narrow link on which a page that arrives slowly is sent again, and then arrives later or never.
+func TestReadWhoseResponseHasBegun(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		// body is how long the body takes after the first byte.
+		body  time.Duration
+		calls int
+	}{
+		{"slow body", 3 * testHedgeDelay, 1},
+		{"body that stops", time.Hour, 2},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				calls := 0
+				direct := func(ctx context.Context, r platform.Request) (platform.Response, error) {
+					calls++
+					if calls > 1 {
+						return platform.Response{Status: http.StatusOK}, nil
+					}
+					time.Sleep(testHedgeDelay / 2)
+					r.OnResponse()
+					pause.For(ctx, tt.body)
+
+					return platform.Response{Status: http.StatusOK}, ctx.Err()
+				}
+				r := New(direct, nil, func() []string { return nil }, readCall, log.New(io.Discard))
+				req := readCall
+				req.Timeout, req.HedgeDelay = testTimeout, testHedgeDelay
+				if resp, err := r.Exchange(t.Context(), req); err != nil || resp.Status != http.StatusOK {
+					t.Errorf("status %d, %v", resp.Status, err)
+				}
+				if diff := cmp.Diff(tt.calls, calls); diff != "" {
+					t.Errorf("calls (-want +got):\n%s", diff)
+				}
+			})
+		})
+	}
+}
+
 // TestReadEnds checks that a read that no way answers ends with an error, also if its caller gives up first.
 func TestReadEnds(t *testing.T) {
 	tests := []struct {
