--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -45,7 +45,7 @@
 	config       func() (work.Config, bool)
 	checkConfig  func()
 	log          *log.Logger
-	watchWorkers func(ctx context.Context, notify func(Roster))
+	watchWorkers func(ctx context.Context, notify func(RegistryChange))
 	hosts        Hosts
 	advise       work.Advise
 	report       func(jobs, runs int)
@@ -88,12 +88,12 @@
 	return func(d *Dispatcher) { d.hosts = h }
 }
 
-// Roster is a change of the set of registered workers.
-type Roster struct {
-	// Whole is set if Present has all registered workers; the others are deregistered then.
-	Whole   bool
-	Present []work.Registration
-	Gone    []work.WorkerID
+// RegistryChange is a change of the set of registered workers.
+type RegistryChange struct {
+	// Full is set if Registered has all registered workers; the others are deregistered then.
+	Full         bool
+	Registered   []work.Registration
+	Deregistered []work.WorkerID
 	// Unreadable has the workers whose records do not describe a worker. What is known of them stays as it is: another writer
 	// may have overwritten the record of one that goes on.
 	Unreadable []work.WorkerID
@@ -117,7 +117,7 @@
 // context ends.
 func New(
 	c *store.Client, f *ledger.Follower, w work.Workers, b schedule.Bounds, self ledger.Owner, l *log.Logger,
-	config func() (work.Config, bool), roster func(ctx context.Context, notify func(Roster)), options ...Option,
+	config func() (work.Config, bool), roster func(ctx context.Context, notify func(RegistryChange)), options ...Option,
 ) *Dispatcher {
 	d := &Dispatcher{
 		client: c, follower: f, workers: w, bounds: b, self: self, log: l, config: config, watchWorkers: roster, observe: func(schedule.Decision) {},
@@ -388,12 +388,12 @@
 	t.signal()
 }
 
-func (t *term) applyRoster(r Roster) {
+func (t *term) applyRoster(r RegistryChange) {
 	now := time.Now()
 	t.mu.Lock()
-	if r.Whole {
+	if r.Full {
 		present := map[work.WorkerID]bool{}
-		for _, p := range r.Present {
+		for _, p := range r.Registered {
 			present[p.ID] = true
 		}
 		for _, id := range r.Unreadable {
@@ -405,10 +405,10 @@
 			}
 		}
 	}
-	for _, p := range r.Present {
+	for _, p := range r.Registered {
 		t.sched.Register(p, now)
 	}
-	for _, id := range r.Gone {
+	for _, id := range r.Deregistered {
 		t.sched.Deregister(id)
 	}
 	t.mu.Unlock()
--- a/dispatch/hosts_test.go
+++ b/dispatch/hosts_test.go
@@ -49,7 +49,7 @@
 func (b *hostBed) equip(d *Dispatcher, hosts func(b *hostBed) []work.HostStatus) {
 	addWorker(d, &b.starts)
 	answer := d.workers.Poll
-	d.watchWorkers = func(ctx context.Context, notify func(Roster)) {
+	d.watchWorkers = func(ctx context.Context, notify func(RegistryChange)) {
 		for _, w := range []struct {
 			id   work.WorkerID
 			when chan struct{}
@@ -59,7 +59,7 @@
 				return
 			case <-w.when:
 			}
-			notify(Roster{Present: []work.Registration{
+			notify(RegistryChange{Registered: []work.Registration{
 				{ID: w.id, Life: 1, Address: string(w.id), Pool: "p", Capacity: fleet.Resources{Cores: 1000}},
 			}})
 		}
--- a/dispatch/roster_test.go
+++ b/dispatch/roster_test.go
@@ -21,23 +21,23 @@
 	}
 	tests := []struct {
 		name   string
-		change Roster
+		change RegistryChange
 		want   []work.WorkerID
 	}{
-		{"one more", Roster{Present: []work.Registration{reg("c")}}, []work.WorkerID{"a", "b", "c"}},
-		{"one removed", Roster{Gone: []work.WorkerID{"b"}}, []work.WorkerID{"a"}},
-		{"full list without one", Roster{Whole: true, Present: []work.Registration{reg("a")}}, []work.WorkerID{"a"}},
-		{"entry overwritten", Roster{Unreadable: []work.WorkerID{"b"}}, []work.WorkerID{"a", "b"}},
+		{"one more", RegistryChange{Registered: []work.Registration{reg("c")}}, []work.WorkerID{"a", "b", "c"}},
+		{"one removed", RegistryChange{Deregistered: []work.WorkerID{"b"}}, []work.WorkerID{"a"}},
+		{"full list without one", RegistryChange{Full: true, Registered: []work.Registration{reg("a")}}, []work.WorkerID{"a"}},
+		{"entry overwritten", RegistryChange{Unreadable: []work.WorkerID{"b"}}, []work.WorkerID{"a", "b"}},
 		{
 			"full list with an overwritten entry",
-			Roster{Whole: true, Present: []work.Registration{reg("a")}, Unreadable: []work.WorkerID{"b", "x"}}, []work.WorkerID{"a", "b"},
+			RegistryChange{Full: true, Registered: []work.Registration{reg("a")}, Unreadable: []work.WorkerID{"b", "x"}}, []work.WorkerID{"a", "b"},
 		},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			sched := schedule.New(1, schedule.Bounds{}, map[fleet.JobID]*ledger.Entry{}, time.Now())
 			tm := &term{wake: make(chan struct{}, 1), sched: sched}
-			tm.applyRoster(Roster{Whole: true, Present: []work.Registration{reg("a"), reg("b")}})
+			tm.applyRoster(RegistryChange{Full: true, Registered: []work.Registration{reg("a"), reg("b")}})
 			tm.applyRoster(tt.change)
 			got := sched.Registered()
 			slices.Sort(got)
--- a/dispatch/term_test.go
+++ b/dispatch/term_test.go
@@ -136,8 +136,8 @@
 	d.config = func() (work.Config, bool) {
 		return work.Config{Version: 1, Queues: []work.Queue{{Name: "q", Pool: "p"}}, Pools: []work.Pool{{Name: "p"}}}, true
 	}
-	d.watchWorkers = func(ctx context.Context, notify func(Roster)) {
-		notify(Roster{Whole: true, Present: []work.Registration{r}})
+	d.watchWorkers = func(ctx context.Context, notify func(RegistryChange)) {
+		notify(RegistryChange{Full: true, Registered: []work.Registration{r}})
 		<-ctx.Done()
 	}
 	d.workers = work.Workers{
@@ -336,7 +336,7 @@
 	d := New(
 		c, f, work.Workers{}, schedule.Bounds{MaxLease: time.Second}, ledger.Owner{Host: host.Name, Process: name}, l,
 		func() (work.Config, bool) { return work.Config{}, false },
-		func(ctx context.Context, _ func(Roster)) { <-ctx.Done() },
+		func(ctx context.Context, _ func(RegistryChange)) { <-ctx.Done() },
 	)
 	go owner.NewCandidate(c, seat, f, name, l).Run(ctx, func(ctx context.Context, tm *owner.Term) { serve(ctx, d, tm) })
 }
--- a/manager/manager.go
+++ b/manager/manager.go
@@ -135,10 +135,10 @@
 
 // withAgents wraps a roster so that the delegator learns of new workers, and opens streams to agents for them, before they
 // are called.
-func (m *Manager) withAgents(roster func(context.Context, func(dispatch.Roster))) func(context.Context, func(dispatch.Roster)) {
-	return func(ctx context.Context, notify func(dispatch.Roster)) {
-		roster(ctx, func(r dispatch.Roster) {
-			m.delegator.PrepareAgents(ctx, r.Present)
+func (m *Manager) withAgents(roster func(context.Context, func(dispatch.RegistryChange))) func(context.Context, func(dispatch.RegistryChange)) {
+	return func(ctx context.Context, notify func(dispatch.RegistryChange)) {
+		roster(ctx, func(r dispatch.RegistryChange) {
+			m.delegator.PrepareAgents(ctx, r.Registered)
 			notify(r)
 		})
 	}
--- a/manager/roster.go
+++ b/manager/roster.go
@@ -23,8 +23,8 @@
 
 // watchRoster returns a function that watches the registrations of workers and calls notify with each change until its
 // context ends. It calls onMalformed for each entry that does not describe a usable worker, once until that changes.
-func watchRoster(c *store.Client, l *log.Logger, onMalformed func()) func(ctx context.Context, notify func(dispatch.Roster)) {
-	return func(ctx context.Context, notify func(dispatch.Roster)) {
+func watchRoster(c *store.Client, l *log.Logger, onMalformed func()) func(ctx context.Context, notify func(dispatch.RegistryChange)) {
+	return func(ctx context.Context, notify func(dispatch.RegistryChange)) {
 		reader := newRosterReader(l, onMalformed)
 		apply := func(u store.Update) error {
 			notify(reader.read(u))
@@ -51,8 +51,8 @@
 
 // read returns what became of the workers by an update. Registrations that were removed later are kept, since they tell
 // whether the worker announced its end.
-func (m *rosterReader) read(u store.Update) dispatch.Roster {
-	r := dispatch.Roster{Whole: u.Full}
+func (m *rosterReader) read(u store.Update) dispatch.RegistryChange {
+	r := dispatch.RegistryChange{Full: u.Full}
 	known := m.malformed
 	if u.Full {
 		m.malformed = map[work.WorkerID]bool{}
@@ -62,7 +62,7 @@
 		id := work.WorkerID(strings.TrimPrefix(key, platform.RegistrationPrefix))
 		if ev.Deleted {
 			delete(m.malformed, id)
-			r.Gone = append(r.Gone, id)
+			r.Deregistered = append(r.Deregistered, id)
 			continue
 		}
 		reg, err := platform.DecodeRegistration(key, ev.Record.Value)
@@ -72,8 +72,8 @@
 			continue
 		}
 		delete(m.malformed, id)
-		r.Present = append(r.Present, reg)
-		r.Gone = slices.DeleteFunc(r.Gone, func(gone work.WorkerID) bool { return gone == id })
+		r.Registered = append(r.Registered, reg)
+		r.Deregistered = slices.DeleteFunc(r.Deregistered, func(gone work.WorkerID) bool { return gone == id })
 	}
 
 	return r
--- a/manager/roster_test.go
+++ b/manager/roster_test.go
@@ -30,10 +30,10 @@
 	register(16000)
 
 	ctx, cancel := context.WithCancel(t.Context())
-	rosters, done := make(chan dispatch.Roster), make(chan struct{})
+	rosters, done := make(chan dispatch.RegistryChange), make(chan struct{})
 	go func() {
 		defer close(done)
-		watchRoster(s.Client(), log.New(io.Discard), func() {})(ctx, func(r dispatch.Roster) {
+		watchRoster(s.Client(), log.New(io.Discard), func() {})(ctx, func(r dispatch.RegistryChange) {
 			select {
 			case rosters <- r:
 			case <-ctx.Done():
@@ -56,13 +56,13 @@
 }
 
 // coresOf returns the capacity of the only worker of a roster.
-func coresOf(t *testing.T, r dispatch.Roster) fleet.MilliCores {
+func coresOf(t *testing.T, r dispatch.RegistryChange) fleet.MilliCores {
 	t.Helper()
-	if len(r.Present) != 1 || len(r.Gone) != 0 {
+	if len(r.Registered) != 1 || len(r.Deregistered) != 0 {
 		t.Fatalf("roster %+v", r)
 	}
 
-	return r.Present[0].Capacity.Cores
+	return r.Registered[0].Capacity.Cores
 }
 
 // Guards against a worker that counts as gone although it has registered again: a watch returns several changes of one
@@ -84,7 +84,7 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			r := newRosterReader(log.New(io.Discard), func() {}).read(store.Update{Events: tt.events})
-			if diff := cmp.Diff([]int{tt.present, tt.gone}, []int{len(r.Present), len(r.Gone)}); diff != "" {
+			if diff := cmp.Diff([]int{tt.present, tt.gone}, []int{len(r.Registered), len(r.Deregistered)}); diff != "" {
 				t.Errorf("registered and removed workers (-want +got):\n%s", diff)
 			}
 		})
@@ -112,7 +112,7 @@
 			m := newRosterReader(log.New(io.Discard), func() { named++ })
 			for range 3 {
 				r := m.read(list)
-				if diff := cmp.Diff([]int{others, 1, 0}, []int{len(r.Present), len(r.Unreadable), len(r.Gone)}); diff != "" {
+				if diff := cmp.Diff([]int{others, 1, 0}, []int{len(r.Registered), len(r.Unreadable), len(r.Deregistered)}); diff != "" {
 					t.Errorf("sound, odd and removed entries (-want +got):\n%s", diff)
 				}
 				m.read(store.Update{Events: list.Events[:2]})
