--- a/dispatch/watch.go
+++ b/dispatch/watch.go
@@ -125,7 +125,7 @@
 		return
 	}
 	t.observe(schedule.Decision{
-		What: schedule.DecidedUnstarted, Attempt: work.Attempt{Task: work.Task{Job: id}}, Reason: string(schedule.UnknownToOwner), Age: time.Since(j.Submitted),
+		Kind: schedule.DecidedUnstarted, Attempt: work.Attempt{Task: work.Task{Job: id}}, Reason: string(schedule.UnknownToOwner), Age: time.Since(j.Submitted),
 	})
 	t.addJob(j, r.Revision)
 }
--- a/dispatch/watch_test.go
+++ b/dispatch/watch_test.go
@@ -52,7 +52,7 @@
 func (g *gauges) observe(d schedule.Decision) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if d.What == schedule.DecidedUnstarted {
+	if d.Kind == schedule.DecidedUnstarted {
 		g.lines = append(g.lines, d)
 	}
 }
--- a/manager/observe.go
+++ b/manager/observe.go
@@ -62,8 +62,8 @@
 
 // observeDecision logs and counts a decision of the scheduler.
 func (m *Manager) observeDecision(d schedule.Decision) {
-	m.metrics.Decision(string(d.What))
-	switch d.What {
+	m.metrics.Decision(string(d.Kind))
+	switch d.Kind {
 	case schedule.DecidedEnded:
 		m.metrics.End(d.Outcome)
 	case schedule.DecidedAssigned:
@@ -71,10 +71,10 @@
 			m.metrics.FirstStart(d.Age)
 		}
 	}
-	if !m.limiter.Allow(string(d.What)) {
+	if !m.limiter.Allow(string(d.Kind)) {
 		return
 	}
-	m.log.Info(string(d.What), m.decisionFields(d)...)
+	m.log.Info(string(d.Kind), m.decisionFields(d)...)
 }
 
 // decisionFields returns the log fields of a decision, without those that do not apply to it.
@@ -92,8 +92,8 @@
 	if d.Outcome != 0 {
 		list = append(list, "outcome", d.Outcome)
 	}
-	if d.Standing != "" {
-		list = append(list, "standing", d.Standing)
+	if d.Urgency != "" {
+		list = append(list, "standing", d.Urgency)
 	}
 	if d.Age != 0 {
 		list = append(list, "age", d.Age.Round(time.Millisecond))
--- a/schedule/advice.go
+++ b/schedule/advice.go
@@ -139,7 +139,7 @@
 	a := s.adviceFor(q.Step)
 	if err != nil {
 		a.nextAskAt = now.Add(adviceRetryPause)
-		s.observe(Decision{What: DecidedNoAdvice, Reason: q.Step + ": " + err.Error()})
+		s.observe(Decision{Kind: DecidedNoAdvice, Reason: q.Step + ": " + err.Error()})
 
 		return
 	}
--- a/schedule/crash.go
+++ b/schedule/crash.go
@@ -113,7 +113,7 @@
 	}
 	runs := w.suspectRuns(now)
 	cause := s.causeOfEnd(w, now)
-	s.observe(Decision{What: DecidedWorkerCrashed, Worker: w.id, Host: w.host, Reason: fmt.Sprintf("%s, with %d tasks, %d of them suspected%s", reason, len(w.runs), len(runs), cause)})
+	s.observe(Decision{Kind: DecidedWorkerCrashed, Worker: w.id, Host: w.host, Reason: fmt.Sprintf("%s, with %d tasks, %d of them suspected%s", reason, len(w.runs), len(runs), cause)})
 	if cause != "" {
 		return
 	}
@@ -284,7 +284,7 @@
 
 // giveUp fails the job of a run's task.
 func (s *Scheduler) giveUp(r *run, reason string) {
-	s.observe(Decision{What: DecidedJobFailed, Attempt: r.attempt, Reason: reason})
+	s.observe(Decision{Kind: DecidedJobFailed, Attempt: r.attempt, Reason: reason})
 	s.record(r.entry, ledger.Change{Kind: ledger.JobFailed, Attempt: r.attempt})
 	s.closeIfOver(r.entry)
 }
--- a/schedule/decision.go
+++ b/schedule/decision.go
@@ -52,15 +52,15 @@
 
 // Decision is a decision or an observation about a run, a worker or a host.
 type Decision struct {
-	What    DecisionKind
+	Kind    DecisionKind
 	Attempt work.Attempt
 	Worker  work.WorkerID
 	Host    fleet.HostName
 	Outcome work.Outcome
 	// Reason is why the decision was made.
 	Reason string
-	// Standing is the urgency class of the job.
-	Standing string
+	// Urgency is the urgency class of the job.
+	Urgency string
 	// Age is the age of the job, or the known duration of the run.
 	Age time.Duration
 	// Token is the worker's fencing token.
--- a/schedule/drain.go
+++ b/schedule/drain.go
@@ -34,7 +34,7 @@
 		w.cordoned = true
 	}
 	s.dirty = true
-	s.observe(Decision{What: DecidedHostDraining, Worker: h.Worker, Host: h.Host, Reason: p.String()})
+	s.observe(Decision{Kind: DecidedHostDraining, Worker: h.Worker, Host: h.Host, Reason: p.String()})
 }
 
 // cancelPlan puts a host back in service when its order was not sent or was rejected.
@@ -50,7 +50,7 @@
 
 // giveUpDrain puts a host back in service whose drain is held up, so that the tasks that were stopped there may return.
 func (s *Scheduler) giveUpDrain(h *host, now time.Time) {
-	s.observe(Decision{What: DecidedHostKept, Worker: h.Worker, Host: h.Host, Reason: h.plan.String() + ": held up by lasting tasks"})
+	s.observe(Decision{Kind: DecidedHostKept, Worker: h.Worker, Host: h.Host, Reason: h.plan.String() + ": held up by lasting tasks"})
 	s.cancelPlan(h, now)
 	h.blockedUntil = now.Add(maxDrainIdle)
 }
@@ -126,7 +126,7 @@
 	}
 	if h.blockedUntil.IsZero() {
 		s.observe(Decision{
-			What: DecidedHostKept, Worker: h.Worker, Host: h.Host,
+			Kind: DecidedHostKept, Worker: h.Worker, Host: h.Host,
 			Reason: fmt.Sprintf("%d lasting tasks, of which %d have no room elsewhere and %d may not leave now", len(runs), len(withoutRoom), len(needed)),
 		})
 	}
--- a/schedule/drain_test.go
+++ b/schedule/drain_test.go
@@ -82,7 +82,7 @@
 func (b *testbed) count(what DecisionKind) int {
 	n := 0
 	for _, d := range b.decisions {
-		if d.What == what {
+		if d.Kind == what {
 			n++
 		}
 	}
--- a/schedule/host.go
+++ b/schedule/host.go
@@ -268,7 +268,7 @@
 	if s.hosts[h.Host] != h || h.phase != orderPending {
 		return
 	}
-	s.observe(Decision{What: DecidedHostOrdered, Worker: h.Worker, Host: h.Host, Reason: h.plan.String() + ": " + reasonOf(err)})
+	s.observe(Decision{Kind: DecidedHostOrdered, Worker: h.Worker, Host: h.Host, Reason: h.plan.String() + ": " + reasonOf(err)})
 	switch classifyHostError(err) {
 	case orderDone:
 		// The answer is the same if the order was carried out long ago, so only the cloud's list shows whether the worker has ended.
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -237,7 +237,7 @@
 	e := r.job.entry
 	for _, n := range r.tasks {
 		a := work.Attempt{Task: work.Task{Job: e.Job.ID, Occurrence: r.step.Occurrence, Step: r.step.Step, Index: n}, Number: e.Step(r.step).Tasks[n].Attempts}
-		s.observe(Decision{What: DecidedEnded, Attempt: a, Outcome: work.OutcomeDone, Reason: "another gang member is done"})
+		s.observe(Decision{Kind: DecidedEnded, Attempt: a, Outcome: work.OutcomeDone, Reason: "another gang member is done"})
 		s.record(e, ledger.Change{Kind: ledger.Ended, Attempt: a, Outcome: work.OutcomeDone})
 	}
 	s.dirty = true
@@ -315,7 +315,7 @@
 func (s *Scheduler) observeAssigned(r *readyStep, assigned *run, now time.Time) {
 	w := assigned.worker
 	s.observe(Decision{
-		What: DecidedAssigned, Attempt: assigned.attempt, Worker: w.id, Standing: r.rank.urgency.String(), Age: now.Sub(r.job.knownSince), Token: s.token(w),
+		Kind: DecidedAssigned, Attempt: assigned.attempt, Worker: w.id, Urgency: r.rank.urgency.String(), Age: now.Sub(r.job.knownSince), Token: s.token(w),
 	})
 }
 
--- a/schedule/place_test.go
+++ b/schedule/place_test.go
@@ -105,5 +105,5 @@
 
 // assigned returns the decisions on assignments.
 func (b *testbed) assigned() []Decision {
-	return slices.DeleteFunc(slices.Clone(b.decisions), func(d Decision) bool { return d.What != DecidedAssigned })
+	return slices.DeleteFunc(slices.Clone(b.decisions), func(d Decision) bool { return d.Kind != DecidedAssigned })
 }
--- a/schedule/poll.go
+++ b/schedule/poll.go
@@ -153,7 +153,7 @@
 		w.silentSince = now
 	}
 	if before < maxMissedPolls && n >= maxMissedPolls {
-		s.observe(Decision{What: DecidedWorkerSilent, Worker: w.id, Reason: err.Error()})
+		s.observe(Decision{Kind: DecidedWorkerSilent, Worker: w.id, Reason: err.Error()})
 		s.dirty = true
 	}
 }
@@ -182,7 +182,7 @@
 	if !ok || !e.Has(end.Attempt.Task) || end.Outcome != work.OutcomeDone || e.Task(end.Attempt.Task).Done {
 		return
 	}
-	s.observe(Decision{What: DecidedStrayEnd, Attempt: end.Attempt, Worker: w.id, Outcome: end.Outcome})
+	s.observe(Decision{Kind: DecidedStrayEnd, Attempt: end.Attempt, Worker: w.id, Outcome: end.Outcome})
 	s.record(e, ledger.Change{Kind: ledger.Ended, Attempt: end.Attempt, Worker: w.id, Life: w.life, Outcome: end.Outcome})
 	s.stopOtherAttempts(e, end.Attempt)
 	s.closeIfOver(e)
@@ -240,7 +240,7 @@
 // addStrayRun adds an active run that is not in the tables and requests its stop; it holds its resources until it has
 // ended.
 func (s *Scheduler) addStrayRun(w *worker, a work.Attempt) *run {
-	s.observe(Decision{What: DecidedStrayRun, Attempt: a, Worker: w.id})
+	s.observe(Decision{Kind: DecidedStrayRun, Attempt: a, Worker: w.id})
 	r := &run{attempt: a, worker: w, life: w.life, phase: confirmed, pace: fullPace}
 	r.requestStop()
 	if e := s.entryOf(a.Task); e != nil {
--- a/schedule/progress.go
+++ b/schedule/progress.go
@@ -104,7 +104,7 @@
 		}
 	}
 	s.observe(Decision{
-		What: DecidedWorkerSlow, Worker: w.id, Reason: fmt.Sprintf("fastest of %d runs at %.2f of its estimated speed, %d moved", len(runs), fastest, moved),
+		Kind: DecidedWorkerSlow, Worker: w.id, Reason: fmt.Sprintf("fastest of %d runs at %.2f of its estimated speed, %d moved", len(runs), fastest, moved),
 	})
 }
 
--- a/schedule/progress_test.go
+++ b/schedule/progress_test.go
@@ -88,7 +88,7 @@
 		}
 	}
 	for _, d := range b.decisions {
-		if d.What == DecidedWorkerSlow {
+		if d.Kind == DecidedWorkerSlow {
 			t.Errorf("worker %s was taken for slow: %s", d.Worker, d.Reason)
 		}
 	}
--- a/schedule/quarantine.go
+++ b/schedule/quarantine.go
@@ -49,7 +49,7 @@
 	}
 	pause := min(maxQuarantine, quarantineTime<<(w.failedJobs-failuresToQuarantine))
 	w.quarantinedUntil = now.Add(pause)
-	s.observe(Decision{What: DecidedWorkerSuspected, Worker: w.id, Reason: pause.String()})
+	s.observe(Decision{Kind: DecidedWorkerSuspected, Worker: w.id, Reason: pause.String()})
 }
 
 // clearFailures removes a job's failures from the counts of the workers on which it failed.
--- a/schedule/run.go
+++ b/schedule/run.go
@@ -127,7 +127,7 @@
 	case errors.Is(err, work.ErrNoAnswer), errors.Is(err, work.ErrAnotherLife):
 		r.phase = unanswered
 		w.raiseToken()
-		s.observe(Decision{What: DecidedUnanswered, Attempt: r.attempt, Worker: w.id, Reason: err.Error()})
+		s.observe(Decision{Kind: DecidedUnanswered, Attempt: r.attempt, Worker: w.id, Reason: err.Error()})
 	default:
 		s.startRefused(r, err, now)
 	}
@@ -159,7 +159,7 @@
 func (s *Scheduler) endRun(r *run, o work.Outcome, checkpoint, reason string) {
 	checkpoint = cmp.Or(checkpoint, r.lastCheckpoint)
 	e := s.release(r)
-	d := Decision{What: DecidedEnded, Attempt: r.attempt, Worker: r.worker.id, Outcome: o, Reason: reason, Token: s.token(r.worker)}
+	d := Decision{Kind: DecidedEnded, Attempt: r.attempt, Worker: r.worker.id, Outcome: o, Reason: reason, Token: s.token(r.worker)}
 	if !r.confirmedAt.IsZero() {
 		d.Age = r.worker.answeredAt.Sub(r.confirmedAt)
 	}
@@ -208,14 +208,14 @@
 	if e.Over() || st.Done || e.Job.Steps[a.Step].Lasting || q.MaxAttempts <= 0 || st.Failures < q.MaxAttempts {
 		return
 	}
-	s.observe(Decision{What: DecidedJobFailed, Attempt: a, Reason: "attempts used up"})
+	s.observe(Decision{Kind: DecidedJobFailed, Attempt: a, Reason: "attempts used up"})
 	s.record(e, ledger.Change{Kind: ledger.JobFailed, Attempt: a})
 }
 
 // closeIfOver closes a job that is over.
 func (s *Scheduler) closeIfOver(e *ledger.Entry) {
 	if e.Over() && s.jobs[e.Job.ID] != nil {
-		s.observe(Decision{What: DecidedJobOver, Attempt: work.Attempt{Task: work.Task{Job: e.Job.ID}}, Reason: e.State().String()})
+		s.observe(Decision{Kind: DecidedJobOver, Attempt: work.Attempt{Task: work.Task{Job: e.Job.ID}}, Reason: e.State().String()})
 		s.closeJob(e)
 	}
 }
--- a/schedule/unstarted.go
+++ b/schedule/unstarted.go
@@ -254,9 +254,9 @@
 		}
 		lines++
 		w.logged = w.reason
-		d := Decision{What: DecidedUnstarted, Attempt: w.task, Worker: w.worker, Reason: w.words, Age: now.Sub(w.since)}
+		d := Decision{Kind: DecidedUnstarted, Attempt: w.task, Worker: w.worker, Reason: w.words, Age: now.Sub(w.since)}
 		if w.ready != nil {
-			d.Standing = w.ready.rank.urgency.String()
+			d.Urgency = w.ready.rank.urgency.String()
 		}
 		s.observe(d)
 	}
--- a/schedule/unstarted_test.go
+++ b/schedule/unstarted_test.go
@@ -291,7 +291,7 @@
 func (b *testbed) unstartedLines(reason WaitReason) []Decision {
 	var list []Decision
 	for _, d := range b.decisions {
-		if d.What == DecidedUnstarted && d.Attempt.Job == "j" && strings.HasPrefix(d.Reason, string(reason)) {
+		if d.Kind == DecidedUnstarted && d.Attempt.Job == "j" && strings.HasPrefix(d.Reason, string(reason)) {
 			list = append(list, d)
 		}
 	}
@@ -363,7 +363,7 @@
 		b.step()
 	}
 	for _, d := range b.decisions {
-		if d.What == DecidedUnstarted {
+		if d.Kind == DecidedUnstarted {
 			t.Errorf("unexpected: %+v", d)
 		}
 	}
@@ -401,7 +401,7 @@
 	check(t, "unstarted jobs", map[WaitReason]int{NoRoom: jobs}, b.unstarted)
 	total := 0
 	for _, d := range b.decisions {
-		if d.What == DecidedUnstarted {
+		if d.Kind == DecidedUnstarted {
 			total++
 		}
 	}
