--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -266,14 +266,14 @@
 		t.sched.SetConfig(c)
 		t.version, t.configRevision = c.Version, c.Revision
 	}
-	t.sched.Lapse(now)
+	t.sched.ExpireLeases(now)
 	if t.ownership.Valid() {
 		if t.mayWrite(now) {
 			// An assignment waits for the next batch anyway, and one that is made later uses newer information.
 			t.sched.Place(now)
 		}
 		t.watchJobs(now)
-		for _, l := range t.sched.Polls(now) {
+		for _, l := range t.sched.DuePolls(now) {
 			go t.sendPoll(l)
 		}
 		if t.advise != nil {
@@ -281,10 +281,10 @@
 				go t.requestAdvice(ctx, q)
 			}
 		}
-		for _, o := range t.sched.Paces(now) {
+		for _, o := range t.sched.PaceOrders(now) {
 			go t.sendOrder(o)
 		}
-		for _, o := range t.sched.Stops(now) {
+		for _, o := range t.sched.StopOrders(now) {
 			go t.sendOrder(o)
 		}
 	}
@@ -301,7 +301,7 @@
 	if !t.mayWrite(now) {
 		return
 	}
-	changes, starts := t.sched.Take()
+	changes, starts := t.sched.TakePending()
 	snapshots, last := t.compact(now)
 	changes = append(changes, snapshots...)
 	if len(changes) == 0 && !last {
@@ -333,7 +333,7 @@
 	if t.ownership.Valid() {
 		orders = t.sched.Stored(starts, time.Now())
 	} else {
-		t.sched.Withdraw(starts)
+		t.sched.CancelStarts(starts)
 	}
 	t.mu.Unlock()
 	for _, o := range orders {
--- a/dispatch/hosts.go
+++ b/dispatch/hosts.go
@@ -74,7 +74,7 @@
 			continue
 		}
 		t.mu.Lock()
-		t.sched.Told(st)
+		t.sched.WaveReported(st)
 		t.mu.Unlock()
 	}
 	t.signal()
--- a/rehearsal/rehearsal.go
+++ b/rehearsal/rehearsal.go
@@ -254,11 +254,11 @@
 	if r.every(tickInterval) {
 		r.sched.Tick()
 	}
-	r.sched.Lapse(now)
+	r.sched.ExpireLeases(now)
 	if !r.stored.pending {
 		r.sched.Place(now)
 	}
-	polls := r.sched.Polls(now)
+	polls := r.sched.DuePolls(now)
 	slices.SortFunc(polls, func(a, b schedule.Poll) int { return cmp.Compare(a.Worker.ID, b.Worker.ID) })
 	for _, p := range polls {
 		if m := r.cloud.byWorker[p.Worker.ID]; m != nil {
@@ -267,14 +267,14 @@
 		}
 		r.sched.Polled(p, work.PollReply{}, work.ErrNotSent, now)
 	}
-	for _, o := range r.sched.Stops(now) {
+	for _, o := range r.sched.StopOrders(now) {
 		r.send(o)
 	}
 	if r.every(orderInterval) {
 		r.manageHosts()
 	}
 	if !r.stored.pending {
-		_, starts := r.sched.Take()
+		_, starts := r.sched.TakePending()
 		r.stored = storing{pending: true, starts: starts, doneAt: r.now + storeDelay}
 	}
 }
--- a/schedule/advice_test.go
+++ b/schedule/advice_test.go
@@ -32,7 +32,7 @@
 	}
 	b.s.Advised(q, map[work.WorkerID]string{"w1": "ticket"}, nil, b.now)
 	b.s.Place(b.now)
-	_, starts := b.s.Take()
+	_, starts := b.s.TakePending()
 	for _, o := range b.s.Stored(starts, b.now) {
 		check(t, "worker", work.WorkerID("w1"), o.Worker.ID)
 		check(t, "ticket", "ticket", o.Start.Ticket)
--- a/schedule/bench_test.go
+++ b/schedule/bench_test.go
@@ -54,7 +54,7 @@
 		}
 	}
 	s.Place(now)
-	_, starts := s.Take()
+	_, starts := s.TakePending()
 	for _, o := range s.Stored(starts, now) {
 		s.Answered(o, work.Answer{Life: 7}, nil, now)
 	}
@@ -70,11 +70,11 @@
 			s, now := benchFleet(b, workers)
 			for b.Loop() {
 				s.Tick()
-				s.Lapse(now)
+				s.ExpireLeases(now)
 				s.Place(now)
-				s.Polls(now)
-				s.Paces(now)
-				s.Stops(now)
+				s.DuePolls(now)
+				s.PaceOrders(now)
+				s.StopOrders(now)
 			}
 		})
 	}
--- a/schedule/capacity_flight_test.go
+++ b/schedule/capacity_flight_test.go
@@ -25,7 +25,7 @@
 		{"over, as the owner believes", func(b *testbed, r *run) {
 			b.s.endRun(r, work.OutcomeDone, "", "")
 			r.worker.pollNow = true
-			for _, p := range b.s.Polls(b.now) {
+			for _, p := range b.s.DuePolls(b.now) {
 				b.poll(p)
 			}
 		}},
@@ -40,12 +40,12 @@
 			b.submit("k", work.Step{Count: 4, Size: size(4000)})
 			b.resize("w0", 16000)
 			b.s.Place(b.now)
-			_, starts := b.s.Take()
+			_, starts := b.s.TakePending()
 			check(t, "assigned before", 2, len(starts))
 			b.resize("w0", 12000)
 			check(t, "starts sent of those assigned before", 1, len(b.s.Stored(starts, b.now)))
 			b.s.Place(b.now)
-			_, starts = b.s.Take()
+			_, starts = b.s.TakePending()
 			check(t, "assigned after", 0, len(starts))
 		})
 	}
@@ -61,7 +61,7 @@
 	b.s.Place(b.now)
 	b.resize("w0", 24000)
 	b.s.Place(b.now)
-	_, starts := b.s.Take()
+	_, starts := b.s.TakePending()
 	check(t, "assigned once the capacity has grown", 2, len(starts))
 }
 
--- a/schedule/capacity_test.go
+++ b/schedule/capacity_test.go
@@ -80,7 +80,7 @@
 	}
 	b.resize("w0", 12000)
 	b.s.Place(b.now)
-	_, starts := b.s.Take()
+	_, starts := b.s.TakePending()
 	check(t, "starts beside runs that are being stopped", 0, len(starts))
 
 	b.settle()
@@ -113,7 +113,7 @@
 			b.settle()
 			b.submit("j", tt.step)
 			b.s.Place(b.now)
-			_, starts := b.s.Take()
+			_, starts := b.s.TakePending()
 			check(t, "assigned tasks", tt.step.Count, len(starts))
 			b.resize("w0", tt.cores)
 			orders := b.s.Stored(starts, b.now)
@@ -143,7 +143,7 @@
 	b.settle()
 	b.submit("j", work.Step{Count: 4, Size: size(4000)})
 	b.s.Place(b.now)
-	_, starts := b.s.Take()
+	_, starts := b.s.TakePending()
 	b.resize("w0", 1000)
 	b.resize("w0", 16000)
 	check(t, "starts sent", 4, len(b.s.Stored(starts, b.now)))
@@ -342,7 +342,7 @@
 				b.submit(id, work.Step{Count: 1, Size: size(8000)})
 			}
 			b.s.Place(b.now)
-			_, starts := b.s.Take()
+			_, starts := b.s.TakePending()
 			for _, o := range b.s.Stored(starts, b.now) {
 				b.s.Answered(o, work.Answer{}, tt.refusal, b.now)
 			}
--- a/schedule/crash_testbed_test.go
+++ b/schedule/crash_testbed_test.go
@@ -250,19 +250,19 @@
 		b.list()
 	}
 	b.s.Tick()
-	b.s.Lapse(b.now)
+	b.s.ExpireLeases(b.now)
 	b.s.Place(b.now)
-	changes, starts := b.s.Take()
+	changes, starts := b.s.TakePending()
 	if len(changes) > 0 {
 		b.log = append(b.log, changes)
 	}
 	for _, o := range b.s.Stored(starts, b.now) {
 		b.carryOut(o)
 	}
-	for _, o := range b.s.Stops(b.now) {
+	for _, o := range b.s.StopOrders(b.now) {
 		b.carryOut(o)
 	}
-	for _, p := range b.s.Polls(b.now) {
+	for _, p := range b.s.DuePolls(b.now) {
 		b.poll(p)
 	}
 	b.now = b.now.Add(stepTime)
--- a/schedule/inherited_order_test.go
+++ b/schedule/inherited_order_test.go
@@ -34,13 +34,13 @@
 	b.s.drain(h, hostPlan{wave: 1}, b.now)
 	b.s.queueHostOrder(h, b.now)
 	want := []ledger.Change{{Kind: ledger.HostOrdered, Worker: "h0", Live: []ledger.LiveAttempt{{Worker: "w0"}}}}
-	changes, _ := b.s.Take()
+	changes, _ := b.s.TakePending()
 	check(t, "announcement", want, changes)
 	list := upHosts(1)
 	list[0].State, list[0].Worker = work.HostMaintenance, ""
 	b.setHosts(list)
 	check(t, "announcement in a compacted log", want, b.s.RestateHosts(b.now))
 	b.s.queueHostOrder(h, b.now)
-	changes, _ = b.s.Take()
+	changes, _ = b.s.TakePending()
 	check(t, "announcement of the repeated order", want, changes)
 }
--- a/schedule/pace.go
+++ b/schedule/pace.go
@@ -37,8 +37,8 @@
 	return ratio, true
 }
 
-// Paces returns the orders that slow filling tasks where they harm serving ones, and speed them up elsewhere.
-func (s *Scheduler) Paces(now time.Time) []Order {
+// PaceOrders returns the orders that slow filling tasks where they harm serving ones, and speed them up elsewhere.
+func (s *Scheduler) PaceOrders(now time.Time) []Order {
 	var orders []Order
 	for _, w := range s.workers {
 		if !w.tokenAcked || w.fillingTasks == 0 {
--- a/schedule/pace_test.go
+++ b/schedule/pace_test.go
@@ -54,7 +54,7 @@
 		if held == 2 {
 			return
 		}
-		for _, o := range b.s.Paces(b.now) {
+		for _, o := range b.s.PaceOrders(b.now) {
 			b.s.Answered(o, work.Answer{}, nil, b.now)
 		}
 		b.now = b.now.Add(100 * time.Millisecond)
--- a/schedule/poll.go
+++ b/schedule/poll.go
@@ -19,8 +19,8 @@
 	stored uint64
 }
 
-// Polls returns the polls that are due. Each must be passed to Polled with its answer before its worker is polled again.
-func (s *Scheduler) Polls(now time.Time) []Poll {
+// DuePolls returns the polls that are due. Each must be passed to Polled with its answer before its worker is polled again.
+func (s *Scheduler) DuePolls(now time.Time) []Poll {
 	var polls []Poll
 	for _, w := range s.workers {
 		if wait, due := s.pollDue(w, now); due {
--- a/schedule/promise_test.go
+++ b/schedule/promise_test.go
@@ -85,7 +85,7 @@
 	b.settle()
 	b.submit("j", work.Step{Count: 4, Size: size(8000), Gang: true})
 	b.s.Place(b.now)
-	_, starts := b.s.Take()
+	_, starts := b.s.TakePending()
 	for i, o := range b.s.Stored(starts, b.now) {
 		if i == 0 {
 			b.s.Answered(o, work.Answer{}, work.ErrNoRoom, b.now)
@@ -151,8 +151,8 @@
 					b.register(id, 2)
 				}
 			}
-			b.s.Lapse(b.now)
-			for _, l := range b.s.Polls(b.now) {
+			b.s.ExpireLeases(b.now)
+			for _, l := range b.s.DuePolls(b.now) {
 				b.poll(l)
 			}
 			if tt.takeOver {
--- a/schedule/run.go
+++ b/schedule/run.go
@@ -233,8 +233,8 @@
 	}
 }
 
-// Stops returns the stop orders to send now.
-func (s *Scheduler) Stops(now time.Time) []Order {
+// StopOrders returns the stop orders to send now.
+func (s *Scheduler) StopOrders(now time.Time) []Order {
 	var orders []Order
 	for _, w := range s.workers {
 		if !w.tokenAcked || w.reg.Address == "" {
@@ -257,9 +257,9 @@
 	return orders
 }
 
-// Lapse ends the runs on unreachable workers whose leases have surely ended, and removes deregistered workers without
+// ExpireLeases ends the runs on unreachable workers whose leases have surely ended, and removes deregistered workers without
 // runs.
-func (s *Scheduler) Lapse(now time.Time) {
+func (s *Scheduler) ExpireLeases(now time.Time) {
 	for id, w := range s.workers {
 		if w.silent() && now.After(w.leasesEndBy) {
 			s.lapseRuns(w, now)
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -219,8 +219,8 @@
 	s.dirty = true
 }
 
-// Take returns the changes to store in the ledger and the starts to send once they are stored.
-func (s *Scheduler) Take() ([]ledger.Change, []Start) {
+// TakePending returns the changes to store in the ledger and the starts to send once they are stored.
+func (s *Scheduler) TakePending() ([]ledger.Change, []Start) {
 	changes, runs, hosts := s.changes, s.pendingRuns, s.pendingHosts
 	s.changes, s.pendingRuns, s.pendingHosts = nil, nil, nil
 	starts := make([]Start, 0, len(runs)+len(hosts))
@@ -267,8 +267,8 @@
 	s.dirty = true
 }
 
-// Withdraw cancels starts that are stored but must not be sent.
-func (s *Scheduler) Withdraw(starts []Start) {
+// CancelStarts cancels starts that are stored but must not be sent.
+func (s *Scheduler) CancelStarts(starts []Start) {
 	for _, st := range starts {
 		if st.host != nil {
 			s.cancelPlan(st.host, time.Time{})
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -85,7 +85,7 @@
 // step runs one pass of the scheduler, answers its orders and polls, and advances the time.
 func (b *testbed) step() {
 	b.s.Tick()
-	b.s.Lapse(b.now)
+	b.s.ExpireLeases(b.now)
 	b.s.dirty = !b.withhold.marks
 	if !b.withhold.placement {
 		b.s.Place(b.now)
@@ -94,17 +94,17 @@
 		b.unstarted = counts
 	}
 	if !b.withhold.writes {
-		_, starts := b.s.Take()
+		_, starts := b.s.TakePending()
 		for _, o := range b.s.Stored(starts, b.now) {
 			b.order(o)
 		}
 	}
-	for _, o := range b.s.Stops(b.now) {
+	for _, o := range b.s.StopOrders(b.now) {
 		if !b.withhold.stops {
 			b.order(o)
 		}
 	}
-	for _, l := range b.s.Polls(b.now) {
+	for _, l := range b.s.DuePolls(b.now) {
 		b.poll(l)
 	}
 	b.now = b.now.Add(100 * time.Millisecond)
@@ -277,7 +277,7 @@
 	b.settle()
 	b.submit("j", work.Step{Count: 1, Size: size(1000)})
 	b.s.Place(b.now)
-	_, starts := b.s.Take()
+	_, starts := b.s.TakePending()
 	lost := b.s.Stored(starts, b.now)
 	b.s.Answered(lost[0], work.Answer{}, work.ErrNoAnswer, b.now)
 	b.settle()
--- a/schedule/shrink_order_test.go
+++ b/schedule/shrink_order_test.go
@@ -26,7 +26,7 @@
 			b.settle()
 			b.submit("j", tt.step)
 			b.s.Place(b.now)
-			_, starts := b.s.Take()
+			_, starts := b.s.TakePending()
 			for _, st := range starts[:tt.stopped] {
 				st.run.requestStop()
 			}
--- a/schedule/silent_start_test.go
+++ b/schedule/silent_start_test.go
@@ -12,7 +12,7 @@
 	b.unreachable["w0"] = true
 	b.submit("next", work.Step{Count: 1, Size: size(1000)})
 	b.s.Place(b.now)
-	_, starts := b.s.Take()
+	_, starts := b.s.TakePending()
 	for _, o := range b.s.Stored(starts, b.now) {
 		b.s.Answered(o, work.Answer{}, work.ErrNotSent, b.now)
 	}
--- a/schedule/silent_worker_test.go
+++ b/schedule/silent_worker_test.go
@@ -134,7 +134,7 @@
 			b.settle()
 			tt.prepare(b, b.s.workers["w0"])
 			var got []time.Duration
-			for _, l := range b.s.Polls(b.now) {
+			for _, l := range b.s.DuePolls(b.now) {
 				got = append(got, l.Order.Wait)
 			}
 			check(t, "waits of polls", []time.Duration{tt.want}, got)
@@ -159,5 +159,5 @@
 	b.setHosts(down)
 	b.s.Register(b.regs["w0"], b.now)
 	check(t, "present", false, b.s.workers["w0"].present())
-	check(t, "polls", 0, len(b.s.Polls(b.now.Add(time.Minute))))
+	check(t, "polls", 0, len(b.s.DuePolls(b.now.Add(time.Minute))))
 }
--- a/schedule/wave.go
+++ b/schedule/wave.go
@@ -112,7 +112,7 @@
 	s.changes = append(s.changes, ledger.Change{Kind: ledger.Maintained, Worker: work.WorkerID(h), Life: work.Life(number)})
 }
 
-// WaveStatuses returns the states to report; each is returned until it is passed to Told.
+// WaveStatuses returns the states to report; each is returned until it is passed to WaveReported.
 func (s *Scheduler) WaveStatuses() []WaveStatus {
 	var list []WaveStatus
 	for n, w := range s.waves {
@@ -124,8 +124,8 @@
 	return list
 }
 
-// Told notes that a state of a wave was reported to the operators.
-func (s *Scheduler) Told(st WaveStatus) {
+// WaveReported notes that a state of a wave was reported to the operators.
+func (s *Scheduler) WaveReported(st WaveStatus) {
 	if w, ok := s.waves[st.Number]; ok {
 		w.reported = st.State
 	}
