--- a/ledger/book.go
+++ b/ledger/book.go
@@ -349,7 +349,7 @@
 	defer b.mu.Unlock()
 	var ids []fleet.JobID
 	for id, e := range b.entries {
-		if !e.Over() {
+		if !e.Finished() {
 			ids = append(ids, id)
 		}
 	}
--- a/ledger/entry.go
+++ b/ledger/entry.go
@@ -48,8 +48,8 @@
 	Life   work.Life
 }
 
-// StepOf identifies a step within an occurrence of a job.
-type StepOf struct {
+// StepKey identifies a step within an occurrence of a job.
+type StepKey struct {
 	Occurrence int
 	Step       int
 }
@@ -106,7 +106,7 @@
 }
 
 // Step returns the state of a step, creating it if needed; the step must exist in the job.
-func (e *Entry) Step(s StepOf) *StepState {
+func (e *Entry) Step(s StepKey) *StepState {
 	at := e.index(s)
 	for len(e.steps) <= at {
 		e.steps = append(e.steps, nil)
@@ -118,28 +118,28 @@
 	return e.steps[at]
 }
 
-func (e *Entry) index(s StepOf) int {
+func (e *Entry) index(s StepKey) int {
 	return s.Occurrence*len(e.Job.Steps) + s.Step
 }
 
 // recordedSteps iterates over the steps that have logged changes.
-func (e *Entry) recordedSteps(yield func(StepOf, *StepState) bool) {
+func (e *Entry) recordedSteps(yield func(StepKey, *StepState) bool) {
 	for i, st := range e.steps {
-		if st != nil && !yield(StepOf{Occurrence: i / len(e.Job.Steps), Step: i % len(e.Job.Steps)}, st) {
+		if st != nil && !yield(StepKey{Occurrence: i / len(e.Job.Steps), Step: i % len(e.Job.Steps)}, st) {
 			return
 		}
 	}
 }
 
-// Has reports whether t is a task of the job.
-func (e *Entry) Has(t work.Task) bool {
+// HasTask reports whether t is a task of the job.
+func (e *Entry) HasTask(t work.Task) bool {
 	return t.Occurrence >= 0 && t.Occurrence < e.Job.Occurrences() && t.Step >= 0 && t.Step < len(e.Job.Steps) &&
 		t.Index >= 0 && t.Index < e.Job.Steps[t.Step].Count
 }
 
 // Task returns the state of t, which must be a task of the job.
 func (e *Entry) Task(t work.Task) *TaskState {
-	return &e.Step(StepOf{t.Occurrence, t.Step}).Tasks[t.Index]
+	return &e.Step(StepKey{t.Occurrence, t.Step}).Tasks[t.Index]
 }
 
 // Apply applies a change to the entry; changes to tasks that the job does not have are ignored.
@@ -148,7 +148,7 @@
 		e.Failed = true
 		return
 	}
-	if !e.Has(c.Attempt.Task) {
+	if !e.HasTask(c.Attempt.Task) {
 		return
 	}
 	s := e.Task(c.Attempt.Task)
@@ -185,7 +185,7 @@
 func (e *Entry) applySnapshot(s *TaskState, c Change) {
 	if c.Done && !s.Done {
 		e.done++
-		e.Step(StepOf{c.Attempt.Occurrence, c.Attempt.Step}).Done++
+		e.Step(StepKey{c.Attempt.Occurrence, c.Attempt.Step}).Done++
 	}
 	e.started = true
 	*s = TaskState{
@@ -240,7 +240,7 @@
 }
 
 // position returns the number of tasks that precede a step of an occurrence.
-func (e *Entry) position(at StepOf) int {
+func (e *Entry) position(at StepKey) int {
 	n := at.Occurrence * (e.total / e.Job.Occurrences())
 	for _, s := range e.Job.Steps[:at.Step] {
 		n += s.Count
@@ -249,8 +249,8 @@
 	return n
 }
 
-// Withdraw reverts an assignment that was applied but will not be stored.
-func (e *Entry) Withdraw(a work.Attempt) {
+// RevertAssignment reverts an assignment that was applied but will not be stored.
+func (e *Entry) RevertAssignment(a work.Attempt) {
 	s := e.Task(a.Task)
 	s.Live = slices.DeleteFunc(s.Live, func(l LiveAttempt) bool { return l.Number == a.Number })
 	s.Attempts = a.Number - 1
@@ -268,7 +268,7 @@
 		if !s.Done {
 			s.Done = true
 			e.done++
-			e.Step(StepOf{c.Attempt.Occurrence, c.Attempt.Step}).Done++
+			e.Step(StepKey{c.Attempt.Occurrence, c.Attempt.Step}).Done++
 		}
 	case work.OutcomeFailed:
 		if ended {
@@ -293,13 +293,13 @@
 	}
 }
 
-// Over reports whether the job is in a final state, in which no more attempts start.
-func (e *Entry) Over() bool {
+// Finished reports whether the job is in a final state, in which no more attempts start.
+func (e *Entry) Finished() bool {
 	return e.State() > InProgress
 }
 
 // StepDone reports whether all tasks of a step are done.
-func (e *Entry) StepDone(s StepOf) bool {
+func (e *Entry) StepDone(s StepKey) bool {
 	at := e.index(s)
 
 	return at < len(e.steps) && e.steps[at] != nil && e.steps[at].Done >= len(e.steps[at].Tasks)
@@ -308,7 +308,7 @@
 // OccurrenceDone reports whether all steps of an occurrence are done.
 func (e *Entry) OccurrenceDone(occurrence int) bool {
 	for i := range e.Job.Steps {
-		if !e.StepDone(StepOf{Occurrence: occurrence, Step: i}) {
+		if !e.StepDone(StepKey{Occurrence: occurrence, Step: i}) {
 			return false
 		}
 	}
--- a/schedule/compact.go
+++ b/schedule/compact.go
@@ -51,7 +51,7 @@
 	maps.DeleteFunc(s.removed, func(_ fleet.JobID, r removedJob) bool { return now.Sub(r.at) >= keep })
 	var ids []fleet.JobID
 	for id, e := range s.entries {
-		if !e.Over() {
+		if !e.Finished() {
 			continue
 		}
 		at, known := s.overSince[id]
--- a/schedule/crash.go
+++ b/schedule/crash.go
@@ -170,7 +170,7 @@
 func (w *worker) suspectRuns(now time.Time) []*run {
 	var runs, isolated []*run
 	for _, r := range w.runs {
-		if r.phase == assigned || r.entry == nil || r.entry.Over() || r.entry.Task(r.attempt.Task).Done {
+		if r.phase == assigned || r.entry == nil || r.entry.Finished() || r.entry.Task(r.attempt.Task).Done {
 			continue
 		}
 		if slices.Contains(w.isolated, r) {
--- a/schedule/crash_testbed_test.go
+++ b/schedule/crash_testbed_test.go
@@ -317,7 +317,7 @@
 			}
 		}
 	}
-	if e := b.entries[a.Job]; e.Over() {
+	if e := b.entries[a.Job]; e.Finished() {
 		b.t.Errorf("%s: %s starts although its job is %s", b.at(), a.Task, e.State())
 	}
 	b.starts = append(b.starts, bedStart{attempt: a, worker: id, at: b.now})
--- a/schedule/drain.go
+++ b/schedule/drain.go
@@ -150,7 +150,7 @@
 func (s *Scheduler) findDestinations(runs []*run, sets map[fleet.PoolName]*workerSet, now time.Time) []*readyStep {
 	type occurrence struct {
 		job  *job
-		step ledger.StepOf
+		step ledger.StepKey
 	}
 	steps := map[occurrence]*readyStep{}
 	var list []*readyStep
@@ -160,7 +160,7 @@
 		if !ok {
 			continue
 		}
-		at := occurrence{j, ledger.StepOf{Occurrence: r.attempt.Occurrence, Step: r.attempt.Step}}
+		at := occurrence{j, ledger.StepKey{Occurrence: r.attempt.Occurrence, Step: r.attempt.Step}}
 		if steps[at] == nil {
 			steps[at] = s.stepOf(j, r)
 			steps[at].tasksOnWorker = countTasksOnWorkers(steps[at])
@@ -176,7 +176,7 @@
 
 // stepOf returns the step of a run as one with tasks that may start.
 func (s *Scheduler) stepOf(j *job, r *run) *readyStep {
-	return &readyStep{job: j, step: ledger.StepOf{Occurrence: r.attempt.Occurrence, Step: r.attempt.Step}, queue: s.queueOf(&j.entry.Job)}
+	return &readyStep{job: j, step: ledger.StepKey{Occurrence: r.attempt.Occurrence, Step: r.attempt.Step}, queue: s.queueOf(&j.entry.Job)}
 }
 
 // findDestination keeps room for a run on the best other worker, if possible on one that has it now.
@@ -259,7 +259,7 @@
 // are.
 func (s *Scheduler) withinMaxAway(r *run, leaving map[work.Task]bool) bool {
 	t := r.attempt.Task
-	st := r.entry.Step(ledger.StepOf{Occurrence: t.Occurrence, Step: t.Step})
+	st := r.entry.Step(ledger.StepKey{Occurrence: t.Occurrence, Step: t.Step})
 	left := max(1, r.step.MaxAway)
 	for i := range st.Tasks {
 		t.Index = i
--- a/schedule/isolation.go
+++ b/schedule/isolation.go
@@ -113,7 +113,7 @@
 }
 
 // startable returns those of a step's waiting tasks that need not wait for a suspected task.
-func (s *Scheduler) startable(j *job, at ledger.StepOf, pool fleet.PoolName, tasks []int, now time.Time) []int {
+func (s *Scheduler) startable(j *job, at ledger.StepKey, pool fleet.PoolName, tasks []int, now time.Time) []int {
 	if len(j.suspicions) == 0 || j.entry.Job.Steps[at.Step].Gang {
 		return tasks
 	}
--- a/schedule/late.go
+++ b/schedule/late.go
@@ -26,7 +26,7 @@
 // It returns that run if its task has done so too often, and nil otherwise. Other owners don't know the series.
 func (s *Scheduler) noteLateCrash(w *worker, now time.Time) *run {
 	r := w.onlyRun()
-	if r == nil || !r.step.Lasting || r.entry == nil || r.entry.Over() || s.rackFailed(w) {
+	if r == nil || !r.step.Lasting || r.entry == nil || r.entry.Finished() || s.rackFailed(w) {
 		return nil
 	}
 	age := r.ageAtCrash(now)
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -14,7 +14,7 @@
 // readyStep is a step with tasks that may start.
 type readyStep struct {
 	job   *job
-	step  ledger.StepOf
+	step  ledger.StepKey
 	queue *work.Queue
 	// tasks has the indexes of the tasks that may start.
 	tasks []int
@@ -129,9 +129,9 @@
 	e := j.entry
 	var jobRank *rank
 	for i := range e.Job.Steps {
-		at := ledger.StepOf{Occurrence: occurrence, Step: i}
+		at := ledger.StepKey{Occurrence: occurrence, Step: i}
 		if e.StepDone(at) || slices.ContainsFunc(e.Job.Steps[i].After, func(a int) bool {
-			return !e.StepDone(ledger.StepOf{Occurrence: occurrence, Step: a})
+			return !e.StepDone(ledger.StepKey{Occurrence: occurrence, Step: a})
 		}) {
 			continue
 		}
@@ -284,7 +284,7 @@
 func (s *Scheduler) rollBack(firstRun, firstChange int) {
 	for _, r := range s.pendingRuns[firstRun:] {
 		e := s.release(r)
-		e.Withdraw(r.attempt)
+		e.RevertAssignment(r.attempt)
 	}
 	s.pendingRuns, s.changes = s.pendingRuns[:firstRun], s.changes[:firstChange]
 }
--- a/schedule/poll.go
+++ b/schedule/poll.go
@@ -179,7 +179,7 @@
 // handleStrayEnd handles the end of a run that was believed over; completed work counts nevertheless.
 func (s *Scheduler) handleStrayEnd(w *worker, end work.End) {
 	e, ok := s.entries[end.Attempt.Job]
-	if !ok || !e.Has(end.Attempt.Task) || end.Outcome != work.OutcomeDone || e.Task(end.Attempt.Task).Done {
+	if !ok || !e.HasTask(end.Attempt.Task) || end.Outcome != work.OutcomeDone || e.Task(end.Attempt.Task).Done {
 		return
 	}
 	s.observe(Decision{Kind: DecidedStrayEnd, Attempt: end.Attempt, Worker: w.id, Outcome: end.Outcome})
--- a/schedule/promise_test.go
+++ b/schedule/promise_test.go
@@ -117,7 +117,7 @@
 	}
 	b.settle()
 	check(t, "running", 0, b.running())
-	check(t, "over", true, b.entries["j"].Over())
+	check(t, "over", true, b.entries["j"].Finished())
 }
 
 // A gang of which one member was told as done after another one had been lost with its worker waited for ever, since its tasks
@@ -159,7 +159,7 @@
 				b.takeOver(2)
 			}
 			b.settle()
-			check(t, "gang done", true, b.entries["j"].StepDone(ledger.StepOf{Step: 0}))
+			check(t, "gang done", true, b.entries["j"].StepDone(ledger.StepKey{Step: 0}))
 			check(t, "running", 1, b.running())
 		})
 	}
--- a/schedule/rank.go
+++ b/schedule/rank.go
@@ -110,7 +110,7 @@
 		}
 		ends[i] = before + step.Estimate
 		lefts[i] = leftBefore
-		if !j.entry.StepDone(ledger.StepOf{Occurrence: occurrence, Step: i}) {
+		if !j.entry.StepDone(ledger.StepKey{Occurrence: occurrence, Step: i}) {
 			lefts[i] += step.Estimate
 		}
 		total, remaining = max(total, ends[i]), max(remaining, lefts[i])
--- a/schedule/run.go
+++ b/schedule/run.go
@@ -89,7 +89,7 @@
 	if !e.Job.Steps[a.Step].Gang {
 		return e.Task(a.Task).Checkpoint
 	}
-	tasks := e.Step(ledger.StepOf{Occurrence: a.Occurrence, Step: a.Step}).Tasks
+	tasks := e.Step(ledger.StepKey{Occurrence: a.Occurrence, Step: a.Step}).Tasks
 	for i := range tasks {
 		if tasks[i].Checkpoint != "" {
 			return tasks[i].Checkpoint
@@ -183,7 +183,7 @@
 // endGang applies the end of a gang member to the other members: if it is done, so are they, and otherwise all are
 // stopped and the gang restarts.
 func (s *Scheduler) endGang(e *ledger.Entry, a work.Attempt, o work.Outcome) {
-	tasks := e.Step(ledger.StepOf{Occurrence: a.Occurrence, Step: a.Step}).Tasks
+	tasks := e.Step(ledger.StepKey{Occurrence: a.Occurrence, Step: a.Step}).Tasks
 	for i := range tasks {
 		for _, l := range slices.Clone(tasks[i].Live) {
 			member := work.Attempt{Task: work.Task{Job: a.Job, Occurrence: a.Occurrence, Step: a.Step, Index: i}, Number: l.Number}
@@ -205,7 +205,7 @@
 func (s *Scheduler) failIfExhausted(e *ledger.Entry, a work.Attempt) {
 	q := s.queueOf(&e.Job)
 	st := e.Task(a.Task)
-	if e.Over() || st.Done || e.Job.Steps[a.Step].Lasting || q.MaxAttempts <= 0 || st.Failures < q.MaxAttempts {
+	if e.Finished() || st.Done || e.Job.Steps[a.Step].Lasting || q.MaxAttempts <= 0 || st.Failures < q.MaxAttempts {
 		return
 	}
 	s.observe(Decision{Kind: DecidedJobFailed, Attempt: a, Reason: "attempts used up"})
@@ -214,7 +214,7 @@
 
 // closeIfOver closes a job that is over.
 func (s *Scheduler) closeIfOver(e *ledger.Entry) {
-	if e.Over() && s.jobs[e.Job.ID] != nil {
+	if e.Finished() && s.jobs[e.Job.ID] != nil {
 		s.observe(Decision{Kind: DecidedJobOver, Attempt: work.Attempt{Task: work.Task{Job: e.Job.ID}}, Reason: e.State().String()})
 		s.closeJob(e)
 	}
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -133,7 +133,7 @@
 
 // adopt adds a job from the ledger, with the runs that a previous owner may have started.
 func (s *Scheduler) adopt(e *ledger.Entry, now time.Time) {
-	if !e.Over() {
+	if !e.Finished() {
 		j := &job{entry: e, knownSince: e.Job.Submitted}
 		s.jobs[e.Job.ID] = j
 		s.adoptCrashes(j)
@@ -146,7 +146,7 @@
 		w.leasesEndBy = now.Add(leaseBound(s.bounds.MaxLease))
 		r := &run{attempt: a, worker: w, life: l.Life, phase: inherited, pace: fullPace}
 		s.reserve(e, r)
-		if l.Life < w.life || e.Over() || e.Task(a.Task).Done {
+		if l.Life < w.life || e.Finished() || e.Task(a.Task).Done {
 			r.requestStop()
 		} else if s.jobs[a.Job].mustIsolate(a.Task) {
 			w.isolated = append(w.isolated, r)
@@ -194,7 +194,7 @@
 	if revision > e.Revision {
 		e.Job, e.Revision = j, revision
 	}
-	if e.Over() {
+	if e.Finished() {
 		s.closeJob(e)
 		return
 	}
--- a/schedule/unstarted.go
+++ b/schedule/unstarted.go
@@ -48,7 +48,7 @@
 // waitKey identifies a step's tasks that wait for their placement, or those that are held by runs which don't run.
 type waitKey struct {
 	job  fleet.JobID
-	step ledger.StepOf
+	step ledger.StepKey
 	held bool
 }
 
@@ -115,7 +115,7 @@
 	last := map[waitKey]time.Time{}
 	for _, w := range s.workers {
 		for a, r := range w.runs {
-			key := waitKey{job: a.Job, step: ledger.StepOf{Occurrence: a.Occurrence, Step: a.Step}}
+			key := waitKey{job: a.Job, step: ledger.StepKey{Occurrence: a.Occurrence, Step: a.Step}}
 			if r.confirmedAt.After(last[key]) {
 				last[key] = r.confirmedAt
 			}
@@ -160,7 +160,7 @@
 	if now.Sub(since) < unstartedAfter {
 		return
 	}
-	key := waitKey{job: r.attempt.Job, step: ledger.StepOf{Occurrence: r.attempt.Occurrence, Step: r.attempt.Step}, held: true}
+	key := waitKey{job: r.attempt.Job, step: ledger.StepKey{Occurrence: r.attempt.Occurrence, Step: r.attempt.Step}, held: true}
 	w := &wait{key: key, since: since, reason: reason, words: string(reason), task: r.attempt, worker: r.worker.id}
 	if b, ok := before[key]; ok {
 		w.logged = b.logged
@@ -199,7 +199,7 @@
 	case r.stopRequested:
 		reason = StopNotSettled
 	}
-	if reason == noObstacle || r.entry == nil || r.entry.Over() || r.entry.Task(r.attempt.Task).Done {
+	if reason == noObstacle || r.entry == nil || r.entry.Finished() || r.entry.Task(r.attempt.Task).Done {
 		return noObstacle
 	}
 
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -230,7 +230,7 @@
 
 // entryOf returns the job of a task, or nil if the ledger has no such task.
 func (s *Scheduler) entryOf(t work.Task) *ledger.Entry {
-	if e, ok := s.entries[t.Job]; ok && e.Has(t) {
+	if e, ok := s.entries[t.Job]; ok && e.HasTask(t) {
 		return e
 	}
 
--- a/schedule/workload.go
+++ b/schedule/workload.go
@@ -143,7 +143,7 @@
 	}
 	tails, ends, blocked := tailLengths(steps), make([]time.Duration, len(steps)), make([]bool, len(steps))
 	for i := range steps {
-		at := ledger.StepOf{Occurrence: occurrence, Step: i}
+		at := ledger.StepKey{Occurrence: occurrence, Step: i}
 		if e.StepDone(at) {
 			continue
 		}
@@ -167,7 +167,7 @@
 }
 
 // progressOf returns how many tasks of a step wait, and the estimated time until its runs are over.
-func (s *Scheduler) progressOf(e *ledger.Entry, at ledger.StepOf, now time.Time) (waiting int, left time.Duration) {
+func (s *Scheduler) progressOf(e *ledger.Entry, at ledger.StepKey, now time.Time) (waiting int, left time.Duration) {
 	tasks := e.Step(at).Tasks
 	for i := range tasks {
 		t := &tasks[i]
