owner: name the lease of a process a session

Seat is Session, and its file session.go: the field's word for what a process holds in a store by renewing a lease. samecode: 0 with other code.

--- a/dispatch/term_test.go
+++ b/dispatch/term_test.go
@@ -294,7 +294,7 @@
 		serve := func(ctx context.Context, d *Dispatcher, tm *owner.Term) { d.Serve(ctx, tm) }
 		runCandidate(ctx, withoutLedger(s.Client()), ledger.Host{Name: "f", PeerAddress: "f", Cores: 0.8}, serve)
 		time.Sleep(time.Second)
-		go owner.NewSeat(s.Client(), ledger.Host{Name: "m", PeerAddress: "m", Cores: 0.4}, log.New(io.Discard)).Run(ctx)
+		go owner.NewSession(s.Client(), ledger.Host{Name: "m", PeerAddress: "m", Cores: 0.4}, log.New(io.Discard)).Run(ctx)
 		var served atomic.Int64
 		runCandidate(ctx, s.Client(), ledger.Host{Name: "a", PeerAddress: "a", Cores: 0.192}, func(ctx context.Context, d *Dispatcher, tm *owner.Term) {
 			served.Add(1)
@@ -329,14 +329,14 @@
 	l := log.New(io.Discard)
 	name := string(host.Name)
 	began := time.Now()
-	seat := owner.NewSeat(c, host, l, owner.WithUptime(func() time.Duration { return time.Since(began) + time.Second }))
+	session := owner.NewSession(c, host, l, owner.WithUptime(func() time.Duration { return time.Since(began) + time.Second }))
 	f := ledger.NewFollower(c, l)
 	go f.Run(ctx)
-	go seat.Run(ctx)
+	go session.Run(ctx)
 	d := New(
 		c, f, work.Workers{}, schedule.Bounds{MaxLease: time.Second}, ledger.Owner{Host: host.Name, Process: name}, l,
 		func() (work.Config, bool) { return work.Config{}, false },
 		func(ctx context.Context, _ func(RegistryChange)) { <-ctx.Done() },
 	)
-	go owner.NewCandidate(c, seat, f, name, l).Run(ctx, func(ctx context.Context, tm *owner.Term) { serve(ctx, d, tm) })
+	go owner.NewCandidate(c, session, f, name, l).Run(ctx, func(ctx context.Context, tm *owner.Term) { serve(ctx, d, tm) })
 }
--- a/manager/manager.go
+++ b/manager/manager.go
@@ -61,7 +61,7 @@
 	config    *ConfigWatcher
 	follower  *ledger.Follower
 	route     *relay.Route
-	seat      *owner.Seat
+	session   *owner.Session
 	candidate *owner.Candidate
 	dispatch  *dispatch.Dispatcher
 	handler   *intake.Handler
@@ -114,10 +114,10 @@
 	m.metrics.ConfigAge(m.config.Age)
 	self := ledger.Owner{Host: s.Name, Process: process.String()}
 	host := ledger.Host{Name: s.Name, Zone: s.Zone, PeerAddress: s.PeerAddress.String(), Cores: s.Cores, LinkMegabits: s.LinkMegabits}
-	m.seat = owner.NewSeat(client, host, l)
-	m.candidate = owner.NewCandidate(client, m.seat, m.follower, self.Process, l)
+	m.session = owner.NewSession(client, host, l)
+	m.candidate = owner.NewCandidate(client, m.session, m.follower, self.Process, l)
 	direct := m.metrics.Workers("worker", platform.NewWorkers(transport, workerTimeout))
-	m.delegator = agent.NewDelegator(direct, host, m.hosts, agent.Dial(transport), m.seat.Remaining, owner.Uptime, l)
+	m.delegator = agent.NewDelegator(direct, host, m.hosts, agent.Dial(transport), m.session.Remaining, owner.Uptime, l)
 	m.agent = agent.NewServer(direct, owner.Uptime, l)
 	m.dispatch = dispatch.New(
 		client, m.follower, m.metrics.Workers("fleet", m.delegator.Workers(workerTimeout)), bounds(s), self, l,
@@ -225,7 +225,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { m.config.Run(background) })
 	wg.Go(func() { m.follower.Run(background) })
-	wg.Go(func() { m.seat.Run(background) })
+	wg.Go(func() { m.session.Run(background) })
 	wg.Go(func() { m.delegator.Run(background) })
 	wg.Go(func() { m.candidate.Run(ctx, m.serveTerm) })
 
@@ -234,7 +234,7 @@
 	m.stopping.Store(true)
 	m.agent.Leave()
 	m.shutDown(background, callers, ready)
-	m.seat.Leave(background)
+	m.session.Leave(background)
 	cancel()
 	wg.Wait()
 	m.log.Info("stopped")
--- a/owner/gap_test.go
+++ b/owner/gap_test.go
@@ -19,7 +19,7 @@
 // handovers of one process, not those of the fleet.
 func TestHandoversOfManyWeakHosts(t *testing.T) {
 	inStore(t, func(ctx context.Context, s *standin.Store) {
-		go NewSeat(s.Client(), hostWith("f", 0.8), log.New(io.Discard)).Run(ctx)
+		go NewSession(s.Client(), hostWith("f", 0.8), log.New(io.Discard)).Run(ctx)
 		time.Sleep(30 * time.Millisecond)
 		var weak []*contender
 		for i := range 20 {
--- a/owner/guard_test.go
+++ b/owner/guard_test.go
@@ -22,10 +22,10 @@
 			s := standin.NewStore()
 			ctx, cancel := context.WithCancel(t.Context())
 			l := log.New(io.Discard)
-			seat := NewSeat(s.Client(), hostWith("a", 0.192), l, WithUptime(steadyUptime()))
+			session := NewSession(s.Client(), hostWith("a", 0.192), l, WithUptime(steadyUptime()))
 			f := ledger.NewFollower(s.Client(), l)
 			go f.Run(ctx)
-			go seat.Run(ctx)
+			go session.Run(ctx)
 			if owned {
 				value, err := ledger.Encode(ledger.Owner{Host: "f", Process: "p-f", PeerAddress: "f"})
 				if err != nil {
@@ -36,7 +36,7 @@
 				}
 			}
 			time.Sleep(time.Second)
-			if bids := NewCandidate(s.Client(), seat, f, "p-a", l).deferToStronger(ctx); bids == owned {
+			if bids := NewCandidate(s.Client(), session, f, "p-a", l).deferToStronger(ctx); bids == owned {
 				t.Errorf("another host owns the workers: %t, bids: %t", owned, bids)
 			}
 			cancel()
@@ -53,12 +53,12 @@
 		s := standin.NewStore()
 		ctx, cancel := context.WithCancel(t.Context())
 		l := log.New(io.Discard)
-		seat := NewSeat(s.Client(), hostWith("a", 0.192), l, WithUptime(steadyUptime()))
+		session := NewSession(s.Client(), hostWith("a", 0.192), l, WithUptime(steadyUptime()))
 		f := ledger.NewFollower(s.Client(), l)
 		go f.Run(ctx)
-		go seat.Run(ctx)
+		go session.Run(ctx)
 		time.Sleep(time.Second)
-		c := NewCandidate(s.Client(), seat, f, "p-a", l)
+		c := NewCandidate(s.Client(), session, f, "p-a", l)
 		c.observe(0)
 		c.observe(7)
 		if c.standings.owner != "a" || c.standings.owned != 7 || !c.standings.vacant.IsZero() {
@@ -76,7 +76,7 @@
 	inStore(t, func(ctx context.Context, s *standin.Store) {
 		weak := []*contender{startContenderOn(ctx, s, hostWith("a", 0.192), "p-a")}
 		time.Sleep(time.Second)
-		join := func(name string) { go NewSeat(s.Client(), hostWith(name, 0.8), log.New(io.Discard)).Run(ctx) }
+		join := func(name string) { go NewSession(s.Client(), hostWith(name, 0.8), log.New(io.Discard)).Run(ctx) }
 		var without []bool
 		join("f")
 		without = append(without, stepsWithoutOwner(weak, 150) > 0)
--- a/owner/handover.go
+++ b/owner/handover.go
@@ -65,10 +65,10 @@
 // shouldHandOver reports whether a host should have the workers: if it is stronger, or if it is as strong and this one has
 // fallen behind.
 func (c *Candidate) shouldHandOver(t *Term, h ledger.Host) bool {
-	if h.Name == c.seat.host.Name {
+	if h.Name == c.session.host.Name {
 		return false
 	}
 	late := t.lateFor() >= lateLimit && time.Since(t.began) >= minLateTerm
 
-	return isStronger(h, c.seat.host) || late && strongerRatio*h.Cores >= c.seat.host.Cores
+	return isStronger(h, c.session.host) || late && strongerRatio*h.Cores >= c.session.host.Cores
 }
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -30,7 +30,7 @@
 // Candidate competes for terms on behalf of a process.
 type Candidate struct {
 	client   *store.Client
-	seat     *Seat
+	session  *Session
 	follower *ledger.Follower
 	process  string
 	log      *log.Logger
@@ -46,8 +46,8 @@
 }
 
 // NewCandidate returns a candidate; process uniquely identifies this run of the process.
-func NewCandidate(c *store.Client, s *Seat, f *ledger.Follower, process string, l *log.Logger) *Candidate {
-	return &Candidate{client: c, seat: s, follower: f, process: process, log: l}
+func NewCandidate(c *store.Client, s *Session, f *ledger.Follower, process string, l *log.Logger) *Candidate {
+	return &Candidate{client: c, session: s, follower: f, process: process, log: l}
 }
 
 // Run competes for terms until the context ends and calls serve in each; serve returns when the term has ended.
@@ -62,7 +62,7 @@
 		o, revision := b.Owner()
 		var t *Term
 		switch {
-		case revision != 0 && o.Process != c.process && o.Host == c.seat.host.Name && o.PeerAddress == c.seat.host.PeerAddress:
+		case revision != 0 && o.Process != c.process && o.Host == c.session.host.Name && o.PeerAddress == c.session.host.PeerAddress:
 			// The owner is an earlier process on this host, which can't be running any more.
 			t = c.acquire(ctx, revision)
 		case revision != 0 && (o.Process != c.process || revision == c.ended):
@@ -85,7 +85,7 @@
 		c.ended = t.Revision
 		c.log.Info("no longer owns the workers", "term", t.Revision)
 		c.resign(ctx, t)
-		if id, _ := c.seat.Lease(); id == t.lease {
+		if id, _ := c.session.Lease(); id == t.lease {
 			c.noteEnd(t)
 			pause.For(ctx, yieldTime)
 		}
@@ -100,7 +100,7 @@
 		if c.standings.owned != 0 {
 			return false
 		}
-		if now := time.Now(); !c.rests(now) && !c.standings.awaits(c.seat.host, now) {
+		if now := time.Now(); !c.rests(now) && !c.standings.awaits(c.session.host, now) {
 			return true
 		}
 	}
@@ -126,10 +126,10 @@
 // writes, none rests.
 func (c *Candidate) rests(now time.Time) bool {
 	if now.Before(c.restUntil) {
-		return c.standings.others(c.seat.host.Name, 0, now)
+		return c.standings.others(c.session.host.Name, 0, now)
 	}
 
-	return c.failedTerms > 0 && !c.standings.deferLimitPassed(now) && c.standings.others(c.seat.host.Name, c.seat.host.Cores/strongerRatio, now)
+	return c.failedTerms > 0 && !c.standings.deferLimitPassed(now) && c.standings.others(c.session.host.Name, c.session.host.Cores/strongerRatio, now)
 }
 
 // observe takes note of the present state of the hosts. Its argument is the revision of this process's term, or zero, since
@@ -139,9 +139,9 @@
 	o, revision := b.Owner()
 	v := view{at: time.Now(), hosts: b.Hosts(), revisions: b.HostRevisions(), owner: o.Host, owned: revision}
 	if term != 0 {
-		v.owner, v.owned = c.seat.host.Name, term
+		v.owner, v.owned = c.session.host.Name, term
 	}
-	if id, valid := c.seat.Lease(); valid {
+	if id, valid := c.session.Lease(); valid {
 		v.lease = id
 	}
 	c.standings.observe(v)
@@ -149,12 +149,12 @@
 
 // recoverTerm returns the term of a record that this process wrote without receiving the store's answer.
 func (c *Candidate) recoverTerm(revision uint64) *Term {
-	lease, valid := c.seat.Lease()
+	lease, valid := c.session.Lease()
 	if !valid {
 		return nil
 	}
 
-	return newTerm(c.seat, lease, revision)
+	return newTerm(c.session, lease, revision)
 }
 
 // resign removes the Owner record, so that the next term can begin at once. It tries until the record is gone, since otherwise
@@ -162,7 +162,7 @@
 func (c *Candidate) resign(ctx context.Context, t *Term) {
 	for {
 		err := c.removeRecord(context.WithoutCancel(ctx), t)
-		if id, _ := c.seat.Lease(); err == nil || errors.Is(err, store.ErrConflict) || id != t.lease {
+		if id, _ := c.session.Lease(); err == nil || errors.Is(err, store.ErrConflict) || id != t.lease {
 			return
 		}
 		c.log.Warn("failed to remove the owner record", "term", t.Revision, "error", err)
@@ -195,11 +195,11 @@
 // acquire begins a term if the Owner record still has revision base, where zero means that there is none. It returns nil on
 // failure.
 func (c *Candidate) acquire(ctx context.Context, base uint64) *Term {
-	lease, valid := c.seat.Lease()
+	lease, valid := c.session.Lease()
 	if !valid {
 		return nil
 	}
-	value, err := ledger.Encode(ledger.Owner{Host: c.seat.host.Name, Process: c.process, PeerAddress: c.seat.host.PeerAddress})
+	value, err := ledger.Encode(ledger.Owner{Host: c.session.host.Name, Process: c.process, PeerAddress: c.session.host.PeerAddress})
 	if err != nil {
 		c.log.Error("failed to encode the owner record", "error", err)
 		return nil
@@ -215,7 +215,7 @@
 		return nil
 	}
 
-	return newTerm(c.seat, lease, revision)
+	return newTerm(c.session, lease, revision)
 }
 
 // resolveWrite determines whether a write of the Owner record took effect after its outcome was lost.
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -19,9 +19,9 @@
 
 // contender is a process that competes for terms and records the last one.
 type contender struct {
-	seat *Seat
-	mu   sync.Mutex
-	term *Term
+	session *Session
+	mu      sync.Mutex
+	term    *Term
 	// lag is how late the passes of the process begin, in nanoseconds.
 	lag atomic.Int64
 	// ahead is the lead of the uptime over the Go runtime's clock, which doesn't include time in suspend.
@@ -50,11 +50,11 @@
 	l := log.New(io.Discard)
 	began := time.Now()
 	uptime := func() time.Duration { return time.Since(began) + time.Duration(c.ahead.Load()) + time.Second }
-	c.seat = NewSeat(client, host, l, WithUptime(uptime))
+	c.session = NewSession(client, host, l, WithUptime(uptime))
 	f := ledger.NewFollower(client, l, options...)
 	go f.Run(ctx)
-	go c.seat.Run(ctx)
-	go NewCandidate(client, c.seat, f, process, l).Run(ctx, func(ctx context.Context, t *Term) {
+	go c.session.Run(ctx)
+	go NewCandidate(client, c.session, f, process, l).Run(ctx, func(ctx context.Context, t *Term) {
 		c.mu.Lock()
 		c.term = t
 		c.mu.Unlock()
@@ -163,7 +163,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := standin.NewStore()
 		ctx, cancel := context.WithCancel(t.Context())
-		go NewSeat(s.Client(), ledger.Host{Name: "f", PeerAddress: "f", Cores: 0.8}, log.New(io.Discard)).Run(ctx)
+		go NewSession(s.Client(), ledger.Host{Name: "f", PeerAddress: "f", Cores: 0.8}, log.New(io.Discard)).Run(ctx)
 		time.Sleep(30 * time.Millisecond)
 		weak := startContenderOn(ctx, s, ledger.Host{Name: "a", PeerAddress: "a", Cores: 0.192}, "p-a")
 		time.Sleep(deferLimit + time.Second)
@@ -317,12 +317,12 @@
 				ctx, cancel := context.WithCancel(t.Context())
 				client := withReadTimeout(s.Client(), 3*time.Second)
 				l := log.New(io.Discard)
-				seat := NewSeat(client, ledger.Host{Name: "a", PeerAddress: "a"}, l, WithUptime(steadyUptime()))
+				session := NewSession(client, ledger.Host{Name: "a", PeerAddress: "a"}, l, WithUptime(steadyUptime()))
 				f := ledger.NewFollower(client, l)
 				go f.Run(ctx)
-				go seat.Run(ctx)
+				go session.Run(ctx)
 				var terms atomic.Int64
-				go NewCandidate(client, seat, f, "p-a", l).Run(ctx, func(ctx context.Context, _ *Term) {
+				go NewCandidate(client, session, f, "p-a", l).Run(ctx, func(ctx context.Context, _ *Term) {
 					if terms.Add(1) > 1 {
 						<-ctx.Done()
 						return
@@ -375,7 +375,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := standin.NewStore()
 		ctx, cancel := context.WithCancel(t.Context())
-		go NewSeat(s.Client(), ledger.Host{Name: "f", PeerAddress: "f", Cores: 0.8}, log.New(io.Discard)).Run(ctx)
+		go NewSession(s.Client(), ledger.Host{Name: "f", PeerAddress: "f", Cores: 0.8}, log.New(io.Discard)).Run(ctx)
 		weak := startContenderOn(ctx, s, ledger.Host{Name: "a", PeerAddress: "a", Cores: 0.192}, "p-a")
 		without := 0
 		for range 600 {
--- a/owner/seat.go
+++ b/owner/session.go
@@ -27,8 +27,8 @@
 	releaseTimeout  = 500 * time.Millisecond
 )
 
-// Seat keeps a process's lease in the store, with the record of the entry host bound to it.
-type Seat struct {
+// Session keeps a process's lease in the store, with the record of the entry host bound to it.
+type Session struct {
 	client *store.Client
 	host   ledger.Host
 	log    *log.Logger
@@ -41,17 +41,17 @@
 	validUntil time.Duration
 }
 
-// Option configures a Seat.
-type Option func(*Seat)
+// Option configures a Session.
+type Option func(*Session)
 
 // WithUptime replaces the clock by which the lease expires.
 func WithUptime(uptime func() time.Duration) Option {
-	return func(s *Seat) { s.uptime = uptime }
+	return func(s *Session) { s.uptime = uptime }
 }
 
-// NewSeat returns a Seat; Run acquires the lease.
-func NewSeat(c *store.Client, host ledger.Host, l *log.Logger, options ...Option) *Seat {
-	s := &Seat{client: c, host: host, log: l, uptime: Uptime}
+// NewSession returns a Session; Run acquires the lease.
+func NewSession(c *store.Client, host ledger.Host, l *log.Logger, options ...Option) *Session {
+	s := &Session{client: c, host: host, log: l, uptime: Uptime}
 	for _, o := range options {
 		o(s)
 	}
@@ -71,7 +71,7 @@
 }
 
 // Lease returns the ID of the lease, and whether it is valid now.
-func (s *Seat) Lease() (store.LeaseID, bool) {
+func (s *Session) Lease() (store.LeaseID, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
@@ -79,7 +79,7 @@
 }
 
 // Remaining returns how long the lease stays valid without a renewal.
-func (s *Seat) Remaining() time.Duration {
+func (s *Session) Remaining() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.id == 0 {
@@ -90,7 +90,7 @@
 }
 
 // Run acquires and renews the lease until the context ends.
-func (s *Seat) Run(ctx context.Context) {
+func (s *Session) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		id, _ := s.Lease()
 		if id == 0 {
@@ -107,7 +107,7 @@
 }
 
 // Leave revokes the lease, so that the others need not wait for its expiry.
-func (s *Seat) Leave(ctx context.Context) {
+func (s *Session) Leave(ctx context.Context) {
 	s.mu.Lock()
 	id := s.id
 	s.validUntil = 0
@@ -122,7 +122,7 @@
 	}
 }
 
-func (s *Seat) acquire(ctx context.Context) error {
+func (s *Session) acquire(ctx context.Context) error {
 	requested := s.uptime()
 	lease, err := s.client.Grant(ctx, leaseTime)
 	if err != nil {
@@ -144,7 +144,7 @@
 	return nil
 }
 
-func (s *Seat) extend(id store.LeaseID, requested time.Duration) {
+func (s *Session) extend(id store.LeaseID, requested time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.id != 0 && s.id != id {
@@ -154,7 +154,7 @@
 	s.validUntil = max(s.validUntil, requested+leaseTime-leaseMargin)
 }
 
-func (s *Seat) renew(ctx context.Context, id store.LeaseID) {
+func (s *Session) renew(ctx context.Context, id store.LeaseID) {
 	requested := s.uptime()
 	err := s.client.KeepAlive(ctx, id)
 	switch {
--- a/owner/standing_test.go
+++ b/owner/standing_test.go
@@ -36,7 +36,7 @@
 					if bids {
 						all = append(all, startContenderOn(up, s, hostWith("f", 0.8), fmt.Sprint("p-f", i)))
 					} else {
-						go NewSeat(s.Client(), hostWith("f", 0.8), log.New(io.Discard)).Run(up)
+						go NewSession(s.Client(), hostWith("f", 0.8), log.New(io.Discard)).Run(up)
 					}
 					without += stepsWithoutOwner(all, 70)
 					stop()
@@ -53,7 +53,7 @@
 // Guards against a host that counts as not bidding because it waited for a stronger one that didn't bid.
 func TestHostThatWaitedOwnsTheWorkers(t *testing.T) {
 	inStore(t, func(ctx context.Context, s *standin.Store) {
-		go NewSeat(s.Client(), hostWith("f", 0.8), log.New(io.Discard)).Run(ctx)
+		go NewSession(s.Client(), hostWith("f", 0.8), log.New(io.Discard)).Run(ctx)
 		time.Sleep(30 * time.Millisecond)
 		startWeakHosts(ctx, s, 5)
 		middle := startContenderOn(ctx, s, hostWith("m", 0.4), "p-m")
@@ -69,7 +69,7 @@
 func TestHostThatDidNotBidIsRestarted(t *testing.T) {
 	inStore(t, func(ctx context.Context, s *standin.Store) {
 		up, stop := context.WithCancel(ctx)
-		go NewSeat(s.Client(), hostWith("f", 0.8), log.New(io.Discard)).Run(up)
+		go NewSession(s.Client(), hostWith("f", 0.8), log.New(io.Discard)).Run(up)
 		time.Sleep(30 * time.Millisecond)
 		weak := startWeakHosts(ctx, s, 5)
 		time.Sleep(deferLimit + time.Second)
--- a/owner/stronger_test.go
+++ b/owner/stronger_test.go
@@ -69,7 +69,7 @@
 // Guards against a wait for stronger hosts that leaves the workers without an owner for longer than five seconds.
 func TestWaitForStrongerHostIsShort(t *testing.T) {
 	inStore(t, func(ctx context.Context, s *standin.Store) {
-		go NewSeat(s.Client(), hostWith("f", 0.8), log.New(io.Discard)).Run(ctx)
+		go NewSession(s.Client(), hostWith("f", 0.8), log.New(io.Discard)).Run(ctx)
 		time.Sleep(30 * time.Millisecond)
 		weak := startContenderOn(ctx, s, hostWith("a", 0.192), "p-a")
 		time.Sleep(5 * time.Second)
@@ -86,11 +86,11 @@
 		time.Sleep(time.Second)
 		for range 6 {
 			up, stop := context.WithCancel(ctx)
-			seat := NewSeat(s.Client(), hostWith("f", 0.8), log.New(io.Discard))
-			go seat.Run(up)
+			session := NewSession(s.Client(), hostWith("f", 0.8), log.New(io.Discard))
+			go session.Run(up)
 			without := stepsWithoutOwner([]*contender{weak}, 25)
 			stop()
-			seat.Leave(ctx)
+			session.Leave(ctx)
 			if without += stepsWithoutOwner([]*contender{weak}, 15); without > 0 {
 				t.Fatal("the owner handed over to a host that held its lease for two and a half seconds")
 			}
@@ -131,12 +131,12 @@
 func TestHandedOverTermEndsAtOnce(t *testing.T) {
 	inStore(t, func(ctx context.Context, s *standin.Store) {
 		l := log.New(io.Discard)
-		seat := NewSeat(s.Client(), hostWith("a", 0.192), l, WithUptime(steadyUptime()))
+		session := NewSession(s.Client(), hostWith("a", 0.192), l, WithUptime(steadyUptime()))
 		f := ledger.NewFollower(s.Client(), l)
 		go f.Run(ctx)
-		go seat.Run(ctx)
+		go session.Run(ctx)
 		var cancelled, valid, ended atomic.Bool
-		go NewCandidate(s.Client(), seat, f, "p-a", l).Run(ctx, func(serving context.Context, term *Term) {
+		go NewCandidate(s.Client(), session, f, "p-a", l).Run(ctx, func(serving context.Context, term *Term) {
 			if cancelled.Load() {
 				<-serving.Done()
 				return
@@ -160,15 +160,15 @@
 func TestRecordOfTheNextOwnerStays(t *testing.T) {
 	inStore(t, func(ctx context.Context, s *standin.Store) {
 		l := log.New(io.Discard)
-		seat := NewSeat(s.Client(), hostWith("a", 0), l, WithUptime(steadyUptime()))
+		session := NewSession(s.Client(), hostWith("a", 0), l, WithUptime(steadyUptime()))
 		f := ledger.NewFollower(s.Client(), l)
 		go f.Run(ctx)
-		go seat.Run(ctx)
+		go session.Run(ctx)
 		next, err := ledger.Encode(ledger.Owner{Host: "b", Process: "p-b", PeerAddress: "b"})
 		if err != nil {
 			t.Fatal(err)
 		}
-		go NewCandidate(s.Client(), seat, f, "p-a", l).Run(ctx, func(context.Context, *Term) {
+		go NewCandidate(s.Client(), session, f, "p-a", l).Run(ctx, func(context.Context, *Term) {
 			if _, err := s.Client().Commit(ctx, store.Txn{Puts: []store.Put{{Key: ledger.OwnerKey, Value: next}}}); err != nil {
 				t.Error(err)
 			}
--- a/owner/term.go
+++ b/owner/term.go
@@ -15,7 +15,7 @@
 	// Revision is the store revision at which the term began; it is the fencing token of all writes and orders.
 	Revision uint64
 	lease    store.LeaseID
-	seat     *Seat
+	session  *Session
 	began    time.Time
 	// inTime is the time from the start of the term to the last pass that began in time, in nanoseconds.
 	inTime atomic.Int64
@@ -23,20 +23,20 @@
 	over atomic.Bool
 }
 
-func newTerm(s *Seat, lease store.LeaseID, revision uint64) *Term {
-	return &Term{Revision: revision, lease: lease, seat: s, began: time.Now()}
+func newTerm(s *Session, lease store.LeaseID, revision uint64) *Term {
+	return &Term{Revision: revision, lease: lease, session: s, began: time.Now()}
 }
 
 // Valid reports whether the process still owns the workers and the lease of the term is valid now.
 func (t *Term) Valid() bool {
-	id, valid := t.seat.Lease()
+	id, valid := t.session.Lease()
 
 	return valid && id == t.lease && !t.over.Load()
 }
 
 // Ended reports whether the term has ended; unlike Valid, it stays false while renewals of the lease fail.
 func (t *Term) Ended() bool {
-	id, _ := t.seat.Lease()
+	id, _ := t.session.Lease()
 
 	return id != t.lease || t.over.Load()
 }
