--- a/dispatch/compact_test.go
+++ b/dispatch/compact_test.go
@@ -80,11 +80,11 @@
 	})
 }
 
-// checkSame compares the entries of a book with the expected ones.
-func checkSame(t *testing.T, want map[fleet.JobID]*ledger.Entry, book *ledger.Book) {
+// checkSame compares the entries of a replica with the expected ones.
+func checkSame(t *testing.T, want map[fleet.JobID]*ledger.Entry, replica *ledger.Replica) {
 	t.Helper()
 	for id, e := range want {
-		if diff := cmp.Diff(e.Snapshot(), book.Entries()[id].Snapshot()); diff != "" {
+		if diff := cmp.Diff(e.Snapshot(), replica.Entries()[id].Snapshot()); diff != "" {
 			t.Fatalf("job %s after the compaction (-want +got):\n%s", id, diff)
 		}
 	}
@@ -170,25 +170,25 @@
 		}
 		tm.finishCompaction(t.Context())
 		synctest.Wait()
-		book, _, err := ledger.Read(t.Context(), c)
+		replica, _, err := ledger.Read(t.Context(), c)
 		if err != nil {
 			t.Fatal(err)
 		}
-		if first, next := book.Batches(); first != maxBatches || next != first+uint64(parts) || parts != 9 {
+		if first, next := replica.Batches(); first != maxBatches || next != first+uint64(parts) || parts != 9 {
 			t.Errorf("the log has batches %d to %d after %d parts", first, next-1, parts)
 		}
-		checkSame(t, entries, book)
+		checkSame(t, entries, replica)
 
 		// A write of a removed batch that is carried out late doesn't make the log unreadable.
 		late := store.Put{Key: ledger.LogKey(7), Value: encodeBatch(t, ledger.Batch{Number: 7})}
 		if _, err := c.Commit(t.Context(), store.Txn{Puts: []store.Put{late}}); err != nil {
 			t.Fatal(err)
 		}
-		book, _, err = ledger.Read(t.Context(), c)
+		replica, _, err = ledger.Read(t.Context(), c)
 		if err != nil {
 			t.Fatal(err)
 		}
-		checkSame(t, entries, book)
+		checkSame(t, entries, replica)
 	})
 }
 
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -172,21 +172,21 @@
 	d.follower.OnJob(jobs.add)
 	defer d.follower.OnJob(nil)
 
-	book, err := t.readLedger(ctx)
+	replica, err := t.readLedger(ctx)
 	if err != nil {
 		d.log.Error("can't read the ledger; the term ends", "term", ownership.Revision, "error", err)
 		return
 	}
-	t.sched = schedule.New(ownership.Revision, d.bounds, book.Entries(), time.Now(), schedule.WithObserver(d.observe))
-	firstBatch, nextBatch := book.Batches()
+	t.sched = schedule.New(ownership.Revision, d.bounds, replica.Entries(), time.Now(), schedule.WithObserver(d.observe))
+	firstBatch, nextBatch := replica.Batches()
 	t.oldest, t.compacted = firstBatch, firstBatch
 	t.writer = newLogWriter(d.client, d.self, ownership.Revision, nextBatch, d.log, d.follower.Learn)
 	t.writer.valid = ownership.Valid
 	jobs.forwardTo(t.addJob)
 
 	var background sync.WaitGroup
-	t.sched.SetMaintained(book.Maintained())
-	t.sched.SetOrdered(book.HostOrders(), d.self.Host, time.Now())
+	t.sched.SetMaintained(replica.Maintained())
+	t.sched.SetOrdered(replica.HostOrders(), d.self.Host, time.Now())
 	if d.hosts.Waves != nil {
 		background.Go(func() { t.maintainHosts(ctx) })
 	}
@@ -202,24 +202,24 @@
 
 // readLedger returns the ledger at the start of the term, from where on only this process writes the log. It reads the store
 // if the follower doesn't get there in time.
-func (t *term) readLedger(ctx context.Context) (*ledger.Book, error) {
+func (t *term) readLedger(ctx context.Context) (*ledger.Replica, error) {
 	timeout := followTimeout
-	if b := t.follower.Book(); b != nil && !b.HasJobs() {
+	if b := t.follower.Replica(); b != nil && !b.HasJobs() {
 		timeout = readTimeout
 	}
 	following, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	book, err := t.follower.Copy(following, t.ownership.Revision)
+	replica, err := t.follower.Copy(following, t.ownership.Revision)
 	if err == nil {
-		return book, nil
+		return replica, nil
 	}
 	t.log.Warn("ledger follower is behind the start of the term; reading the whole ledger", "error", err)
 	reading, stop := context.WithTimeout(ctx, maxReadTime-timeout)
 	defer stop()
 	for {
-		book, _, err = ledger.Read(reading, t.client)
+		replica, _, err = ledger.Read(reading, t.client)
 		if err == nil || reading.Err() != nil || t.ownership.Ended() {
-			return book, err
+			return replica, err
 		}
 		t.log.Warn("can't read the ledger at the start of the term; retrying", "error", err)
 		pause.For(reading, retryPause)
--- a/dispatch/watch.go
+++ b/dispatch/watch.go
@@ -77,11 +77,11 @@
 
 // searchUnknown returns some of the jobs that the follower has had for unknownAfter and the scheduler still does not have.
 func (t *term) searchUnknown(now time.Time) []fleet.JobID {
-	book := t.follower.Book()
-	if book == nil {
+	replica := t.follower.Replica()
+	if replica == nil {
 		return nil
 	}
-	open := book.OpenJobs()
+	open := replica.OpenJobs()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	before := t.unknown
@@ -108,7 +108,7 @@
 // addUnknown gives the scheduler a job that it does not have. It leaves out a job that has run, whose tasks might run
 // twice, and one whose record is gone from the store, which has long been over.
 func (t *term) addUnknown(ctx context.Context, id fleet.JobID) {
-	if state, ok := t.follower.Book().Status(id); !ok || state != ledger.Queued {
+	if state, ok := t.follower.Replica().Status(id); !ok || state != ledger.Queued {
 		t.log.Error("the owner does not have a job that has run", "job", id, "state", state)
 		return
 	}
--- a/intake/handler.go
+++ b/intake/handler.go
@@ -108,7 +108,7 @@
 
 // Ready reports whether the handler can serve requests.
 func (h *Handler) Ready() bool {
-	return h.router.Load() != nil && h.follower.Book() != nil
+	return h.router.Load() != nil && h.follower.Replica() != nil
 }
 
 // response is the response to a request.
@@ -353,7 +353,7 @@
 	}
 	j, _, state, err := h.findJob(ctx, r.id)
 	switch {
-	case err == nil && len(j.Steps) > 0 && r.canAccess(j) && state <= ledger.InProgress && !hasJobs(h.follower.Book()):
+	case err == nil && len(j.Steps) > 0 && r.canAccess(j) && state <= ledger.InProgress && !hasJobs(h.follower.Replica()):
 		// The record of the job alone does not contain its progress.
 		return unavailableResponse("the ledger was not read yet")
 	case err == nil && len(j.Steps) > 0 && r.canAccess(j):
@@ -365,14 +365,14 @@
 	}
 }
 
-// hasJobs reports whether a book, which may be nil, has loaded the jobs and the log.
-func hasJobs(b *ledger.Book) bool {
+// hasJobs reports whether a replica, which may be nil, has loaded the jobs and the log.
+func hasJobs(b *ledger.Replica) bool {
 	return b != nil && b.HasJobs()
 }
 
 // ended reports whether this host knows that a job has ended.
 func (h *Handler) ended(id fleet.JobID) bool {
-	b := h.follower.Book()
+	b := h.follower.Replica()
 	if b == nil {
 		return false
 	}
@@ -381,9 +381,9 @@
 	return ok && s > ledger.InProgress
 }
 
-// findJob returns a job from the book or, if it is not there, from the store.
+// findJob returns a job from the replica or, if it is not there, from the store.
 func (h *Handler) findJob(ctx context.Context, id fleet.JobID) (work.Job, uint64, ledger.State, error) {
-	if b := h.follower.Book(); b != nil {
+	if b := h.follower.Replica(); b != nil {
 		if j, revision, ok := b.Job(id); ok {
 			s, _ := b.Status(id)
 			return j, revision, s, nil
@@ -450,7 +450,7 @@
 }
 
 func (h *Handler) pendingCount(q work.Queue) response {
-	b := h.follower.Book()
+	b := h.follower.Replica()
 	if !hasJobs(b) {
 		return unavailableResponse("the ledger was not read yet")
 	}
--- a/ledger/clone_test.go
+++ b/ledger/clone_test.go
@@ -16,7 +16,7 @@
 	"lycheehook.example/lycheehook/work"
 )
 
-// Guards against an owner that changes the crashes of a task in the follower's book when it clears one of them in its copy.
+// Guards against an owner that changes the crashes of a task in the follower's replica when it clears one of them in its copy.
 func TestCrashesOfACopy(t *testing.T) {
 	a := work.Attempt{Task: work.Task{Job: "j"}, Number: 1}
 	e := ledger.NewEntry(sampleJob("j"), 1)
@@ -29,7 +29,7 @@
 
 // Guards against a host that counts as present after its record is gone, and against a copy without the revisions of the records.
 func TestHostRevisions(t *testing.T) {
-	b := ledger.NewBook()
+	b := ledger.NewReplica()
 	for i, name := range []fleet.EntryName{"e1", "e2"} {
 		value, err := ledger.Encode(ledger.Host{Name: name})
 		if err != nil {
@@ -68,7 +68,7 @@
 		time.Sleep(500 * time.Millisecond)
 		put(t, c, ledger.HostPrefix+"e2", ledger.Host{Name: "e2"})
 		time.Sleep(3 * time.Second)
-		check(t, "hosts", 2, len(f.Book().Hosts()))
+		check(t, "hosts", 2, len(f.Replica().Hosts()))
 		cancel()
 		<-done
 	})
--- a/ledger/copy_test.go
+++ b/ledger/copy_test.go
@@ -57,10 +57,10 @@
 		b.Entries()["b"].Apply(ledger.Change{Kind: ledger.Assigned, Attempt: work.Attempt{Task: work.Task{Job: "b"}, Number: 1}, Worker: "w"})
 		got := map[fleet.JobID]ledger.State{}
 		for _, id := range []fleet.JobID{"a", "b"} {
-			got[id], _ = f.Book().Status(id)
+			got[id], _ = f.Replica().Status(id)
 		}
 		if diff := cmp.Diff(map[fleet.JobID]ledger.State{"a": ledger.Queued, "b": ledger.Queued}, got); diff != "" {
-			t.Errorf("states in the follower's book (-want +got):\n%s", diff)
+			t.Errorf("states in the follower's replica (-want +got):\n%s", diff)
 		}
 		if s := b.Entries()["b"].State(); s != ledger.InProgress {
 			t.Errorf("the job in the copy is %v", s)
@@ -134,20 +134,20 @@
 				}
 				go func() { defer close(done); f.Run(ctx) }()
 				time.Sleep(10 * time.Millisecond)
-				if o, _ := f.Book().Owner(); o.Host != "e1" || len(f.Book().Hosts()) != 1 {
-					t.Errorf("got owner %v and hosts %v", o, f.Book().Hosts())
+				if o, _ := f.Replica().Owner(); o.Host != "e1" || len(f.Replica().Hosts()) != 1 {
+					t.Errorf("got owner %v and hosts %v", o, f.Replica().Hosts())
 				}
 				if tt.before > 0 {
 					time.Sleep(tt.before - time.Since(began))
 					startOwning()
 				}
-				for !f.Book().HasJobs() {
+				for !f.Replica().HasJobs() {
 					time.Sleep(10 * time.Millisecond)
 				}
 				if took := time.Since(began); took > tt.want+50*time.Millisecond || took < tt.want-50*time.Millisecond {
 					t.Errorf("the jobs were read after %s, want %s", took, tt.want)
 				}
-				if _, _, ok := f.Book().Job("a"); !ok {
+				if _, _, ok := f.Replica().Job("a"); !ok {
 					t.Error("the job is missing")
 				}
 				cancel()
--- a/ledger/damage_test.go
+++ b/ledger/damage_test.go
@@ -113,13 +113,13 @@
 			pass(8)
 			putJob(t, c, "k")
 			pass(2)
-			_, known := f.Book().Status("k")
+			_, known := f.Replica().Status("k")
 			check(t, "a new job is known while the log is damaged", true, known)
 
 			putBatch(t, c, ledger.Batch{Number: 2, Changes: doneSnapshots("j")})
 			putBatch(t, c, ledger.Batch{Number: 3, Changes: []ledger.Change{{Kind: ledger.Compacted, Life: 2}}})
 			pass(6)
-			state, _ := f.Book().Status("j")
+			state, _ := f.Replica().Status("j")
 			check(t, "state after the compaction", ledger.Completed, state)
 			cancel()
 			<-done
@@ -158,13 +158,13 @@
 		time.Sleep(time.Second)
 		put(t, c, ledger.OwnerKey, ledger.Owner{Host: "e1"})
 		time.Sleep(10 * time.Second)
-		o, _ := f.Book().Owner()
+		o, _ := f.Replica().Owner()
 		check(t, "owner", ledger.Owner{Host: "e1"}, o)
 		check(t, "at most one full read in two seconds", true, reads <= 5)
 
 		putBatch(t, c, ledger.Batch{Number: 2, Changes: []ledger.Change{{Kind: ledger.Compacted, Life: 1}}})
 		time.Sleep(6 * time.Second)
-		state, _ := f.Book().Status("j")
+		state, _ := f.Replica().Status("j")
 		check(t, "state after the compaction", ledger.Completed, state)
 		cancel()
 		<-done
--- a/ledger/follower.go
+++ b/ledger/follower.go
@@ -33,15 +33,15 @@
 	damagedInterval = 5 * time.Second
 	// retryPause is the pause after a failed store call.
 	retryPause = 200 * time.Millisecond
-	// copyPause is the interval at which Copy checks whether the book is up to date.
+	// copyPause is the interval at which Copy checks whether the replica is up to date.
 	copyPause = 5 * time.Millisecond
 )
 
-// Follower keeps a book up to date with the store.
+// Follower keeps a replica up to date with the store.
 type Follower struct {
 	client  *store.Client
 	log     *log.Logger
-	current atomic.Pointer[Book]
+	current atomic.Pointer[Replica]
 	mu      sync.Mutex
 	onJob   func(j work.Job, revision uint64)
 	changed chan struct{}
@@ -52,7 +52,7 @@
 	// readDelay returns the delay of the first full read, and of the read after the store compacted its history; meanwhile
 	// only the owner and the entry hosts are read.
 	readDelay func() time.Duration
-	// gapSince is when the book was first seen to lack changes of the log, or when that was last read again.
+	// gapSince is when the replica was first seen to lack changes of the log, or when that was last read again.
 	gapSince time.Time
 	// damaged is the number of the batch that kept the last full read from succeeding, if readDamaged is set.
 	damaged     uint64
@@ -80,8 +80,8 @@
 	return f
 }
 
-// Book returns the current book, or nil before the first read.
-func (f *Follower) Book() *Book {
+// Replica returns the current replica, or nil before the first read.
+func (f *Follower) Replica() *Replica {
 	return f.current.Load()
 }
 
@@ -139,7 +139,7 @@
 
 // readFailed handles a failed full read. A damaged log is read less often, since only its owner can mend it.
 func (f *Follower) readFailed(ctx context.Context, err error) {
-	f.refreshHosts(ctx, f.Book())
+	f.refreshHosts(ctx, f.Replica())
 	if !errors.Is(err, ErrDamaged) {
 		f.log.Warn("can't read the ledger; retrying", "error", err)
 		pause.For(ctx, retryPause)
@@ -149,14 +149,14 @@
 	f.log.Error("the log is damaged; this host knows no jobs until the owner of the workers has compacted it", "error", err)
 	for due := time.Now().Add(damagedInterval); ctx.Err() == nil && time.Now().Before(due); {
 		pause.For(ctx, refreshInterval)
-		f.refreshHosts(ctx, f.Book())
+		f.refreshHosts(ctx, f.Replica())
 	}
 }
 
-// closeGap reads the whole ledger again if the book lacks changes of the log for some time. Watches don't bring those back: a
+// closeGap reads the whole ledger again if the replica lacks changes of the log for some time. Watches don't bring those back: a
 // batch can't be decoded, or was removed before this host had read it.
 func (f *Follower) closeGap(ctx context.Context) (at uint64, ok bool) {
-	gap := f.Book().Gap()
+	gap := f.Replica().Gap()
 	switch {
 	case gap == nil:
 		f.gapSince = time.Time{}
@@ -192,7 +192,7 @@
 		f.setFollowed(0)
 	}
 	due := time.Now().Add(wait)
-	for ctx.Err() == nil && !f.ownsWorkers() && (f.Book() == nil || time.Now().Before(due)) {
+	for ctx.Err() == nil && !f.ownsWorkers() && (f.Replica() == nil || time.Now().Before(due)) {
 		b, err := ReadHosts(ctx, f.client)
 		if err != nil {
 			f.log.Warn("can't read the entry hosts; retrying", "error", err)
@@ -216,8 +216,8 @@
 	return f.onJob != nil
 }
 
-// refreshHosts reads the owner and the entry hosts into a book that is kept otherwise, and reports whether it could.
-func (f *Follower) refreshHosts(ctx context.Context, b *Book) bool {
+// refreshHosts reads the owner and the entry hosts into a replica that is kept otherwise, and reports whether it could.
+func (f *Follower) refreshHosts(ctx context.Context, b *Replica) bool {
 	if b == nil {
 		return false
 	}
@@ -235,12 +235,12 @@
 	return true
 }
 
-// refreshDuring keeps the owner and the entry hosts of the current book up to date until the returned function is called,
-// since a full read of a long ledger takes longer than it takes to elect an owner. That function returns the book if it was
+// refreshDuring keeps the owner and the entry hosts of the current replica up to date until the returned function is called,
+// since a full read of a long ledger takes longer than it takes to elect an owner. That function returns the replica if it was
 // refreshed at least once, and nil otherwise.
-func (f *Follower) refreshDuring(ctx context.Context) func() *Book {
+func (f *Follower) refreshDuring(ctx context.Context) func() *Replica {
 	ctx, cancel := context.WithCancel(ctx)
-	b := f.Book()
+	b := f.Replica()
 	var refreshed atomic.Bool
 	go func() {
 		for pause.For(ctx, refreshInterval) {
@@ -250,7 +250,7 @@
 		}
 	}()
 
-	return func() *Book {
+	return func() *Replica {
 		cancel()
 		if !refreshed.Load() {
 			return nil
@@ -285,7 +285,7 @@
 }
 
 // noteDamage notes whether a full read found a damaged log.
-func (f *Follower) noteDamage(b *Book, err error) {
+func (f *Follower) noteDamage(b *Replica, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	switch {
@@ -298,7 +298,7 @@
 
 // Damaged returns the number of the batch that can't be decoded and keeps this host from following the log, if there is one.
 func (f *Follower) Damaged() (uint64, bool) {
-	if b := f.Book(); b != nil {
+	if b := f.Replica(); b != nil {
 		if n, damaged := b.Damaged(); damaged {
 			return n, true
 		}
@@ -309,8 +309,8 @@
 	return f.damaged, f.readDamaged
 }
 
-// Copy waits until all changes up to a store revision are applied and returns a copy of the book.
-func (f *Follower) Copy(ctx context.Context, revision uint64) (*Book, error) {
+// Copy waits until all changes up to a store revision are applied and returns a copy of the replica.
+func (f *Follower) Copy(ctx context.Context, revision uint64) (*Replica, error) {
 	for f.followedRevision() < revision {
 		select {
 		case f.wake <- struct{}{}:
@@ -321,7 +321,7 @@
 		}
 	}
 
-	return f.Book().Clone()
+	return f.Replica().Clone()
 }
 
 func (f *Follower) followedRevision() uint64 {
@@ -350,13 +350,13 @@
 
 // Learn applies a record that is known to be stored, ahead of the watch.
 func (f *Follower) Learn(r store.Record) {
-	if f.Book() != nil {
+	if f.Replica() != nil {
 		f.applyEvents([]store.Event{{Record: r}})
 	}
 }
 
 func (f *Follower) applyEvents(events []store.Event) {
-	b := f.Book()
+	b := f.Replica()
 	for _, ev := range events {
 		if err := b.ApplyEvent(ev); err != nil {
 			what := "malformed ledger record skipped"
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -66,8 +66,8 @@
 	}
 }
 
-// states returns the states of all tasks in a book.
-func states(b *ledger.Book) map[work.Task]ledger.TaskState {
+// states returns the states of all tasks in a replica.
+func states(b *ledger.Replica) map[work.Task]ledger.TaskState {
 	all := map[work.Task]ledger.TaskState{}
 	for _, e := range b.Entries() {
 		for step, st := range e.Job.Steps {
@@ -92,7 +92,7 @@
 		rng := rand.New(rand.NewPCG(seed, 2))
 		s := standin.NewStore()
 		c := s.Client()
-		follower := ledger.NewBook()
+		follower := ledger.NewReplica()
 		for i := range 4 {
 			j := sampleJob(fleet.JobID(fmt.Sprint("j", i)))
 			put(t, c, ledger.JobKey(j.ID), j)
@@ -140,8 +140,8 @@
 	}
 }
 
-// follow applies the changes after a store revision to a book.
-func follow(t *testing.T, c *store.Client, b *ledger.Book, after uint64) uint64 {
+// follow applies the changes after a store revision to a replica.
+func follow(t *testing.T, c *store.Client, b *ledger.Replica, after uint64) uint64 {
 	t.Helper()
 	ev, err := c.Watch(ctx, ledger.Prefix, after, 0)
 	if err != nil {
@@ -245,7 +245,7 @@
 	}
 	f.Add(value)
 	f.Fuzz(func(t *testing.T, value []byte) {
-		b := ledger.NewBook()
+		b := ledger.NewReplica()
 		for i, key := range []string{ledger.JobKey("j"), ledger.LogKey(0)} {
 			err := b.ApplyEvent(store.Event{Record: store.Record{Key: key, Value: value, Revision: uint64(i + 1)}})
 			if err != nil && !errors.Is(err, ledger.ErrMalformed) {
--- a/ledger/order.go
+++ b/ledger/order.go
@@ -48,7 +48,7 @@
 }
 
 // HostOrders returns the last announced order to each host. It is not safe for concurrent use.
-func (b *Book) HostOrders() map[fleet.HostName]HostOrder {
+func (b *Replica) HostOrders() map[fleet.HostName]HostOrder {
 	orders := make(map[fleet.HostName]HostOrder, len(b.orders))
 	for name, o := range b.orders {
 		age := b.newestTerm.last - o.uptime
--- a/ledger/refresh_test.go
+++ b/ledger/refresh_test.go
@@ -59,8 +59,8 @@
 				put(t, c, ledger.OwnerKey, ledger.Owner{Host: "e2"})
 				time.Sleep(500 * time.Millisecond)
 				for range 80 {
-					if o, _ := f.Book().Owner(); o.Host != "e2" || len(f.Book().Hosts()) != 1 {
-						t.Errorf("got owner %v and hosts %v", o, f.Book().Hosts())
+					if o, _ := f.Replica().Owner(); o.Host != "e2" || len(f.Replica().Hosts()) != 1 {
+						t.Errorf("got owner %v and hosts %v", o, f.Replica().Hosts())
 						break
 					}
 					time.Sleep(100 * time.Millisecond)
--- a/ledger/book.go
+++ b/ledger/replica.go
@@ -35,8 +35,8 @@
 	LinkMegabits float64 `cbor:"5,keyasint,omitempty"`
 }
 
-// Book is an in-memory replica of the ledger. Its methods are safe for concurrent use unless they say otherwise.
-type Book struct {
+// Replica is an in-memory copy of the ledger. Its methods are safe for concurrent use unless they say otherwise.
+type Replica struct {
 	mu      sync.Mutex
 	entries map[fleet.JobID]*Entry
 	// orphans holds changes to jobs whose records have not been read yet.
@@ -63,16 +63,16 @@
 	readErrors []error
 }
 
-// NewBook returns an empty book.
-func NewBook() *Book {
-	return &Book{
+// NewReplica returns an empty replica.
+func NewReplica() *Replica {
+	return &Replica{
 		entries: map[fleet.JobID]*Entry{}, orphans: map[fleet.JobID][]Change{}, hosts: map[fleet.EntryName]Host{},
 		hostRevs: map[fleet.EntryName]uint64{}, outOfOrder: map[uint64]Batch{}, damaged: map[uint64]error{}, maintained: map[int64][]fleet.HostName{}, orders: map[fleet.HostName]announcement{},
 	}
 }
 
 // Read reads the whole ledger; it also returns the store revision after which to watch for changes.
-func Read(ctx context.Context, c *store.Client) (*Book, uint64, error) {
+func Read(ctx context.Context, c *store.Client) (*Replica, uint64, error) {
 	b, at, err := readAll(ctx, c)
 	if err != nil {
 		return nil, 0, err
@@ -82,7 +82,7 @@
 }
 
 // readAll is Read, but it returns what could be read of a damaged log with ErrDamaged.
-func readAll(ctx context.Context, c *store.Client) (*Book, uint64, error) {
+func readAll(ctx context.Context, c *store.Client) (*Replica, uint64, error) {
 	l, err := c.List(ctx, Prefix)
 	if err != nil {
 		return nil, 0, err
@@ -100,9 +100,9 @@
 	return b, l.Revision, err
 }
 
-// apply returns a book with sorted records, and with the changes of the log from batch next on.
-func apply(records []store.Record, first, next uint64) *Book {
-	b := NewBook()
+// apply returns a replica with sorted records, and with the changes of the log from batch next on.
+func apply(records []store.Record, first, next uint64) *Replica {
+	b := NewReplica()
 	b.first, b.next = first, next
 	for _, r := range records {
 		if err := b.ApplyEvent(store.Event{Record: r}); err != nil {
@@ -113,9 +113,9 @@
 	return b
 }
 
-// Gap returns why the book does not have all changes up to the last batch that it knows: ErrDamaged, or ErrGap if batches are
+// Gap returns why the replica does not have all changes up to the last batch that it knows: ErrDamaged, or ErrGap if batches are
 // missing, which a list in several pages and changes that were learned of early may cause for a moment.
-func (b *Book) Gap() error {
+func (b *Replica) Gap() error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
@@ -123,15 +123,15 @@
 }
 
 // Damaged returns the number of the batch that can't be decoded and keeps the log from being followed, if there is one.
-func (b *Book) Damaged() (uint64, bool) {
+func (b *Replica) Damaged() (uint64, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
 	return b.next, b.damaged[b.next] != nil
 }
 
-// gap is Gap for callers that have exclusive use of the book.
-func (b *Book) gap() error {
+// gap is Gap for callers that have exclusive use of the replica.
+func (b *Replica) gap() error {
 	if err := b.damaged[b.next]; err != nil {
 		return merry.Prependf(ErrDamaged, "no batch from %d on is applied: %v", b.next, err)
 	}
@@ -143,7 +143,7 @@
 }
 
 // ReadHosts reads only the owner and the entry hosts.
-func ReadHosts(ctx context.Context, c *store.Client) (*Book, error) {
+func ReadHosts(ctx context.Context, c *store.Client) (*Replica, error) {
 	l, err := c.List(ctx, HostPrefix)
 	if err != nil {
 		return nil, err
@@ -155,7 +155,7 @@
 	case !errors.Is(err, store.ErrNotFound):
 		return nil, err
 	}
-	b := NewBook()
+	b := NewReplica()
 	b.hostsOnly = true
 	for _, r := range l.Records {
 		if err := b.ApplyEvent(store.Event{Record: r}); err != nil {
@@ -166,8 +166,8 @@
 	return b, nil
 }
 
-// adoptHosts replaces the owner and the entry hosts by those of another book.
-func (b *Book) adoptHosts(from *Book) {
+// adoptHosts replaces the owner and the entry hosts by those of another replica.
+func (b *Replica) adoptHosts(from *Replica) {
 	from.mu.Lock()
 	owner, revision, hosts, hostRevs := from.owner, from.ownerRev, maps.Clone(from.hosts), maps.Clone(from.hostRevs)
 	from.mu.Unlock()
@@ -176,13 +176,13 @@
 	b.owner, b.ownerRev, b.hosts, b.hostRevs = owner, revision, hosts, hostRevs
 }
 
-// HasJobs reports whether the book includes jobs and the log, not only the owner and the entry hosts.
-func (b *Book) HasJobs() bool {
+// HasJobs reports whether the replica includes jobs and the log, not only the owner and the entry hosts.
+func (b *Replica) HasJobs() bool {
 	return !b.hostsOnly
 }
 
 // Clone returns a deep copy for exclusive use, or ErrGap or ErrDamaged if changes of the log are not applied.
-func (b *Book) Clone() (*Book, error) {
+func (b *Replica) Clone() (*Replica, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.hostsOnly {
@@ -191,7 +191,7 @@
 	if err := b.gap(); err != nil {
 		return nil, err
 	}
-	c := NewBook()
+	c := NewReplica()
 	c.hosts, c.owner, c.ownerRev, c.first, c.next, c.newestTerm = maps.Clone(b.hosts), b.owner, b.ownerRev, b.first, b.next, b.newestTerm
 	c.hostRevs, c.orders = maps.Clone(b.hostRevs), maps.Clone(b.orders)
 	for id, e := range b.entries {
@@ -208,7 +208,7 @@
 }
 
 // ApplyEvent applies one store event. It skips a record that can't be decoded and returns ErrMalformed.
-func (b *Book) ApplyEvent(ev store.Event) error {
+func (b *Replica) ApplyEvent(ev store.Event) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
@@ -227,7 +227,7 @@
 	}
 }
 
-func (b *Book) applyOwner(ev store.Event) error {
+func (b *Replica) applyOwner(ev store.Event) error {
 	if ev.Deleted {
 		b.owner, b.ownerRev = Owner{}, 0
 		return nil
@@ -240,7 +240,7 @@
 	return err
 }
 
-func (b *Book) applyHost(ev store.Event) error {
+func (b *Replica) applyHost(ev store.Event) error {
 	name := fleet.EntryName(strings.TrimPrefix(ev.Record.Key, HostPrefix))
 	if ev.Deleted {
 		delete(b.hosts, name)
@@ -255,7 +255,7 @@
 	return err
 }
 
-func (b *Book) applyJob(ev store.Event) error {
+func (b *Replica) applyJob(ev store.Event) error {
 	id := fleet.JobID(strings.TrimPrefix(ev.Record.Key, JobPrefix))
 	if ev.Deleted {
 		delete(b.entries, id)
@@ -283,7 +283,7 @@
 }
 
 // applyBatch applies batches in the order of their numbers, each once.
-func (b *Book) applyBatch(ev store.Event) error {
+func (b *Replica) applyBatch(ev store.Event) error {
 	n, err := batchNumber(ev.Record.Key)
 	if ev.Deleted && err == nil {
 		b.first = max(b.first, min(n+1, b.next))
@@ -313,7 +313,7 @@
 	}
 }
 
-func (b *Book) applyChange(c Change, from Batch) {
+func (b *Replica) applyChange(c Change, from Batch) {
 	switch c.Kind {
 	case Maintained:
 		b.maintained[int64(c.Life)] = append(b.maintained[int64(c.Life)], fleet.HostName(c.Worker))
@@ -332,7 +332,7 @@
 }
 
 // Status returns the state of a job, and whether the job is known.
-func (b *Book) Status(id fleet.JobID) (State, bool) {
+func (b *Replica) Status(id fleet.JobID) (State, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	e, ok := b.entries[id]
@@ -344,7 +344,7 @@
 }
 
 // OpenJobs returns the jobs that are not over.
-func (b *Book) OpenJobs() []fleet.JobID {
+func (b *Replica) OpenJobs() []fleet.JobID {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var ids []fleet.JobID
@@ -358,7 +358,7 @@
 }
 
 // Job returns a job with the store revision of its record, and whether the job is known.
-func (b *Book) Job(id fleet.JobID) (work.Job, uint64, bool) {
+func (b *Replica) Job(id fleet.JobID) (work.Job, uint64, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	e, ok := b.entries[id]
@@ -376,7 +376,7 @@
 }
 
 // jobRecords returns all jobs.
-func (b *Book) jobRecords() []jobRecord {
+func (b *Replica) jobRecords() []jobRecord {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	list := make([]jobRecord, 0, len(b.entries))
@@ -388,7 +388,7 @@
 }
 
 // Pending returns the number of jobs in a queue that have not started.
-func (b *Book) Pending(q fleet.QueueName) int {
+func (b *Replica) Pending(q fleet.QueueName) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	n := 0
@@ -402,7 +402,7 @@
 }
 
 // Hosts returns the entry hosts, sorted by name.
-func (b *Book) Hosts() []Host {
+func (b *Replica) Hosts() []Host {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	hosts := make([]Host, 0, len(b.hosts))
@@ -415,7 +415,7 @@
 }
 
 // HostRevisions returns the store revision of the record of each entry host.
-func (b *Book) HostRevisions() map[fleet.EntryName]uint64 {
+func (b *Replica) HostRevisions() map[fleet.EntryName]uint64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
@@ -423,7 +423,7 @@
 }
 
 // Owner returns the owner of the workers with the store revision of its record, which is zero if there is no owner.
-func (b *Book) Owner() (Owner, uint64) {
+func (b *Replica) Owner() (Owner, uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
@@ -431,7 +431,7 @@
 }
 
 // Batches returns the numbers of the oldest batch in the store and of the next batch to apply.
-func (b *Book) Batches() (first, next uint64) {
+func (b *Replica) Batches() (first, next uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
@@ -439,16 +439,16 @@
 }
 
 // ReadErrors returns an error for each record that was skipped during the initial read.
-func (b *Book) ReadErrors() []error {
+func (b *Replica) ReadErrors() []error {
 	return b.readErrors
 }
 
 // Maintained returns the hosts that had their maintenance, by wave. It is not safe for concurrent use.
-func (b *Book) Maintained() map[int64][]fleet.HostName {
+func (b *Replica) Maintained() map[int64][]fleet.HostName {
 	return b.maintained
 }
 
 // Entries returns the jobs with their state. It is not safe for concurrent use.
-func (b *Book) Entries() map[fleet.JobID]*Entry {
+func (b *Replica) Entries() map[fleet.JobID]*Entry {
 	return b.entries
 }
--- a/manager/manager.go
+++ b/manager/manager.go
@@ -244,7 +244,7 @@
 
 // owner returns the owner of the workers known to this host and its term; the term is zero if there is no owner.
 func (m *Manager) owner() (ledger.Owner, uint64) {
-	b := m.follower.Book()
+	b := m.follower.Replica()
 	if b == nil {
 		return ledger.Owner{}, 0
 	}
@@ -260,7 +260,7 @@
 }
 
 // ownerState queries the owner for the state of a job. If this process is the owner, it returns false: the state is in its
-// own book.
+// own replica.
 func (m *Manager) ownerState(ctx context.Context, j inquiry.Job) (ledger.State, bool) {
 	if m.term.Load() != nil {
 		return ledger.Queued, false
@@ -272,7 +272,7 @@
 // storedState returns the state of a job in the ledger, and whether the job exists and the workspace that asks may access
 // it.
 func (m *Manager) storedState(of inquiry.Job) (ledger.State, bool) {
-	b := m.follower.Book()
+	b := m.follower.Replica()
 	if b == nil {
 		return ledger.Queued, false
 	}
--- a/manager/peers.go
+++ b/manager/peers.go
@@ -20,7 +20,7 @@
 
 // hosts returns the entry hosts that are known to be alive.
 func (m *Manager) hosts() []ledger.Host {
-	b := m.follower.Book()
+	b := m.follower.Replica()
 	if b == nil {
 		return nil
 	}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -53,7 +53,7 @@
 // Run competes for terms until the context ends and calls serve in each; serve returns when the term has ended.
 func (c *Candidate) Run(ctx context.Context, serve func(ctx context.Context, t *Term)) {
 	for ctx.Err() == nil {
-		b := c.follower.Book()
+		b := c.follower.Replica()
 		if b == nil {
 			pause.For(ctx, contentionPause)
 			continue
@@ -135,7 +135,7 @@
 // observe takes note of the present state of the hosts. Its argument is the revision of this process's term, or zero, since
 // the follower may learn later of that.
 func (c *Candidate) observe(term uint64) {
-	b := c.follower.Book()
+	b := c.follower.Replica()
 	o, revision := b.Owner()
 	v := view{at: time.Now(), hosts: b.Hosts(), revisions: b.HostRevisions(), owner: o.Host, owned: revision}
 	if term != 0 {
--- a/schedule/crash_testbed_test.go
+++ b/schedule/crash_testbed_test.go
@@ -429,10 +429,10 @@
 // replay returns the jobs of the ledger as a replica reads them from their stored form.
 func (b *crashbed) replay() map[fleet.JobID]*ledger.Entry {
 	b.t.Helper()
-	book := ledger.NewBook()
+	replica := ledger.NewReplica()
 	apply := func(key string, value []byte, err error) {
 		if err == nil {
-			err = book.ApplyEvent(store.Event{Record: store.Record{Key: key, Value: value, Revision: 1}})
+			err = replica.ApplyEvent(store.Event{Record: store.Record{Key: key, Value: value, Revision: 1}})
 		}
 		if err != nil {
 			b.t.Fatal(err)
@@ -447,7 +447,7 @@
 		apply(ledger.LogKey(uint64(i)), value, err)
 	}
 
-	return book.Entries()
+	return replica.Entries()
 }
 
 // changeOwner begins the term of another owner, which knows only what the ledger has stored.
