--- a/intake/confirm_test.go
+++ b/intake/confirm_test.go
@@ -28,6 +28,22 @@
 	return c
 }
 
+// newFollowingHandler returns a handler whose follower has read an empty ledger, and a function that stops the follower. It must be
+// called in a synctest bubble.
+func newFollowingHandler(t *testing.T, confirm Option) (h *Handler, stop func()) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	c := standin.NewStore().Client()
+	f := ledger.NewFollower(c, log.New(io.Discard))
+	go f.Run(ctx)
+	synctest.Wait()
+
+	return NewHandler(c, f, log.New(io.Discard), func(RequestEvent) {}, confirm), func() {
+		cancel()
+		synctest.Wait()
+	}
+}
+
 // Guards against a refusal by a configuration that is no longer in force, and against one that can't be known to be true (CONFIG):
 // a queue or a key that was added is served as soon as a caller asks for it, and without the store the caller is told to come back.
 func TestRefusalIsConfirmed(t *testing.T) {
@@ -52,14 +68,8 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				ctx, cancel := context.WithCancel(t.Context())
-				defer cancel()
-				c := standin.NewStore().Client()
-				f := ledger.NewFollower(c, log.New(io.Discard))
-				go f.Run(ctx)
-				time.Sleep(10 * time.Millisecond)
 				var h *Handler
-				h = NewHandler(c, f, log.New(io.Discard), func(RequestEvent) {}, WithConfirm(func(_ context.Context, maxAge time.Duration) bool {
+				h, stop := newFollowingHandler(t, WithConfirm(func(_ context.Context, maxAge time.Duration) bool {
 					if maxAge >= maxConfigAge {
 						return true
 					}
@@ -71,8 +81,7 @@
 				}))
 				h.SetConfig(old)
 				checkResponse(t, h, tt.key, tt.path, tt.want)
-				cancel()
-				synctest.Wait()
+				stop()
 			})
 		})
 	}
@@ -92,14 +101,8 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				ctx, cancel := context.WithCancel(t.Context())
-				defer cancel()
-				c := standin.NewStore().Client()
-				f := ledger.NewFollower(c, log.New(io.Discard))
-				go f.Run(ctx)
-				time.Sleep(10 * time.Millisecond)
 				var h *Handler
-				h = NewHandler(c, f, log.New(io.Discard), func(RequestEvent) {}, WithConfirm(func(ctx context.Context, _ time.Duration) bool {
+				h, stop := newFollowingHandler(t, WithConfirm(func(ctx context.Context, _ time.Duration) bool {
 					select {
 					case <-ctx.Done():
 						return false
@@ -114,8 +117,7 @@
 				if took := time.Since(start); took > confirmWait {
 					t.Errorf("answered after %v, want %v at most", took, confirmWait)
 				}
-				cancel()
-				synctest.Wait()
+				stop()
 			})
 		})
 	}
