--- a/store/reflector.go
+++ b/store/reflector.go
@@ -206,6 +206,16 @@
 	return nil
 }
 
+// readAgain checks the records, or lists them if there is no check.
+func (r *Reflector) readAgain(ctx context.Context) error {
+	if r.check != nil {
+		return r.confirm(ctx, r.check)
+	}
+	_, err := r.list(ctx)
+
+	return err
+}
+
 func (r *Reflector) setConfirmed(began time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -268,7 +278,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, DefaultWatchWait)
 		defer cancel()
-		if err := r.confirm(ctx, r.check); err != nil {
+		if err := r.readAgain(ctx); err != nil {
 			r.logFailure("failed to confirm records", err)
 		}
 		r.mu.Lock()
--- a/store/reflector_test.go
+++ b/store/reflector_test.go
@@ -165,6 +165,9 @@
 		put(t, s, "a/2", "old")
 		r := &replica{}
 		f := store.NewReflector(deaf(s.Client(), false), "a/", log.New(io.Discard), r.apply, store.WithListInterval(10*time.Second))
+		if !f.Confirm(ctx, time.Second) || r.value("a/1") != "old" {
+			t.Errorf("confirmed without a list, value %q", r.value("a/1"))
+		}
 		go f.Run(ctx)
 		time.Sleep(time.Second)
 		put(t, s, "a/1", "new")
