--- a/relay/doc.go
+++ b/relay/doc.go
@@ -1,4 +1,4 @@
 // Package relay sends calls to the platform's store through other entry hosts
-// while direct calls fail, and forwards such calls for them. It also exchanges
-// messages between entry hosts.
+// while direct calls fail, sends overdue reads by another way, and forwards such
+// calls for other hosts. It also exchanges messages between entry hosts.
 package relay
