--- a/schedule/late.go
+++ b/schedule/late.go
@@ -29,11 +29,12 @@
 	if r == nil || !r.step.Lasting || r.entry == nil || r.entry.Finished() || s.rackFailed(w) {
 		return nil
 	}
+	j, open := s.jobs[r.attempt.Job]
 	age := r.ageAtCrash(now)
-	if age <= maxIsolation || age > maxLateAge {
+	if !open || age <= maxIsolation || age > maxLateAge {
 		return nil
 	}
-	j, t := s.jobs[r.attempt.Job], r.attempt.Task
+	t := r.attempt.Task
 	if j.late == nil {
 		j.late = map[work.Task]lateCrashes{}
 	}
