--- a/entry/caller.go
+++ b/entry/caller.go
@@ -131,8 +131,10 @@
 		g.Release()
 	default:
 		cl.recordOutcome(outcomeUnknown, nil)
+		// The slot may be released at once, and must not be read afterwards.
+		e := g.Slot().Endpoint()
 		g.ReleaseAt(c.deadline.Add(deadlineGrace))
-		a.log.Warn("request outcome unknown", "request", c.id, "team", g.Team().Name, "endpoint", g.Slot().Endpoint().Name, "err", err)
+		a.log.Warn("request outcome unknown", "request", c.id, "team", g.Team().Name, "endpoint", e.Name, "err", err)
 	}
 }
 
