store: derive when a reflector checks its copy

That the last watch had failed was kept beside the age of the copy. Taken out on a scratch copy, no test failed: after a failed watch of a second the age alone makes the check due, and after one that was cut at once the next watch goes on from where the last one was. Tests of store and manager pass.

--- a/store/reflector.go
+++ b/store/reflector.go
@@ -61,8 +61,8 @@
 // ReflectorOption configures a Reflector.
 type ReflectorOption func(*Reflector)
 
-// WithCheck makes the reflector call check after each watch that failed, and after any watch once no read has succeeded for an
-// interval; check reads and applies what must not be missed.
+// WithCheck makes the reflector call check after a watch, however it ended, if no read has succeeded for an interval; check reads
+// and applies what must not be missed.
 func WithCheck(check func(ctx context.Context) error, interval time.Duration) ReflectorOption {
 	return func(r *Reflector) { r.check, r.checkInterval = check, interval }
 }
@@ -98,7 +98,6 @@
 func (r *Reflector) Run(ctx context.Context) {
 	var after uint64
 	var listed time.Time
-	mustCheck := false
 	for ctx.Err() == nil {
 		if after == 0 || r.listInterval > 0 && time.Since(listed) >= r.listInterval {
 			at, err := r.list(ctx)
@@ -108,7 +107,7 @@
 			}
 			after, listed = at, time.Now()
 		}
-		if r.check != nil && (mustCheck || r.dueForCheck()) {
+		if r.check != nil && r.dueForCheck() {
 			err := r.confirm(ctx, r.check)
 			if err != nil {
 				r.failed(ctx, "failed to check records", err)
@@ -121,7 +120,6 @@
 		if after, err = r.watch(ctx, after); err != nil {
 			r.failed(ctx, "failed to watch records", err)
 		}
-		mustCheck = err != nil
 	}
 }
 
