--- a/intake/confirm_test.go
+++ b/intake/confirm_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -136,3 +137,19 @@
 		t.Errorf("Retry-After is set (-want +got):\n%s", diff)
 	}
 }
+
+// TestJobHasItsConfigRevision checks that a job names the configuration that accepted it, which its owner waits for.
+func TestJobHasItsConfigRevision(t *testing.T) {
+	c := configOf("k1", "q")
+	c.Revision = 17
+	router := NewRouter(c)
+	r := httptest.NewRequest(http.MethodPost, "http://a.example/q/00000000000000a1", strings.NewReader(`{"phases":[{"count":1}]}`))
+	req := request{Request: r, router: router, queue: c.Queues[0], id: "00000000000000a1"}
+	j, err := req.decodeJob(httptest.NewRecorder())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(uint64(17), j.ConfigRevision); diff != "" {
+		t.Errorf("revision of the configuration (-want +got):\n%s", diff)
+	}
+}
--- a/schedule/late_crash_test.go
+++ b/schedule/late_crash_test.go
@@ -86,6 +86,9 @@
 		{"irregular", []time.Duration{3 * time.Second, 5 * time.Second, 7 * time.Second, 3 * time.Second, 5 * time.Second, 7 * time.Second}},
 		{"regular but old", []time.Duration{12 * time.Second, 12 * time.Second, 12 * time.Second, 12 * time.Second, 12 * time.Second, 12 * time.Second}},
 		{"fewer than the limit, then a long run", []time.Duration{
+			4 * time.Second, 4 * time.Second, 4 * time.Second, 4 * time.Second, 20 * time.Second, 4 * time.Second, 4 * time.Second, 4 * time.Second,
+		}},
+		{"fewer than the limit, then another age", []time.Duration{
 			4 * time.Second, 4 * time.Second, 4 * time.Second, 4 * time.Second, 9 * time.Second, 4 * time.Second, 4 * time.Second, 4 * time.Second,
 		}},
 	}
