dispatch: ask the scheduler whether a job awaits its configuration

The term kept the revision of the scheduler's configuration beside the scheduler. Tests of dispatch, schedule and manager pass; the cases and bounds are as they were.

--- a/dispatch/config_test.go
+++ b/dispatch/config_test.go
@@ -31,7 +31,10 @@
 			d := &Dispatcher{}
 			WithConfigCheck(func() { checks++ })(d)
 			sched := schedule.New(1, schedule.Bounds{}, map[fleet.JobID]*ledger.Entry{}, time.Now())
-			tm := &term{Dispatcher: d, wake: make(chan struct{}, 1), sched: sched, configRevision: tt.scheduler}
+			if tt.scheduler != 0 {
+				sched.SetConfig(work.Config{Revision: tt.scheduler})
+			}
+			tm := &term{Dispatcher: d, wake: make(chan struct{}, 1), sched: sched}
 			tm.addJob(work.Job{ID: "j", Steps: []work.Step{{Count: 1}}, ConfigRevision: tt.job}, 1)
 			if diff := cmp.Diff(tt.checks, checks); diff != "" {
 				t.Errorf("checks (-want +got):\n%s", diff)
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -137,13 +137,11 @@
 	// writer appends to the ledger's log.
 	writer *logWriter
 
-	mu    sync.Mutex
-	sched *schedule.Scheduler
-	// version and configRevision are those of the scheduler's configuration.
-	version        int64
-	configRevision uint64
-	writing        bool
-	lastWrite      time.Time
+	mu        sync.Mutex
+	sched     *schedule.Scheduler
+	version   int64
+	writing   bool
+	lastWrite time.Time
 	// oldest is the number of the oldest batch that may be in the store. The log from batch compacted on reproduces the whole
 	// state.
 	oldest, compacted uint64
@@ -264,7 +262,7 @@
 
 	if ok && c.Version != t.version {
 		t.sched.SetConfig(c)
-		t.version, t.configRevision = c.Version, c.Revision
+		t.version = c.Version
 	}
 	t.sched.ExpireLeases(now)
 	if t.ownership.Valid() {
@@ -380,7 +378,7 @@
 func (t *term) addJob(j work.Job, revision uint64) {
 	t.mu.Lock()
 	t.sched.AddJob(j, revision, time.Now())
-	newer := t.configRevision != 0 && j.ConfigRevision > t.configRevision
+	newer := t.sched.AwaitsConfig(&j)
 	t.mu.Unlock()
 	if newer {
 		t.checkConfig()
--- a/schedule/obstacle.go
+++ b/schedule/obstacle.go
@@ -151,7 +151,7 @@
 	switch {
 	case !s.configured:
 		return NoConfiguration, string(NoConfiguration)
-	case s.awaitsConfig(r):
+	case s.AwaitsConfig(&r.job.entry.Job):
 		return OldConfiguration, string(OldConfiguration)
 	case step.Gang && r.membersLeft():
 		return GangNotOver, string(GangNotOver)
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -38,16 +38,16 @@
 	s.clearReserves()
 	sets := s.usableWorkers(now)
 	s.unplaced = s.unplaced[:0]
-	ready := slices.DeleteFunc(s.readySteps(now), s.awaitsConfig)
+	ready := slices.DeleteFunc(s.readySteps(now), func(r *readyStep) bool { return s.AwaitsConfig(&r.job.entry.Job) })
 	classes := rankClasses(ready)
 	s.placeClasses(classes, true, sets, now)
 	s.reserveForDrains(sets, now)
 	s.placeClasses(classes, false, sets, now)
 }
 
-// awaitsConfig reports whether a step's job was accepted under a configuration that is newer than the one in force.
-func (s *Scheduler) awaitsConfig(r *readyStep) bool {
-	return r.job.entry.Job.ConfigRevision > s.configRevision
+// AwaitsConfig reports whether a job was accepted under a configuration that is newer than the one in force.
+func (s *Scheduler) AwaitsConfig(j *work.Job) bool {
+	return s.configured && j.ConfigRevision > s.configRevision
 }
 
 // placeClasses places the rank classes of lasting jobs, or all others.
