--- a/relay/read_test.go
+++ b/relay/read_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -197,3 +198,45 @@
 		readCall, log.New(io.Discard),
 	)
 }
+
+// Guards against a store that is slow for all and gets several times its load, since each read is sent by all ways: the answer
+// must come from the first attempt, the number of attempts must follow from its delay, and calls must not turn to the peers.
+func TestReadOfSlowStore(t *testing.T) {
+	for _, tt := range []struct {
+		latency  time.Duration
+		attempts int64
+	}{
+		{testHedgeDelay / 2, 1}, {testHedgeDelay + testHedgeDelay/2, 2}, {2*testHedgeDelay + testHedgeDelay/2, 3},
+	} {
+		t.Run(tt.latency.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const reads = 10
+				var attempts atomic.Int64
+				slow := func(ctx context.Context, _ platform.Request) (platform.Response, error) {
+					attempts.Add(1)
+					if !pause.For(ctx, tt.latency) {
+						return platform.Response{}, merry.Wrap(platform.ErrNoAnswer, merry.WithCause(ctx.Err()))
+					}
+
+					return platform.Response{Status: http.StatusOK}, nil
+				}
+				r := New(slow, func(string) platform.Exchange { return slow }, func() []string { return []string{"a", "b", "c"} }, readCall, log.New(io.Discard))
+				req := readCall
+				req.Timeout, req.HedgeDelay = testTimeout, testHedgeDelay
+				for range reads {
+					start := time.Now()
+					if _, err := r.Exchange(t.Context(), req); err != nil || time.Since(start) != tt.latency {
+						t.Errorf("%v after %v", err, time.Since(start))
+					}
+					synctest.Wait()
+				}
+				if diff := cmp.Diff(tt.attempts*reads, attempts.Load()); diff != "" {
+					t.Errorf("attempts (-want +got):\n%s", diff)
+				}
+				if !r.Direct() {
+					t.Error("calls go through peers")
+				}
+			})
+		})
+	}
+}
