--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -113,14 +113,14 @@
 	return func(d *Dispatcher) { d.checkConfig = f }
 }
 
-// New returns a dispatcher; config returns the current configuration, and roster watches the registered workers until its
+// New returns a dispatcher; config returns the current configuration, and registry watches the registered workers until its
 // context ends.
 func New(
 	c *store.Client, f *ledger.Follower, w work.Workers, b schedule.Bounds, self ledger.Owner, l *log.Logger,
-	config func() (work.Config, bool), roster func(ctx context.Context, notify func(RegistryChange)), options ...Option,
+	config func() (work.Config, bool), registry func(ctx context.Context, notify func(RegistryChange)), options ...Option,
 ) *Dispatcher {
 	d := &Dispatcher{
-		client: c, follower: f, workers: w, bounds: b, self: self, log: l, config: config, watchWorkers: roster, observe: func(schedule.Decision) {},
+		client: c, follower: f, workers: w, bounds: b, self: self, log: l, config: config, watchWorkers: registry, observe: func(schedule.Decision) {},
 		report: func(int, int) {}, watch: noWatch(), checkConfig: func() {},
 	}
 	for _, o := range options {
@@ -190,7 +190,7 @@
 	}
 	background.Go(func() { t.expireJobs(ctx) })
 	background.Go(func() { t.findUnknown(ctx) })
-	background.Go(func() { d.watchWorkers(ctx, t.applyRoster) })
+	background.Go(func() { d.watchWorkers(ctx, t.applyRegistry) })
 	t.run(ctx)
 	t.report(0, 0)
 	t.endWatch()
@@ -386,7 +386,7 @@
 	t.signal()
 }
 
-func (t *term) applyRoster(r RegistryChange) {
+func (t *term) applyRegistry(r RegistryChange) {
 	now := time.Now()
 	t.mu.Lock()
 	if r.Full {
--- a/dispatch/roster_test.go
+++ b/dispatch/registry_test.go
@@ -13,9 +13,9 @@
 	"lycheehook.example/lycheehook/work"
 )
 
-// TestApplyRoster checks which workers count as registered after a change, and guards against a full list that removes a worker
+// TestApplyRegistry checks which workers count as registered after a change, and guards against a full list that removes a worker
 // whose entry was overwritten by another writer.
-func TestApplyRoster(t *testing.T) {
+func TestApplyRegistry(t *testing.T) {
 	reg := func(id work.WorkerID) work.Registration {
 		return work.Registration{ID: id, Life: 1, Address: "10.0.0.1:80", Pool: "p", Capacity: fleet.Resources{Cores: 1000}}
 	}
@@ -37,8 +37,8 @@
 		t.Run(tt.name, func(t *testing.T) {
 			sched := schedule.New(1, schedule.Bounds{}, map[fleet.JobID]*ledger.Entry{}, time.Now())
 			tm := &term{wake: make(chan struct{}, 1), sched: sched}
-			tm.applyRoster(RegistryChange{Full: true, Registered: []work.Registration{reg("a"), reg("b")}})
-			tm.applyRoster(tt.change)
+			tm.applyRegistry(RegistryChange{Full: true, Registered: []work.Registration{reg("a"), reg("b")}})
+			tm.applyRegistry(tt.change)
 			got := sched.Registered()
 			slices.Sort(got)
 			if diff := cmp.Diff(tt.want, got); diff != "" {
--- a/manager/manager.go
+++ b/manager/manager.go
@@ -121,7 +121,7 @@
 	m.agent = agent.NewServer(direct, owner.Uptime, l)
 	m.dispatch = dispatch.New(
 		client, m.follower, m.metrics.Workers("fleet", m.delegator.Workers(workerTimeout)), bounds(s), self, l,
-		m.config.Current, m.withAgents(watchRoster(client, l, m.metrics.MalformedRegistration)), dispatch.WithObserver(m.observeDecision), m.withHosts(transport, client),
+		m.config.Current, m.withAgents(watchRegistry(client, l, m.metrics.MalformedRegistration)), dispatch.WithObserver(m.observeDecision), m.withHosts(transport, client),
 		dispatch.WithReport(m.recordLoad), dispatch.WithConfigCheck(m.config.StartCheck), m.withWatch(), m.withAdvice(transport), dispatch.WithKeep(s.Bounds.StatusTime.Std()+statusMargin),
 	)
 
@@ -133,11 +133,11 @@
 	return m, nil
 }
 
-// withAgents wraps a roster so that the delegator learns of new workers, and opens streams to agents for them, before they
+// withAgents wraps a registry so that the delegator learns of new workers, and opens streams to agents for them, before they
 // are called.
-func (m *Manager) withAgents(roster func(context.Context, func(dispatch.RegistryChange))) func(context.Context, func(dispatch.RegistryChange)) {
+func (m *Manager) withAgents(registry func(context.Context, func(dispatch.RegistryChange))) func(context.Context, func(dispatch.RegistryChange)) {
 	return func(ctx context.Context, notify func(dispatch.RegistryChange)) {
-		roster(ctx, func(r dispatch.RegistryChange) {
+		registry(ctx, func(r dispatch.RegistryChange) {
 			m.delegator.PrepareAgents(ctx, r.Registered)
 			notify(r)
 		})
--- a/manager/roster.go
+++ b/manager/registry.go
@@ -15,43 +15,43 @@
 )
 
 const (
-	// rosterListInterval is the time between two lists of all workers, since a watch may miss changes.
-	rosterListInterval = 15 * time.Second
-	// rosterWatchDelay is the delay between watches. It lets heartbeats accumulate, because the store counts each call.
-	rosterWatchDelay = 300 * time.Millisecond
+	// registryListInterval is the time between two lists of all workers, since a watch may miss changes.
+	registryListInterval = 15 * time.Second
+	// registryWatchDelay is the delay between watches. It lets heartbeats accumulate, because the store counts each call.
+	registryWatchDelay = 300 * time.Millisecond
 )
 
-// watchRoster returns a function that watches the registrations of workers and calls notify with each change until its
+// watchRegistry returns a function that watches the registrations of workers and calls notify with each change until its
 // context ends. It calls onMalformed for each entry that does not describe a usable worker, once until that changes.
-func watchRoster(c *store.Client, l *log.Logger, onMalformed func()) func(ctx context.Context, notify func(dispatch.RegistryChange)) {
+func watchRegistry(c *store.Client, l *log.Logger, onMalformed func()) func(ctx context.Context, notify func(dispatch.RegistryChange)) {
 	return func(ctx context.Context, notify func(dispatch.RegistryChange)) {
-		reader := newRosterReader(l, onMalformed)
+		reader := newRegistryReader(l, onMalformed)
 		apply := func(u store.Update) error {
 			notify(reader.read(u))
 			return nil
 		}
 		store.NewReflector(
-			c, platform.RegistrationPrefix, l, apply, store.WithListInterval(rosterListInterval), store.WithWatchDelay(rosterWatchDelay),
+			c, platform.RegistrationPrefix, l, apply, store.WithListInterval(registryListInterval), store.WithWatchDelay(registryWatchDelay),
 		).Run(ctx)
 	}
 }
 
-// rosterReader reads changes of the registrations. Entries may come from other writers; those that do not describe a usable
+// registryReader reads changes of the registrations. Entries may come from other writers; those that do not describe a usable
 // worker are named once.
-type rosterReader struct {
+type registryReader struct {
 	log         *log.Logger
 	onMalformed func()
 	// malformed has the workers whose entries are known to be malformed.
 	malformed map[work.WorkerID]bool
 }
 
-func newRosterReader(l *log.Logger, onMalformed func()) *rosterReader {
-	return &rosterReader{log: l, onMalformed: onMalformed, malformed: map[work.WorkerID]bool{}}
+func newRegistryReader(l *log.Logger, onMalformed func()) *registryReader {
+	return &registryReader{log: l, onMalformed: onMalformed, malformed: map[work.WorkerID]bool{}}
 }
 
 // read returns what became of the workers by an update. Registrations that were removed later are kept, since they tell
 // whether the worker announced its end.
-func (m *rosterReader) read(u store.Update) dispatch.RegistryChange {
+func (m *registryReader) read(u store.Update) dispatch.RegistryChange {
 	r := dispatch.RegistryChange{Full: u.Full}
 	known := m.malformed
 	if u.Full {
@@ -79,7 +79,7 @@
 	return r
 }
 
-func (m *rosterReader) noteMalformed(id work.WorkerID, err error, known bool) {
+func (m *registryReader) noteMalformed(id work.WorkerID, err error, known bool) {
 	m.malformed[id] = true
 	if known {
 		return
--- a/manager/roster_test.go
+++ b/manager/registry_test.go
@@ -17,7 +17,7 @@
 )
 
 // Guards against a watch of the registrations that drops those in which only the capacity differs.
-func TestRosterFollowsCapacity(t *testing.T) {
+func TestRegistryFollowsCapacity(t *testing.T) {
 	s, w := standin.NewStore(), standin.NewTaskWorker(0)
 	register := func(cores int) {
 		w.SetCores(cores)
@@ -30,12 +30,12 @@
 	register(16000)
 
 	ctx, cancel := context.WithCancel(t.Context())
-	rosters, done := make(chan dispatch.RegistryChange), make(chan struct{})
+	changes, done := make(chan dispatch.RegistryChange), make(chan struct{})
 	go func() {
 		defer close(done)
-		watchRoster(s.Client(), log.New(io.Discard), func() {})(ctx, func(r dispatch.RegistryChange) {
+		watchRegistry(s.Client(), log.New(io.Discard), func() {})(ctx, func(r dispatch.RegistryChange) {
 			select {
-			case rosters <- r:
+			case changes <- r:
 			case <-ctx.Done():
 			}
 		})
@@ -46,20 +46,20 @@
 	})
 	var got []fleet.MilliCores
 	for _, next := range []int{6000, 9000, 0} {
-		got = append(got, coresOf(t, <-rosters))
+		got = append(got, coresOf(t, <-changes))
 		register(next)
 	}
-	got = append(got, coresOf(t, <-rosters))
+	got = append(got, coresOf(t, <-changes))
 	if diff := cmp.Diff([]fleet.MilliCores{16000, 6000, 9000, 0}, got); diff != "" {
 		t.Errorf("cores (-want +got):\n%s", diff)
 	}
 }
 
-// coresOf returns the capacity of the only worker of a roster.
+// coresOf returns the capacity of the only worker of a change.
 func coresOf(t *testing.T, r dispatch.RegistryChange) fleet.MilliCores {
 	t.Helper()
 	if len(r.Registered) != 1 || len(r.Deregistered) != 0 {
-		t.Fatalf("roster %+v", r)
+		t.Fatalf("change %+v", r)
 	}
 
 	return r.Registered[0].Capacity.Cores
@@ -67,7 +67,7 @@
 
 // Guards against a worker that counts as gone although it has registered again: a watch returns several changes of one
 // registration together.
-func TestRosterAfterNewRegistration(t *testing.T) {
+func TestRegistryAfterNewRegistration(t *testing.T) {
 	const id = "i-0"
 	put := store.Event{Record: store.Record{Key: "servers/" + id, Value: standin.NewTaskWorker(0).Registration("s-post", "10.0.0.9:80", "r0")}}
 	remove := store.Event{Record: store.Record{Key: "servers/" + id}, Deleted: true}
@@ -83,7 +83,7 @@
 		{"removed, and written by another writer", []store.Event{put, remove, foreign}, 1, 1},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
-			r := newRosterReader(log.New(io.Discard), func() {}).read(store.Update{Events: tt.events})
+			r := newRegistryReader(log.New(io.Discard), func() {}).read(store.Update{Events: tt.events})
 			if diff := cmp.Diff([]int{tt.present, tt.gone}, []int{len(r.Registered), len(r.Deregistered)}); diff != "" {
 				t.Errorf("registered and removed workers (-want +got):\n%s", diff)
 			}
@@ -93,7 +93,7 @@
 
 // The machines that read the list of workers ended or stopped following it because of one odd entry: the others must be followed
 // beside it, it must be named once, and what is known of a worker whose entry turns odd must stay.
-func TestRosterBesideOddEntries(t *testing.T) {
+func TestRegistryBesideOddEntries(t *testing.T) {
 	sound := standin.NewTaskWorker(0).Registration("s-post", "10.0.0.9:80", "r0")
 	entry := func(id string, value []byte) store.Event {
 		return store.Event{Record: store.Record{Key: "servers/" + id, Value: value}}
@@ -109,7 +109,7 @@
 				list.Events = append(list.Events, entry(fmt.Sprint("i-", i), sound))
 			}
 			named := 0
-			m := newRosterReader(log.New(io.Discard), func() { named++ })
+			m := newRegistryReader(log.New(io.Discard), func() { named++ })
 			for range 3 {
 				r := m.read(list)
 				if diff := cmp.Diff([]int{others, 1, 0}, []int{len(r.Registered), len(r.Unreadable), len(r.Deregistered)}); diff != "" {
