--- a/manager/config_age_test.go
+++ b/manager/config_age_test.go
@@ -21,8 +21,8 @@
 )
 
 const (
-	// maxConfigDelay is the platform's bound from the acknowledgement of a version until it is in force at hosts in touch, and
-	// contactTime is how long after a disturbance a host counts as in touch.
+	// maxConfigDelay is the platform's bound from the acknowledgement of a version until it is in force at each host, and
+	// contactTime is how long after the end of a fault that bound holds for the host again.
 	maxConfigDelay = 2 * time.Second
 	contactTime    = 3 * time.Second
 
@@ -143,8 +143,8 @@
 	return c.Version
 }
 
-// Guards against a host in touch that still handles requests as an old configuration allows more than two seconds after the
-// acknowledgement of a newer one (CONFIG): a fault that ended contactTime ago must not delay the changes after it.
+// Guards against a host that still handles requests as an old configuration allows more than two seconds after the acknowledgement
+// of a newer one (CONFIG): a fault that ended contactTime ago must not delay the changes after it.
 func TestConfigInForceInTimeAfterFaults(t *testing.T) {
 	tests := []struct {
 		name string
@@ -173,7 +173,7 @@
 	}
 }
 
-// checkConfigAfterFault checks that a version that is written so that its bound passes when the host is in touch again is in
+// checkConfigAfterFault checks that a version that is written so that its bound passes contactTime after the fault is in
 // force by then. The fault begins at the given phase of the watches.
 func checkConfigAfterFault(t *testing.T, phase time.Duration, peers, silentPeers int, outage time.Duration, silence bool) {
 	t.Helper()
