review: show jobs that are given up after crashes of runners (LOST)

Cause: the scheduler counts unexpected ends of workers against the tasks that they ran and fails the job after two to four of them, although only ends `failed` count as attempts.

It brings the stand-ins that all scripts of the review use.

--- /dev/null
+++ b/review/sim/cases.go
@@ -0,0 +1,196 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+)
+
+// newRunners returns n runners of the service whose tasks work for a time.
+func newRunners(n int, work time.Duration) []*runner {
+	var list []*runner
+	for i := range n {
+		list = append(list, &runner{
+			id: fmt.Sprintf("i-%06x", 0xa10+i), service: service, rack: fmt.Sprintf("r1-%d", i/4), cpu: 16000, work: work, stopTime: 100 * time.Millisecond,
+		})
+	}
+
+	return list
+}
+
+// crashes submits one job with one task. The runner at work on it crashes twice, each time a second after the start, and is back
+// after some seconds. No run of the task ends as failed, so the job must not be shown as failed.
+func crashes(program, record string, trouble bool, keep string) ([]string, error) {
+	const taskTime = 3 * time.Second
+	s, err := newSystem(program, record, 3, newRunners(4, taskTime), 4)
+	if s != nil {
+		defer s.close(keep)
+	}
+	if err != nil {
+		return nil, err
+	}
+	time.Sleep(time.Second)
+	id := s.submit(map[string]any{"count": 1, "cpu": 880, "memMb": 256, "estimateMs": 3000})
+	if id == "" {
+		return nil, fmt.Errorf("the job was not accepted")
+	}
+	for range 2 {
+		r := awaitRun(s, id)
+		if r == nil {
+			break
+		}
+		time.Sleep(time.Second)
+		if trouble {
+			r.crash()
+			time.AfterFunc(4500*time.Millisecond, func() { _ = r.start() })
+		}
+	}
+	var breaches []string
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(500 * time.Millisecond) {
+		switch state := s.state(id); state {
+		case "failed":
+			breaches = append(breaches, fmt.Sprintf("job %s is shown as failed, and no run of its task has ended failed", id))
+			return breaches, nil
+		case "completed":
+			return nil, nil
+		}
+	}
+
+	return []string{fmt.Sprintf("job %s is %s 20 s after the last crash", id, s.state(id))}, nil
+}
+
+// awaitRun returns the runner that is at work on a job once there is one.
+func awaitRun(s *system, id string) *runner {
+	for end := time.Now().Add(15 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if r := s.runnerOf(id); r != nil {
+			return r
+		}
+	}
+
+	return nil
+}
+
+// reborn plays demand that comes by turns: every two seconds 15 small jobs come within 0.6 s, and none in between. In each pause the
+// process of the first runner, which is idle, is killed and starts again under the same id and at the same address 100 ms later, as
+// by a supervisor. It does so 0 to 100 ms before the next jobs come.
+func reborn(program, record string, trouble bool, keep string) ([]string, error) {
+	const (
+		taskTime = 200 * time.Millisecond
+		downTime = 100 * time.Millisecond
+		turns    = 15
+		jobs     = 15
+	)
+	runners := newRunners(8, taskTime)
+	s, err := newSystem(program, record, 3, runners, 4)
+	if s != nil {
+		defer s.close(keep)
+	}
+	if err != nil {
+		return nil, err
+	}
+	time.Sleep(time.Second)
+	for range turns {
+		time.Sleep(1200 * time.Millisecond)
+		if trouble {
+			runners[0].crash()
+			time.Sleep(downTime)
+			if err := runners[0].start(); err != nil {
+				return nil, err
+			}
+			time.Sleep(rand.N(100 * time.Millisecond))
+		}
+		for range jobs {
+			s.submit(map[string]any{"count": 1, "cpu": 880, "memMb": 256, "estimateMs": 200})
+			time.Sleep(30 * time.Millisecond)
+		}
+	}
+	time.Sleep(9 * time.Second)
+
+	return s.rec.twice(), nil
+}
+
+// foreign submits jobs whose tasks work for three seconds. Twice, another writer puts an entry of a service that no configuration
+// names in the place of a busy runner's. The runner goes on, and writes its own entry again with its next heartbeat.
+func foreign(program, record string, trouble bool, keep string) ([]string, error) {
+	const taskTime = 3 * time.Second
+	runners := newRunners(4, taskTime)
+	s, err := newSystem(program, record, 3, runners, 4)
+	if s != nil {
+		defer s.close(keep)
+	}
+	if err != nil {
+		return nil, err
+	}
+	time.Sleep(time.Second)
+	for i := range 2 {
+		for range 4 {
+			if s.submit(map[string]any{"count": 2, "cpu": 880, "memMb": 256, "estimateMs": 3000}) == "" {
+				return nil, fmt.Errorf("a job was not accepted")
+			}
+		}
+		time.Sleep(time.Second)
+		if trouble {
+			busy := s.busiest()
+			s.rec.logf("another writer writes servers/%s", busy.id)
+			s.store.set("servers/"+busy.id, map[string]any{
+				"service": "stock-sync", "address": busy.address, "zone": "z-a", "version": "v9", "state": "ready", "sequence": 1 + i,
+				"capacity": map[string]int{"cpu": 1000, "memMb": 1024, "gpu": 0}, "labels": []string{"x", "y"}, "born": time.Now().UnixMilli(),
+			})
+		}
+		time.Sleep(6 * time.Second)
+	}
+	time.Sleep(4 * time.Second)
+
+	return s.rec.twice(), nil
+}
+
+// clock restarts an idle runner once, under the same id, 1.5 s after its first start; between the two starts the time of day of its
+// machine jumps back by 2.4 s, so that the second life says that it was born before the first. Jobs come from two seconds later on.
+func clock(program, record string, trouble bool, keep string) ([]string, error) {
+	const (
+		taskTime = 300 * time.Millisecond
+		jump     = 2400 * time.Millisecond
+		// finish is how long after the last job the states are asked for, and idle how long nothing of a job may run then.
+		finish = 18 * time.Second
+		idle   = 3 * time.Second
+	)
+	runners := newRunners(4, taskTime)
+	s, err := newSystem(program, record, 3, runners, 4)
+	if s != nil {
+		defer s.close(keep)
+	}
+	if err != nil {
+		return nil, err
+	}
+	r := runners[0]
+	if trouble {
+		time.Sleep(time.Until(r.born.Add(1500 * time.Millisecond)))
+		s.rec.logf("the time of day of the machine of runner %s jumps back by %v", r.id, jump)
+		r.clockError = -jump
+		r.crash()
+		time.Sleep(200 * time.Millisecond)
+		if err := r.start(); err != nil {
+			return nil, err
+		}
+	}
+	time.Sleep(2 * time.Second)
+	var ids []string
+	for range 10 {
+		id := s.submit(map[string]any{"count": 2, "cpu": 880, "memMb": 256, "estimateMs": 300})
+		if id == "" {
+			return nil, fmt.Errorf("a job was not accepted")
+		}
+		ids = append(ids, id)
+		time.Sleep(500 * time.Millisecond)
+	}
+	time.Sleep(finish)
+	var breaches []string
+	for _, id := range ids {
+		state := s.state(id)
+		if last, running := s.rec.lastRun(id); state != "completed" && !running && time.Since(last) > idle {
+			breaches = append(breaches, fmt.Sprintf("job %s is %s %v after the last job came, and nothing of it runs since %.3f s", id, state, finish, s.rec.at(last)))
+		}
+	}
+
+	return breaches, nil
+}
