--- a/review/sim/main.go
+++ b/review/sim/main.go
@@ -14,6 +14,7 @@
 	"reborn":  reborn,
 	"foreign": foreign,
 	"clock":   clock,
+	"pending": pending,
 }
 
 func main() {
--- a/review/sim/runner.go
+++ b/review/sim/runner.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -23,6 +24,7 @@
 // activeRun is a run in progress.
 type activeRun struct {
 	began time.Time
+	work  time.Duration
 	entry *runRecord
 	// stopAt is when the run ends by a stop; zero if none was ordered.
 	stopAt time.Time
@@ -37,11 +39,11 @@
 
 // runner is a stand-in of a worker. Each life of it begins with start and ends with crash.
 type runner struct {
-	id, service, rack string
-	cpu               int
+	id, machine, service, rack string
+	cpu                        int
 	// clockError is how far the time of day of the runner's machine is ahead of true time.
 	clockError time.Duration
-	// work is how long a task works, stopTime how long a stop takes.
+	// work is how long a task works whose spec doesn't say so in milliseconds, stopTime how long a stop takes.
 	work, stopTime time.Duration
 	store          *metadataStore
 	rec            *recorder
@@ -62,7 +64,8 @@
 	number   uint64
 	sequence int
 	changed  chan struct{}
-	silent   bool
+	// unhealthy runners refuse all starts.
+	unhealthy bool
 }
 
 // start begins a new life at the runner's address and registers it.
@@ -123,6 +126,16 @@
 	r.rec.logf("runner %s crashed", r.id)
 }
 
+// replace starts a runner with a new id and at a new address on the machine of one that has crashed.
+func (r *runner) replace() error {
+	r.store.remove("servers/" + r.id)
+	r.mu.Lock()
+	r.id, r.address = r.id+"b", ""
+	r.mu.Unlock()
+
+	return r.start()
+}
+
 func (r *runner) register() {
 	r.mu.Lock()
 	if !r.up {
@@ -147,7 +160,7 @@
 func (r *runner) advance() {
 	now := time.Now()
 	for k, a := range r.runs {
-		done := a.began.Add(r.work)
+		done := a.began.Add(a.work)
 		switch {
 		case now.After(r.leaseEnd):
 			r.finish(k, a, r.leaseEnd, "lapsed")
@@ -198,6 +211,12 @@
 		r.refuse(w, "fence")
 		return
 	}
+	if r.unhealthy && req.URL.Path == "/api/run-start" {
+		r.mu.Unlock()
+		r.rec.logf("run %s/%d on %s: refused with 503", o.Task, o.Attempt, r.id)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	r.token = o.Token
 	now, key := time.Now(), runKey{o.Task, o.Attempt}
 	deadline := r.born.Add(time.Duration(o.DeadlineMs) * time.Millisecond)
@@ -220,7 +239,11 @@
 		if deadline.After(r.leaseEnd) {
 			r.leaseEnd = deadline
 		}
-		r.runs[key] = &activeRun{began: now, entry: r.rec.began(key, r.id, r.born, now)}
+		work := r.work
+		if ms, err := strconv.Atoi(o.Spec); err == nil {
+			work = time.Duration(ms) * time.Millisecond
+		}
+		r.runs[key] = &activeRun{began: now, work: work, entry: r.rec.began(key, r.id, r.born, now)}
 		r.rec.logf("run %s/%d on %s: started", o.Task, o.Attempt, r.id)
 	case "/api/run-stop":
 		r.highest[o.Task] = max(r.highest[o.Task], o.Attempt)
@@ -284,7 +307,7 @@
 	}
 	active, finished := [][]any{}, [][]any{}
 	for k, a := range r.runs {
-		percent := int(100 * time.Since(a.began) / max(1, r.work))
+		percent := int(100 * time.Since(a.began) / max(1, a.work))
 		active = append(active, []any{k.Task, k.Attempt, "", min(99, percent), 0})
 	}
 	for _, e := range r.ends[:min(len(r.ends), 500)] {
