--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Builds the stand-ins that the scripts of the second review start. It needs no network.
+set -euo pipefail
+cd "$(dirname "$0")/standin-2"
+GOFLAGS="-buildvcs=false" GOTOOLCHAIN=local go build -o ../../target/review-2/standin-2 .
--- /dev/null
+++ b/review/standin-2/cases.go
@@ -0,0 +1,243 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+var errNoStart = errors.New("the task was not started")
+
+// crashes: two runners crash, one after the other, each while it runs the only task of a job. No run ends `failed`.
+func crashes(w *world) ([]string, error) {
+	const id = "00000000000000c1"
+	const task = id + ".0.0.0"
+	const (
+		// runners are so many that the two that crash are at most 0.15 of them, the pages' share.
+		runners = 14
+		// downTime is how long a runner is down; the pages' for_s is 5.
+		downTime = 2 * time.Second
+		// age is how long the task has run when its runner crashes.
+		age = 800 * time.Millisecond
+	)
+	if err := w.build(runners, 3); err != nil {
+		return nil, err
+	}
+	time.Sleep(2 * time.Second)
+	if err := w.submit(id, job(1, 1500, 500)); err != nil {
+		return nil, err
+	}
+	for n := 1; w.trouble && n <= 2; n++ {
+		var current runRecord
+		running := await(15*time.Second, func() bool {
+			runs := w.runsOf(task)
+			if len(runs) < n {
+				return false
+			}
+			current = runs[len(runs)-1]
+			return current.ended.IsZero()
+		})
+		if !running {
+			break
+		}
+		time.Sleep(time.Until(current.began.Add(age)))
+		r := w.runnerOf(current.runner)
+		r.crash()
+		time.AfterFunc(downTime, func() {
+			if err := r.start(); err != nil {
+				w.note("runner %s can't start: %v", r.id, err)
+			}
+		})
+	}
+	var last string
+	await(20*time.Second, func() bool {
+		time.Sleep(200 * time.Millisecond)
+		if s := w.state(id); s != last {
+			w.note("GET %s: %s", id, s)
+			last = s
+		}
+		return last == "completed" || last == "failed"
+	})
+	if last == "completed" {
+		return nil, nil
+	}
+	failures := 0
+	for _, u := range w.runsOf(task) {
+		if u.how == "failed" {
+			failures++
+		}
+	}
+
+	return []string{fmt.Sprintf("LOST: job %s is shown as %q; %d of its runs ended failed, maxAttempts is 3", id, last, failures)}, nil
+}
+
+// lateStart: a start gets no answer and is carried out late, on the runner's next life.
+func lateStart(w *world) ([]string, error) {
+	const id = "00000000000000b1"
+	const task = id + ".0.0.0"
+	if err := w.build(8, 3); err != nil {
+		return nil, err
+	}
+	time.Sleep(2 * time.Second)
+	if w.trouble {
+		first := true
+		for _, r := range w.runners {
+			r.holdStart = func(t string, _ int) bool {
+				hold := first && t == task
+				first = first && !hold
+				return hold
+			}
+		}
+	}
+	if err := w.submit(id, job(1, 1000, 500)); err != nil {
+		return nil, err
+	}
+	if !await(20*time.Second, func() bool {
+		for _, u := range w.runsOf(task) {
+			if u.how == "done" {
+				return true
+			}
+		}
+		return false
+	}) {
+		return nil, errNoStart
+	}
+	for _, r := range w.runners {
+		if len(r.held) > 0 {
+			if err := w.restartAndDeliver(r); err != nil {
+				return nil, err
+			}
+		}
+	}
+	time.Sleep(3 * time.Second)
+
+	return w.twice(task), nil
+}
+
+// restartAndDeliver restarts a runner and lets the start that was held up arrive at its next life.
+func (w *world) restartAndDeliver(r *runner) error {
+	const (
+		// restartAt and deliverAt are the times since the start was sent; the pages say 2 to 12 s for the second.
+		restartAt = 7 * time.Second
+		deliverAt = 8 * time.Second
+	)
+	h := r.held[0]
+	time.Sleep(time.Until(h.sent.Add(restartAt)))
+	r.crash()
+	time.Sleep(time.Until(h.sent.Add(deliverAt)) - 100*time.Millisecond)
+	if err := r.start(); err != nil {
+		return err
+	}
+	time.Sleep(time.Until(h.sent.Add(deliverAt)))
+	w.note("the start that was held up for %.1f s is carried out: %s", time.Since(h.sent).Seconds(), r.deliver(h))
+
+	return nil
+}
+
+// twice returns what breaks the rule TWICE.
+func (w *world) twice(task string) []string {
+	var faults []string
+	runs := w.runsOf(task)
+	for i, u := range runs {
+		for _, v := range runs[i+1:] {
+			switch {
+			case u.how == "done" && !u.acked.IsZero() && v.began.After(u.ended):
+				faults = append(faults, fmt.Sprintf(
+					"TWICE: %s run %d ended done on %s, which is taken note of, and run %d starts on %s %.2f s later", task, u.attempt, u.runner, v.attempt,
+					v.runner, v.began.Sub(u.ended).Seconds(),
+				))
+			case u.ended.IsZero() || v.began.Before(u.ended):
+				faults = append(faults, fmt.Sprintf("TWICE: %s runs on %s and on %s at the same time", task, u.runner, v.runner))
+			}
+		}
+	}
+
+	return faults
+}
+
+// lateUpkeep: an order for an upkeep gets no answer and is carried out late, after another process has taken over.
+func lateUpkeep(w *world) ([]string, error) {
+	const machines = 6
+	// deliverAt is how long the order is on its way; the pages say 2 to 12 s.
+	const deliverAt = 7 * time.Second
+	if err := w.build(machines, 3); err != nil {
+		return nil, err
+	}
+	time.Sleep(2 * time.Second)
+	// The machines but the last have some work at first.
+	if err := w.submit("00000000000000a1", map[string]any{
+		"spec":   "work=500",
+		"phases": []any{map[string]any{"count": machines - 1, "cpu": 9000, "memMb": 64, "estimateMs": 500, "antiAffinity": 1}},
+	}); err != nil {
+		return nil, err
+	}
+	if !await(5*time.Second, func() bool { w.mu.Lock(); defer w.mu.Unlock(); return len(w.runs) == machines-1 }) {
+		return nil, errNoStart
+	}
+	if w.trouble {
+		first := true
+		w.cloud.holdOrder = func(o machineOrder) bool {
+			hold := first && o.path == "/api/machine-upkeep"
+			first = first && !hold
+			return hold
+		}
+	}
+	v := &wave{Cohort: 1, DurationS: 60, MaxCount: 1}
+	for i := range machines {
+		v.Machines = append(v.Machines, fmt.Sprintf("m-%02d", i))
+	}
+	w.cloud.mu.Lock()
+	w.wave = v
+	w.cloud.mu.Unlock()
+	w.store.put("op/wave/1", v)
+	w.note("op/wave/1: %v, %d at once", v.Machines, v.MaxCount)
+	if w.trouble {
+		if err := w.takeOverAndDeliver(deliverAt); err != nil {
+			return nil, err
+		}
+	}
+	await(50*time.Second, func() bool {
+		w.cloud.mu.Lock()
+		defer w.cloud.mu.Unlock()
+		for _, m := range w.cloud.byName {
+			if !m.done[1] || m.state != "up" {
+				return false
+			}
+		}
+		return true
+	})
+	time.Sleep(time.Second)
+	w.note("status/wave/1: %s", w.store.value("status/wave/1"))
+	w.cloud.mu.Lock()
+	defer w.cloud.mu.Unlock()
+	var faults []string
+	for _, name := range w.cloud.tooMany {
+		faults = append(faults, fmt.Sprintf("LIMIT: the upkeep of %s begins while maxCount machines of its wave (%d) are down for theirs", name, v.MaxCount))
+	}
+
+	return faults, nil
+}
+
+// takeOverAndDeliver kills the process whose order is held up, and lets the order arrive some time after it was sent.
+func (w *world) takeOverAndDeliver(after time.Duration) error {
+	var o machineOrder
+	if !await(15*time.Second, func() bool {
+		w.cloud.mu.Lock()
+		defer w.cloud.mu.Unlock()
+		if len(w.cloud.held) > 0 {
+			o = w.cloud.held[0]
+		}
+		return len(w.cloud.held) > 0
+	}) {
+		return errors.New("no upkeep was ordered")
+	}
+	for _, m := range w.managers {
+		if m.name == o.holder {
+			m.kill()
+		}
+	}
+	time.Sleep(time.Until(o.sent.Add(after)))
+	w.cloud.deliver(o)
+
+	return nil
+}
