--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -73,6 +73,29 @@
 
 // lateStart: a start gets no answer and is carried out late, on the runner's next life.
 func lateStart(w *world) ([]string, error) {
+	return w.playLateStart(func(r *runner) error {
+		return w.restartAndDeliver(r, 7*time.Second, 8*time.Second)
+	})
+}
+
+// lateStartTakeover: the same within 5 s of the start, after all managers were killed at once and one has taken over.
+func lateStartTakeover(w *world) ([]string, error) {
+	return w.playLateStart(func(r *runner) error {
+		for _, m := range w.managers {
+			m.kill()
+		}
+		time.Sleep(restartPause)
+		if err := w.awaitReady(); err != nil {
+			return err
+		}
+
+		return w.restartAndDeliver(r, 3900*time.Millisecond, 4700*time.Millisecond)
+	})
+}
+
+// playLateStart holds up the first start of a task, waits until the task is done all the same, and lets disrupt make the start
+// arrive at its runner.
+func (w *world) playLateStart(disrupt func(r *runner) error) ([]string, error) {
 	const id = "00000000000000b1"
 	const task = id + ".0.0.0"
 	if err := w.build(8, 3); err != nil {
@@ -94,7 +117,7 @@
 	}
 	if !await(20*time.Second, func() bool {
 		for _, u := range w.runsOf(task) {
-			if u.how == "done" {
+			if u.how == "done" && !u.acked.IsZero() {
 				return true
 			}
 		}
@@ -104,7 +127,7 @@
 	}
 	for _, r := range w.runners {
 		if len(r.held) > 0 {
-			if err := w.restartAndDeliver(r); err != nil {
+			if err := disrupt(r); err != nil {
 				return nil, err
 			}
 		}
@@ -114,13 +137,9 @@
 	return w.twice(task), nil
 }
 
-// restartAndDeliver restarts a runner and lets the start that was held up arrive at its next life.
-func (w *world) restartAndDeliver(r *runner) error {
-	const (
-		// restartAt and deliverAt are the times since the start was sent; the pages say 2 to 12 s for the second.
-		restartAt = 7 * time.Second
-		deliverAt = 8 * time.Second
-	)
+// restartAndDeliver restarts a runner and lets the start that was held up arrive at its next life. The times are since the start was
+// sent; the pages say 2 to 12 s for the second.
+func (w *world) restartAndDeliver(r *runner, restartAt, deliverAt time.Duration) error {
 	h := r.held[0]
 	time.Sleep(time.Until(h.sent.Add(restartAt)))
 	r.crash()
@@ -157,21 +176,25 @@
 
 // lateUpkeep: an order for an upkeep gets no answer and is carried out late, after another process has taken over.
 func lateUpkeep(w *world) ([]string, error) {
-	const machines = 6
+	const (
+		machines = 15
+		// upkeeps of the machines are of the wave, 0.4 of all as in the pages; all of them but one have some work at first.
+		upkeeps = 6
+		busy    = upkeeps - 1
+	)
 	// deliverAt is how long the order is on its way; the pages say 2 to 12 s.
 	const deliverAt = 7 * time.Second
 	if err := w.build(machines, 3); err != nil {
 		return nil, err
 	}
 	time.Sleep(2 * time.Second)
-	// The machines but the last have some work at first.
 	if err := w.submit("00000000000000a1", map[string]any{
 		"spec":   "work=500",
-		"phases": []any{map[string]any{"count": machines - 1, "cpu": 9000, "memMb": 64, "estimateMs": 500, "antiAffinity": 1}},
+		"phases": []any{map[string]any{"count": busy, "cpu": 9000, "memMb": 64, "estimateMs": 500, "antiAffinity": 1}},
 	}); err != nil {
 		return nil, err
 	}
-	if !await(5*time.Second, func() bool { w.mu.Lock(); defer w.mu.Unlock(); return len(w.runs) == machines-1 }) {
+	if !await(5*time.Second, func() bool { w.mu.Lock(); defer w.mu.Unlock(); return len(w.runs) == busy }) {
 		return nil, errNoStart
 	}
 	if w.trouble {
@@ -183,9 +206,15 @@
 		}
 	}
 	v := &wave{Cohort: 1, DurationS: 60, MaxCount: 1}
-	for i := range machines {
-		v.Machines = append(v.Machines, fmt.Sprintf("m-%02d", i))
+	idle := ""
+	for _, r := range w.runners {
+		if w.hasRun(r) {
+			v.Machines = append(v.Machines, r.machine)
+		} else {
+			idle = r.machine
+		}
 	}
+	v.Machines = append(v.Machines, idle)
 	w.cloud.mu.Lock()
 	w.wave = v
 	w.cloud.mu.Unlock()
@@ -199,8 +228,8 @@
 	await(50*time.Second, func() bool {
 		w.cloud.mu.Lock()
 		defer w.cloud.mu.Unlock()
-		for _, m := range w.cloud.byName {
-			if !m.done[1] || m.state != "up" {
+		for _, name := range v.Machines {
+			if m := w.cloud.byName[name]; !m.done[1] || m.state != "up" {
 				return false
 			}
 		}
@@ -241,3 +270,16 @@
 
 	return nil
 }
+
+// hasRun reports whether a runner has begun a run.
+func (w *world) hasRun(r *runner) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, u := range w.runs {
+		if u.runner == r.id {
+			return true
+		}
+	}
+
+	return false
+}
--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -118,7 +118,7 @@
 
 // serve serves a handler on a free loopback port and returns its address.
 func (w *world) serve(h http.Handler) (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", ownAddress+":0")
 	if err != nil {
 		return "", err
 	}
@@ -129,15 +129,33 @@
 	return l.Addr().String(), nil
 }
 
-// freeAddress returns a loopback address with a free port.
+// ownAddress is a loopback address that no other run of this program uses at the time. Connections of other processes don't take its ports.
+var ownAddress = fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()>>14&63, os.Getpid()>>7&127, 1+os.Getpid()&127)
+
+// taken has the addresses that freeAddress has returned.
+var (
+	takenMu sync.Mutex
+	taken   = map[string]bool{}
+)
+
+// freeAddress returns a loopback address with a free port, each only once.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	takenMu.Lock()
+	defer takenMu.Unlock()
+	for {
+		l, err := net.Listen("tcp", ownAddress+":0")
+		if err != nil {
+			return "", err
+		}
+		a := l.Addr().String()
+		if err := l.Close(); err != nil {
+			return "", err
+		}
+		if !taken[a] {
+			taken[a] = true
+			return a, nil
+		}
 	}
-	defer func() { _ = l.Close() }()
-
-	return l.Addr().String(), nil
 }
 
 // newRunner returns a runner on a machine, which is not started yet.
