--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins that the scripts of the second review start. It needs no network.
 set -euo pipefail
 cd "$(dirname "$0")/standin-2"
-GOFLAGS="-buildvcs=false" GOTOOLCHAIN=local go build -o ../../target/review-2/standin-2 .
+GOWORK=off GOFLAGS=-buildvcs=false go build -o ../../target/review-2/standin-2 .
