review: case 9, a start that is lost with its owner is carried out late beside the next run

Cause: schedule/latestart.go doesn't remember a start of the previous owner whose worker has not answered when the cloud's list shows the machine as down, so that the task starts elsewhere at once (TWICE).

The case holds up one start, kills the managers, and crashes and restarts the runner.

--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 )
 
@@ -11,7 +12,7 @@
 // lateStart: a start gets no answer and is carried out late, on the runner's next life.
 func lateStart(w *world) ([]string, error) {
 	return w.playLateStart(func(r *runner) error {
-		return w.restartAndDeliver(r, 7*time.Second, 8*time.Second)
+		return w.restartAndDeliver(r, 7*time.Second, 7900*time.Millisecond, 8*time.Second)
 	})
 }
 
@@ -26,10 +27,84 @@
 			return err
 		}
 
-		return w.restartAndDeliver(r, 3900*time.Millisecond, 4700*time.Millisecond)
+		return w.restartAndDeliver(r, 3900*time.Millisecond, 4600*time.Millisecond, 4700*time.Millisecond)
 	})
 }
 
+// lostWithOwner: the managers are killed and the runner crashes while a start is on its way; the start is carried out late, on the
+// runner's next life, while the task is at work elsewhere.
+func lostWithOwner(w *world) ([]string, error) {
+	const id = "00000000000000d1"
+	const task = id + ".0.0.0"
+	const (
+		// killAfter, crashAfter, restartAt and deliverAt are times since the start was sent; the pages say 2 to 12 s for the last.
+		killAfter  = 150 * time.Millisecond
+		crashAfter = 200 * time.Millisecond
+		restartAt  = 3 * time.Second
+		deliverAt  = 3100 * time.Millisecond
+	)
+	if err := w.build(8, 3); err != nil {
+		return nil, err
+	}
+	time.Sleep(2 * time.Second)
+	if w.trouble {
+		w.holdFirst(task)
+	}
+	if err := w.submit(id, job(1, 4000, 500)); err != nil {
+		return nil, err
+	}
+	var at *runner
+	if w.trouble {
+		if !await(5*time.Second, func() bool { at = w.holder(); return at != nil }) {
+			return nil, errNoStart
+		}
+		h := at.held[0]
+		time.Sleep(time.Until(h.sent.Add(killAfter)))
+		for _, m := range w.managers {
+			m.kill()
+		}
+		if err := w.restartAndDeliver(at, crashAfter, restartAt, deliverAt); err != nil {
+			return nil, err
+		}
+	}
+	if !await(20*time.Second, func() bool { return w.state(id) == "completed" }) {
+		return nil, errors.New("the job was not completed")
+	}
+
+	return w.twice(task), nil
+}
+
+// holdFirst holds up the first start of a task.
+func (w *world) holdFirst(task string) {
+	first := true
+	var mu sync.Mutex
+	for _, r := range w.runners {
+		r.mu.Lock()
+		r.holdStart = func(t string, _ int) bool {
+			mu.Lock()
+			defer mu.Unlock()
+			hold := first && t == task
+			first = first && !hold
+			return hold
+		}
+		r.mu.Unlock()
+	}
+}
+
+// holder returns the runner whose start is held up, or nil.
+func (w *world) holder() *runner {
+	for _, r := range w.runners {
+		r.mu.Lock()
+		holds := len(r.held) > 0
+		r.mu.Unlock()
+		if holds {
+			return r
+		}
+	}
+
+	return nil
+}
+
 // playLateStart holds up the first start of a task, waits until the task is done all the same, and lets disrupt make the start
 // arrive at its runner.
 func (w *world) playLateStart(disrupt func(r *runner) error) ([]string, error) {
@@ -40,14 +115,7 @@
 	}
 	time.Sleep(2 * time.Second)
 	if w.trouble {
-		first := true
-		for _, r := range w.runners {
-			r.holdStart = func(t string, _ int) bool {
-				hold := first && t == task
-				first = first && !hold
-				return hold
-			}
-		}
+		w.holdFirst(task)
 	}
 	if err := w.submit(id, job(1, 1000, 500)); err != nil {
 		return nil, err
@@ -62,11 +130,9 @@
 	}) {
 		return nil, errNoStart
 	}
-	for _, r := range w.runners {
-		if len(r.held) > 0 {
-			if err := disrupt(r); err != nil {
-				return nil, err
-			}
+	if r := w.holder(); r != nil {
+		if err := disrupt(r); err != nil {
+			return nil, err
 		}
 	}
 	time.Sleep(3 * time.Second)
@@ -74,13 +140,13 @@
 	return w.twice(task), nil
 }
 
-// restartAndDeliver restarts a runner and lets the start that was held up arrive at its next life. The times are since the start was
+// restartAndDeliver lets a runner crash and start again, and lets the start that was held up arrive at its next life. The times are since the start was
 // sent; the pages say 2 to 12 s for the second.
-func (w *world) restartAndDeliver(r *runner, restartAt, deliverAt time.Duration) error {
+func (w *world) restartAndDeliver(r *runner, crashAt, restartAt, deliverAt time.Duration) error {
 	h := r.held[0]
-	time.Sleep(time.Until(h.sent.Add(restartAt)))
+	time.Sleep(time.Until(h.sent.Add(crashAt)))
 	r.crash()
-	time.Sleep(time.Until(h.sent.Add(deliverAt)) - 100*time.Millisecond)
+	time.Sleep(time.Until(h.sent.Add(restartAt)))
 	if err := r.start(); err != nil {
 		return err
 	}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -22,7 +22,7 @@
 
 // cases are the cases by name. Each returns what breaks the rule, or an error if it could not run.
 var cases = map[string]func(w *world) ([]string, error){
-	"late-start": lateStart, "late-start-takeover": lateStartTakeover, "late-upkeep": lateUpkeep,
+	"late-start": lateStart, "late-start-takeover": lateStartTakeover, "late-upkeep": lateUpkeep, "lost-with-owner": lostWithOwner,
 }
 
 func main() {
