Review case 14: jobs wait beside runners that look slow by wrong estimates

Cause: measureSpeed keeps new tasks off a runner for as long as its runs are slower than estimated, also if all runners look so. The case has two jobs that take four times as long as estimated on each runner, and submits small jobs after them.

--- a/review/third/standin/cases.go
+++ b/review/third/standin/cases.go
@@ -5,16 +5,28 @@
 	"time"
 )
 
-var cases = map[string]func(w *World){"11": crashed, "12": lateStart, "13": lateUpkeep}
+var cases = map[string]func(w *World){"11": crashed, "12": lateStart, "13": lateUpkeep, "14": underestimated}
 
 const jobID = "5c0e7a21d94b36f8"
 
 // deploy starts runners of one service, their machines and the managers.
 func deploy(w *World, runners, managers int) {
-	w.Configure(3, []map[string]any{service("svc-a", false)}, []map[string]any{route("r-a", "/qa/", "svc-a", 4)}, []map[string]any{tenant("t-one", "key-one", 0)})
+	deployWithSpares(w, runners, 0, managers)
+}
+
+// deployWithSpares is deploy with further machines in the spare pool.
+func deployWithSpares(w *World, runners, spares, managers int) {
+	services := []map[string]any{service("svc-a", false)}
+	if spares > 0 {
+		services = append(services, service("svc-spare", true))
+	}
+	w.Configure(3, services, []map[string]any{route("r-a", "/qa/", "svc-a", 4)}, []map[string]any{tenant("t-one", "key-one", 0)})
 	cloud := NewCloud(w)
-	for i := range runners {
+	for i := range runners + spares {
 		r := NewRunner(w, i, "svc-a")
+		if i >= runners {
+			r.service = "svc-spare"
+		}
 		w.runners = append(w.runners, r)
 		cloud.Add(r)
 		r.Start()
--- a/review/third/standin/runner.go
+++ b/review/third/standin/runner.go
@@ -64,10 +64,7 @@
 
 // NewRunner returns a runner that is down.
 func NewRunner(w *World, i int, service string) *Runner {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	check(err)
-	addr := l.Addr().String()
-	check(l.Close())
+	addr := fmt.Sprintf("127.0.0.1:%d", freePort())
 
 	return &Runner{
 		w: w, id: fmt.Sprintf("i-%08x", 0x51a0+i), host: fmt.Sprintf("m-%03d", i), rack: fmt.Sprintf("r1-%d", i/4), addr: addr, service: service,
--- a/review/third/standin/world.go
+++ b/review/third/standin/world.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -150,12 +151,17 @@
 	done     chan struct{}
 }
 
+// freePort returns a port that is free now, below those that outgoing connections take.
 func freePort() int {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	check(err)
-	defer func() { _ = l.Close() }()
-
-	return l.Addr().(*net.TCPAddr).Port
+	for range 1000 {
+		port := 20000 + rand.IntN(12000)
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err == nil {
+			_ = l.Close()
+			return port
+		}
+	}
+	panic("no free port")
 }
 
 // AddManager writes the settings of an entry host, as deploy/manager.json.tmpl gives them, and starts its process. Its calls to the
