--- a/review/third/standin/world.go
+++ b/review/third/standin/world.go
@@ -164,12 +164,19 @@
 	done     chan struct{}
 }
 
-// freePort returns a port that is free now, below those that outgoing connections take.
+// givenPorts has the ports that freePort has returned, of which some are not in use yet.
+var givenPorts = map[int]bool{}
+
+// freePort returns a port that is free now and that it has not returned before, below those that outgoing connections take.
 func freePort() int {
 	for range 1000 {
 		port := 20000 + rand.IntN(12000)
+		if givenPorts[port] {
+			continue
+		}
 		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err == nil {
+			givenPorts[port] = true
 			_ = l.Close()
 			return port
 		}
