Review case 11: a short loss of power lets a late start run a task again that is done

Cause: while a start without an answer may still come, its runner is polled with a wait of 1.5 s and given up 0.5 s after that. A poll that waits at a runner which loses power says nothing for up to 2 s, and no other is sent meanwhile, so that the runner's next life sees no token and carries out the late start, although the owner remembers it and no process of the system is disturbed.

What: a script with one start that gets no answer and is carried out 2.95 s later, and a runner of eight that is dark for 0.3 s. The stand-in of the runner can go dark, binds connections to a life, and tells of acknowledged ends.

--- a/review/third/standin/cases.go
+++ b/review/third/standin/cases.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-var cases = map[string]func(w *World){"12": manyTasks, "13": manyOccurrences, "14": underestimated, "15": besideGang}
+var cases = map[string]func(w *World){"11": lateAfterRestart, "12": manyTasks, "13": manyOccurrences, "14": underestimated, "15": besideGang}
 
 // deploy starts runners of one service, their machines and the managers.
 func deploy(w *World, runners, managers int) {
--- a/review/third/standin/runner.go
+++ b/review/third/standin/runner.go
@@ -43,6 +43,7 @@
 
 	mu       sync.Mutex
 	server   *http.Server
+	listener net.Listener
 	up       bool
 	life     int
 	born     int64
@@ -81,11 +82,12 @@
 	r.token, r.deadline, r.next = 0, 0, 1
 	r.active, r.highest, r.ends, r.changed = map[string]*run{}, map[string]int{}, nil, make(chan struct{})
 	life := r.life
-	server := &http.Server{Handler: http.HandlerFunc(r.serve)}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) { r.serve(life, w, q) })}
 	r.server = server
 	r.mu.Unlock()
 	l, err := net.Listen("tcp", r.addr)
 	check(err)
+	r.listener = l
 	go func() { _ = server.Serve(l) }()
 	if r.silent == 0 {
 		r.register()
@@ -100,16 +102,35 @@
 	r.stop()
 }
 
-// stop ends the life.
-func (r *Runner) stop() {
+// Darken ends the life like a loss of power: nothing runs any more, nothing is remembered, and open connections say nothing. Revive must
+// follow soon.
+func (r *Runner) Darken() {
+	r.w.Log("DISRUPTION runner %s goes dark", r.id)
+	r.end()
+}
+
+// Revive begins the next life of a runner that went dark. Connections of before stay silent; what comes in on them is reset.
+func (r *Runner) Revive() {
+	_ = r.listener.Close()
+	r.Start()
+}
+
+// end ends the runs and the life, and returns its number and server.
+func (r *Runner) end() (int, *http.Server) {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.up = false
 	for _, a := range r.active {
 		r.w.ended(r, a, "gone")
 	}
 	r.active = nil
-	server, life := r.server, r.life
-	r.mu.Unlock()
+
+	return r.life, r.server
+}
+
+// stop ends the life.
+func (r *Runner) stop() {
+	life, server := r.end()
 	_ = server.Close()
 	time.AfterFunc(3*heartbeat, func() {
 		r.mu.Lock()
@@ -190,33 +211,47 @@
 	Percent      int    `json:"percent"`
 }
 
-func (r *Runner) serve(w http.ResponseWriter, q *http.Request) {
+// serve serves a request on a connection to a life. While the runner is down, it gets no answer; on a connection to an earlier life it is
+// reset.
+func (r *Runner) serve(life int, w http.ResponseWriter, q *http.Request) {
 	body := readAll(q)
+	r.mu.Lock()
+	up, now := r.up, r.life
+	r.mu.Unlock()
+	if now != life {
+		panic(http.ErrAbortHandler)
+	}
+	if !up {
+		<-q.Context().Done()
+		return
+	}
 	if r.w.onOrder != nil && r.w.onOrder(r, w, q, body) {
 		return
 	}
-	r.Carry(w, q.URL.Path, q.Header.Get("Lycheehook-Expect-Instance"), body)
+	if !r.Carry(w, q.URL.Path, q.Header.Get("Lycheehook-Expect-Instance"), body) {
+		<-q.Context().Done()
+	}
 }
 
-// Carry carries out an order and answers it.
-func (r *Runner) Carry(w http.ResponseWriter, path, instance string, body []byte) {
+// Carry carries out an order and answers it. It reports false if the runner is down, so that there is no answer.
+func (r *Runner) Carry(w http.ResponseWriter, path, instance string, body []byte) bool {
 	r.mu.Lock()
 	if !r.up {
 		r.mu.Unlock()
-		return
+		return false
 	}
 	if instance != "" && instance != r.id {
 		answerLocked(r, w, 421, nil)
-		return
+		return true
 	}
 	var o order
 	if json.Unmarshal(body, &o) != nil {
 		answerLocked(r, w, 400, nil)
-		return
+		return true
 	}
 	if o.FencingToken < r.token {
 		answerLocked(r, w, 409, map[string]any{"reason": "fence"})
-		return
+		return true
 	}
 	r.token = o.FencingToken
 	switch path {
@@ -231,12 +266,14 @@
 		}
 		answerLocked(r, w, 200, map[string]any{})
 	case "/api/hold":
-		r.hold(w, o)
+		return r.hold(w, o)
 	case "/api/pace":
 		answerLocked(r, w, 200, map[string]any{})
 	default:
 		answerLocked(r, w, 404, nil)
 	}
+
+	return true
 }
 
 func (r *Runner) extend(deadline int64) {
@@ -266,8 +303,10 @@
 	answerLocked(r, w, 200, map[string]any{})
 }
 
-func (r *Runner) hold(w http.ResponseWriter, o order) {
+// hold answers with the lists. It reports false if the runner's life ends before.
+func (r *Runner) hold(w http.ResponseWriter, o order) bool {
 	for len(r.ends) > 0 && r.ends[0].number <= o.AckedThrough {
+		r.w.acknowledged(r, r.ends[0])
 		r.ends = r.ends[1:]
 	}
 	if o.DeadlineMs > 0 {
@@ -283,7 +322,7 @@
 		r.mu.Lock()
 		if !r.up || r.life != life {
 			r.mu.Unlock()
-			return
+			return false
 		}
 	}
 	active, finished := [][]any{}, [][]any{}
@@ -300,6 +339,8 @@
 		}
 	}
 	answerLocked(r, w, 200, map[string]any{"active": active, "finished": finished})
+
+	return true
 }
 
 // answerLocked releases the lock and answers.
--- a/review/third/standin/world.go
+++ b/review/third/standin/world.go
@@ -67,6 +67,8 @@
 	attempt  int
 	from, to time.Time
 	how      string
+	// acked is when the end was acknowledged; zero if it was not.
+	acked time.Time
 }
 
 // NewWorld returns a deployment with a store only; dir is the folder of the case.
@@ -137,6 +139,18 @@
 	}
 }
 
+// acknowledged notes that the end of a run was acknowledged; the runner's lock is held.
+func (w *World) acknowledged(r *Runner, e end) {
+	w.tell(e.task, "the end of %s run %d at %s is acknowledged", e.task, e.attempt, r.id)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, s := range w.runs[e.task] {
+		if s.runner == r.id && s.attempt == e.attempt && s.acked.IsZero() {
+			s.acked = time.Now()
+		}
+	}
+}
+
 // Runs returns the runs of a task.
 func (w *World) Runs(task string) []seen {
 	w.mu.Lock()
